--- /dev/null
+++ b/rosemaryfront-model/src/main/java/org/rosemaryfront/model/VmId.java
@@ -0,0 +1,26 @@
+package org.rosemaryfront.model;
+
+import java.util.Objects;
+
+/**
+ * The identifier of a VM.
+ *
+ * @param value the text form
+ */
+public record VmId(String value) implements Comparable<VmId> {
+
+	public VmId {
+		Objects.requireNonNull(value, "value is null");
+	}
+
+	@Override
+	public int compareTo(VmId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
