Add the control loop that entry and controller share

Cause: both programs keep control state on one thread; written once it is one place to guard. A failing task is logged and does not end the thread.

--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/ProgramEvents.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/ProgramEvents.java
@@ -13,7 +13,10 @@
 	PROGRAM_STOPPED(1003),
 
 	/** The program could not start or go on. */
-	PROGRAM_FAILED(1004);
+	PROGRAM_FAILED(1004),
+
+	/** A piece of work on the control thread failed; the thread goes on. */
+	CONTROL_WORK_FAILED(1005);
 
 	private final int number;
 
--- /dev/null
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
@@ -0,0 +1,135 @@
+package org.rosemaryfront.program;
+
+import java.util.Objects;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.events.ProgramEvents;
+
+/**
+ * The one thread that owns the control state of a program.
+ *
+ * <p>
+ * Other threads post work; the thread runs it in order and then the systems, at the
+ * latest after the tick interval. A failure in one piece of work is logged and does not
+ * end the thread, since a process without its control thread would look alive and decide
+ * nothing.
+ *
+ * <pre>
+ * try (ControlLoop loop = ControlLoop.start("control", Duration.ofMillis(5), this::tick)) {
+ *     loop.post((now) -> tables.accept(event, now));
+ * }
+ * </pre>
+ */
+public final class ControlLoop implements AutoCloseable {
+
+	private static final int BATCH = 256;
+
+	private final LinkedBlockingQueue<Consumer<Long>> work = new LinkedBlockingQueue<>();
+
+	private final AtomicReference<Thread> thread = new AtomicReference<>();
+
+	private final long tickNanos;
+
+	private final Consumer<Long> tick;
+
+	private volatile boolean closed;
+
+	private ControlLoop(long tickNanos, Consumer<Long> tick) {
+		this.tickNanos = tickNanos;
+		this.tick = tick;
+	}
+
+	// -- factories
+
+	/**
+	 * Starts a control thread.
+	 * @param name the name of the thread
+	 * @param interval the greatest time between two ticks
+	 * @param tick runs the systems at the given time, {@link System#nanoTime}
+	 * @return the running loop
+	 */
+	public static ControlLoop start(String name, java.time.Duration interval, Consumer<Long> tick) {
+		Objects.requireNonNull(tick, "tick is null");
+		ControlLoop loop = new ControlLoop(interval.toNanos(), tick);
+		Thread thread = new Thread(loop::run, name);
+		loop.thread.set(thread);
+		thread.start();
+		return loop;
+	}
+
+	// -- work
+
+	/**
+	 * Posts work for the control thread; never blocks.
+	 * @param task takes the time at which it runs, {@link System#nanoTime}
+	 */
+	public void post(Consumer<Long> task) {
+		this.work.add(Objects.requireNonNull(task, "task is null"));
+	}
+
+	/**
+	 * Ends the thread after the work posted so far.
+	 */
+	@Override
+	public void close() {
+		this.closed = true;
+		post((_) -> {
+		});
+		Thread running = this.thread.get();
+		if (running != Thread.currentThread()) {
+			try {
+				running.join(TimeUnit.SECONDS.toMillis(5));
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+	}
+
+	private void run() {
+		long nextTick = System.nanoTime();
+		while (!this.closed || !this.work.isEmpty()) {
+			boolean worked = runBatch(nextTick - System.nanoTime());
+			long now = System.nanoTime();
+			if (worked || now >= nextTick) {
+				guarded(this.tick, now);
+				nextTick = now + this.tickNanos;
+			}
+		}
+	}
+
+	private boolean runBatch(long waitNanos) {
+		Consumer<Long> task = take(waitNanos);
+		int count = 0;
+		while (task != null) {
+			guarded(task, System.nanoTime());
+			count++;
+			task = (count < BATCH) ? this.work.poll() : null;
+		}
+		return count > 0;
+	}
+
+	private Consumer<Long> take(long waitNanos) {
+		try {
+			return this.work.poll(Math.max(0, waitNanos), TimeUnit.NANOSECONDS);
+		}
+		catch (InterruptedException ex) {
+			this.closed = true;
+			return null;
+		}
+	}
+
+	private static void guarded(Consumer<Long> task, long now) {
+		try {
+			task.accept(now);
+		}
+		catch (RuntimeException ex) {
+			EventLog.error(ex, ProgramEvents.CONTROL_WORK_FAILED, "cause", ex);
+		}
+	}
+
+}
