Add the serving decisions: admission, routing, recovery and expiry over tables

Cause: the entry needs decisions to drive before anything can be served. Change: tables of requests, attempts and backend servers; systems that run each tick; the baseline is the same systems with every part of the policy off. The reattach, evacuation and cache move are on in the whole policy. Ruled out: record patterns with unnamed parts, which the formatter cannot parse.

--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Attempt.java
@@ -0,0 +1,44 @@
+package org.rosemaryfront.serving;
+
+import org.rosemaryfront.model.AttemptId;
+
+/** A row of {@link AttemptTable}. */
+final class Attempt {
+
+	final AttemptId id;
+
+	/** The attempt under which the stream was opened at the engine. */
+	final AttemptId stream;
+
+	final Request request;
+
+	final Server server;
+
+	final ServingCommand.Mode mode;
+
+	final long dispatchedNanos;
+
+	/** The tokens that existed when it was dispatched. */
+	final int firstOffset;
+
+	boolean accepted;
+
+	int cachedTokens;
+
+	/** The time of its first token, 0 before it. */
+	long firstTokenNanos;
+
+	long lastTokenNanos;
+
+	Attempt(AttemptId id, AttemptId stream, Request request, Server server, ServingCommand.Mode mode,
+			long dispatchedNanos) {
+		this.id = id;
+		this.stream = stream;
+		this.request = request;
+		this.server = server;
+		this.mode = mode;
+		this.dispatchedNanos = dispatchedNanos;
+		this.firstOffset = request.emittedTokens;
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/EventIntake.java
@@ -0,0 +1,122 @@
+package org.rosemaryfront.serving;
+
+import java.util.List;
+import java.util.Map;
+
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.serving.ServingEvent.Breakage;
+import org.rosemaryfront.serving.ServingEvent.Refusal;
+
+/** Takes events into the tables; the systems draw the conclusions. */
+final class EventIntake {
+
+	private final ServingState state;
+
+	EventIntake(ServingState state) {
+		this.state = state;
+	}
+
+	void accept(ServingEvent event, long nowNanos) {
+		switch (event) {
+			case ServingEvent.RequestArrived it -> arrived(new Request(it.request(), it.spec(), nowNanos, false, 0));
+			case ServingEvent.RequestAdopted it ->
+				arrived(new Request(it.request(), it.spec(), nowNanos, true, it.emittedTokens()));
+			case ServingEvent.RequestAbandoned it -> this.state.requests.find(it.request()).ifPresent(this::abandoned);
+			case ServingEvent.AttemptAccepted it ->
+				this.state.attempts.find(it.attempt()).ifPresent((row) -> accepted(row, it.cachedTokens()));
+			case ServingEvent.AttemptProgressed it -> this.state.attempts.find(it.attempt())
+				.ifPresent((row) -> progressed(row, it.emittedTokens(), nowNanos));
+			case ServingEvent.AttemptFinished it -> this.state.attempts.find(it.attempt()).ifPresent(this::finished);
+			case ServingEvent.AttemptRefused it ->
+				this.state.attempts.find(it.attempt()).ifPresent((row) -> refused(row, it.refusal()));
+			case ServingEvent.AttemptBroken it ->
+				this.state.attempts.find(it.attempt()).ifPresent((row) -> broken(row, it.breakage()));
+			case ServingEvent.ServerSeen it -> this.state.servers.seen(it.server(), it.pool(), it.zone(), it.address());
+			case ServingEvent.ServerLeaving it -> this.state.servers.leaving(it.server(), it.goneAtNanos());
+			case ServingEvent.ServerGone it -> gone(it);
+			case ServingEvent.LoadReported _, ServingEvent.CacheReported _ -> {
+			}
+			case ServingEvent.ConfigurationApplied it -> this.state.apply(it.configuration());
+			case ServingEvent.PeersReported it -> {
+				this.state.livePeers = Math.max(1, it.livePeers());
+				this.state.peerTokens = Map.copyOf(it.tokensInFlight());
+			}
+			case ServingEvent.StopRequested _ -> this.state.stopping = true;
+		}
+	}
+
+	// -- requests
+
+	private void arrived(Request request) {
+		if (this.state.requests.find(request.id).isEmpty()) {
+			this.state.requests.add(request);
+		}
+	}
+
+	private void abandoned(Request request) {
+		if (request.attempt != null) {
+			this.state.cancel(request.attempt, "abandoned");
+		}
+		this.state.requests.remove(request);
+	}
+
+	// -- attempts
+
+	private void accepted(Attempt attempt, int cachedTokens) {
+		attempt.accepted = true;
+		attempt.cachedTokens = cachedTokens;
+		attempt.server.failures = 0;
+		attempt.request.verdict = attempt.request.verdict.then(Verdict.ran());
+	}
+
+	private void progressed(Attempt attempt, int emittedTokens, long nowNanos) {
+		Request request = attempt.request;
+		int fresh = emittedTokens - request.emittedTokens;
+		if (fresh <= 0) {
+			return;
+		}
+		if (attempt.firstTokenNanos == 0) {
+			attempt.firstTokenNanos = nowNanos;
+			this.state.estimates.firstToken(attempt.firstOffset + request.spec.promptTokens() - attempt.cachedTokens,
+					nowNanos - attempt.dispatchedNanos);
+		}
+		else {
+			this.state.estimates.tokens(fresh, nowNanos - attempt.lastTokenNanos);
+		}
+		attempt.lastTokenNanos = nowNanos;
+		request.emittedTokens = emittedTokens;
+		request.breakages = 0;
+		request.verdict = request.verdict.then(Verdict.ran());
+	}
+
+	private void finished(Attempt attempt) {
+		this.state.estimates.answerFinished(attempt.request);
+		this.state.attempts.remove(attempt);
+		this.state.requests.remove(attempt.request);
+	}
+
+	private void refused(Attempt attempt, Refusal refusal) {
+		this.state.attempts.remove(attempt);
+		this.state.ended.add(new EndedAttempt.Refused(attempt, refusal));
+	}
+
+	private void broken(Attempt attempt, Breakage breakage) {
+		this.state.attempts.remove(attempt);
+		if (breakage != Breakage.CONNECT_FAILED) {
+			attempt.request.verdict = attempt.request.verdict.then(Verdict.mayHaveRun());
+		}
+		this.state.ended.add(new EndedAttempt.Broken(attempt, breakage));
+	}
+
+	// -- backend servers
+
+	// The streams of a server that vanished end here: its connections may stay silent
+	// without ever closing.
+	private void gone(ServingEvent.ServerGone gone) {
+		this.state.servers.find(gone.server())
+			.ifPresent((server) -> List.copyOf(server.attempts.values())
+				.forEach((attempt) -> broken(attempt, Breakage.CONNECTION_LOST)));
+		this.state.servers.gone(gone.server());
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Request.java
@@ -0,0 +1,87 @@
+package org.rosemaryfront.serving;
+
+import org.rosemaryfront.model.RequestId;
+import org.rosemaryfront.model.Resource.Priority;
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.model.VmId;
+
+/** A row of {@link RequestTable}. */
+final class Request {
+
+	final RequestId id;
+
+	final RequestSpec spec;
+
+	final long arrivedNanos;
+
+	/** Whether a peer accepted it first. */
+	final boolean adopted;
+
+	Phase phase = Phase.ARRIVED;
+
+	int emittedTokens;
+
+	/** The attempt that runs, null when none does. */
+	Attempt attempt;
+
+	Verdict verdict = Verdict.notRun();
+
+	int dispatches;
+
+	/** Breakages since the last token. */
+	int breakages;
+
+	/** No dispatch before this time, in nanoseconds. */
+	long notBeforeNanos;
+
+	/** The server to avoid, because the last attempt failed there; null for none. */
+	VmId avoid;
+
+	/** The attempt whose server still has the KV cache, null when none has. */
+	Attempt cacheSource;
+
+	/** Whether it must be placed now, even over the depth bound. */
+	boolean urgent;
+
+	Request(RequestId id, RequestSpec spec, long arrivedNanos, boolean adopted, int emittedTokens) {
+		this.id = id;
+		this.spec = spec;
+		this.arrivedNanos = arrivedNanos;
+		this.adopted = adopted;
+		this.emittedTokens = emittedTokens;
+	}
+
+	// Whether work on it was begun, here or at a peer, so that it must be finished.
+	boolean begun() {
+		return this.adopted || this.dispatches > 0;
+	}
+
+	boolean chat() {
+		return this.spec.priority() == Priority.CHAT;
+	}
+
+	// The tokens that a backend server must have computed before the next one.
+	int contextTokens() {
+		return this.spec.promptTokens() + this.emittedTokens;
+	}
+
+	// The tokens that the request holds against its organisation's share.
+	long weightTokens() {
+		return (long) this.spec.promptTokens() + this.spec.maxTokens();
+	}
+
+	/** Where a request stands. */
+	enum Phase {
+
+		// Not yet admitted.
+		ARRIVED,
+
+		// Admitted, waits for a backend server.
+		WAITING,
+
+		/** An attempt runs. */
+		RUNNING
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/RoutingSystem.java
@@ -0,0 +1,53 @@
+package org.rosemaryfront.serving;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Sends waiting requests to backend servers that have room for them. */
+final class RoutingSystem implements ServingSystem {
+
+	private static final Comparator<Request> ORDER = Comparator.comparing((Request request) -> !request.urgent)
+		.thenComparing((request) -> !request.begun())
+		.thenComparing((request) -> request.spec.priority())
+		.thenComparing((request) -> request.arrivedNanos);
+
+	private final Router router;
+
+	RoutingSystem(Router router) {
+		this.router = router;
+	}
+
+	@Override
+	public void run(ServingState state, long nowNanos) {
+		if (state.requests.waiting().isEmpty()) {
+			return;
+		}
+		List<Request> waiting = new ArrayList<>(state.requests.waiting());
+		waiting.sort(ORDER);
+		for (Request request : waiting) {
+			if (request.notBeforeNanos <= nowNanos) {
+				Optional<Router.Choice> choice = this.router.choose(state, request, nowNanos);
+				choice.ifPresent((chosen) -> dispatch(state, request, chosen, nowNanos));
+			}
+		}
+	}
+
+	private static void dispatch(ServingState state, Request request, Router.Choice choice, long nowNanos) {
+		ServingCommand.Mode mode = mode(request, nowNanos);
+		request.urgent = false;
+		state.dispatch(request, choice.server(), mode, choice.reason(), nowNanos);
+	}
+
+	// The cache of an earlier attempt counts as long as its server has not gone: a
+	// destination that broke during the move leaves the source as it was.
+	private static ServingCommand.Mode mode(Request request, long nowNanos) {
+		Attempt source = request.cacheSource;
+		if (source != null && source.server.phase != Server.Phase.GONE && nowNanos < source.server.goneAtNanos) {
+			return new ServingCommand.Mode.Import(source.server.id, source.server.address, source.stream);
+		}
+		return request.begun() ? new ServingCommand.Mode.Replay() : new ServingCommand.Mode.Fresh();
+	}
+
+}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingDecisions.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingDecisions.java
@@ -1,6 +1,9 @@
 package org.rosemaryfront.serving;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 
 /**
  * Decides for one entry process which requests run where, when they move and which are
@@ -14,6 +17,32 @@
  */
 public interface ServingDecisions {
 
+	// -- factories
+
+	/**
+	 * The decisions with the parts of the policy that the parameters name.
+	 * @param parameters the figures and the parts that are on
+	 * @param seed the seed of all random choices
+	 * @return decisions with empty tables
+	 */
+	static ServingDecisions of(ServingParameters parameters, long seed) {
+		return TableServingDecisions.of(parameters, seed);
+	}
+
+	/**
+	 * A simple load balancer to measure against: least in flight, replay on a break, a
+	 * bound on open requests.
+	 * @param parameters the figures; the parts of the policy are switched off
+	 * @param seed the seed of all random choices
+	 * @return decisions with empty tables
+	 */
+	static ServingDecisions baseline(ServingParameters parameters, long seed) {
+		Objects.requireNonNull(parameters, "parameters is null");
+		return TableServingDecisions.of(parameters.withFeatures(Set.of()), seed);
+	}
+
+	// -- decisions
+
 	/**
 	 * Takes an event into the tables.
 	 * @param event what happened
@@ -32,6 +61,15 @@
 	 * What this process uses, for its peers.
 	 * @return tokens in flight by organisation
 	 */
-	java.util.Map<String, Long> tokensInFlight();
+	Map<String, Long> tokensInFlight();
+
+	/**
+	 * Broken invariants found since the last call; each is a defect of this program that
+	 * the caller logs and counts.
+	 * @return a sentence for each, empty when all is well
+	 */
+	default List<String> takeViolations() {
+		return List.of();
+	}
 
 }
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingFeature.java
@@ -0,0 +1,21 @@
+package org.rosemaryfront.serving;
+
+/**
+ * A part of the serving policy that can be switched on by itself, so that each is
+ * measured against the version without it.
+ */
+public enum ServingFeature {
+
+	/** Streams whose connection broke are attached again instead of replayed. */
+	REATTACH,
+
+	/** Streams move away from a leaving backend server before it vanishes. */
+	EVACUATION,
+
+	/** Streams may move with their KV cache. */
+	CACHE_MOVES,
+
+	/** A backend server gets a bounded number of streams; the rest waits in the entry. */
+	BOUNDED_DEPTH
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingState.java
@@ -0,0 +1,126 @@
+package org.rosemaryfront.serving;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import org.rosemaryfront.model.AttemptId;
+import org.rosemaryfront.model.Configuration;
+import org.rosemaryfront.model.Problem;
+import org.rosemaryfront.model.Resource.Pool;
+
+/** What the systems share: the tables, the estimates and the commands of this tick. */
+final class ServingState {
+
+	final ServingParameters parameters;
+
+	final RequestTable requests = new RequestTable();
+
+	final AttemptTable attempts = new AttemptTable();
+
+	final ServerTable servers = new ServerTable();
+
+	final WorkEstimates estimates;
+
+	final SplittableRandom random;
+
+	/** Attempts that ended without an answer and wait for a decision. */
+	final List<EndedAttempt> ended = new ArrayList<>();
+
+	private final Map<String, Pool> pools = new HashMap<>();
+
+	private List<ServingCommand> commands = new ArrayList<>();
+
+	private List<String> violations = new ArrayList<>();
+
+	Configuration configuration = Configuration.empty();
+
+	int livePeers = 1;
+
+	Map<String, Long> peerTokens = Map.of();
+
+	boolean stopping;
+
+	ServingState(ServingParameters parameters, long seed) {
+		this.parameters = parameters;
+		this.random = new SplittableRandom(seed);
+		this.estimates = new WorkEstimates(parameters);
+	}
+
+	// -- configuration
+
+	void apply(Configuration next) {
+		this.configuration = next;
+		this.pools.clear();
+		next.all(Pool.class).forEach((pool) -> this.pools.put(pool.name(), pool));
+	}
+
+	boolean has(ServingFeature feature) {
+		return this.parameters.has(feature);
+	}
+
+	// The declared pool, null when the configuration does not have it.
+	Pool pool(String name) {
+		return this.pools.get(name);
+	}
+
+	int slots(String pool) {
+		Pool declared = pool(pool);
+		return (declared != null) ? Math.max(1, declared.slotsPerServer()) : 1;
+	}
+
+	// -- commands
+
+	// Cancels a stream that no attempt follows any more.
+	void cancelStream(Attempt ended, String reason) {
+		this.commands.add(new ServingCommand.Cancel(ended.request.id, ended.stream, reason));
+	}
+
+	void cancel(Attempt attempt, String reason) {
+		this.attempts.remove(attempt);
+		this.commands.add(new ServingCommand.Cancel(attempt.request.id, attempt.stream, reason));
+	}
+
+	// Begins an attempt. New work to a leaving server is the invariant that every way of
+	// routing shares, so it is checked here.
+	void dispatch(Request request, Server server, ServingCommand.Mode mode, String reason, long nowNanos) {
+		boolean reattach = mode instanceof ServingCommand.Mode.Reattach;
+		if (!reattach && !server.live()) {
+			this.violations.add("new work to leaving server " + server.id + " for " + request.id);
+		}
+		AttemptId id = new AttemptId(request.id + "." + Long.toHexString(this.random.nextLong()));
+		AttemptId stream = (mode instanceof ServingCommand.Mode.Reattach(AttemptId earlier)) ? earlier : id;
+		this.attempts.add(new Attempt(id, stream, request, server, mode, nowNanos));
+		this.requests.move(request, Request.Phase.RUNNING);
+		request.dispatches++;
+		this.commands.add(new ServingCommand.Dispatch(request.id, id, server.id, server.address, mode, reason));
+	}
+
+	// Ends a request with its one final answer.
+	void refuse(Request request, Problem problem) {
+		if (request.attempt != null) {
+			cancel(request.attempt, problem.code().code());
+		}
+		if (this.requests.find(request.id).isEmpty()) {
+			this.violations.add("second final answer for " + request.id);
+			return;
+		}
+		this.requests.remove(request);
+		this.commands.add(new ServingCommand.Refuse(request.id, problem));
+	}
+
+	List<ServingCommand> takeCommands() {
+		List<ServingCommand> taken = this.commands;
+		this.commands = new ArrayList<>();
+		return taken;
+	}
+
+	List<String> takeViolations() {
+		List<String> taken = this.violations;
+		this.violations = new ArrayList<>();
+		return taken;
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/TableServingDecisions.java
@@ -0,0 +1,55 @@
+package org.rosemaryfront.serving;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/** The decisions as systems that run in order over the tables. */
+final class TableServingDecisions implements ServingDecisions {
+
+	private final ServingState state;
+
+	private final EventIntake intake;
+
+	private final List<ServingSystem> systems;
+
+	private TableServingDecisions(ServingState state, Router router) {
+		this.state = state;
+		this.intake = new EventIntake(state);
+		this.systems = List.of(new BreakageSystem(), new DepartureSystem(router), new ExpirySystem(),
+				new AdmissionSystem(), new RoutingSystem(router));
+	}
+
+	static TableServingDecisions of(ServingParameters parameters, long seed) {
+		Objects.requireNonNull(parameters, "parameters is null");
+		return new TableServingDecisions(new ServingState(parameters, seed), new Router());
+	}
+
+	// -- decisions
+
+	@Override
+	public void accept(ServingEvent event, long nowNanos) {
+		this.intake.accept(Objects.requireNonNull(event, "event is null"), nowNanos);
+	}
+
+	@Override
+	public List<String> takeViolations() {
+		return this.state.takeViolations();
+	}
+
+	@Override
+	public List<ServingCommand> tick(long nowNanos) {
+		this.systems.forEach((system) -> system.run(this.state, nowNanos));
+		return this.state.takeCommands();
+	}
+
+	@Override
+	public Map<String, Long> tokensInFlight() {
+		Map<String, Long> tokens = new HashMap<>();
+		this.state.requests.all()
+			.forEach((request) -> tokens.merge(request.spec.organisation(), request.weightTokens(), Long::sum));
+		return tokens;
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/WorkEstimates.java
@@ -0,0 +1,65 @@
+package org.rosemaryfront.serving;
+
+import org.rosemaryfront.model.Resource.Priority;
+
+/**
+ * What work takes, measured on the answers seen: exponentially weighted means that start
+ * from the parameters.
+ */
+final class WorkEstimates {
+
+	/** The weight of the newest measurement. */
+	private static final double NEWEST = 0.05;
+
+	private final double[] lengthShare = { 1, 1 };
+
+	private double tokenNanos;
+
+	private double prefillTokensPerSecond;
+
+	WorkEstimates(ServingParameters parameters) {
+		this.tokenNanos = parameters.tokenNanos();
+		this.prefillTokensPerSecond = parameters.prefillTokensPerSecond();
+	}
+
+	// -- measurements
+
+	void answerFinished(Request request) {
+		int kind = request.spec.priority().ordinal();
+		double share = (double) request.emittedTokens / Math.max(1, request.spec.maxTokens());
+		this.lengthShare[kind] += NEWEST * (Math.min(1, share) - this.lengthShare[kind]);
+	}
+
+	void firstToken(int computedTokens, long nanos) {
+		if (computedTokens > 0 && nanos > 0) {
+			double rate = computedTokens * 1e9 / nanos;
+			this.prefillTokensPerSecond += NEWEST * (rate - this.prefillTokensPerSecond);
+		}
+	}
+
+	void tokens(int count, long nanos) {
+		this.tokenNanos += NEWEST * ((double) nanos / count - this.tokenNanos);
+	}
+
+	// -- estimates
+
+	// Tokens that the whole answer is expected to have.
+	double answerTokens(Request request) {
+		return Math.max(request.emittedTokens + 1,
+				this.lengthShare[request.spec.priority().ordinal()] * request.spec.maxTokens());
+	}
+
+	double answerTokens(Priority priority, int maxTokens) {
+		return this.lengthShare[priority.ordinal()] * maxTokens;
+	}
+
+	// The time to compute tokens that are in no cache, in nanoseconds.
+	double prefillNanos(double tokens) {
+		return tokens * 1e9 / this.prefillTokensPerSecond;
+	}
+
+	double tokenNanos() {
+		return this.tokenNanos;
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
@@ -0,0 +1,183 @@
+package org.rosemaryfront.serving;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import org.rosemaryfront.model.AttemptId;
+import org.rosemaryfront.model.ProblemCode;
+import org.rosemaryfront.model.RequestId;
+import org.rosemaryfront.model.Resource.Priority;
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.model.VmId;
+import org.rosemaryfront.serving.ServingCommand.Dispatch;
+import org.rosemaryfront.serving.ServingCommand.Mode;
+import org.rosemaryfront.serving.ServingCommand.Refuse;
+import org.rosemaryfront.serving.ServingEvent.Breakage;
+import org.rosemaryfront.serving.ServingEvent.LeavingSource;
+import org.rosemaryfront.serving.ServingEvent.Refusal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests of {@link ServingDecisions}. */
+class ServingDecisionsTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private static final VmId FIRST = new VmId("vm-1");
+
+	private static final VmId SECOND = new VmId("vm-2");
+
+	private final ServingDecisions decisions = ServingDecisions.of(ServingParameters.defaults("a"), 1);
+
+	private long now = 1_000 * MILLI;
+
+	// -- the normal path
+
+	@Test
+	void shouldDispatchARequestAndForgetItWhenItIsFinished() {
+		seen(FIRST);
+		Dispatch dispatch = dispatched(arrive("r"));
+		assertThat(dispatch.server()).isEqualTo(FIRST);
+		assertThat(dispatch.mode()).isEqualTo(new Mode.Fresh());
+		assertThat(this.decisions.tokensInFlight()).containsEntry("builder", 120L);
+		accept(new ServingEvent.AttemptAccepted(dispatch.attempt(), 0));
+		accept(new ServingEvent.AttemptProgressed(dispatch.attempt(), 1));
+		accept(new ServingEvent.AttemptFinished(dispatch.attempt()));
+		assertThat(tick()).isEmpty();
+		assertThat(this.decisions.tokensInFlight()).isEmpty();
+	}
+
+	@Test
+	void shouldRefuseAtOnceWhenNoServerTakesWork() {
+		Refuse refuse = (Refuse) arrive("r").getFirst();
+		assertThat(refuse.problem().code()).isEqualTo(ProblemCode.NO_SERVER);
+		assertThat(refuse.problem().verdict()).isEqualTo(Verdict.notRun());
+		assertThat(refuse.problem().retryAfter()).isPresent();
+	}
+
+	// -- backend servers that leave
+
+	@ParameterizedTest
+	@EnumSource
+	void shouldGiveNoNewWorkToAServerThatIsLeavingEvenWhenItIsSeenAgain(LeavingSource source) {
+		seen(FIRST);
+		accept(new ServingEvent.ServerLeaving(FIRST, source, Long.MAX_VALUE));
+		seen(FIRST);
+		assertThat(arrive("r").getFirst()).isInstanceOf(Refuse.class);
+		seen(SECOND);
+		assertThat(dispatched(arrive("s")).server()).isEqualTo(SECOND);
+		assertThat(this.decisions.takeViolations()).isEmpty();
+	}
+
+	@Test
+	void shouldMoveTheCacheWhenTheAnswerDoesNotFitIntoTheNotice() {
+		seen(FIRST);
+		Dispatch first = dispatched(arrive("r"));
+		accept(new ServingEvent.AttemptAccepted(first.attempt(), 0));
+		accept(new ServingEvent.AttemptProgressed(first.attempt(), 3));
+		seen(SECOND);
+		accept(new ServingEvent.ServerLeaving(FIRST, LeavingSource.RECLAIM_NOTICE, this.now + 1_500 * MILLI));
+		Dispatch moved = dispatched(tick());
+		assertThat(moved.server()).isEqualTo(SECOND);
+		assertThat(moved.mode()).isEqualTo(new Mode.Import(FIRST, "vm-1:80", first.attempt()));
+	}
+
+	@Test
+	void shouldLetTheAnswerFinishWhenItFitsIntoTheNotice() {
+		seen(FIRST);
+		dispatched(arrive("r"));
+		seen(SECOND);
+		accept(new ServingEvent.ServerLeaving(FIRST, LeavingSource.RECLAIM_NOTICE, this.now + 60_000 * MILLI));
+		assertThat(tick()).isEmpty();
+	}
+
+	// -- attempts that break
+
+	@Test
+	void shouldAttachAgainToASilentStreamAndReplayElsewhereWhenItStaysSilent() {
+		seen(FIRST);
+		Dispatch first = dispatched(arrive("r"));
+		seen(SECOND);
+		accept(new ServingEvent.AttemptAccepted(first.attempt(), 0));
+		Dispatch second = broken(first.attempt(), Breakage.SILENT);
+		assertThat(second.mode()).isEqualTo(new Mode.Reattach(first.attempt()));
+		assertThat(second.server()).isEqualTo(FIRST);
+		Dispatch third = broken(second.attempt(), Breakage.SILENT);
+		assertThat(third.mode()).isEqualTo(new Mode.Reattach(first.attempt()));
+		accept(new ServingEvent.AttemptBroken(third.attempt(), Breakage.SILENT));
+		assertThat(tick()).anyMatch(ServingCommand.Cancel.class::isInstance);
+		this.now += 5_000 * MILLI;
+		Dispatch fourth = dispatched(tick());
+		assertThat(fourth.mode()).isEqualTo(new Mode.Replay());
+		assertThat(fourth.server()).isEqualTo(SECOND);
+	}
+
+	@Test
+	void shouldSendARefusedAttemptElsewhere() {
+		seen(FIRST);
+		Dispatch first = dispatched(arrive("r"));
+		seen(SECOND);
+		accept(new ServingEvent.AttemptRefused(first.attempt(), Refusal.LEAVING));
+		assertThat(dispatched(tick()).server()).isEqualTo(SECOND);
+	}
+
+	@Test
+	void shouldDropEventsOfAnEarlierAttempt() {
+		seen(FIRST);
+		Dispatch first = dispatched(arrive("r"));
+		seen(SECOND);
+		accept(new ServingEvent.AttemptRefused(first.attempt(), Refusal.FULL));
+		tick();
+		accept(new ServingEvent.AttemptFinished(first.attempt()));
+		assertThat(this.decisions.tokensInFlight()).containsEntry("builder", 120L);
+	}
+
+	// -- deadlines
+
+	@Test
+	void shouldGiveTheFinalAnswerOnceWhenTheDeadlinePasses() {
+		seen(FIRST);
+		dispatched(arrive("r"));
+		this.now += 60_000 * MILLI;
+		List<ServingCommand> commands = tick();
+		assertThat(commands).hasSize(2);
+		assertThat(((Refuse) commands.getLast()).problem().verdict()).isEqualTo(Verdict.mayHaveRun());
+		assertThat(tick()).isEmpty();
+	}
+
+	// -- steps
+
+	private List<ServingCommand> arrive(String request) {
+		accept(new ServingEvent.RequestArrived(new RequestId(request),
+				new RequestSpec("builder", "assistant", "plaster", Priority.CHAT, 20, 100, List.of(),
+						this.now + 10_000 * MILLI, 100 * MILLI, this.now + 30_000 * MILLI)));
+		return tick();
+	}
+
+	private void seen(VmId server) {
+		accept(new ServingEvent.ServerSeen(server, "assistant", "a", server + ":80"));
+	}
+
+	private Dispatch broken(AttemptId attempt, Breakage breakage) {
+		accept(new ServingEvent.AttemptBroken(attempt, breakage));
+		return dispatched(tick());
+	}
+
+	private void accept(ServingEvent event) {
+		this.decisions.accept(event, this.now);
+	}
+
+	private List<ServingCommand> tick() {
+		this.now += MILLI;
+		return this.decisions.tick(this.now);
+	}
+
+	private static Dispatch dispatched(List<ServingCommand> commands) {
+		assertThat(commands).isNotEmpty();
+		return (Dispatch) commands.getLast();
+	}
+
+}
