Route by prompt prefix: home servers, cache hints and the cost of waiting

Cause: a shared history was computed on every runner that its requests reached. Change: cost in the pool's weights of tokens to compute and seconds to the first token; a large pool is looked at by 12 servers on a hash ring and 4 at random.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
@@ -30,7 +30,7 @@
 			state.refuse(request, Problem.notRun(ProblemCode.NOT_READY, "this entry process is stopping", RETRY_AFTER),
 					nowNanos);
 		}
-		else if (state.servers.live(request.spec.pool()).isEmpty()) {
+		else if (state.servers.pool(request.spec.pool()).live().isEmpty()) {
 			state.refuse(request, Problem.notRun(ProblemCode.NO_SERVER,
 					"no backend server of pool " + request.spec.pool() + " takes work", RETRY_AFTER), nowNanos);
 		}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Attempt.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Attempt.java
@@ -21,6 +21,9 @@
 	/** The tokens that existed when it was dispatched. */
 	final int firstOffset;
 
+	/** The prompt tokens that were believed to be cached at its server. */
+	final int believedTokens;
+
 	boolean accepted;
 
 	int cachedTokens;
@@ -38,6 +41,7 @@
 		this.server = server;
 		this.mode = mode;
 		this.dispatchedNanos = dispatchedNanos;
+		this.believedTokens = server.hints.believedBlocks(request.blocks) * PrefixBlocks.BLOCK_TOKENS;
 		this.firstOffset = request.emittedTokens;
 	}
 
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Candidates.java
@@ -0,0 +1,67 @@
+package org.rosemaryfront.serving;
+
+import java.util.SplittableRandom;
+
+/**
+ * The few backend servers that a request may go to: all of a small pool; of a large one
+ * those that follow its prompt prefix on the ring and some at random, so that a decision
+ * costs the same at any size.
+ */
+final class Candidates {
+
+	/** The servers looked at. */
+	private static final int COUNT = 16;
+
+	/** Of them, the ones that follow on the ring. */
+	private static final int ON_RING = 12;
+
+	private final Server[] onRing = new Server[ON_RING];
+
+	private final Server[] found = new Server[COUNT];
+
+	private int count;
+
+	// -- search
+
+	void find(ServerPool pool, long key, SplittableRandom random) {
+		if (pool.live().size() <= COUNT) {
+			this.count = pool.live().size();
+			int offset = (this.count > 0) ? random.nextInt(this.count) : 0;
+			for (int i = 0; i < this.count; i++) {
+				this.found[i] = pool.live().get((i + offset) % this.count);
+			}
+			return;
+		}
+		this.count = pool.ring().after(key, this.onRing);
+		System.arraycopy(this.onRing, 0, this.found, 0, this.count);
+		while (this.count < COUNT) {
+			this.found[this.count++] = pool.live().get(random.nextInt(pool.live().size()));
+		}
+	}
+
+	// -- queries
+
+	int count() {
+		return this.count;
+	}
+
+	Server get(int index) {
+		return this.found[index];
+	}
+
+	// The server that all entry processes agree on for a key: the highest hash of key and
+	// server (rendezvous hashing).
+	Server home(long key) {
+		Server home = null;
+		long highest = Long.MIN_VALUE;
+		for (int i = 0; i < this.count; i++) {
+			long weight = HashRing.mix(key ^ this.found[i].hash);
+			if (home == null || weight > highest) {
+				home = this.found[i];
+				highest = weight;
+			}
+		}
+		return home;
+	}
+
+}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/EventIntake.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/EventIntake.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.rosemaryfront.model.RequestId;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.serving.ServingEvent.Breakage;
 import org.rosemaryfront.serving.ServingEvent.Refusal;
@@ -18,9 +19,9 @@
 
 	void accept(ServingEvent event, long nowNanos) {
 		switch (event) {
-			case ServingEvent.RequestArrived it -> arrived(new Request(it.request(), it.spec(), nowNanos, false, 0));
+			case ServingEvent.RequestArrived it -> arrived(request(it.request(), it.spec(), nowNanos, false, 0));
 			case ServingEvent.RequestAdopted it ->
-				arrived(new Request(it.request(), it.spec(), nowNanos, true, it.emittedTokens()));
+				arrived(request(it.request(), it.spec(), nowNanos, true, it.emittedTokens()));
 			case ServingEvent.RequestAbandoned it ->
 				this.state.requests.find(it.request()).ifPresent((row) -> abandoned(row, nowNanos));
 			case ServingEvent.AttemptAccepted it ->
@@ -39,8 +40,8 @@
 			case ServingEvent.LoadReported it -> this.state.servers.find(it.server())
 				.ifPresent((row) -> row.load.reported(it.running() + it.queued(), nowNanos - it.ageNanos(),
 						row.attempts.values()));
-			case ServingEvent.CacheReported _ -> {
-			}
+			case ServingEvent.CacheReported it ->
+				this.state.servers.find(it.server()).ifPresent((row) -> row.hints.reported(it.added(), it.removed()));
 			case ServingEvent.ConfigurationApplied it -> this.state.apply(it.configuration());
 			case ServingEvent.PeersReported it -> {
 				this.state.livePeers = Math.max(1, it.livePeers());
@@ -52,6 +53,10 @@
 
 	// -- requests
 
+	private Request request(RequestId id, RequestSpec spec, long nowNanos, boolean adopted, int emittedTokens) {
+		return new Request(id, spec, nowNanos, this.state.parameters.affinityBlocks(), adopted, emittedTokens);
+	}
+
 	private void arrived(Request request) {
 		if (this.state.requests.find(request.id).isEmpty()) {
 			this.state.requests.add(request);
@@ -71,6 +76,7 @@
 		attempt.accepted = true;
 		attempt.cachedTokens = cachedTokens;
 		attempt.server.failures = 0;
+		attempt.server.hints.cameTrue(attempt.believedTokens, cachedTokens);
 		attempt.request.verdict = attempt.request.verdict.then(Verdict.ran());
 	}
 
@@ -95,7 +101,7 @@
 	}
 
 	private void finished(Attempt attempt, long nowNanos) {
-		this.state.estimates.answerFinished(attempt.request);
+		this.state.estimates.answerFinished(attempt.request, nowNanos - attempt.dispatchedNanos);
 		this.state.end(attempt, nowNanos);
 		this.state.requests.remove(attempt.request);
 	}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/HashRing.java
@@ -0,0 +1,74 @@
+package org.rosemaryfront.serving;
+
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * The servers of a pool at fixed pseudo-random places of a ring. The servers that follow
+ * a key are the same in every entry process, and a server that leaves changes them only
+ * for keys that it served. A look costs the same however many servers there are.
+ */
+final class HashRing {
+
+	/** Places of each server; more make the shares more even and the ring larger. */
+	private static final int PLACES = 32;
+
+	private final long[] places;
+
+	private final Server[] owners;
+
+	private HashRing(long[] places, Server[] owners) {
+		this.places = places;
+		this.owners = owners;
+	}
+
+	static HashRing of(List<Server> servers) {
+		long[] sorted = new long[servers.size() * PLACES];
+		java.util.Map<Long, Server> byPlace = new java.util.HashMap<>(2 * sorted.length);
+		int count = 0;
+		for (Server server : servers) {
+			for (int i = 0; i < PLACES; i++) {
+				long place = mix(server.hash + i * 0x9e3779b97f4a7c15L);
+				sorted[count++] = place;
+				byPlace.put(place, server);
+			}
+		}
+		Arrays.sort(sorted);
+		Server[] owners = new Server[count];
+		for (int i = 0; i < count; i++) {
+			owners[i] = byPlace.get(sorted[i]);
+		}
+		return new HashRing(sorted, owners);
+	}
+
+	// Puts the first different servers after the key into the array; returns how many.
+	int after(long key, Server[] found) {
+		int start = Arrays.binarySearch(this.places, key);
+		int place = (start < 0) ? -start - 1 : start;
+		int count = 0;
+		for (int i = 0; i < this.owners.length && count < found.length; i++) {
+			Server owner = this.owners[(place + i) % this.owners.length];
+			if (!contains(found, count, owner)) {
+				found[count++] = owner;
+			}
+		}
+		return count;
+	}
+
+	private static boolean contains(Server[] found, int count, Server server) {
+		for (int i = 0; i < count; i++) {
+			if (found[i] == server) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	// The finaliser of SplitMix64 (Steele, Lea, Flood, 2014).
+	static long mix(long value) {
+		long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+		mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+		return mixed ^ (mixed >>> 31);
+	}
+
+}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Request.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Request.java
@@ -1,5 +1,7 @@
 package org.rosemaryfront.serving;
 
+import com.dynatrace.hash4j.hashing.Hashing;
+
 import org.rosemaryfront.model.RequestId;
 import org.rosemaryfront.model.Resource.Priority;
 import org.rosemaryfront.model.Verdict;
@@ -14,6 +16,12 @@
 
 	final long arrivedNanos;
 
+	/** The prompt's blocks. */
+	final long[] blocks;
+
+	/** Names organisation, model or adapter and the first prompt blocks. */
+	final long key;
+
 	/** Whether a peer accepted it first. */
 	final boolean adopted;
 
@@ -43,14 +51,26 @@
 	/** Whether it must be placed now, even over the depth bound. */
 	boolean urgent;
 
-	Request(RequestId id, RequestSpec spec, long arrivedNanos, boolean adopted, int emittedTokens) {
+	Request(RequestId id, RequestSpec spec, long arrivedNanos, int affinityBlocks, boolean adopted, int emittedTokens) {
 		this.id = id;
 		this.spec = spec;
 		this.arrivedNanos = arrivedNanos;
+		this.blocks = spec.prefixBlocks().stream().mapToLong(Long::longValue).toArray();
+		this.key = key(spec, this.blocks, affinityBlocks);
 		this.adopted = adopted;
 		this.emittedTokens = emittedTokens;
 	}
 
+	private static long key(RequestSpec spec, long[] blocks, int affinityBlocks) {
+		int depth = Math.min(affinityBlocks, blocks.length);
+		return Hashing.wyhashFinal4()
+			.hashStream()
+			.putString(spec.organisation())
+			.putString(spec.model())
+			.putLong((depth > 0) ? blocks[depth - 1] : 0)
+			.getAsLong();
+	}
+
 	// Whether work on it was begun, here or at a peer, so that it must be finished.
 	boolean begun() {
 		return this.adopted || this.dispatches > 0;
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/RoutingCost.java
@@ -0,0 +1,98 @@
+package org.rosemaryfront.serving;
+
+import org.rosemaryfront.model.Resource.Pool;
+
+/**
+ * What it costs to run a request on a backend server, in the pool's weights: seconds
+ * until the first token and prompt tokens to compute.
+ */
+final class RoutingCost {
+
+	/** What a server that failed lately costs, more than any load. */
+	private static final double FAILED = 1e6;
+
+	/** The part of a reported difference to the mean that is taken to last. */
+	private static final double GAIN = 0.33;
+
+	/** How much worse a second is past the target of the first token. */
+	private static final double LATE = 10;
+
+	/** The part of its key's blocks that the home server is expected to have. */
+	private static final double HOME_SHARE = 0.5;
+
+	private final ServingState state;
+
+	private final Request request;
+
+	private final Server home;
+
+	private final double meanOthers;
+
+	private final double tokenWeight;
+
+	private final double secondWeight;
+
+	/** The wait that one more of this process's streams on a server stands for. */
+	private final double streamSeconds;
+
+	private final int slots;
+
+	private final long nowNanos;
+
+	RoutingCost(ServingState state, Request request, Server home, double meanOthers, double meanStreams,
+			long nowNanos) {
+		Pool pool = state.pool(request.spec.pool());
+		this.state = state;
+		this.request = request;
+		this.home = home;
+		this.meanOthers = meanOthers;
+		this.tokenWeight = (pool != null) ? pool.recomputedTokenWeight() : 0;
+		this.secondWeight = (pool != null) ? pool.latenessWeight() : 1;
+		this.slots = state.slots(request.spec.pool());
+		double used = Math.min(1, meanStreams / this.slots);
+		this.streamSeconds = used * used * state.estimates.answerNanos() / 1e9 / this.slots;
+		this.nowNanos = nowNanos;
+	}
+
+	// -- cost
+
+	double of(Server server) {
+		double failed = (server.avoidUntilNanos > this.nowNanos || server.id.equals(this.request.avoid)) ? FAILED : 0;
+		if (!this.state.has(ServingFeature.AFFINITY)) {
+			return failed + balance(server);
+		}
+		double tokens = Math.max(0, this.request.contextTokens() - cachedTokens(server));
+		double seconds = waitSeconds(server) + this.state.estimates.prefillNanos(tokens) / 1e9;
+		double late = Math.max(0, seconds - (this.request.spec.firstTokenNanos() - this.nowNanos) / 1e9);
+		return failed + this.tokenWeight * tokens
+				+ this.secondWeight * (seconds + LATE * late + this.streamSeconds * balance(server));
+	}
+
+	// Every process sees the same late reports. If each made up for the whole difference
+	// between two servers, all of them together would overshoot by the number of
+	// processes and fill one server after another, so each makes up for its part.
+	private double balance(Server server) {
+		double own = server.attempts.size();
+		return this.state.has(ServingFeature.LOAD_REPORTS)
+				? own + (server.load.others() - this.meanOthers) / this.state.livePeers : own;
+	}
+
+	double cachedTokens(Server server) {
+		double blocks = server.hints.cachedBlocks(this.request.blocks);
+		if (server == this.home) {
+			int keyBlocks = Math.min(this.request.blocks.length, this.state.parameters.affinityBlocks());
+			blocks = Math.max(blocks, HOME_SHARE * keyBlocks);
+		}
+		return blocks * PrefixBlocks.BLOCK_TOKENS;
+	}
+
+	// A smooth maximum of 0 and the streams over the slots, since the number of streams
+	// is known only about.
+	private double waitSeconds(Server server) {
+		double others = this.meanOthers + GAIN * (server.load.others() - this.meanOthers);
+		double over = server.attempts.size() + others + 1 - this.slots;
+		double smooth = (over > 20) ? over : Math.log1p(Math.exp(over));
+		return smooth * this.state.estimates.answerNanos() / 1e9 / this.slots;
+	}
+
+}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Server.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Server.java
@@ -3,6 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
+import com.dynatrace.hash4j.hashing.Hashing;
+
 import org.rosemaryfront.model.AttemptId;
 import org.rosemaryfront.model.VmId;
 
@@ -25,6 +27,11 @@
 	/** Streams of this process that run there, oldest first. */
 	final Map<AttemptId, Attempt> attempts = new LinkedHashMap<>();
 
+	/** The pseudo-random number that places it on the ring, the same everywhere. */
+	final long hash;
+
+	final PrefixHints hints = new PrefixHints();
+
 	final ServerLoad load = new ServerLoad();
 
 	/** No new work before this time, after a failure there. */
@@ -41,6 +48,7 @@
 		this.pool = pool;
 		this.zone = zone;
 		this.address = address;
+		this.hash = Hashing.wyhashFinal4().hashCharsToLong(id.value());
 	}
 
 	// The streams that run there by now, those of other processes as last reported.
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServerTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServerTable.java
@@ -1,9 +1,7 @@
 package org.rosemaryfront.serving;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -25,7 +23,7 @@
 
 	private final Map<VmId, Server> leaving = new LinkedHashMap<>();
 
-	private final Map<String, List<Server>> live = new LinkedHashMap<>();
+	private final Map<String, ServerPool> pools = new LinkedHashMap<>();
 
 	// -- changes
 
@@ -37,7 +35,7 @@
 		if (known == null) {
 			Server server = new Server(id, pool, zone, address);
 			this.rows.put(id, server);
-			this.live.computeIfAbsent(pool, (_) -> new ArrayList<>()).add(server);
+			this.pools.computeIfAbsent(pool, (_) -> new ServerPool()).add(server);
 		}
 		else {
 			known.address = address;
@@ -65,7 +63,7 @@
 
 	private void depart(VmId id) {
 		if (this.departed.put(id, true) == null) {
-			Optional.ofNullable(this.rows.get(id)).ifPresent((server) -> this.live.get(server.pool).remove(server));
+			Optional.ofNullable(this.rows.get(id)).ifPresent((server) -> this.pools.get(server.pool).remove(server));
 			if (this.departed.size() > DEPARTED_LIMIT) {
 				this.departed.remove(this.departed.keySet().iterator().next());
 			}
@@ -88,8 +86,8 @@
 	}
 
 	// The servers of a pool that take new work.
-	List<Server> live(String pool) {
-		return this.live.getOrDefault(pool, List.of());
+	ServerPool pool(String pool) {
+		return this.pools.getOrDefault(pool, ServerPool.EMPTY);
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingFeature.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingFeature.java
@@ -18,6 +18,12 @@
 	/** Load reports of backend servers count, corrected by what was sent since. */
 	LOAD_REPORTS,
 
+	/**
+	 * Requests go where their prompt prefix is or will be cached: home servers by hash of
+	 * organisation, adapter and prefix, and hints of cache events.
+	 */
+	AFFINITY,
+
 	/** A backend server gets a bounded number of streams; the rest waits in the entry. */
 	BOUNDED_DEPTH
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingState.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingState.java
@@ -101,6 +101,7 @@
 		AttemptId id = new AttemptId(request.id + "." + Long.toHexString(this.random.nextLong()));
 		AttemptId stream = (mode instanceof ServingCommand.Mode.Reattach(AttemptId earlier)) ? earlier : id;
 		this.attempts.add(new Attempt(id, stream, request, server, mode, nowNanos));
+		server.hints.addAll(request.blocks);
 		this.requests.move(request, Request.Phase.RUNNING);
 		request.dispatches++;
 		this.dispatches.count(nowNanos);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/WorkEstimates.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/WorkEstimates.java
@@ -11,10 +11,15 @@
 	/** The weight of the newest measurement. */
 	private static final double NEWEST = 0.05;
 
+	/** The time of an answer until one was measured, in nanoseconds. */
+	private static final double FIRST_ANSWER_NANOS = 2e9;
+
 	private final double[] lengthShare = { 1, 1 };
 
 	private double tokenNanos;
 
+	private double answerNanos = FIRST_ANSWER_NANOS;
+
 	private double prefillTokensPerSecond;
 
 	WorkEstimates(ServingParameters parameters) {
@@ -24,7 +29,8 @@
 
 	// -- measurements
 
-	void answerFinished(Request request) {
+	void answerFinished(Request request, long nanos) {
+		this.answerNanos += NEWEST * (nanos - this.answerNanos);
 		int kind = request.spec.priority().ordinal();
 		double share = (double) request.emittedTokens / Math.max(1, request.spec.maxTokens());
 		this.lengthShare[kind] += NEWEST * (Math.min(1, share) - this.lengthShare[kind]);
@@ -58,6 +64,11 @@
 		return tokens * 1e9 / this.prefillTokensPerSecond;
 	}
 
+	// The time that an answer keeps a slot, in nanoseconds.
+	double answerNanos() {
+		return this.answerNanos;
+	}
+
 	double tokenNanos() {
 		return this.tokenNanos;
 	}
