Add priorities, rerouting, admission, fair shares, slow servers, zones and retry budget

Cause: chats waited for slots behind summaries and on full runners beside empty ones; an overload and a flood took everybody's latency. Change: one feature each; randomised runs with seeded faults over stand-in engines check token continuity, one final answer a request and no new work to a server known to be leaving; the same seed gives the same decisions.

--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Lines.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Lines.java
@@ -13,6 +13,7 @@
 		Map<String, Object> line = new LinkedHashMap<>();
 		line.put("policy", policy.name());
 		line.putAll(result.line());
+		result.checkRefusals(line);
 		line.put("recomputedToBaseline",
 				Result.rounded((double) result.recomputed() / Math.max(1, baseline.recomputed())));
 		line.put("costToBaseline", Result.rounded(result.costPerThousand() / baseline.costPerThousand()));
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
@@ -2,45 +2,96 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Optional;
 
 import org.rosemaryfront.model.Problem;
 import org.rosemaryfront.model.ProblemCode;
 
-/** Accepts or refuses requests that arrived. */
+/** Accepts or refuses requests that arrived; a refusal comes at once. */
 final class AdmissionSystem implements ServingSystem {
 
 	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
+	/** Waits turn out longer than the mean by about this factor. */
+	private static final double WAIT_MARGIN = 2;
+
+	/** The part of the slots that can be used before some server has none left. */
+	private static final double USABLE = 0.95;
+
+	/** The use of a pool above which organisations over their share are refused. */
+	private static final double SHARED_USE = 0.7;
+
 	@Override
 	public void run(ServingState state, long nowNanos) {
 		if (state.requests.arrived().isEmpty()) {
 			return;
 		}
 		for (Request request : new ArrayList<>(state.requests.arrived())) {
-			admit(state, request, nowNanos);
+			Optional<Problem> problem = request.adopted ? Optional.empty() : problem(state, request, nowNanos);
+			if (problem.isPresent()) {
+				state.refuse(request, problem.get(), nowNanos);
+			}
+			else {
+				state.requests.move(request, Request.Phase.WAITING);
+			}
 		}
 	}
 
 	// A request that a peer handed over was accepted there, so it is not judged again.
-	private static void admit(ServingState state, Request request, long nowNanos) {
-		if (request.adopted) {
-			state.requests.move(request, Request.Phase.WAITING);
-		}
-		else if (state.stopping) {
-			state.refuse(request, Problem.notRun(ProblemCode.NOT_READY, "this entry process is stopping", RETRY_AFTER),
-					nowNanos);
+	private static Optional<Problem> problem(ServingState state, Request request, long nowNanos) {
+		String pool = request.spec.pool();
+		if (state.stopping) {
+			return refusal(ProblemCode.NOT_READY, "this entry process is stopping", RETRY_AFTER);
 		}
-		else if (state.servers.pool(request.spec.pool()).live().isEmpty()) {
-			state.refuse(request, Problem.notRun(ProblemCode.NO_SERVER,
-					"no backend server of pool " + request.spec.pool() + " takes work", RETRY_AFTER), nowNanos);
+		if (state.servers.pool(pool).live().isEmpty()) {
+			return refusal(ProblemCode.NO_SERVER, "no backend server of pool " + pool + " takes work", RETRY_AFTER);
 		}
-		else if (state.requests.size() > state.parameters.requestLimit()) {
-			state.refuse(request, Problem.notRun(ProblemCode.OVERLOADED, "too many open requests", RETRY_AFTER),
-					nowNanos);
+		if (state.requests.size() > state.parameters.requestLimit()) {
+			return refusal(ProblemCode.OVERLOADED, "too many open requests", RETRY_AFTER);
 		}
-		else {
-			state.requests.move(request, Request.Phase.WAITING);
+		PoolLoad load = PoolLoad.of(state, pool);
+		if (state.has(ServingFeature.FAIR_SHARES) && load.used() > SHARED_USE
+				&& state.shares.over(request.spec.organisation())) {
+			return refusal(ProblemCode.OVER_SHARE, "the organisation uses more than its share", RETRY_AFTER);
 		}
+		return state.has(ServingFeature.ADMISSION) ? late(state, request, load, nowNanos) : Optional.empty();
+	}
+
+	// -- time
+
+	private static Optional<Problem> late(ServingState state, Request request, PoolLoad load, long nowNanos) {
+		double wait = request.chat() ? chatWait(state, load) : summaryWait(state, request);
+		double prefill = state.estimates.prefillNanos(request.contextTokens());
+		double answer = state.estimates.answerTokens(request) * state.estimates.tokenNanos();
+		boolean late = nowNanos + wait + prefill > startBy(request)
+				|| nowNanos + wait + prefill + answer > request.spec.answerNanos();
+		return late ? refusal(ProblemCode.OVERLOADED, "it could not be answered in time",
+				Duration.ofMillis((long) (wait / 1e6) + 1)) : Optional.empty();
+	}
+
+	// Summaries that wait longer than half of their time take slots from chat, so no more
+	// are accepted than start before.
+	private static long startBy(Request request) {
+		long latest = request.spec.firstTokenNanos();
+		return request.chat() ? latest : (request.arrivedNanos + latest) / 2;
+	}
+
+	private static double chatWait(ServingState state, PoolLoad load) {
+		return WAIT_MARGIN * load.waitNanos(USABLE, state.estimates.answerNanos());
+	}
+
+	// Summaries wait in the entry; what waits before it leaves at the rate at which
+	// summaries left lately.
+	private static double summaryWait(ServingState state, Request request) {
+		long ahead = state.requests.waiting()
+			.stream()
+			.filter((other) -> !other.chat() && other.spec.pool().equals(request.spec.pool()))
+			.count();
+		return (ahead > 0) ? ahead / Math.max(1e-12, state.summaryStarts.perNano(request.arrivedNanos)) : 0;
+	}
+
+	private static Optional<Problem> refusal(ProblemCode code, String detail, Duration retryAfter) {
+		return Optional.of(Problem.notRun(code, detail, retryAfter));
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AttemptTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AttemptTable.java
@@ -1,8 +1,10 @@
 package org.rosemaryfront.serving;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.rosemaryfront.model.AttemptId;
 
@@ -12,17 +14,25 @@
  */
 final class AttemptTable {
 
+	private final Set<Attempt> unaccepted = new LinkedHashSet<>();
+
 	private final Map<AttemptId, Attempt> rows = new HashMap<>();
 
 	// -- changes
 
 	void add(Attempt attempt) {
 		this.rows.put(attempt.id, attempt);
+		this.unaccepted.add(attempt);
 		attempt.server.attempts.put(attempt.id, attempt);
 		attempt.request.attempt = attempt;
 	}
 
+	void accepted(Attempt attempt) {
+		this.unaccepted.remove(attempt);
+	}
+
 	void remove(Attempt attempt) {
+		this.unaccepted.remove(attempt);
 		this.rows.remove(attempt.id);
 		attempt.server.attempts.remove(attempt.id);
 		attempt.request.attempt = null;
@@ -38,4 +48,9 @@
 		return this.rows.size();
 	}
 
+	// The attempts not accepted yet and not looked at by rerouting, oldest first.
+	Set<Attempt> unaccepted() {
+		return this.unaccepted;
+	}
+
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/BreakageSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/BreakageSystem.java
@@ -91,6 +91,9 @@
 		request.breakages++;
 		request.avoid = attempt.server.id;
 		request.notBeforeNanos = (request.breakages <= 1) ? nowNanos : nowNanos + backoff(state, request.breakages - 1);
+		if (state.has(ServingFeature.RETRY_BUDGET)) {
+			request.notBeforeNanos += state.retryBudget.take(nowNanos);
+		}
 		state.requests.move(request, Request.Phase.WAITING);
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Candidates.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Candidates.java
@@ -10,7 +10,7 @@
 final class Candidates {
 
 	/** The servers looked at. */
-	private static final int COUNT = 16;
+	static final int COUNT = 16;
 
 	/** Of them, the ones that follow on the ring. */
 	private static final int ON_RING = 12;
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/EventIntake.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/EventIntake.java
@@ -1,7 +1,6 @@
 package org.rosemaryfront.serving;
 
 import java.util.List;
-import java.util.Map;
 
 import org.rosemaryfront.model.RequestId;
 import org.rosemaryfront.model.Verdict;
@@ -45,7 +44,7 @@
 			case ServingEvent.ConfigurationApplied it -> this.state.apply(it.configuration());
 			case ServingEvent.PeersReported it -> {
 				this.state.livePeers = Math.max(1, it.livePeers());
-				this.state.peerTokens = Map.copyOf(it.tokensInFlight());
+				this.state.shares.reported(it.tokensInFlight());
 			}
 			case ServingEvent.StopRequested _ -> this.state.stopping = true;
 		}
@@ -59,7 +58,7 @@
 
 	private void arrived(Request request) {
 		if (this.state.requests.find(request.id).isEmpty()) {
-			this.state.requests.add(request);
+			this.state.open(request);
 		}
 	}
 
@@ -67,13 +66,14 @@
 		if (request.attempt != null) {
 			this.state.cancel(request.attempt, "abandoned", nowNanos);
 		}
-		this.state.requests.remove(request);
+		this.state.close(request);
 	}
 
 	// -- attempts
 
 	private void accepted(Attempt attempt, int cachedTokens) {
 		attempt.accepted = true;
+		this.state.attempts.accepted(attempt);
 		attempt.cachedTokens = cachedTokens;
 		attempt.server.failures = 0;
 		attempt.server.hints.cameTrue(attempt.believedTokens, cachedTokens);
@@ -93,6 +93,7 @@
 		}
 		else {
 			this.state.estimates.tokens(fresh, nowNanos - attempt.lastTokenNanos);
+			attempt.server.paced(fresh, nowNanos - attempt.lastTokenNanos, nowNanos);
 		}
 		attempt.lastTokenNanos = nowNanos;
 		request.emittedTokens = emittedTokens;
@@ -103,7 +104,7 @@
 	private void finished(Attempt attempt, long nowNanos) {
 		this.state.estimates.answerFinished(attempt.request, nowNanos - attempt.dispatchedNanos);
 		this.state.end(attempt, nowNanos);
-		this.state.requests.remove(attempt.request);
+		this.state.close(attempt.request);
 	}
 
 	private void refused(Attempt attempt, Refusal refusal, long nowNanos) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/RateMeter.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/RateMeter.java
@@ -4,12 +4,16 @@
 final class RateMeter {
 
 	/** The time after which an event counts for about a third, in nanoseconds. */
-	private static final double WINDOW_NANOS = 2e9;
+	private final double windowNanos;
 
 	private double weight;
 
 	private long lastNanos;
 
+	RateMeter(double windowNanos) {
+		this.windowNanos = windowNanos;
+	}
+
 	void count(long nowNanos) {
 		this.weight = decayed(nowNanos) + 1;
 		this.lastNanos = nowNanos;
@@ -17,11 +21,11 @@
 
 	// Events a nanosecond.
 	double perNano(long nowNanos) {
-		return decayed(nowNanos) / WINDOW_NANOS;
+		return decayed(nowNanos) / this.windowNanos;
 	}
 
 	private double decayed(long nowNanos) {
-		return this.weight * Math.exp((this.lastNanos - nowNanos) / WINDOW_NANOS);
+		return this.weight * Math.exp((this.lastNanos - nowNanos) / this.windowNanos);
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Request.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Request.java
@@ -10,6 +10,9 @@
 /** A row of {@link RequestTable}. */
 final class Request {
 
+	/** What one slot counts for; a long answer takes no more slots than a short one. */
+	private static final long SLOT_TOKENS = 256;
+
 	final RequestId id;
 
 	final RequestSpec spec;
@@ -36,6 +39,9 @@
 
 	int dispatches;
 
+	/** Times it was sent elsewhere because it waited in a queue. */
+	int reroutes;
+
 	/** Breakages since the last token. */
 	int breakages;
 
@@ -87,7 +93,7 @@
 
 	// The tokens that the request holds against its organisation's share.
 	long weightTokens() {
-		return (long) this.spec.promptTokens() + this.spec.maxTokens();
+		return Math.min(SLOT_TOKENS, this.spec.maxTokens());
 	}
 
 	/** Where a request stands. */
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Router.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Router.java
@@ -1,18 +1,33 @@
 package org.rosemaryfront.serving;
 
+import java.util.Arrays;
 import java.util.Optional;
 
+import org.rosemaryfront.model.Resource.Priority;
+
 /** Chooses the backend server of a request. */
 final class Router {
 
+	/** The slots of a server that summaries leave to chat. */
+	private static final double CHAT_SLOTS = 2;
+
+	/** The part of all slots that summaries can always have. */
+	private static final double SUMMARY_SHARE = 0.1;
+
+	/** What chats are taken to need beyond their mean. */
+	private static final double CHAT_MARGIN = 1.1;
+
 	private final Candidates candidates = new Candidates();
 
+	private final double[] paces = new double[Candidates.COUNT];
+
 	// The best server, empty when none has room.
 	Optional<Choice> choose(ServingState state, Request request, long nowNanos) {
 		this.candidates.find(state.servers.pool(request.spec.pool()), request.key, state.random);
 		Server home = this.candidates.home(request.key);
-		RoutingCost cost = new RoutingCost(state, request, home, meanOthers(state), meanStreams(), nowNanos);
-		double depth = depth(state, request);
+		RoutingCost cost = new RoutingCost(state, request, home, meanOthers(state), meanStreams(), medianTokenNanos(),
+				nowNanos);
+		double depth = depth(state, request, nowNanos);
 		Server best = null;
 		double least = Double.MAX_VALUE;
 		for (int i = 0; i < this.candidates.count(); i++) {
@@ -27,6 +42,19 @@
 			.map((server) -> new Choice(server, (server == home) ? "home" : "cheapest", cost.cachedTokens(server)));
 	}
 
+	// The middle of the candidates' times between tokens, 0 when none is known.
+	private double medianTokenNanos() {
+		int known = 0;
+		for (int i = 0; i < this.candidates.count(); i++) {
+			double nanos = this.candidates.get(i).tokenNanos;
+			if (nanos > 0) {
+				this.paces[known++] = nanos;
+			}
+		}
+		Arrays.sort(this.paces, 0, known);
+		return (known > 0) ? this.paces[known / 2] : 0;
+	}
+
 	private double meanOthers(ServingState state) {
 		double sum = 0;
 		if (state.has(ServingFeature.LOAD_REPORTS)) {
@@ -45,9 +73,26 @@
 		return sum / Math.max(1, this.candidates.count());
 	}
 
-	private static double depth(ServingState state, Request request) {
-		return (state.has(ServingFeature.BOUNDED_DEPTH) && !request.urgent) ? state.slots(request.spec.pool())
-				: Double.MAX_VALUE;
+	// A summary leaves slots free for chat, which would have to wait for the end of a
+	// long
+	// answer otherwise, until half of its time to the first token is over.
+	private static double depth(ServingState state, Request request, long nowNanos) {
+		if (!state.has(ServingFeature.PRIORITIES) || request.chat() || request.begun()) {
+			return Double.MAX_VALUE;
+		}
+		if (state.summariesRunning >= summaryLimit(state, request.spec.pool(), nowNanos)) {
+			return 0;
+		}
+		boolean early = nowNanos < (request.arrivedNanos + request.spec.firstTokenNanos()) / 2;
+		return state.slots(request.spec.pool()) - (early ? CHAT_SLOTS : 0);
+	}
+
+	// This process's part of the slots that the chats leave; a part is always left to
+	// summaries, so that chat cannot starve them.
+	private static double summaryLimit(ServingState state, String pool, long nowNanos) {
+		double slots = (double) state.servers.pool(pool).live().size() * state.slots(pool) / state.livePeers;
+		double chats = state.chatArrivals.perNano(nowNanos) * state.estimates.answerNanos(Priority.CHAT);
+		return Math.max(SUMMARY_SHARE * slots, slots - CHAT_MARGIN * chats);
 	}
 
 	/** A backend server, why, and the prompt tokens it is expected to have cached. */
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/RoutingCost.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/RoutingCost.java
@@ -14,9 +14,15 @@
 	/** The part of a reported difference to the mean that is taken to last. */
 	private static final double GAIN = 0.33;
 
+	/** What a server in a zone that is leaving costs, less than a failed one. */
+	private static final double ZONE_LEAVES = 1e5;
+
 	/** How much worse a second is past the target of the first token. */
 	private static final double LATE = 10;
 
+	/** Times the median that are still taken as usual. */
+	private static final double SLOW = 1.5;
+
 	/** The part of its key's blocks that the home server is expected to have. */
 	private static final double HOME_SHARE = 0.5;
 
@@ -35,12 +41,14 @@
 	/** The wait that one more of this process's streams on a server stands for. */
 	private final double streamSeconds;
 
+	private final double medianTokenNanos;
+
 	private final int slots;
 
 	private final long nowNanos;
 
 	RoutingCost(ServingState state, Request request, Server home, double meanOthers, double meanStreams,
-			long nowNanos) {
+			double medianTokenNanos, long nowNanos) {
 		Pool pool = state.pool(request.spec.pool());
 		this.state = state;
 		this.request = request;
@@ -51,6 +59,7 @@
 		this.slots = state.slots(request.spec.pool());
 		double used = Math.min(1, meanStreams / this.slots);
 		this.streamSeconds = used * used * state.estimates.answerNanos() / 1e9 / this.slots;
+		this.medianTokenNanos = medianTokenNanos;
 		this.nowNanos = nowNanos;
 	}
 
@@ -58,14 +67,29 @@
 
 	double of(Server server) {
 		double failed = (server.avoidUntilNanos > this.nowNanos || server.id.equals(this.request.avoid)) ? FAILED : 0;
+		failed += (this.state.has(ServingFeature.ZONES) && this.state.servers.zoneLeaves(server)) ? ZONE_LEAVES : 0;
 		if (!this.state.has(ServingFeature.AFFINITY)) {
 			return failed + balance(server);
 		}
 		double tokens = Math.max(0, this.request.contextTokens() - cachedTokens(server));
 		double seconds = waitSeconds(server) + this.state.estimates.prefillNanos(tokens) / 1e9;
 		double late = Math.max(0, seconds - (this.request.spec.firstTokenNanos() - this.nowNanos) / 1e9);
-		return failed + this.tokenWeight * tokens
-				+ this.secondWeight * (seconds + LATE * late + this.streamSeconds * balance(server));
+		return failed + this.tokenWeight * tokens + this.secondWeight * (seconds + LATE * late + slowSeconds(server)
+				+ this.streamSeconds * balance(server) * slowness(server));
+	}
+
+	// How many times longer than the median of the pool its tokens take.
+	private double slowness(Server server) {
+		if (!this.state.has(ServingFeature.SLOW_SERVERS) || this.medianTokenNanos <= 0) {
+			return 1;
+		}
+		double factor = server.tokenNanos(this.nowNanos, this.medianTokenNanos) / this.medianTokenNanos;
+		return (factor > SLOW) ? factor : 1;
+	}
+
+	// The time that a slow server adds to the whole answer.
+	private double slowSeconds(Server server) {
+		return (slowness(server) - 1) * this.state.estimates.answerTokens(this.request) * this.medianTokenNanos / 1e9;
 	}
 
 	// Every process sees the same late reports. If each made up for the whole difference
@@ -91,6 +115,9 @@
 	private double waitSeconds(Server server) {
 		double others = this.meanOthers + GAIN * (server.load.others() - this.meanOthers);
 		double over = server.attempts.size() + others + 1 - this.slots;
+		if (server.fullUntilNanos > this.nowNanos) {
+			over = Math.max(over, 1);
+		}
 		double smooth = (over > 20) ? over : Math.log1p(Math.exp(over));
 		return smooth * this.state.estimates.answerNanos() / 1e9 / this.slots;
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Server.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Server.java
@@ -11,6 +11,12 @@
 /** A row of {@link ServerTable}. */
 final class Server {
 
+	/** The weight of the newest pace. */
+	private static final double PACE_NEWEST = 0.02;
+
+	/** How long a measured pace is believed without news, in nanoseconds. */
+	private static final double PACE_MEMORY_NANOS = 30e9;
+
 	final VmId id;
 
 	final String pool;
@@ -37,6 +43,15 @@
 	/** No new work before this time, after a failure there. */
 	long avoidUntilNanos;
 
+	/** It is known to be full until then, in nanoseconds. */
+	long fullUntilNanos;
+
+	/** The time between tokens of its streams, in nanoseconds, 0 before the first. */
+	double tokenNanos;
+
+	/** When that was last measured. */
+	long measuredNanos;
+
 	/** Failures since the last success. */
 	int failures;
 
@@ -56,6 +71,19 @@
 		return this.attempts.size() + this.load.others();
 	}
 
+	void paced(int tokens, long nanos, long nowNanos) {
+		double pace = (double) nanos / tokens;
+		this.tokenNanos = (this.tokenNanos > 0) ? this.tokenNanos + PACE_NEWEST * (pace - this.tokenNanos) : pace;
+		this.measuredNanos = nowNanos;
+	}
+
+	// The time between tokens; without news it fades back to the usual, so that a server
+	// that was eased off is tried again.
+	double tokenNanos(long nowNanos, double usualNanos) {
+		double known = (this.tokenNanos > 0) ? Math.exp((this.measuredNanos - nowNanos) / PACE_MEMORY_NANOS) : 0;
+		return usualNanos + known * (this.tokenNanos - usualNanos);
+	}
+
 	boolean live() {
 		return this.phase == Phase.LIVE;
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServerPool.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServerPool.java
@@ -1,7 +1,9 @@
 package org.rosemaryfront.serving;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** The backend servers of a pool that take new work. */
 final class ServerPool {
@@ -10,6 +12,8 @@
 
 	private final List<Server> live = new ArrayList<>();
 
+	private final Map<String, Integer> byZone = new HashMap<>();
+
 	private HashRing ring = HashRing.of(List.of());
 
 	private boolean changed;
@@ -18,11 +22,14 @@
 
 	void add(Server server) {
 		this.live.add(server);
+		this.byZone.merge(server.zone, 1, Integer::sum);
 		this.changed = true;
 	}
 
 	void remove(Server server) {
-		this.live.remove(server);
+		if (this.live.remove(server)) {
+			this.byZone.merge(server.zone, -1, Integer::sum);
+		}
 		this.changed = true;
 	}
 
@@ -32,6 +39,10 @@
 		return this.live;
 	}
 
+	int inZone(String zone) {
+		return this.byZone.getOrDefault(zone, 0);
+	}
+
 	HashRing ring() {
 		if (this.changed) {
 			this.ring = HashRing.of(this.live);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServerTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServerTable.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.serving;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -23,6 +24,9 @@
 
 	private final Map<VmId, Server> leaving = new LinkedHashMap<>();
 
+	/** Servers that are leaving, by zone. */
+	private final Map<String, Integer> leavingByZone = new HashMap<>();
+
 	private final Map<String, ServerPool> pools = new LinkedHashMap<>();
 
 	// -- changes
@@ -48,14 +52,18 @@
 		if (server != null) {
 			server.phase = Server.Phase.LEAVING;
 			server.goneAtNanos = Math.min(server.goneAtNanos, goneAtNanos);
-			this.leaving.put(id, server);
+			if (this.leaving.put(id, server) == null) {
+				this.leavingByZone.merge(server.zone, 1, Integer::sum);
+			}
 		}
 	}
 
 	void gone(VmId id) {
 		depart(id);
-		this.leaving.remove(id);
 		Server server = this.rows.remove(id);
+		if (this.leaving.remove(id) != null) {
+			this.leavingByZone.merge(server.zone, -1, Integer::sum);
+		}
 		if (server != null) {
 			server.phase = Server.Phase.GONE;
 		}
@@ -80,6 +88,13 @@
 		return Optional.ofNullable(this.rows.get(id));
 	}
 
+	// Whether most servers of the server's zone are leaving: the rest is likely to
+	// follow.
+	boolean zoneLeaves(Server server) {
+		int leavingThere = this.leavingByZone.getOrDefault(server.zone, 0);
+		return leavingThere > 0 && leavingThere > pool(server.pool).inZone(server.zone);
+	}
+
 	// The servers that finish what they have.
 	Collection<Server> leaving() {
 		return this.leaving.values();
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingFeature.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingFeature.java
@@ -24,7 +24,28 @@
 	 */
 	AFFINITY,
 
-	/** A backend server gets a bounded number of streams; the rest waits in the entry. */
-	BOUNDED_DEPTH
+	/**
+	 * Chat goes before summaries: a summary waits in the entry until a backend server has
+	 * room beyond what chat needs, but not for longer than half its time.
+	 */
+	PRIORITIES,
+
+	/** A chat that waits in the queue of a backend server is sent to another. */
+	REROUTING,
+
+	/** Only what can finish within its latency target is accepted. */
+	ADMISSION,
+
+	/** Organisations share by weight over all entries. */
+	FAIR_SHARES,
+
+	/** Backend servers that run behind the median of their pool get less. */
+	SLOW_SERVERS,
+
+	/** Availability zones that are leaving get no new work while others have room. */
+	ZONES,
+
+	/** Retries are limited to a share of the fresh work. */
+	RETRY_BUDGET
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingState.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingState.java
@@ -9,11 +9,16 @@
 import org.rosemaryfront.model.AttemptId;
 import org.rosemaryfront.model.Configuration;
 import org.rosemaryfront.model.Problem;
+import org.rosemaryfront.model.Resource.Organisation;
 import org.rosemaryfront.model.Resource.Pool;
 
 /** What the systems share: the tables, the estimates and the commands of this tick. */
 final class ServingState {
 
+	private static final double SHORT_NANOS = 2e9;
+
+	private static final double LONG_NANOS = 10e9;
+
 	final ServingParameters parameters;
 
 	final RequestTable requests = new RequestTable();
@@ -26,8 +31,18 @@
 
 	final SplittableRandom random;
 
-	/** The dispatches of this process. */
-	final RateMeter dispatches = new RateMeter();
+	final Shares shares = new Shares();
+
+	final RetryBudget retryBudget;
+
+	/** The summaries that this process sent to backend servers. */
+	final RateMeter summaryStarts = new RateMeter(SHORT_NANOS);
+
+	/** The chats that callers sent to this process, refused ones too. */
+	final RateMeter chatArrivals = new RateMeter(LONG_NANOS);
+
+	/** The summaries of this process that backend servers have. */
+	int summariesRunning;
 
 	/** Attempts that ended without an answer and wait for a decision. */
 	final List<EndedAttempt> ended = new ArrayList<>();
@@ -42,14 +57,13 @@
 
 	int livePeers = 1;
 
-	Map<String, Long> peerTokens = Map.of();
-
 	boolean stopping;
 
 	ServingState(ServingParameters parameters, long seed) {
 		this.parameters = parameters;
 		this.random = new SplittableRandom(seed);
 		this.estimates = new WorkEstimates(parameters);
+		this.retryBudget = new RetryBudget(parameters.retryShare(), parameters.retryBurst());
 	}
 
 	// -- configuration
@@ -57,6 +71,7 @@
 	void apply(Configuration next) {
 		this.configuration = next;
 		this.pools.clear();
+		this.shares.configured(next.all(Organisation.class).toList());
 		next.all(Pool.class).forEach((pool) -> this.pools.put(pool.name(), pool));
 	}
 
@@ -74,6 +89,21 @@
 		return (declared != null) ? Math.max(1, declared.slotsPerServer()) : 1;
 	}
 
+	// -- requests
+
+	void open(Request request) {
+		this.requests.add(request);
+		if (request.chat()) {
+			this.chatArrivals.count(request.arrivedNanos);
+		}
+		this.shares.add(request);
+	}
+
+	void close(Request request) {
+		this.requests.remove(request);
+		this.shares.remove(request);
+	}
+
 	// -- commands
 
 	// Cancels a stream that no attempt follows any more.
@@ -83,6 +113,7 @@
 
 	void end(Attempt attempt, long nowNanos) {
 		this.attempts.remove(attempt);
+		this.summariesRunning -= attempt.request.chat() ? 0 : 1;
 		attempt.server.load.attemptEnded(attempt, nowNanos);
 	}
 
@@ -101,10 +132,16 @@
 		AttemptId id = new AttemptId(request.id + "." + Long.toHexString(this.random.nextLong()));
 		AttemptId stream = (mode instanceof ServingCommand.Mode.Reattach(AttemptId earlier)) ? earlier : id;
 		this.attempts.add(new Attempt(id, stream, request, server, mode, nowNanos));
+		this.summariesRunning += request.chat() ? 0 : 1;
 		server.hints.addAll(request.blocks);
 		this.requests.move(request, Request.Phase.RUNNING);
 		request.dispatches++;
-		this.dispatches.count(nowNanos);
+		if (request.dispatches == 1) {
+			this.retryBudget.fresh();
+			if (!request.chat()) {
+				this.summaryStarts.count(nowNanos);
+			}
+		}
 		this.commands.add(new ServingCommand.Dispatch(request.id, id, server.id, server.address, mode, reason));
 	}
 
@@ -117,7 +154,7 @@
 			this.violations.add("second final answer for " + request.id);
 			return;
 		}
-		this.requests.remove(request);
+		close(request);
 		this.commands.add(new ServingCommand.Refuse(request.id, problem));
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/TableServingDecisions.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/TableServingDecisions.java
@@ -1,6 +1,5 @@
 package org.rosemaryfront.serving;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -18,7 +17,7 @@
 		this.state = state;
 		this.intake = new EventIntake(state);
 		this.systems = List.of(new BreakageSystem(), new DepartureSystem(router), new ExpirySystem(),
-				new AdmissionSystem(), new RoutingSystem(router));
+				new AdmissionSystem(), new ReroutingSystem(router), new RoutingSystem(router));
 	}
 
 	static TableServingDecisions of(ServingParameters parameters, long seed) {
@@ -46,10 +45,7 @@
 
 	@Override
 	public Map<String, Long> tokensInFlight() {
-		Map<String, Long> tokens = new HashMap<>();
-		this.state.requests.all()
-			.forEach((request) -> tokens.merge(request.spec.organisation(), request.weightTokens(), Long::sum));
-		return tokens;
+		return this.state.shares.own();
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/WorkEstimates.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/WorkEstimates.java
@@ -18,6 +18,8 @@
 
 	private double tokenNanos;
 
+	private final double[] answerNanosByPriority = { FIRST_ANSWER_NANOS, FIRST_ANSWER_NANOS };
+
 	private double answerNanos = FIRST_ANSWER_NANOS;
 
 	private double prefillTokensPerSecond;
@@ -32,6 +34,7 @@
 	void answerFinished(Request request, long nanos) {
 		this.answerNanos += NEWEST * (nanos - this.answerNanos);
 		int kind = request.spec.priority().ordinal();
+		this.answerNanosByPriority[kind] += NEWEST * (nanos - this.answerNanosByPriority[kind]);
 		double share = (double) request.emittedTokens / Math.max(1, request.spec.maxTokens());
 		this.lengthShare[kind] += NEWEST * (Math.min(1, share) - this.lengthShare[kind]);
 	}
@@ -69,6 +72,15 @@
 		return this.answerNanos;
 	}
 
+	double answerNanos(Priority priority) {
+		return this.answerNanosByPriority[priority.ordinal()];
+	}
+
+	// The time of a step of the engine, in nanoseconds.
+	double stepNanos() {
+		return this.tokenNanos;
+	}
+
 	double tokenNanos() {
 		return this.tokenNanos;
 	}
