--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/platform/PlatformCodec.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/platform/PlatformCodec.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.LongNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import org.rosemaryfront.model.VmId;
@@ -197,6 +198,15 @@
 		return list(document, "versions", JsonNode::asLong);
 	}
 
+	/**
+	 * Writes the versions that a commit gave.
+	 * @param versions the versions
+	 * @return the document
+	 */
+	public static ObjectNode versions(List<Long> versions) {
+		return list("versions", versions, LongNode::valueOf);
+	}
+
 	private static Write write(JsonNode document) {
 		JsonNode value = required(document, "value");
 		return new Write(text(document, "table"), text(document, "key"),
@@ -363,7 +373,15 @@
 		return value.asText();
 	}
 
-	private static <T extends Enum<T>> T constant(T[] constants, JsonNode document, String field) {
+	/**
+	 * Reads a constant by its word.
+	 * @param <T> the type of the constant
+	 * @param constants those allowed
+	 * @param document the document
+	 * @param field the name of the field
+	 * @return the constant
+	 */
+	public static <T extends Enum<T>> T constant(T[] constants, JsonNode document, String field) {
 		String word = text(document, field);
 		return Arrays.stream(constants)
 			.filter((constant) -> word(constant).equals(word))
