--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/EngineException.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/EngineException.java
@@ -18,8 +18,12 @@
 
 	private final Breakage breakage;
 
-	private EngineException(Verdict verdict, Refusal refusal, Breakage breakage, String message, Throwable cause) {
+	private final boolean fenced;
+
+	private EngineException(Verdict verdict, Refusal refusal, Breakage breakage, boolean fenced, String message,
+			Throwable cause) {
 		super(message, cause);
+		this.fenced = fenced;
 		this.verdict = verdict;
 		this.refusal = refusal;
 		this.breakage = breakage;
@@ -35,7 +39,7 @@
 	 */
 	public static EngineException refused(Refusal refusal, String message) {
 		Objects.requireNonNull(refusal, "refusal is null");
-		return new EngineException(Verdict.notRun(), refusal, null, message, null);
+		return new EngineException(Verdict.notRun(), refusal, null, false, message, null);
 	}
 
 	/**
@@ -47,11 +51,30 @@
 	public static EngineException broken(Breakage breakage, Throwable cause) {
 		Objects.requireNonNull(breakage, "breakage is null");
 		Verdict verdict = (breakage == Breakage.CONNECT_FAILED) ? Verdict.notRun() : Verdict.mayHaveRun();
-		return new EngineException(verdict, null, breakage, breakage + ": " + cause, cause);
+		return new EngineException(verdict, null, breakage, false, breakage + ": " + cause, cause);
+	}
+
+	/**
+	 * The engine rejected an order without taking it.
+	 * @param fenced whether the order's fencing number was older than one it had taken;
+	 * else the order came after its validity
+	 * @param message what it said
+	 * @return the exception, with the verdict not-run
+	 */
+	public static EngineException rejectedOrder(boolean fenced, String message) {
+		return new EngineException(Verdict.notRun(), null, null, fenced, message, null);
 	}
 
 	// -- queries
 
+	/**
+	 * Whether an order was rejected since a later holder of the lease has given one.
+	 * @return true when the fencing number was older
+	 */
+	public boolean isFenced() {
+		return this.fenced;
+	}
+
 	/**
 	 * Whether the call may have run.
 	 * @return the verdict
