--- /dev/null
+++ b/rosemaryfront-model/src/main/java/org/rosemaryfront/model/Declarations.java
@@ -0,0 +1,238 @@
+package org.rosemaryfront.model;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/**
+ * Validates a whole change against the configuration that it would change.
+ *
+ * <p>
+ * Fields are checked on the resources of the change; references are checked on the
+ * resulting configuration, so that a deletion cannot leave a reference to nothing.
+ *
+ * <pre>
+ * List&lt;String&gt; errors = Declarations.validate(configuration, List.of(pool), List.of());
+ * // Pool/assistant spec.models[0]: model 'plaster' is not declared; declared are: none
+ * </pre>
+ */
+public final class Declarations {
+
+	/** The greatest number of backend servers that one pool may have. */
+	public static final int GREATEST_POOL = 10_000;
+
+	/** The greatest time of a latency target: one day, in milliseconds. */
+	public static final int GREATEST_MILLIS = 86_400_000;
+
+	/** The greatest size of a set of weights: ten terabytes, in megabytes. */
+	public static final int GREATEST_WEIGHT_MEGABYTES = 10_000_000;
+
+	/** The greatest weight of an organisation or of a recovery decision. */
+	public static final double GREATEST_FACTOR = 1_000_000;
+
+	private static final Pattern NAME = Pattern.compile("[a-z0-9-]{1,63}");
+
+	private static final Pattern VERSION = Pattern.compile("[A-Za-z0-9._-]{1,63}");
+
+	private static final Pattern KEY_HASH = Pattern.compile("[0-9a-f]{64}");
+
+	private static final Pattern PATH = Pattern.compile("[!-.0-~][!-~]{0,199}");
+
+	private final Configuration result;
+
+	private final List<String> errors = new ArrayList<>();
+
+	private Declarations(Configuration result) {
+		this.result = result;
+	}
+
+	// -- factories
+
+	/**
+	 * Checks a change.
+	 * @param base the configuration before the change
+	 * @param changed the resources to create or replace
+	 * @param deleted the resources to delete
+	 * @return one sentence for each broken rule, that names the place and what is
+	 * allowed; empty when the change is valid
+	 */
+	public static List<String> validate(Configuration base, Collection<? extends Resource> changed,
+			Collection<ResourceKey> deleted) {
+		Objects.requireNonNull(base, "base is null");
+		Objects.requireNonNull(changed, "changed is null");
+		Objects.requireNonNull(deleted, "deleted is null");
+		Declarations check = new Declarations(base.with(base.revision() + 1, changed, deleted));
+		check.requireOneMention(changed, deleted);
+		changed.forEach(check::checkFields);
+		check.result.resources().values().forEach((versioned) -> check.checkReferences(versioned.resource()));
+		check.checkAmbiguities();
+		return List.copyOf(check.errors);
+	}
+
+	// -- fields
+
+	private void checkFields(Resource resource) {
+		require(NAME.matcher(resource.name()).matches(), resource.key() + " name",
+				"allowed are 1 to 63 lower case letters, digits and hyphens");
+		switch (resource) {
+			case Resource.Pool pool -> checkPool(pool);
+			case Resource.Model model -> checkWeights(model.key(), model.version(), model.weightMegabytes());
+			case Resource.Adapter adapter -> checkWeights(adapter.key(), adapter.version(), adapter.weightMegabytes());
+			case Resource.Organisation organisation -> checkOrganisation(organisation);
+			case Resource.LatencyTarget target -> checkTarget(target);
+		}
+	}
+
+	private void checkOrganisation(Resource.Organisation organisation) {
+		requireFactor(organisation.key(), "share", organisation.share());
+		require(organisation.share() > 0, place(organisation.key(), "share"), "allowed is a number above 0");
+		requireEach(organisation.key(), "keyHashes", organisation.keyHashes(), KEY_HASH,
+				"allowed is a SHA-256 as 64 lower case hexadecimal digits");
+	}
+
+	private void checkPool(Resource.Pool pool) {
+		ResourceKey key = pool.key();
+		boolean service = pool.serves() == Resource.Serves.SERVICE;
+		require(service == pool.models().isEmpty(), place(key, "models"),
+				service ? "a pool of plain services names no models" : "a pool of model engines names at least one");
+		requireSome(key, "zones", pool.zones());
+		requireSome(key, "machineClasses", pool.machineClasses());
+		requireEach(key, "zones", pool.zones(), NAME, "allowed are 1 to 63 lower case letters, digits and hyphens");
+		requireEach(key, "machineClasses", pool.machineClasses(), VERSION,
+				"allowed are 1 to 63 letters, digits, dots, hyphens and underscores");
+		requireRange(key, "maximum", pool.maximum(), 1, GREATEST_POOL);
+		requireRange(key, "minimum", pool.minimum(), 0, Math.max(0, pool.maximum()));
+		requireRange(key, "slotsPerServer", pool.slotsPerServer(), 1, GREATEST_POOL);
+		requireFactor(key, "recomputedTokenWeight", pool.recomputedTokenWeight());
+		requireFactor(key, "latenessWeight", pool.latenessWeight());
+		require(service || pool.idempotentPaths().isEmpty(), place(key, "idempotentPaths"),
+				"only a pool of plain services has them");
+		requireEach(key, "idempotentPaths", pool.idempotentPaths(), PATH,
+				"allowed are 1 to 200 visible characters without a leading slash");
+	}
+
+	private void checkTarget(Resource.LatencyTarget target) {
+		requireRange(target.key(), "firstTokenMillis", target.firstTokenMillis(), 1, GREATEST_MILLIS);
+		requireRange(target.key(), "betweenTokensMillis", target.betweenTokensMillis(), 1, GREATEST_MILLIS);
+		requireRange(target.key(), "answerMillis", target.answerMillis(), 1, GREATEST_MILLIS);
+	}
+
+	private void checkWeights(ResourceKey key, String version, int weightMegabytes) {
+		require(VERSION.matcher(version).matches(), place(key, "version"),
+				"allowed are 1 to 63 letters, digits, dots, hyphens and underscores");
+		requireRange(key, "weightMegabytes", weightMegabytes, 1, GREATEST_WEIGHT_MEGABYTES);
+	}
+
+	// -- references
+
+	private void checkAmbiguities() {
+		Map<String, String> keyOwners = new HashMap<>();
+		Map<String, String> standards = new HashMap<>();
+		Map<String, String> servers = new HashMap<>();
+		this.result.all(Resource.Organisation.class)
+			.forEach((organisation) -> organisation.keyHashes()
+				.forEach((hash) -> requireFirst(keyOwners, hash, organisation.name(),
+						place(organisation.key(), "keyHashes"), "a key of this organisation belongs to organisation")));
+		this.result.all(Resource.LatencyTarget.class)
+			.filter(Resource.LatencyTarget::standard)
+			.forEach((target) -> requireFirst(standards, target.pool(), target.name(), place(target.key(), "standard"),
+					"pool '" + target.pool() + "' has the standard latency target"));
+		this.result.all(Resource.Pool.class)
+			.forEach((pool) -> pool.models()
+				.forEach((model) -> requireFirst(servers, model, pool.name(), place(pool.key(), "models"),
+						"model '" + model + "' is served by pool")));
+		this.result.all(Resource.Adapter.class)
+			.forEach((adapter) -> require(this.result.find(Resource.Model.class, adapter.name()).isEmpty(),
+					adapter.key() + " name", "a model has this name, and callers name either"));
+	}
+
+	private void checkReferences(Resource resource) {
+		switch (resource) {
+			case Resource.Pool pool -> requireDeclared(pool.key(), "models", pool.models(), Resource.Model.class);
+			case Resource.Model _ -> {
+			}
+			case Resource.Adapter adapter ->
+				requireDeclared(adapter.key(), "model", adapter.model(), Resource.Model.class);
+			case Resource.Organisation organisation ->
+				requireDeclared(organisation.key(), "pools", organisation.pools(), Resource.Pool.class);
+			case Resource.LatencyTarget target ->
+				requireDeclared(target.key(), "pool", target.pool(), Resource.Pool.class);
+		}
+	}
+
+	private <T extends Resource> void requireDeclared(ResourceKey key, String field, List<String> names,
+			Class<T> type) {
+		requireDistinct(key, field, names);
+		for (int i = 0; i < names.size(); i++) {
+			requireDeclared(key, field + "[" + i + "]", names.get(i), type);
+		}
+	}
+
+	private <T extends Resource> void requireDeclared(ResourceKey key, String field, String name, Class<T> type) {
+		if (this.result.find(type, name).isEmpty()) {
+			List<String> declared = this.result.all(type).map(Resource::name).toList();
+			this.errors.add(place(key, field) + ": " + type.getSimpleName() + "/" + name
+					+ " is not declared; declared are: " + (declared.isEmpty() ? "none" : String.join(", ", declared)));
+		}
+	}
+
+	// -- rules
+
+	private static String place(ResourceKey key, String field) {
+		return key + " spec." + field;
+	}
+
+	private void require(boolean holds, String place, String allowed) {
+		if (!holds) {
+			this.errors.add(place + ": " + allowed);
+		}
+	}
+
+	private void requireDistinct(ResourceKey key, String field, List<String> values) {
+		Set<String> seen = new HashSet<>();
+		for (int i = 0; i < values.size(); i++) {
+			require(seen.add(values.get(i)), place(key, field + "[" + i + "]"),
+					"'" + values.get(i) + "' stands twice; allowed is once");
+		}
+	}
+
+	private void requireEach(ResourceKey key, String field, List<String> values, Pattern pattern, String allowed) {
+		for (int i = 0; i < values.size(); i++) {
+			require(pattern.matcher(values.get(i)).matches(), place(key, field + "[" + i + "]"), allowed);
+		}
+		requireDistinct(key, field, values);
+	}
+
+	private void requireFactor(ResourceKey key, String field, double value) {
+		require(Double.isFinite(value) && value >= 0 && value <= GREATEST_FACTOR, place(key, field),
+				value + " is out of range; allowed is 0 to " + (long) GREATEST_FACTOR);
+	}
+
+	private void requireFirst(Map<String, String> owners, String value, String owner, String place, String detail) {
+		String other = owners.putIfAbsent(value, owner);
+		require(other == null || other.equals(owner), place, detail + " '" + other + "' already; allowed is one");
+	}
+
+	private void requireOneMention(Collection<? extends Resource> changed, Collection<ResourceKey> deleted) {
+		Set<ResourceKey> seen = new HashSet<>();
+		changed.forEach((resource) -> require(seen.add(resource.key()), resource.key().toString(),
+				"stands twice in the change; allowed is once"));
+		deleted.forEach((key) -> require(seen.add(key), key.toString(), "stands twice in the change; allowed is once"));
+	}
+
+	private void requireRange(ResourceKey key, String field, int value, int least, int greatest) {
+		require(value >= least && value <= greatest, place(key, field),
+				value + " is out of range; allowed is " + least + " to " + greatest);
+	}
+
+	private void requireSome(ResourceKey key, String field, List<String> values) {
+		require(!values.isEmpty(), place(key, field), "allowed is a list of at least one name");
+	}
+
+}
--- a/rosemaryfront-model/src/main/java/org/rosemaryfront/model/ProblemCode.java
+++ b/rosemaryfront-model/src/main/java/org/rosemaryfront/model/ProblemCode.java
@@ -21,6 +21,9 @@
 	/** A conditional update lost against another one. */
 	CONFLICT(409),
 
+	/** The change log does not reach back to the revision asked for; read anew. */
+	REVISION_TOO_OLD(410),
+
 	/** The body or the headers exceed the configured limit. */
 	TOO_LARGE(413),
 
--- a/rosemaryfront-model/src/main/java/org/rosemaryfront/model/ResourceCodec.java
+++ b/rosemaryfront-model/src/main/java/org/rosemaryfront/model/ResourceCodec.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.cfg.CoercionAction;
@@ -60,6 +61,9 @@
 		try {
 			return MAPPER.treeToValue(spec, typeOf(kind));
 		}
+		catch (JsonMappingException ex) {
+			throw invalid(label + "/" + name + " " + place(ex) + ": " + firstLine(ex.getOriginalMessage()));
+		}
 		catch (JsonProcessingException | IllegalArgumentException ex) {
 			throw invalid(label + "/" + name + ": " + firstLine(ex.getMessage()));
 		}
@@ -115,6 +119,19 @@
 		};
 	}
 
+	private static String place(JsonMappingException failure) {
+		StringBuilder place = new StringBuilder("spec");
+		for (JsonMappingException.Reference step : failure.getPath()) {
+			if (step.getFieldName() != null) {
+				place.append('.').append(step.getFieldName());
+			}
+			else {
+				place.append('[').append(step.getIndex()).append(']');
+			}
+		}
+		return place.toString();
+	}
+
 	private static RosemaryException invalid(String detail) {
 		return RosemaryException.of(Problem.notRun(ProblemCode.INVALID_DECLARATION, detail));
 	}
