--- /dev/null
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/Command.java
@@ -0,0 +1,16 @@
+package org.rosemaryfront.ctl;
+
+/**
+ * A sub-command of {@code rosemaryctl}.
+ */
+sealed interface Command permits ServerCommand, ValidateCommand {
+
+	/**
+	 * Runs the command.
+	 * @param console where it reads and writes
+	 * @return how it ended
+	 * @throws CtlException when it cannot be carried out
+	 */
+	ExitCode run(Console console);
+
+}
