Add the membership between processes as pure decisions

Cause: entry and controller must know each other, and tell each other of departures and revisions, without a store of their own. Probing in the manner of SWIM with incarnations, indirect probes, suspicion and refutation; records of a member are totally ordered, so that order of arrival does not matter.

--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/CandidateTable.java
@@ -0,0 +1,74 @@
+package org.rosemaryfront.membership;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+import org.rosemaryfront.model.VmId;
+
+/**
+ * The table of addresses from the VM list that are asked whether a member is there. A
+ * candidate that does not answer is asked ever more seldom, because the list lags and
+ * names VMs that are long gone.
+ */
+final class CandidateTable {
+
+	/** The time between two questions to different candidates; bounds a join to 20/s. */
+	private static final long SPACING_NANOS = Duration.ofMillis(50).toNanos();
+
+	private static final long FIRST_RETRY_NANOS = Duration.ofSeconds(1).toNanos();
+
+	private static final long LAST_RETRY_NANOS = Duration.ofSeconds(30).toNanos();
+
+	private final Map<VmId, Row> rows = new TreeMap<>();
+
+	private long nextAt = Long.MIN_VALUE;
+
+	// -- changes
+
+	/**
+	 * Takes the VM list.
+	 * @param candidates the entry VMs listed
+	 * @param now the time
+	 */
+	void listed(Collection<MembershipEvent.Candidate> candidates, long now) {
+		Map<VmId, Row> next = new TreeMap<>();
+		for (MembershipEvent.Candidate candidate : candidates) {
+			Row known = this.rows.get(candidate.vm());
+			boolean same = known != null && known.address().equals(candidate.address());
+			next.put(candidate.vm(), same ? known : new Row(candidate.address(), now, FIRST_RETRY_NANOS));
+		}
+		this.rows.clear();
+		this.rows.putAll(next);
+	}
+
+	/**
+	 * Chooses the candidate to ask now and counts it as asked.
+	 * @param now the time
+	 * @param known whether a VM is known to run a member that answers
+	 * @return its address, empty when none is due
+	 */
+	Optional<String> due(long now, Predicate<VmId> known) {
+		if (now < this.nextAt) {
+			return Optional.empty();
+		}
+		for (Map.Entry<VmId, Row> entry : this.rows.entrySet()) {
+			Row row = entry.getValue();
+			if (row.dueAt() <= now && !known.test(entry.getKey())) {
+				this.nextAt = now + SPACING_NANOS;
+				long retry = Math.min(LAST_RETRY_NANOS, row.retryNanos() * 2);
+				entry.setValue(new Row(row.address(), now + row.retryNanos(), retry));
+				return Optional.of(row.address());
+			}
+		}
+		this.nextAt = now + SPACING_NANOS;
+		return Optional.empty();
+	}
+
+	private record Row(String address, long dueAt, long retryNanos) {
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MemberTable.java
@@ -0,0 +1,172 @@
+package org.rosemaryfront.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * The table of members besides this one.
+ */
+final class MemberTable {
+
+	private final Map<MemberId, MemberRecord> records = new TreeMap<>();
+
+	private final Map<MemberId, Long> deadSince = new TreeMap<>();
+
+	private final List<MemberId> reachable = new ArrayList<>();
+
+	private final List<MemberId> ring = new ArrayList<>();
+
+	private final SplittableRandom random;
+
+	MemberTable(SplittableRandom random) {
+		this.random = random;
+	}
+
+	// -- changes
+
+	/**
+	 * Takes a record when it supersedes the known one. This comparison is the guard
+	 * against an old message that arrives late: without it an old ALIVE would revive a
+	 * leaving or dead member, and the member would get work again.
+	 * @param record the record
+	 * @param now the time
+	 * @return true when something changed
+	 */
+	boolean merge(MemberRecord record, long now) {
+		MemberRecord known = this.records.get(record.id());
+		if (known != null && !record.supersedes(known)) {
+			return false;
+		}
+		put((known != null) ? filled(record, known) : record, now);
+		return true;
+	}
+
+	/**
+	 * Notes the revision that a member itself said is in force there.
+	 * @param id the member
+	 * @param revision the revision
+	 */
+	void heard(MemberId id, long revision) {
+		this.records.computeIfPresent(id, (_, known) -> known.withRevision(Math.max(revision, known.revision())));
+	}
+
+	/**
+	 * Drops members that have been dead for long.
+	 * @param now the time
+	 */
+	void forget(long now) {
+		this.deadSince.entrySet().removeIf((entry) -> {
+			boolean old = now - entry.getValue() > MembershipSettings.TOMBSTONE_RETENTION_NANOS;
+			if (old) {
+				this.records.remove(entry.getKey());
+			}
+			return old;
+		});
+	}
+
+	private void put(MemberRecord record, long now) {
+		MemberId id = record.id();
+		this.records.put(id, record);
+		if (record.reachable()) {
+			this.deadSince.remove(id);
+			if (!this.reachable.contains(id)) {
+				this.reachable.add(id);
+				this.ring.add(this.random.nextInt(this.ring.size() + 1), id);
+			}
+		}
+		else {
+			this.deadSince.put(id, now);
+			this.reachable.remove(id);
+			this.ring.remove(id);
+		}
+	}
+
+	private static MemberRecord filled(MemberRecord record, MemberRecord known) {
+		String address = record.address().isEmpty() ? known.address() : record.address();
+		String zone = record.zone().isEmpty() ? known.zone() : record.zone();
+		boolean sameRun = record.incarnation() == known.incarnation();
+		long revision = sameRun ? Math.max(record.revision(), known.revision()) : record.revision();
+		return new MemberRecord(record.id(), address, zone, record.incarnation(), record.state(), revision);
+	}
+
+	// -- queries
+
+	Collection<MemberRecord> all() {
+		return this.records.values();
+	}
+
+	/**
+	 * The dead members, which a healed partition may bring back.
+	 * @return the members
+	 */
+	List<MemberId> dead() {
+		return List.copyOf(this.deadSince.keySet());
+	}
+
+	Optional<MemberRecord> find(MemberId id) {
+		return Optional.ofNullable(this.records.get(id));
+	}
+
+	/**
+	 * The member to probe next: each one once in a round, in random order, so that the
+	 * time until a dead one is probed is bounded.
+	 * @return the member, empty when there is none
+	 */
+	Optional<MemberRecord> nextToProbe() {
+		if (this.ring.isEmpty()) {
+			this.ring.addAll(this.reachable);
+			shuffle(this.ring);
+		}
+		return this.ring.isEmpty() ? Optional.empty() : find(this.ring.removeLast());
+	}
+
+	/**
+	 * Random reachable members.
+	 * @param count how many at most
+	 * @param except a member not wanted
+	 * @return distinct members
+	 */
+	List<MemberRecord> sample(int count, MemberId except) {
+		List<MemberRecord> chosen = new ArrayList<>(count);
+		int size = this.reachable.size();
+		if (size <= count * 4) {
+			List<MemberId> shuffled = new ArrayList<>(this.reachable);
+			shuffle(shuffled);
+			shuffled.stream()
+				.filter((id) -> !id.equals(except))
+				.limit(count)
+				.forEach((id) -> chosen.add(this.records.get(id)));
+			return chosen;
+		}
+		for (int attempt = 0; chosen.size() < count && attempt < size; attempt++) {
+			MemberRecord record = this.records.get(this.reachable.get(this.random.nextInt(size)));
+			if (!record.id().equals(except) && !chosen.contains(record)) {
+				chosen.add(record);
+			}
+		}
+		return chosen;
+	}
+
+	/**
+	 * The number of members that may answer, this one included.
+	 * @return at least 1
+	 */
+	int size() {
+		return this.reachable.size() + 1;
+	}
+
+	private void shuffle(List<MemberId> ids) {
+		for (int i = ids.size() - 1; i > 0; i--) {
+			int j = this.random.nextInt(i + 1);
+			MemberId other = ids.get(j);
+			ids.set(j, ids.get(i));
+			ids.set(i, other);
+		}
+	}
+
+}
