Add the lease and the capacity decisions

The lease and the pools' sizes, placements, purchases, drains and loads are decided by systems over tables without input and output, so that faults can be tried on virtual time.

--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacityDecisions.java
@@ -0,0 +1,220 @@
+package org.rosemaryfront.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+import org.rosemaryfront.capacity.CapacityCommand.Source;
+import org.rosemaryfront.capacity.CloudVm.State;
+import org.rosemaryfront.model.Configuration;
+import org.rosemaryfront.model.Resource;
+import org.rosemaryfront.model.VmId;
+
+/**
+ * Decides which VMs a deployment has and what its engines load. Deterministic: no input
+ * or output, the time and the seed are passed in. Used by one thread only, the control
+ * thread. Times are on the monotonic clock, in nanoseconds.
+ *
+ * <pre>
+ * decisions.accept(new CapacityEvent.LeaseTaken(fence), now);
+ * decisions.tick(now).forEach(driver::execute);
+ * </pre>
+ */
+public final class CapacityDecisions {
+
+	private final CapacityTables tables;
+
+	private CapacityDecisions(CapacityTables tables) {
+		this.tables = tables;
+	}
+
+	// -- factories
+
+	/**
+	 * Decisions that know nothing yet.
+	 * @param settings the limits
+	 * @param seed the seed of the jitter
+	 * @return the decisions
+	 */
+	public static CapacityDecisions of(CapacitySettings settings, long seed) {
+		return new CapacityDecisions(new CapacityTables(Objects.requireNonNull(settings, "settings is null"), seed));
+	}
+
+	// -- queries
+
+	/**
+	 * What is known now.
+	 * @return the status
+	 */
+	public CapacityStatus status() {
+		this.tables.group();
+		return new CapacityStatus(this.tables.isSynchronised(),
+				this.tables.pools.values()
+					.stream()
+					.map((row) -> new CapacityStatus.PoolStatus(row.pool.name(), row.target, row.plan.total(),
+							row.plan.survives(), (int) row.vms.stream().filter(row::isReady).count()))
+					.toList(),
+				this.tables.vms.values().stream().map(CapacityDecisions::status).toList(),
+				this.tables.intents.values().stream().map((row) -> row.intent).toList());
+	}
+
+	private static CapacityStatus.VmStatus status(VmRow row) {
+		return new CapacityStatus.VmStatus(row.vm, row.draining, row.drainReason,
+				row.actual.map(ServerState::models).orElse(List.of()), row.actual.map(ServerState::running).orElse(0));
+	}
+
+	// -- changes
+
+	/**
+	 * Lets time pass and runs all systems.
+	 * @param nowNanos the time
+	 * @return what to ask of the platform and the engines, in order; nothing without the
+	 * lease
+	 */
+	public List<CapacityCommand> tick(long nowNanos) {
+		List<CapacityCommand> commands = new ArrayList<>();
+		if (!this.tables.leading) {
+			return commands;
+		}
+		ReadSystem.run(this.tables, nowNanos, commands);
+		this.tables.group();
+		if (this.tables.isSynchronised()) {
+			SizeSystem.run(this.tables, nowNanos);
+			PlacementSystem.run(this.tables, nowNanos);
+			PurchaseSystem.run(this.tables, nowNanos, commands);
+			DrainSystem.run(this.tables, nowNanos, commands);
+			OrderSystem.run(this.tables, nowNanos, commands);
+		}
+		ReadSystem.readEngines(this.tables, nowNanos, commands);
+		return commands;
+	}
+
+	/**
+	 * Takes an event into the tables.
+	 * @param event what happened
+	 * @param nowNanos the time
+	 */
+	public void accept(CapacityEvent event, long nowNanos) {
+		switch (event) {
+			case CapacityEvent.LeaseTaken taken -> leaseTaken(taken.fence(), nowNanos);
+			case CapacityEvent.LeaseLost _ -> this.tables.leading = false;
+			case CapacityEvent.ConfigurationApplied applied -> configuration(applied.configuration());
+			case CapacityEvent.OffersRead read -> offersRead(read.offers(), nowNanos);
+			case CapacityEvent.VmsRead read -> vmsRead(read, nowNanos);
+			case CapacityEvent.NoticesRead read -> noticesRead(read, nowNanos);
+			case CapacityEvent.LeavingLearned learned ->
+				find(learned.vm()).ifPresent((row) -> row.drain(nowNanos, "said-to-be-leaving"));
+			case CapacityEvent.ReadFailed failed -> ReadSystem.answered(this.tables, failed.what(), false, nowNanos);
+			case CapacityEvent.IntentsRead read -> intentsRead(read.intents(), nowNanos);
+			case CapacityEvent.IntentWritten written -> PurchaseSystem.written(this.tables, written.token());
+			case CapacityEvent.IntentFailed failed -> PurchaseSystem.retry(this.tables, failed.token(), nowNanos);
+			case CapacityEvent.IntentDeleted deleted -> this.tables.intents.remove(deleted.token());
+			case CapacityEvent.Bought bought ->
+				PurchaseSystem.bought(this.tables, bought.token(), bought.vm(), nowNanos);
+			case CapacityEvent.BuyRefused refused -> PurchaseSystem.refused(this.tables, refused.token(), nowNanos);
+			case CapacityEvent.BuyUnknown unknown -> PurchaseSystem.retry(this.tables, unknown.token(), nowNanos);
+			case CapacityEvent.Released released -> this.tables.vms.remove(released.vm());
+			case CapacityEvent.ReleaseFailed failed -> find(failed.vm()).ifPresent((row) -> {
+				row.releasing = false;
+				row.nextReleaseNanos = nowNanos + this.tables.jittered(this.tables.settings.backOffMillis());
+			});
+			case CapacityEvent.StateRead read -> find(read.vm()).ifPresent((row) -> stateRead(row, read, nowNanos));
+			case CapacityEvent.StateUnknown unknown -> find(unknown.vm()).ifPresent((row) -> {
+				row.exchanging = false;
+				row.silentSinceNanos = (row.silentSinceNanos != 0) ? row.silentSinceNanos : nowNanos;
+				row.nextReadNanos = nowNanos + this.tables.jittered(this.tables.settings.pollMillis());
+			});
+		}
+	}
+
+	private Optional<VmRow> find(VmId vm) {
+		return Optional.ofNullable(this.tables.vms.get(vm));
+	}
+
+	private void leaseTaken(long fence, long nowNanos) {
+		this.tables.leading = true;
+		this.tables.fence = fence;
+		this.tables.leadingSinceNanos = nowNanos;
+		this.tables.intents.clear();
+		this.tables.vms.clear();
+		this.tables.sources.values().forEach(SourceRow::reset);
+	}
+
+	private void configuration(Configuration configuration) {
+		this.tables.configuration = configuration;
+		Set<String> names = new HashSet<>();
+		configuration.all(Resource.Pool.class).forEach((pool) -> {
+			names.add(pool.name());
+			this.tables.pools.computeIfAbsent(pool.name(), (_) -> new PoolRow(pool)).pool = pool;
+		});
+		this.tables.pools.keySet().retainAll(names);
+	}
+
+	private void offersRead(List<Offer> offers, long nowNanos) {
+		Set<OfferKey> keys = new HashSet<>();
+		for (Offer offer : offers) {
+			keys.add(offer.key());
+			this.tables.offers.computeIfAbsent(offer.key(), (_) -> new OfferRow(offer)).offer = offer;
+		}
+		this.tables.offers.keySet().retainAll(keys);
+		ReadSystem.answered(this.tables, Source.OFFERS, true, nowNanos);
+	}
+
+	private void vmsRead(CapacityEvent.VmsRead read, long nowNanos) {
+		Map<VmId, CloudVm> seen = new HashMap<>();
+		for (CloudVm vm : read.vms()) {
+			if (vm.state() == State.GONE) {
+				continue;
+			}
+			seen.put(vm.id(), vm);
+			VmRow row = this.tables.vms.computeIfAbsent(vm.id(), (_) -> new VmRow(vm, nowNanos));
+			// A notice is final; a list that was made before it must not bring the VM
+			// back.
+			boolean stale = row.vm.state() == State.RECLAIMING && vm.state() == State.RUNNING;
+			row.vm = stale ? row.vm : vm;
+			IntentRow intent = this.tables.intents.get(vm.token());
+			if (intent != null && intent.isOpen()) {
+				PurchaseSystem.bought(this.tables, vm.token(), vm, nowNanos);
+			}
+		}
+		// A VM bought after the list was asked for is missing in it and not gone.
+		this.tables.vms.values()
+			.removeIf((row) -> !seen.containsKey(row.id) && row.firstSeenNanos - read.askedNanos() < 0);
+		ReadSystem.answered(this.tables, Source.VMS, true, nowNanos);
+	}
+
+	private void noticesRead(CapacityEvent.NoticesRead read, long nowNanos) {
+		this.tables.lastNotice = Math.max(this.tables.lastNotice, read.last());
+		read.remainingMillis().keySet().forEach((vm) -> find(vm).ifPresent((row) -> {
+			CloudVm known = row.vm;
+			row.vm = new CloudVm(known.id(), known.token(), known.pool(), known.sort(), State.RECLAIMING,
+					known.address());
+		}));
+		ReadSystem.answered(this.tables, Source.NOTICES, true, nowNanos);
+	}
+
+	private void intentsRead(List<Intent> intents, long nowNanos) {
+		for (Intent intent : intents) {
+			this.tables.intents.computeIfAbsent(intent.token(),
+					(_) -> new IntentRow(intent, "found", IntentRow.Phase.FOUND));
+		}
+		ReadSystem.answered(this.tables, Source.INTENTS, true, nowNanos);
+	}
+
+	private void stateRead(VmRow row, CapacityEvent.StateRead read, long nowNanos) {
+		row.exchanging = false;
+		row.silentSinceNanos = 0;
+		row.actual = Optional.of(read.state());
+		row.actualAskedNanos = read.askedNanos();
+		// Entries keep "leaving" for good, so that a drained engine is never put back.
+		if (read.state().draining()) {
+			row.drain(nowNanos, "found-draining");
+		}
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacityEvent.java
@@ -0,0 +1,175 @@
+package org.rosemaryfront.capacity;
+
+import java.util.List;
+import java.util.Map;
+
+import org.rosemaryfront.model.Configuration;
+import org.rosemaryfront.model.VmId;
+
+/**
+ * Something that happened and that the capacity decisions must know.
+ */
+public sealed interface CapacityEvent {
+
+	// -- lease and configuration
+
+	/**
+	 * This process took the lease; everything known before may be out of date.
+	 *
+	 * @param fence the fencing number
+	 */
+	record LeaseTaken(long fence) implements CapacityEvent {
+	}
+
+	/** This process no longer holds the lease. */
+	record LeaseLost() implements CapacityEvent {
+	}
+
+	/**
+	 * A configuration is in force.
+	 *
+	 * @param configuration the configuration
+	 */
+	record ConfigurationApplied(Configuration configuration) implements CapacityEvent {
+	}
+
+	// -- platform
+
+	/**
+	 * The offers were read.
+	 *
+	 * @param offers all offers
+	 */
+	record OffersRead(List<Offer> offers) implements CapacityEvent {
+	}
+
+	/**
+	 * The cloud's VMs were read.
+	 *
+	 * @param askedNanos when they were asked for
+	 * @param vms all VMs
+	 */
+	record VmsRead(long askedNanos, List<CloudVm> vms) implements CapacityEvent {
+	}
+
+	/**
+	 * Reclaim notices were read.
+	 *
+	 * @param last the number of the last one known now
+	 * @param remainingMillis the time that each reclaimed VM has left, in milliseconds
+	 */
+	record NoticesRead(long last, Map<VmId, Long> remainingMillis) implements CapacityEvent {
+	}
+
+	/**
+	 * Somebody else said that a VM is leaving, which is final.
+	 *
+	 * @param vm the VM
+	 */
+	record LeavingLearned(VmId vm) implements CapacityEvent {
+	}
+
+	/**
+	 * A read of the platform failed; it is asked again later.
+	 *
+	 * @param what what was read
+	 */
+	record ReadFailed(CapacityCommand.Source what) implements CapacityEvent {
+	}
+
+	// -- purchases
+
+	/**
+	 * All open intents were read.
+	 *
+	 * @param intents the intents
+	 */
+	record IntentsRead(List<Intent> intents) implements CapacityEvent {
+	}
+
+	/**
+	 * An intent stands in the table service.
+	 *
+	 * @param token the purchase
+	 */
+	record IntentWritten(String token) implements CapacityEvent {
+	}
+
+	/**
+	 * An intent could not be written or deleted, or this is unknown.
+	 *
+	 * @param token the purchase
+	 */
+	record IntentFailed(String token) implements CapacityEvent {
+	}
+
+	/**
+	 * An intent no longer stands in the table service.
+	 *
+	 * @param token the purchase
+	 */
+	record IntentDeleted(String token) implements CapacityEvent {
+	}
+
+	/**
+	 * The cloud sold a VM.
+	 *
+	 * @param token the purchase
+	 * @param vm the VM
+	 */
+	record Bought(String token, CloudVm vm) implements CapacityEvent {
+	}
+
+	/**
+	 * The cloud refused to start a VM.
+	 *
+	 * @param token the purchase
+	 */
+	record BuyRefused(String token) implements CapacityEvent {
+	}
+
+	/**
+	 * Whether the cloud sold a VM is unknown.
+	 *
+	 * @param token the purchase
+	 */
+	record BuyUnknown(String token) implements CapacityEvent {
+	}
+
+	/**
+	 * The cloud took a VM back.
+	 *
+	 * @param vm the VM
+	 */
+	record Released(VmId vm) implements CapacityEvent {
+	}
+
+	/**
+	 * The cloud did not say that it took a VM back.
+	 *
+	 * @param vm the VM
+	 */
+	record ReleaseFailed(VmId vm) implements CapacityEvent {
+	}
+
+	// -- backend servers
+
+	/**
+	 * A backend server said what it does, as an answer to a read or an order.
+	 *
+	 * @param vm the VM
+	 * @param askedNanos when it was asked
+	 * @param state its state
+	 */
+	record StateRead(VmId vm, long askedNanos, ServerState state) implements CapacityEvent {
+	}
+
+	/**
+	 * A backend server did not answer a read or an order.
+	 *
+	 * @param vm the VM
+	 */
+	record StateUnknown(VmId vm) implements CapacityEvent {
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacityTables.java
@@ -0,0 +1,104 @@
+package org.rosemaryfront.capacity;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import org.rosemaryfront.capacity.CapacityCommand.Source;
+import org.rosemaryfront.model.Configuration;
+import org.rosemaryfront.model.VmId;
+
+/** The entities that the capacity systems run over; owned by the control thread. */
+final class CapacityTables {
+
+	final CapacitySettings settings;
+
+	final SplittableRandom random;
+
+	final SortedMap<VmId, VmRow> vms = new TreeMap<>();
+
+	final SortedMap<String, IntentRow> intents = new TreeMap<>();
+
+	final SortedMap<OfferKey, OfferRow> offers = new TreeMap<>();
+
+	final SortedMap<String, PoolRow> pools = new TreeMap<>();
+
+	final Map<Source, SourceRow> sources = new EnumMap<>(Source.class);
+
+	Configuration configuration = Configuration.empty();
+
+	boolean leading;
+
+	long fence;
+
+	long leadingSinceNanos;
+
+	long lastNotice;
+
+	long purchases;
+
+	CapacityTables(CapacitySettings settings, long seed) {
+		this.settings = settings;
+		this.random = new SplittableRandom(seed);
+		for (Source source : Source.values()) {
+			this.sources.put(source, new SourceRow());
+		}
+	}
+
+	// Whether enough is known under this lease to act. Without the intents a purchase of
+	// an earlier holder would be made again, and without the VMs all would be.
+	boolean isSynchronised() {
+		return this.leading && this.configuration.revision() > 0
+				&& this.sources.values().stream().allMatch((source) -> source.known);
+	}
+
+	// When orders may go to a pool. Engines that ignore the fencing number may still take
+	// an order of the holder before, as long as it is valid.
+	long ordersFromNanos(PoolRow pool) {
+		return pool.ignoresFencing()
+				? this.leadingSinceNanos + CapacitySettings.nanos(this.settings.orderValidityMillis())
+				: this.leadingSinceNanos;
+	}
+
+	// Whether the engine's answer is recent enough to act on under this lease.
+	boolean isKnown(PoolRow pool, VmRow row) {
+		return row.actual.isPresent() && row.actualAskedNanos - ordersFromNanos(pool) >= 0;
+	}
+
+	// A random time of half to one and a half times the given one, in nanoseconds.
+	long jittered(long millis) {
+		long nanos = CapacitySettings.nanos(millis);
+		return nanos / 2 + this.random.nextLong(nanos + 1);
+	}
+
+	// Sorts VMs and purchases by pool, for the systems of this tick.
+	void group() {
+		this.pools.values().forEach(PoolRow::begin);
+		for (VmRow row : this.vms.values()) {
+			PoolRow pool = this.pools.get(row.vm.pool());
+			if (pool != null) {
+				pool.add(row);
+			}
+		}
+		this.offers.values().forEach((offer) -> offer.open = 0);
+		for (IntentRow row : this.intents.values()) {
+			if (row.isOpen()) {
+				open(row);
+			}
+		}
+	}
+
+	void open(IntentRow row) {
+		PoolRow pool = this.pools.get(row.intent.pool());
+		if (pool != null) {
+			pool.add(row);
+		}
+		OfferRow offer = this.offers.get(row.intent.sort());
+		if (offer != null) {
+			offer.open++;
+		}
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/PurchaseSystem.java
@@ -0,0 +1,103 @@
+package org.rosemaryfront.capacity;
+
+import java.util.List;
+
+import org.rosemaryfront.capacity.IntentRow.Phase;
+
+/**
+ * Takes each purchase from its intent to its VM. The intent is written before the cloud
+ * is asked and deleted after the VM is known, so that at every step a successor finds
+ * either the intent, which it may buy again under the same token, or the VM.
+ */
+final class PurchaseSystem {
+
+	private PurchaseSystem() {
+	}
+
+	static void run(CapacityTables tables, long nowNanos, List<CapacityCommand> commands) {
+		for (IntentRow row : tables.intents.values()) {
+			if (row.exchanging || (row.nextNanos != Long.MIN_VALUE && nowNanos - row.nextNanos < 0)) {
+				continue;
+			}
+			if (row.phase == Phase.FOUND) {
+				resume(tables, row);
+			}
+			row.exchanging = true;
+			commands.add(switch (row.phase) {
+				case PLANNED -> new CapacityCommand.WriteIntent(row.intent, row.reason);
+				case FOUND, WRITTEN -> new CapacityCommand.Buy(row.intent);
+				case ENDED -> new CapacityCommand.DeleteIntent(row.intent.token(), row.outcome);
+			});
+		}
+	}
+
+	private static void resume(CapacityTables tables, IntentRow row) {
+		PoolRow pool = tables.pools.get(row.intent.pool());
+		if (pool == null || pool.total > pool.plan.total()) {
+			if (pool != null) {
+				pool.total--;
+			}
+			row.end("no-longer-wanted");
+		}
+		else {
+			row.phase = Phase.WRITTEN;
+		}
+	}
+
+	static void written(CapacityTables tables, String token) {
+		IntentRow row = tables.intents.get(token);
+		if (row != null && row.phase == Phase.PLANNED) {
+			row.phase = Phase.WRITTEN;
+			row.exchanging = false;
+			row.failures = 0;
+		}
+	}
+
+	// The same step is asked again: all of them are idempotent by the token.
+	static void retry(CapacityTables tables, String token, long nowNanos) {
+		IntentRow row = tables.intents.get(token);
+		if (row != null) {
+			row.exchanging = false;
+			row.failures++;
+			row.nextNanos = nowNanos + backOff(tables, row.failures);
+		}
+	}
+
+	static void bought(CapacityTables tables, String token, CloudVm vm, long nowNanos) {
+		IntentRow row = tables.intents.get(token);
+		if (row != null) {
+			row.end("bought " + vm.id());
+			OfferRow offer = tables.offers.get(row.intent.sort());
+			if (offer != null) {
+				offer.refusals = 0;
+			}
+		}
+		if (vm.state() != CloudVm.State.GONE) {
+			tables.vms.computeIfAbsent(vm.id(), (_) -> new VmRow(vm, nowNanos));
+		}
+	}
+
+	static void refused(CapacityTables tables, String token, long nowNanos) {
+		IntentRow row = tables.intents.get(token);
+		if (row == null) {
+			return;
+		}
+		row.end("refused");
+		OfferRow offer = tables.offers.get(row.intent.sort());
+		if (offer != null) {
+			// Purchases that were under way together are refused together; they count
+			// once.
+			if (offer.refusals == 0 || nowNanos - offer.blockedUntilNanos >= 0) {
+				offer.refusals++;
+				offer.blockedUntilNanos = nowNanos + backOff(tables, offer.refusals);
+			}
+		}
+	}
+
+	private static long backOff(CapacityTables tables, int failures) {
+		CapacitySettings settings = tables.settings;
+		long millis = settings.backOffMillis() << Math.min(failures - 1, 10);
+		return tables.jittered(Math.min(millis, settings.backOffLimitMillis()));
+	}
+
+}
