--- /dev/null
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerSettings.java
@@ -0,0 +1,100 @@
+package org.rosemaryfront.controller;
+
+import java.time.Duration;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+import org.rosemaryfront.capacity.CapacitySettings;
+import org.rosemaryfront.lease.LeaseTerms;
+import org.rosemaryfront.platform.PlatformSettings;
+
+/**
+ * The settings of the controller; the schema gives units, defaults and reasons.
+ *
+ * @param vm the VM it runs on
+ * @param region the region
+ * @param zone its availability zone
+ * @param platform the platform
+ * @param peers the listener for peers
+ * @param status the listener of the status page
+ * @param lease the times of the lease
+ * @param capacity the limits of the capacity decisions
+ */
+record ControllerSettings(String vm, String region, String zone, PlatformSettings platform, Listener peers,
+		Listener status, Lease lease, Capacity capacity) {
+
+	ControllerSettings {
+		lease = (lease != null) ? lease : new Lease(null, null);
+		capacity = (capacity != null) ? capacity
+				: new Capacity(null, null, null, null, null, null, null, null, null, null, null, null, null);
+	}
+
+	/**
+	 * An address to listen on.
+	 *
+	 * @param host an IP number
+	 * @param port the port, 0 to let the system choose
+	 */
+	record Listener(String host, int port) {
+	}
+
+	/**
+	 * The times of the lease, in milliseconds.
+	 *
+	 * @param termMillis how long it holds
+	 * @param marginMillis how long before its end the holder stops
+	 */
+	record Lease(Long termMillis, Long marginMillis) {
+
+		private static final long TERM_MILLIS = 10_000;
+
+		private static final long MARGIN_MILLIS = 1_000;
+
+		Lease {
+			termMillis = (termMillis != null) ? termMillis : TERM_MILLIS;
+			marginMillis = (marginMillis != null) ? marginMillis : MARGIN_MILLIS;
+			if (marginMillis >= termMillis) {
+				throw new IllegalArgumentException("/lease/marginMillis: must be less than termMillis");
+			}
+		}
+
+		LeaseTerms terms() {
+			return LeaseTerms.of(Duration.ofMillis(this.termMillis), Duration.ofMillis(this.marginMillis));
+		}
+
+	}
+
+	/**
+	 * The limits of the capacity decisions; absent ones have the defaults of
+	 * {@link CapacitySettings#standard}.
+	 */
+	record Capacity(Integer startsAtOnce, Integer loadsAtOnce, Long backOffMillis, Long backOffLimitMillis,
+			Long drainMillis, Long serviceDrainMillis, Long bootMillis, Long unreachableMillis,
+			@JsonProperty("orderValidityMillis") Long orderValidity, Long pollMillis, Long pollPerVmMillis,
+			Double reclaimCostHours, Double busyShare) {
+
+		long orderValidityMillis() {
+			return limits().orderValidityMillis();
+		}
+
+		CapacitySettings limits() {
+			CapacitySettings standard = CapacitySettings.standard();
+			return new CapacitySettings(or(this.startsAtOnce, standard.startsAtOnce()),
+					or(this.loadsAtOnce, standard.loadsAtOnce()), or(this.backOffMillis, standard.backOffMillis()),
+					or(this.backOffLimitMillis, standard.backOffLimitMillis()),
+					or(this.drainMillis, standard.drainMillis()),
+					or(this.serviceDrainMillis, standard.serviceDrainMillis()),
+					or(this.bootMillis, standard.bootMillis()),
+					or(this.unreachableMillis, standard.unreachableMillis()),
+					or(this.orderValidity, standard.orderValidityMillis()), or(this.pollMillis, standard.pollMillis()),
+					or(this.pollPerVmMillis, standard.pollPerVmMillis()),
+					or(this.reclaimCostHours, standard.reclaimCostHours()), or(this.busyShare, standard.busyShare()));
+		}
+
+		private static <T> T or(T value, T standard) {
+			return (value != null) ? value : standard;
+		}
+
+	}
+
+}
