Test the controller's faults at every step on virtual time

Three controllers with real leases and decisions run before a cloud, engines and a table service in memory; a crash, a pause beyond the lease, an outage and lost answers strike at each step, with engines that check the fencing number and with ones that ignore it. The first run failed in one test: when all engines fell silent together, they were given back one after the other as each passed its limit.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/DrainSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/DrainSystem.java
@@ -61,13 +61,14 @@
 	// Replaces engines that no longer answer. When most of a pool is silent, this process
 	// is the one that is cut off: giving all of them back would end every stream.
 	private static void drainSilent(CapacityTables tables, PoolRow row, long nowNanos) {
-		List<VmRow> silent = row.vms.stream()
+		long silent = row.vms.stream().filter((vm) -> vm.silentSinceNanos != 0).count();
+		if (silent * 2 > Math.max(2, row.vms.size())) {
+			return;
+		}
+		row.vms.stream()
 			.filter((vm) -> vm.counts() && vm.silentSinceNanos != 0
 					&& isOver(vm.silentSinceNanos, tables.settings.unreachableMillis(), nowNanos))
-			.toList();
-		if (silent.size() * 2 <= Math.max(2, row.vms.size())) {
-			silent.forEach((vm) -> vm.drain(nowNanos, "unreachable"));
-		}
+			.forEach((vm) -> vm.drain(nowNanos, "unreachable"));
 	}
 
 	private static void advance(CapacityTables tables, VmRow row, long nowNanos, List<CapacityCommand> commands) {
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/FakeCloud.java
@@ -0,0 +1,208 @@
+package org.rosemaryfront.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.rosemaryfront.capacity.CloudVm.State;
+import org.rosemaryfront.model.VmId;
+
+/** A cloud in memory that sells VMs with a model engine on each. */
+final class FakeCloud {
+
+	private static final long BOOT = 3_000 * VirtualWorld.MILLI;
+
+	private static final long NOTICE = 10_000 * VirtualWorld.MILLI;
+
+	final VirtualWorld world;
+
+	final FakeTables tables;
+
+	final boolean fencingChecked;
+
+	final SortedMap<String, Machine> machines = new TreeMap<>();
+
+	final Map<OfferKey, Double> prices = new HashMap<>();
+
+	final Set<String> refusingZones = new HashSet<>();
+
+	final Set<OfferKey> refusedSorts = new HashSet<>();
+
+	final List<VmId> notices = new ArrayList<>();
+
+	private final Map<String, Machine> byToken = new HashMap<>();
+
+	int purchases;
+
+	int refusals;
+
+	FakeCloud(VirtualWorld world, FakeTables tables, boolean fencingChecked) {
+		this.world = world;
+		this.tables = tables;
+		this.fencingChecked = fencingChecked;
+	}
+
+	List<Offer> offers() {
+		List<Offer> offers = new ArrayList<>();
+		this.prices
+			.forEach((key, price) -> offers.add(new Offer(key, price, (key.market() == Market.RECLAIMABLE) ? 0.1 : 0)));
+		return offers;
+	}
+
+	List<CloudVm> vms() {
+		return this.machines.values().stream().map(Machine::vm).toList();
+	}
+
+	// The VM of a token, empty when its start is refused.
+	Optional<CloudVm> buy(Intent intent) {
+		Machine known = this.byToken.get(intent.token());
+		if (known != null) {
+			return Optional.of(known.vm());
+		}
+		if (this.refusingZones.contains(intent.sort().zone()) || this.refusedSorts.contains(intent.sort())) {
+			this.refusals++;
+			return Optional.empty();
+		}
+		this.purchases++;
+		Machine machine = new Machine(this, "vm-" + (1000 + this.purchases), intent);
+		this.machines.put(machine.id, machine);
+		this.byToken.put(intent.token(), machine);
+		this.world.after(BOOT, () -> {
+			if (machine.state == State.STARTING) {
+				machine.state = State.RUNNING;
+			}
+		});
+		return Optional.of(machine.vm());
+	}
+
+	// Called at each purchase: its intent must stand, or have stood, in the table
+	// service.
+	void intentStood(String token) {
+		boolean stands = this.tables.read("intents/" + token).isPresent() || this.byToken.containsKey(token)
+				|| this.tables.everWritten("intents/" + token);
+		this.world.check(stands, "purchase " + token + " without a written intent");
+	}
+
+	void release(VmId vm, long drainLimit) {
+		Machine machine = this.machines.get(vm.value());
+		if (machine == null || machine.state == State.GONE) {
+			return;
+		}
+		boolean early = machine.drainedAt == 0 || this.world.now - machine.drainedAt < drainLimit;
+		this.world.check(machine.running == 0 || machine.state != State.RUNNING || !early,
+				"released " + vm + " with " + machine.running + " streams before its drain limit");
+		machine.state = State.GONE;
+	}
+
+	void reclaim(Machine machine) {
+		if (machine.state == State.STARTING || machine.state == State.RUNNING) {
+			machine.state = State.RECLAIMING;
+			this.notices.add(new VmId(machine.id));
+			this.world.after(NOTICE, () -> machine.state = State.GONE);
+		}
+	}
+
+	List<Machine> live() {
+		return this.machines.values()
+			.stream()
+			.filter((machine) -> machine.state == State.STARTING || machine.state == State.RUNNING)
+			.toList();
+	}
+
+	/** A VM and the engine on it. */
+	static final class Machine {
+
+		private static final long LOAD = 2_000 * VirtualWorld.MILLI;
+
+		private final FakeCloud cloud;
+
+		final String id;
+
+		final Intent intent;
+
+		State state = State.STARTING;
+
+		Set<String> models = new HashSet<>();
+
+		Set<String> adapters = new HashSet<>();
+
+		Map<String, Long> loadingUntil = new TreeMap<>();
+
+		boolean draining;
+
+		/**
+		 * When the engine first took a drain order or the VM was announced as leaving.
+		 */
+		long drainedAt;
+
+		int running;
+
+		long fence;
+
+		boolean silent;
+
+		Machine(FakeCloud cloud, String id, Intent intent) {
+			this.cloud = cloud;
+			this.id = id;
+			this.intent = intent;
+		}
+
+		CloudVm vm() {
+			String address = (this.state == State.STARTING) ? "" : this.id + ":1";
+			return new CloudVm(new VmId(this.id), this.intent.token(), this.intent.pool(), this.intent.sort(),
+					this.state, address);
+		}
+
+		boolean answers() {
+			return !this.silent && (this.state == State.RUNNING || this.state == State.RECLAIMING);
+		}
+
+		// The state after an order, which an engine that checks may have refused.
+		ServerState order(long orderFence, CapacityCommand.Order order) {
+			long now = this.cloud.world.now;
+			if (this.cloud.fencingChecked && orderFence < this.fence) {
+				return report();
+			}
+			this.fence = orderFence;
+			this.draining = order.drain();
+			if (this.draining && this.drainedAt == 0) {
+				this.drainedAt = now;
+			}
+			this.models.retainAll(order.models());
+			this.adapters.retainAll(order.adapters());
+			this.loadingUntil.keySet().retainAll(union(order.models(), order.adapters()));
+			for (String name : union(order.models(), order.adapters())) {
+				if (!this.models.contains(name) && !this.adapters.contains(name)) {
+					this.loadingUntil.putIfAbsent(name, now + LOAD);
+					(order.models().contains(name) ? this.models : this.adapters).add(name);
+				}
+			}
+			return report();
+		}
+
+		ServerState report() {
+			long now = this.cloud.world.now;
+			this.loadingUntil.values().removeIf((until) -> until <= now);
+			return new ServerState(this.fence, loaded(this.models), loaded(this.adapters),
+					List.copyOf(this.loadingUntil.keySet()), this.draining, this.running);
+		}
+
+		private List<String> loaded(Set<String> names) {
+			return names.stream().filter((name) -> !this.loadingUntil.containsKey(name)).sorted().toList();
+		}
+
+		private static List<String> union(List<String> first, List<String> second) {
+			List<String> all = new ArrayList<>(first);
+			all.addAll(second);
+			return all;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/FakeTables.java
@@ -0,0 +1,63 @@
+package org.rosemaryfront.capacity;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/** A table service in memory: rows with versions and conditional transactions. */
+final class FakeTables {
+
+	private final SortedMap<String, Row> rows = new TreeMap<>();
+
+	private final java.util.Set<String> written = new java.util.HashSet<>();
+
+	private long versions;
+
+	boolean down;
+
+	Optional<Row> read(String key) {
+		return Optional.ofNullable(this.rows.get(key));
+	}
+
+	SortedMap<String, Row> scan(String prefix) {
+		return new TreeMap<>(this.rows.subMap(prefix, prefix + "\uffff"));
+	}
+
+	// Writes all values when all conditions hold; an empty value deletes.
+	Outcome commit(Map<String, Long> conditions, Map<String, Optional<Object>> writes) {
+		if (this.down) {
+			return new Outcome(false, true, false, 0);
+		}
+		boolean fenced = false;
+		boolean conflict = false;
+		for (Map.Entry<String, Long> condition : conditions.entrySet()) {
+			boolean holds = version(condition.getKey()) == condition.getValue();
+			conflict |= !holds;
+			fenced |= !holds && condition.getKey().equals("lease/fence");
+		}
+		if (conflict) {
+			return new Outcome(false, false, fenced, 0);
+		}
+		this.versions++;
+		this.written.addAll(writes.keySet());
+		writes.forEach((key, value) -> value.ifPresentOrElse(
+				(present) -> this.rows.put(key, new Row(present, this.versions)), () -> this.rows.remove(key)));
+		return new Outcome(true, false, false, this.versions);
+	}
+
+	boolean everWritten(String key) {
+		return this.written.contains(key);
+	}
+
+	private long version(String key) {
+		return read(key).map(Row::version).orElse(0L);
+	}
+
+	record Row(Object value, long version) {
+	}
+
+	record Outcome(boolean committed, boolean refused, boolean fenced, long version) {
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/VirtualWorld.java
@@ -0,0 +1,98 @@
+package org.rosemaryfront.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Virtual time, the messages under way and what was seen to go wrong. */
+final class VirtualWorld {
+
+	static final long MILLI = 1_000_000;
+
+	static final long TIMEOUT = 1_000 * MILLI;
+
+	final SplittableRandom random;
+
+	final List<String> violations = new ArrayList<>();
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>();
+
+	private long sequence;
+
+	long now = 1_000_000 * MILLI;
+
+	/** The share of requests that are lost before they take effect. */
+	double lostRequests;
+
+	/** The share of answers that are lost after the request took effect. */
+	double lostAnswers;
+
+	/** The longest way of a message, in milliseconds. */
+	long slowestMillis = 20;
+
+	VirtualWorld(long seed) {
+		this.random = new SplittableRandom(seed);
+	}
+
+	void after(long nanos, Runnable action) {
+		this.events.add(new Event(this.now + nanos, this.sequence++, action));
+	}
+
+	// A request with its answer; the caller hears of a lost one at its time-out.
+	<T> void call(Supplier<T> effect, Consumer<T> answered, Runnable unknown) {
+		boolean[] ended = { false };
+		if (this.random.nextDouble() >= this.lostRequests) {
+			after(way(), () -> {
+				T answer = effect.get();
+				if (this.random.nextDouble() >= this.lostAnswers) {
+					after(way(), () -> {
+						if (!ended[0]) {
+							ended[0] = true;
+							answered.accept(answer);
+						}
+					});
+				}
+			});
+		}
+		after(TIMEOUT, () -> {
+			if (!ended[0]) {
+				ended[0] = true;
+				unknown.run();
+			}
+		});
+	}
+
+	void run(long nanos) {
+		long end = this.now + nanos;
+		while (!this.events.isEmpty() && this.events.peek().at <= end) {
+			Event next = this.events.poll();
+			this.now = next.at;
+			next.action.run();
+		}
+		this.now = end;
+	}
+
+	void check(boolean holds, String what) {
+		if (!holds) {
+			this.violations.add(this.now / MILLI + " ms: " + what);
+		}
+	}
+
+	private long way() {
+		return 1 + this.random.nextLong(this.slowestMillis * MILLI);
+	}
+
+	private record Event(long at, long sequence, Runnable action) implements Comparable<Event> {
+
+		@Override
+		public int compareTo(Event other) {
+			int byTime = Long.compare(this.at, other.at);
+			return (byTime != 0) ? byTime : Long.compare(this.sequence, other.sequence);
+		}
+
+	}
+
+}
