--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/Membership.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/Membership.java
@@ -135,9 +135,9 @@
 			}
 		});
 		switch (message.kind()) {
-			case MembershipMessage.Probe probe -> probed(from, sender.id(), probe, joined, now);
-			case MembershipMessage.Ack ack -> answered(ack.number(), now);
-			case MembershipMessage.Gossip _ -> {
+			case MembershipMessage.Kind.Probe probe -> probed(from, sender.id(), probe, joined, now);
+			case MembershipMessage.Kind.Ack ack -> answered(ack.number(), now);
+			case MembershipMessage.Kind.Gossip _ -> {
 			}
 		}
 	}
@@ -153,17 +153,17 @@
 			this.suspicions.remove(known.id());
 		}
 		this.members.heard(sender.id(), sender.revision());
-		if (!(message.kind() instanceof MembershipMessage.Gossip)) {
+		if (!(message.kind() instanceof MembershipMessage.Kind.Gossip)) {
 			this.usage.heard(sender.id(), message.usage(), now);
 		}
 		this.commands.add(new MembershipCommand.PeerHeard(sender.address(), sender.revision()));
 	}
 
-	private void probed(String from, MemberId sender, MembershipMessage.Probe probe, boolean joined, long now) {
-		MembershipMessage.Ack ack = new MembershipMessage.Ack(probe.number());
+	private void probed(String from, MemberId sender, MembershipMessage.Kind.Probe probe, boolean joined, long now) {
+		MembershipMessage.Kind.Ack ack = new MembershipMessage.Kind.Ack(probe.number());
 		if (!probe.target().isEmpty()) {
 			long number = this.probes.relay(from, probe.number(), now);
-			send(probe.target(), Optional.empty(), new MembershipMessage.Probe(number, ""), now);
+			send(probe.target(), Optional.empty(), new MembershipMessage.Kind.Probe(number, ""), now);
 		}
 		else if (joined) {
 			this.commands.add(new MembershipCommand.Send(from, this.composer.introduction(this.self, ack, now)));
@@ -176,8 +176,8 @@
 	private void answered(long number, long now) {
 		this.probes.answered(number);
 		this.probes.relayed(number)
-			.ifPresent(
-					(relay) -> send(relay.origin(), Optional.empty(), new MembershipMessage.Ack(relay.number()), now));
+			.ifPresent((relay) -> send(relay.origin(), Optional.empty(), new MembershipMessage.Kind.Ack(relay.number()),
+					now));
 	}
 
 	private boolean addDeparture(DepartureNotice notice, long now) {
@@ -298,7 +298,7 @@
 		this.probes.unanswered(now - this.settings.ackNanos())
 			.ifPresent((probe) -> this.members.sample(this.settings.indirectProbes(), probe.target())
 				.forEach((helper) -> send(helper.address(), Optional.of(helper.id()),
-						new MembershipMessage.Probe(probe.number(), probe.address()), now)));
+						new MembershipMessage.Kind.Probe(probe.number(), probe.address()), now)));
 	}
 
 	private void endPeriod(long now) {
@@ -311,7 +311,7 @@
 		this.members.forget(now);
 		this.members.nextToProbe().ifPresent((target) -> {
 			long number = this.probes.open(target, now);
-			send(target.address(), Optional.of(target.id()), new MembershipMessage.Probe(number, ""), now);
+			send(target.address(), Optional.of(target.id()), new MembershipMessage.Kind.Probe(number, ""), now);
 		});
 		reconnect(now);
 	}
@@ -325,7 +325,7 @@
 			merge(known.withState(MemberState.SUSPECT), now);
 		}
 		suspect(known, now);
-		send(known.address(), Optional.of(known.id()), new MembershipMessage.Gossip(), now);
+		send(known.address(), Optional.of(known.id()), new MembershipMessage.Kind.Gossip(), now);
 	}
 
 	private void buryOverdue(long now) {
@@ -370,8 +370,8 @@
 				|| this.members.find(entry).filter(MemberRecord::reachable).isPresent();
 	}
 
-	private MembershipMessage.Probe probe() {
-		return new MembershipMessage.Probe(this.probes.nextNumber(), "");
+	private MembershipMessage.Kind.Probe probe() {
+		return new MembershipMessage.Kind.Probe(this.probes.nextNumber(), "");
 	}
 
 	private void send(String address, Optional<MemberId> to, MembershipMessage.Kind kind, long now) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MessageComposer.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MessageComposer.java
@@ -80,7 +80,7 @@
 	MembershipMessage urgent(MemberRecord self, MemberId to, long now) {
 		Set<MemberId> ids = new LinkedHashSet<>(aboutReceiver(Optional.of(to)));
 		ids.addAll(changes(MembershipSettings.MEMBERS_PER_DATAGRAM));
-		return fit(self, new MembershipMessage.Gossip(), ids, departureChanges(capacity()), Map.of(), now);
+		return fit(self, new MembershipMessage.Kind.Gossip(), ids, departureChanges(capacity()), Map.of(), now);
 	}
 
 	/**
