--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/EngineModel.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/EngineModel.java
@@ -242,16 +242,16 @@
 	}
 
 	/**
-	 * Makes no progress for a time.
+	 * Makes no progress for a time; a later call changes when it goes on.
 	 * @param now the time
 	 * @param until when it goes on
 	 */
 	public void freeze(long now, long until) {
 		advance(now);
-		this.frozenUntil = until;
 		if (this.stepEnd != IDLE) {
-			this.stepEnd += until - now;
+			this.stepEnd += until - Math.max(now, this.frozenUntil);
 		}
+		this.frozenUntil = until;
 	}
 
 	/**
