--- /dev/null
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntrySettings.java
@@ -0,0 +1,183 @@
+package org.rosemaryfront.entry;
+
+import java.util.Objects;
+
+/**
+ * The settings of an entry process. The schema {@code /schema/entry.json} describes each
+ * of them with unit, default and reason.
+ *
+ * @param vm the VM it runs on
+ * @param region the region
+ * @param zone the availability zone
+ * @param platform the platform's service
+ * @param callers the callers' listener
+ * @param operators the operators' listener
+ * @param peers the peers' listener
+ * @param limits limits on callers
+ * @param streams how answers are kept and read
+ * @param watch how backend servers are watched
+ * @param engines the connections to engines
+ * @param stop the graceful stop
+ */
+public record EntrySettings(String vm, String region, String zone, Platform platform, Listener callers,
+		Operators operators, Listener peers, Limits limits, Streams streams, Watch watch, Engines engines, Stop stop) {
+
+	public EntrySettings {
+		Objects.requireNonNull(vm, "vm is null");
+		Objects.requireNonNull(region, "region is null");
+		Objects.requireNonNull(zone, "zone is null");
+		Objects.requireNonNull(platform, "platform is null");
+		Objects.requireNonNull(callers, "callers is null");
+		Objects.requireNonNull(operators, "operators is null");
+		Objects.requireNonNull(peers, "peers is null");
+		limits = Objects.requireNonNullElse(limits, new Limits(0, 0, 0, 0, 0));
+		streams = Objects.requireNonNullElse(streams, new Streams(0, 0, 0, 0, 0));
+		watch = Objects.requireNonNullElse(watch, new Watch(0, 0, 0, 0, 0, 0));
+		engines = Objects.requireNonNullElse(engines, new Engines(0, 0));
+		stop = Objects.requireNonNullElse(stop, new Stop(null, 0, 0, 0));
+	}
+
+	private static int or(int value, int standard) {
+		return (value > 0) ? value : standard;
+	}
+
+	/**
+	 * The platform's service.
+	 *
+	 * @param url the base URL
+	 * @param timeoutMillis the limit of a call, in milliseconds
+	 */
+	public record Platform(String url, int timeoutMillis) {
+
+		public Platform {
+			timeoutMillis = or(timeoutMillis, 2_000);
+		}
+
+	}
+
+	/**
+	 * A listener.
+	 *
+	 * @param host the address to listen on, an IP number
+	 * @param port the port, 0 to let the system choose
+	 */
+	public record Listener(String host, int port) {
+	}
+
+	/**
+	 * The operators' listener.
+	 *
+	 * @param host the address to listen on, an IP number
+	 * @param port the port, 0 to let the system choose
+	 * @param keyHashes SHA-256 of each operator key, in lower case hexadecimal
+	 */
+	public record Operators(String host, int port, java.util.List<String> keyHashes) {
+
+		public Operators {
+			keyHashes = (keyHashes != null) ? java.util.List.copyOf(keyHashes) : java.util.List.of();
+		}
+
+	}
+
+	/**
+	 * Limits on callers.
+	 *
+	 * @param bodyBytes the greatest request body, in bytes
+	 * @param headerBytes the greatest request head, in bytes
+	 * @param bodyMillis the time for a request body to arrive, in milliseconds
+	 * @param openRequests the greatest number of open requests
+	 * @param connections the greatest number of connections
+	 */
+	public record Limits(int bodyBytes, int headerBytes, int bodyMillis, int openRequests, int connections) {
+
+		public Limits {
+			bodyBytes = or(bodyBytes, 1024 * 1024);
+			headerBytes = or(headerBytes, 16 * 1024);
+			bodyMillis = or(bodyMillis, 10_000);
+			openRequests = or(openRequests, 1_000);
+			connections = or(connections, 2_000);
+		}
+
+	}
+
+	/**
+	 * How answers are kept and read.
+	 *
+	 * @param graceMillis how long a request goes on without a caller, in milliseconds
+	 * @param retentionMillis how long an ended answer stays, in milliseconds
+	 * @param retentionBytes the memory of all ended answers, in bytes
+	 * @param heartbeatMillis the time without a token until a heartbeat, in milliseconds
+	 * @param stallMillis how long a caller may take nothing, in milliseconds
+	 */
+	public record Streams(int graceMillis, int retentionMillis, int retentionBytes, int heartbeatMillis,
+			int stallMillis) {
+
+		public Streams {
+			graceMillis = or(graceMillis, 15_000);
+			retentionMillis = or(retentionMillis, 60_000);
+			retentionBytes = or(retentionBytes, 8 * 1024 * 1024);
+			heartbeatMillis = or(heartbeatMillis, 1_000);
+			stallMillis = or(stallMillis, 30_000);
+		}
+
+	}
+
+	/**
+	 * How backend servers are watched.
+	 *
+	 * @param vmListMillis the time between two reads of the VM list, in milliseconds
+	 * @param noticesMillis the time between two reads of notices, in milliseconds
+	 * @param fleetPollsPerSecond how often all entries together poll each of the two
+	 * @param loadPollsPerSecond load reports read a second
+	 * @param cachePollsPerSecond reads of cache events a second
+	 * @param pollTimeoutMillis the limit of a poll, in milliseconds
+	 */
+	public record Watch(int vmListMillis, int noticesMillis, int fleetPollsPerSecond, int loadPollsPerSecond,
+			int cachePollsPerSecond, int pollTimeoutMillis) {
+
+		public Watch {
+			vmListMillis = or(vmListMillis, 1_000);
+			noticesMillis = or(noticesMillis, 500);
+			fleetPollsPerSecond = or(fleetPollsPerSecond, 20);
+			loadPollsPerSecond = or(loadPollsPerSecond, 4);
+			cachePollsPerSecond = or(cachePollsPerSecond, 2);
+			pollTimeoutMillis = or(pollTimeoutMillis, 2_000);
+		}
+
+	}
+
+	/**
+	 * The connections to engines.
+	 *
+	 * @param connectTimeoutMillis the limit of making a connection, in milliseconds
+	 * @param silenceMillis how long a stream may carry nothing, in milliseconds
+	 */
+	public record Engines(int connectTimeoutMillis, int silenceMillis) {
+
+		public Engines {
+			connectTimeoutMillis = or(connectTimeoutMillis, 500);
+			silenceMillis = or(silenceMillis, 1_000);
+		}
+
+	}
+
+	/**
+	 * The graceful stop.
+	 *
+	 * @param acceptMillis how long the listener still accepts, in milliseconds
+	 * @param drainMillis how long open requests may finish here, in milliseconds
+	 * @param handoverMillis the limit of handing one request to one peer, in milliseconds
+	 * @param lingerMillis how long callers may take what is left, in milliseconds
+	 */
+	public record Stop(Integer acceptMillis, int drainMillis, int handoverMillis, int lingerMillis) {
+
+		public Stop {
+			acceptMillis = Objects.requireNonNullElse(acceptMillis, 2_000);
+			drainMillis = or(drainMillis, 5_000);
+			handoverMillis = or(handoverMillis, 2_000);
+			lingerMillis = or(lingerMillis, 500);
+		}
+
+	}
+
+}
