--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AnswerWriter.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AnswerWriter.java
@@ -7,6 +7,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
@@ -124,8 +125,11 @@
 	}
 
 	private static Mono<Void> closed(HttpServerResponse response) {
-		return Mono.create((sink) -> response.withConnection(
-				(connection) -> connection.channel().closeFuture().addListener((_) -> sink.success())));
+		return Mono.create((sink) -> response.withConnection((connection) -> {
+			ChannelFutureListener listener = (_) -> sink.success();
+			connection.channel().closeFuture().addListener(listener);
+			sink.onDispose(() -> connection.channel().closeFuture().removeListener(listener));
+		}));
 	}
 
 	private static Mono<Void> seeOther(HttpServerResponse response, String id) {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AttemptTraffic.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AttemptTraffic.java
@@ -192,7 +192,7 @@
 					"verdict", refuse.problem().verdict().code(), "detail", refuse.problem().detail());
 			this.metrics.refused(refuse.problem().code());
 		}
-		forget(refuse.request());
+		disconnect(refuse.request());
 	}
 
 	// -- hand-off
@@ -232,10 +232,16 @@
 	}
 
 	/**
-	 * Forgets all attempts of a request without cancelling them.
+	 * Forgets all attempts of a request that a peer holds now, so that no later command
+	 * cancels a stream to which the peer has attached.
 	 * @param request the request
 	 */
-	void forget(RequestId request) {
+	void forgetMoved(RequestId request) {
+		disconnect(request);
+		this.attempts.values().removeIf((attempt) -> attempt.request().equals(request));
+	}
+
+	private void disconnect(RequestId request) {
 		this.adopted.remove(request);
 		RunningAttempt attempt = this.current.remove(request);
 		if (attempt != null) {
