--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AnswerStream.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AnswerStream.java
@@ -12,6 +12,8 @@
 
 import org.rosemaryfront.model.AttemptId;
 import org.rosemaryfront.model.Problem;
+import org.rosemaryfront.model.ProblemCode;
+import org.rosemaryfront.model.Verdict;
 
 /**
  * The answer to one accepted request: the tokens so far, and the readers that get them.
@@ -22,6 +24,9 @@
  */
 final class AnswerStream {
 
+	private static final Problem ABANDONED = Problem.of(ProblemCode.INTERRUPTED, Verdict.mayHaveRun(),
+			"the caller did not come back in time");
+
 	private final AcceptedRequest request;
 
 	private final List<String> tokens = new ArrayList<>();
@@ -156,6 +161,18 @@
 		return true;
 	}
 
+	/**
+	 * Ends the answer, since no caller wants it any more.
+	 * @return whether it was open and nobody read it
+	 */
+	synchronized boolean abandon() {
+		if (!(this.state instanceof State.Running) || hasReaders()) {
+			return false;
+		}
+		end(new State.Ended(new AnswerEvent.Failed(ABANDONED)));
+		return true;
+	}
+
 	// -- hand-off
 
 	/**
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AttemptTraffic.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AttemptTraffic.java
@@ -258,6 +258,15 @@
 					&& System.nanoTime() - attempt.startedNanos() > TimeUnit.MINUTES.toNanos(1));
 	}
 
+	/**
+	 * The streams that this process has open at a backend server.
+	 * @param server the VM
+	 * @return the number
+	 */
+	int inFlight(VmId server) {
+		return (int) this.current.values().stream().filter((attempt) -> attempt.server().equals(server)).count();
+	}
+
 	// -- events of engines
 
 	private void take(AnswerStream stream, RunningAttempt attempt, EngineEvent event) {
--- /dev/null
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -0,0 +1,411 @@
+package org.rosemaryfront.entry;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+import java.util.function.IntSupplier;
+
+import org.reactivestreams.Publisher;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+import org.rosemaryfront.configuration.ConfigurationStore;
+import org.rosemaryfront.engine.EngineClientSettings;
+import org.rosemaryfront.engine.HttpEngineClient;
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.membership.MemberState;
+import org.rosemaryfront.model.Configuration;
+import org.rosemaryfront.model.VmId;
+import org.rosemaryfront.operators.OperatorServer;
+import org.rosemaryfront.operators.OperatorSettings;
+import org.rosemaryfront.operators.OperatorView;
+import org.rosemaryfront.operators.ServerView;
+import org.rosemaryfront.peer.MemberView;
+import org.rosemaryfront.peer.PeerHandler;
+import org.rosemaryfront.peer.PeerNode;
+import org.rosemaryfront.peer.PeerSettings;
+import org.rosemaryfront.peer.proto.Handoff;
+import org.rosemaryfront.peer.proto.HandoffReply;
+import org.rosemaryfront.peer.proto.ResultRead;
+import org.rosemaryfront.peer.proto.ResultTokens;
+import org.rosemaryfront.platform.HttpPlatform;
+import org.rosemaryfront.platform.PlatformSettings;
+import org.rosemaryfront.program.Program;
+import org.rosemaryfront.services.ServiceCallSettings;
+import org.rosemaryfront.services.ServiceCalls;
+import org.rosemaryfront.services.ServiceServer;
+import org.rosemaryfront.serving.ServingDecisions;
+import org.rosemaryfront.serving.ServingEvent;
+import org.rosemaryfront.serving.ServingEvent.LeavingSource;
+import org.rosemaryfront.serving.ServingParameters;
+import org.rosemaryfront.tls.TlsSettings;
+
+/**
+ * One entry process: composes the listeners, the control thread, the watches and the
+ * graceful stop.
+ *
+ * <pre>
+ * try (EntryProcess entry = EntryProcess.start(settings)) {
+ *     System.out.println(entry.listeners());
+ * }
+ * </pre>
+ */
+public final class EntryProcess implements Program.Running {
+
+	private static final Duration CONTROL_INTERVAL = Duration.ofMillis(10);
+
+	private static final Duration HOUSEKEEPING = Duration.ofMillis(250);
+
+	private static final int EXPLAINED_REQUESTS = 2_000;
+
+	private final Disposable.Composite tasks = Disposables.composite();
+
+	private final EntryMetrics metrics = EntryMetrics.create();
+
+	private final DecisionRing decisions = DecisionRing.of(EXPLAINED_REQUESTS);
+
+	private final EntrySettings settings;
+
+	private final HttpPlatform platform;
+
+	private final HttpEngineClient engines;
+
+	private final StreamTable streams;
+
+	private final AttemptTraffic traffic;
+
+	private final ServingControl control;
+
+	private final ServerDirectory directory;
+
+	private final RequestIntake intake;
+
+	private final HandoffReceiver receiver;
+
+	private final ServiceCalls services;
+
+	private final GracefulStop stop;
+
+	private volatile PeerNode peers;
+
+	private CallerServer callers;
+
+	private OperatorServer operators;
+
+	private ServerWatch watch;
+
+	private EntryProcess(EntrySettings settings) {
+		this.settings = settings;
+		this.platform = HttpPlatform
+			.of(new PlatformSettings(settings.platform().url(), settings.platform().timeoutMillis()));
+		this.engines = HttpEngineClient.of(new EngineClientSettings(settings.engines().connectTimeoutMillis(),
+				settings.engines().silenceMillis()));
+		this.streams = StreamTable
+			.of(new StreamTable.Limits(TimeUnit.MILLISECONDS.toNanos(settings.streams().retentionMillis()),
+					settings.streams().retentionBytes()));
+		this.traffic = new AttemptTraffic(this.engines, this.streams, this.decisions, this.metrics,
+				new TrafficContext());
+		this.control = ServingControl.start(
+				ServingDecisions.of(ServingParameters.defaults(settings.zone()), new SecureRandom().nextLong()),
+				CONTROL_INTERVAL, this.traffic::execute);
+		this.directory = new ServerDirectory(new DirectoryListener());
+		this.intake = new RequestIntake(this::configuration, this.streams, this.control::accept, this.metrics);
+		this.services = ServiceCalls.of(ServiceCallSettings.standard(new VmId(settings.vm()), settings.zone()),
+				this.platform, this::configuration, this::serviceServers);
+		this.stop = new GracefulStop(settings.stop(), new StopSteps());
+		this.receiver = new HandoffReceiver(this.intake, this.streams, this.traffic, this.decisions,
+				this.control::accept, this.stop::phase);
+	}
+
+	// -- factories
+
+	/**
+	 * Starts an entry process.
+	 * @param settings its settings
+	 * @return the running process
+	 */
+	public static EntryProcess start(EntrySettings settings) {
+		EntryProcess entry = new EntryProcess(settings);
+		entry.open();
+		return entry;
+	}
+
+	private void open() {
+		this.peers = PeerNode.start(
+				PeerSettings.of(new VmId(this.settings.vm()), this.settings.region(), this.settings.zone(),
+						PeerSettings.ENTRY, this.settings.peers().host(), this.settings.peers().port()),
+				this.platform, this.platform, new PeerCalls());
+		this.callers = CallerServer.start(this.settings, this.intake,
+				new ResultReader(this.streams, () -> this.peers), this.metrics, new CallerContext());
+		EntrySettings.Operators listener = this.settings.operators();
+		this.operators = OperatorServer.start(
+				new OperatorSettings(listener.host(), listener.port(), listener.keyHashes(), TlsSettings.none()),
+				ConfigurationStore.of(this.platform), new View());
+		this.watch = new ServerWatch(this.platform, this.engines, this.directory, new DirectoryListener(),
+				this.settings.watch(), this::liveEntries);
+		this.watch.start();
+		this.metrics.gauge("serving.openStreams", this.streams::open);
+		this.tasks.add(Flux.interval(HOUSEKEEPING).onBackpressureDrop().subscribe((_) -> housekeeping()));
+		this.tasks.add(Flux.interval(Duration.ofSeconds(1)).onBackpressureDrop().subscribe((_) -> reportUsage()));
+	}
+
+	// -- life
+
+	@Override
+	public Map<String, String> listeners() {
+		return Map.of("callers", this.callers.address(), "operators", this.operators.address(), "peers",
+				this.peers.address());
+	}
+
+	/**
+	 * Stops in good order: finishes or hands over everything accepted.
+	 */
+	@Override
+	public void close() {
+		this.stop.run();
+		this.tasks.dispose();
+		this.watch.close();
+		this.callers.close();
+		this.operators.close();
+		this.peers.close();
+		this.control.close();
+		this.services.close();
+		this.engines.close();
+		this.platform.close();
+	}
+
+	private void housekeeping() {
+		long now = System.nanoTime();
+		EntrySettings.Streams limits = this.settings.streams();
+		long heartbeat = TimeUnit.MILLISECONDS.toNanos(limits.heartbeatMillis());
+		long stall = TimeUnit.MILLISECONDS.toNanos(limits.stallMillis());
+		long grace = TimeUnit.MILLISECONDS.toNanos(limits.graceMillis());
+		for (AnswerStream stream : this.streams.all()) {
+			stream.tick(now, heartbeat, stall);
+			if (stream.isOpen() && stream.idleNanos(now) > (stream.canResume() ? grace : 0)) {
+				abandon(stream);
+			}
+		}
+		this.streams.expire(now);
+		this.traffic.expire();
+	}
+
+	private void abandon(AnswerStream stream) {
+		if (stream.abandon()) {
+			EventLog.info(ServingEvents.REQUEST_ABANDONED, "request", stream.request().id(), "tokens", stream.size());
+			this.decisions.add(stream.request().id(), "abandoned tokens=" + stream.size());
+			this.metrics.abandoned();
+			this.control.accept(new ServingEvent.RequestAbandoned(stream.request().id()));
+		}
+	}
+
+	private void reportUsage() {
+		this.peers.usage(this.control.tokensInFlight());
+		this.control.accept(new ServingEvent.PeersReported(liveEntries(), this.peers.peerUsage()));
+	}
+
+	// -- views
+
+	private Configuration configuration() {
+		PeerNode node = this.peers;
+		return (node != null) ? node.configuration() : Configuration.empty();
+	}
+
+	private List<MemberView> otherEntries() {
+		return this.peers.members()
+			.stream()
+			.filter((member) -> member.role().equals(PeerSettings.ENTRY) && member.state() == MemberState.ALIVE
+					&& !member.vm().value().equals(this.settings.vm()))
+			.toList();
+	}
+
+	private int liveEntries() {
+		return otherEntries().size() + 1;
+	}
+
+	private List<ServiceServer> serviceServers() {
+		return this.directory.all()
+			.stream()
+			.filter((known) -> !known.isRunner())
+			.map((known) -> new ServiceServer(known.vm(), known.pool(), known.zone(), known.address(),
+					known.leaving()))
+			.toList();
+	}
+
+	private void left(VmId vm, LeavingSource source, long remainingMillis) {
+		if (vm.value().equals(this.settings.vm())) {
+			this.stop.reclaimed(remainingMillis);
+			return;
+		}
+		this.directory.left(vm, source, remainingMillis);
+	}
+
+	private final class TrafficContext implements AttemptTraffic.Context {
+
+		@Override
+		public Configuration configuration() {
+			return EntryProcess.this.configuration();
+		}
+
+		@Override
+		public void post(ServingEvent event) {
+			EntryProcess.this.control.accept(event);
+		}
+
+		@Override
+		public void postProgress(IntFunction<ServingEvent> event, IntSupplier tokens) {
+			EntryProcess.this.control.acceptProgress(event, tokens);
+		}
+
+		@Override
+		public void serverLeaving(VmId server) {
+			left(server, LeavingSource.SERVER, -1);
+		}
+
+	}
+
+	private final class DirectoryListener implements ServerDirectory.Listener {
+
+		@Override
+		public void post(ServingEvent event) {
+			EntryProcess.this.control.accept(event);
+		}
+
+		@Override
+		public void leaving(VmId vm, LeavingSource source, long remainingMillis) {
+			long goneAt = (remainingMillis < 0) ? Long.MAX_VALUE
+					: System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
+			EntryProcess.this.control.accept(new ServingEvent.ServerLeaving(vm, source, goneAt));
+			if (source != LeavingSource.PEER) {
+				EntryProcess.this.peers.announceDeparture(vm, remainingMillis);
+			}
+		}
+
+	}
+
+	private final class PeerCalls implements PeerHandler {
+
+		@Override
+		public void configurationApplied(Configuration configuration) {
+			EntryProcess.this.control.accept(new ServingEvent.ConfigurationApplied(configuration));
+		}
+
+		@Override
+		public void departureLearned(VmId vm, long remainingMillis) {
+			left(vm, LeavingSource.PEER, remainingMillis);
+		}
+
+		@Override
+		public Mono<HandoffReply> handoffArrived(Handoff handoff) {
+			return EntryProcess.this.receiver.take(handoff);
+		}
+
+		@Override
+		public Optional<Long> holds(String request, String organisation) {
+			return EntryProcess.this.receiver.holds(request, organisation);
+		}
+
+		@Override
+		public Flux<ResultTokens> read(ResultRead read) {
+			return EntryProcess.this.receiver.read(read);
+		}
+
+	}
+
+	private final class CallerContext implements CallerServer.Context {
+
+		@Override
+		public Publisher<Void> call(String organisation, String pool, String path, HttpServerRequest request,
+				HttpServerResponse response) {
+			return EntryProcess.this.services.handle(organisation, pool, path, request, response);
+		}
+
+		@Override
+		public Configuration configuration() {
+			return EntryProcess.this.configuration();
+		}
+
+		@Override
+		public boolean fresh() {
+			return EntryProcess.this.peers.fresh();
+		}
+
+		@Override
+		public ProcessPhase phase() {
+			return EntryProcess.this.stop.phase();
+		}
+
+		@Override
+		public HttpServer secured(HttpServer listener) {
+			return listener;
+		}
+
+	}
+
+	private final class View implements OperatorView {
+
+		@Override
+		public void drain(VmId vm) {
+			left(vm, LeavingSource.DRAIN, -1);
+		}
+
+		@Override
+		public List<String> explain(String request) {
+			return EntryProcess.this.decisions.explain(new org.rosemaryfront.model.RequestId(request));
+		}
+
+		@Override
+		public Configuration inForce() {
+			return EntryProcess.this.configuration();
+		}
+
+		@Override
+		public List<MemberView> members() {
+			return EntryProcess.this.peers.members();
+		}
+
+		@Override
+		public List<ServerView> servers() {
+			return EntryProcess.this.directory.all()
+				.stream()
+				.map((known) -> new ServerView(known.vm(), known.pool(), known.zone(), known.address(),
+						known.leaving() ? "leaving" : "serving", List.of(),
+						EntryProcess.this.traffic.inFlight(known.vm())))
+				.toList();
+		}
+
+	}
+
+	private final class StopSteps implements GracefulStop.Steps {
+
+		@Override
+		public void leave() {
+			EntryProcess.this.peers.leave();
+		}
+
+		@Override
+		public boolean drained() {
+			return EntryProcess.this.streams.open() == 0 && EntryProcess.this.callers.openRequests() == 0;
+		}
+
+		@Override
+		public Mono<Void> handOver(Duration limit) {
+			return new HandoffSender(EntryProcess.this.streams, EntryProcess.this.traffic, EntryProcess.this.decisions,
+					EntryProcess.this.metrics, EntryProcess.this.control::accept,
+					() -> otherEntries().stream().map(MemberView::address).toList(),
+					EntryProcess.this.peers::handOff)
+				.handOverAll(limit);
+		}
+
+	}
+
+}
