--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CompletionCall.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CompletionCall.java
@@ -24,14 +24,6 @@
 		Objects.requireNonNull(serviceTier, "serviceTier is null");
 	}
 
-	/**
-	 * The length of the prompt as engines count it.
-	 * @return the number of words
-	 */
-	int promptTokens() {
-		return PromptBlocks.countTokens(this.prompt);
-	}
-
 	/** The form of a completion. */
 	enum Form {
 
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -65,6 +65,12 @@
 
 	private static final Duration HOUSEKEEPING = Duration.ofMillis(250);
 
+	/**
+	 * How long a request goes on without a reader when its caller cannot come back, since
+	 * it was never told the identifier; covers the moment before its first reader.
+	 */
+	private static final long UNRESUMABLE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	private static final int EXPLAINED_REQUESTS = 2_000;
 
 	private final Disposable.Composite tasks = Disposables.composite();
@@ -191,7 +197,7 @@
 		long grace = TimeUnit.MILLISECONDS.toNanos(limits.graceMillis());
 		for (AnswerStream stream : this.streams.all()) {
 			stream.tick(now, heartbeat, stall);
-			if (stream.isOpen() && stream.idleNanos(now) > (stream.canResume() ? grace : 0)) {
+			if (stream.isOpen() && stream.idleNanos(now) > (stream.canResume() ? grace : UNRESUMABLE_GRACE_NANOS)) {
 				abandon(stream);
 			}
 		}
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/RequestIntake.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/RequestIntake.java
@@ -21,6 +21,7 @@
 import org.rosemaryfront.model.Resource.Pool;
 import org.rosemaryfront.model.Resource.Priority;
 import org.rosemaryfront.model.RosemaryException;
+import org.rosemaryfront.serving.PrefixBlocks;
 import org.rosemaryfront.serving.RequestSpec;
 import org.rosemaryfront.serving.ServingEvent;
 
@@ -116,10 +117,10 @@
 		LatencyTarget target = target(organisation, call);
 		Pool pool = pool(organisation, call.model()).orElseThrow(() -> unknownModel(call.model()));
 		Optional<Adapter> adapter = this.configuration.get().find(Adapter.class, call.model());
+		PrefixBlocks blocks = PrefixBlocks.of(adapter.map(Adapter::model).orElse(call.model()),
+				adapter.map(Adapter::name).orElse(""), call.prompt());
 		RequestSpec spec = new RequestSpec(organisation.name(), pool.name(), call.model(), target.priority(),
-				call.promptTokens(), call.maxTokens(),
-				PromptBlocks.hash(adapter.map(Adapter::model).orElse(call.model()),
-						adapter.map(Adapter::name).orElse(""), call.prompt()),
+				blocks.tokens(), call.maxTokens(), blocks.hashes(),
 				now + TimeUnit.MILLISECONDS.toNanos(target.firstTokenMillis()),
 				TimeUnit.MILLISECONDS.toNanos(target.betweenTokensMillis()), now + answer.toNanos());
 		return new AcceptedRequest(id, organisation.name(), call, spec, now, System.currentTimeMillis() / 1000, epoch);
