--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AnswerEvent.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AnswerEvent.java
@@ -17,7 +17,7 @@
 	 */
 	record Token(int index, String text) implements AnswerEvent {
 
-		Token {
+		public Token {
 			Objects.requireNonNull(text, "text is null");
 		}
 
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerServer.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerServer.java
@@ -238,7 +238,7 @@
 		return counted(() -> this.results.find(id, organisation.name(), query.offset())
 			.switchIfEmpty(Mono.error(() -> problem(ProblemCode.NOT_FOUND, "no such request")))
 			.flatMap((source) -> query.streamed() ? AnswerWriter.stream(response, source)
-					: AnswerWriter.whole(response, source, query.wait())));
+					: AnswerWriter.whole(response, source, query.patience())));
 	}
 
 	// -- services
@@ -351,9 +351,9 @@
 	 *
 	 * @param offset the first token wanted
 	 * @param streamed whether as server-sent events
-	 * @param wait how long to wait for the end of a whole answer
+	 * @param patience how long to wait for the end of a whole answer
 	 */
-	private record ResultQuery(int offset, boolean streamed, Duration wait) {
+	private record ResultQuery(int offset, boolean streamed, Duration patience) {
 
 		private static final int GREATEST_WAIT_MILLIS = 60_000;
 
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CompletionParser.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CompletionParser.java
@@ -57,7 +57,8 @@
 		requireOneChoice(root, "n");
 		requireOneChoice(root, "best_of");
 		boolean streamed = flag(root, "stream");
-		JsonNode options = present(root.path("stream_options")) ? root.get("stream_options") : root.objectNode();
+		JsonNode options = present(root.path("stream_options")) ? root.get("stream_options")
+				: MAPPER.createObjectNode();
 		if (!options.isObject()) {
 			throw bad("stream_options", "an object");
 		}
