--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AnswerWriter.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AnswerWriter.java
@@ -42,14 +42,12 @@
 	 * @return when it is written
 	 */
 	static Mono<Void> stream(HttpServerResponse response, AnswerSource source) {
-		return source.events()
-			.switchOnFirst((signal, events) -> switch (signal.get()) {
-				case null -> events.then();
-				case AnswerEvent.Failed failed -> problem(response, failed.problem(), source.id());
-				case AnswerEvent.Moved _ -> seeOther(response, source.id());
-				default -> sendEvents(response, source, events);
-			})
-			.then();
+		return source.events().switchOnFirst((signal, events) -> switch (signal.get()) {
+			case null -> events.then();
+			case AnswerEvent.Failed failed -> problem(response, failed.problem(), source.id());
+			case AnswerEvent.Moved _ -> seeOther(response, source.id());
+			default -> sendEvents(response, source, events);
+		}).then();
 	}
 
 	private static Publisher<Void> sendEvents(HttpServerResponse response, AnswerSource source,
@@ -66,14 +64,10 @@
 		return response.send(buffers, (_) -> true);
 	}
 
-	/**
-	 * Closes the connection in the middle of the response.
-	 *
-	 * <p>
-	 * Guards against an answer that looks whole and is not: a client that does not look
-	 * for {@code [DONE]} takes a proper end of the response for the end of the answer; a
-	 * broken one it reports as an error, and it can come back with its last event's id.
-	 */
+	// Guards against an answer that looks whole and is not: a client that does not look
+	// for [DONE] takes a proper end of the response for the end of the answer. A response
+	// broken in the middle it reports as an error, and it can come back with its last
+	// event's id.
 	private static Mono<ByteBuf> breakOff(HttpServerResponse response) {
 		return Mono.defer(() -> {
 			response.withConnection((connection) -> connection.channel().close());
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AttemptTraffic.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AttemptTraffic.java
@@ -2,13 +2,15 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+import java.util.function.IntSupplier;
 
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
 
 import org.rosemaryfront.engine.EngineClient;
@@ -93,7 +95,7 @@
 		start(stream.get(), dispatch, continued(dispatch));
 	}
 
-	/** An adopted stream that still runs on the chosen server needs no recomputation. */
+	// An adopted stream that still runs on the chosen server needs no recomputation.
 	private Mode continued(ServingCommand.Dispatch dispatch) {
 		AdoptedAttempt earlier = this.adopted.remove(dispatch.request());
 		if (earlier == null) {
@@ -134,7 +136,7 @@
 				.onErrorResume((failure) -> {
 					log(ServingEvents.CACHE_MOVE_FAILED, attempt.request(), "cache move failed", "source",
 							move.source(), "cause", failure);
-					return reactor.core.publisher.Mono.just(0);
+					return Mono.just(0);
 				})
 				.flatMapMany((_) -> this.engines.open(address, order(stream, attempt, emitted)));
 		};
@@ -172,11 +174,9 @@
 	}
 
 	private void cancelAt(String address, AttemptId stream) {
-		this.engines.cancel(address, stream)
-			.subscribeOn(Schedulers.parallel())
-			.subscribe((_) -> {
-			}, (failure) -> EventLog.info(ServingEvents.COMMAND_FAILED, "command", "cancel", "attempt", stream, "cause",
-					failure));
+		this.engines.cancel(address, stream).subscribeOn(Schedulers.parallel()).subscribe((_) -> {
+		}, (failure) -> EventLog.info(ServingEvents.COMMAND_FAILED, "command", "cancel", "attempt", stream, "cause",
+				failure));
 	}
 
 	private void refuse(ServingCommand.Refuse refuse) {
@@ -399,8 +399,7 @@
 		 * @param event makes the event from the number of tokens
 		 * @param tokens the number of tokens so far
 		 */
-		void postProgress(java.util.function.IntFunction<ServingEvent> event,
-				java.util.function.IntSupplier tokens);
+		void postProgress(IntFunction<ServingEvent> event, IntSupplier tokens);
 
 		/**
 		 * A backend server said that it is leaving.
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerKeys.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerKeys.java
@@ -49,7 +49,7 @@
 				|| !authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
 			return Optional.empty();
 		}
-		byte[] hash = hash(authorization.substring(SCHEME.length()).strip());
+		byte[] hash = hash(authorization.substring(SCHEME.length()).strip()).getBytes(StandardCharsets.US_ASCII);
 		Organisation found = null;
 		for (Entry entry : this.entries) {
 			if (MessageDigest.isEqual(entry.hash(), hash)) {
@@ -59,10 +59,15 @@
 		return Optional.ofNullable(found);
 	}
 
-	private static byte[] hash(String key) {
+	/**
+	 * Hashes a key as the configuration holds it.
+	 * @param key the key
+	 * @return the SHA-256 hash in lower case hexadecimal
+	 */
+	static String hash(String key) {
 		try {
 			byte[] digest = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-			return HexFormat.of().formatHex(digest).getBytes(StandardCharsets.US_ASCII);
+			return HexFormat.of().formatHex(digest);
 		}
 		catch (NoSuchAlgorithmException ex) {
 			throw new IllegalStateException(ex);
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerServer.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerServer.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
@@ -11,6 +13,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -43,8 +46,7 @@
 	private static final String MODELS = "/v1/models";
 
 	private static final JsonMapper METRICS = JsonMapper.builder()
-		.addModule(new MetricsModule(java.util.concurrent.TimeUnit.SECONDS, java.util.concurrent.TimeUnit.MILLISECONDS,
-				false))
+		.addModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false))
 		.build();
 
 	private final AtomicInteger openRequests = new AtomicInteger();
@@ -135,11 +137,12 @@
 	private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
 		return Mono.defer(() -> Mono.from(route(request, response)))
 			.onErrorResume(RosemaryException.class, (ex) -> failed(response, ex.problem()))
-			.onErrorResume((failure) -> !response.hasSentHeaders() && !AbortedRequests.isAborted(failure), (failure) -> {
-				EventLog.error(failure, ServingEvents.CALLER_REQUEST_FAILED, "path", request.fullPath());
-				return failed(response,
-						Problem.of(ProblemCode.INTERNAL, Verdict.mayHaveRun(), "the request failed by a defect"));
-			});
+			.onErrorResume((failure) -> !response.hasSentHeaders() && !AbortedRequests.isAborted(failure),
+					(failure) -> {
+						EventLog.error(failure, ServingEvents.CALLER_REQUEST_FAILED, "path", request.fullPath());
+						return failed(response, Problem.of(ProblemCode.INTERNAL, Verdict.mayHaveRun(),
+								"the request failed by a defect"));
+					});
 	}
 
 	private static Mono<Void> failed(HttpServerResponse response, Problem problem) {
@@ -379,8 +382,8 @@
 		}
 
 		private static Duration wait(String uri) {
-			Optional<String> value = new io.netty.handler.codec.http.QueryStringDecoder(uri).parameters()
-				.getOrDefault("wait", java.util.List.of())
+			Optional<String> value = new QueryStringDecoder(uri).parameters()
+				.getOrDefault("wait", List.of())
 				.stream()
 				.findFirst();
 			try {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CompletionDocuments.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CompletionDocuments.java
@@ -18,27 +18,6 @@
 	private CompletionDocuments() {
 	}
 
-	/**
-	 * What every document of an answer names.
-	 *
-	 * @param id the request's identifier
-	 * @param model the name of the model that the caller gave
-	 * @param createdSeconds when the request was accepted, in seconds since 1970
-	 * @param promptTokens the length of the prompt, in tokens
-	 */
-	record Head(String id, String model, long createdSeconds, int promptTokens) {
-
-		static Head of(AcceptedRequest request) {
-			return new Head(request.id().value(), request.call().model(), request.createdSeconds(),
-					request.spec().promptTokens());
-		}
-
-		Form form() {
-			return Form.ofId(this.id);
-		}
-
-	}
-
 	// -- whole answers
 
 	/**
@@ -180,4 +159,25 @@
 			.put("total_tokens", head.promptTokens() + tokens);
 	}
 
+	/**
+	 * What every document of an answer names.
+	 *
+	 * @param id the request's identifier
+	 * @param model the name of the model that the caller gave
+	 * @param createdSeconds when the request was accepted, in seconds since 1970
+	 * @param promptTokens the length of the prompt, in tokens
+	 */
+	record Head(String id, String model, long createdSeconds, int promptTokens) {
+
+		static Head of(AcceptedRequest request) {
+			return new Head(request.id().value(), request.call().model(), request.createdSeconds(),
+					request.spec().promptTokens());
+		}
+
+		Form form() {
+			return Form.ofId(this.id);
+		}
+
+	}
+
 }
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -21,7 +21,6 @@
 import org.rosemaryfront.configuration.ConfigurationStore;
 import org.rosemaryfront.engine.EngineClientSettings;
 import org.rosemaryfront.engine.HttpEngineClient;
-import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.membership.MemberState;
 import org.rosemaryfront.model.Configuration;
 import org.rosemaryfront.model.VmId;
@@ -65,12 +64,6 @@
 
 	private static final Duration HOUSEKEEPING = Duration.ofMillis(250);
 
-	/**
-	 * How long a request goes on without a reader when its caller cannot come back, since
-	 * it was never told the identifier; covers the moment before its first reader.
-	 */
-	private static final long UNRESUMABLE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
 	private static final int EXPLAINED_REQUESTS = 2_000;
 
 	private final Disposable.Composite tasks = Disposables.composite();
@@ -150,8 +143,8 @@
 				PeerSettings.of(new VmId(this.settings.vm()), this.settings.region(), this.settings.zone(),
 						PeerSettings.ENTRY, this.settings.peers().host(), this.settings.peers().port()),
 				this.platform, this.platform, new PeerCalls());
-		this.callers = CallerServer.start(this.settings, this.intake,
-				new ResultReader(this.streams, () -> this.peers), this.metrics, new CallerContext());
+		this.callers = CallerServer.start(this.settings, this.intake, new ResultReader(this.streams, new HeldByPeers()),
+				this.metrics, new CallerContext());
 		EntrySettings.Operators listener = this.settings.operators();
 		this.operators = OperatorServer.start(
 				new OperatorSettings(listener.host(), listener.port(), listener.keyHashes(), TlsSettings.none()),
@@ -160,7 +153,9 @@
 				this.settings.watch(), this::liveEntries);
 		this.watch.start();
 		this.metrics.gauge("serving.openStreams", this.streams::open);
-		this.tasks.add(Flux.interval(HOUSEKEEPING).onBackpressureDrop().subscribe((_) -> housekeeping()));
+		StreamCare care = new StreamCare(this.streams, this.traffic, this.decisions, this.metrics, this.control::accept,
+				this.settings.streams());
+		this.tasks.add(Flux.interval(HOUSEKEEPING).onBackpressureDrop().subscribe((_) -> care.tick()));
 		this.tasks.add(Flux.interval(Duration.ofSeconds(1)).onBackpressureDrop().subscribe((_) -> reportUsage()));
 	}
 
@@ -189,31 +184,6 @@
 		this.platform.close();
 	}
 
-	private void housekeeping() {
-		long now = System.nanoTime();
-		EntrySettings.Streams limits = this.settings.streams();
-		long heartbeat = TimeUnit.MILLISECONDS.toNanos(limits.heartbeatMillis());
-		long stall = TimeUnit.MILLISECONDS.toNanos(limits.stallMillis());
-		long grace = TimeUnit.MILLISECONDS.toNanos(limits.graceMillis());
-		for (AnswerStream stream : this.streams.all()) {
-			stream.tick(now, heartbeat, stall);
-			if (stream.isOpen() && stream.idleNanos(now) > (stream.canResume() ? grace : UNRESUMABLE_GRACE_NANOS)) {
-				abandon(stream);
-			}
-		}
-		this.streams.expire(now);
-		this.traffic.expire();
-	}
-
-	private void abandon(AnswerStream stream) {
-		if (stream.abandon()) {
-			EventLog.info(ServingEvents.REQUEST_ABANDONED, "request", stream.request().id(), "tokens", stream.size());
-			this.decisions.add(stream.request().id(), "abandoned tokens=" + stream.size());
-			this.metrics.abandoned();
-			this.control.accept(new ServingEvent.RequestAbandoned(stream.request().id()));
-		}
-	}
-
 	private void reportUsage() {
 		this.peers.usage(this.control.tokensInFlight());
 		this.control.accept(new ServingEvent.PeersReported(liveEntries(), this.peers.peerUsage()));
@@ -242,8 +212,7 @@
 		return this.directory.all()
 			.stream()
 			.filter((known) -> !known.isRunner())
-			.map((known) -> new ServiceServer(known.vm(), known.pool(), known.zone(), known.address(),
-					known.leaving()))
+			.map((known) -> new ServiceServer(known.vm(), known.pool(), known.zone(), known.address(), known.leaving()))
 			.toList();
 	}
 
@@ -327,6 +296,20 @@
 
 	}
 
+	private final class HeldByPeers implements ResultReader.Peers {
+
+		@Override
+		public Mono<Optional<String>> locate(String request, String organisation) {
+			return EntryProcess.this.peers.locate(request, organisation);
+		}
+
+		@Override
+		public Flux<ResultTokens> read(String address, ResultRead read) {
+			return EntryProcess.this.peers.read(address, read);
+		}
+
+	}
+
 	private final class CallerContext implements CallerServer.Context {
 
 		@Override
@@ -407,8 +390,7 @@
 		public Mono<Void> handOver(Duration limit) {
 			return new HandoffSender(EntryProcess.this.streams, EntryProcess.this.traffic, EntryProcess.this.decisions,
 					EntryProcess.this.metrics, EntryProcess.this.control::accept,
-					() -> otherEntries().stream().map(MemberView::address).toList(),
-					EntryProcess.this.peers::handOff)
+					() -> otherEntries().stream().map(MemberView::address).toList(), EntryProcess.this.peers::handOff)
 				.handOverAll(limit);
 		}
 
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntrySettings.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntrySettings.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.entry;
 
+import java.util.List;
 import java.util.Objects;
 
 /**
@@ -71,10 +72,10 @@
 	 * @param port the port, 0 to let the system choose
 	 * @param keyHashes SHA-256 of each operator key, in lower case hexadecimal
 	 */
-	public record Operators(String host, int port, java.util.List<String> keyHashes) {
+	public record Operators(String host, int port, List<String> keyHashes) {
 
 		public Operators {
-			keyHashes = (keyHashes != null) ? java.util.List.copyOf(keyHashes) : java.util.List.of();
+			keyHashes = (keyHashes != null) ? List.copyOf(keyHashes) : List.of();
 		}
 
 	}
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffReceiver.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffReceiver.java
@@ -77,7 +77,8 @@
 		RequestId id = new RequestId(handoff.getRequest());
 		Optional<AnswerStream> present = this.streams.find(id);
 		if (present.isPresent() && present.get().request().epoch() >= handoff.getEpoch()) {
-			return (present.get().request().epoch() == handoff.getEpoch()) ? ACCEPTED : refused("held under a later epoch");
+			return (present.get().request().epoch() == handoff.getEpoch()) ? ACCEPTED
+					: refused("held under a later epoch");
 		}
 		CompletionCall call = CompletionParser.parse(Form.ofPath(handoff.getPath()), handoff.getBody().toByteArray());
 		Optional<AcceptedRequest> request = this.intake.adopt(id, handoff.getOrganisation(), call,
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffSender.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffSender.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -41,14 +42,14 @@
 
 	private final EntryMetrics metrics;
 
-	private final java.util.function.Consumer<ServingEvent> control;
+	private final Consumer<ServingEvent> control;
 
 	private final Supplier<List<String>> peers;
 
 	private final Send send;
 
 	HandoffSender(StreamTable streams, AttemptTraffic traffic, DecisionRing decisions, EntryMetrics metrics,
-			java.util.function.Consumer<ServingEvent> control, Supplier<List<String>> peers, Send send) {
+			Consumer<ServingEvent> control, Supplier<List<String>> peers, Send send) {
 		this.streams = streams;
 		this.traffic = traffic;
 		this.decisions = decisions;
@@ -66,8 +67,8 @@
 	Mono<Void> handOverAll(Duration limit) {
 		List<AnswerStream> held = this.streams.all()
 			.stream()
-			.filter((stream) -> stream.isOpen() || stream.ending().filter(AnswerEvent.Finished.class::isInstance)
-				.isPresent())
+			.filter((stream) -> stream.isOpen()
+					|| stream.ending().filter(AnswerEvent.Finished.class::isInstance).isPresent())
 			.sorted(Comparator.comparing((AnswerStream stream) -> !stream.isOpen()))
 			.toList();
 		return Flux.fromIterable(held).flatMap((stream) -> handOver(stream, limit), CONCURRENT).then();
@@ -100,8 +101,7 @@
 		String peer = order.get(i);
 		return this.send.handOff(peer, handoff.apply(i))
 			.timeout(limit)
-			.onErrorResume((failure) -> Mono
-				.just(HandoffReply.newBuilder().setReason(String.valueOf(failure)).build()))
+			.onErrorResume((failure) -> Mono.just(HandoffReply.newBuilder().setReason(String.valueOf(failure)).build()))
 			.flatMap((reply) -> {
 				if (reply.getAccepted()) {
 					EventLog.info(ServingEvents.REQUEST_HANDED_OVER, "request", stream.request().id(), "peer", peer,
@@ -109,8 +109,8 @@
 					this.decisions.add(stream.request().id(), "handed over peer=" + peer);
 					return Mono.just(true);
 				}
-				EventLog.info(ServingEvents.HANDOVER_REFUSED, "request", stream.request().id(), "peer", peer,
-						"reason", reply.getReason());
+				EventLog.info(ServingEvents.HANDOVER_REFUSED, "request", stream.request().id(), "peer", peer, "reason",
+						reply.getReason());
 				return tryPeers(stream, order, handoff, i + 1, limit);
 			});
 	}
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/RequestBody.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/RequestBody.java
@@ -36,15 +36,13 @@
 		if (declaredLength(request) > greatest) {
 			return Mono.error(tooLarge(greatest));
 		}
-		return request.receive()
-			.asByteArray()
-			.reduceWith(ByteArrayOutputStream::new, (collected, part) -> {
-				if (collected.size() + part.length > greatest) {
-					throw tooLarge(greatest);
-				}
-				collected.write(part, 0, part.length);
-				return collected;
-			})
+		return request.receive().asByteArray().reduceWith(ByteArrayOutputStream::new, (collected, part) -> {
+			if (collected.size() + part.length > greatest) {
+				throw tooLarge(greatest);
+			}
+			collected.write(part, 0, part.length);
+			return collected;
+		})
 			.map(ByteArrayOutputStream::toByteArray)
 			.timeout(Duration.ofMillis(limits.bodyMillis()))
 			.onErrorMap(TimeoutException.class, (_) -> RosemaryException.of(Problem.notRun(ProblemCode.BAD_REQUEST,
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/RequestIntake.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/RequestIntake.java
@@ -142,9 +142,7 @@
 	}
 
 	private Optional<Pool> pool(Organisation organisation, String model) {
-		return this.configuration.get()
-			.poolServing(model)
-			.filter((pool) -> organisation.pools().contains(pool.name()));
+		return this.configuration.get().poolServing(model).filter((pool) -> organisation.pools().contains(pool.name()));
 	}
 
 	private RequestId newId(CompletionCall.Form form) {
@@ -154,8 +152,8 @@
 	}
 
 	private static RosemaryException unknownModel(String model) {
-		return RosemaryException
-			.of(Problem.notRun(ProblemCode.NOT_FOUND, "the model '" + model + "' does not exist for this organisation"));
+		return RosemaryException.of(Problem.notRun(ProblemCode.NOT_FOUND,
+				"the model '" + model + "' does not exist for this organisation"));
 	}
 
 }
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ResultReader.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ResultReader.java
@@ -1,7 +1,7 @@
 package org.rosemaryfront.entry;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -10,7 +10,6 @@
 
 import org.rosemaryfront.entry.CompletionDocuments.Head;
 import org.rosemaryfront.model.RequestId;
-import org.rosemaryfront.peer.PeerNode;
 import org.rosemaryfront.peer.proto.ResultRead;
 import org.rosemaryfront.peer.proto.ResultTokens;
 
@@ -22,9 +21,9 @@
 
 	private final StreamTable streams;
 
-	private final Supplier<PeerNode> peers;
+	private final Peers peers;
 
-	ResultReader(StreamTable streams, Supplier<PeerNode> peers) {
+	ResultReader(StreamTable streams, Peers peers) {
 		this.streams = streams;
 		this.peers = peers;
 	}
@@ -44,10 +43,9 @@
 	}
 
 	private Mono<AnswerSource> remote(String id, String organisation, int offset) {
-		PeerNode node = this.peers.get();
-		return node.locate(id, organisation)
+		return this.peers.locate(id, organisation)
 			.flatMap(Mono::justOrEmpty)
-			.map((holder) -> source(id, offset, node.read(holder,
+			.map((holder) -> source(id, offset, this.peers.read(holder,
 					ResultRead.newBuilder().setRequest(id).setOrganisation(organisation).setOffset(offset).build())));
 	}
 
@@ -75,4 +73,26 @@
 		return (frame.getTokensCount() > 0) ? tokens : Stream.of(new AnswerEvent.Heartbeat());
 	}
 
+	/** Reads answers that peers hold. */
+	interface Peers {
+
+		/**
+		 * Finds the holder of a request.
+		 * @param request the request
+		 * @param organisation the organisation that asks
+		 * @return the address of the holder with the highest epoch, empty when there is
+		 * none
+		 */
+		Mono<Optional<String>> locate(String request, String organisation);
+
+		/**
+		 * Reads an answer from its holder.
+		 * @param address the holder
+		 * @param read the request, its organisation and the offset
+		 * @return the tokens as they come
+		 */
+		Flux<ResultTokens> read(String address, ResultRead read);
+
+	}
+
 }
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServerDirectory.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServerDirectory.java
@@ -87,8 +87,7 @@
 
 	private void see(Map<VmId, Known> next, Listed vm) {
 		this.missed.remove(vm.vm());
-		Known known = new Known(vm.vm(), vm.role(), vm.pool(), vm.zone(), vm.address(),
-				this.leaving.contains(vm.vm()));
+		Known known = new Known(vm.vm(), vm.role(), vm.pool(), vm.zone(), vm.address(), this.leaving.contains(vm.vm()));
 		Known before = next.put(vm.vm(), known);
 		if (known.isRunner() && !known.leaving() && !vm.leaving() && !known.equals(before)) {
 			this.listener.post(new ServingEvent.ServerSeen(vm.vm(), vm.pool(), vm.zone(), vm.address()));
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServerWatch.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServerWatch.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
@@ -87,9 +88,7 @@
 	}
 
 	private Mono<Void> pollNotices() {
-		return this.cloud.notices(this.lastNotice)
-			.doOnNext((notices) -> notices.forEach(this::take))
-			.then();
+		return this.cloud.notices(this.lastNotice).doOnNext((notices) -> notices.forEach(this::take)).then();
 	}
 
 	private void take(CloudClient.Notice notice) {
@@ -109,15 +108,15 @@
 		return this.engines.cacheEvents(runner.address(), after).doOnNext((events) -> {
 			this.cacheEvents.put(runner.vm(), events.last());
 			if (events.gap() || !events.added().isEmpty() || !events.removed().isEmpty()) {
-				this.listener.post(new ServingEvent.CacheReported(runner.vm(), events.added(), events.removed(),
-						events.gap()));
+				this.listener
+					.post(new ServingEvent.CacheReported(runner.vm(), events.added(), events.removed(), events.gap()));
 			}
 		}).then();
 	}
 
 	// -- scheduling
 
-	private Supplier<Mono<Void>> roundRobin(java.util.function.Function<Known, Mono<Void>> poll) {
+	private Supplier<Mono<Void>> roundRobin(Function<Known, Mono<Void>> poll) {
 		Iterator<Known> next = new Iterator<>() {
 
 			private List<Known> left = List.of();
@@ -143,7 +142,7 @@
 		return () -> next.hasNext() ? poll.apply(next.next()) : Mono.empty();
 	}
 
-	/** The time between two polls when the fleet shares its rate among the entries. */
+	// The time between two polls when the fleet shares its rate among the entries.
 	private Duration fleetInterval(long millis) {
 		long shared = (long) (this.livePeers.getAsInt() * 1000.0 / this.settings.fleetPollsPerSecond());
 		return Duration.ofMillis(Math.max(millis, shared));
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServingControl.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServingControl.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 import java.util.function.IntSupplier;
 
 import org.rosemaryfront.program.ControlLoop;
@@ -63,7 +64,7 @@
 	 * @param event makes the event from the number of tokens
 	 * @param tokens the number of tokens so far
 	 */
-	void acceptProgress(java.util.function.IntFunction<ServingEvent> event, IntSupplier tokens) {
+	void acceptProgress(IntFunction<ServingEvent> event, IntSupplier tokens) {
 		this.loop.post((now) -> this.decisions.accept(event.apply(tokens.getAsInt()), now));
 	}
 
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/StreamTable.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/StreamTable.java
@@ -136,7 +136,6 @@
 	 */
 	record Limits(long retentionNanos, long bytes) {
 
-
 	}
 
 }
