--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/Membership.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/Membership.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
+import org.rosemaryfront.membership.MembershipMessage.Kind;
 import org.rosemaryfront.model.VmId;
 
 /**
@@ -135,9 +136,9 @@
 			}
 		});
 		switch (message.kind()) {
-			case MembershipMessage.Probe probe -> probed(from, sender.id(), probe, joined, now);
-			case MembershipMessage.Ack ack -> answered(ack.number(), now);
-			case MembershipMessage.Gossip _ -> {
+			case Kind.Probe probe -> probed(from, sender.id(), probe, joined, now);
+			case Kind.Ack ack -> answered(ack.number(), now);
+			case Kind.Gossip _ -> {
 			}
 		}
 	}
@@ -153,17 +154,17 @@
 			this.suspicions.remove(known.id());
 		}
 		this.members.heard(sender.id(), sender.revision());
-		if (!(message.kind() instanceof MembershipMessage.Gossip)) {
+		if (!(message.kind() instanceof Kind.Gossip)) {
 			this.usage.heard(sender.id(), message.usage(), now);
 		}
 		this.commands.add(new MembershipCommand.PeerHeard(sender.address(), sender.revision()));
 	}
 
-	private void probed(String from, MemberId sender, MembershipMessage.Probe probe, boolean joined, long now) {
-		MembershipMessage.Ack ack = new MembershipMessage.Ack(probe.number());
+	private void probed(String from, MemberId sender, Kind.Probe probe, boolean joined, long now) {
+		Kind.Ack ack = new Kind.Ack(probe.number());
 		if (!probe.target().isEmpty()) {
 			long number = this.probes.relay(from, probe.number(), now);
-			send(probe.target(), Optional.empty(), new MembershipMessage.Probe(number, ""), now);
+			send(probe.target(), Optional.empty(), new Kind.Probe(number, ""), now);
 		}
 		else if (joined) {
 			this.commands.add(new MembershipCommand.Send(from, this.composer.introduction(this.self, ack, now)));
@@ -176,8 +177,7 @@
 	private void answered(long number, long now) {
 		this.probes.answered(number);
 		this.probes.relayed(number)
-			.ifPresent(
-					(relay) -> send(relay.origin(), Optional.empty(), new MembershipMessage.Ack(relay.number()), now));
+			.ifPresent((relay) -> send(relay.origin(), Optional.empty(), new Kind.Ack(relay.number()), now));
 	}
 
 	private boolean addDeparture(DepartureNotice notice, long now) {
@@ -193,7 +193,7 @@
 		if (this.self.state() != MemberState.LEAVING) {
 			this.self = this.self.withState(MemberState.LEAVING);
 			this.commands.add(new MembershipCommand.MemberChanged(this.self));
-			this.pushes.request();
+			this.pushes.requestLast();
 		}
 	}
 
@@ -298,7 +298,7 @@
 		this.probes.unanswered(now - this.settings.ackNanos())
 			.ifPresent((probe) -> this.members.sample(this.settings.indirectProbes(), probe.target())
 				.forEach((helper) -> send(helper.address(), Optional.of(helper.id()),
-						new MembershipMessage.Probe(probe.number(), probe.address()), now)));
+						new Kind.Probe(probe.number(), probe.address()), now)));
 	}
 
 	private void endPeriod(long now) {
@@ -311,7 +311,7 @@
 		this.members.forget(now);
 		this.members.nextToProbe().ifPresent((target) -> {
 			long number = this.probes.open(target, now);
-			send(target.address(), Optional.of(target.id()), new MembershipMessage.Probe(number, ""), now);
+			send(target.address(), Optional.of(target.id()), new Kind.Probe(number, ""), now);
 		});
 		reconnect(now);
 	}
@@ -325,7 +325,7 @@
 			merge(known.withState(MemberState.SUSPECT), now);
 		}
 		suspect(known, now);
-		send(known.address(), Optional.of(known.id()), new MembershipMessage.Gossip(), now);
+		send(known.address(), Optional.of(known.id()), new Kind.Gossip(), now);
 	}
 
 	private void buryOverdue(long now) {
@@ -370,11 +370,11 @@
 				|| this.members.find(entry).filter(MemberRecord::reachable).isPresent();
 	}
 
-	private MembershipMessage.Probe probe() {
-		return new MembershipMessage.Probe(this.probes.nextNumber(), "");
+	private Kind.Probe probe() {
+		return new Kind.Probe(this.probes.nextNumber(), "");
 	}
 
-	private void send(String address, Optional<MemberId> to, MembershipMessage.Kind kind, long now) {
+	private void send(String address, Optional<MemberId> to, Kind kind, long now) {
 		this.commands.add(new MembershipCommand.Send(address, this.composer.ordinary(this.self, to, kind, now)));
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MessageComposer.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MessageComposer.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import org.rosemaryfront.membership.MembershipMessage.Kind;
 import org.rosemaryfront.model.VmId;
 
 /**
@@ -61,7 +62,7 @@
 	 * @param now the time
 	 * @return the message
 	 */
-	MembershipMessage ordinary(MemberRecord self, Optional<MemberId> to, MembershipMessage.Kind kind, long now) {
+	MembershipMessage ordinary(MemberRecord self, Optional<MemberId> to, Kind kind, long now) {
 		Set<MemberId> ids = new LinkedHashSet<>(aboutReceiver(to));
 		ids.addAll(changes(MembershipSettings.MEMBERS_PER_DATAGRAM));
 		this.members.sample(1, self.id()).forEach((record) -> ids.add(record.id()));
@@ -80,7 +81,7 @@
 	MembershipMessage urgent(MemberRecord self, MemberId to, long now) {
 		Set<MemberId> ids = new LinkedHashSet<>(aboutReceiver(Optional.of(to)));
 		ids.addAll(changes(MembershipSettings.MEMBERS_PER_DATAGRAM));
-		return fit(self, new MembershipMessage.Gossip(), ids, departureChanges(capacity()), Map.of(), now);
+		return fit(self, new Kind.Gossip(), ids, departureChanges(capacity()), Map.of(), now);
 	}
 
 	/**
@@ -90,7 +91,7 @@
 	 * @param now the time
 	 * @return the message
 	 */
-	MembershipMessage introduction(MemberRecord self, MembershipMessage.Kind kind, long now) {
+	MembershipMessage introduction(MemberRecord self, Kind kind, long now) {
 		Set<MemberId> ids = new LinkedHashSet<>();
 		this.members.sample(capacity() / 4, self.id()).forEach((record) -> ids.add(record.id()));
 		return fit(self, kind, ids, this.departures.sample(capacity() / 2, this.random),
@@ -121,8 +122,8 @@
 		return this.settings.datagramBytes() / 24;
 	}
 
-	private MembershipMessage fit(MemberRecord self, MembershipMessage.Kind kind, Iterable<MemberId> ids,
-			Iterable<VmId> vms, Map<String, Long> digest, long now) {
+	private MembershipMessage fit(MemberRecord self, Kind kind, Iterable<MemberId> ids, Iterable<VmId> vms,
+			Map<String, Long> digest, long now) {
 		int room = this.settings.datagramBytes() - HEADER_BYTES - self.estimatedBytes() - estimatedBytes(digest);
 		List<MemberRecord> records = new ArrayList<>();
 		for (MemberId id : ids) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/PushBudget.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/PushBudget.java
@@ -40,6 +40,15 @@
 		this.requested = true;
 	}
 
+	/**
+	 * Requests a push that does not wait for others to share its datagrams, since this
+	 * process may end at once.
+	 */
+	void requestLast() {
+		this.requested = true;
+		this.lastPushAt -= SPACING_NANOS;
+	}
+
 	/**
 	 * Whether to push now; a push that is due is no longer requested.
 	 * @param now the time
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/PeerSettings.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/PeerSettings.java
@@ -6,6 +6,7 @@
 
 import io.netty.handler.ssl.SslContext;
 
+import org.rosemaryfront.membership.MemberId;
 import org.rosemaryfront.model.VmId;
 
 /**
@@ -28,10 +29,10 @@
 		Optional<Tls> tls) {
 
 	/** The role of an entry process. */
-	public static final String ENTRY = "entry";
+	public static final String ENTRY = MemberId.ENTRY;
 
 	/** The role of a controller process. */
-	public static final String CONTROLLER = "controller";
+	public static final String CONTROLLER = MemberId.CONTROLLER;
 
 	public PeerSettings {
 		Objects.requireNonNull(vm, "vm is null");
