--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/peer/InMemoryPlatform.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/peer/InMemoryPlatform.java
@@ -43,8 +43,6 @@
 		this.listed.add(new Listed(new VmId(vm), "entry", "", zone, address, false));
 	}
 
-	}
-
 	synchronized void apply(long revision, List<Resource> changed, List<ResourceKey> deleted) {
 		ObjectNode change = MAPPER.createObjectNode().put("transaction", "t" + revision);
 		changed.forEach((resource) -> {
