--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/peer/InMemoryPlatform.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/peer/InMemoryPlatform.java
@@ -68,9 +68,7 @@
 
 	@Override
 	public Mono<Optional<Row>> read(String table, String key) {
-		return answer(() -> {
-			return Optional.ofNullable(this.rows.get(key)).map((value) -> new Row(table, key, value, 1));
-		});
+		return answer(() -> Optional.ofNullable(this.rows.get(key)).map((value) -> new Row(table, key, value, 1)));
 	}
 
 	@Override
