--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/ApplyCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/ApplyCommand.java
@@ -20,10 +20,10 @@
 /**
  * Declares what files say, all or nothing.
  */
-final class ApplyCommand extends ServerCommand {
+public final class ApplyCommand extends ServerCommand {
 
 	@Argument(metaVar = "PATH", required = true, usage = "files and folders of declarations")
-	private List<Path> paths = List.of();
+	private List<Path> paths = new ArrayList<>();
 
 	@Option(name = "--dry-run", usage = "only tell what would change")
 	private boolean dryRun;
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/Command.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/Command.java
@@ -1,7 +1,8 @@
 package org.rosemaryfront.ctl;
 
 /**
- * A sub-command of {@code rosemaryctl}.
+ * A sub-command of {@code rosemaryctl}. Its variants are public with public constructors,
+ * since args4j makes them by reflection.
  */
 sealed interface Command permits ServerCommand, ValidateCommand {
 
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/DiffCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/DiffCommand.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.ctl;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -17,10 +18,10 @@
 /**
  * Compares files with what is declared; ends with 1 when they differ.
  */
-final class DiffCommand extends ServerCommand {
+public final class DiffCommand extends ServerCommand {
 
 	@Argument(metaVar = "PATH", required = true, usage = "files and folders of declarations")
-	private List<Path> paths = List.of();
+	private List<Path> paths = new ArrayList<>();
 
 	@Option(name = "--delete-missing", usage = "show declared resources that no file holds, too")
 	private boolean deleteMissing;
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/DrainCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/DrainCommand.java
@@ -5,7 +5,7 @@
 /**
  * Takes a backend server out of service: it gets no new work and finishes what it has.
  */
-final class DrainCommand extends ServerCommand {
+public final class DrainCommand extends ServerCommand {
 
 	@Argument(metaVar = "VM", required = true, usage = "the VM of the backend server")
 	private String vm = "";
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/ExplainCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/ExplainCommand.java
@@ -7,7 +7,7 @@
 /**
  * Shows the decisions on a request, asking every server since each knows its own.
  */
-final class ExplainCommand extends ServerCommand {
+public final class ExplainCommand extends ServerCommand {
 
 	private static final int NOT_FOUND = 404;
 
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/GetCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/GetCommand.java
@@ -10,7 +10,7 @@
 /**
  * Shows resources.
  */
-final class GetCommand extends ServerCommand {
+public final class GetCommand extends ServerCommand {
 
 	@Argument(index = 0, metaVar = "KIND", usage = "Pool, Model, Adapter, Organisation or LatencyTarget (default: all)")
 	private String kind = "";
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/StatusCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/StatusCommand.java
@@ -9,7 +9,7 @@
 /**
  * Shows what is declared, what is in force on each node, and the backend servers.
  */
-final class StatusCommand extends ServerCommand {
+public final class StatusCommand extends ServerCommand {
 
 	@Option(name = "-o", aliases = "--output", metaVar = "FORMAT", usage = "table or json (default: table)")
 	private OutputFormat output = OutputFormat.TABLE;
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/ValidateCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/ValidateCommand.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.ctl;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 
 import org.kohsuke.args4j.Argument;
@@ -12,10 +13,10 @@
 /**
  * Checks declarations without a server.
  */
-final class ValidateCommand implements Command {
+public final class ValidateCommand implements Command {
 
 	@Argument(metaVar = "PATH", required = true, usage = "files and folders of declarations")
-	private List<Path> paths = List.of();
+	private List<Path> paths = new ArrayList<>();
 
 	@Override
 	public ExitCode run(Console console) {
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/WaitCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/WaitCommand.java
@@ -12,7 +12,7 @@
  * Waits until a revision is in force on all nodes, or until a pool has its backend
  * servers.
  */
-final class WaitCommand extends ServerCommand {
+public final class WaitCommand extends ServerCommand {
 
 	private static final long POLL_MILLIS = 200;
 
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/WatchCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/WatchCommand.java
@@ -8,7 +8,7 @@
 /**
  * Prints every change as one JSON line; resumes at another server when one falls away.
  */
-final class WatchCommand extends ServerCommand {
+public final class WatchCommand extends ServerCommand {
 
 	private static final long PAUSE_MILLIS = 500;
 
