--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/OperatorApi.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/OperatorApi.java
@@ -17,6 +17,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.ssl.SslContext;
 import reactor.core.Exceptions;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -63,14 +64,16 @@
 	 * The API at some servers.
 	 * @param servers their base URLs, in the order in which they are asked
 	 * @param key the operator's key
+	 * @param tls the TLS context for servers with https
 	 * @return the API
 	 */
-	static OperatorApi of(List<String> servers, String key) {
+	static OperatorApi of(List<String> servers, String key, SslContext tls) {
 		Objects.requireNonNull(servers, "servers is null");
 		Objects.requireNonNull(key, "key is null");
 		HttpClient client = HttpClient.create(ConnectionProvider.newConnection())
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
 			.responseTimeout(SILENCE)
+			.secure((spec) -> spec.sslContext(tls))
 			.headers((headers) -> headers.set(HttpHeaderNames.AUTHORIZATION, "Bearer " + key)
 				.set(HttpHeaderNames.CONTENT_TYPE, "application/json"));
 		return new OperatorApi(servers.stream().map(OperatorApi::trimmed).toList(), client);
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/ServerCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/ServerCommand.java
@@ -6,6 +6,10 @@
 import java.util.Arrays;
 import java.util.List;
 
+import javax.net.ssl.SSLException;
+
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -29,9 +33,13 @@
 	@Option(name = "--key-file", metaVar = "FILE", usage = "file that holds the operator key")
 	private Path keyFile;
 
+	@Option(name = "--trust", metaVar = "FILE",
+			usage = "PEM file of the certificates that sign the servers' (default: those of the Java runtime)")
+	private Path trust;
+
 	@Override
 	public final ExitCode run(Console console) {
-		return run(console, OperatorApi.of(servers(console), key(console)));
+		return run(console, OperatorApi.of(servers(console), key(console), tls()));
 	}
 
 	/**
@@ -59,6 +67,16 @@
 		return found;
 	}
 
+	private SslContext tls() {
+		try {
+			SslContextBuilder builder = SslContextBuilder.forClient();
+			return ((this.trust != null) ? builder.trustManager(this.trust.toFile()) : builder).build();
+		}
+		catch (SSLException | IllegalArgumentException ex) {
+			throw CtlException.of(ExitCode.WRONG_USE, this.trust + ": allowed are certificates as PEM", ex);
+		}
+	}
+
 	private List<String> servers(Console console) {
 		String urls = this.server.isEmpty() ? console.environment().getOrDefault(SERVER_VARIABLE, "") : this.server;
 		List<String> servers = Arrays.stream(urls.split(","))
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/operators/OperatorServer.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/operators/OperatorServer.java
@@ -42,6 +42,7 @@
 import org.rosemaryfront.model.RosemaryException;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.model.VmId;
+import org.rosemaryfront.tls.TlsContexts;
 
 /**
  * The operators' listener of an entry; docs/INTERFACES.md gives the protocol.
@@ -73,6 +74,8 @@
 
 	private final Sinks.Empty<Void> closing = Sinks.empty();
 
+	private Optional<TlsContexts> tls = Optional.empty();
+
 	private DisposableServer server;
 
 	private OperatorServer(OperatorSettings settings, ConfigurationStore store, OperatorView view) {
@@ -95,12 +98,15 @@
 		Objects.requireNonNull(store, "store is null");
 		Objects.requireNonNull(view, "view is null");
 		OperatorServer server = new OperatorServer(settings, store, view);
-		server.server = HttpServer.create()
+		HttpServer listener = HttpServer.create()
 			.host(settings.host())
 			.port(settings.port())
 			.channelGroup(new DefaultChannelGroup(GlobalEventExecutor.INSTANCE))
-			.handle(server::handle)
-			.bindNow();
+			.handle(server::handle);
+		if (settings.tls().enabled()) {
+			server.tls = Optional.of(TlsContexts.start(settings.tls()));
+		}
+		server.server = server.tls.map((tls) -> tls.secure(listener)).orElse(listener).bindNow();
 		return server;
 	}
 
@@ -122,6 +128,7 @@
 	public void close() {
 		this.closing.tryEmitEmpty();
 		this.server.disposeNow(STOP_TIMEOUT);
+		this.tls.ifPresent(TlsContexts::close);
 	}
 
 	// -- requests
