--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/peer/InMemoryPlatform.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/peer/InMemoryPlatform.java
@@ -43,8 +43,6 @@
 		this.listed.add(new Listed(new VmId(vm), "entry", "", zone, address, false));
 	}
 
-	}
-
 	synchronized void apply(long revision, List<Resource> changed, List<ResourceKey> deleted) {
 		ObjectNode change = MAPPER.createObjectNode().put("transaction", "t" + revision);
 		changed.forEach((resource) -> {
@@ -70,9 +68,7 @@
 
 	@Override
 	public Mono<Optional<Row>> read(String table, String key) {
-		return answer(() -> {
-			return Optional.ofNullable(this.rows.get(key)).map((value) -> new Row(table, key, value, 1));
-		});
+		return answer(() -> Optional.ofNullable(this.rows.get(key)).map((value) -> new Row(table, key, value, 1)));
 	}
 
 	@Override
