--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AttemptTraffic.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AttemptTraffic.java
@@ -89,10 +89,11 @@
 			this.context.post(new ServingEvent.RequestAbandoned(dispatch.request()));
 			return;
 		}
+		Mode mode = continued(dispatch);
 		log(ServingEvents.REQUEST_DISPATCHED, dispatch.request(), "dispatch", "attempt", dispatch.attempt(), "server",
-				dispatch.server(), "mode", dispatch.mode(), "reason", dispatch.reason());
-		this.metrics.dispatched(dispatch.mode());
-		start(stream.get(), dispatch, continued(dispatch));
+				dispatch.server(), "mode", mode, "reason", dispatch.reason());
+		this.metrics.dispatched(mode);
+		start(stream.get(), dispatch, mode);
 	}
 
 	// An adopted stream that still runs on the chosen server needs no recomputation.
