--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/EventLog.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/EventLog.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.events;
 
 import org.tinylog.Logger;
+import org.tinylog.provider.ProviderRegistry;
 
 /**
  * Writes numbered events, one a line: {@code E2001 REQUEST_DISPATCHED request=r1
@@ -52,6 +53,18 @@
 		Logger.error(failure, () -> line(code, fields));
 	}
 
+	/**
+	 * Writes what is still to be written and ends the log; the last call of a program.
+	 */
+	public static void close() {
+		try {
+			ProviderRegistry.getLoggingProvider().shutdown();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	static String line(EventCode code, Object... fields) {
 		StringBuilder line = new StringBuilder().append('E').append(code.number()).append(' ').append(code.name());
 		for (int i = 0; i + 1 < fields.length; i += 2) {
