--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/OfferKey.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/OfferKey.java
@@ -24,4 +24,9 @@
 		return (byZone != 0) ? byZone : (byClass != 0) ? byClass : this.market.compareTo(other.market);
 	}
 
+	@Override
+	public String toString() {
+		return this.zone + "/" + this.machineClass + "/" + this.market;
+	}
+
 }
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseMachineTests.java
@@ -0,0 +1,165 @@
+package org.rosemaryfront.lease;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LeaseMachineTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private static final LeaseTerms TERMS = LeaseTerms.of(Duration.ofSeconds(10), Duration.ofSeconds(1));
+
+	private final LeaseMachine lease = LeaseMachine.of("vm-1", TERMS, 1);
+
+	// -- taking over
+
+	@Test
+	void shouldTakeOverAtOnceWhenThereIsNoRow() {
+		LeaseCommand.Write write = takeOver(0);
+		assertThat(write.takeOver()).isTrue();
+		assertThat(write.row().fence()).isEqualTo(1);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), 5 * MILLI);
+		assertThat(this.lease.mayOrder(5 * MILLI)).isTrue();
+		assertThat(this.lease.fence()).isEqualTo(1);
+	}
+
+	// Two controllers order at a time when a successor compares the row with its wall
+	// clock or counts from its own start; it must wait a full term of the holder's from
+	// the moment it saw the row change.
+	@Test
+	void shouldWaitHoldersTermWhenRowIsHeld() {
+		read(0, Optional.of(new LeaseRow("vm-2", 7, 20_000, "x")), 3);
+		assertThat(writes(19_999 * MILLI)).isEmpty();
+		List<LeaseCommand.Write> writes = writes(20_000 * MILLI);
+		assertThat(writes).hasSize(1);
+		assertThat(writes.getFirst().row().fence()).isEqualTo(8);
+		assertThat(writes.getFirst().version()).isEqualTo(3);
+	}
+
+	@Test
+	void shouldWaitAgainWhenRowChanges() {
+		read(0, Optional.of(new LeaseRow("vm-2", 7, 10_000, "x")), 3);
+		read(9_000 * MILLI, Optional.of(new LeaseRow("vm-2", 7, 10_000, "y")), 4);
+		assertThat(writes(18_999 * MILLI)).isEmpty();
+		assertThat(writes(19_000 * MILLI)).hasSize(1);
+	}
+
+	@Test
+	void shouldTakeOverAtOnceWhenHolderGaveItBack() {
+		read(0, Optional.of(new LeaseRow("", 7, 10_000, "x")), 3);
+		assertThat(writes(1)).hasSize(1);
+	}
+
+	// -- holding
+
+	// A holder was paused; its streams are gone and a successor acts. Its first act after
+	// the pause must not be an order.
+	@Test
+	void shouldNotOrderWhenPausedPastTheTerm() {
+		LeaseCommand.Write write = takeOver(0);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), MILLI);
+		assertThat(this.lease.mayOrder(8_999 * MILLI)).isTrue();
+		assertThat(this.lease.mayOrder(9_000 * MILLI)).isFalse();
+	}
+
+	// The answer to the take-over came seconds late, and the term must count from before
+	// the question: others count from the write's effect.
+	@Test
+	void shouldCountTermFromBeforeAskingWhenAnswerIsLate() {
+		LeaseCommand.Write write = takeOver(0);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), 2_000 * MILLI);
+		assertThat(this.lease.remainingNanos(2_000 * MILLI)).isEqualTo(7_000 * MILLI);
+	}
+
+	// The answer is lost after the write took effect. The row's token tells the holder
+	// that it is its own, and the term still counts from before the question.
+	@Test
+	void shouldResolveLostAnswerByItsOwnToken() {
+		LeaseCommand.Write write = takeOver(0);
+		this.lease.accept(new LeaseEvent.WriteUnknown(write.row().token()), 1_000 * MILLI);
+		assertThat(this.lease.mayOrder(1_000 * MILLI)).isFalse();
+		read(1_500 * MILLI, Optional.of(write.row()), 1);
+		assertThat(this.lease.remainingNanos(1_500 * MILLI)).isEqualTo(7_500 * MILLI);
+	}
+
+	@Test
+	void shouldStopWhenStorageIsDownToTheTermsEnd() {
+		LeaseCommand.Write write = takeOver(0);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), MILLI);
+		for (long now = 2; now < 12_000; now += 100) {
+			for (LeaseCommand command : this.lease.tick(now * MILLI)) {
+				this.lease.accept(switch (command) {
+					case LeaseCommand.Read read -> new LeaseEvent.ReadFailed(read.number());
+					case LeaseCommand.Write renewal -> new LeaseEvent.WriteUnknown(renewal.row().token());
+				}, now * MILLI);
+			}
+			assertThat(this.lease.mayOrder(now * MILLI)).isEqualTo(now < 9_000);
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2 })
+	void shouldStopAtOnceWhenAnotherHolderIsSeen(long fence) {
+		LeaseCommand.Write write = takeOver(0);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), MILLI);
+		read(4_000 * MILLI, Optional.of(new LeaseRow("vm-2", fence, 10_000, "x")), 2);
+		assertThat(this.lease.mayOrder(4_000 * MILLI)).isFalse();
+	}
+
+	// A read that was given up answers late and shows the row of long ago: the process
+	// would count the row as changed, or its own lease as lost.
+	@Test
+	void shouldIgnoreAnswerOfAnEarlierRead() {
+		read(0, Optional.of(new LeaseRow("vm-2", 7, 10_000, "x")), 3);
+		this.lease.accept(new LeaseEvent.RowRead(1, Optional.empty(), 0), 5_000 * MILLI);
+		assertThat(writes(5_001 * MILLI)).isEmpty();
+	}
+
+	// -- giving back
+
+	@Test
+	void shouldGiveBackOnceAndOrderNoMore() {
+		LeaseCommand.Write write = takeOver(0);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), MILLI);
+		this.lease.release(2 * MILLI);
+		assertThat(this.lease.mayOrder(2 * MILLI)).isFalse();
+		LeaseCommand.Write back = writes(2 * MILLI).getFirst();
+		assertThat(back.row().isReleased()).isTrue();
+		assertThat(back.row().fence()).isEqualTo(1);
+		this.lease.accept(new LeaseEvent.WriteCommitted(back.row().token(), 2), 3 * MILLI);
+		assertThat(this.lease.isReleased()).isTrue();
+		assertThat(writes(20_000 * MILLI)).isEmpty();
+	}
+
+	// -- helpers
+
+	private LeaseCommand.Write takeOver(long now) {
+		read(now, Optional.empty(), 0);
+		return writes(now).getFirst();
+	}
+
+	private void read(long now, Optional<LeaseRow> row, long version) {
+		LeaseCommand.Read read = (LeaseCommand.Read) this.lease.tick(now)
+			.stream()
+			.filter(LeaseCommand.Read.class::isInstance)
+			.findFirst()
+			.orElseThrow();
+		this.lease.accept(new LeaseEvent.RowRead(read.number(), row, version), now);
+	}
+
+	private List<LeaseCommand.Write> writes(long now) {
+		return this.lease.tick(now)
+			.stream()
+			.filter(LeaseCommand.Write.class::isInstance)
+			.map(LeaseCommand.Write.class::cast)
+			.toList();
+	}
+
+}
