--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/CandidateTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/CandidateTable.java
@@ -19,6 +19,9 @@
 	/** The time between two questions to different candidates; bounds a join to 20/s. */
 	private static final long SPACING_NANOS = Duration.ofMillis(50).toNanos();
 
+	/** The time until the table is searched again when nobody was due. */
+	private static final long IDLE_NANOS = Duration.ofMillis(500).toNanos();
+
 	private static final long FIRST_RETRY_NANOS = Duration.ofSeconds(1).toNanos();
 
 	private static final long LAST_RETRY_NANOS = Duration.ofSeconds(30).toNanos();
@@ -41,6 +44,9 @@
 			boolean same = known != null && known.address().equals(candidate.address());
 			next.put(candidate.vm(), same ? known : new Row(candidate.address(), now, FIRST_RETRY_NANOS));
 		}
+		if (!next.keySet().equals(this.rows.keySet())) {
+			this.nextAt = now;
+		}
 		this.rows.clear();
 		this.rows.putAll(next);
 	}
@@ -64,7 +70,7 @@
 				return Optional.of(row.address());
 			}
 		}
-		this.nextAt = now + SPACING_NANOS;
+		this.nextAt = now + IDLE_NANOS;
 		return Optional.empty();
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/Membership.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/Membership.java
@@ -223,12 +223,18 @@
 			refute(record);
 			return;
 		}
+		boolean joined = this.members.find(record.id()).isEmpty() && record.state() == MemberState.ALIVE;
 		if (!this.members.merge(record, now)) {
 			return;
 		}
 		MemberRecord merged = this.members.find(record.id()).orElseThrow();
 		this.commands.add(new MembershipCommand.MemberChanged(merged));
-		this.composer.passOn(merged.id());
+		if (joined) {
+			this.composer.passOnBriefly(merged.id());
+		}
+		else {
+			this.composer.passOn(merged.id());
+		}
 		switch (merged.state()) {
 			case ALIVE -> this.suspicions.remove(merged.id());
 			case SUSPECT -> suspect(merged, now);
@@ -239,6 +245,7 @@
 			case DEAD -> {
 				this.suspicions.remove(merged.id());
 				this.usage.forget(merged.id());
+				this.pushes.request();
 			}
 		}
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MembershipSettings.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MembershipSettings.java
@@ -31,6 +31,9 @@
 	/** How long a digest of usage counts. */
 	static final long USAGE_RETENTION_NANOS = Duration.ofSeconds(20).toNanos();
 
+	/** How often a new member is passed on. */
+	static final int JOIN_TRANSMISSIONS = 3;
+
 	/** Records passed on in a datagram that is not urgent. */
 	static final int MEMBERS_PER_DATAGRAM = 6;
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MessageComposer.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MessageComposer.java
@@ -44,11 +44,22 @@
 	// -- changes to pass on
 
 	void passOn(MemberId member) {
-		this.memberRumours.add(member);
+		this.memberRumours.add(member, 0);
+	}
+
+	/**
+	 * Passes a change on that the others mostly learn in another way: a new member asks
+	 * all that the VM list names. Without the difference the start of a whole fleet would
+	 * fill datagrams for minutes.
+	 * @param member the new member
+	 */
+	void passOnBriefly(MemberId member) {
+		int times = this.settings.retransmissions(this.members.size());
+		this.memberRumours.add(member, times - MembershipSettings.JOIN_TRANSMISSIONS);
 	}
 
 	void passOn(VmId departure) {
-		this.departureRumours.add(departure);
+		this.departureRumours.add(departure, 0);
 	}
 
 	// -- messages
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/Rumours.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/Rumours.java
@@ -1,7 +1,9 @@
 package org.rosemaryfront.membership;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 
@@ -13,15 +15,19 @@
  */
 final class Rumours<K> {
 
-	private final Map<K, Integer> sent = new LinkedHashMap<>();
+	private final List<LinkedHashSet<K>> bySent = new ArrayList<>();
+
+	private final Map<K, Integer> sent = new HashMap<>();
 
 	/**
 	 * Passes a change on from now on.
 	 * @param key the change
+	 * @param sentBefore how often it counts as sent already; more for what reaches the
+	 * others in other ways too
 	 */
-	void add(K key) {
-		this.sent.remove(key);
-		this.sent.put(key, 0);
+	void add(K key, int sentBefore) {
+		remove(key);
+		put(key, Math.max(0, sentBefore));
 	}
 
 	/**
@@ -31,26 +37,37 @@
 	 * @return the changes
 	 */
 	List<K> take(int limit, int retransmissions) {
-		if (this.sent.isEmpty()) {
-			return List.of();
+		List<K> chosen = new ArrayList<>();
+		for (LinkedHashSet<K> bucket : this.bySent) {
+			Iterator<K> keys = bucket.iterator();
+			while (keys.hasNext() && chosen.size() < limit) {
+				chosen.add(keys.next());
+			}
 		}
-		List<Map.Entry<K, Integer>> entries = new ArrayList<>(this.sent.entrySet());
-		entries.sort(Map.Entry.comparingByValue());
-		List<K> chosen = new ArrayList<>(limit);
-		for (Map.Entry<K, Integer> entry : entries.subList(0, Math.min(limit, entries.size()))) {
-			chosen.add(entry.getKey());
-			count(entry.getKey(), entry.getValue() + 1, retransmissions);
+		for (K key : chosen) {
+			int times = remove(key) + 1;
+			if (times < retransmissions) {
+				put(key, times);
+			}
 		}
 		return chosen;
 	}
 
-	private void count(K key, int times, int retransmissions) {
-		if (times >= retransmissions) {
-			this.sent.remove(key);
+	private void put(K key, int times) {
+		while (this.bySent.size() <= times) {
+			this.bySent.add(new LinkedHashSet<>());
 		}
-		else {
-			this.sent.put(key, times);
+		this.sent.put(key, times);
+		this.bySent.get(times).add(key);
+	}
+
+	private int remove(K key) {
+		Integer times = this.sent.remove(key);
+		if (times == null) {
+			return 0;
 		}
+		this.bySent.get(times).remove(key);
+		return times;
 	}
 
 }
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/configuration/ConfigurationStateTests.java
@@ -0,0 +1,185 @@
+package org.rosemaryfront.configuration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rosemaryfront.model.Configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ConfigurationStateTests {
+
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private static final ConfigurationTiming TIMING = ConfigurationTiming.of(10, Duration.ofSeconds(30));
+
+	private final ConfigurationState state = ConfigurationState.start(TIMING, 7, 0);
+
+	// -- in force
+
+	@Property(tries = 300)
+	void shouldNeverRevert(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+		// Two operators apply one after the other; an entry reads the second change, then
+		// the answer to an older question arrives from a peer that was behind. If it won,
+		// an accepted configuration would revert on this entry alone.
+		SplittableRandom random = new SplittableRandom(seed);
+		ConfigurationState drawn = ConfigurationState.start(TIMING, seed, 0);
+		long now = 0;
+		long inForce = 0;
+		for (int step = 0; step < 60; step++) {
+			now += random.nextLong(SECOND);
+			drawn.accept(draw(random), now);
+			for (ConfigurationCommand command : drawn.tick(3, now)) {
+				if (command instanceof ConfigurationCommand.Applied applied) {
+					assertThat(applied.configuration().revision()).isGreaterThan(inForce);
+				}
+			}
+			assertThat(drawn.inForce().revision()).isGreaterThanOrEqualTo(inForce);
+			inForce = drawn.inForce().revision();
+		}
+	}
+
+	private static ConfigurationEvent draw(SplittableRandom random) {
+		long revision = random.nextLong(20);
+		return switch (random.nextInt(5)) {
+			case 0 -> new ConfigurationEvent.HeadRead(revision);
+			case 1 -> new ConfigurationEvent.HeadFailed();
+			case 2 -> new ConfigurationEvent.PeerHeard("peer-" + random.nextInt(3), revision);
+			case 3 -> new ConfigurationEvent.ReadFailed();
+			default -> new ConfigurationEvent.ConfigurationRead(Configuration.of(revision, List.of()));
+		};
+	}
+
+	@Test
+	void shouldKeepConfigurationWhenTheHeadIsBehind() {
+		read(9);
+		this.state.accept(new ConfigurationEvent.HeadRead(8), 0);
+		assertThat(this.state.tick(3, 0)).contains(new ConfigurationCommand.HeadBehind(8));
+		assertThat(this.state.inForce().revision()).isEqualTo(9);
+	}
+
+	// -- start
+
+	@Test
+	void shouldTakeHighestOfSeveralPeersWhenTheStoreIsDownAtStart() {
+		// An entry starts during an outage of the table service, and the first peer that
+		// it hears is behind. Taking that one it would serve an older configuration than
+		// all others until the outage ends.
+		this.state.accept(new ConfigurationEvent.HeadFailed(), 0);
+		hear("old", 3, 0);
+		assertThat(reads(this.state.tick(4, 0))).isEmpty();
+		hear("new", 5, SECOND);
+		assertThat(reads(this.state.tick(4, SECOND))).isEmpty();
+		hear("middle", 4, SECOND);
+		assertThat(reads(this.state.tick(4, SECOND))).containsExactly(new ConfigurationCommand.ReadFromPeer("new", 0));
+	}
+
+	@Test
+	void shouldNotWaitForMorePeersThanThereAre() {
+		hear("only", 3, 0);
+		assertThat(reads(this.state.tick(2, 0))).isEmpty();
+		assertThat(reads(this.state.tick(2, 3 * SECOND)))
+			.containsExactly(new ConfigurationCommand.ReadFromPeer("only", 0));
+	}
+
+	// -- source
+
+	@Test
+	void shouldReadFromPeerWhenOneHasTheHead() {
+		read(4);
+		this.state.accept(new ConfigurationEvent.HeadRead(5), 0);
+		hear("behind", 4, 0);
+		hear("current", 5, 0);
+		assertThat(reads(this.state.tick(3, 0))).containsExactly(new ConfigurationCommand.ReadFromPeer("current", 4));
+	}
+
+	@Test
+	void shouldReadFromTheStoreWhenNoPeerHasTheHead() {
+		read(4);
+		hear("behind", 4, 0);
+		this.state.accept(new ConfigurationEvent.HeadRead(5), 0);
+		assertThat(reads(this.state.tick(3, 0))).containsExactly(new ConfigurationCommand.ReadFromStore(4));
+	}
+
+	@Test
+	void shouldTurnToTheStoreWhenPeersDoNotAnswer() {
+		read(4);
+		this.state.accept(new ConfigurationEvent.HeadRead(5), 0);
+		hear("silent", 5, 0);
+		List<ConfigurationCommand> asked = new ArrayList<>();
+		for (int attempt = 0; attempt < 3; attempt++) {
+			asked.addAll(reads(this.state.tick(3, attempt * SECOND)));
+			this.state.accept(new ConfigurationEvent.ReadFailed(), attempt * SECOND);
+		}
+		assertThat(asked).hasSize(3).last().isEqualTo(new ConfigurationCommand.ReadFromStore(4));
+	}
+
+	// -- polling
+
+	@ParameterizedTest
+	@ValueSource(ints = { 3, 9, 81, 380 })
+	void shouldBoundHeadReadsOfTheWholeFleet(int members) {
+		int seconds = 200;
+		int reads = 0;
+		for (long now = 0; now < seconds * SECOND; now += SECOND / 20) {
+			for (ConfigurationCommand command : this.state.tick(members, now)) {
+				if (command instanceof ConfigurationCommand.ReadHead) {
+					reads++;
+					this.state.accept(new ConfigurationEvent.HeadRead(0), now);
+				}
+			}
+		}
+		assertThat((double) reads * members / seconds).isLessThan(15);
+	}
+
+	// -- staleness
+
+	@Test
+	void shouldStopAcceptingWhenNeitherStoreNorPeersAreReached() {
+		this.state.accept(new ConfigurationEvent.HeadRead(1), 0);
+		read(1);
+		this.state.tick(3, 0);
+		assertThat(this.state.fresh()).isTrue();
+		hear("peer", 1, 20 * SECOND);
+		this.state.tick(3, 49 * SECOND);
+		assertThat(this.state.fresh()).isTrue();
+		this.state.tick(3, 51 * SECOND);
+		assertThat(this.state.fresh()).isFalse();
+		assertThat(this.state.inForce().revision()).isEqualTo(1);
+	}
+
+	@Test
+	void shouldNotAcceptBeforeAConfigurationIsKnown() {
+		hear("peer", 0, 0);
+		this.state.tick(3, 0);
+		assertThat(this.state.fresh()).isFalse();
+	}
+
+	// -- helpers
+
+	private void hear(String address, long revision, long now) {
+		this.state.accept(new ConfigurationEvent.PeerHeard(address, revision), now);
+	}
+
+	private void read(long revision) {
+		this.state.accept(new ConfigurationEvent.ConfigurationRead(Configuration.of(revision, List.of())), 0);
+	}
+
+	private static List<ConfigurationCommand> reads(List<ConfigurationCommand> commands) {
+		return commands.stream()
+			.filter((command) -> command instanceof ConfigurationCommand.ReadFromPeer
+					|| command instanceof ConfigurationCommand.ReadFromStore)
+			.toList();
+	}
+
+}
