--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/http/StandInServer.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/http/StandInServer.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -128,8 +129,16 @@
 	}
 
 	// With a linger time of zero the close resets the connection, as when a VM vanishes.
+	// The other end may close it at the same moment, and then there is nothing to reset.
 	private static void reset(Channel channel) {
-		channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		try {
+			channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		}
+		catch (ChannelException ex) {
+			if (channel.isOpen()) {
+				throw ex;
+			}
+		}
 		channel.close();
 	}
 
