--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/platform/CloudModel.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/platform/CloudModel.java
@@ -224,7 +224,8 @@
 	 * Begins to reclaim a VM, sold or an entry's.
 	 * @param vm the VM
 	 * @param noticeMillis the time until it ends, in milliseconds; 0 ends it unannounced
-	 * @param noticed whether the notice is given
+	 * @param noticed whether the notice is given; the VM list shows the VM as leaving
+	 * even when it is not
 	 * @param nowMillis the time now, in milliseconds
 	 * @return whether there is such a VM
 	 */
@@ -242,9 +243,11 @@
 		else {
 			this.entryEnds.merge(vm, endMillis, Math::min);
 		}
+		if (noticeMillis > 0) {
+			this.list.leaving(vm, nowMillis);
+		}
 		if (noticeMillis > 0 && noticed) {
 			this.notices.add(new Given(this.notices.size() + 1L, vm, endMillis));
-			this.list.leaving(vm, nowMillis);
 		}
 		advanceEnds(nowMillis);
 		return true;
@@ -311,6 +314,7 @@
 	 * @param nowMillis the time now, in milliseconds
 	 */
 	void removeEntry(VmId vm, long nowMillis) {
+		this.entryEnds.remove(vm);
 		this.list.remove(vm, nowMillis);
 	}
 
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/platform/HttpPlatform.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/platform/HttpPlatform.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 
@@ -46,11 +47,11 @@
 	private static final int PENDING_CALLS = 1024;
 
 	/**
-	 * Idle connections are dropped after this time, in milliseconds: well before the idle
-	 * limits of servers and address translators, half a minute and more, after which a
-	 * connection can be dead while it looks open.
+	 * Idle connections are dropped after this time: well before the idle limits of
+	 * servers and address translators, half a minute and more, after which a connection
+	 * can be dead while it looks open.
 	 */
-	private static final long IDLE_LIMIT_MILLIS = 10_000;
+	private static final Duration IDLE_LIMIT = Duration.ofSeconds(10);
 
 	private static final int THREADS = 2;
 
@@ -66,19 +67,19 @@
 
 	private final AtomicBoolean failing = new AtomicBoolean();
 
-	private HttpPlatform(PlatformSettings settings) {
+	private HttpPlatform(PlatformSettings settings, Duration idleLimit, int connections) {
 		this.settings = settings;
 		this.loops = LoopResources.create("platform", THREADS, true);
 		this.connections = ConnectionProvider.builder("platform")
-			.maxConnections(CONNECTIONS)
+			.maxConnections(connections)
 			.pendingAcquireMaxCount(PENDING_CALLS)
-			.maxIdleTime(Duration.ofMillis(IDLE_LIMIT_MILLIS))
-			.evictInBackground(Duration.ofMillis(IDLE_LIMIT_MILLIS))
+			.maxIdleTime(idleLimit)
+			.evictInBackground(idleLimit)
 			.lifo()
 			.build();
-		// Reactor Netty sends a request once more when a pooled connection breaks before
-		// the answer. A commit whose answer was lost would then run twice, and the second
-		// run would report a conflict with the first. So its retry is off.
+		// Whether a call is sent again is decided from its verdict, by the caller: a
+		// commit
+		// sent twice would conflict with itself. So Reactor Netty's own retry is off.
 		this.http = HttpClient.create(this.connections)
 			.runOn(this.loops)
 			.baseUrl(settings.url())
@@ -95,7 +96,11 @@
 	 * @return the client
 	 */
 	public static HttpPlatform of(PlatformSettings settings) {
-		return new HttpPlatform(Objects.requireNonNull(settings, "settings is null"));
+		return of(settings, IDLE_LIMIT, CONNECTIONS);
+	}
+
+	static HttpPlatform of(PlatformSettings settings, Duration idleLimit, int connections) {
+		return new HttpPlatform(Objects.requireNonNull(settings, "settings is null"), idleLimit, connections);
 	}
 
 	// -- tables
@@ -203,7 +208,7 @@
 	private <T> Mono<T> call(HttpMethod method, String path, Body body, Function<Answer, T> reader) {
 		return Mono.defer(() -> {
 			AtomicBoolean sent = new AtomicBoolean();
-			return send(method, path, body, sent).timeout(Duration.ofMillis(this.settings.timeoutMillis()))
+			return send(method, path, body, sent).timeout(Duration.ofMillis(this.settings.timeoutMillis()), noAnswer())
 				.onErrorMap((failure) -> failure(method, path, sent.get(), failure))
 				.map((answer) -> read(method, path, answer, reader))
 				.doOnSuccess((_) -> answered())
@@ -249,6 +254,10 @@
 		}
 	}
 
+	private Mono<Answer> noAnswer() {
+		return Mono.error(() -> new TimeoutException("no answer within " + this.settings.timeoutMillis() + " ms"));
+	}
+
 	private static Boolean done(Answer answer) {
 		if (answer.status() / 100 != 2) {
 			throw answer.failure();
