--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/configuration/StoreEvents.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/configuration/StoreEvents.java
@@ -24,7 +24,7 @@
 	 * Broken invariant: a resource was changed at a revision that the head has not
 	 * reached.
 	 */
-	REVISION_BEYOND_HEAD(9301);
+	REVISION_BEYOND_HEAD(9351);
 
 	private final int number;
 
