--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/configuration/ConfigurationStoreTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/configuration/ConfigurationStoreTests.java
@@ -198,27 +198,6 @@
 			.then();
 	}
 
-	/**
-	 * What operators were told.
-	 *
-	 * @param done the revision of each change that was reported as done
-	 * @param refused the changes that were reported as refused
-	 */
-	private record Answers(Map<String, Long> done, Set<String> refused) {
-
-		synchronized void add(String transaction, ApplyOutcome outcome) {
-			switch (outcome) {
-				case Applied applied -> this.done.put(transaction, applied.revision());
-				case Conflict _, Invalid _ -> this.refused.add(transaction);
-			}
-		}
-
-		synchronized void refuse(String transaction) {
-			this.refused.add(transaction);
-		}
-
-	}
-
 	// -- helpers
 
 	private ApplyOutcome apply(String transaction, Resource... resources) {
@@ -241,4 +220,25 @@
 		return this.store.read().block();
 	}
 
+	/**
+	 * What operators were told.
+	 *
+	 * @param done the revision of each change that was reported as done
+	 * @param refused the changes that were reported as refused
+	 */
+	private record Answers(Map<String, Long> done, Set<String> refused) {
+
+		synchronized void add(String transaction, ApplyOutcome outcome) {
+			switch (outcome) {
+				case Applied applied -> this.done.put(transaction, applied.revision());
+				case Conflict _, Invalid _ -> this.refused.add(transaction);
+			}
+		}
+
+		synchronized void refuse(String transaction) {
+			this.refused.add(transaction);
+		}
+
+	}
+
 }
