--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/platform/TableStore.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/platform/TableStore.java
@@ -101,9 +101,9 @@
 
 	private List<Condition> failed(List<Condition> conditions) {
 		return conditions.stream()
+			.filter((condition) -> versionOf(condition.table(), condition.key()) != condition.version())
 			.map((condition) -> new Condition(condition.table(), condition.key(),
 					versionOf(condition.table(), condition.key())))
-			.filter((found) -> !conditions.contains(found))
 			.distinct()
 			.toList();
 	}
