Secure listeners by settings, repeat hand-offs until all is drained, keep epochs apart

Cause: a stop gave up after one round of hand-offs, so that a call to a plain service, which cannot move, or a stream whose peers were all leaving was cut off; two holders could hand one request over under the same epoch.

Change: rounds are repeated until nothing is open or the limit has passed, then what is left gets its final answer; an epoch has a random part; a request whose body came during the drain is refused as not run. Callers' and peers' listeners take TLS from the settings; operators see the controllers' lease.

Tests: the entry's unit and in-process tests pass.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerServer.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerServer.java
@@ -220,8 +220,12 @@
 		require(request, HttpMethod.POST);
 		Organisation organisation = authenticate(request);
 		requireReady();
-		return counted(() -> RequestBody.read(request, this.settings.limits())
-			.flatMap((body) -> answer(this.intake.accept(organisation, CompletionParser.parse(form, body)), response)));
+		return counted(() -> RequestBody.read(request, this.settings.limits()).flatMap((body) -> {
+			// The body may have taken long, and the hand-off of a stop takes only what
+			// was accepted before it.
+			requireReady();
+			return answer(this.intake.accept(organisation, CompletionParser.parse(form, body)), response);
+		}));
 	}
 
 	private Mono<Void> answer(AnswerStream stream, HttpServerResponse response) {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -24,6 +24,7 @@
 import org.rosemaryfront.membership.MemberState;
 import org.rosemaryfront.model.Configuration;
 import org.rosemaryfront.model.VmId;
+import org.rosemaryfront.operators.LeaseView;
 import org.rosemaryfront.operators.OperatorServer;
 import org.rosemaryfront.operators.OperatorSettings;
 import org.rosemaryfront.operators.OperatorView;
@@ -46,6 +47,7 @@
 import org.rosemaryfront.serving.ServingEvent;
 import org.rosemaryfront.serving.ServingEvent.LeavingSource;
 import org.rosemaryfront.serving.ServingParameters;
+import org.rosemaryfront.tls.TlsContexts;
 import org.rosemaryfront.tls.TlsSettings;
 
 /**
@@ -94,6 +96,10 @@
 
 	private final GracefulStop stop;
 
+	private final Optional<TlsContexts> callerTls;
+
+	private final Optional<TlsContexts> peerTls;
+
 	private volatile PeerNode peers;
 
 	private CallerServer callers;
@@ -104,6 +110,8 @@
 
 	private EntryProcess(EntrySettings settings) {
 		this.settings = settings;
+		this.callerTls = tls(settings.callers().tls());
+		this.peerTls = tls(settings.peers().tls());
 		this.platform = HttpPlatform
 			.of(new PlatformSettings(settings.platform().url(), settings.platform().timeoutMillis()));
 		this.engines = HttpEngineClient.of(new EngineClientSettings(settings.engines().connectTimeoutMillis(),
@@ -139,15 +147,12 @@
 	}
 
 	private void open() {
-		this.peers = PeerNode.start(
-				PeerSettings.of(new VmId(this.settings.vm()), this.settings.region(), this.settings.zone(),
-						PeerSettings.ENTRY, this.settings.peers().host(), this.settings.peers().port()),
-				this.platform, this.platform, new PeerCalls());
+		this.peers = PeerNode.start(peerSettings(), this.platform, this.platform, new PeerCalls());
 		this.callers = CallerServer.start(this.settings, this.intake, new ResultReader(this.streams, new HeldByPeers()),
 				this.metrics, new CallerContext());
 		EntrySettings.Operators listener = this.settings.operators();
 		this.operators = OperatorServer.start(
-				new OperatorSettings(listener.host(), listener.port(), listener.keyHashes(), TlsSettings.none()),
+				new OperatorSettings(listener.host(), listener.port(), listener.keyHashes(), listener.tls()),
 				ConfigurationStore.of(this.platform), new View());
 		this.watch = new ServerWatch(this.platform, this.engines, this.directory, new DirectoryListener(),
 				this.settings.watch(), this::liveEntries);
@@ -160,6 +165,16 @@
 		this.tasks.add(Flux.interval(Duration.ofSeconds(1)).onBackpressureDrop().subscribe((_) -> reportUsage()));
 	}
 
+	private PeerSettings peerSettings() {
+		PeerSettings plain = PeerSettings.of(new VmId(this.settings.vm()), this.settings.region(), this.settings.zone(),
+				PeerSettings.ENTRY, this.settings.peers().host(), this.settings.peers().port());
+		return this.peerTls.map((tls) -> plain.withTls(tls::server, tls::client)).orElse(plain);
+	}
+
+	private static Optional<TlsContexts> tls(TlsSettings settings) {
+		return settings.enabled() ? Optional.of(TlsContexts.start(settings)) : Optional.empty();
+	}
+
 	// -- life
 
 	@Override
@@ -180,11 +195,19 @@
 		this.operators.close();
 		this.peers.close();
 		this.control.close();
+		this.callerTls.ifPresent(TlsContexts::close);
+		this.peerTls.ifPresent(TlsContexts::close);
+		settleCalls();
 		this.services.close();
 		this.engines.close();
 		this.platform.close();
 	}
 
+	// Outcomes of calls to plain services may still be on their way to the table service.
+	private void settleCalls() {
+		this.services.drain().timeout(Duration.ofMillis(this.settings.stop().lastMillis())).onErrorComplete().block();
+	}
+
 	private void reportUsage() {
 		this.peers.usage(this.control.tokensInFlight());
 		this.control.accept(new ServingEvent.PeersReported(liveEntries(), this.peers.peerUsage()));
@@ -336,7 +359,7 @@
 
 		@Override
 		public HttpServer secured(HttpServer listener) {
-			return listener;
+			return EntryProcess.this.callerTls.map((tls) -> tls.secure(listener)).orElse(listener);
 		}
 
 	}
@@ -358,6 +381,14 @@
 			return EntryProcess.this.configuration();
 		}
 
+		@Override
+		public Mono<Optional<LeaseView>> lease() {
+			return EntryProcess.this.platform.read("lease", "controller")
+				.map((row) -> row.map((lease) -> new LeaseView(new VmId(lease.value().path("holder").asText()),
+						lease.value().path("fence").asLong(), lease.value().path("termMillis").asLong())))
+				.onErrorReturn(Optional.empty());
+		}
+
 		@Override
 		public List<MemberView> members() {
 			return EntryProcess.this.peers.members();
@@ -377,6 +408,11 @@
 
 	private final class StopSteps implements GracefulStop.Steps {
 
+		@Override
+		public void failRest() {
+			EntryProcess.this.streams.failOpen();
+		}
+
 		@Override
 		public void leave() {
 			EntryProcess.this.peers.leave();
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntrySettings.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntrySettings.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.rosemaryfront.tls.TlsSettings;
+
 /**
  * The settings of an entry process. The schema {@code /schema/entry.json} describes each
  * of them with unit, default and reason.
@@ -35,7 +37,7 @@
 		streams = Objects.requireNonNullElse(streams, new Streams(0, 0, 0, 0, 0));
 		watch = Objects.requireNonNullElse(watch, new Watch(0, 0, 0, 0, 0, 0));
 		engines = Objects.requireNonNullElse(engines, new Engines(0, 0));
-		stop = Objects.requireNonNullElse(stop, new Stop(null, 0, 0, 0));
+		stop = Objects.requireNonNullElse(stop, new Stop(null, 0, 0, 0, 0));
 	}
 
 	private static int or(int value, int standard) {
@@ -61,8 +63,14 @@
 	 *
 	 * @param host the address to listen on, an IP number
 	 * @param port the port, 0 to let the system choose
+	 * @param tls the TLS of the listener
 	 */
-	public record Listener(String host, int port) {
+	public record Listener(String host, int port, TlsSettings tls) {
+
+		public Listener {
+			tls = Objects.requireNonNullElse(tls, TlsSettings.none());
+		}
+
 	}
 
 	/**
@@ -71,10 +79,12 @@
 	 * @param host the address to listen on, an IP number
 	 * @param port the port, 0 to let the system choose
 	 * @param keyHashes SHA-256 of each operator key, in lower case hexadecimal
+	 * @param tls the TLS of the listener
 	 */
-	public record Operators(String host, int port, List<String> keyHashes) {
+	public record Operators(String host, int port, List<String> keyHashes, TlsSettings tls) {
 
 		public Operators {
+			tls = Objects.requireNonNullElse(tls, TlsSettings.none());
 			keyHashes = (keyHashes != null) ? List.copyOf(keyHashes) : List.of();
 		}
 
@@ -169,14 +179,17 @@
 	 * @param drainMillis how long open requests may finish here, in milliseconds
 	 * @param handoverMillis the limit of handing one request to one peer, in milliseconds
 	 * @param lingerMillis how long callers may take what is left, in milliseconds
+	 * @param lastMillis how long hand-offs are repeated and calls to plain services
+	 * waited for, in milliseconds
 	 */
-	public record Stop(Integer acceptMillis, int drainMillis, int handoverMillis, int lingerMillis) {
+	public record Stop(Integer acceptMillis, int drainMillis, int handoverMillis, int lingerMillis, int lastMillis) {
 
 		public Stop {
 			acceptMillis = Objects.requireNonNullElse(acceptMillis, 2_000);
 			drainMillis = or(drainMillis, 5_000);
 			handoverMillis = or(handoverMillis, 2_000);
-			lingerMillis = or(lingerMillis, 500);
+			lingerMillis = or(lingerMillis, 1_000);
+			lastMillis = or(lastMillis, 20_000);
 		}
 
 	}
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/GracefulStop.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/GracefulStop.java
@@ -25,6 +25,9 @@
 	/** The part of a reclaim notice kept for handing requests over. */
 	private static final double HANDOVER_SHARE = 0.5;
 
+	/** The part of what is left of a reclaim notice in which hand-offs are repeated. */
+	private static final double LAST_SHARE = 0.9;
+
 	private final AtomicBoolean begun = new AtomicBoolean();
 
 	private final EntrySettings.Stop settings;
@@ -79,11 +82,23 @@
 		this.phase = ProcessPhase.DRAINING;
 		EventLog.info(ServingEvents.STOP_DRAINING, "drainMillis", this.settings.drainMillis());
 		await(this.steps::drained, withinNotice(this.settings.drainMillis(), HANDOVER_SHARE));
-		handOver();
+		handOverUntilDrained();
+		this.steps.failRest();
 		await(this.steps::drained, Duration.ofMillis(this.settings.lingerMillis()));
 		EventLog.info(ServingEvents.STOP_DRAINED, "whole", this.steps.drained());
 	}
 
+	// Guards against a stop that cuts off what no peer takes at once, such as calls to
+	// plain services, which cannot move, or streams while every peer is leaving too.
+	private void handOverUntilDrained() {
+		long end = System.nanoTime() + withinNotice(this.settings.lastMillis(), LAST_SHARE).toNanos();
+		do {
+			handOver();
+			await(this.steps::drained, Duration.ofMillis(this.settings.lingerMillis()));
+		}
+		while (!this.steps.drained() && System.nanoTime() < end);
+	}
+
 	private void handOver() {
 		try {
 			this.steps.handOver(Duration.ofMillis(this.settings.handoverMillis())).block();
@@ -120,6 +135,9 @@
 	/** What the stop does with the rest of the process. */
 	interface Steps {
 
+		/** Gives every request that is still open its final answer. */
+		void failRest();
+
 		/** Tells the peers that this process is leaving. */
 		void leave();
 
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffSender.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffSender.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -34,6 +35,8 @@
 
 	private static final int CONCURRENT = 8;
 
+	private static final int EPOCH_RANDOM_BITS = 20;
+
 	private final StreamTable streams;
 
 	private final AttemptTraffic traffic;
@@ -65,6 +68,9 @@
 	 * @return when every request was tried
 	 */
 	Mono<Void> handOverAll(Duration limit) {
+		if (this.peers.get().isEmpty()) {
+			return Mono.empty();
+		}
 		List<AnswerStream> held = this.streams.all()
 			.stream()
 			.filter((stream) -> stream.isOpen()
@@ -139,7 +145,7 @@
 			.addAllTokens(tokens)
 			.setStreamed(request.call().streamed())
 			.setAnswerRemainingMillis(TimeUnit.NANOSECONDS.toMillis(remaining))
-			.setEpoch(request.epoch() + 1 + i);
+			.setEpoch(laterEpoch(request.epoch(), i));
 		attempt.ifPresent((running) -> handoff.setAttempt(running.stream().value())
 			.setServer(running.server().value())
 			.setServerAddress(running.address()));
@@ -151,6 +157,13 @@
 		return handoff.build();
 	}
 
+	// Every try counts up; the random part keeps apart two holders that hand the same
+	// request over at the same count.
+	private static long laterEpoch(long epoch, int tries) {
+		long count = (epoch >>> EPOCH_RANDOM_BITS) + 1 + tries;
+		return count << EPOCH_RANDOM_BITS | ThreadLocalRandom.current().nextInt(1 << EPOCH_RANDOM_BITS);
+	}
+
 	/** Sends one hand-off. */
 	@FunctionalInterface
 	interface Send {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/StreamTable.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/StreamTable.java
@@ -7,7 +7,11 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.model.Problem;
+import org.rosemaryfront.model.ProblemCode;
 import org.rosemaryfront.model.RequestId;
+import org.rosemaryfront.model.Verdict;
 
 /**
  * The accepted requests that this process holds: open ones, and ended ones for a bounded
@@ -17,6 +21,9 @@
 
 	private static final int BYTES_PER_TOKEN = 64;
 
+	private static final Problem STOPPED = Problem.of(ProblemCode.INTERRUPTED, Verdict.mayHaveRun(),
+			"the entry stopped and no other entry took the request over");
+
 	private final ConcurrentHashMap<RequestId, AnswerStream> streams = new ConcurrentHashMap<>();
 
 	private final Limits limits;
@@ -67,6 +74,18 @@
 		}
 	}
 
+	/**
+	 * Fails every open stream, since the process ends and no peer took it.
+	 */
+	void failOpen() {
+		this.streams.values().forEach((stream) -> {
+			if (stream.fail(STOPPED)) {
+				EventLog.warn(ServingEvents.REQUEST_REFUSED, "request", stream.request().id(), "code",
+						STOPPED.code().code(), "tokens", stream.size());
+			}
+		});
+	}
+
 	private void expireOldest(long now, long excess) {
 		List<AnswerStream> ended = this.streams.values()
 			.stream()
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/TestEntry.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/TestEntry.java
@@ -83,7 +83,7 @@
 		this.control.accept(new ServingEvent.PeersReported(1, Map.of()));
 		RequestIntake intake = new RequestIntake(() -> this.configuration, this.streams, this.control::accept,
 				this.metrics);
-		this.stop = new GracefulStop(new EntrySettings.Stop(0, 50, 1_000, 200), new Steps());
+		this.stop = new GracefulStop(new EntrySettings.Stop(0, 50, 1_000, 200, 1_000), new Steps());
 		this.receiver = new HandoffReceiver(intake, this.streams, this.traffic, this.decisions, this.control::accept,
 				this.stop::phase);
 		this.callers = CallerServer.start(settings(name, limits, streamSettings), intake,
@@ -106,10 +106,10 @@
 	}
 
 	private static EntrySettings settings(String name, EntrySettings.Limits limits, EntrySettings.Streams streams) {
-		EntrySettings.Listener listener = new EntrySettings.Listener("127.0.0.1", 0);
+		EntrySettings.Listener listener = new EntrySettings.Listener("127.0.0.1", 0, null);
 		return new EntrySettings(name, "tn-north", "tunis-a", new EntrySettings.Platform("http://127.0.0.1:1", 0),
-				listener, new EntrySettings.Operators("127.0.0.1", 0, List.of()), listener, limits, streams, null, null,
-				null);
+				listener, new EntrySettings.Operators("127.0.0.1", 0, List.of(), null), listener, limits, streams, null,
+				null, null);
 	}
 
 	private static Configuration configuration() {
@@ -249,6 +249,11 @@
 
 	private final class Steps implements GracefulStop.Steps {
 
+		@Override
+		public void failRest() {
+			TestEntry.this.streams.failOpen();
+		}
+
 		@Override
 		public void leave() {
 		}
