Run claims through the state machine and group their writes

Cause: the first claim had no answer to lost answers, refusals, repeats of a running call or an entry paused before the send.

Change: ClaimedCalls carries out the machine's commands on one control thread; ClaimWriter puts the claim writes of a few milliseconds into one transaction, separates conflicts and retries the rest; ServerChoice routes by calls in flight, zone, ejection, depth and a retry budget.

--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/claims/ClaimSimulation.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/claims/ClaimSimulation.java
@@ -58,7 +58,9 @@
 	static Result run(long seed) {
 		ClaimSimulation simulation = new ClaimSimulation(seed);
 		simulation.schedule();
-		simulation.time.run();
+		if (!simulation.time.run()) {
+			simulation.violations.add("a call ends: the run goes on for ever");
+		}
 		simulation.check();
 		return new Result(seed, simulation.requests, simulation.violations);
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/claims/SimulatedTime.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/claims/SimulatedTime.java
@@ -9,6 +9,8 @@
  */
 final class SimulatedTime {
 
+	private static final long MOST_TASKS = 200_000;
+
 	private final PriorityQueue<Task> tasks = new PriorityQueue<>(
 			Comparator.comparingLong(Task::at).thenComparingLong(Task::number));
 
@@ -28,12 +30,17 @@
 		this.tasks.add(new Task(Math.max(nanos, this.now), this.count++, work));
 	}
 
-	void run() {
+	// False when the tasks do not end.
+	boolean run() {
 		while (!this.tasks.isEmpty()) {
 			Task task = this.tasks.poll();
 			this.now = task.at();
+			if (task.number() > MOST_TASKS) {
+				return false;
+			}
 			task.work().run();
 		}
+		return true;
 	}
 
 	private record Task(long at, long number, Runnable work) {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCalls.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCalls.java
@@ -1,25 +1,26 @@
 package org.rosemaryfront.services;
 
-import java.nio.charset.StandardCharsets;
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Base64;
-import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
+import org.rosemaryfront.claims.ClaimOutcome;
+import org.rosemaryfront.claims.ClaimReply;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.model.Configuration;
 import org.rosemaryfront.model.Problem;
@@ -41,29 +42,33 @@
  */
 public final class ServiceCalls implements AutoCloseable {
 
-	private static final JsonMapper MAPPER = JsonMapper.builder().build();
+	private static final int MOST_KEY_CHARACTERS = 200;
 
-	private final ServiceCallSettings settings;
+	private static final char DELETE = 127;
 
-	private final TableClient tables;
+	private final ServiceCallSettings settings;
 
 	private final Supplier<Configuration> configuration;
 
-	private final Supplier<List<ServiceServer>> servers;
-
 	private final ServiceClient client;
 
-	private final Map<VmId, AtomicInteger> inFlight = new ConcurrentHashMap<>();
+	private final Scheduler control = Schedulers.newSingle("claims");
+
+	private final ServerChoice choice;
+
+	private final ClaimedCalls claimed;
 
 	private final AtomicInteger open = new AtomicInteger();
 
 	private ServiceCalls(ServiceCallSettings settings, TableClient tables, Supplier<Configuration> configuration,
 			Supplier<List<ServiceServer>> servers) {
 		this.settings = Objects.requireNonNull(settings, "settings is null");
-		this.tables = Objects.requireNonNull(tables, "tables is null");
 		this.configuration = Objects.requireNonNull(configuration, "configuration is null");
-		this.servers = Objects.requireNonNull(servers, "servers is null");
 		this.client = ServiceClient.of(Duration.ofMillis(settings.connectMillis()));
+		this.choice = ServerChoice.of(settings.zone(), configuration,
+				Objects.requireNonNull(servers, "servers is null"));
+		this.claimed = ClaimedCalls.of(settings, Objects.requireNonNull(tables, "tables is null"), this.client,
+				this.choice, this.control);
 	}
 
 	// -- factories
@@ -84,11 +89,12 @@
 	// -- calls
 
 	/**
-	 * Completes when no call is open.
-	 * @return when the last open call has its answer
+	 * Completes when no call is open and each claim is settled, so that a planned stop
+	 * leaves no key that a repeat has to take for may-have-run.
+	 * @return when the last open call has its answer and is settled
 	 */
 	public Mono<Void> drain() {
-		return Mono.fromSupplier(this.open::get)
+		return Mono.fromSupplier(() -> this.open.get() + this.claimed.unsettled())
 			.filter((count) -> count == 0)
 			.repeatWhenEmpty((attempts) -> attempts.delayElements(Duration.ofMillis(20)))
 			.then();
@@ -114,7 +120,7 @@
 			return ProblemAnswer.send(response, Problem.notRun(ProblemCode.NOT_FOUND, "no such service"), id);
 		}
 		this.open.incrementAndGet();
-		return request.receive().aggregate().asByteArray().defaultIfEmpty(new byte[0]).flatMap((body) -> {
+		return body(request).flatMap((body) -> {
 			ServiceCall call = new ServiceCall(id, organisation, pool, request.method(), ServiceCall.slashed(path),
 					ServiceCall.passedOn(request.requestHeaders()), body);
 			return call.idempotent(service.get()) ? stream(call, response)
@@ -127,81 +133,61 @@
 	@Override
 	public void close() {
 		this.client.close();
+		this.control.dispose();
 	}
 
 	private Mono<Void> stream(ServiceCall call, HttpServerResponse response) {
-		return choose(call)
-			.flatMap((server) -> track(server,
-					this.client.stream(server, call, Duration.ofMillis(this.settings.callMillis()), response, true)))
-			.onErrorMap(ServiceFailure.class, (ex) -> problem(ex.verdict()));
+		long deadline = System.nanoTime() + Duration.ofMillis(this.settings.callMillis()).toNanos();
+		return Mono.defer(() -> attempt(call, response, deadline, 1, new HashSet<>()));
 	}
 
-	private Mono<Void> once(ServiceCall call, Optional<String> key, HttpServerResponse response) {
-		if (key.isEmpty()) {
+	// An idempotent call may run again, so each failure before the first byte of the
+	// answer
+	// may be tried elsewhere; only the first attempt uses a pooled connection, since the
+	// next
+	// one would time out as well when the pool went silent.
+	private Mono<Void> attempt(ServiceCall call, HttpServerResponse response, long deadline, int number,
+			Set<VmId> tried) {
+		Duration remaining = Duration.ofNanos(deadline - System.nanoTime());
+		if (remaining.isNegative()) {
+			return Mono.error(RosemaryException.of(Problem.of(ProblemCode.DEADLINE_EXCEEDED, Verdict.mayHaveRun(),
+					"the backend servers did not answer in time")));
+		}
+		Optional<ServiceServer> server = this.choice.choose(call, tried, number);
+		if (server.isEmpty()) {
 			return Mono.error(RosemaryException
-				.of(Problem.notRun(ProblemCode.BAD_REQUEST, "this call needs the header Idempotency-Key")));
+				.of(Problem.notRun(ProblemCode.NO_SERVER, "no backend server takes the call", Duration.ofSeconds(1))));
 		}
-		String row = call.claimKey(key.get());
-		ObjectNode claim = MAPPER.createObjectNode().put("token", call.id()).put("fingerprint", call.fingerprint());
-		return write(row, 0, claim).flatMap((outcome) -> switch (outcome) {
-			case TableClient.Outcome.Committed done -> run(call, row, claim, done.versions().get(0));
-			case TableClient.Outcome.Conflict _ -> repeat(row);
-		}).flatMap((answer) -> reply(answer, response));
-	}
-
-	private Mono<ServiceAnswer> run(ServiceCall call, String row, ObjectNode claim, long version) {
-		return choose(call)
-			.flatMap((server) -> track(server,
-					this.client.sendOnce(server, call, Duration.ofMillis(this.settings.callMillis()), Mono::empty,
-							this.settings.answerLimit())))
-			.onErrorMap(ServiceFailure.class, (ex) -> problem(ex.verdict()))
-			.flatMap((answer) -> {
-				ObjectNode stored = claim.put("status", answer.status());
-				stored.put("body", Base64.getEncoder().encodeToString(answer.body().orElse(new byte[0])));
-				return write(row, version, stored).thenReturn(answer);
+		tried.add(server.get().vm());
+		Duration limit = (number <= this.settings.retriesPerCall()) ? remaining.dividedBy(2) : remaining;
+		return this.choice.track(server.get(), this.client.stream(server.get(), call, limit, response, number == 1))
+			.onErrorResume(ServiceFailure.class, (failure) -> {
+				EventLog.warn(ServiceEvents.SERVICE_ATTEMPT_FAILED, "request", call.id(), "attempt", number, "cause",
+						failure.getMessage());
+				boolean again = number <= this.settings.retriesPerCall() && this.choice.spendRetry();
+				return again ? attempt(call, response, deadline, number + 1, tried)
+						: Mono.error(problem(failure.verdict()));
 			});
 	}
 
-	private Mono<ServiceAnswer> repeat(String row) {
-		return this.tables.read("claims", row)
-			.flatMap((found) -> found.filter((claimed) -> claimed.value().has("status"))
-				.map((claimed) -> Mono.just(new ServiceAnswer(claimed.value().path("status").asInt(),
-						Map.of("content-type", "application/json"),
-						Optional.of(Base64.getDecoder().decode(claimed.value().path("body").asText())))))
-				.orElseGet(() -> Mono.error(problem(Verdict.mayHaveRun()))));
-	}
-
-	private Mono<TableClient.Outcome> write(String row, long version, ObjectNode value) {
-		return this.tables
-			.commit(new TableClient.Transaction(List.of(new TableClient.Condition("claims", row, version)),
-					List.of(new TableClient.Write("claims", row, Optional.of(value.deepCopy())))))
-			.onErrorMap((ex) -> RosemaryException.of(Problem.notRun(ProblemCode.STORAGE_UNAVAILABLE,
-					"the claim cannot be written", Duration.ofSeconds(1)), ex));
-	}
-
-	private Mono<ServiceServer> choose(ServiceCall call) {
-		return Mono.defer(() -> {
-			Optional<ServiceServer> server = this.servers.get()
-				.stream()
-				.filter((candidate) -> candidate.pool().equals(call.pool()) && !candidate.leaving())
-				.min(Comparator.comparingInt((candidate) -> count(candidate).get()));
-			server.ifPresent((chosen) -> EventLog.info(ServiceEvents.SERVICE_CALL_ROUTED, "request", call.id(), "pool",
-					call.pool(), "server", chosen.vm()));
-			return server.map(Mono::just)
-				.orElseGet(() -> Mono.error(RosemaryException
-					.of(Problem.notRun(ProblemCode.NO_SERVER, "no backend server takes work", Duration.ofSeconds(1)))));
-		});
-	}
-
-	private <T> Mono<T> track(ServiceServer server, Mono<T> attempt) {
-		return Mono.defer(() -> {
-			count(server).incrementAndGet();
-			return attempt.doFinally((_) -> count(server).decrementAndGet());
+	private Mono<Void> once(ServiceCall call, Optional<String> key, HttpServerResponse response) {
+		if (key.filter(ServiceCalls::validKey).isEmpty()) {
+			return Mono.error(RosemaryException.of(Problem.notRun(ProblemCode.BAD_REQUEST,
+					"this call needs the header Idempotency-Key of 1 to 200 visible characters")));
+		}
+		return this.claimed.run(call, key.get()).flatMap((answer) -> switch (answer.reply()) {
+			case ClaimReply.Failed failed -> Mono.error(RosemaryException.of(failed.problem()));
+			case ClaimReply.Ran ran -> answer.direct()
+				.filter((direct) -> direct.body().isPresent())
+				.map((direct) -> reply(direct, response))
+				.orElseGet(() -> reply(ran.outcome(), response));
+			case ClaimReply.Repeated repeated -> reply(repeated.outcome(), response);
 		});
 	}
 
-	private AtomicInteger count(ServiceServer server) {
-		return this.inFlight.computeIfAbsent(server.vm(), (_) -> new AtomicInteger());
+	private static boolean validKey(String key) {
+		return !key.isEmpty() && key.length() <= MOST_KEY_CHARACTERS
+				&& key.chars().allMatch((character) -> character > ' ' && character < DELETE);
 	}
 
 	private static RosemaryException problem(Verdict verdict) {
@@ -209,10 +195,32 @@
 		return RosemaryException.of(Problem.of(code, verdict, "the backend server gave no answer"));
 	}
 
+	private Mono<byte[]> body(HttpServerRequest request) {
+		int limit = this.settings.requestLimit();
+		return request.receive().collect(ByteArrayOutputStream::new, (body, part) -> {
+			if (body.size() + part.readableBytes() > limit) {
+				throw RosemaryException
+					.of(Problem.notRun(ProblemCode.TOO_LARGE, "the body exceeds " + limit + " bytes"));
+			}
+			byte[] bytes = new byte[part.readableBytes()];
+			part.readBytes(bytes);
+			body.writeBytes(bytes);
+		}).map(ByteArrayOutputStream::toByteArray);
+	}
+
+	private static Mono<Void> reply(ClaimOutcome outcome, HttpServerResponse response) {
+		if (!outcome.bodyKept()) {
+			return Mono.error(RosemaryException.of(Problem.of(ProblemCode.OUTCOME_TOO_LARGE, Verdict.ran(),
+					"the call ran with status " + outcome.status() + " and its answer is too large to be kept")));
+		}
+		return reply(new ServiceAnswer(outcome.status(), outcome.headers(),
+				Optional.of(Base64.getDecoder().decode(outcome.body()))), response);
+	}
+
 	private static Mono<Void> reply(ServiceAnswer answer, HttpServerResponse response) {
 		response.status(answer.status());
 		answer.headers().forEach(response::header);
-		byte[] body = answer.body().orElseGet(() -> "".getBytes(StandardCharsets.UTF_8));
+		byte[] body = answer.body().orElseGet(() -> new byte[0]);
 		response.header("Content-Length", Integer.toString(body.length));
 		return response.sendByteArray(Mono.just(body)).then();
 	}
--- a/rosemaryfront-model/src/main/java/org/rosemaryfront/model/ProblemCode.java
+++ b/rosemaryfront-model/src/main/java/org/rosemaryfront/model/ProblemCode.java
@@ -48,6 +48,9 @@
 	/** The call was sent and no answer is known. */
 	OUTCOME_UNKNOWN(502),
 
+	/** The call ran, and its answer was too large to be kept for a repeat. */
+	OUTCOME_TOO_LARGE(502),
+
 	/** The answer broke off and could not be resumed in time. */
 	INTERRUPTED(502),
 
