--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/claims/ClaimScript.java
@@ -0,0 +1,189 @@
+package org.rosemaryfront.claims;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One request and then its repeat at another entry, step by step, with a fault that
+ * begins at one step of the first.
+ */
+final class ClaimScript {
+
+	private static final ClaimTimes TIMES = new ClaimTimes(2_000, 400, 1_600, 1_500, 50, 20);
+
+	private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+	private static final int MOST_WAKES = 400;
+
+	private final Fault fault;
+
+	private final Step step;
+
+	private final Deque<ClaimEvent> events = new ArrayDeque<>();
+
+	private Optional<ClaimRow> row = Optional.empty();
+
+	private long version;
+
+	private long now;
+
+	private int runs;
+
+	private boolean begun;
+
+	private boolean dead;
+
+	private boolean healed;
+
+	private String reply = "none";
+
+	ClaimScript(Fault fault, Step step) {
+		this.fault = fault;
+		this.step = step;
+	}
+
+	/**
+	 * Runs the request and its repeat.
+	 * @return the answer, the repeat's answer and how often the call ran
+	 */
+	List<String> run() {
+		reach(Step.BEFORE_CLAIM);
+		if (!this.dead) {
+			play("first");
+		}
+		String first = this.reply;
+		this.healed = true;
+		this.dead = false;
+		this.reply = "none";
+		this.now += PAUSE_NANOS;
+		play("repeat");
+		return List.of(first, this.reply, Integer.toString(this.runs));
+	}
+
+	private void play(String token) {
+		this.events.clear();
+		ClaimMachine machine = ClaimMachine.of(token, "vm-" + token, "call", TIMES, this.now);
+		execute(machine.start());
+		for (int wakes = 0; wakes < MOST_WAKES && !machine.finished() && !this.dead; wakes++) {
+			if (this.events.isEmpty()) {
+				this.now = Math.max(this.now, machine.wakeAt());
+				this.healed |= machine.answered() && wakes > MOST_WAKES / 2;
+			}
+			ClaimEvent event = this.events.isEmpty() ? new ClaimEvent.Woken() : this.events.poll();
+			execute(machine.accept(event, this.now));
+		}
+	}
+
+	private void execute(List<ClaimCommand> commands) {
+		for (ClaimCommand command : commands) {
+			if (!this.dead) {
+				execute(command);
+			}
+		}
+	}
+
+	private void execute(ClaimCommand command) {
+		switch (command) {
+			case ClaimCommand.Connect connect -> {
+				reach(Step.CLAIMED);
+				boolean refused = active(Fault.NO_CONNECTION);
+				this.events.add(refused ? new ClaimEvent.NotRun(connect.attempt(), false)
+						: new ClaimEvent.ReadyToSend(connect.attempt()));
+				reach(Step.SENDING);
+			}
+			case ClaimCommand.Permit permit -> send(permit.attempt());
+			case ClaimCommand.Read _ -> this.events
+				.add(storeFails() ? new ClaimEvent.ReadFailed() : new ClaimEvent.RowRead(this.row, this.version, true));
+			case ClaimCommand.Reply answer -> {
+				this.reply = describe(answer.reply());
+				reach(Step.ANSWERED_TO_CALLER);
+			}
+			case ClaimCommand.Report report -> throw new IllegalStateException(report.invariant());
+			case ClaimCommand.Write write -> write(write);
+			case ClaimCommand.Abort _, ClaimCommand.Finish _ -> {
+			}
+		}
+	}
+
+	private void send(int attempt) {
+		reach(Step.SENT);
+		if (active(Fault.SERVICE_REFUSES)) {
+			this.events.add(new ClaimEvent.NotRun(attempt, false));
+			return;
+		}
+		this.runs++;
+		if (active(Fault.SERVICE_BREAKS)) {
+			this.events.add(new ClaimEvent.Broken(attempt));
+		}
+		else if (!active(Fault.SERVICE_SILENT)) {
+			this.events.add(new ClaimEvent.Answered(attempt, ClaimOutcome.of(201, new TreeMap<>(), "booked")));
+			reach(Step.ANSWERED);
+		}
+	}
+
+	private void write(ClaimCommand.Write write) {
+		if (active(Fault.STORE_DOWN)) {
+			this.events.add(new ClaimEvent.WriteRefused());
+			return;
+		}
+		ClaimEvent applied = apply(write);
+		reach((write.row() instanceof ClaimRow.Held) ? Step.CLAIM_IN_FLIGHT : Step.OUTCOME_IN_FLIGHT);
+		this.events.add(active(Fault.STORE_LOSES_ANSWERS) ? new ClaimEvent.WriteUncertain() : applied);
+	}
+
+	private ClaimEvent apply(ClaimCommand.Write write) {
+		if (write.version() != this.version) {
+			return new ClaimEvent.WriteConflicted();
+		}
+		this.row = Optional.of(write.row());
+		this.version++;
+		return new ClaimEvent.Written(this.version);
+	}
+
+	private void reach(Step reached) {
+		if (reached != this.step || this.begun) {
+			return;
+		}
+		this.begun = true;
+		if (this.fault == Fault.ENTRY_DIES) {
+			this.dead = true;
+		}
+		if (this.fault == Fault.ENTRY_PAUSES) {
+			this.now += PAUSE_NANOS;
+		}
+	}
+
+	private boolean storeFails() {
+		return active(Fault.STORE_DOWN) || active(Fault.STORE_LOSES_ANSWERS);
+	}
+
+	private boolean active(Fault asked) {
+		return this.fault == asked && this.begun && !this.healed;
+	}
+
+	private static String describe(ClaimReply reply) {
+		return switch (reply) {
+			case ClaimReply.Failed failed -> failed.problem().verdict().code();
+			case ClaimReply.Ran _ -> "ran";
+			case ClaimReply.Repeated _ -> "repeated";
+		};
+	}
+
+	enum Fault {
+
+		ENTRY_DIES, ENTRY_PAUSES, NO_CONNECTION, SERVICE_BREAKS, SERVICE_REFUSES, SERVICE_SILENT, STORE_DOWN,
+		STORE_LOSES_ANSWERS
+
+	}
+
+	enum Step {
+
+		BEFORE_CLAIM, CLAIM_IN_FLIGHT, CLAIMED, SENDING, SENT, ANSWERED, OUTCOME_IN_FLIGHT, ANSWERED_TO_CALLER
+
+	}
+
+}
