--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/SimulatedMember.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/SimulatedMember.java
@@ -85,6 +85,7 @@
 		this.membership = Membership.start(self, MembershipSettings.standard(), seed, now);
 		this.state = ConfigurationState.start(ConfigurationTiming.of(10, Duration.ofSeconds(30)), seed, now);
 		this.departures.clear();
+		this.changes.clear();
 		this.reads.clear();
 		this.membership.accept(new MembershipEvent.UsageMeasured(Map.of("builder-large", 180_000L, "cleaners-tunis",
 				40_000L, "cleaners-sfax", 9_000L, "homes", 512L, "developers", 77L)), now);
