--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
@@ -59,6 +59,7 @@
 		}
 		catch (RuntimeException | InterruptedException ex) {
 			EventLog.error(ex, ProgramEvents.PROGRAM_FAILED, "program", name, "cause", ex);
+			EventLog.close();
 			System.exit(FAILED);
 		}
 	}
@@ -99,6 +100,7 @@
 				EventLog.info(ProgramEvents.PROGRAM_STOPPING, "program", name);
 				running.close();
 				EventLog.info(ProgramEvents.PROGRAM_STOPPED, "program", name);
+				EventLog.close();
 				stopped.countDown();
 			}
 		}, "stop"));
