--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
@@ -102,6 +102,10 @@
 				EventLog.info(ProgramEvents.PROGRAM_STOPPED, "program", name);
 				EventLog.close();
 				stopped.countDown();
+				// Without the halt the virtual machine ends with 143 after SIGTERM, and
+				// who
+				// stopped the program cannot tell a stop in good order from a kill.
+				Runtime.getRuntime().halt(0);
 			}
 		}, "stop"));
 		printReady(name, running.listeners());
