Answer repeats at once when the entry that held the claim is gone

Cause: a repeat of a call whose entry died waited as for a running call. Change: ServiceCalls takes what the entry knows of other entries; an earlier process of the same VM counts as gone without being told. Nothing runs again either way, so a wrong suspicion costs only a weaker answer.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ClaimedCalls.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ClaimedCalls.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
@@ -64,7 +65,7 @@
 	private final AtomicInteger count = new AtomicInteger();
 
 	private ClaimedCalls(ServiceCallSettings settings, TableClient tables, ServiceClient client, ServerChoice choice,
-			Scheduler control) {
+			Scheduler control, Predicate<VmId> entryGone) {
 		this.settings = settings;
 		this.times = new ClaimTimes(settings.callMillis(), settings.storeMillis(),
 				settings.callMillis() - settings.storeMillis(), Math.min(settings.waitMillis(), settings.callMillis()),
@@ -81,8 +82,8 @@
 	}
 
 	static ClaimedCalls of(ServiceCallSettings settings, TableClient tables, ServiceClient client, ServerChoice choice,
-			Scheduler control) {
-		return new ClaimedCalls(settings, tables, client, choice, control);
+			Scheduler control, Predicate<VmId> entryGone) {
+		return new ClaimedCalls(settings, tables, client, choice, control, entryGone);
 	}
 
 	/**
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCalls.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCalls.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import org.reactivestreams.Publisher;
@@ -61,14 +62,14 @@
 	private final AtomicInteger open = new AtomicInteger();
 
 	private ServiceCalls(ServiceCallSettings settings, TableClient tables, Supplier<Configuration> configuration,
-			Supplier<List<ServiceServer>> servers) {
+			Supplier<List<ServiceServer>> servers, Predicate<VmId> entryGone) {
 		this.settings = Objects.requireNonNull(settings, "settings is null");
 		this.configuration = Objects.requireNonNull(configuration, "configuration is null");
 		this.client = ServiceClient.of(Duration.ofMillis(settings.connectMillis()));
 		this.choice = ServerChoice.of(settings.zone(), configuration,
 				Objects.requireNonNull(servers, "servers is null"));
 		this.claimed = ClaimedCalls.of(settings, Objects.requireNonNull(tables, "tables is null"), this.client,
-				this.choice, this.control);
+				this.choice, this.control, Objects.requireNonNull(entryGone, "entryGone is null"));
 	}
 
 	// -- factories
@@ -83,7 +84,23 @@
 	 */
 	public static ServiceCalls of(ServiceCallSettings settings, TableClient tables,
 			Supplier<Configuration> configuration, Supplier<List<ServiceServer>> servers) {
-		return new ServiceCalls(settings, tables, configuration, servers);
+		return of(settings, tables, configuration, servers, (_) -> false);
+	}
+
+	/**
+	 * Creates the calls of one entry that knows which other entries are gone. A repeat of
+	 * a call whose entry is gone then has its final answer at once; without that
+	 * knowledge it waits as for a running call. Nothing runs again either way.
+	 * @param settings limits and times
+	 * @param tables the platform's table service
+	 * @param configuration the configuration in force here
+	 * @param servers the backend servers of plain services as known now
+	 * @param entryGone whether the entry on a VM is gone
+	 * @return the calls
+	 */
+	public static ServiceCalls of(ServiceCallSettings settings, TableClient tables,
+			Supplier<Configuration> configuration, Supplier<List<ServiceServer>> servers, Predicate<VmId> entryGone) {
+		return new ServiceCalls(settings, tables, configuration, servers, entryGone);
 	}
 
 	// -- calls
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceCallsTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceCallsTests.java
@@ -1,16 +1,20 @@
 package org.rosemaryfront.services;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -19,9 +23,11 @@
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.server.HttpServer;
 
+import org.rosemaryfront.claims.ClaimRow;
 import org.rosemaryfront.model.Configuration;
 import org.rosemaryfront.model.Resource;
 import org.rosemaryfront.model.VmId;
+import org.rosemaryfront.platform.TableClient;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -42,7 +48,8 @@
 	@BeforeEach
 	void startEntry() {
 		this.servers.add(this.booking.server("tunis-a"));
-		this.calls = ServiceCalls.of(settings(), this.tables, ServiceCallsTests::configuration, () -> this.servers);
+		this.calls = ServiceCalls.of(settings(), this.tables, ServiceCallsTests::configuration, () -> this.servers,
+				(vm) -> vm.value().equals("gone"));
 		this.entry = HttpServer.create()
 			.host("127.0.0.1")
 			.port(0)
@@ -215,6 +222,27 @@
 		assertThat(this.booking.runs("villa-12")).isOne();
 	}
 
+	// An entry claimed the key and died; nobody knows whether it sent the booking. Run by
+	// the
+	// repeat, the booking could be doubled. An entry known to be gone, or an earlier
+	// process
+	// of this VM, is answered for at once; for any other the repeat waits as for a
+	// running call.
+	@ParameterizedTest
+	@CsvSource({ "gone, an earlier request", "entry-1, an earlier request", "entry-2, no outcome yet" })
+	void shouldNotRunWhenHolderDied(String holder, String detail) {
+		HttpHeaders headers = new DefaultHttpHeaders();
+		ServiceCall call = new ServiceCall("lost", "federation", "booking", HttpMethod.POST, "/bookings", headers,
+				"villa-14".getBytes(StandardCharsets.UTF_8));
+		ClaimRow held = new ClaimRow.Held("lost", holder, call.fingerprint(), 20_000);
+		TableClient.Write claim = new TableClient.Write(ClaimWriter.TABLE, call.claimKey("key-14"),
+				Optional.of(ClaimCodec.write(held)));
+		this.tables.commit(new TableClient.Transaction(List.of(), List.of(claim))).block(LIMIT);
+		Answer repeat = call(HttpMethod.POST, "/bookings", "key-14", "villa-14");
+		assertThat(repeat.body()).contains("\"verdict\":\"may-have-run\"", detail);
+		assertThat(this.booking.runs("villa-14")).isZero();
+	}
+
 	@Test
 	void shouldRefuseWhenBodyIsTooLarge() {
 		Answer answer = call(HttpMethod.POST, "/bookings", "key-13", "x".repeat(2 << 20));
