--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/Controller.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/Controller.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.IntSupplier;
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
@@ -55,6 +56,8 @@
 
 	private final CapacityExecutor executor;
 
+	private final IntSupplier controllers;
+
 	private final ControlLoop loop;
 
 	private long leadingFence;
@@ -68,6 +71,7 @@
 	private Controller(ControllerParts parts, long seed) {
 		this.lease = LeaseMachine.of(parts.settings().vm(), parts.settings().lease().terms(), seed);
 		this.leaseTable = LeaseTable.of(parts.tables());
+		this.controllers = parts.controllers();
 		this.decisions = CapacityDecisions.of(parts.settings().capacity().limits(), seed);
 		this.executor = new CapacityExecutor(parts, this.lease, this.decisionLog, this::post, this::overtaken);
 		this.metrics.gauge("lease.held", () -> () -> (this.leadingFence != 0) ? 1 : 0);
@@ -126,6 +130,7 @@
 		if (nowNanos - this.nextDecisionNanos < 0) {
 			return;
 		}
+		this.lease.processes(this.controllers.getAsInt());
 		this.nextDecisionNanos = nowNanos + TICK.toNanos();
 		try (Timer.Context _ = this.tickTimer.time()) {
 			for (CapacityCommand command : this.decisions.tick(nowNanos)) {
--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerParts.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerParts.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.controller;
 
 import java.util.function.BiConsumer;
+import java.util.function.IntSupplier;
 
 import org.rosemaryfront.engine.EngineClient;
 import org.rosemaryfront.model.VmId;
@@ -16,7 +17,8 @@
  * @param engines the model engines
  * @param announce tells the entries that a VM is leaving, with the time left in
  * milliseconds
+ * @param controllers how many controllers are alive
  */
 record ControllerParts(ControllerSettings settings, TableClient tables, CloudClient cloud, EngineClient engines,
-		BiConsumer<VmId, Long> announce) {
+		BiConsumer<VmId, Long> announce, IntSupplier controllers) {
 }
--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerProgram.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerProgram.java
@@ -46,9 +46,8 @@
 				known.announceDeparture(vm, remainingMillis);
 			}
 		};
-		this.controller = Controller.start(
-				new ControllerParts(settings, this.platform, this.platform, this.engines, announce),
-				new SecureRandom().nextLong());
+		this.controller = Controller.start(new ControllerParts(settings, this.platform, this.platform, this.engines,
+				announce, () -> controllers(node.get())), new SecureRandom().nextLong());
 		PeerSettings member = PeerSettings.of(new VmId(settings.vm()), settings.region(), settings.zone(),
 				PeerSettings.CONTROLLER, settings.peers().host(), settings.peers().port());
 		this.peers = PeerNode.start(member, this.platform, this.platform, handler(this.controller));
@@ -65,6 +64,13 @@
 				ControllerProgram::new);
 	}
 
+	private static int controllers(PeerNode node) {
+		return (node != null) ? (int) node.members()
+			.stream()
+			.filter((member) -> member.role().equals(PeerSettings.CONTROLLER))
+			.count() : 1;
+	}
+
 	private static PeerHandler handler(Controller controller) {
 		return new PeerHandler() {
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseMachine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseMachine.java
@@ -31,6 +31,12 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	/**
+	 * What each process that waits for the lease adds to the time between two reads of
+	 * one of them, in nanoseconds: together they read at most 40 times a second.
+	 */
+	private static final long READ_NANOS_PER_PROCESS = 25 * NANOS_PER_MILLI;
+
 	private final String self;
 
 	private final LeaseTerms terms;
@@ -78,6 +84,8 @@
 
 	private long writes;
 
+	private int processes;
+
 	private LeaseMachine(String self, LeaseTerms terms, long seed) {
 		this.self = self;
 		this.terms = terms;
@@ -183,6 +191,15 @@
 		}
 	}
 
+	/**
+	 * Sets how many processes read the row, so that they do not read more often together
+	 * the more they are.
+	 * @param count the controllers known to be alive
+	 */
+	public void processes(int count) {
+		this.processes = count;
+	}
+
 	/**
 	 * Gives the lease back early, so that a successor takes over at once. No order may go
 	 * out from now on.
@@ -230,8 +247,8 @@
 		this.readInFlight = true;
 		this.readAskedNanos = nowNanos;
 		this.readNumber++;
-		long pause = this.terms.readNanos() / 2 + this.random.nextLong(this.terms.readNanos() / 2 + 1);
-		this.nextReadNanos = nowNanos + pause;
+		long pause = Math.max(this.terms.readNanos(), this.processes * READ_NANOS_PER_PROCESS);
+		this.nextReadNanos = nowNanos + pause / 2 + this.random.nextLong(pause + 1);
 		return new LeaseCommand.Read(this.readNumber);
 	}
 
