--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/MembershipSlope.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/MembershipSlope.java
@@ -39,6 +39,11 @@
 	/** 7,000 changes a day. */
 	private static final long CHANGE_MILLIS = 12_000;
 
+	/** Backend servers for each member at the size aimed for: 1,900 for 380. */
+	private static final int RUNNERS_PER_MEMBER = 5;
+
+	private static final double RECLAIMED_SHARE = 0.47;
+
 	private static final int SEEDS = 5;
 
 	private static final int SAMPLES_PER_SEED = 4;
@@ -63,6 +68,7 @@
 			line.put("members", size);
 			line.putAll(steady(size, 1));
 			line.putAll(spread(size));
+			line.putAll(wave(size));
 			line.putAll(lossy(size));
 			System.out.println(MAPPER.writeValueAsString(line));
 		}
@@ -161,6 +167,29 @@
 		return samples;
 	}
 
+	// -- wave
+
+	// 47 of 100 backend servers are reclaimed at once, and one member learns of all.
+	private static Map<String, Object> wave(int size) {
+		MembershipSimulation simulation = MembershipSimulation.ofEncoded(size, 5);
+		joined(simulation);
+		simulation.run(SETTLE_MILLIS);
+		Totals before = Totals.of(simulation);
+		int count = (int) Math.ceil(size * RUNNERS_PER_MEMBER * RECLAIMED_SHARE);
+		for (int i = 0; i < count; i++) {
+			simulation.announceDeparture(simulation.members().getFirst(), new VmId("runner-%04d".formatted(i)));
+		}
+		double millis = simulation.runUntil(
+				() -> simulation.members().stream().allMatch((member) -> member.departures().size() == count),
+				LIMIT_MILLIS);
+		Totals after = Totals.of(simulation);
+		Map<String, Object> line = new LinkedHashMap<>();
+		line.put("waveDepartures", count);
+		line.put("waveKnownToAllMillis", rounded(millis));
+		line.put("waveSentBytesPerNode", rounded((after.sentBytes - before.sentBytes) / (double) size));
+		return line;
+	}
+
 	// -- loss
 
 	private static Map<String, Object> lossy(int size) {
