Choose only as many departures as an urgent datagram holds

Cause: in a wave at 81 members (bin/slope-membership 81) 191 departures announced at one member were not known to all within 120 s. An urgent datagram chose 50 departures, had room for about 40 and counted all as sent. 25 are chosen now, and an ordinary datagram repeats 4 known ones in place of 1.

Conclusion: unit tests of the decisions pass; the wave was not measured again after this change, nor the bytes a second, which grow by the repeated ones.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MessageComposer.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MessageComposer.java
@@ -18,6 +18,15 @@
 
 	private static final int HEADER_BYTES = 64;
 
+	/**
+	 * Departures passed on in an urgent datagram. They must fit beside the records, since
+	 * one that is chosen counts as sent: chosen and left out it would never arrive.
+	 */
+	private static final int URGENT_DEPARTURES = 25;
+
+	/** Departures repeated in each ordinary datagram for members that missed them. */
+	private static final int REPEATED_DEPARTURES = 4;
+
 	private final MembershipSettings settings;
 
 	private final MemberTable members;
@@ -78,7 +87,7 @@
 		ids.addAll(changes(MembershipSettings.MEMBERS_PER_DATAGRAM));
 		this.members.sample(1, self.id()).forEach((record) -> ids.add(record.id()));
 		Set<VmId> vms = new LinkedHashSet<>(departureChanges(MembershipSettings.DEPARTURES_PER_DATAGRAM));
-		vms.addAll(this.departures.sample(1, this.random));
+		vms.addAll(this.departures.sample(REPEATED_DEPARTURES, this.random));
 		return fit(self, kind, ids, vms, this.usage.digest(this.settings.usageOrganisations()), now);
 	}
 
@@ -92,7 +101,7 @@
 	MembershipMessage urgent(MemberRecord self, MemberId to, long now) {
 		Set<MemberId> ids = new LinkedHashSet<>(aboutReceiver(Optional.of(to)));
 		ids.addAll(changes(MembershipSettings.MEMBERS_PER_DATAGRAM));
-		return fit(self, new Kind.Gossip(), ids, departureChanges(capacity()), Map.of(), now);
+		return fit(self, new Kind.Gossip(), ids, departureChanges(URGENT_DEPARTURES), Map.of(), now);
 	}
 
 	/**
