Move the contexts of streams out of the engine model

Change: StreamContexts takes memory for streams, computes prompts and counts what was recomputed; behaviour is the same.

--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/EngineModel.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/EngineModel.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 import org.rosemaryfront.engine.EngineClient.ActualState;
@@ -66,9 +65,9 @@
 
 	private final ImportedContexts imports;
 
-	private final Deque<EngineStream> ended = new ArrayDeque<>();
+	private final StreamContexts contexts;
 
-	private Predicate<Long> firstInFleet = (_) -> true;
+	private final Deque<EngineStream> ended = new ArrayDeque<>();
 
 	private long stepEnd = IDLE;
 
@@ -91,6 +90,7 @@
 		this.models = new LoadedModels(parameters);
 		this.meter = new LoadMeter(parameters.loadReportNanos());
 		this.imports = new ImportedContexts(this.memory, parameters.importHoldNanos());
+		this.contexts = new StreamContexts(this.memory, this.imports, this.counters);
 	}
 
 	// -- factories
@@ -330,7 +330,7 @@
 	 */
 	public void countAgainst(Set<Long> blocks) {
 		Objects.requireNonNull(blocks, "blocks is null");
-		this.firstInFleet = blocks::add;
+		this.contexts.countAgainst(blocks);
 	}
 
 	/**
@@ -411,7 +411,7 @@
 	private void finishStep(long now) {
 		for (EngineStream stream : this.step) {
 			if (stream.end == null) {
-				prefill(now, stream);
+				this.contexts.prefill(now, stream);
 				if (stream.generates()) {
 					generate(now, stream);
 				}
@@ -422,7 +422,7 @@
 	private void admit(long now) {
 		while (!this.waiting.isEmpty() && this.running.size() < this.parameters.slots()) {
 			EngineStream stream = this.waiting.first();
-			if (!takeMemory(now, stream)) {
+			if (!this.contexts.start(now, stream)) {
 				return;
 			}
 			this.waiting.remove(stream);
@@ -433,48 +433,6 @@
 		}
 	}
 
-	private boolean takeMemory(long now, EngineStream stream) {
-		int found = this.memory.prefix(stream.order.blocks().subList(0, stream.fullBlocks(stream.promptTokens)));
-		List<Long> prefix = stream.order.blocks().subList(0, found);
-		prefix.forEach(this.memory::use);
-		int needed = stream.blocks() - found;
-		if (!this.memory.reserve(now, needed - this.imports.reserved(stream))) {
-			this.memory.release(prefix);
-			return false;
-		}
-		int importedTokens = this.imports.takeOver(stream);
-		stream.held.addAll(prefix);
-		stream.reserved = needed;
-		stream.prefilled = Math.max(importedTokens, found * EngineParameters.BLOCK_TOKENS);
-		this.counters.cached += (importedTokens > 0) ? 0 : stream.prefilled;
-		return true;
-	}
-
-	private void prefill(long now, EngineStream stream) {
-		int before = stream.prefilled;
-		stream.prefilled += stream.chunk;
-		this.counters.prefilled += stream.chunk;
-		int again = Math.max(0, stream.prefilled - Math.max(before, stream.promptTokens));
-		this.counters.recomputed += again;
-		this.counters.recomputedInFleet += again;
-		for (int i = stream.held.size(); i < stream.fullBlocks(stream.prefilled); i++) {
-			computeBlock(now, stream, stream.order.blocks().get(i));
-		}
-		stream.chunk = 0;
-	}
-
-	private void computeBlock(long now, EngineStream stream, Long block) {
-		if (this.memory.computedBefore(block)) {
-			this.counters.recomputed += EngineParameters.BLOCK_TOKENS;
-		}
-		if (!this.firstInFleet.test(block)) {
-			this.counters.recomputedInFleet += EngineParameters.BLOCK_TOKENS;
-		}
-		this.memory.compute(now, block);
-		stream.held.add(block);
-		stream.reserved--;
-	}
-
 	private void generate(long now, EngineStream stream) {
 		AttemptId attempt = stream.order.attempt();
 		if (stream.next < stream.length) {
@@ -491,10 +449,7 @@
 	}
 
 	private void end(long now, EngineStream stream, EngineEvent event) {
-		this.memory.unreserve(stream.reserved);
-		this.memory.release(stream.held);
-		stream.reserved = 0;
-		stream.held.clear();
+		this.contexts.release(stream);
 		stream.end = event;
 		stream.endedAt = now;
 		this.ended.add(stream);
