--- a/rosemaryfront-model/src/main/java/org/rosemaryfront/model/ProblemCode.java
+++ b/rosemaryfront-model/src/main/java/org/rosemaryfront/model/ProblemCode.java
@@ -21,6 +21,9 @@
 	/** A conditional update lost against another one. */
 	CONFLICT(409),
 
+	/** The change log does not reach back to the revision asked for; read anew. */
+	REVISION_TOO_OLD(410),
+
 	/** The body or the headers exceed the configured limit. */
 	TOO_LARGE(413),
 
@@ -48,6 +51,9 @@
 	/** The call was sent and no answer is known. */
 	OUTCOME_UNKNOWN(502),
 
+	/** The call ran, and its answer was too large to be kept for a repeat. */
+	OUTCOME_TOO_LARGE(502),
+
 	/** The answer broke off and could not be resumed in time. */
 	INTERRUPTED(502),
 
--- /dev/null
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/Addresses.java
@@ -0,0 +1,36 @@
+package org.rosemaryfront.peer;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+
+import io.netty.util.NetUtil;
+
+/**
+ * Turns {@code host:port} into socket addresses and back. Hosts are IP numbers: an
+ * address that a datagram names must never make the control thread wait for a name
+ * service.
+ */
+final class Addresses {
+
+	private Addresses() {
+	}
+
+	static InetSocketAddress parse(String address) {
+		int colon = address.lastIndexOf(':');
+		if (colon <= 0) {
+			throw new IllegalArgumentException("'" + address + "' is no host:port");
+		}
+		String host = address.substring(0, colon).replace("[", "").replace("]", "");
+		InetAddress ip = NetUtil.createInetAddressFromIpAddressString(host);
+		if (ip == null) {
+			throw new IllegalArgumentException("'" + address + "' has no IP number");
+		}
+		return new InetSocketAddress(ip, Integer.parseInt(address.substring(colon + 1)));
+	}
+
+	static String format(InetSocketAddress address) {
+		String host = address.getAddress().getHostAddress();
+		return ((host.indexOf(':') >= 0) ? "[" + host + "]" : host) + ":" + address.getPort();
+	}
+
+}
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
@@ -59,6 +59,7 @@
 		}
 		catch (RuntimeException | InterruptedException ex) {
 			EventLog.error(ex, ProgramEvents.PROGRAM_FAILED, "program", name, "cause", ex);
+			EventLog.close();
 			System.exit(FAILED);
 		}
 	}
@@ -99,7 +100,12 @@
 				EventLog.info(ProgramEvents.PROGRAM_STOPPING, "program", name);
 				running.close();
 				EventLog.info(ProgramEvents.PROGRAM_STOPPED, "program", name);
+				EventLog.close();
 				stopped.countDown();
+				// Without the halt the virtual machine ends with 143 after SIGTERM, and
+				// who
+				// stopped the program cannot tell a stop in good order from a kill.
+				Runtime.getRuntime().halt(0);
 			}
 		}, "stop"));
 		printReady(name, running.listeners());
