--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
@@ -51,7 +51,7 @@
 		}
 		PoolLoad load = PoolLoad.of(state, pool);
 		if (state.has(ServingFeature.FAIR_SHARES) && load.used() > SHARED_USE
-				&& state.shares.over(request.spec.organisation())) {
+				&& state.shares.over(request.spec.organisation(), load.slots())) {
 			return refusal(ProblemCode.OVER_SHARE, "the organisation uses more than its share", RETRY_AFTER);
 		}
 		return state.has(ServingFeature.ADMISSION) ? late(state, request, load, nowNanos) : Optional.empty();
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Request.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Request.java
@@ -11,7 +11,7 @@
 final class Request {
 
 	/** What one slot counts for; a long answer takes no more slots than a short one. */
-	private static final long SLOT_TOKENS = 256;
+	static final long SLOT_TOKENS = 256;
 
 	final RequestId id;
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Shares.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Shares.java
@@ -11,8 +11,11 @@
  */
 final class Shares {
 
-	/** The part of all use that an organisation may be over its own, since use varies. */
-	private static final double TOLERANCE = 0.1;
+	/**
+	 * Standard deviations that an organisation may be over its slots: with random
+	 * arrivals the slots in use vary by about the square root of their mean.
+	 */
+	private static final double TOLERANCE = 2;
 
 	private final Map<String, Long> own = new HashMap<>();
 
@@ -20,12 +23,15 @@
 
 	private Map<String, Double> weights = Map.of();
 
+	private double weightSum;
+
 	// -- changes
 
 	void configured(Iterable<Organisation> organisations) {
 		Map<String, Double> next = new HashMap<>();
 		organisations.forEach((organisation) -> next.put(organisation.name(), Math.max(1e-3, organisation.share())));
 		this.weights = next;
+		this.weightSum = next.values().stream().mapToDouble(Double::doubleValue).sum();
 	}
 
 	void reported(Map<String, Long> tokens) {
@@ -49,25 +55,11 @@
 		return Map.copyOf(this.own);
 	}
 
-	// Tokens in flight for each unit of share.
-	double used(String organisation) {
-		return tokens(organisation) / weight(organisation);
-	}
-
-	// Whether an organisation uses clearly more than its part of what all organisations
-	// use
-	// that have work.
-	boolean over(String organisation) {
-		double tokens = 0;
-		double weight = 0;
-		for (String name : this.weights.keySet()) {
-			double used = tokens(name);
-			if (used > 0 || name.equals(organisation)) {
-				tokens += used;
-				weight += weight(name);
-			}
-		}
-		return tokens > 0 && tokens(organisation) / tokens > weight(organisation) / weight + TOLERANCE;
+	// Whether an organisation holds clearly more than its part of all slots.
+	boolean over(String organisation, double slots) {
+		double part = weight(organisation) / Math.max(this.weightSum, weight(organisation));
+		double own = part * slots;
+		return tokens(organisation) / Request.SLOT_TOKENS > own + TOLERANCE * Math.sqrt(own);
 	}
 
 	private double tokens(String organisation) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rosemaryfront.model.AttemptId;
 import org.rosemaryfront.model.ProblemCode;
@@ -72,6 +73,21 @@
 		assertThat(this.decisions.takeViolations()).isEmpty();
 	}
 
+	// A caller's request goes to a VM that vanished and waits for its time-out. The VM is
+	// reclaimed and gone; then an old VM list arrives that still shows it alive, or the
+	// notice came before the list showed it at all.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void shouldNotBelieveAnOldListThatShowsADepartedServer(boolean seenBefore) {
+		if (seenBefore) {
+			seen(FIRST);
+		}
+		accept(new ServingEvent.ServerLeaving(FIRST, LeavingSource.PEER, Long.MAX_VALUE));
+		accept(new ServingEvent.ServerGone(FIRST));
+		seen(FIRST);
+		assertThat(arrive("r").getFirst()).isInstanceOf(Refuse.class);
+	}
+
 	@Test
 	void shouldMoveTheCacheWhenTheAnswerDoesNotFitIntoTheNotice() {
 		seen(FIRST);
