Say may-have-run of rerouted requests, judge summaries by what may start, mend estimates

Cause: a request whose unaccepted attempt was cancelled kept the verdict not-run although the engine may have begun it; entries know attempts by their own identifier, so cancelling by the engine stream was lost after a reattach; short prompts, whose time is that of a step, made prompts look ten times as slow; with few summaries a start rate of nearly zero refused the next one; an engine with very short steps left two milliseconds until a chat was sent elsewhere. Change: the verdict follows the cancellation; Cancel names the attempt; only 256 tokens and more are measured, from acceptance on; the summary limit gives a least start rate; 20 ms are added for processes and network.

--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Entry.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Entry.java
@@ -146,9 +146,9 @@
 		if (runner.leaving && !runner.gone && !(dispatch.mode() instanceof Mode.Reattach)) {
 			this.journal.sentToLeaving(this.time.now(), runner);
 		}
-		if (!(dispatch.mode() instanceof Mode.Reattach)) {
-			this.fleet.opened(dispatch.attempt(), runner);
-		}
+		AttemptId stream = (dispatch.mode() instanceof Mode.Reattach reattach) ? reattach.earlier()
+				: dispatch.attempt();
+		this.fleet.opened(dispatch.attempt(), stream, runner);
 		Connection connection = new Connection(dispatch.request(), dispatch.attempt(), this, this.time,
 				this.fleet.latencyNanos(this.zone, runner.zone));
 		this.time.after(this.fleet.latencyNanos(this.zone, runner.zone), () -> {
--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Fleet.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Fleet.java
@@ -18,7 +18,7 @@
 
 	private final Map<VmId, Runner> runners = new LinkedHashMap<>();
 
-	private final Map<AttemptId, Runner> streams = new HashMap<>();
+	private final Map<AttemptId, Stream> streams = new HashMap<>();
 
 	private final VirtualTime time;
 
@@ -30,13 +30,13 @@
 		this.runners.put(runner.id, runner);
 	}
 
-	void opened(AttemptId stream, Runner runner) {
-		this.streams.put(stream, runner);
+	void opened(AttemptId attempt, AttemptId stream, Runner runner) {
+		this.streams.put(attempt, new Stream(stream, runner));
 	}
 
-	void cancel(AttemptId stream) {
-		Optional.ofNullable(this.streams.remove(stream))
-			.ifPresent((runner) -> this.time.after(OTHER_ZONE_NANOS, () -> cancel(runner, stream)));
+	void cancel(AttemptId attempt) {
+		Optional.ofNullable(this.streams.remove(attempt))
+			.ifPresent((stream) -> this.time.after(OTHER_ZONE_NANOS, () -> cancel(stream.runner(), stream.id())));
 	}
 
 	private static void cancel(Runner runner, AttemptId stream) {
@@ -59,4 +59,7 @@
 		return this.runners.get(id);
 	}
 
+	private record Stream(AttemptId id, Runner runner) {
+	}
+
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
@@ -80,14 +80,13 @@
 		return WAIT_MARGIN * load.waitNanos(USABLE, state.estimates.answerNanos());
 	}
 
-	// Summaries wait in the entry; what waits before it leaves at the rate at which
-	// summaries left lately.
+	// Summaries wait in the entry behind those that came before.
 	private static double summaryWait(ServingState state, Request request) {
 		long ahead = state.requests.waiting()
 			.stream()
 			.filter((other) -> !other.chat() && other.spec.pool().equals(request.spec.pool()))
 			.count();
-		return (ahead > 0) ? ahead / Math.max(1e-12, state.summaryStarts.perNano(request.arrivedNanos)) : 0;
+		return (ahead > 0) ? ahead / SummaryLimit.startsPerNano(state, request.spec.pool(), request.arrivedNanos) : 0;
 	}
 
 	private static Optional<Problem> refusal(ProblemCode code, String detail, Duration retryAfter) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Attempt.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Attempt.java
@@ -26,6 +26,8 @@
 
 	boolean accepted;
 
+	long acceptedNanos;
+
 	int cachedTokens;
 
 	/** The time of its first token, 0 before it. */
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/EventIntake.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/EventIntake.java
@@ -24,7 +24,7 @@
 			case ServingEvent.RequestAbandoned it ->
 				this.state.requests.find(it.request()).ifPresent((row) -> abandoned(row, nowNanos));
 			case ServingEvent.AttemptAccepted it ->
-				this.state.attempts.find(it.attempt()).ifPresent((row) -> accepted(row, it.cachedTokens()));
+				this.state.attempts.find(it.attempt()).ifPresent((row) -> accepted(row, it.cachedTokens(), nowNanos));
 			case ServingEvent.AttemptProgressed it -> this.state.attempts.find(it.attempt())
 				.ifPresent((row) -> progressed(row, it.emittedTokens(), nowNanos));
 			case ServingEvent.AttemptFinished it ->
@@ -71,8 +71,9 @@
 
 	// -- attempts
 
-	private void accepted(Attempt attempt, int cachedTokens) {
+	private void accepted(Attempt attempt, int cachedTokens, long nowNanos) {
 		attempt.accepted = true;
+		attempt.acceptedNanos = nowNanos;
 		this.state.attempts.accepted(attempt);
 		attempt.cachedTokens = cachedTokens;
 		attempt.server.failures = 0;
@@ -89,7 +90,7 @@
 		if (attempt.firstTokenNanos == 0) {
 			attempt.firstTokenNanos = nowNanos;
 			this.state.estimates.firstToken(attempt.firstOffset + request.spec.promptTokens() - attempt.cachedTokens,
-					nowNanos - attempt.dispatchedNanos);
+					nowNanos - attempt.acceptedNanos);
 		}
 		else {
 			this.state.estimates.tokens(fresh, nowNanos - attempt.lastTokenNanos);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ReroutingSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ReroutingSystem.java
@@ -10,6 +10,9 @@
  */
 final class ReroutingSystem implements ServingSystem {
 
+	/** What two processes and the network may add to a step, in nanoseconds. */
+	private static final double LATENCY_NANOS = 20e6;
+
 	/** Steps of the engine after which an attempt is taken to wait. */
 	private static final double STEPS = 2.5;
 
@@ -30,7 +33,7 @@
 		if (!state.has(ServingFeature.REROUTING)) {
 			return;
 		}
-		double patience = STEPS * state.estimates.stepNanos();
+		double patience = LATENCY_NANOS + STEPS * state.estimates.stepNanos();
 		Iterator<Attempt> oldest = state.attempts.unaccepted().iterator();
 		java.util.List<Attempt> waiting = new java.util.ArrayList<>();
 		while (oldest.hasNext()) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Router.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Router.java
@@ -3,20 +3,12 @@
 import java.util.Arrays;
 import java.util.Optional;
 
-import org.rosemaryfront.model.Resource.Priority;
-
 /** Chooses the backend server of a request. */
 final class Router {
 
 	/** The slots of a server that summaries leave to chat. */
 	private static final double CHAT_SLOTS = 2;
 
-	/** The part of all slots that summaries can always have. */
-	private static final double SUMMARY_SHARE = 0.1;
-
-	/** What chats are taken to need beyond their mean. */
-	private static final double CHAT_MARGIN = 1.1;
-
 	private final Candidates candidates = new Candidates();
 
 	private final double[] paces = new double[Candidates.COUNT];
@@ -80,21 +72,13 @@
 		if (!state.has(ServingFeature.PRIORITIES) || request.chat() || request.begun()) {
 			return Double.MAX_VALUE;
 		}
-		if (state.summariesRunning >= summaryLimit(state, request.spec.pool(), nowNanos)) {
+		if (state.summariesRunning >= SummaryLimit.of(state, request.spec.pool(), nowNanos)) {
 			return 0;
 		}
 		boolean early = nowNanos < (request.arrivedNanos + request.spec.firstTokenNanos()) / 2;
 		return state.slots(request.spec.pool()) - (early ? CHAT_SLOTS : 0);
 	}
 
-	// This process's part of the slots that the chats leave; a part is always left to
-	// summaries, so that chat cannot starve them.
-	private static double summaryLimit(ServingState state, String pool, long nowNanos) {
-		double slots = (double) state.servers.pool(pool).live().size() * state.slots(pool) / state.livePeers;
-		double chats = state.chatArrivals.perNano(nowNanos) * state.estimates.answerNanos(Priority.CHAT);
-		return Math.max(SUMMARY_SHARE * slots, slots - CHAT_MARGIN * chats);
-	}
-
 	/** A backend server, why, and the prompt tokens it is expected to have cached. */
 	record Choice(Server server, String why, double cachedTokens) {
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingParameters.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingParameters.java
@@ -41,7 +41,7 @@
 	 * @return the parameters
 	 */
 	public static ServingParameters defaults(String zone) {
-		return new ServingParameters(zone, EnumSet.allOf(ServingFeature.class), 4_096, 8, 4_000, 25 * NANOS_PER_MILLI,
+		return new ServingParameters(zone, EnumSet.allOf(ServingFeature.class), 4_096, 8, 20_000, 25 * NANOS_PER_MILLI,
 				20_000, 500 * NANOS_PER_MILLI, 0.2, 16);
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingState.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingState.java
@@ -11,6 +11,7 @@
 import org.rosemaryfront.model.Problem;
 import org.rosemaryfront.model.Resource.Organisation;
 import org.rosemaryfront.model.Resource.Pool;
+import org.rosemaryfront.model.Verdict;
 
 /** What the systems share: the tables, the estimates and the commands of this tick. */
 final class ServingState {
@@ -108,7 +109,7 @@
 
 	// Cancels a stream that no attempt follows any more.
 	void cancelStream(Attempt ended, String reason) {
-		this.commands.add(new ServingCommand.Cancel(ended.request.id, ended.stream, reason));
+		this.commands.add(new ServingCommand.Cancel(ended.request.id, ended.id, reason));
 	}
 
 	void end(Attempt attempt, long nowNanos) {
@@ -119,7 +120,11 @@
 
 	void cancel(Attempt attempt, String reason, long nowNanos) {
 		end(attempt, nowNanos);
-		this.commands.add(new ServingCommand.Cancel(attempt.request.id, attempt.stream, reason));
+		// The engine may have begun it before the cancellation arrives, so a later
+		// refusal
+		// of the request must not say that it did not run.
+		attempt.request.verdict = attempt.request.verdict.then(Verdict.mayHaveRun());
+		this.commands.add(new ServingCommand.Cancel(attempt.request.id, attempt.id, reason));
 	}
 
 	// Begins an attempt. New work to a leaving server is the invariant that every way of
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/WorkEstimates.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/WorkEstimates.java
@@ -11,6 +11,12 @@
 	/** The weight of the newest measurement. */
 	private static final double NEWEST = 0.05;
 
+	/**
+	 * The least tokens whose computation is measured; the time of fewer is that of a
+	 * step, whatever their number.
+	 */
+	private static final int LEAST_COMPUTED = 256;
+
 	/** The time of an answer until one was measured, in nanoseconds. */
 	private static final double FIRST_ANSWER_NANOS = 2e9;
 
@@ -40,7 +46,7 @@
 	}
 
 	void firstToken(int computedTokens, long nanos) {
-		if (computedTokens > 0 && nanos > 0) {
+		if (computedTokens >= LEAST_COMPUTED && nanos > 0) {
 			double rate = computedTokens * 1e9 / nanos;
 			this.prefillTokensPerSecond += NEWEST * (rate - this.prefillTokensPerSecond);
 		}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
@@ -151,6 +151,23 @@
 		assertThat(this.decisions.tokensInFlight()).containsEntry("builder", 100L);
 	}
 
+	// A caller is told "not run" although an engine ran its request. The chat waits in an
+	// engine's queue, is sent elsewhere, and its time passes while the cancellation is
+	// under way.
+	@Test
+	void shouldNotSayNotRunOfARequestThatWasSentElsewhere() {
+		seen(FIRST);
+		dispatched(arrive("r"));
+		seen(SECOND);
+		this.now += 200 * MILLI;
+		Dispatch second = dispatched(tick());
+		assertThat(second.server()).isEqualTo(SECOND);
+		accept(new ServingEvent.AttemptBroken(second.attempt(), Breakage.CONNECT_FAILED));
+		this.now += 60_000 * MILLI;
+		Refuse refuse = (Refuse) tick().getLast();
+		assertThat(refuse.problem().verdict()).isEqualTo(Verdict.mayHaveRun());
+	}
+
 	// -- deadlines
 
 	@Test
