--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/RoutingSlope.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/RoutingSlope.java
@@ -2,6 +2,7 @@
 
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +35,9 @@
 
 	private static final int WARM_UP = 60_000;
 
-	private static final int MEASURED = 60_000;
+	private static final int MEASURED = 20_000;
+
+	private static final int ROUNDS = 9;
 
 	private static final int OPEN = 32;
 
@@ -74,32 +77,41 @@
 	 * @throws JsonProcessingException never, since lines hold plain values
 	 */
 	public static void main(String[] arguments) throws JsonProcessingException {
-		new RoutingSlope(SIZES[0]).measure();
+		line(SIZES[0]);
 		for (int runners : SIZES) {
-			long heapBefore = heap();
-			RoutingSlope slope = new RoutingSlope(runners);
-			long heapOfRunners = heap() - heapBefore;
-			Map<String, Object> line = new LinkedHashMap<>();
-			line.put("runners", runners);
-			line.putAll(slope.measure());
-			line.put("heapBytesPerRunner", heapOfRunners / runners);
-			line.put("heapBytesPerRunnerInUse", (heap() - heapBefore) / runners);
-			System.out.println(new ObjectMapper().writeValueAsString(line));
+			System.out.println(new ObjectMapper().writeValueAsString(line(runners)));
 		}
 	}
 
+	private static Map<String, Object> line(int runners) {
+		long heapBefore = heap();
+		RoutingSlope slope = new RoutingSlope(runners);
+		long heapOfRunners = heap() - heapBefore;
+		Map<String, Object> line = new LinkedHashMap<>();
+		line.put("runners", runners);
+		line.putAll(slope.measure());
+		line.put("heapBytes", heapOfRunners);
+		line.put("heapBytesInUse", heap() - heapBefore);
+		return line;
+	}
+
 	// -- measurement
 
 	private Map<String, Object> measure() {
 		decide(WARM_UP);
+		long[] nanos = new long[ROUNDS];
 		long allocatedBefore = allocated();
-		long start = System.nanoTime();
-		decide(MEASURED);
-		long nanos = System.nanoTime() - start;
-		long bytes = allocated() - allocatedBefore;
+		for (int round = 0; round < ROUNDS; round++) {
+			long start = System.nanoTime();
+			decide(MEASURED);
+			nanos[round] = (System.nanoTime() - start) / MEASURED;
+		}
+		long bytes = (allocated() - allocatedBefore) / (ROUNDS * MEASURED);
+		Arrays.sort(nanos);
 		Map<String, Object> figures = new LinkedHashMap<>();
-		figures.put("nanosPerDecision", nanos / MEASURED);
-		figures.put("bytesPerDecision", bytes / MEASURED);
+		figures.put("nanosPerDecisionLeast", nanos[0]);
+		figures.put("nanosPerDecisionMedian", nanos[ROUNDS / 2]);
+		figures.put("bytesPerDecision", bytes);
 		return figures;
 	}
 
