--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/Caller.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/Caller.java
@@ -150,6 +150,27 @@
 			return this;
 		}
 
+		/**
+		 * Reads until the next comment, or the end.
+		 * @return this
+		 */
+		Events readComment() {
+			int before = this.comments.size();
+			try {
+				String line = "";
+				while (this.comments.size() == before && line != null) {
+					line = this.lines.readLine();
+					if (line != null) {
+						take(line);
+					}
+				}
+			}
+			catch (IOException ex) {
+				// the connection broke off, which is an end too
+			}
+			return this;
+		}
+
 		Events readAll() {
 			return read(Integer.MAX_VALUE);
 		}
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/CompletionTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/CompletionTests.java
@@ -81,13 +81,12 @@
 	@Test
 	void shouldSendHeartbeatsWhileNoTokenComes() {
 		this.engine.openGate(1);
-		try (Events events = Caller.stream(this.entry, Caller.chat(2, true)).read(1)) {
-			Conditions.await("a heartbeat", () -> {
-				this.engine.openGate(2);
-				events.readAll();
-				return events.done();
-			});
+		try (Events events = Caller.stream(this.entry, Caller.chat(2, true)).read(1).readComment()) {
+			assertThat(events.comments()).containsExactly(": heartbeat");
+			this.engine.openGate(2);
+			events.readAll();
 			assertThat(events.text()).isEqualTo(Caller.words(0, 2));
+			assertThat(events.done()).isTrue();
 		}
 	}
 
