--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/claims/SimulatedEntry.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/claims/SimulatedEntry.java
@@ -150,7 +150,8 @@
 	}
 
 	private void feedAttempt(Open call, int attempt, ClaimEvent event) {
-		if (!call.aborted.contains(attempt)) {
+		// The answer of a call that was given up can still arrive.
+		if (!call.aborted.contains(attempt) || this.random.nextInt(3) == 0) {
 			feed(call, event);
 		}
 	}
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceFailure.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceFailure.java
@@ -10,7 +10,7 @@
 	private final transient Verdict verdict;
 
 	private ServiceFailure(Verdict verdict, String message, Throwable cause) {
-		super(message, cause);
+		super(message, cause, false, false);
 		this.verdict = verdict;
 	}
 
