Keep what is leaving over a take-over, and read the intents again

A VM that was said to be leaving while another process held the lease went back into service after a take-over, although entries send it nothing more: the tests counted it as in service, since they looked only at the engine. A write of an intent that takes effect after it was given up left its row for good; the intents are now read again every minute. The spread plan is computed only when prices or sizes change, and the systems run four times a second instead of ten.

--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/Controller.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/Controller.java
@@ -37,6 +37,9 @@
 
 	private static final Duration TICK = Duration.ofMillis(100);
 
+	/** The time between two runs of the capacity systems; they run over all VMs. */
+	private static final Duration DECISIONS = Duration.ofMillis(250);
+
 	/** The time a stop waits for orders under way and for the lease's last write. */
 	private static final long STOP_MILLIS = 5_000;
 
@@ -131,7 +134,7 @@
 			return;
 		}
 		this.lease.processes(this.controllers.getAsInt());
-		this.nextDecisionNanos = nowNanos + TICK.toNanos();
+		this.nextDecisionNanos = nowNanos + DECISIONS.toNanos();
 		try (Timer.Context _ = this.tickTimer.time()) {
 			for (CapacityCommand command : this.decisions.tick(nowNanos)) {
 				this.metrics.counter("commands." + command.getClass().getSimpleName()).inc();
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacityDecisions.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacityDecisions.java
@@ -107,8 +107,10 @@
 			case CapacityEvent.OffersRead read -> offersRead(read.offers(), nowNanos);
 			case CapacityEvent.VmsRead read -> vmsRead(read, nowNanos);
 			case CapacityEvent.NoticesRead read -> noticesRead(read, nowNanos);
-			case CapacityEvent.LeavingLearned learned ->
+			case CapacityEvent.LeavingLearned learned -> {
+				this.tables.leaving(learned.vm());
 				find(learned.vm()).ifPresent((row) -> row.drain(nowNanos, "said-to-be-leaving"));
+			}
 			case CapacityEvent.ReadFailed failed -> ReadSystem.answered(this.tables, failed.what(), false, nowNanos);
 			case CapacityEvent.IntentsRead read -> intentsRead(read.intents(), nowNanos);
 			case CapacityEvent.IntentWritten written -> PurchaseSystem.written(this.tables, written.token());
@@ -172,7 +174,7 @@
 				continue;
 			}
 			seen.put(vm.id(), vm);
-			VmRow row = this.tables.vms.computeIfAbsent(vm.id(), (_) -> new VmRow(vm, nowNanos));
+			VmRow row = this.tables.row(vm, nowNanos);
 			// A notice is final; a list that was made before it must not bring the VM
 			// back.
 			boolean stale = row.vm.state() == State.RECLAIMING && vm.state() == State.RUNNING;
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacityTables.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacityTables.java
@@ -1,7 +1,9 @@
 package org.rosemaryfront.capacity;
 
 import java.util.EnumMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -13,12 +15,17 @@
 /** The entities that the capacity systems run over; owned by the control thread. */
 final class CapacityTables {
 
+	private static final int LEAVING_KEPT = 4_000;
+
 	final CapacitySettings settings;
 
 	final SplittableRandom random;
 
 	final SortedMap<VmId, VmRow> vms = new TreeMap<>();
 
+	/** VMs said to be leaving, which is final; kept for a later lease too. */
+	final Set<VmId> leaving = new LinkedHashSet<>();
+
 	final SortedMap<String, IntentRow> intents = new TreeMap<>();
 
 	final SortedMap<OfferKey, OfferRow> offers = new TreeMap<>();
@@ -73,6 +80,24 @@
 		return nanos / 2 + this.random.nextLong(nanos + 1);
 	}
 
+	// Keeps that a VM is leaving. A process that does not hold the lease has no row for
+	// it, and forgetting it would put the VM back into service after a take-over, while
+	// the entries send it nothing any more.
+	void leaving(VmId vm) {
+		this.leaving.add(vm);
+		if (this.leaving.size() > LEAVING_KEPT) {
+			this.leaving.remove(this.leaving.iterator().next());
+		}
+	}
+
+	VmRow row(CloudVm vm, long nowNanos) {
+		VmRow row = this.vms.computeIfAbsent(vm.id(), (_) -> new VmRow(vm, nowNanos));
+		if (this.leaving.contains(vm.id())) {
+			row.drain(nowNanos, "said-to-be-leaving");
+		}
+		return row;
+	}
+
 	// Sorts VMs and purchases by pool, for the systems of this tick.
 	void group() {
 		this.pools.values().forEach(PoolRow::begin);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/PoolRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/PoolRow.java
@@ -27,6 +27,9 @@
 
 	SpreadPlan plan = SpreadPlan.empty();
 
+	/** What the plan was made from. */
+	List<Object> planned = List.of();
+
 	int demandPeak;
 
 	long demandPeakUntilNanos;
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/PurchaseSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/PurchaseSystem.java
@@ -73,7 +73,7 @@
 			}
 		}
 		if (vm.state() != CloudVm.State.GONE) {
-			tables.vms.computeIfAbsent(vm.id(), (_) -> new VmRow(vm, nowNanos));
+			tables.row(vm, nowNanos);
 		}
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/ReadSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/ReadSystem.java
@@ -13,6 +13,8 @@
 
 	private static final int ENGINE_READS_AT_ONCE = 64;
 
+	private static final int INTENTS_PERIODS = 60;
+
 	private static final int OFFERS_PERIODS = 10;
 
 	private static final int SETTLED_PERIODS = 5;
@@ -32,9 +34,6 @@
 			if (source == Source.VMS && !tables.sources.get(Source.INTENTS).known) {
 				continue;
 			}
-			if (source == Source.INTENTS && row.known) {
-				continue;
-			}
 			row.exchanging = true;
 			row.askedNanos = nowNanos;
 			commands.add(new CapacityCommand.Read(source, (source == Source.NOTICES) ? tables.lastNotice : 0));
@@ -68,7 +67,10 @@
 			case VMS -> isMoving(tables) ? Math.max(poll, perVm(tables) / SETTLED_PERIODS)
 					: Math.max(SETTLED_PERIODS * poll, perVm(tables));
 			case OFFERS -> OFFERS_PERIODS * poll;
-			case INTENTS, NOTICES -> poll;
+			// A write of an intent can take effect long after it was given up and
+			// repeated.
+			case INTENTS -> INTENTS_PERIODS * poll;
+			case NOTICES -> poll;
 		} : poll);
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/SizeSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/SizeSystem.java
@@ -30,7 +30,11 @@
 				.stream()
 				.sorted(Comparator.<String>comparingDouble(prices::get).thenComparing(Comparator.naturalOrder()))
 				.toList();
-			row.plan = SpreadPlan.of(zones, prices, row.target, row.pool.maximum());
+			List<Object> planned = List.of(prices, row.target, row.pool.maximum());
+			if (!planned.equals(row.planned)) {
+				row.planned = planned;
+				row.plan = SpreadPlan.of(zones, prices, row.target, row.pool.maximum());
+			}
 		}
 	}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/ControllerFaultTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/ControllerFaultTests.java
@@ -95,6 +95,31 @@
 		};
 	}
 
+	// Engines that ignore the fencing number still take an order of the holder before:
+	// the
+	// new holder's order would be undone by one that is under way. It must wait out the
+	// longest validity before its first order.
+	@Test
+	void shouldWaitOutOrdersWhenEnginesIgnoreFencing() {
+		Deployment deployment = new Deployment(9, false);
+		assertThat(deployment.settles(SETTLE_MILLIS)).isTrue();
+		deployment.crash(deployment.holders().getFirst());
+		List<Long> ordered = new ArrayList<>();
+		deployment.controllers.forEach((controller) -> controller.beforeCommand = (command) -> {
+			if (command.equals("Order")) {
+				ordered.add(deployment.world.now);
+			}
+		});
+		while (deployment.holders().isEmpty()) {
+			deployment.world.run(10 * VirtualWorld.MILLI);
+		}
+		long taken = deployment.world.now;
+		deployment.world.run(60 * SECOND);
+		assertThat(ordered).isNotEmpty();
+		assertThat(ordered.getFirst() - taken)
+			.isGreaterThanOrEqualTo((Deployment.SETTINGS.orderValidityMillis() - 20) * VirtualWorld.MILLI);
+	}
+
 	// A caller's streams run on VMs that are bought and given back in turn, and the bill
 	// grows: a cloud without VMs is asked again and again. All offers refuse; each
 	// refusal
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/FakeCloud.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/FakeCloud.java
@@ -40,6 +40,9 @@
 
 	java.util.function.Supplier<List<SimulatedController>> holders = List::of;
 
+	java.util.function.Consumer<VmId> announced = (_) -> {
+	};
+
 	int purchases;
 
 	int refusals;
@@ -105,6 +108,8 @@
 		boolean early = machine.drainedAt == 0 || this.world.now - machine.drainedAt < drainLimit;
 		this.world.check(machine.running == 0 || machine.state != State.RUNNING || !early,
 				"released " + vm + " with " + machine.running + " streams before its drain limit");
+		this.world.check(machine.draining || machine.state != State.RUNNING || !early,
+				"released " + vm + " while it takes work");
 		machine.state = State.GONE;
 	}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/SimulatedController.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/SimulatedController.java
@@ -86,6 +86,10 @@
 		post(() -> this.decisions.accept(new CapacityEvent.ConfigurationApplied(configuration), clock()));
 	}
 
+	void leavingLearned(VmId vm) {
+		answer(new CapacityEvent.LeavingLearned(vm));
+	}
+
 	void pause(long nanos) {
 		this.paused = true;
 		this.world.after(nanos, () -> this.paused = false);
@@ -197,6 +201,7 @@
 			case CapacityCommand.AnnounceLeaving leaving -> {
 				Machine machine = this.cloud.machines.get(leaving.vm().value());
 				machine.drainedAt = (machine.drainedAt != 0) ? machine.drainedAt : this.world.now;
+				this.cloud.announced.accept(leaving.vm());
 			}
 			case CapacityCommand.WriteIntent write -> {
 				String token = write.intent().token();
