--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/operators/ResourceWatch.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/operators/ResourceWatch.java
@@ -61,7 +61,10 @@
 		ResourceWatch watch = new ResourceWatch(store, view);
 		return watch.catchUp(since)
 			.map((first) -> Flux.concat(Flux.fromIterable(first),
-					Flux.interval(POLL).onBackpressureDrop().concatMapIterable((_) -> watch.poll())));
+					Flux.interval(POLL)
+						.onBackpressureDrop()
+						.concatMap((_) -> watch.poll())
+						.concatMapIterable((found) -> found)));
 	}
 
 	private Mono<List<ObjectNode>> catchUp(OptionalLong since) {
@@ -111,20 +114,30 @@
 		return OperatorDocuments.event(revision, key, "changed", Optional.ofNullable(declared.resources().get(key)));
 	}
 
-	private List<ObjectNode> poll() {
+	private Mono<List<ObjectNode>> poll() {
 		Configuration now = this.view.inForce();
-		if (now.revision() > this.last.revision()) {
-			List<ObjectNode> events = differences(this.last, now);
+		Configuration before = this.last;
+		if (now.revision() > before.revision()) {
 			this.last = now;
 			this.idle = 0;
-			return events;
+			return (now.revision() == before.revision() + 1) ? Mono.just(differences(before, now))
+					: skipped(before, now);
 		}
 		this.idle++;
 		if (this.idle < IDLE_POLLS) {
-			return List.of();
+			return Mono.just(List.of());
 		}
 		this.idle = 0;
-		return List.of(OperatorDocuments.bookmark(this.last.revision()));
+		return Mono.just(List.of(OperatorDocuments.bookmark(before.revision())));
+	}
+
+	// Several revisions can come into force at once. Two configurations do not tell at
+	// which of them a resource was deleted; the change log does, when it can be read.
+	private Mono<List<ObjectNode>> skipped(Configuration before, Configuration now) {
+		return this.store.changesSince(before.revision())
+			.map((changes) -> changes.map((found) -> events(found, before.revision(), now))
+				.orElseGet(() -> differences(before, now)))
+			.onErrorResume(RosemaryException.class, (_) -> Mono.fromSupplier(() -> differences(before, now)));
 	}
 
 	private static List<ObjectNode> differences(Configuration before, Configuration now) {
