--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
@@ -11,7 +11,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -51,22 +54,27 @@
 
 	private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
-	private final List<ManagedProcess> processes = new ArrayList<>();
+	private final List<ManagedProcess> processes = new CopyOnWriteArrayList<>();
 
-	private final List<ManagedProcess> entries = new ArrayList<>();
+	private final List<ManagedProcess> entries = new CopyOnWriteArrayList<>();
 
-	private final List<ManagedProcess> engines = new ArrayList<>();
+	private final List<ManagedProcess> engines = new CopyOnWriteArrayList<>();
 
-	private final List<ManagedProcess> services = new ArrayList<>();
+	private final List<ManagedProcess> services = new CopyOnWriteArrayList<>();
 
-	private final List<ManagedProcess> controllers = new ArrayList<>();
+	private final List<ManagedProcess> controllers = new CopyOnWriteArrayList<>();
+
+	private final Map<String, Relay> links = new ConcurrentHashMap<>();
+
+	private final boolean linked;
 
 	private ManagedProcess platform;
 
-	private Cluster(Path home, Path folder, Deployment deployment) {
+	private Cluster(Path home, Path folder, Deployment deployment, boolean linked) {
 		this.home = home;
 		this.folder = folder;
 		this.deployment = deployment;
+		this.linked = linked;
 	}
 
 	// -- factories
@@ -80,7 +88,24 @@
 	 * @return the running cluster, without any declaration
 	 */
 	public static Cluster start(Path home, Path folder, Deployment deployment, int nodes) {
-		Cluster cluster = new Cluster(Objects.requireNonNull(home, "home is null"), folder, deployment);
+		return start(home, folder, deployment, nodes, false);
+	}
+
+	/**
+	 * Starts a deployment in which every entry VM reaches the platform through a relay of
+	 * its own, so that its connections can be damaged.
+	 * @param home the root of the project
+	 * @param folder where settings and logs go
+	 * @param deployment the deployment
+	 * @param nodes the number of entry VMs, spread over the availability zones
+	 * @return the running cluster, without any declaration
+	 */
+	public static Cluster startLinked(Path home, Path folder, Deployment deployment, int nodes) {
+		return start(home, folder, deployment, nodes, true);
+	}
+
+	private static Cluster start(Path home, Path folder, Deployment deployment, int nodes, boolean linked) {
+		Cluster cluster = new Cluster(Objects.requireNonNull(home, "home is null"), folder, deployment, linked);
 		try {
 			Files.createDirectories(folder);
 			cluster.startAll(nodes);
@@ -137,6 +162,15 @@
 		return List.copyOf(this.entries);
 	}
 
+	/**
+	 * The relay between an entry VM and the platform.
+	 * @param vm the name of the VM
+	 * @return the relay
+	 */
+	public Relay link(String vm) {
+		return Objects.requireNonNull(this.links.get(vm), () -> "no link of " + vm);
+	}
+
 	/**
 	 * The operators' base URLs.
 	 * @return one for each entry
@@ -292,6 +326,26 @@
 		return entry;
 	}
 
+	/**
+	 * Starts one more controller, on a VM of its own.
+	 * @param name the name of the process and its VM
+	 * @param zone the availability zone
+	 * @return the ready process
+	 */
+	public ManagedProcess startController(String name, String zone) {
+		ManagedProcess controller = add(launch(name, "rosemaryfront-controller", zone, controllerSettings(name, zone)));
+		this.controllers.add(controller);
+		return controller.awaitReady();
+	}
+
+	/**
+	 * Forgets a controller that has ended.
+	 * @param controller the process
+	 */
+	public void forgetController(ManagedProcess controller) {
+		this.controllers.remove(controller);
+	}
+
 	/**
 	 * Forgets an entry that has ended, so that callers no longer ask it.
 	 * @param entry the process
@@ -304,6 +358,7 @@
 	@Override
 	public void close() {
 		this.processes.reversed().forEach(ManagedProcess::close);
+		this.links.values().forEach(Relay::close);
 		this.http.shutdownNow();
 	}
 
@@ -418,7 +473,7 @@
 			.put("vm", vm)
 			.put("region", this.deployment.region())
 			.put("zone", zone);
-		settings.putObject("platform").put("url", platformUrl());
+		settings.putObject("platform").put("url", platformUrl(vm));
 		settings.set("peers", listener());
 		return settings;
 	}
@@ -427,6 +482,13 @@
 		return "http://" + this.platform.listener("http");
 	}
 
+	private String platformUrl(String vm) {
+		if (!this.linked) {
+			return platformUrl();
+		}
+		return "http://" + this.links.computeIfAbsent(vm, (_) -> Relay.start(this.platform.listener("http"))).address();
+	}
+
 	private static ObjectNode listener() {
 		return MAPPER.createObjectNode().put("host", HOST).put("port", 0);
 	}
--- /dev/null
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/EntryChurn.java
@@ -0,0 +1,144 @@
+package org.rosemaryfront.proof;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * The entry and controller VMs of a soak run: ends them, replaces them under new VMs, and
+ * knows which ones a fault holds.
+ */
+final class EntryChurn {
+
+	// Without this many undisturbed entries nobody could take over what another gives up.
+	private static final int UNDISTURBED = 2;
+
+	private static final Duration STOP_LIMIT = Duration.ofSeconds(60);
+
+	// The platform's VM list and the balancer see the end of a VM this much later.
+	private static final Duration SEEN_AFTER = Duration.ofMillis(1500);
+
+	private final Cluster cluster;
+
+	private final Consumer<List<String>> balancer;
+
+	private final Set<String> disturbed = new HashSet<>();
+
+	private final Set<String> killed = ConcurrentHashMap.newKeySet();
+
+	private final List<String> badStops = new ArrayList<>();
+
+	private final AtomicInteger lastVm = new AtomicInteger();
+
+	EntryChurn(Cluster cluster, Consumer<List<String>> balancer) {
+		this.cluster = cluster;
+		this.balancer = balancer;
+		this.lastVm.set(cluster.entries().size());
+	}
+
+	// -- queries
+
+	// Stops in good order that did not end in time, or not with 0.
+	synchronized List<String> badStops() {
+		return List.copyOf(this.badStops);
+	}
+
+	// Entries that ended without notice.
+	Set<String> killed() {
+		return Set.copyOf(this.killed);
+	}
+
+	synchronized boolean undisturbed(String name) {
+		return !this.disturbed.contains(name);
+	}
+
+	// -- choices
+
+	// An entry or controller for a fault, which must release it.
+	synchronized Optional<ManagedProcess> choose(List<ManagedProcess> from, RandomGenerator random) {
+		List<ManagedProcess> free = from.stream()
+			.filter(ManagedProcess::alive)
+			.filter((process) -> !this.disturbed.contains(process.name()))
+			.toList();
+		if (free.size() <= UNDISTURBED) {
+			return Optional.empty();
+		}
+		ManagedProcess chosen = free.get(random.nextInt(free.size()));
+		this.disturbed.add(chosen.name());
+		return Optional.of(chosen);
+	}
+
+	synchronized void release(ManagedProcess process) {
+		this.disturbed.remove(process.name());
+	}
+
+	// -- actions
+
+	// Ends an entry without notice and starts another one.
+	void kill(ManagedProcess entry) {
+		this.killed.add(entry.name());
+		entry.kill();
+		replace(entry);
+	}
+
+	// Asks an entry to stop, as for an upgrade, and starts another one meanwhile.
+	void terminate(ManagedProcess entry) {
+		entry.terminate();
+		Pause.of(SEEN_AFTER);
+		replace(entry);
+		if (!entry.awaitEnd(STOP_LIMIT)) {
+			badStop(entry.name() + " did not stop in " + STOP_LIMIT);
+			entry.kill();
+		}
+		else if (entry.exitCode() != 0) {
+			badStop(entry.name() + " ended with " + entry.exitCode());
+		}
+	}
+
+	// Ends an entry's VM after the notice that the platform has given.
+	void reclaim(ManagedProcess entry, Duration notice) {
+		this.cluster.reclaim("\"vm\": \"" + entry.name() + "\"", notice);
+		long end = System.nanoTime() + notice.toNanos();
+		ManagedProcess next = start(entry.zone());
+		Pause.of(Duration.ofNanos(Math.max(0, end - System.nanoTime())));
+		entry.kill();
+		Pause.of(SEEN_AFTER);
+		this.cluster.forget(entry);
+		this.balancer.accept(this.cluster.callers());
+		if (!next.alive()) {
+			badStop(next.name() + " ended by itself");
+		}
+	}
+
+	// Ends a controller without notice and starts another one.
+	void killController(ManagedProcess controller) {
+		controller.kill();
+		this.cluster.forgetController(controller);
+		this.cluster.startController("controller-" + this.lastVm.incrementAndGet(), controller.zone());
+	}
+
+	private void replace(ManagedProcess entry) {
+		Pause.of(SEEN_AFTER);
+		this.cluster.forget(entry);
+		this.balancer.accept(this.cluster.callers());
+		start(entry.zone());
+	}
+
+	private ManagedProcess start(String zone) {
+		ManagedProcess next = this.cluster.startEntry("entry-" + this.lastVm.incrementAndGet(), zone);
+		this.balancer.accept(this.cluster.callers());
+		return next;
+	}
+
+	private synchronized void badStop(String told) {
+		this.badStops.add(told);
+	}
+
+}
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/BookingLedger.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/BookingLedger.java
@@ -1,6 +1,8 @@
 package org.rosemaryfront.load;
 
+import java.util.ArrayList;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -37,6 +39,7 @@
 		long falseNotRun = 0;
 		long misled = 0;
 		long phantom = 0;
+		List<String> wrong = new ArrayList<>();
 		for (Map.Entry<String, Set<Told>> booking : this.told.entrySet()) {
 			Set<Told> answers = booking.getValue();
 			int ran = executions.getOrDefault(booking.getKey(), 0);
@@ -45,13 +48,19 @@
 			notRun += onlyNotRun ? 1 : 0;
 			uncertain += (answers.contains(Told.MAY_HAVE_RUN) && !answers.contains(Told.CREATED)) ? 1 : 0;
 			unanswered += EnumSet.of(Told.NOTHING).containsAll(answers) ? 1 : 0;
-			doubled += (compared && ran > 1) ? 1 : 0;
-			falseNotRun += (compared && onlyNotRun && ran > 0) ? 1 : 0;
+			boolean twice = compared && ran > 1;
+			boolean ranAfterAll = compared && onlyNotRun && ran > 0;
+			boolean never = compared && answers.contains(Told.CREATED) && ran == 0;
+			doubled += twice ? 1 : 0;
+			falseNotRun += ranAfterAll ? 1 : 0;
 			misled += (compared && answers.equals(EnumSet.of(Told.NOT_RUN, Told.NOTHING)) && ran > 0) ? 1 : 0;
-			phantom += (compared && answers.contains(Told.CREATED) && ran == 0) ? 1 : 0;
+			phantom += never ? 1 : 0;
+			if (twice || ranAfterAll || never) {
+				wrong.add(booking.getKey());
+			}
 		}
 		return new Bookings(this.told.size(), this.calls.sum(), created, notRun, uncertain, unanswered, doubled,
-				falseNotRun, misled, phantom, compared);
+				falseNotRun, misled, phantom, compared, wrong);
 	}
 
 	/** What a caller was told. */
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadReport.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadReport.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.load;
 
+import java.util.List;
 import java.util.Map;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -16,6 +17,8 @@
  * @param foreign answers with tokens that are not theirs
  * @param lost accepted requests that got no whole answer
  * @param lostBy lost requests by the last thing that the caller was told
+ * @param failures the first {@value #KEPT} lost, torn and foreign answers, to look at in
+ * the logs
  * @param refused refused requests by code
  * @param unanswered requests whose connection broke before any answer
  * @param unreachable requests for which no connection was made
@@ -30,9 +33,12 @@
  * @param seconds the time of the run, in seconds
  */
 public record LoadReport(long sent, long notSent, long accepted, long whole, long torn, long foreign, long lost,
-		Map<String, Long> lostBy, Map<String, Long> refused, long unanswered, long unreachable, long resumed,
-		long redirected, long tokens, Bookings bookings, Percentiles firstToken, Percentiles betweenTokens,
-		Percentiles wholeAnswer, Percentiles booking, double seconds) {
+		Map<String, Long> lostBy, List<Failure> failures, Map<String, Long> refused, long unanswered, long unreachable,
+		long resumed, long redirected, long tokens, Bookings bookings, Percentiles firstToken,
+		Percentiles betweenTokens, Percentiles wholeAnswer, Percentiles booking, double seconds) {
+
+	/** How many failures a report names. */
+	public static final int KEPT = 200;
 
 	/**
 	 * Whether a promise to callers was broken.
@@ -72,9 +78,23 @@
 	 * got no answer; the verdict of the later call is true of that call
 	 * @param phantom bookings that were answered as done and never ran
 	 * @param compared whether executions were compared with the service stand-ins
+	 * @param wrong the keys of the doubled, false not-run and phantom bookings
 	 */
 	public record Bookings(long keys, long calls, long created, long notRun, long uncertain, long unanswered,
-			long doubled, long falseNotRun, long misled, long phantom, boolean compared) {
+			long doubled, long falseNotRun, long misled, long phantom, boolean compared, List<String> wrong) {
+	}
+
+	/**
+	 * An accepted request without its whole answer.
+	 *
+	 * @param request its identifier, empty when the caller never learned it
+	 * @param entry the base URL of the entry that accepted it
+	 * @param ended what the caller was told last
+	 * @param failed whether that was a final problem document
+	 * @param tokens tokens that the caller had by then
+	 * @param atMillis when it was sent, in milliseconds since 1970
+	 */
+	public record Failure(String request, String entry, String ended, boolean failed, int tokens, long atMillis) {
 	}
 
 	/**
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadSettings.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadSettings.java
@@ -20,14 +20,18 @@
  * @param timeout how long a caller tries to get one answer
  * @param silence the greatest time without any byte on a stream before the caller comes
  * back through another entry
+ * @param unknown how long a caller goes on asking for a result that no entry knows
  * @param services the base URLs of the service stand-ins, to compare with at the end
  */
 public record LoadSettings(List<String> entries, List<Organisation> organisations, String model, List<String> adapters,
 		String servicePool, double rate, Duration duration, long seed, Mix mix, int concurrency, Duration timeout,
-		Duration silence, List<String> services) {
+		Duration silence, Duration unknown, List<String> services) {
 
 	private static final int CONCURRENCY = 200;
 
+	// Hand-offs take less; a frozen entry that comes back may take more.
+	private static final Duration UNKNOWN = Duration.ofSeconds(5);
+
 	public LoadSettings {
 		entries = List.copyOf(entries);
 		organisations = List.copyOf(organisations);
@@ -38,6 +42,16 @@
 		}
 	}
 
+	/**
+	 * What a load run sends, with the usual patience for unknown results.
+	 */
+	LoadSettings(List<String> entries, List<Organisation> organisations, String model, List<String> adapters,
+			String servicePool, double rate, Duration duration, long seed, Mix mix, int concurrency, Duration timeout,
+			Duration silence, List<String> services) {
+		this(entries, organisations, model, adapters, servicePool, rate, duration, seed, mix, concurrency, timeout,
+				silence, UNKNOWN, services);
+	}
+
 	// -- factories
 
 	/**
@@ -66,7 +80,7 @@
 	public LoadSettings withMix(Mix changed) {
 		return new LoadSettings(this.entries, this.organisations, this.model, this.adapters, this.servicePool,
 				this.rate, this.duration, this.seed, changed, this.concurrency, this.timeout, this.silence,
-				this.services);
+				this.unknown, this.services);
 	}
 
 	/**
@@ -76,7 +90,31 @@
 	 */
 	public LoadSettings withServices(List<String> changed) {
 		return new LoadSettings(this.entries, this.organisations, this.model, this.adapters, this.servicePool,
-				this.rate, this.duration, this.seed, this.mix, this.concurrency, this.timeout, this.silence, changed);
+				this.rate, this.duration, this.seed, this.mix, this.concurrency, this.timeout, this.silence,
+				this.unknown, changed);
+	}
+
+	/**
+	 * Sets the adapters that are asked too.
+	 * @param changed the names of the adapters
+	 * @return the changed settings
+	 */
+	public LoadSettings withAdapters(List<String> changed) {
+		return new LoadSettings(this.entries, this.organisations, this.model, changed, this.servicePool, this.rate,
+				this.duration, this.seed, this.mix, this.concurrency, this.timeout, this.silence, this.unknown,
+				this.services);
+	}
+
+	/**
+	 * Sets how long callers try.
+	 * @param whole for one answer
+	 * @param unasked for a result that no entry knows
+	 * @return the changed settings
+	 */
+	public LoadSettings withPatience(Duration whole, Duration unasked) {
+		return new LoadSettings(this.entries, this.organisations, this.model, this.adapters, this.servicePool,
+				this.rate, this.duration, this.seed, this.mix, this.concurrency, whole, this.silence, unasked,
+				this.services);
 	}
 
 	// -- values
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadTally.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadTally.java
@@ -1,5 +1,7 @@
 package org.rosemaryfront.load;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -53,12 +55,22 @@
 
 	private final Map<String, LongAdder> lostBy = new ConcurrentHashMap<>();
 
+	private final List<LoadReport.Failure> failures = new ArrayList<>();
+
 	private final Map<String, LongAdder> refused = new ConcurrentHashMap<>();
 
 	void lost(String told) {
 		this.lostBy.computeIfAbsent(told, (_) -> new LongAdder()).increment();
 	}
 
+	void failure(LoadReport.Failure failure) {
+		synchronized (this.failures) {
+			if (this.failures.size() < LoadReport.KEPT) {
+				this.failures.add(failure);
+			}
+		}
+	}
+
 	void refused(String code) {
 		this.refused.computeIfAbsent(code, (_) -> new LongAdder()).increment();
 	}
@@ -79,11 +91,17 @@
 		Map<String, Long> lost = sums(this.lostBy);
 		return new LoadReport(this.sent.sum(), this.notSent.sum(), this.accepted.sum(), this.whole.sum(),
 				this.torn.sum(), this.foreign.sum(), lost.values().stream().mapToLong(Long::longValue).sum(), lost,
-				sums(this.refused), this.unanswered.sum(), this.unreachable.sum(), this.resumed.sum(),
+				failures(), sums(this.refused), this.unanswered.sum(), this.unreachable.sum(), this.resumed.sum(),
 				this.redirected.sum(), this.tokens.sum(), bookings, percentiles(this.firstToken),
 				percentiles(this.betweenTokens), percentiles(this.wholeAnswer), percentiles(this.booking), nanos / 1e9);
 	}
 
+	private List<LoadReport.Failure> failures() {
+		synchronized (this.failures) {
+			return List.copyOf(this.failures);
+		}
+	}
+
 	private static Map<String, Long> sums(Map<String, LongAdder> counts) {
 		Map<String, Long> sums = new TreeMap<>();
 		counts.forEach((name, count) -> sums.put(name, count.sum()));
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/ModelCall.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/ModelCall.java
@@ -25,9 +25,6 @@
 
 	private static final Duration PAUSE = Duration.ofMillis(150);
 
-	// A result that no entry knows for so long is lost; hand-offs take less.
-	private static final long UNKNOWN_LIMIT_NANOS = Duration.ofSeconds(5).toNanos();
-
 	private final LoadHttp http;
 
 	private final LoadTally tally;
@@ -40,6 +37,10 @@
 
 	private final long started = System.nanoTime();
 
+	private final long startedMillis = System.currentTimeMillis();
+
+	private String entry = "";
+
 	private String requestId = "";
 
 	private boolean accepted;
@@ -65,20 +66,23 @@
 	private Mono<Void> next(End end) {
 		if (end instanceof End.Whole) {
 			this.tally.verdict(this.check);
+			if (this.check.result() != AnswerCheck.Result.WHOLE) {
+				failure(this.check.result().name(), false);
+			}
 			if (!this.request.stream()) {
 				LoadTally.record(this.tally.wholeAnswer, System.nanoTime() - this.started);
 			}
 			return Mono.empty();
 		}
 		if (end instanceof End.Failed failed) {
-			return lost(failed.code());
+			return lost(failed.code(), true);
 		}
 		if (!this.accepted) {
 			countUnaccepted(end);
 			return Mono.empty();
 		}
 		if (pastLimit(end)) {
-			return lost(end.toString());
+			return lost(end.toString(), false);
 		}
 		return Mono.delay(PAUSE).then(Mono.defer(this::comeBack));
 	}
@@ -101,14 +105,20 @@
 		boolean unknown = end instanceof End.Refused refused && refused.status() == 404;
 		this.unknownSince = !unknown ? 0 : (this.unknownSince != 0) ? this.unknownSince : now;
 		return now - this.started > this.settings.timeout().toNanos()
-				|| (unknown && now - this.unknownSince > UNKNOWN_LIMIT_NANOS);
+				|| (unknown && now - this.unknownSince > this.settings.unknown().toNanos());
 	}
 
-	private Mono<Void> lost(String told) {
+	private Mono<Void> lost(String told, boolean failed) {
 		this.tally.lost(told);
+		failure(told, failed);
 		return Mono.empty();
 	}
 
+	private void failure(String told, boolean failed) {
+		this.tally.failure(new LoadReport.Failure(this.requestId, this.entry, told, failed, this.check.tokens(),
+				this.startedMillis));
+	}
+
 	// -- calls
 
 	private Mono<End> attempt(Call call) {
@@ -123,8 +133,8 @@
 		List<Header> headers = new ArrayList<>(authorised());
 		headers.add(new Header("Content-Type", "application/json"));
 		Optional<Duration> limit = this.request.stream() ? Optional.empty() : Optional.of(this.settings.timeout());
-		return new Call(HttpMethod.POST, this.http.nextEntry() + this.request.path(), headers, this.request.body(),
-				limit);
+		this.entry = this.http.nextEntry();
+		return new Call(HttpMethod.POST, this.entry + this.request.path(), headers, this.request.body(), limit);
 	}
 
 	private Call resultCall() {
