Stop in good order when an entry reads its own reclaim notice

The entry read the platform's notice of its own VM first, took itself for a backend server (E2020 SERVER_LEAVING server=entry-1) and served on until the VM ended. Only notices that came through a peer were compared with the own VM; the poll of notices went to the directory past that comparison, and the VM list's word on entries was dropped. Ruled out: the notice arrived (remainingMillis=8402 of 8445); hand-off was never begun (no E2040). Change: the directory, which every source passes, tells an own reclaim apart; a later source may bring the time left that an earlier one lacked. Without the guard the new test fails: 'entry-1 leaving -1' instead of 'reclaimed -1', 'reclaimed 8000'.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -124,7 +124,7 @@
 		this.control = ServingControl.start(
 				ServingDecisions.of(ServingParameters.defaults(settings.zone()), new SecureRandom().nextLong()),
 				CONTROL_INTERVAL, this.traffic::execute);
-		this.directory = new ServerDirectory(new DirectoryListener());
+		this.directory = new ServerDirectory(new VmId(settings.vm()), new DirectoryListener());
 		this.intake = new RequestIntake(this::configuration, this.streams, this.control::accept, this.metrics);
 		this.services = ServiceCalls.of(ServiceCallSettings.standard(new VmId(settings.vm()), settings.zone()),
 				this.platform, this::configuration, this::serviceServers);
@@ -240,14 +240,6 @@
 			.toList();
 	}
 
-	private void left(VmId vm, LeavingSource source, long remainingMillis) {
-		if (vm.value().equals(this.settings.vm())) {
-			this.stop.reclaimed(remainingMillis);
-			return;
-		}
-		this.directory.left(vm, source, remainingMillis);
-	}
-
 	private final class TrafficContext implements AttemptTraffic.Context {
 
 		@Override
@@ -267,7 +259,7 @@
 
 		@Override
 		public void serverLeaving(VmId server) {
-			left(server, LeavingSource.SERVER, -1);
+			EntryProcess.this.directory.left(server, LeavingSource.SERVER, -1);
 		}
 
 	}
@@ -289,6 +281,11 @@
 			}
 		}
 
+		@Override
+		public void reclaimed(long remainingMillis) {
+			EntryProcess.this.stop.reclaimed(remainingMillis);
+		}
+
 	}
 
 	private final class PeerCalls implements PeerHandler {
@@ -300,7 +297,7 @@
 
 		@Override
 		public void departureLearned(VmId vm, long remainingMillis) {
-			left(vm, LeavingSource.PEER, remainingMillis);
+			EntryProcess.this.directory.left(vm, LeavingSource.PEER, remainingMillis);
 		}
 
 		@Override
@@ -368,7 +365,7 @@
 
 		@Override
 		public void drain(VmId vm) {
-			left(vm, LeavingSource.DRAIN, -1);
+			EntryProcess.this.directory.left(vm, LeavingSource.DRAIN, -1);
 		}
 
 		@Override
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServerDirectory.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServerDirectory.java
@@ -29,6 +29,8 @@
 
 	private static final int GREATEST_DEPARTED = 20_000;
 
+	private final VmId own;
+
 	private final Listener listener;
 
 	private final Set<VmId> leaving = new HashSet<>();
@@ -37,7 +39,8 @@
 
 	private volatile Map<VmId, Known> servers = Map.of();
 
-	ServerDirectory(Listener listener) {
+	ServerDirectory(VmId own, Listener listener) {
+		this.own = Objects.requireNonNull(own, "own is null");
 		this.listener = Objects.requireNonNull(listener, "listener is null");
 	}
 
@@ -45,7 +48,7 @@
 
 	/**
 	 * Takes the VM list.
-	 * @param list the VMs listed; entry VMs are left out
+	 * @param list the VMs listed; other entry VMs are left out
 	 */
 	synchronized void listed(List<Listed> list) {
 		Map<VmId, Known> next = new TreeMap<>(this.servers);
@@ -59,18 +62,26 @@
 		forgetMissing(next, present);
 		this.servers = Map.copyOf(next);
 		list.stream()
-			.filter((vm) -> vm.leaving() && !vm.role().equals("entry"))
+			.filter((vm) -> vm.leaving() && (!vm.role().equals("entry") || vm.vm().equals(this.own)))
 			.forEach((vm) -> left(vm.vm(), LeavingSource.VM_LIST, -1));
 	}
 
 	/**
-	 * Notes that a backend server is leaving.
+	 * Notes that a backend server, or the VM of this process, is leaving.
 	 * @param vm the VM
 	 * @param source who said so
 	 * @param remainingMillis the time left, in milliseconds, negative when unknown
 	 * @return whether it was not known before
 	 */
 	synchronized boolean left(VmId vm, LeavingSource source, long remainingMillis) {
+		// Guards against an entry that takes the notice of its own VM for a backend
+		// server's: it would serve on until the VM ends and lose what it holds. Every
+		// source passes here. A later source may know the time that an earlier one did
+		// not.
+		if (vm.equals(this.own)) {
+			this.listener.reclaimed(remainingMillis);
+			return this.leaving.add(vm);
+		}
 		if (this.leaving.size() >= GREATEST_DEPARTED) {
 			this.leaving.retainAll(this.servers.keySet());
 		}
@@ -171,6 +182,12 @@
 		 */
 		void leaving(VmId vm, LeavingSource source, long remainingMillis);
 
+		/**
+		 * The VM of this process is leaving; told by each source.
+		 * @param remainingMillis the time left, in milliseconds, negative when unknown
+		 */
+		void reclaimed(long remainingMillis);
+
 	}
 
 }
