Say not-ready, not unauthenticated, before the first configuration

An entry started on a new VM listens before it knows a configuration, hence no key, and answered 401, which is final to callers: one that comes back for its answer would give it up. Ruled out: wrong keys (the same organisations were served elsewhere). Change: an unknown key is refused as not-ready while the configuration is not fresh. Without the guard the new test reads 401 instead of 503.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerServer.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerServer.java
@@ -274,7 +274,21 @@
 		}
 		return known.keys()
 			.organisation(request.requestHeaders().get(HttpHeaderNames.AUTHORIZATION))
-			.orElseThrow(() -> problem(ProblemCode.UNAUTHENTICATED, "the bearer key is absent or unknown"));
+			.orElseThrow(this::unknownKey);
+	}
+
+	// Guards against an entry that has no current configuration yet and therefore knows
+	// no key: callers would read that their key is wrong, which is final to them, and
+	// give
+	// up answers that they were coming back for.
+	private RosemaryException unknownKey() {
+		return this.context.fresh() ? problem(ProblemCode.UNAUTHENTICATED, "the bearer key is absent or unknown")
+				: unfresh();
+	}
+
+	private static RosemaryException unfresh() {
+		return RosemaryException
+			.of(Problem.notRun(ProblemCode.NOT_READY, "this entry knows no current configuration", RETRY_AFTER));
 	}
 
 	private void requireReady() {
@@ -283,8 +297,7 @@
 				.of(Problem.notRun(ProblemCode.NOT_READY, "this entry is stopping; ask another one", RETRY_AFTER));
 		}
 		if (!this.context.fresh()) {
-			throw RosemaryException
-				.of(Problem.notRun(ProblemCode.NOT_READY, "this entry knows no current configuration", RETRY_AFTER));
+			throw unfresh();
 		}
 	}
 
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/CompletionTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/CompletionTests.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.AfterEach;
@@ -225,4 +226,21 @@
 				+ "\r\nContent-Length: " + length + "\r\n\r\n";
 	}
 
+	/**
+	 * An entry has just started on a new VM and knows no configuration yet, and a
+	 * balancer sends callers there. They read 401 with their good key, and one that came
+	 * back for the rest of its answer gave it up.
+	 */
+	@Test
+	void shouldSayNotReadyWhenNoKeyIsKnownYet() {
+		this.entry.forgetConfiguration();
+		HttpResponse<String> asked = Caller.post(this.entry, "/v1/chat/completions", Caller.chat(4, false));
+		HttpResponse<String> cameBack = Caller.get(this.entry, "/v1/results/chatcmpl-0", TestEntry.KEY);
+		assertThat(List.of(asked, cameBack)).allSatisfy((answer) -> {
+			assertThat(answer.statusCode()).isEqualTo(503);
+			assertThat(Caller.json(answer.body()).path("code").asText()).isEqualTo("not-ready");
+			assertThat(Caller.json(answer.body()).path("verdict").asText()).isEqualTo("not-run");
+		});
+	}
+
 }
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/TestEntry.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/TestEntry.java
@@ -46,7 +46,7 @@
 
 	private static final Duration TICK = Duration.ofMillis(5);
 
-	private final Configuration configuration = configuration();
+	private volatile Configuration configuration = configuration();
 
 	private final List<TestEntry> peers = new ArrayList<>();
 
@@ -145,6 +145,10 @@
 		this.control.accept(new ServingEvent.ServerSeen(new VmId(vm), "assistant", zone, engine.address()));
 	}
 
+	void forgetConfiguration() {
+		this.configuration = Configuration.empty();
+	}
+
 	// -- state
 
 	String address() {
@@ -214,7 +218,7 @@
 
 		@Override
 		public boolean fresh() {
-			return true;
+			return TestEntry.this.configuration.revision() > 0;
 		}
 
 		@Override
