--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
@@ -321,8 +321,9 @@
 	 * @return the ready process
 	 */
 	public ManagedProcess startEntry(String vm, String zone) {
-		ManagedProcess entry = launchEntry(vm, zone).awaitReady();
+		ManagedProcess entry = add(launch(vm, "rosemaryfront-entry", zone, entrySettings(vm, zone))).awaitReady();
 		register(entry);
+		this.entries.add(entry);
 		return entry;
 	}
 
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/ConfigurationRace.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/ConfigurationRace.java
@@ -140,7 +140,7 @@
 				answered = true;
 			}
 			catch (RuntimeException ex) {
-				answered = conflict(ex, i > 0);
+				answered = conflict(target, mine, ex);
 			}
 			if (!answered) {
 				Pause.of(REPEAT_AFTER);
@@ -169,7 +169,8 @@
 		this.cluster.entries().forEach((entry) -> Thread.ofVirtual().start(() -> awaitInForce(entry, change)));
 	}
 
-	private synchronized boolean conflict(RuntimeException failure, boolean repeated) {
+	private synchronized boolean conflict(Target target, long mine, RuntimeException failure) {
+		this.journal.note("operators-race", "not applied", target.name() + " " + mine, String.valueOf(failure));
 		boolean conflict = String.valueOf(failure.getMessage()).contains(": 409 ");
 		this.conflicts += conflict ? 1 : 0;
 		return conflict;
