End bin/slope-membership at all sizes, and spare two searches a tick

Cause: at 243 members and more the measurement did not end within 300 s: runUntil asked every member at every step whether all know a change, a tick searched all peers for the highest revision, and each member copied the VM list of all members every 5 s. Ruled out: the seeds and the horizon; they are as they were.

--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/MembershipSimulation.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/MembershipSimulation.java
@@ -5,6 +5,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import org.rosemaryfront.configuration.ConfigurationEvent;
 import org.rosemaryfront.membership.MembershipCommand;
@@ -53,7 +54,7 @@
 
 	private boolean vmListFrozen;
 
-	private List<MembershipEvent.Candidate> vmList = List.of();
+	private MembershipEvent.CandidatesListed vmList = new MembershipEvent.CandidatesListed(List.of());
 
 	private MembershipSimulation(long seed, boolean encode) {
 		this.random = new SplittableRandom(seed);
@@ -216,6 +217,29 @@
 		return (this.now - begin) / (double) TimeUnit.MILLISECONDS.toNanos(1);
 	}
 
+	/**
+	 * Runs until a condition holds for all members. The member for which it failed last
+	 * is asked first, so that a step costs one question and not one for each member.
+	 * @param condition the condition of one member
+	 * @param limitMillis the longest time, in milliseconds
+	 * @return the time it took, in milliseconds, negative when the limit was reached
+	 */
+	public double runUntilAll(Predicate<SimulatedMember> condition, long limitMillis) {
+		int[] failed = new int[1];
+		return runUntil(() -> {
+			if (!condition.test(this.members.get(failed[0]))) {
+				return false;
+			}
+			for (int i = 0; i < this.members.size(); i++) {
+				if (!condition.test(this.members.get(i))) {
+					failed[0] = i;
+					return false;
+				}
+			}
+			return true;
+		}, limitMillis);
+	}
+
 	private void step() {
 		Scheduled next = this.queue.remove();
 		this.now = next.at();
@@ -239,8 +263,8 @@
 
 	private void readVmList(SimulatedMember member, int run) {
 		if (member.run() == run && member.live()) {
-			List<MembershipEvent.Candidate> read = this.vmList;
-			act(member, () -> member.accept(new MembershipEvent.CandidatesListed(read), this.now));
+			MembershipEvent.CandidatesListed read = this.vmList;
+			act(member, () -> member.accept(read, this.now));
 			schedule(VM_LIST_NANOS, () -> readVmList(member, run));
 		}
 	}
@@ -341,10 +365,10 @@
 
 	private void refreshVmList() {
 		if (!this.vmListFrozen) {
-			this.vmList = this.members.stream()
+			this.vmList = new MembershipEvent.CandidatesListed(this.members.stream()
 				.filter(SimulatedMember::live)
 				.map((member) -> new MembershipEvent.Candidate(member.id().vm(), member.address()))
-				.toList();
+				.toList());
 		}
 	}
 
--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/MembershipSlope.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/MembershipSlope.java
@@ -7,6 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.LongStream;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -67,9 +69,11 @@
 			Map<String, Object> line = new LinkedHashMap<>();
 			line.put("members", size);
 			line.putAll(steady(size, 1));
+			CompletableFuture<Map<String, Object>> wave = CompletableFuture.supplyAsync(() -> wave(size));
+			CompletableFuture<Map<String, Object>> lossy = CompletableFuture.supplyAsync(() -> lossy(size));
 			line.putAll(spread(size));
-			line.putAll(wave(size));
-			line.putAll(lossy(size));
+			line.putAll(wave.join());
+			line.putAll(lossy.join());
 			System.out.println(MAPPER.writeValueAsString(line));
 		}
 	}
@@ -108,14 +112,13 @@
 		List<Double> detected = new ArrayList<>();
 		List<Double> departures = new ArrayList<>();
 		List<Double> revisions = new ArrayList<>();
-		for (long seed = 1; seed <= SEEDS; seed++) {
-			MembershipSimulation simulation = MembershipSimulation.of(size, seed);
-			joined(simulation);
-			for (int sample = 0; sample < SAMPLES_PER_SEED; sample++) {
-				departures.add(departure(simulation, sample));
-				revisions.add(revision(simulation));
-			}
-			detected.addAll(detection(simulation));
+		for (Spread spread : LongStream.rangeClosed(1, SEEDS)
+			.parallel()
+			.mapToObj((seed) -> spread(size, seed))
+			.toList()) {
+			detected.addAll(spread.detected());
+			departures.addAll(spread.departures());
+			revisions.addAll(spread.revisions());
 		}
 		Map<String, Object> line = new LinkedHashMap<>();
 		put(line, "deadDetectedMillis", detected);
@@ -124,21 +127,30 @@
 		return line;
 	}
 
+	private static Spread spread(int size, long seed) {
+		MembershipSimulation simulation = MembershipSimulation.of(size, seed);
+		joined(simulation);
+		Spread spread = new Spread(new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
+		for (int sample = 0; sample < SAMPLES_PER_SEED; sample++) {
+			spread.departures().add(departure(simulation, sample));
+			spread.revisions().add(revision(simulation));
+		}
+		spread.detected().addAll(detection(simulation));
+		return spread;
+	}
+
 	private static double departure(MembershipSimulation simulation, int sample) {
 		VmId vm = new VmId("runner-" + sample);
 		List<SimulatedMember> members = simulation.members();
 		simulation.announceDeparture(members.get(sample % members.size()), vm);
-		double millis = simulation
-			.runUntil(() -> members.stream().allMatch((member) -> member.departures().contains(vm)), LIMIT_MILLIS);
+		double millis = simulation.runUntilAll((member) -> member.departures().contains(vm), LIMIT_MILLIS);
 		simulation.run(3_000);
 		return millis;
 	}
 
 	private static double revision(MembershipSimulation simulation) {
 		long revision = simulation.apply();
-		double millis = simulation.runUntil(
-				() -> simulation.members().stream().allMatch((member) -> member.configuration().revision() >= revision),
-				LIMIT_MILLIS);
+		double millis = simulation.runUntilAll((member) -> member.configuration().revision() >= revision, LIMIT_MILLIS);
 		simulation.run(3_000);
 		return millis;
 	}
@@ -179,9 +191,7 @@
 		for (int i = 0; i < count; i++) {
 			simulation.announceDeparture(simulation.members().getFirst(), new VmId("runner-%04d".formatted(i)));
 		}
-		double millis = simulation.runUntil(
-				() -> simulation.members().stream().allMatch((member) -> member.departures().size() == count),
-				LIMIT_MILLIS);
+		double millis = simulation.runUntilAll((member) -> member.departures().size() == count, LIMIT_MILLIS);
 		Totals after = Totals.of(simulation);
 		Map<String, Object> line = new LinkedHashMap<>();
 		line.put("waveDepartures", count);
@@ -215,9 +225,7 @@
 
 	private static double joined(MembershipSimulation simulation) {
 		int size = simulation.members().size();
-		double millis = simulation.runUntil(
-				() -> simulation.members().stream().allMatch((member) -> member.membership().size() == size),
-				JOIN_LIMIT_MILLIS);
+		double millis = simulation.runUntilAll((member) -> member.membership().size() == size, JOIN_LIMIT_MILLIS);
 		simulation.run(5_000);
 		return millis;
 	}
@@ -245,6 +253,9 @@
 		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
 	}
 
+	private record Spread(List<Double> detected, List<Double> departures, List<Double> revisions) {
+	}
+
 	private record Totals(long messages, long sentBytes, long receivedBytes, long reads) {
 
 		static Totals of(MembershipSimulation simulation) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/configuration/ConfigurationState.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/configuration/ConfigurationState.java
@@ -53,6 +53,9 @@
 
 	private long headRevision;
 
+	/** No peer has told a higher revision; spares a tick the search of all peers. */
+	private long greatestHeard;
+
 	private Optional<Long> readingSince = Optional.empty();
 
 	private int failedReads;
@@ -116,6 +119,7 @@
 
 	private void peerHeard(String address, long revision, long now) {
 		this.contactAt = Optional.of(now);
+		this.greatestHeard = Math.max(this.greatestHeard, revision);
 		this.peers.put(address, new PeerRevision(revision, now));
 	}
 
@@ -178,6 +182,9 @@
 		if (this.readingSince.filter((since) -> now - since > this.timing.readTimeoutNanos()).isPresent()) {
 			readFailed(now);
 		}
+		if (Math.max(this.headRevision, this.greatestHeard) <= this.inForce.revision()) {
+			return;
+		}
 		long highest = highestRevision(now);
 		if (this.readingSince.isPresent() || now < this.nextReadAt || highest <= this.inForce.revision()) {
 			return;
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MemberId.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/membership/MemberId.java
@@ -1,6 +1,5 @@
 package org.rosemaryfront.membership;
 
-import java.util.Comparator;
 import java.util.Objects;
 
 import org.rosemaryfront.model.VmId;
@@ -19,8 +18,6 @@
 	/** The role of a controller process. */
 	public static final String CONTROLLER = "controller";
 
-	private static final Comparator<MemberId> ORDER = Comparator.comparing(MemberId::vm).thenComparing(MemberId::role);
-
 	public MemberId {
 		Objects.requireNonNull(vm, "vm is null");
 		Objects.requireNonNull(role, "role is null");
@@ -28,7 +25,8 @@
 
 	@Override
 	public int compareTo(MemberId other) {
-		return ORDER.compare(this, other);
+		int byVm = this.vm.compareTo(other.vm);
+		return (byVm != 0) ? byVm : this.role.compareTo(other.role);
 	}
 
 	@Override
