Tell the calls to plain services which entries are dead

Cause: a repeat of a call whose entry had died read its answer only after the wait for a running call. ServiceCalls took the predicate and dropped it in ClaimedCalls, and EntryProcess passed none. The test of the predicate could not see it: it asserted "an earlier request", which both answers contain.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -21,7 +21,6 @@
 import org.rosemaryfront.configuration.ConfigurationStore;
 import org.rosemaryfront.engine.EngineClientSettings;
 import org.rosemaryfront.engine.HttpEngineClient;
-import org.rosemaryfront.membership.MemberState;
 import org.rosemaryfront.model.Configuration;
 import org.rosemaryfront.model.VmId;
 import org.rosemaryfront.operators.LeaseView;
@@ -70,6 +69,8 @@
 
 	private final Disposable.Composite tasks = Disposables.composite();
 
+	private final OtherEntries others;
+
 	private final EntryMetrics metrics = EntryMetrics.create();
 
 	private final DecisionRing decisions = DecisionRing.of(EXPLAINED_REQUESTS);
@@ -110,6 +111,7 @@
 
 	private EntryProcess(EntrySettings settings) {
 		this.settings = settings;
+		this.others = OtherEntries.of(new VmId(settings.vm()), this::members);
 		this.callerTls = tls(settings.callers().tls());
 		this.peerTls = tls(settings.peers().tls());
 		this.platform = HttpPlatform
@@ -127,7 +129,7 @@
 		this.directory = new ServerDirectory(new VmId(settings.vm()), new DirectoryListener());
 		this.intake = new RequestIntake(this::configuration, this.streams, this.control::accept, this.metrics);
 		this.services = ServiceCalls.of(ServiceCallSettings.standard(new VmId(settings.vm()), settings.zone()),
-				this.platform, this::configuration, this::serviceServers);
+				this.platform, this::configuration, this::serviceServers, this.others::gone);
 		this.stop = new GracefulStop(settings.stop(), new StopSteps());
 		this.receiver = new HandoffReceiver(this.intake, this.streams, this.traffic, this.decisions,
 				this.control::accept, this.stop::phase);
@@ -155,7 +157,7 @@
 				new OperatorSettings(listener.host(), listener.port(), listener.keyHashes(), listener.tls()),
 				ConfigurationStore.of(this.platform), new View());
 		this.watch = new ServerWatch(this.platform, this.engines, this.directory, new DirectoryListener(),
-				this.settings.watch(), this::liveEntries);
+				this.settings.watch(), this.others::live);
 		this.watch.start();
 		this.metrics.gauge("serving.openStreams", this.streams::open);
 		this.metrics.gauge("engines.foreignEventsDropped", this.engines::droppedEvents);
@@ -210,7 +212,7 @@
 
 	private void reportUsage() {
 		this.peers.usage(this.control.tokensInFlight());
-		this.control.accept(new ServingEvent.PeersReported(liveEntries(), this.peers.peerUsage()));
+		this.control.accept(new ServingEvent.PeersReported(this.others.live(), this.peers.peerUsage()));
 	}
 
 	// -- views
@@ -220,16 +222,9 @@
 		return (node != null) ? node.configuration() : Configuration.empty();
 	}
 
-	private List<MemberView> otherEntries() {
-		return this.peers.members()
-			.stream()
-			.filter((member) -> member.role().equals(PeerSettings.ENTRY) && member.state() == MemberState.ALIVE
-					&& !member.vm().value().equals(this.settings.vm()))
-			.toList();
-	}
-
-	private int liveEntries() {
-		return otherEntries().size() + 1;
+	private List<MemberView> members() {
+		PeerNode node = this.peers;
+		return (node != null) ? node.members() : List.of();
 	}
 
 	private List<ServiceServer> serviceServers() {
@@ -388,7 +383,7 @@
 
 		@Override
 		public List<MemberView> members() {
-			return EntryProcess.this.peers.members();
+			return EntryProcess.this.members();
 		}
 
 		@Override
@@ -423,8 +418,8 @@
 		@Override
 		public Mono<Void> handOver(Duration limit) {
 			return new HandoffSender(EntryProcess.this.streams, EntryProcess.this.traffic, EntryProcess.this.decisions,
-					EntryProcess.this.metrics, EntryProcess.this.control::accept,
-					() -> otherEntries().stream().map(MemberView::address).toList(), EntryProcess.this.peers::handOff)
+					EntryProcess.this.metrics, EntryProcess.this.control::accept, EntryProcess.this.others::addresses,
+					EntryProcess.this.peers::handOff)
 				.handOverAll(limit);
 		}
 
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ClaimedCalls.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ClaimedCalls.java
@@ -75,10 +75,12 @@
 		this.choice = choice;
 		this.control = control;
 		this.writer = ClaimWriter.of(tables, control, Duration.ofMillis(settings.groupMillis()));
-		// A claim of this VM by a request that is not open here is one of an earlier
-		// process.
-		this.ledger = HolderLedger
-			.of((held) -> held.vm().equals(settings.vm().value()) && !this.open.containsKey(held.token()));
+		this.ledger = HolderLedger.of((held) -> endedHere(held) || entryGone.test(new VmId(held.vm())));
+	}
+
+	// A claim of this VM by a request that is not open here is one of an earlier process.
+	private boolean endedHere(ClaimRow.Held held) {
+		return held.vm().equals(this.settings.vm().value()) && !this.open.containsKey(held.token());
 	}
 
 	static ClaimedCalls of(ServiceCallSettings settings, TableClient tables, ServiceClient client, ServerChoice choice,
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceCallsTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceCallsTests.java
@@ -1,13 +1,10 @@
 package org.rosemaryfront.services;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.AfterEach;
@@ -23,11 +20,9 @@
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.server.HttpServer;
 
-import org.rosemaryfront.claims.ClaimRow;
 import org.rosemaryfront.model.Configuration;
 import org.rosemaryfront.model.Resource;
 import org.rosemaryfront.model.VmId;
-import org.rosemaryfront.platform.TableClient;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -229,15 +224,9 @@
 	// of this VM, is answered for at once; for any other the repeat waits as for a
 	// running call.
 	@ParameterizedTest
-	@CsvSource({ "gone, an earlier request", "entry-1, an earlier request", "entry-2, no outcome yet" })
+	@CsvSource({ "gone, its outcome is unknown", "entry-1, its outcome is unknown", "entry-2, has no outcome yet" })
 	void shouldNotRunWhenHolderDied(String holder, String detail) {
-		HttpHeaders headers = new DefaultHttpHeaders();
-		ServiceCall call = new ServiceCall("lost", "federation", "booking", HttpMethod.POST, "/bookings", headers,
-				"villa-14".getBytes(StandardCharsets.UTF_8));
-		ClaimRow held = new ClaimRow.Held("lost", holder, call.fingerprint(), 20_000);
-		TableClient.Write claim = new TableClient.Write(ClaimWriter.TABLE, call.claimKey("key-14"),
-				Optional.of(ClaimCodec.write(held)));
-		this.tables.commit(new TableClient.Transaction(List.of(), List.of(claim))).block(LIMIT);
+		HeldClaim.write(this.tables, holder, "key-14", "villa-14");
 		Answer repeat = call(HttpMethod.POST, "/bookings", "key-14", "villa-14");
 		assertThat(repeat.body()).contains("\"verdict\":\"may-have-run\"", detail);
 		assertThat(this.booking.runs("villa-14")).isZero();
