Ask whether the entry that holds a claim is gone

Cause: a repeat of a call whose entry had died still waited as for a running call: ClaimedCalls took the predicate that says which entries are gone and never asked it. ServiceCallsTests#shouldNotRunWhenHolderDied did not see it, since the words it looked for stand in both answers.

Ruled out: a fault of the membership, which said so.

Change: the ledger of holders asks it first; the test looks for words that only the immediate answer has, which is stricter than before.

Conclusion: a repeat reads its verdict at once when the holder is known to be gone.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ClaimedCalls.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ClaimedCalls.java
@@ -77,8 +77,8 @@
 		this.writer = ClaimWriter.of(tables, control, Duration.ofMillis(settings.groupMillis()));
 		// A claim of this VM by a request that is not open here is one of an earlier
 		// process.
-		this.ledger = HolderLedger
-			.of((held) -> held.vm().equals(settings.vm().value()) && !this.open.containsKey(held.token()));
+		this.ledger = HolderLedger.of((held) -> entryGone.test(new VmId(held.vm()))
+				|| (held.vm().equals(settings.vm().value()) && !this.open.containsKey(held.token())));
 	}
 
 	static ClaimedCalls of(ServiceCallSettings settings, TableClient tables, ServiceClient client, ServerChoice choice,
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceCallsTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceCallsTests.java
@@ -229,7 +229,7 @@
 	// of this VM, is answered for at once; for any other the repeat waits as for a
 	// running call.
 	@ParameterizedTest
-	@CsvSource({ "gone, an earlier request", "entry-1, an earlier request", "entry-2, no outcome yet" })
+	@CsvSource({ "gone, its outcome is unknown", "entry-1, its outcome is unknown", "entry-2, no outcome yet" })
 	void shouldNotRunWhenHolderDied(String holder, String detail) {
 		HttpHeaders headers = new DefaultHttpHeaders();
 		ServiceCall call = new ServiceCall("lost", "federation", "booking", HttpMethod.POST, "/bookings", headers,
