--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
@@ -72,6 +72,28 @@
 		assertThat(this.decisions.takeViolations()).isEmpty();
 	}
 
+	// The platform's list lags and names a VM that is gone. Taken for a new server it would
+	// get requests, and their callers would wait for an answer that never begins.
+	@Test
+	void shouldGiveNoNewWorkToAServerThatIsGoneWhenTheListStillNamesIt() {
+		seen(FIRST);
+		accept(new ServingEvent.ServerGone(FIRST));
+		seen(FIRST);
+		assertThat(arrive("r").getFirst()).isInstanceOf(Refuse.class);
+	}
+
+	// An engine knows that it is leaving before its notice or the list says so here. Its
+	// refusal of one request must keep the next ones away too.
+	@Test
+	void shouldGiveNoNewWorkToAServerThatRefusedAsLeaving() {
+		seen(FIRST);
+		Dispatch first = dispatched(arrive("r"));
+		accept(new ServingEvent.AttemptRefused(first.attempt(), Refusal.LEAVING));
+		tick();
+		this.now += 60_000 * MILLI;
+		assertThat(arrive("s")).noneMatch(Dispatch.class::isInstance);
+	}
+
 	@Test
 	void shouldMoveTheCacheWhenTheAnswerDoesNotFitIntoTheNotice() {
 		seen(FIRST);
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Caller.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Caller.java
@@ -83,16 +83,7 @@
 			.header("Content-Type", "application/json")
 			.POST(HttpRequest.BodyPublishers.ofString(body))
 			.build();
-		try {
-			HttpResponse<String> response = this.client.send(request, HttpResponse.BodyHandlers.ofString());
-			return new Answer(response.statusCode(), response.body());
-		}
-		catch (IOException ex) {
-			return new Answer(0, ex.toString());
-		}
-		catch (InterruptedException ex) {
-			throw interrupted(ex);
-		}
+		return Answer.of(send(request));
 	}
 
 	/**
@@ -104,16 +95,8 @@
 	 * @return what was received
 	 */
 	public Streamed chat(String model, String question, int maxTokens, IntConsumer progress) {
-		String body = MAPPER.createObjectNode()
-			.put("model", model)
-			.put("stream", true)
-			.put("max_tokens", maxTokens)
-			.set("messages",
-					MAPPER.createArrayNode()
-						.add(MAPPER.createObjectNode().put("role", "user").put("content", question)))
-			.toString();
 		HttpRequest first = request(0, "/v1/chat/completions").header("Content-Type", "application/json")
-			.POST(HttpRequest.BodyPublishers.ofString(body))
+			.POST(HttpRequest.BodyPublishers.ofString(chatBody(model, question, maxTokens, true)))
 			.build();
 		Reading reading = new Reading(progress);
 		read(first, reading);
@@ -129,6 +112,35 @@
 		return reading.result();
 	}
 
+	/**
+	 * Asks for a whole chat answer, and follows it to other entries until it is there.
+	 * @param model the name of the model or adapter
+	 * @param question the user's message
+	 * @param maxTokens the greatest length of the answer
+	 * @return what was received
+	 */
+	public Whole whole(String model, String question, int maxTokens) {
+		HttpRequest request = request(0, "/v1/chat/completions").header("Content-Type", "application/json")
+			.POST(HttpRequest.BodyPublishers.ofString(chatBody(model, question, maxTokens, false)))
+			.build();
+		Whole whole = Whole.of(send(request));
+		for (int turn = 1; whole.moved() && turn <= RETURNS; turn++) {
+			Pause.of(RETURN_DELAY);
+			whole = whole.then(result(turn % this.entries.size(), whole.request()));
+		}
+		return whole;
+	}
+
+	/**
+	 * Asks an entry for the answer of an accepted request.
+	 * @param entry the index of the entry to ask
+	 * @param request the identifier of the request
+	 * @return the answer
+	 */
+	public Answer result(int entry, String request) {
+		return Answer.of(send(request(entry, "/v1/results/" + request).GET().build()));
+	}
+
 	/**
 	 * The organisation of this caller.
 	 * @return its name
@@ -142,6 +154,29 @@
 		this.client.shutdownNow();
 	}
 
+	private static String chatBody(String model, String question, int maxTokens, boolean stream) {
+		return MAPPER.createObjectNode()
+			.put("model", model)
+			.put("stream", stream)
+			.put("max_tokens", maxTokens)
+			.set("messages",
+					MAPPER.createArrayNode()
+						.add(MAPPER.createObjectNode().put("role", "user").put("content", question)))
+			.toString();
+	}
+
+	private Optional<HttpResponse<String>> send(HttpRequest request) {
+		try {
+			return Optional.of(this.client.send(request, HttpResponse.BodyHandlers.ofString()));
+		}
+		catch (IOException ex) {
+			return Optional.empty();
+		}
+		catch (InterruptedException ex) {
+			throw interrupted(ex);
+		}
+	}
+
 	private HttpRequest.Builder request(int entry, String path) {
 		return HttpRequest.newBuilder(URI.create(this.entries.get(entry) + path))
 			.timeout(TIMEOUT)
@@ -178,6 +213,65 @@
 	 * @param body the body
 	 */
 	public record Answer(int status, String body) {
+
+		private static Answer of(Optional<HttpResponse<String>> response) {
+			return response.map((found) -> new Answer(found.statusCode(), found.body())).orElse(new Answer(0, ""));
+		}
+
+		/**
+		 * What the answer says of the call.
+		 * @return the verdict's code; a service's own answer says that it ran, a broken
+		 * connection that it may have
+		 */
+		public String verdict() {
+			if (this.status == 0) {
+				return "may-have-run";
+			}
+			try {
+				return MAPPER.readTree(this.body).path("verdict").asText("ran");
+			}
+			catch (JsonProcessingException ex) {
+				return "ran";
+			}
+		}
+
+	}
+
+	/**
+	 * A whole answer.
+	 *
+	 * @param status the HTTP status of the last response, 0 when its connection broke
+	 * @param request the identifier of the request, empty when no response named it
+	 * @param text the text received
+	 * @param connections the number of connections it took
+	 * @param body the body of the last response
+	 */
+	public record Whole(int status, String request, String text, int connections, String body) {
+
+		private static Whole of(Optional<HttpResponse<String>> response) {
+			String request = response.flatMap((found) -> found.headers().firstValue("X-Request-Id")).orElse("");
+			return new Whole(0, request, "", 0, "").then(Answer.of(response));
+		}
+
+		// A connection to an entry that has stopped breaks; the request is known by then.
+		private boolean moved() {
+			boolean elsewhere = this.status == 303 || this.status == 202 || this.status == 0;
+			return elsewhere && !this.request.isEmpty();
+		}
+
+		private Whole then(Answer answer) {
+			return new Whole(answer.status(), this.request, text(answer), this.connections + 1, answer.body());
+		}
+
+		private static String text(Answer answer) {
+			try {
+				return MAPPER.readTree(answer.body()).at("/choices/0/message/content").asText("");
+			}
+			catch (JsonProcessingException ex) {
+				return "";
+			}
+		}
+
 	}
 
 	/**
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
@@ -49,6 +49,8 @@
 
 	private final Deployment deployment;
 
+	private final ObjectNode entryOptions;
+
 	private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
 	private final List<ManagedProcess> processes = new ArrayList<>();
@@ -63,10 +65,11 @@
 
 	private ManagedProcess platform;
 
-	private Cluster(Path home, Path folder, Deployment deployment) {
+	private Cluster(Path home, Path folder, Deployment deployment, ObjectNode entryOptions) {
 		this.home = home;
 		this.folder = folder;
 		this.deployment = deployment;
+		this.entryOptions = entryOptions;
 	}
 
 	// -- factories
@@ -80,7 +83,22 @@
 	 * @return the running cluster, without any declaration
 	 */
 	public static Cluster start(Path home, Path folder, Deployment deployment, int nodes) {
-		Cluster cluster = new Cluster(Objects.requireNonNull(home, "home is null"), folder, deployment);
+		return start(home, folder, deployment, nodes, MAPPER.createObjectNode());
+	}
+
+	/**
+	 * Starts all processes of a deployment, with settings of the entries that differ from
+	 * their defaults.
+	 * @param home the root of the project
+	 * @param folder where settings and logs go
+	 * @param deployment the deployment
+	 * @param nodes the number of entry VMs, spread over the availability zones
+	 * @param entryOptions sections of the entries' settings, such as {@code stop}
+	 * @return the running cluster, without any declaration
+	 */
+	public static Cluster start(Path home, Path folder, Deployment deployment, int nodes, ObjectNode entryOptions) {
+		Cluster cluster = new Cluster(Objects.requireNonNull(home, "home is null"), folder, deployment,
+				Objects.requireNonNull(entryOptions, "entryOptions is null"));
 		try {
 			Files.createDirectories(folder);
 			cluster.startAll(nodes);
@@ -403,6 +421,7 @@
 		ObjectNode operators = listener();
 		operators.putArray("keyHashes").add(OPERATOR_KEY_HASH);
 		settings.set("operators", operators);
+		settings.setAll(this.entryOptions);
 		return settings;
 	}
 
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Questions.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Questions.java
@@ -40,8 +40,19 @@
 		throw new IllegalArgumentException("no answer has " + tokens + " tokens");
 	}
 
+	/**
+	 * The tokens of the answer that is expected to a chat question.
+	 * @param model the name of the model
+	 * @param question the user's message
+	 * @param maxTokens the greatest length of the answer
+	 * @return the tokens
+	 */
+	static List<String> tokens(String model, String question, int maxTokens) {
+		return StandInAnswer.tokens("user: " + question, model, "", maxTokens);
+	}
+
 	private static List<String> tokens(String model, String question) {
-		return StandInAnswer.tokens("user: " + question, model, "", MAX_TOKENS);
+		return tokens(model, question, MAX_TOKENS);
 	}
 
 }
