Refuse no request for its time while the pool has free slots

Cause: the rate of prompts is measured from the time to the first token, and short prompts make it small, since that time has a fixed part. What is refused cannot correct the measured rate, so that it stayed so.

Ruled out: measuring on long prompts only; a slow engine would spoil the rate in the same way.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/PoolLoad.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/PoolLoad.java
@@ -26,6 +26,11 @@
 		return new PoolLoad((double) live.size() * state.slots(pool), streams * scale);
 	}
 
+	// Whether one more stream finds a slot at once.
+	boolean hasFreeSlot() {
+		return this.streams + 1 <= this.slots;
+	}
+
 	// The part of the slots in use; a pool without slots is full.
 	double used() {
 		return (this.slots > 0) ? this.streams / this.slots : 1;
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
@@ -59,6 +59,26 @@
 		assertThat(refuse.problem().retryAfter()).isPresent();
 	}
 
+	// Callers ask short questions, whose first tokens take as long as those of longer
+	// ones;
+	// the measured rate of prompts becomes small by it. Then a caller sends a long
+	// history
+	// to the idle pool and reads "overloaded", and so does each repeat, for good: what is
+	// refused cannot correct the measured rate.
+	@Test
+	void shouldAcceptALongPromptWhenThePoolIsIdleAndShortOnesWereSlow() {
+		seen(FIRST);
+		for (int i = 0; i < 100; i++) {
+			Dispatch dispatch = dispatched(arrive("short-" + i));
+			accept(new ServingEvent.AttemptAccepted(dispatch.attempt(), 0));
+			this.now += 200 * MILLI;
+			accept(new ServingEvent.AttemptProgressed(dispatch.attempt(), 1));
+			accept(new ServingEvent.AttemptFinished(dispatch.attempt()));
+			tick();
+		}
+		assertThat(dispatched(arrive("long", 4_000)).server()).isEqualTo(FIRST);
+	}
+
 	// -- backend servers that leave
 
 	@ParameterizedTest
@@ -179,8 +199,12 @@
 	// -- steps
 
 	private List<ServingCommand> arrive(String request) {
+		return arrive(request, 20);
+	}
+
+	private List<ServingCommand> arrive(String request, int promptTokens) {
 		accept(new ServingEvent.RequestArrived(new RequestId(request),
-				new RequestSpec("builder", "assistant", "plaster", Priority.CHAT, 20, 100, List.of(),
+				new RequestSpec("builder", "assistant", "plaster", Priority.CHAT, promptTokens, 100, List.of(),
 						this.now + 10_000 * MILLI, 100 * MILLI, this.now + 30_000 * MILLI)));
 		return tick();
 	}
