--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
@@ -52,6 +52,8 @@
 
 	private final Deployment deployment;
 
+	private final ObjectNode entryOptions;
+
 	private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
 	private final List<ManagedProcess> processes = new CopyOnWriteArrayList<>();
@@ -70,11 +72,12 @@
 
 	private ManagedProcess platform;
 
-	private Cluster(Path home, Path folder, Deployment deployment, boolean linked) {
+	private Cluster(Path home, Path folder, Deployment deployment, boolean linked, ObjectNode entryOptions) {
 		this.home = home;
 		this.folder = folder;
 		this.deployment = deployment;
 		this.linked = linked;
+		this.entryOptions = entryOptions;
 	}
 
 	// -- factories
@@ -88,7 +91,21 @@
 	 * @return the running cluster, without any declaration
 	 */
 	public static Cluster start(Path home, Path folder, Deployment deployment, int nodes) {
-		return start(home, folder, deployment, nodes, false);
+		return start(home, folder, deployment, nodes, false, MAPPER.createObjectNode());
+	}
+
+	/**
+	 * Starts a deployment whose entries have settings that differ from their defaults.
+	 * @param home the root of the project
+	 * @param folder where settings and logs go
+	 * @param deployment the deployment
+	 * @param nodes the number of entry VMs, spread over the availability zones
+	 * @param entryOptions sections of the entries' settings, such as {@code stop}
+	 * @return the running cluster, without any declaration
+	 */
+	public static Cluster start(Path home, Path folder, Deployment deployment, int nodes, ObjectNode entryOptions) {
+		return start(home, folder, deployment, nodes, false,
+				Objects.requireNonNull(entryOptions, "entryOptions is null"));
 	}
 
 	/**
@@ -101,11 +118,13 @@
 	 * @return the running cluster, without any declaration
 	 */
 	public static Cluster startLinked(Path home, Path folder, Deployment deployment, int nodes) {
-		return start(home, folder, deployment, nodes, true);
+		return start(home, folder, deployment, nodes, true, MAPPER.createObjectNode());
 	}
 
-	private static Cluster start(Path home, Path folder, Deployment deployment, int nodes, boolean linked) {
-		Cluster cluster = new Cluster(Objects.requireNonNull(home, "home is null"), folder, deployment, linked);
+	private static Cluster start(Path home, Path folder, Deployment deployment, int nodes, boolean linked,
+			ObjectNode entryOptions) {
+		Cluster cluster = new Cluster(Objects.requireNonNull(home, "home is null"), folder, deployment, linked,
+				entryOptions);
 		try {
 			Files.createDirectories(folder);
 			cluster.startAll(nodes);
@@ -459,6 +478,7 @@
 		ObjectNode operators = listener();
 		operators.putArray("keyHashes").add(OPERATOR_KEY_HASH);
 		settings.set("operators", operators);
+		settings.setAll(this.entryOptions);
 		return settings;
 	}
 
