--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/ConfigurationRace.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/ConfigurationRace.java
@@ -154,7 +154,7 @@
 	private String change(String address, String transaction, Target target, long mine) {
 		ObjectNode resource = (ObjectNode) this.cluster.call("GET", address,
 				"/apis/v1/resources/" + target.kind() + "/" + target.name(), "");
-		((ObjectNode) resource.path("spec")).put(target.field(), target.value(mine));
+		target.set((ObjectNode) resource.path("spec"), mine);
 		ObjectNode body = MAPPER.createObjectNode().put("transaction", transaction);
 		body.putArray("resources").add(resource);
 		return body.toString();
@@ -171,7 +171,11 @@
 
 	private synchronized boolean conflict(Target target, long mine, RuntimeException failure) {
 		this.journal.note("operators-race", "not applied", target.name() + " " + mine, String.valueOf(failure));
-		boolean conflict = String.valueOf(failure.getMessage()).contains(": 409 ");
+		String told = String.valueOf(failure.getMessage());
+		boolean conflict = told.contains(": 409 ");
+		if (!conflict && told.contains(": 4")) {
+			broken("a sound change was refused: " + told);
+		}
 		this.conflicts += conflict ? 1 : 0;
 		return conflict;
 	}
@@ -295,6 +299,15 @@
 
 	private record Target(String kind, String name, String field) {
 
+		void set(ObjectNode spec, long number) {
+			if (this.field.equals("answerMillis")) {
+				spec.put(this.field, (long) value(number));
+			}
+			else {
+				spec.put(this.field, value(number));
+			}
+		}
+
 		double value(long number) {
 			return this.field.equals("answerMillis") ? 120_000 + number : 1 + number / 1024.0;
 		}
