--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/EntryChurn.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/EntryChurn.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.proof;
 
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -20,6 +21,8 @@
 	// Without this many undisturbed entries nobody could take over what another gives up.
 	private static final int UNDISTURBED = 2;
 
+	private static final Duration PROBE_EVERY = Duration.ofMillis(500);
+
 	private static final Duration STOP_LIMIT = Duration.ofSeconds(60);
 
 	// The platform's VM list and the balancer see the end of a VM this much later.
@@ -33,6 +36,8 @@
 
 	private final Set<String> killed = ConcurrentHashMap.newKeySet();
 
+	private final Set<String> unready = ConcurrentHashMap.newKeySet();
+
 	private final List<String> badStops = new ArrayList<>();
 
 	private final AtomicInteger lastVm = new AtomicInteger();
@@ -43,6 +48,45 @@
 		this.lastVm.set(cluster.entries().size());
 	}
 
+	// -- the balancer
+
+	// Follows the readiness of entries as a balancer does, until interrupted. One that
+	// does not answer keeps its place, so that frozen entries go on getting requests.
+	void balance() {
+		while (!Thread.currentThread().isInterrupted()) {
+			this.cluster.entries().forEach((entry) -> Thread.ofVirtual().start(() -> probe(entry)));
+			tellBalancer();
+			try {
+				Thread.sleep(PROBE_EVERY);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+	}
+
+	private void probe(ManagedProcess entry) {
+		try {
+			this.cluster.call("GET", entry.listener("callers"), "/readyz", "");
+			this.unready.remove(entry.name());
+		}
+		catch (IllegalStateException ex) {
+			this.unready.add(entry.name());
+		}
+		catch (UncheckedIOException ex) {
+			// It does not answer.
+		}
+	}
+
+	private void tellBalancer() {
+		List<String> ready = this.cluster.entries()
+			.stream()
+			.filter((entry) -> !this.unready.contains(entry.name()))
+			.map((entry) -> "http://" + entry.listener("callers"))
+			.toList();
+		this.balancer.accept(ready.isEmpty() ? this.cluster.callers() : ready);
+	}
+
 	// -- queries
 
 	// Stops in good order that did not end in time, or not with 0.
@@ -111,7 +155,7 @@
 		entry.kill();
 		Pause.of(SEEN_AFTER);
 		this.cluster.forget(entry);
-		this.balancer.accept(this.cluster.callers());
+		tellBalancer();
 		if (!next.alive()) {
 			badStop(next.name() + " ended by itself");
 		}
@@ -127,13 +171,15 @@
 	private void replace(ManagedProcess entry) {
 		Pause.of(SEEN_AFTER);
 		this.cluster.forget(entry);
-		this.balancer.accept(this.cluster.callers());
+		tellBalancer();
 		start(entry.zone());
 	}
 
 	private ManagedProcess start(String zone) {
-		ManagedProcess next = this.cluster.startEntry("entry-" + this.lastVm.incrementAndGet(), zone);
-		this.balancer.accept(this.cluster.callers());
+		String vm = "entry-" + this.lastVm.incrementAndGet();
+		this.unready.add(vm);
+		ManagedProcess next = this.cluster.startEntry(vm, zone);
+		tellBalancer();
 		return next;
 	}
 
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Soak.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Soak.java
@@ -105,12 +105,14 @@
 		SoakFaults faults = new SoakFaults(cluster, churn, journal);
 		ConfigurationRace race = new ConfigurationRace(cluster, churn, journal);
 		Thread watch = Thread.ofVirtual().start(race::watch);
+		Thread balancer = Thread.ofVirtual().start(churn::balance);
 		draw(faults, race);
 		load.stop();
 		faults.lift();
 		Pause.of(SETTLE);
 		race.end();
 		LoadReport report = load.await();
+		balancer.interrupt();
 		await(watch);
 		List<String> invariants = invariants(cluster);
 		SoakResult result = SoakResult.of(report, SoakLogs.read(folder), churn.killed())
