Let entry.json hold the times and limits of calls to plain services

Cause: the settings of ServiceCalls stood in the code only. And nothing compared the defaults of a schema with those of its record: the entry's limit of a platform call was 2000 ms in the record and 1000 ms in the schema and on the page.

The controller's record fills its defaults in when it is made, as the entry's does. The entry's limit of a platform call is now the 1000 ms that its page says.

--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerSettings.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerSettings.java
@@ -2,8 +2,6 @@
 
 import java.time.Duration;
 
-import com.fasterxml.jackson.annotation.JsonProperty;
-
 import org.rosemaryfront.capacity.CapacitySettings;
 import org.rosemaryfront.lease.LeaseTerms;
 import org.rosemaryfront.platform.PlatformSettings;
@@ -70,25 +68,31 @@
 	 */
 	record Capacity(Integer startsAtOnce, Integer loadsAtOnce, Long backOffMillis, Long backOffLimitMillis,
 			Long drainMillis, Long serviceDrainMillis, Long bootMillis, Long unreachableMillis,
-			@JsonProperty("orderValidityMillis") Long orderValidity, Long pollMillis, Long pollPerVmMillis,
-			Double reclaimCostHours, Double busyShare) {
+			Long orderValidityMillis, Long pollMillis, Long pollPerVmMillis, Double reclaimCostHours,
+			Double busyShare) {
 
-		long orderValidityMillis() {
-			return limits().orderValidityMillis();
+		Capacity {
+			CapacitySettings standard = CapacitySettings.standard();
+			startsAtOnce = or(startsAtOnce, standard.startsAtOnce());
+			loadsAtOnce = or(loadsAtOnce, standard.loadsAtOnce());
+			backOffMillis = or(backOffMillis, standard.backOffMillis());
+			backOffLimitMillis = or(backOffLimitMillis, standard.backOffLimitMillis());
+			drainMillis = or(drainMillis, standard.drainMillis());
+			serviceDrainMillis = or(serviceDrainMillis, standard.serviceDrainMillis());
+			bootMillis = or(bootMillis, standard.bootMillis());
+			unreachableMillis = or(unreachableMillis, standard.unreachableMillis());
+			orderValidityMillis = or(orderValidityMillis, standard.orderValidityMillis());
+			pollMillis = or(pollMillis, standard.pollMillis());
+			pollPerVmMillis = or(pollPerVmMillis, standard.pollPerVmMillis());
+			reclaimCostHours = or(reclaimCostHours, standard.reclaimCostHours());
+			busyShare = or(busyShare, standard.busyShare());
 		}
 
 		CapacitySettings limits() {
-			CapacitySettings standard = CapacitySettings.standard();
-			return new CapacitySettings(or(this.startsAtOnce, standard.startsAtOnce()),
-					or(this.loadsAtOnce, standard.loadsAtOnce()), or(this.backOffMillis, standard.backOffMillis()),
-					or(this.backOffLimitMillis, standard.backOffLimitMillis()),
-					or(this.drainMillis, standard.drainMillis()),
-					or(this.serviceDrainMillis, standard.serviceDrainMillis()),
-					or(this.bootMillis, standard.bootMillis()),
-					or(this.unreachableMillis, standard.unreachableMillis()),
-					or(this.orderValidity, standard.orderValidityMillis()), or(this.pollMillis, standard.pollMillis()),
-					or(this.pollPerVmMillis, standard.pollPerVmMillis()),
-					or(this.reclaimCostHours, standard.reclaimCostHours()), or(this.busyShare, standard.busyShare()));
+			return new CapacitySettings(this.startsAtOnce, this.loadsAtOnce, this.backOffMillis,
+					this.backOffLimitMillis, this.drainMillis, this.serviceDrainMillis, this.bootMillis,
+					this.unreachableMillis, this.orderValidityMillis, this.pollMillis, this.pollPerVmMillis,
+					this.reclaimCostHours, this.busyShare);
 		}
 
 		private static <T> T or(T value, T standard) {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -39,7 +39,6 @@
 import org.rosemaryfront.platform.HttpPlatform;
 import org.rosemaryfront.platform.PlatformSettings;
 import org.rosemaryfront.program.Program;
-import org.rosemaryfront.services.ServiceCallSettings;
 import org.rosemaryfront.services.ServiceCalls;
 import org.rosemaryfront.services.ServiceServer;
 import org.rosemaryfront.serving.ServingDecisions;
@@ -128,7 +127,7 @@
 				CONTROL_INTERVAL, this.traffic::execute);
 		this.directory = new ServerDirectory(new VmId(settings.vm()), new DirectoryListener());
 		this.intake = new RequestIntake(this::configuration, this.streams, this.control::accept, this.metrics);
-		this.services = ServiceCalls.of(ServiceCallSettings.standard(new VmId(settings.vm()), settings.zone()),
+		this.services = ServiceCalls.of(settings.services().forEntry(new VmId(settings.vm()), settings.zone()),
 				this.platform, this::configuration, this::serviceServers, this.others::gone);
 		this.stop = new GracefulStop(settings.stop(), new StopSteps());
 		this.receiver = new HandoffReceiver(this.intake, this.streams, this.traffic, this.decisions,
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntrySettings.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntrySettings.java
@@ -3,6 +3,9 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.rosemaryfront.model.VmId;
+import org.rosemaryfront.platform.PlatformSettings;
+import org.rosemaryfront.services.ServiceCallSettings;
 import org.rosemaryfront.tls.TlsSettings;
 
 /**
@@ -20,10 +23,12 @@
  * @param streams how answers are kept and read
  * @param watch how backend servers are watched
  * @param engines the connections to engines
+ * @param services the calls to plain services
  * @param stop the graceful stop
  */
 public record EntrySettings(String vm, String region, String zone, Platform platform, Listener callers,
-		Operators operators, Listener peers, Limits limits, Streams streams, Watch watch, Engines engines, Stop stop) {
+		Operators operators, Listener peers, Limits limits, Streams streams, Watch watch, Engines engines,
+		Services services, Stop stop) {
 
 	public EntrySettings {
 		Objects.requireNonNull(vm, "vm is null");
@@ -37,6 +42,7 @@
 		streams = Objects.requireNonNullElse(streams, new Streams(0, 0, 0, 0, 0));
 		watch = Objects.requireNonNullElse(watch, new Watch(0, 0, 0, 0, 0, 0));
 		engines = Objects.requireNonNullElse(engines, new Engines(0, 0));
+		services = Objects.requireNonNullElse(services, new Services(0, 0, 0, 0, null, 0, 0, null, 0, null));
 		stop = Objects.requireNonNullElse(stop, new Stop(null, 0, 0, 0, 0));
 	}
 
@@ -53,7 +59,7 @@
 	public record Platform(String url, int timeoutMillis) {
 
 		public Platform {
-			timeoutMillis = or(timeoutMillis, 2_000);
+			timeoutMillis = or(timeoutMillis, (int) PlatformSettings.DEFAULT_TIMEOUT_MILLIS);
 		}
 
 	}
@@ -172,6 +178,49 @@
 
 	}
 
+	/**
+	 * The calls to plain services.
+	 *
+	 * @param callMillis the time from the arrival of a call to its final answer, in
+	 * milliseconds
+	 * @param storeMillis the part of it kept for storing the outcome, in milliseconds
+	 * @param connectMillis the time to open a connection, in milliseconds
+	 * @param waitMillis how long a repeat waits for the running call, in milliseconds
+	 * @param groupMillis how long a claim write waits for others to share its
+	 * transaction, in milliseconds; 0 sends each alone
+	 * @param requestBytes the largest body of a call, in bytes
+	 * @param answerBytes the largest answer of a call that is not idempotent, in bytes
+	 * @param outcomeBytes the largest answer kept for repeats, in bytes
+	 * @param openCalls the greatest number of open calls that are not idempotent
+	 * @param retriesPerCall the greatest number of further backend servers tried
+	 */
+	public record Services(int callMillis, int storeMillis, int connectMillis, int waitMillis, Integer groupMillis,
+			int requestBytes, int answerBytes, Integer outcomeBytes, int openCalls, Integer retriesPerCall) {
+
+		public Services {
+			callMillis = or(callMillis, 20_000);
+			storeMillis = or(storeMillis, 2_000);
+			connectMillis = or(connectMillis, 1_000);
+			waitMillis = or(waitMillis, 15_000);
+			groupMillis = Objects.requireNonNullElse(groupMillis, 3);
+			requestBytes = or(requestBytes, 1024 * 1024);
+			answerBytes = or(answerBytes, 4 * 1024 * 1024);
+			outcomeBytes = Objects.requireNonNullElse(outcomeBytes, 64 * 1024);
+			openCalls = or(openCalls, 4_000);
+			retriesPerCall = Objects.requireNonNullElse(retriesPerCall, 2);
+			if (storeMillis >= callMillis) {
+				throw new IllegalArgumentException("/services/storeMillis: must be less than callMillis");
+			}
+		}
+
+		ServiceCallSettings forEntry(VmId vm, String zone) {
+			return new ServiceCallSettings(vm, zone, this.callMillis, this.storeMillis, this.connectMillis,
+					this.waitMillis, this.groupMillis, this.requestBytes, this.answerBytes, this.outcomeBytes,
+					this.openCalls, this.retriesPerCall);
+		}
+
+	}
+
 	/**
 	 * The graceful stop.
 	 *
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCallSettings.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCallSettings.java
@@ -35,15 +35,4 @@
 		}
 	}
 
-	/**
-	 * The settings that hold when nothing is said.
-	 * @param vm the VM of this entry
-	 * @param zone the availability zone of this entry
-	 * @return 20 s for a call, 2 s of them for storing, 1 s for a connection, 3 ms for
-	 * grouping, 1 MiB for a call, 4 MiB for an answer, 64 KiB for a kept one
-	 */
-	public static ServiceCallSettings standard(VmId vm, String zone) {
-		return new ServiceCallSettings(vm, zone, 20_000, 2_000, 1_000, 15_000, 3, 1 << 20, 4 << 20, 64 << 10, 4_000, 2);
-	}
-
 }
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/EntryProcessTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/EntryProcessTests.java
@@ -114,7 +114,7 @@
 		EntrySettings.Listener listener = new EntrySettings.Listener("127.0.0.1", 0, null);
 		return new EntrySettings("entry-a", "tn-north", "tunis-a", new EntrySettings.Platform(this.standin.url(), 0),
 				listener, new EntrySettings.Operators("127.0.0.1", 0, List.of(CallerKeys.hash(OPERATOR_KEY)), null),
-				listener, null, null, new EntrySettings.Watch(50, 50, 1_000, 0, 0, 0), null,
+				listener, null, null, new EntrySettings.Watch(50, 50, 1_000, 0, 0, 0), null, null,
 				new EntrySettings.Stop(0, 200, 200, 50, 1_000));
 	}
 
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/TestEntry.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/TestEntry.java
@@ -109,7 +109,7 @@
 		EntrySettings.Listener listener = new EntrySettings.Listener("127.0.0.1", 0, null);
 		return new EntrySettings(name, "tn-north", "tunis-a", new EntrySettings.Platform("http://127.0.0.1:1", 0),
 				listener, new EntrySettings.Operators("127.0.0.1", 0, List.of(), null), listener, limits, streams, null,
-				null, null);
+				null, null, null);
 	}
 
 	private static Configuration configuration() {
