Write problems and hashes in one place each

Cause: callers, plain services and operators each wrote the problem document and its headers, and they had drifted: plain services left retryAfterSeconds out, operators sent no WWW-Authenticate.

Change: ProblemDocument (package problems) is the one form, read and sent; Sha256 (package keys) the one hash. ConfigurationReader is left: its reads are conditional on what the process knows.

ServiceCallsTests now asserts retryAfterSeconds in the answer to a plain service's caller.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AnswerWriter.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/AnswerWriter.java
@@ -15,7 +15,7 @@
 import reactor.netty.http.server.HttpServerResponse;
 
 import org.rosemaryfront.model.Problem;
-import org.rosemaryfront.model.ProblemCode;
+import org.rosemaryfront.problems.ProblemDocument;
 
 /**
  * Writes answers, documents and problems to callers.
@@ -85,7 +85,7 @@
 			case AnswerEvent.Finished finished ->
 				CompletionDocuments.end(source.head().get(), sent.tokens, finished.reason(), source.includeUsage());
 			case AnswerEvent.Failed failed ->
-				"event: error\ndata: " + ProblemDocument.write(failed.problem(), source.id()) + "\n\n";
+				"event: error\ndata: " + ProblemDocument.of(failed.problem(), source.id()) + "\n\n";
 			case AnswerEvent.Moved _ -> "";
 		};
 	}
@@ -156,17 +156,10 @@
 	 * @return when it is written
 	 */
 	static Mono<Void> problem(HttpServerResponse response, Problem problem, String request) {
-		response.status(problem.code().status()).header(HttpHeaderNames.CONTENT_TYPE, ProblemDocument.MEDIA_TYPE);
 		if (!request.isEmpty()) {
 			response.header(REQUEST_ID, request);
 		}
-		if (problem.code() == ProblemCode.UNAUTHENTICATED) {
-			response.header(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
-		}
-		problem.retryAfter()
-			.ifPresent((delay) -> response.header(HttpHeaderNames.RETRY_AFTER,
-					String.valueOf(ProblemDocument.retrySeconds(delay))));
-		return send(response, ProblemDocument.write(problem, request));
+		return ProblemDocument.send(response, problem, request);
 	}
 
 	private static Mono<Void> send(HttpServerResponse response, String text) {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerKeys.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerKeys.java
@@ -2,11 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 
+import org.rosemaryfront.keys.Sha256;
 import org.rosemaryfront.model.Configuration;
 import org.rosemaryfront.model.Resource.Organisation;
 
@@ -65,13 +64,7 @@
 	 * @return the SHA-256 hash in lower case hexadecimal
 	 */
 	static String hash(String key) {
-		try {
-			byte[] digest = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-			return HexFormat.of().formatHex(digest);
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException(ex);
-		}
+		return Sha256.hex(key);
 	}
 
 	private record Entry(byte[] hash, Organisation organisation) {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffReceiver.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffReceiver.java
@@ -20,6 +20,7 @@
 import org.rosemaryfront.peer.proto.HandoffReply;
 import org.rosemaryfront.peer.proto.ResultRead;
 import org.rosemaryfront.peer.proto.ResultTokens;
+import org.rosemaryfront.problems.ProblemDocument;
 import org.rosemaryfront.serving.ServingEvent;
 
 /**
@@ -157,7 +158,7 @@
 			case AnswerEvent.Token token -> frame.setOffset(token.index()).addTokens(token.text());
 			case AnswerEvent.Finished finished -> frame.setComplete(true).setFinishReason(finished.reason());
 			case AnswerEvent.Failed failed ->
-				frame.setProblem(ProblemDocument.write(failed.problem(), request.id().value()));
+				frame.setProblem(ProblemDocument.of(failed.problem(), request.id().value()).toString());
 			case AnswerEvent.Heartbeat _, AnswerEvent.Moved _ -> {
 			}
 		}
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ResultReader.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ResultReader.java
@@ -12,6 +12,7 @@
 import org.rosemaryfront.model.RequestId;
 import org.rosemaryfront.peer.proto.ResultRead;
 import org.rosemaryfront.peer.proto.ResultTokens;
+import org.rosemaryfront.problems.ProblemDocument;
 
 /**
  * Finds the answer to a request for a caller that came back: here, else at the peer that
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/operators/OperatorDocuments.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/operators/OperatorDocuments.java
@@ -20,6 +20,7 @@
 import org.rosemaryfront.model.ResourceCodec;
 import org.rosemaryfront.model.ResourceKey;
 import org.rosemaryfront.peer.MemberView;
+import org.rosemaryfront.problems.ProblemDocument;
 
 /**
  * The JSON documents that operators read; docs/INTERFACES.md gives their forms.
@@ -120,7 +121,7 @@
 	// -- errors
 
 	static ObjectNode conflict(ApplyOutcome.Conflict conflict, Problem problem) {
-		ObjectNode document = problem(problem);
+		ObjectNode document = ProblemDocument.of(problem, "");
 		document.put("revision", conflict.revision());
 		ArrayNode changed = document.putArray("changed");
 		conflict.changed()
@@ -130,21 +131,12 @@
 	}
 
 	static ObjectNode invalid(List<String> errors, Problem problem) {
-		ObjectNode document = problem(problem);
+		ObjectNode document = ProblemDocument.of(problem, "");
 		ArrayNode items = document.putArray("errors");
 		errors.forEach(items::add);
 		return document;
 	}
 
-	static ObjectNode problem(Problem problem) {
-		return object().put("type", "about:blank")
-			.put("title", problem.code().code().replace('-', ' '))
-			.put("status", problem.code().status())
-			.put("code", problem.code().code())
-			.put("verdict", problem.verdict().code())
-			.put("detail", problem.detail());
-	}
-
 	// -- watch
 
 	static ObjectNode bookmark(long revision) {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/operators/OperatorKeys.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/operators/OperatorKeys.java
@@ -1,12 +1,12 @@
 package org.rosemaryfront.operators;
 
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 
+import org.rosemaryfront.keys.Sha256;
+
 /**
  * The keys that operators prove themselves with; only their hashes are known.
  */
@@ -38,7 +38,7 @@
 		if (header == null || !header.startsWith(SCHEME)) {
 			return Optional.empty();
 		}
-		byte[] hash = sha256(header.substring(SCHEME.length()));
+		byte[] hash = Sha256.bytes(header.substring(SCHEME.length()));
 		boolean known = false;
 		for (byte[] candidate : this.hashes) {
 			known |= MessageDigest.isEqual(candidate, hash);
@@ -46,13 +46,4 @@
 		return known ? Optional.of(HexFormat.of().formatHex(hash).substring(0, LABEL_LENGTH)) : Optional.empty();
 	}
 
-	private static byte[] sha256(String text) {
-		try {
-			return MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
-
 }
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/operators/OperatorServer.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/operators/OperatorServer.java
@@ -42,6 +42,7 @@
 import org.rosemaryfront.model.RosemaryException;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.model.VmId;
+import org.rosemaryfront.problems.ProblemDocument;
 import org.rosemaryfront.tls.TlsContexts;
 
 /**
@@ -301,18 +302,14 @@
 	// -- answers
 
 	private static Mono<Void> send(HttpServerResponse response, int status, ObjectNode document) {
-		return send(response, status, "application/json", document);
-	}
-
-	private static Mono<Void> send(HttpServerResponse response, int status, String type, ObjectNode document) {
 		return response.status(status)
-			.header(HttpHeaderNames.CONTENT_TYPE, type)
+			.header(HttpHeaderNames.CONTENT_TYPE, "application/json")
 			.sendString(Mono.just(OperatorDocuments.text(document)))
 			.then();
 	}
 
 	private static Mono<Void> send(HttpServerResponse response, Problem problem) {
-		return sendProblem(response, problem, OperatorDocuments.problem(problem));
+		return ProblemDocument.send(response, problem, "");
 	}
 
 	private static Mono<Void> sendFailure(HttpServerRequest request, HttpServerResponse response, Throwable failure) {
@@ -330,22 +327,15 @@
 			case ApplyOutcome.Conflict conflict -> {
 				Problem problem = Problem.notRun(ProblemCode.CONFLICT, "another change came first: "
 						+ String.join(", ", conflict.changed().stream().map((one) -> one.key().toString()).toList()));
-				yield sendProblem(response, problem, OperatorDocuments.conflict(conflict, problem));
+				yield ProblemDocument.send(response, problem, OperatorDocuments.conflict(conflict, problem));
 			}
 			case ApplyOutcome.Invalid invalid -> {
 				Problem problem = Problem.notRun(ProblemCode.INVALID_DECLARATION, String.join("; ", invalid.errors()));
-				yield sendProblem(response, problem, OperatorDocuments.invalid(invalid.errors(), problem));
+				yield ProblemDocument.send(response, problem, OperatorDocuments.invalid(invalid.errors(), problem));
 			}
 		};
 	}
 
-	private static Mono<Void> sendProblem(HttpServerResponse response, Problem problem, ObjectNode document) {
-		problem.retryAfter()
-			.ifPresent((wait) -> response.header(HttpHeaderNames.RETRY_AFTER,
-					Long.toString((wait.toMillis() + 999) / 1000)));
-		return send(response, problem.code().status(), "application/problem+json", document);
-	}
-
 	/**
 	 * A configuration and where it came from.
 	 *
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCall.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCall.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.Locale;
 import java.util.Objects;
@@ -12,6 +11,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 
+import org.rosemaryfront.keys.Sha256;
 import org.rosemaryfront.model.Resource;
 
 /**
@@ -59,7 +59,7 @@
 	 * @return the SHA-256 in hexadecimal of method, path, content type and body
 	 */
 	String fingerprint() {
-		MessageDigest digest = sha256();
+		MessageDigest digest = Sha256.digest();
 		String type = Objects.requireNonNullElse(this.headers.get("Content-Type"), "");
 		String head = this.method.name() + "\n" + this.path + "\n" + type + "\n";
 		digest.update(head.getBytes(StandardCharsets.UTF_8));
@@ -72,8 +72,7 @@
 	 * @return organisation, pool and the hash of the key
 	 */
 	String claimKey(String idempotencyKey) {
-		byte[] hash = sha256().digest(idempotencyKey.getBytes(StandardCharsets.UTF_8));
-		return this.organisation + "/" + this.pool + "/" + HexFormat.of().formatHex(hash);
+		return this.organisation + "/" + this.pool + "/" + Sha256.hex(idempotencyKey);
 	}
 
 	/**
@@ -110,13 +109,4 @@
 			.collect(java.util.stream.Collectors.toSet());
 	}
 
-	private static MessageDigest sha256() {
-		try {
-			return MessageDigest.getInstance("SHA-256");
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
-
 }
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCalls.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCalls.java
@@ -31,6 +31,7 @@
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.model.VmId;
 import org.rosemaryfront.platform.TableClient;
+import org.rosemaryfront.problems.ProblemDocument;
 
 /**
  * Passes callers' calls on to plain services; a call that is not idempotent runs at most
@@ -134,7 +135,7 @@
 			.find(Resource.Pool.class, pool)
 			.filter((found) -> found.serves() == Resource.Serves.SERVICE);
 		if (service.isEmpty()) {
-			return ProblemAnswer.send(response, Problem.notRun(ProblemCode.NOT_FOUND, "no such service"), id);
+			return ProblemDocument.send(response, Problem.notRun(ProblemCode.NOT_FOUND, "no such service"), id);
 		}
 		this.open.incrementAndGet();
 		return body(request).flatMap((body) -> {
@@ -143,7 +144,7 @@
 			return call.idempotent(service.get()) ? stream(call, response)
 					: once(call, Optional.ofNullable(request.requestHeaders().get("Idempotency-Key")), response);
 		})
-			.onErrorResume(RosemaryException.class, (ex) -> ProblemAnswer.send(response, ex.problem(), id))
+			.onErrorResume(RosemaryException.class, (ex) -> ProblemDocument.send(response, ex.problem(), id))
 			.doFinally((_) -> this.open.decrementAndGet());
 	}
 
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceCallsTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceCallsTests.java
@@ -120,7 +120,7 @@
 	void shouldRefuseAtOnceWhenStoreIsDown() {
 		this.tables.refuse((_) -> true);
 		Answer answer = call(HttpMethod.POST, "/bookings", "key-5", "villa-5");
-		assertThat(answer.body()).contains("storage-unavailable", "\"verdict\":\"not-run\"");
+		assertThat(answer.body()).contains("storage-unavailable", "\"retryAfterSeconds\":1", "\"verdict\":\"not-run\"");
 		assertThat(this.booking.runs("villa-5")).isZero();
 	}
 
