Tell the decisions of the stop, and hand failed answers over

Cause: nothing sent StopRequested, so the serving decisions never learned of a stop. And a stopping entry handed over open and whole answers only: a caller that came back for a failed one read 404, as if its request had never been accepted.

Change: the stop tells the decisions when the time of the balancer is over (earlier they would refuse what the balancer still sends). An answer that failed and whose caller knows the identifier is handed over with its problem document; Handoff has the field "problem" for it.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -399,6 +399,11 @@
 
 	private final class StopSteps implements GracefulStop.Steps {
 
+		@Override
+		public void acceptNothing() {
+			EntryProcess.this.control.accept(new ServingEvent.StopRequested());
+		}
+
 		@Override
 		public void failRest() {
 			EntryProcess.this.streams.failOpen();
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/GracefulStop.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/GracefulStop.java
@@ -80,6 +80,7 @@
 		EventLog.info(ServingEvents.STOP_STARTED, "acceptMillis", this.settings.acceptMillis());
 		sleep(withinNotice(this.settings.acceptMillis(), HANDOVER_SHARE / 2));
 		this.phase = ProcessPhase.DRAINING;
+		this.steps.acceptNothing();
 		EventLog.info(ServingEvents.STOP_DRAINING, "drainMillis", this.settings.drainMillis());
 		await(this.steps::drained, withinNotice(this.settings.drainMillis(), HANDOVER_SHARE));
 		handOverUntilDrained();
@@ -135,6 +136,9 @@
 	/** What the stop does with the rest of the process. */
 	interface Steps {
 
+		/** Refuses every new request from now on as not run. */
+		void acceptNothing();
+
 		/** Gives every request that is still open its final answer. */
 		void failRest();
 
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffReceiver.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffReceiver.java
@@ -106,7 +106,7 @@
 				stream.request().epoch(), "complete", handoff.getComplete());
 		this.decisions.add(id, "adopted tokens=" + stream.size() + " epoch=" + stream.request().epoch());
 		if (handoff.getComplete()) {
-			stream.finishAdopted(handoff.getFinishReason());
+			end(stream, handoff);
 			return;
 		}
 		if (!handoff.getAttempt().isEmpty()) {
@@ -116,6 +116,15 @@
 		this.control.accept(new ServingEvent.RequestAdopted(id, stream.request().spec(), stream.size()));
 	}
 
+	private static void end(AnswerStream stream, Handoff handoff) {
+		if (handoff.getProblem().isEmpty()) {
+			stream.finishAdopted(handoff.getFinishReason());
+		}
+		else {
+			stream.fail(ProblemDocument.read(handoff.getProblem()));
+		}
+	}
+
 	private static HandoffReply refused(String reason) {
 		return HandoffReply.newBuilder().setReason(reason).build();
 	}
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffSender.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffSender.java
@@ -20,6 +20,7 @@
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.peer.proto.Handoff;
 import org.rosemaryfront.peer.proto.HandoffReply;
+import org.rosemaryfront.problems.ProblemDocument;
 import org.rosemaryfront.serving.ServingEvent;
 
 /**
@@ -73,13 +74,21 @@
 		}
 		List<AnswerStream> held = this.streams.all()
 			.stream()
-			.filter((stream) -> stream.isOpen()
-					|| stream.ending().filter(AnswerEvent.Finished.class::isInstance).isPresent())
+			.filter(HandoffSender::wanted)
 			.sorted(Comparator.comparing((AnswerStream stream) -> !stream.isOpen()))
 			.toList();
 		return Flux.fromIterable(held).flatMap((stream) -> handOver(stream, limit), CONCURRENT).then();
 	}
 
+	// A caller that knows the identifier may come back for the problem of a failed
+	// answer;
+	// any other caller has read it on its connection.
+	private static boolean wanted(AnswerStream stream) {
+		return stream.isOpen() || stream.ending()
+			.filter((last) -> last instanceof AnswerEvent.Finished || stream.canResume())
+			.isPresent();
+	}
+
 	private Mono<Void> handOver(AnswerStream stream, Duration limit) {
 		Optional<AdoptedAttempt> attempt = this.traffic.release(stream.request().id());
 		Optional<List<String>> tokens = stream.freeze();
@@ -150,8 +159,12 @@
 			.setServer(running.server().value())
 			.setServerAddress(running.address()));
 		stream.ending().ifPresent((last) -> {
-			if (last instanceof AnswerEvent.Finished finished) {
-				handoff.setComplete(true).setFinishReason(finished.reason());
+			switch (last) {
+				case AnswerEvent.Finished finished -> handoff.setComplete(true).setFinishReason(finished.reason());
+				case AnswerEvent.Failed failed -> handoff.setComplete(true)
+					.setProblem(ProblemDocument.of(failed.problem(), request.id().value()).toString());
+				case AnswerEvent.Heartbeat _, AnswerEvent.Moved _, AnswerEvent.Token _ -> {
+				}
 			}
 		});
 		return handoff.build();
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/HandoffTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/HandoffTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.rosemaryfront.entry.Caller.Events;
+import org.rosemaryfront.model.ProblemCode;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -126,6 +127,25 @@
 		}
 	}
 
+	/**
+	 * A caller's connection breaks, its answer fails, and then its entry stops. The
+	 * caller comes back to another entry and must read why; it read 404, which says that
+	 * the request was never accepted.
+	 */
+	@Test
+	void shouldTellProblemAtOtherEntryWhenAnswerFailedBeforeStop() {
+		this.engine.openGate(4);
+		try (Events events = Caller.stream(this.leaving, Caller.chat(12, true)).read(4)) {
+			events.close();
+			this.leaving.streams().failOpen();
+			this.leaving.stopGracefully();
+			HttpResponse<String> rest = Caller.get(this.third, "/v1/results/" + events.id(), TestEntry.KEY);
+			assertThat(rest.statusCode()).isEqualTo(ProblemCode.INTERRUPTED.status());
+			assertThat(Caller.json(rest.body()).path("code").asText()).isEqualTo("interrupted");
+			assertThat(Caller.json(rest.body()).path("verdict").asText()).isEqualTo("may-have-run");
+		}
+	}
+
 	@Test
 	void shouldRefuseNewRequestsAsNotRunAfterDrainBegan() {
 		this.leaving.stopGracefully();
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/TestEntry.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/TestEntry.java
@@ -253,6 +253,11 @@
 
 	private final class Steps implements GracefulStop.Steps {
 
+		@Override
+		public void acceptNothing() {
+			TestEntry.this.control.accept(new ServingEvent.StopRequested());
+		}
+
 		@Override
 		public void failRest() {
 			TestEntry.this.streams.failOpen();
