--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/RoutingCost.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/RoutingCost.java
@@ -67,7 +67,7 @@
 
 	double of(Server server) {
 		double failed = (server.avoidUntilNanos > this.nowNanos || server.id.equals(this.request.avoid)) ? FAILED : 0;
-		failed += (this.state.has(ServingFeature.ZONES) && this.state.servers.zoneLeaves(server)) ? ZONE_LEAVES : 0;
+		failed += zoneLeaves(server) ? ZONE_LEAVES : 0;
 		if (!this.state.has(ServingFeature.AFFINITY)) {
 			return failed + balance(server);
 		}
@@ -78,6 +78,13 @@
 				+ this.streamSeconds * balance(server) * slowness(server));
 	}
 
+	// A stream that has moved once should not have to move again, so it goes to no zone
+	// that
+	// is leaving; fresh requests are short and use what is left there.
+	private boolean zoneLeaves(Server server) {
+		return this.state.has(ServingFeature.ZONES) && this.request.begun() && this.state.servers.zoneLeaves(server);
+	}
+
 	// How many times longer than the median of the pool its tokens take.
 	private double slowness(Server server) {
 		if (!this.state.has(ServingFeature.SLOW_SERVERS) || this.medianTokenNanos <= 0) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingFeature.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingFeature.java
@@ -42,7 +42,7 @@
 	/** Backend servers that run behind the median of their pool get less. */
 	SLOW_SERVERS,
 
-	/** Availability zones that are leaving get no new work while others have room. */
+	/** Streams that move go to no availability zone that is leaving while others live. */
 	ZONES,
 
 	/** Retries are limited to a share of the fresh work. */
