Serve the controller's listeners over TLS when its settings say so

Cause: the entry's listeners take a "tls" object, the controller's did not, so a deployment with TLS among entries had controllers that no entry heard and a status page in the clear.

Change: "tls" in "peers" and "status" of controller.json, as in entry.json.

--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerProgram.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerProgram.java
@@ -2,6 +2,7 @@
 
 import java.security.SecureRandom;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 
@@ -15,6 +16,8 @@
 import org.rosemaryfront.peer.PeerSettings;
 import org.rosemaryfront.platform.HttpPlatform;
 import org.rosemaryfront.program.Program;
+import org.rosemaryfront.tls.TlsContexts;
+import org.rosemaryfront.tls.TlsSettings;
 
 /**
  * The program {@code rosemaryfront-controller}: one runs on every entry VM, and the one
@@ -36,7 +39,13 @@
 
 	private final StatusServer status;
 
+	private final Optional<TlsContexts> peerTls;
+
+	private final Optional<TlsContexts> statusTls;
+
 	private ControllerProgram(ControllerSettings settings) {
+		this.peerTls = tls(settings.peers().tls());
+		this.statusTls = tls(settings.status().tls());
 		this.platform = HttpPlatform.of(settings.platform());
 		this.engines = HttpEngineClient.of(new EngineClientSettings(ENGINE_CONNECT_MILLIS, ENGINE_SILENCE_MILLIS));
 		AtomicReference<PeerNode> node = new AtomicReference<>();
@@ -50,9 +59,20 @@
 				announce, () -> controllers(node.get())), new SecureRandom().nextLong());
 		PeerSettings member = PeerSettings.of(new VmId(settings.vm()), settings.region(), settings.zone(),
 				PeerSettings.CONTROLLER, settings.peers().host(), settings.peers().port());
-		this.peers = PeerNode.start(member, this.platform, this.platform, handler(this.controller));
+		this.peers = PeerNode.start(this.peerTls.map((tls) -> member.withTls(tls::server, tls::client)).orElse(member),
+				this.platform, this.platform, handler(this.controller));
 		node.set(this.peers);
-		this.status = StatusServer.start(settings.status(), this.controller, this.peers::fresh);
+		this.status = StatusServer.start(settings.status(),
+				(listener) -> this.statusTls.map((tls) -> tls.secure(listener)).orElse(listener), this.controller,
+				this.peers::fresh);
+	}
+
+	static ControllerProgram start(ControllerSettings settings) {
+		return new ControllerProgram(settings);
+	}
+
+	private static Optional<TlsContexts> tls(TlsSettings settings) {
+		return settings.enabled() ? Optional.of(TlsContexts.start(settings)) : Optional.empty();
 	}
 
 	/**
@@ -61,7 +81,7 @@
 	 */
 	public static void main(String[] args) {
 		Program.run("rosemaryfront-controller", args, "/schema/controller.json", ControllerSettings.class,
-				ControllerProgram::new);
+				ControllerProgram::start);
 	}
 
 	private static int controllers(PeerNode node) {
@@ -97,6 +117,8 @@
 		this.controller.close();
 		this.peers.close();
 		this.status.close();
+		this.peerTls.ifPresent(TlsContexts::close);
+		this.statusTls.ifPresent(TlsContexts::close);
 		this.engines.close();
 		this.platform.close();
 	}
--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerSettings.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/ControllerSettings.java
@@ -5,6 +5,7 @@
 import org.rosemaryfront.capacity.CapacitySettings;
 import org.rosemaryfront.lease.LeaseTerms;
 import org.rosemaryfront.platform.PlatformSettings;
+import org.rosemaryfront.tls.TlsSettings;
 
 /**
  * The settings of the controller; the schema gives units, defaults and reasons.
@@ -32,8 +33,14 @@
 	 *
 	 * @param host an IP number
 	 * @param port the port, 0 to let the system choose
+	 * @param tls the TLS of the listener
 	 */
-	record Listener(String host, int port) {
+	record Listener(String host, int port, TlsSettings tls) {
+
+		Listener {
+			tls = (tls != null) ? tls : TlsSettings.none();
+		}
+
 	}
 
 	/**
--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/StatusServer.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/StatusServer.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 
 import com.codahale.metrics.json.MetricsModule;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -32,11 +33,11 @@
 		this.server = server;
 	}
 
-	static StatusServer start(ControllerSettings.Listener listener, Controller controller, BooleanSupplier ready) {
+	static StatusServer start(ControllerSettings.Listener listener, UnaryOperator<HttpServer> secured,
+			Controller controller, BooleanSupplier ready) {
 		controller.metrics().gauge("invariants.broken", () -> Invariants::broken);
-		return new StatusServer(HttpServer.create()
-			.host(listener.host())
-			.port(listener.port())
+		HttpServer server = HttpServer.create().host(listener.host()).port(listener.port());
+		return new StatusServer(secured.apply(server)
 			.route((routes) -> routes.get("/healthz", (_, response) -> json(response, Map.of("status", "up")))
 				.get("/readyz",
 						(_, response) -> ready.getAsBoolean() ? json(response, Map.of("status", "ready"))
