End an entry that stopped because its VM is reclaimed

Cause: after the notice for its own VM an entry drained and then stayed, without anything to do, until the VM ended; nothing tested an own reclaim over the stand-in platform.

Change: a program may say that it has stopped of itself; it then ends with 0 by way of the same hook as for SIGTERM. The entry says so once the stop that its reclaim began has run. The stand-in platform gives notices for entry VMs already.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import java.util.function.IntSupplier;
@@ -184,6 +185,11 @@
 				this.peers.address());
 	}
 
+	@Override
+	public CompletionStage<Void> finished() {
+		return this.stop.reclaimed();
+	}
+
 	/**
 	 * Stops in good order: finishes or hands over everything accepted.
 	 */
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/GracefulStop.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/GracefulStop.java
@@ -1,6 +1,8 @@
 package org.rosemaryfront.entry;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
@@ -30,6 +32,8 @@
 
 	private final AtomicBoolean begun = new AtomicBoolean();
 
+	private final CompletableFuture<Void> reclaimed = new CompletableFuture<>();
+
 	private final EntrySettings.Stop settings;
 
 	private final Steps steps;
@@ -61,12 +65,23 @@
 		}
 		if (!this.begun.get()) {
 			EventLog.info(ServingEvents.OWN_RECLAIM, "remainingMillis", remainingMillis);
-			Thread thread = new Thread(this::run, "reclaim");
+			Thread thread = new Thread(() -> {
+				run();
+				this.reclaimed.complete(null);
+			}, "reclaim");
 			thread.setDaemon(true);
 			thread.start();
 		}
 	}
 
+	/**
+	 * Completes when the stop that a reclaim began has run.
+	 * @return the end of that stop
+	 */
+	CompletionStage<Void> reclaimed() {
+		return this.reclaimed;
+	}
+
 	/**
 	 * Runs the stop up to the point where nothing is held here any more; a second call
 	 * waits for the first.
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/EntryProcessTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/EntryProcessTests.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -87,6 +88,28 @@
 		assertThat(repeat.body()).contains("\"verdict\":\"may-have-run\"", "its outcome is unknown");
 	}
 
+	/**
+	 * The cloud reclaims an entry's VM. The entry learns it from the notices, goes not
+	 * ready, gives away what it holds and ends of itself before the VM does; it stopped
+	 * and then stayed, so that its supervisor took the end of the VM for a crash.
+	 */
+	@Test
+	void shouldEndWithinNoticeWhenItsVmIsReclaimed() {
+		reclaim("entry-a", 20_000);
+		this.entry.finished().toCompletableFuture().orTimeout(LIMIT.toSeconds(), TimeUnit.SECONDS).join();
+		assertThat(vmList()).as("the VM has not ended yet").contains("entry-a");
+		assertThat(callers("/readyz").statusCode()).isEqualTo(503);
+		assertThat(callers("/services/booking/sheets").body()).contains("\"verdict\":\"not-run\"", "stopping");
+	}
+
+	private void reclaim(String vm, long noticeMillis) {
+		HttpResponse<String> reclaimed = Caller
+			.send(HttpRequest.newBuilder(URI.create(this.standin.url() + "/standin/v1/reclaims"))
+				.POST(BodyPublishers.ofString("{\"vm\":\"" + vm + "\",\"noticeMillis\":" + noticeMillis + "}"))
+				.build());
+		assertThat(reclaimed.body()).contains(vm);
+	}
+
 	private void list(String vm, String address) {
 		HttpResponse<String> listed = Caller
 			.send(HttpRequest.newBuilder(URI.create(this.standin.url() + "/standin/v1/entries"))
@@ -96,6 +119,10 @@
 		assertThat(listed.statusCode()).isLessThan(300);
 	}
 
+	private String vmList() {
+		return Caller.send(HttpRequest.newBuilder(URI.create(this.standin.url() + "/vmlist/v1/vms")).build()).body();
+	}
+
 	private HttpResponse<String> callers(String path) {
 		return Caller.send(request("callers", path, TestEntry.KEY).build());
 	}
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
@@ -2,6 +2,8 @@
 
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
@@ -108,6 +110,8 @@
 				Runtime.getRuntime().halt(0);
 			}
 		}, "stop"));
+		// The shutdown hook runs on threads of its own and closes the program.
+		running.finished().thenRunAsync(() -> System.exit(0));
 		printReady(name, running.listeners());
 		EventLog.info(ProgramEvents.PROGRAM_READY, "program", name, "listeners", running.listeners());
 		stopped.await();
@@ -132,6 +136,15 @@
 		 */
 		Map<String, String> listeners();
 
+		/**
+		 * Completes when the program has stopped of itself, such as after the notice that
+		 * its VM is reclaimed; it then ends with 0.
+		 * @return a stage that never completes for a program that only stops when told
+		 */
+		default CompletionStage<Void> finished() {
+			return new CompletableFuture<>();
+		}
+
 		@Override
 		void close();
 
