Keep an old model version until its streams have ended

Cause: the order that drops an old version went out as soon as the new one was loaded; an engine may cut off what still runs on the version it drops.

Change: the engine's state tells the streams on each version; the controller sends the drop when none runs on what goes, or when the drain limit has passed. An engine that does not tell is waited for until nothing runs on it, with the same limit. A successor starts the wait anew and adopts the engine with both versions. The stand-in engine runs new streams on the newest loaded version, finishes those of a dropped one and counts them by version. The reader of the engine protocol ignores fields it does not know, so that an engine updated first does not look silent.

Shown without the guard: with the drop sent at once both cases of shouldKeepOldVersionWhenStreamsRunOnIt and of shouldDropOldVersionWhenLimitPasses failed; with new streams on the oldest version shouldFinishStreamsOfDroppedVersionAndCountThemByVersion failed. Not shown across processes.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/OrderSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/OrderSystem.java
@@ -8,8 +8,9 @@
 /**
  * Orders model engines to the declared state. An order states the whole wanted state, so
  * that repeating it is harmless. A new version is loaded beside the old one, which is
- * dropped only after the new one is there, one zone at a time, so that capacity holds. No
- * more than a bounded number of engines load at a time, for the weight store's rate.
+ * dropped only after the new one is there, one zone at a time, so that capacity holds.
+ * The old one stays until no stream runs on it or the drain's limit has passed. No more
+ * than a bounded number of engines load at a time, for the weight store's rate.
  */
 final class OrderSystem {
 
@@ -28,7 +29,7 @@
 				if (!row.isRunning() || row.exchanging || !tables.isKnown(pool, row)) {
 					continue;
 				}
-				Need need = need(tables, pool, row);
+				Need need = need(tables, pool, row, nowNanos);
 				boolean waits = need == Need.LOAD && (loads <= 0 || (isUpdate(row) && !row.zone().equals(updating)));
 				if (need == Need.NOTHING || waits) {
 					continue;
@@ -61,7 +62,7 @@
 			.count();
 	}
 
-	private static Need need(CapacityTables tables, PoolRow pool, VmRow row) {
+	private static Need need(CapacityTables tables, PoolRow pool, VmRow row, long nowNanos) {
 		ServerState state = row.actual.orElseThrow();
 		if (row.draining) {
 			return (state.draining() && state.fence() >= tables.fence) ? Need.NOTHING : Need.DRAIN;
@@ -71,13 +72,33 @@
 					&& row.ordered.equals(wanted(pool));
 			return underWay ? Need.NOTHING : Need.LOAD;
 		}
-		boolean extra = state.models().size() > pool.models.size() || state.adapters().size() > pool.adapters.size();
-		if (extra) {
+		if (mayDrop(tables, pool, row, nowNanos)) {
 			return Need.DROP;
 		}
 		return (state.fence() < tables.fence) ? Need.ADOPT : Need.NOTHING;
 	}
 
+	// Whether there are old versions and they may go. An engine that drops a version may
+	// cut off its streams, which callers see as broken answers: they are waited for, but
+	// not longer than the drain's limit, so that one endless stream can't hold the memory
+	// of a version for good.
+	private static boolean mayDrop(CapacityTables tables, PoolRow pool, VmRow row, long nowNanos) {
+		ServerState state = row.actual.orElseThrow();
+		List<String> old = new ArrayList<>(state.models());
+		old.addAll(state.adapters());
+		old.removeAll(pool.models);
+		old.removeAll(pool.adapters);
+		if (old.isEmpty()) {
+			row.oldVersionsSinceNanos = 0;
+			return false;
+		}
+		if (row.oldVersionsSinceNanos == 0) {
+			row.oldVersionsSinceNanos = nowNanos;
+		}
+		return !state.mayRunOn(old)
+				|| DrainSystem.isOver(row.oldVersionsSinceNanos, tables.settings.drainMillis(), nowNanos);
+	}
+
 	private static boolean lacks(PoolRow pool, ServerState state) {
 		return !state.models().containsAll(pool.models) || !state.adapters().containsAll(pool.adapters);
 	}
@@ -109,7 +130,7 @@
 			return new CapacityCommand.Order(row.id, address, state.models(), state.adapters(), true, row.drainReason);
 		}
 		row.ordered = wanted(pool);
-		boolean beside = need == Need.LOAD;
+		boolean beside = need != Need.DROP;
 		List<String> models = beside ? union(pool.models, state.models()) : pool.models;
 		List<String> adapters = beside ? union(pool.adapters, state.adapters()) : pool.adapters;
 		return new CapacityCommand.Order(row.id, address, models, adapters, false, switch (need) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/ReadSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/ReadSystem.java
@@ -82,7 +82,7 @@
 	private static long pause(CapacityTables tables, PoolRow pool, VmRow row) {
 		long poll = tables.settings.pollMillis();
 		boolean settled = pool.isReady(row) && tables.isKnown(pool, row) && row.silentSinceNanos == 0
-				&& row.actual.orElseThrow().loading().isEmpty();
+				&& row.oldVersionsSinceNanos == 0 && row.actual.orElseThrow().loading().isEmpty();
 		return tables.jittered(settled ? Math.max(SETTLED_PERIODS * poll, perVm(tables)) : poll);
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/VmRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/VmRow.java
@@ -32,6 +32,9 @@
 	/** When the engine's silence began; 0 while it answers. */
 	long silentSinceNanos;
 
+	/** Since when old versions wait for their streams; 0 when there are none. */
+	long oldVersionsSinceNanos;
+
 	boolean releasing;
 
 	boolean announced;
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/ControllerFaultTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/ControllerFaultTests.java
@@ -183,6 +183,54 @@
 		}
 	}
 
+	// Callers' answers break off at an upgrade: the new version is loaded, and the order
+	// that drops the old one cuts off what still runs on it. The old one must stay until
+	// its streams have ended; a successor that takes over meanwhile must keep it too.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void shouldKeepOldVersionWhenStreamsRunOnIt(boolean holderCrashes) {
+		Deployment deployment = new Deployment(10, true);
+		assertThat(deployment.settles(SETTLE_MILLIS)).isTrue();
+		deployment.cloud.live().forEach((machine) -> machine.streams.put("m@1", 2));
+		deployment.declare("2");
+		deployment.world.run(4 * SECOND);
+		if (holderCrashes) {
+			deployment.crash(deployment.holders().getFirst());
+		}
+		deployment.world.run(15 * SECOND);
+		deployment.cloud.live().forEach((machine) -> machine.streams.put("m@2", 1));
+		assertThat(deployment.cloud.live()).allMatch((machine) -> machine.cut == 0)
+			.anyMatch((machine) -> machine.report().models().equals(List.of("m@1", "m@2")))
+			.allMatch((machine) -> machine.report().models().contains("m@1"));
+		deployment.cloud.live().forEach((machine) -> machine.streams.remove("m@1"));
+		assertThat(deployment.settles(SETTLE_MILLIS)).isTrue();
+		assertThat(deployment.cloud.live()).allMatch((machine) -> machine.cut == 0);
+		assertThat(deployment.world.violations).isEmpty();
+	}
+
+	// An upgrade never ends: a stream that its caller forgot holds the old version, or
+	// the
+	// engine does not tell on which version its streams run and new ones keep coming.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void shouldDropOldVersionWhenLimitPasses(boolean engineTells) {
+		Deployment deployment = new Deployment(11, true);
+		assertThat(deployment.settles(SETTLE_MILLIS)).isTrue();
+		deployment.cloud.live().forEach((machine) -> {
+			if (engineTells) {
+				machine.streams.put("m@1", 1);
+			}
+			else {
+				machine.running = 1;
+			}
+		});
+		deployment.declare("2");
+		deployment.world.run(Deployment.SETTINGS.drainMillis() * VirtualWorld.MILLI);
+		assertThat(deployment.isAsDeclared()).isFalse();
+		assertThat(deployment.cloud.live()).allMatch((machine) -> machine.report().models().contains("m@1"));
+		assertThat(deployment.settles(SETTLE_MILLIS)).isTrue();
+	}
+
 	// A caller's stream breaks off when a VM that is too many is given back: it still has
 	// streams. It must be drained and kept until they end or the limit passes.
 	@Test
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/FakeCloud.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/FakeCloud.java
@@ -156,6 +156,12 @@
 
 		int running;
 
+		/** Streams by version; an engine that does not tell keeps it empty. */
+		Map<String, Integer> streams = new TreeMap<>();
+
+		/** Streams cut off because their version was dropped. */
+		int cut;
+
 		long fence;
 
 		boolean silent;
@@ -187,6 +193,10 @@
 			if (this.draining && this.drainedAt == 0) {
 				this.drainedAt = now;
 			}
+			for (String dropped : this.models.stream().filter((name) -> !order.models().contains(name)).toList()) {
+				this.cut += this.streams.getOrDefault(dropped, 0);
+				this.streams.remove(dropped);
+			}
 			this.models.retainAll(order.models());
 			this.adapters.retainAll(order.adapters());
 			this.loadingUntil.keySet().retainAll(union(order.models(), order.adapters()));
@@ -203,7 +213,8 @@
 			long now = this.cloud.world.now;
 			this.loadingUntil.values().removeIf((until) -> until <= now);
 			return new ServerState(this.fence, loaded(this.models), loaded(this.adapters),
-					List.copyOf(this.loadingUntil.keySet()), this.draining, this.running);
+					List.copyOf(this.loadingUntil.keySet()), this.draining,
+					this.running + this.streams.values().stream().mapToInt(Integer::intValue).sum(), this.streams);
 		}
 
 		private List<String> loaded(Set<String> names) {
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/EngineModel.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/EngineModel.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -128,6 +129,7 @@
 			this.counters.refused++;
 			return refusal;
 		}
+		stream.versions = this.models.versions(now, order.model(), order.adapter());
 		this.counters.streams++;
 		this.streams.put(order.attempt(), stream);
 		this.waiting.add(stream);
@@ -265,7 +267,7 @@
 	// -- orders
 
 	/**
-	 * Takes an order.
+	 * Takes an order. Streams that run or wait on a version that the order drops go on.
 	 * @param now the time
 	 * @param receivedAt when it arrived, earlier than now if the engine was frozen
 	 * @param order the wanted state
@@ -366,7 +368,11 @@
 	 */
 	public ActualState state(long now) {
 		advance(now);
-		return this.models.state(now, this.running.size());
+		Map<String, Integer> byVersion = new TreeMap<>();
+		Stream.concat(this.running.stream(), this.waiting.stream())
+			.flatMap((stream) -> stream.versions.stream())
+			.forEach((version) -> byVersion.merge(version, 1, Integer::sum));
+		return this.models.state(now, this.running.size(), byVersion);
 	}
 
 	// -- steps
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/EngineStream.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/EngineStream.java
@@ -33,6 +33,9 @@
 	/** Tokens of prompt and emitted answer whose KV cache exists. */
 	int prefilled;
 
+	/** The versions of model and adapter that it runs on. */
+	List<String> versions = List.of();
+
 	/** The place of the next token. */
 	int next;
 
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/LoadedModels.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/LoadedModels.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 
@@ -84,7 +85,7 @@
 	}
 
 	boolean loaded(long now, String model, String adapter) {
-		return ready(now, this.models, model) && (adapter.isEmpty() || ready(now, this.adapters, adapter));
+		return versions(now, model, adapter).size() == (adapter.isEmpty() ? 1 : 2);
 	}
 
 	List<String> notFetched() {
@@ -95,24 +96,39 @@
 			.toList();
 	}
 
-	ActualState state(long now, int running) {
+	/**
+	 * The versions that a new stream runs on: the newest loaded of each name.
+	 * @param now the time
+	 * @param model the name of the model
+	 * @param adapter the name of the adapter, empty for none
+	 * @return the model's version, and the adapter's if there is one
+	 */
+	List<String> versions(long now, String model, String adapter) {
+		Stream<String> ofModel = ready(now, this.models, model).stream();
+		return (adapter.isEmpty() ? ofModel : Stream.concat(ofModel, ready(now, this.adapters, adapter).stream()))
+			.toList();
+	}
+
+	ActualState state(long now, int running, Map<String, Integer> streams) {
 		List<String> loading = this.readyAt.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue() > now)
 			.map(Map.Entry::getKey)
 			.toList();
 		return new ActualState(this.fence, without(this.models, loading), without(this.adapters, loading), loading,
-				this.role, running);
+				this.role, running, streams);
 	}
 
-	private boolean ready(long now, Set<String> held, String name) {
+	// The version of a name that was loaded last, so that the streams on an old one end.
+	private Optional<String> ready(long now, Set<String> held, String name) {
+		Optional<String> newest = Optional.empty();
 		for (String candidate : held) {
 			boolean named = candidate.equals(name) || candidate.startsWith(name + "@");
 			if (named && this.readyAt.getOrDefault(candidate, NOT_FETCHED) <= now) {
-				return true;
+				newest = Optional.of(candidate);
 			}
 		}
-		return false;
+		return newest;
 	}
 
 	private static List<String> without(Set<String> names, List<String> loading) {
--- a/rosemaryfront-standins/src/test/java/org/rosemaryfront/standin/engine/EngineModelTests.java
+++ b/rosemaryfront-standins/src/test/java/org/rosemaryfront/standin/engine/EngineModelTests.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.LongStream;
@@ -240,6 +241,23 @@
 		assertThat(engine.state(101 * MILLI).role()).isEqualTo("serve");
 	}
 
+	@Test
+	void shouldFinishStreamsOfDroppedVersionAndCountThemByVersion() {
+		EngineModel engine = engine(STANDARD);
+		engine.open(0, order("old", 100, 80, List.of(), 0));
+		engine.order(0, 0, new EngineOrder(1, 1_000, List.of("m@2", "m@1"), List.of(), "serve"));
+		engine.notFetched().forEach((name) -> engine.fetched(0, name));
+		long loaded = STANDARD.loadNanos();
+		engine.open(loaded, order("new", 100, 40, List.of(), 0));
+		assertThat(engine.state(loaded).streams()).containsOnly(Map.entry("m@1", 1), Map.entry("m@2", 1));
+		engine.order(loaded, loaded, new EngineOrder(1, 1_000, List.of("m@2"), List.of(), "serve"));
+		assertThat(engine.state(loaded).models()).containsExactly("m@2");
+		long end = drain(engine);
+		assertThat(text("old")).isEqualTo(answer(100, 80));
+		assertThat(text("new")).isEqualTo(answer(100, 40));
+		assertThat(engine.state(end).streams()).isEmpty();
+	}
+
 	// -- reports
 
 	@Test
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/EngineClient.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/EngineClient.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -154,9 +155,16 @@
 	 * @param loading models and adapters that are loading
 	 * @param role {@code serve} or {@code drain}
 	 * @param running streams running
+	 * @param streams streams running and waiting for each {@code name@version} that has
+	 * any; empty with streams running when the engine does not tell
 	 */
 	record ActualState(long fence, List<String> models, List<String> adapters, List<String> loading, String role,
-			int running) {
+			int running, Map<String, Integer> streams) {
+
+		public ActualState {
+			streams = (streams != null) ? Map.copyOf(streams) : Map.of();
+		}
+
 	}
 
 }
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/EngineJson.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/EngineJson.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.io.SerializedString;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -29,7 +30,12 @@
  */
 public final class EngineJson {
 
-	private static final JsonMapper MAPPER = JsonMapper.builder().build();
+	/**
+	 * An engine that is updated before this process may tell more than this one knows.
+	 */
+	private static final JsonMapper MAPPER = JsonMapper.builder()
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.build();
 
 	private static final JsonFactory FACTORY = MAPPER.getFactory();
 
