Size a pool by waiting streams too, and shrink it slowly

Cause: a pool grew by running streams only, which the slots bound, and after five minutes of less need fell to that need at once.

Change: the engine's state tells the streams that wait, as its load report does, so that one read serves both; streams that waited all through 30 s count as need. After five minutes of less need the target falls by a tenth, at least one, a minute.

--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/ControllerSlope.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/ControllerSlope.java
@@ -198,7 +198,7 @@
 		Engine engine = this.engines.get(vm);
 		return (engine != null)
 				? new CapacityEvent.StateRead(vm, this.now,
-						new ServerState(1, engine.models, List.of(), List.of(), engine.draining, 4, Map.of()))
+						new ServerState(1, engine.models, List.of(), List.of(), engine.draining, 4, 0, Map.of()))
 				: new CapacityEvent.StateUnknown(vm);
 	}
 
--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/WireTypes.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/WireTypes.java
@@ -50,7 +50,7 @@
 
 	static ServerState state(EngineClient.ActualState state) {
 		return new ServerState(state.fence(), state.models(), state.adapters(), state.loading(),
-				DRAIN.equals(state.role()), state.running(), state.streams());
+				DRAIN.equals(state.role()), state.running(), state.queued(), state.streams());
 	}
 
 	private static Market market(CloudClient.Market market) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/PoolRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/PoolRow.java
@@ -34,6 +34,13 @@
 
 	long demandPeakUntilNanos;
 
+	/** The fewest streams that waited at any moment of the last whole window. */
+	int steadyQueue;
+
+	int leastQueue;
+
+	long queueWindowEndNanos;
+
 	List<String> models = List.of();
 
 	List<String> adapters = List.of();
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/ServerState.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/ServerState.java
@@ -12,11 +12,12 @@
  * @param loading the models and adapters that are loading
  * @param draining whether it takes no new streams
  * @param running the streams running
+ * @param queued the streams waiting, 0 when the engine does not tell
  * @param streams the streams running and waiting for each {@code name@version} that has
  * any; empty with streams running when the engine does not tell
  */
 public record ServerState(long fence, List<String> models, List<String> adapters, List<String> loading,
-		boolean draining, int running, Map<String, Integer> streams) {
+		boolean draining, int running, int queued, Map<String, Integer> streams) {
 
 	public ServerState {
 		models = List.copyOf(models);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/SizeSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/SizeSystem.java
@@ -11,14 +11,26 @@
  *
  * <p>
  * The target is the minimum, or what keeps the measured streams under the busy share of
- * the slots. It grows at once and shrinks only when the need was lower for
- * {@value #SHRINK_AFTER_MILLIS} ms, since a VM that was given back too early costs a boot
+ * the slots: those that run and those that waited all through a window of
+ * {@value #QUEUE_WINDOW_MILLIS} ms. A shorter queue is a burst that has gone before a VM
+ * has booted.
+ *
+ * <p>
+ * The target grows at once. It shrinks only when the need was lower for
+ * {@value #SHRINK_AFTER_MILLIS} ms, and then by a tenth, at least one, every
+ * {@value #SHRINK_STEP_MILLIS} ms, since a VM that was given back too early costs a boot
  * and a load of weights.
  */
 final class SizeSystem {
 
+	private static final long QUEUE_WINDOW_MILLIS = 30_000;
+
 	private static final long SHRINK_AFTER_MILLIS = 300_000;
 
+	private static final int SHRINK_PARTS = 10;
+
+	private static final long SHRINK_STEP_MILLIS = 60_000;
+
 	private SizeSystem() {
 	}
 
@@ -40,18 +52,34 @@
 
 	private static int demand(CapacityTables tables, PoolRow row, long nowNanos) {
 		int running = 0;
+		int queued = 0;
 		for (VmRow vm : row.vms) {
 			running += vm.actual.map(ServerState::running).orElse(0);
+			queued += vm.actual.map(ServerState::queued).orElse(0);
 		}
+		observeQueue(row, queued, nowNanos);
 		double slots = Math.max(1, row.pool.slotsPerServer()) * tables.settings.busyShare();
-		int demand = (int) Math.ceil(running / slots);
-		if (demand >= row.demandPeak || nowNanos - row.demandPeakUntilNanos >= 0) {
+		int demand = (int) Math.ceil((running + row.steadyQueue) / slots);
+		if (demand >= row.demandPeak) {
 			row.demandPeak = demand;
 			row.demandPeakUntilNanos = nowNanos + CapacitySettings.nanos(SHRINK_AFTER_MILLIS);
 		}
+		else if (nowNanos - row.demandPeakUntilNanos >= 0) {
+			row.demandPeak = Math.max(demand, row.demandPeak - Math.max(1, row.demandPeak / SHRINK_PARTS));
+			row.demandPeakUntilNanos = nowNanos + CapacitySettings.nanos(SHRINK_STEP_MILLIS);
+		}
 		return row.demandPeak;
 	}
 
+	private static void observeQueue(PoolRow row, int queued, long nowNanos) {
+		row.leastQueue = Math.min(row.leastQueue, queued);
+		if (nowNanos - row.queueWindowEndNanos >= 0) {
+			row.steadyQueue = row.leastQueue;
+			row.leastQueue = queued;
+			row.queueWindowEndNanos = nowNanos + CapacitySettings.nanos(QUEUE_WINDOW_MILLIS);
+		}
+	}
+
 	// The least price of a VM in each zone that the pool may use.
 	private static Map<String, Double> prices(CapacityTables tables, PoolRow row) {
 		Map<String, Double> prices = new TreeMap<>();
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/FakeCloud.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/FakeCloud.java
@@ -214,7 +214,7 @@
 			this.loadingUntil.values().removeIf((until) -> until <= now);
 			return new ServerState(this.fence, loaded(this.models), loaded(this.adapters),
 					List.copyOf(this.loadingUntil.keySet()), this.draining,
-					this.running + this.streams.values().stream().mapToInt(Integer::intValue).sum(), this.streams);
+					this.running + this.streams.values().stream().mapToInt(Integer::intValue).sum(), 0, this.streams);
 		}
 
 		private List<String> loaded(Set<String> names) {
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/EngineModel.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/EngineModel.java
@@ -372,7 +372,7 @@
 		Stream.concat(this.running.stream(), this.waiting.stream())
 			.flatMap((stream) -> stream.versions.stream())
 			.forEach((version) -> byVersion.merge(version, 1, Integer::sum));
-		return this.models.state(now, this.running.size(), byVersion);
+		return this.models.state(now, this.running.size(), this.waiting.size(), byVersion);
 	}
 
 	// -- steps
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/LoadedModels.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/engine/LoadedModels.java
@@ -109,14 +109,14 @@
 			.toList();
 	}
 
-	ActualState state(long now, int running, Map<String, Integer> streams) {
+	ActualState state(long now, int running, int queued, Map<String, Integer> streams) {
 		List<String> loading = this.readyAt.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue() > now)
 			.map(Map.Entry::getKey)
 			.toList();
 		return new ActualState(this.fence, without(this.models, loading), without(this.adapters, loading), loading,
-				this.role, running, streams);
+				this.role, running, queued, streams);
 	}
 
 	// The version of a name that was loaded last, so that the streams on an old one end.
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/EngineClient.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/EngineClient.java
@@ -155,11 +155,13 @@
 	 * @param loading models and adapters that are loading
 	 * @param role {@code serve} or {@code drain}
 	 * @param running streams running
+	 * @param queued streams waiting, as in the load report, so that a controller needs
+	 * one read for both; 0 when the engine does not tell
 	 * @param streams streams running and waiting for each {@code name@version} that has
 	 * any; empty with streams running when the engine does not tell
 	 */
 	record ActualState(long fence, List<String> models, List<String> adapters, List<String> loading, String role,
-			int running, Map<String, Integer> streams) {
+			int running, int queued, Map<String, Integer> streams) {
 
 		public ActualState {
 			streams = (streams != null) ? Map.copyOf(streams) : Map.of();
