Read engines within 2 KB/s a node, and count the bytes

Cause: a lease holder read 20 engines and 21 rows of the VM list a second at any size.

Ruled out: reading only what changed, since neither protocol has it.

Change: pollPerVmMillis is 400 by default instead of 50; while VMs start or leave, the list is read as often as before. bin/slope-controller has columns for the bytes and the time between two reads of an engine.

Not counted: TCP, IP and connection set-up, orders, purchases, the lease.

--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/ControllerSlope.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/ControllerSlope.java
@@ -64,14 +64,17 @@
 
 	private final int size;
 
+	private final CallBytes callBytes;
+
 	private long now;
 
 	private long listed;
 
 	private long bought;
 
-	private ControllerSlope(int size) {
+	private ControllerSlope(int size, CallBytes callBytes) {
 		this.size = size;
+		this.callBytes = callBytes;
 	}
 
 	/**
@@ -81,8 +84,9 @@
 	public static void main(String[] args) {
 		List<Integer> sizes = (args.length > 0) ? Arrays.stream(args).map(Integer::valueOf).toList()
 				: List.of(13, 190, 1_900);
+		CallBytes callBytes = CallBytes.measure();
 		for (int size : sizes) {
-			System.out.println(new ControllerSlope(size).measure());
+			System.out.println(new ControllerSlope(size, callBytes).measure());
 		}
 	}
 
@@ -106,10 +110,19 @@
 						+ "\"tickMicrosP99\": %.1f, \"corePercent\": %.3f, \"heapKilobytes\": %d, "
 						+ "\"replaced\": %d, \"tableWritesPerSecond\": %.4f, \"ordersPerSecond\": %.4f, "
 						+ "\"engineReadsPerSecond\": %.2f, \"platformReadsPerSecond\": %.2f, "
-						+ "\"vmsListedPerSecond\": %.1f}",
+						+ "\"vmsListedPerSecond\": %.1f, \"bytesPerSecond\": %.0f, "
+						+ "\"bytesPerEngineRead\": %.0f, \"bytesPerListedVm\": %.0f, "
+						+ "\"secondsBetweenReadsOfAnEngine\": %.0f}",
 				this.size, ready, readyAtEnd, mean / 1e3, ticks[(int) (ticks.length * 0.99)] / 1e3, mean * 4 / 1e7,
 				bytes / 1024, this.notices.size(), rate("WriteIntent") + rate("DeleteIntent"), rate("Order"),
-				rate("ReadState"), rate("Read"), (double) this.listed / STEADY_SECONDS);
+				rate("ReadState"), rate("Read"), (double) this.listed / STEADY_SECONDS, bytesPerSecond(),
+				this.callBytes.engineState(), this.callBytes.listedVm(), this.size / Math.max(rate("ReadState"), 1e-9));
+	}
+
+	// Orders, purchases and the lease are a few calls a minute and not counted.
+	private double bytesPerSecond() {
+		return rate("ReadState") * this.callBytes.engineState() + rate("Read") * this.callBytes.emptyRead()
+				+ this.callBytes.listedVm() * this.listed / STEADY_SECONDS;
 	}
 
 	private void declare() {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacitySettings.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacitySettings.java
@@ -28,7 +28,7 @@
 	 * @return the defaults
 	 */
 	public static CapacitySettings standard() {
-		return new CapacitySettings(16, 4, 2_000, 120_000, 300_000, 15_000, 300_000, 60_000, 5_000, 1_000, 50, 0.25,
+		return new CapacitySettings(16, 4, 2_000, 120_000, 300_000, 15_000, 300_000, 60_000, 5_000, 1_000, 400, 0.25,
 				0.75);
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/ReadSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/ReadSystem.java
@@ -19,6 +19,12 @@
 
 	private static final int SETTLED_PERIODS = 5;
 
+	/**
+	 * While VMs start or leave, their list is read more often by this factor: a
+	 * replacement waits for it before its first order.
+	 */
+	private static final int MOVING_FACTOR = 40;
+
 	private ReadSystem() {
 	}
 
@@ -64,7 +70,7 @@
 		row.known |= known;
 		long poll = tables.settings.pollMillis();
 		row.nextNanos = nowNanos + tables.jittered(known ? switch (source) {
-			case VMS -> isMoving(tables) ? Math.max(poll, perVm(tables) / SETTLED_PERIODS)
+			case VMS -> isMoving(tables) ? Math.max(poll, perVm(tables) / MOVING_FACTOR)
 					: Math.max(SETTLED_PERIODS * poll, perVm(tables));
 			case OFFERS -> OFFERS_PERIODS * poll;
 			// A write of an intent can take effect long after it was given up and
