--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rosemaryfront.model.AttemptId;
 import org.rosemaryfront.model.ProblemCode;
@@ -58,6 +59,26 @@
 		assertThat(refuse.problem().retryAfter()).isPresent();
 	}
 
+	// Callers ask short questions, whose first tokens take as long as those of longer
+	// ones;
+	// the measured rate of prompts becomes small by it. Then a caller sends a long
+	// history
+	// to the idle pool and reads "overloaded", and so does each repeat, for good: what is
+	// refused cannot correct the measured rate.
+	@Test
+	void shouldAcceptALongPromptWhenThePoolIsIdleAndShortOnesWereSlow() {
+		seen(FIRST);
+		for (int i = 0; i < 100; i++) {
+			Dispatch dispatch = dispatched(arrive("short-" + i));
+			accept(new ServingEvent.AttemptAccepted(dispatch.attempt(), 0));
+			this.now += 200 * MILLI;
+			accept(new ServingEvent.AttemptProgressed(dispatch.attempt(), 1));
+			accept(new ServingEvent.AttemptFinished(dispatch.attempt()));
+			tick();
+		}
+		assertThat(dispatched(arrive("long", 4_000)).server()).isEqualTo(FIRST);
+	}
+
 	// -- backend servers that leave
 
 	@ParameterizedTest
@@ -72,6 +93,33 @@
 		assertThat(this.decisions.takeViolations()).isEmpty();
 	}
 
+	// A caller's request goes to a VM that vanished and waits for its time-out. The VM is
+	// reclaimed and gone; then an old VM list arrives that still shows it alive, or the
+	// notice came before the list showed it at all.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void shouldNotBelieveAnOldListThatShowsADepartedServer(boolean seenBefore) {
+		if (seenBefore) {
+			seen(FIRST);
+		}
+		accept(new ServingEvent.ServerLeaving(FIRST, LeavingSource.PEER, Long.MAX_VALUE));
+		accept(new ServingEvent.ServerGone(FIRST));
+		seen(FIRST);
+		assertThat(arrive("r").getFirst()).isInstanceOf(Refuse.class);
+	}
+
+	// An engine knows that it is leaving before its notice or the list says so here. Its
+	// refusal of one request must keep the next ones away too.
+	@Test
+	void shouldGiveNoNewWorkToAServerThatRefusedAsLeaving() {
+		seen(FIRST);
+		Dispatch first = dispatched(arrive("r"));
+		accept(new ServingEvent.AttemptRefused(first.attempt(), Refusal.LEAVING));
+		tick();
+		this.now += 60_000 * MILLI;
+		assertThat(arrive("s")).noneMatch(Dispatch.class::isInstance);
+	}
+
 	@Test
 	void shouldMoveTheCacheWhenTheAnswerDoesNotFitIntoTheNotice() {
 		seen(FIRST);
@@ -135,6 +183,23 @@
 		assertThat(this.decisions.tokensInFlight()).containsEntry("builder", 100L);
 	}
 
+	// A caller is told "not run" although an engine ran its request. The chat waits in an
+	// engine's queue, is sent elsewhere, and its time passes while the cancellation is
+	// under way.
+	@Test
+	void shouldNotSayNotRunOfARequestThatWasSentElsewhere() {
+		seen(FIRST);
+		dispatched(arrive("r"));
+		seen(SECOND);
+		this.now += 200 * MILLI;
+		Dispatch second = dispatched(tick());
+		assertThat(second.server()).isEqualTo(SECOND);
+		accept(new ServingEvent.AttemptBroken(second.attempt(), Breakage.CONNECT_FAILED));
+		this.now += 60_000 * MILLI;
+		Refuse refuse = (Refuse) tick().getLast();
+		assertThat(refuse.problem().verdict()).isEqualTo(Verdict.mayHaveRun());
+	}
+
 	// -- deadlines
 
 	@Test
@@ -151,8 +216,12 @@
 	// -- steps
 
 	private List<ServingCommand> arrive(String request) {
+		return arrive(request, 20);
+	}
+
+	private List<ServingCommand> arrive(String request, int promptTokens) {
 		accept(new ServingEvent.RequestArrived(new RequestId(request),
-				new RequestSpec("builder", "assistant", "plaster", Priority.CHAT, 20, 100, List.of(),
+				new RequestSpec("builder", "assistant", "plaster", Priority.CHAT, promptTokens, 100, List.of(),
 						this.now + 10_000 * MILLI, 100 * MILLI, this.now + 30_000 * MILLI)));
 		return tick();
 	}
