--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
@@ -51,7 +51,7 @@
 		}
 		PoolLoad load = PoolLoad.of(state, pool);
 		if (state.has(ServingFeature.FAIR_SHARES) && load.used() > SHARED_USE
-				&& state.shares.over(request.spec.organisation())) {
+				&& state.shares.over(request.spec.organisation(), load.slots())) {
 			return refusal(ProblemCode.OVER_SHARE, "the organisation uses more than its share", RETRY_AFTER);
 		}
 		return state.has(ServingFeature.ADMISSION) ? late(state, request, load, nowNanos) : Optional.empty();
@@ -61,6 +61,14 @@
 
 	private static Optional<Problem> late(ServingState state, Request request, PoolLoad load, long nowNanos) {
 		double wait = request.chat() ? chatWait(state, load) : summaryWait(state, request);
+		// What begins at once is not refused for its own time: coming back later would
+		// not
+		// help, and the estimates that a short burst or a slow engine has spoilt could
+		// never
+		// be corrected, so that each long prompt would read "overloaded" on an idle pool.
+		if (request.chat() ? load.hasFreeSlot() : wait == 0) {
+			return Optional.empty();
+		}
 		double prefill = state.estimates.prefillNanos(request.contextTokens());
 		double answer = state.estimates.answerTokens(request) * state.estimates.tokenNanos();
 		boolean late = nowNanos + wait + prefill > startBy(request)
@@ -80,14 +88,13 @@
 		return WAIT_MARGIN * load.waitNanos(USABLE, state.estimates.answerNanos());
 	}
 
-	// Summaries wait in the entry; what waits before it leaves at the rate at which
-	// summaries left lately.
+	// Summaries wait in the entry behind those that came before.
 	private static double summaryWait(ServingState state, Request request) {
 		long ahead = state.requests.waiting()
 			.stream()
 			.filter((other) -> !other.chat() && other.spec.pool().equals(request.spec.pool()))
 			.count();
-		return (ahead > 0) ? ahead / Math.max(1e-12, state.summaryStarts.perNano(request.arrivedNanos)) : 0;
+		return (ahead > 0) ? ahead / SummaryLimit.startsPerNano(state, request.spec.pool(), request.arrivedNanos) : 0;
 	}
 
 	private static Optional<Problem> refusal(ProblemCode code, String detail, Duration retryAfter) {
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/TestEntry.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/TestEntry.java
@@ -46,7 +46,7 @@
 
 	private static final Duration TICK = Duration.ofMillis(5);
 
-	private final Configuration configuration = configuration();
+	private volatile Configuration configuration = configuration();
 
 	private final List<TestEntry> peers = new ArrayList<>();
 
@@ -109,7 +109,7 @@
 		EntrySettings.Listener listener = new EntrySettings.Listener("127.0.0.1", 0, null);
 		return new EntrySettings(name, "tn-north", "tunis-a", new EntrySettings.Platform("http://127.0.0.1:1", 0),
 				listener, new EntrySettings.Operators("127.0.0.1", 0, List.of(), null), listener, limits, streams, null,
-				null, null);
+				null, null, null);
 	}
 
 	private static Configuration configuration() {
@@ -145,6 +145,10 @@
 		this.control.accept(new ServingEvent.ServerSeen(new VmId(vm), "assistant", zone, engine.address()));
 	}
 
+	void forgetConfiguration() {
+		this.configuration = Configuration.empty();
+	}
+
 	// -- state
 
 	String address() {
@@ -214,7 +218,7 @@
 
 		@Override
 		public boolean fresh() {
-			return true;
+			return TestEntry.this.configuration.revision() > 0;
 		}
 
 		@Override
@@ -249,6 +253,11 @@
 
 	private final class Steps implements GracefulStop.Steps {
 
+		@Override
+		public void acceptNothing() {
+			TestEntry.this.control.accept(new ServingEvent.StopRequested());
+		}
+
 		@Override
 		public void failRest() {
 			TestEntry.this.streams.failOpen();
