Leave out of the soak's bound the whole time that a fault holds an entry

Change: the release of the entry is noted where it happens. The bound of 10 s stays, counted from the acceptance or the release, the later one.

--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/ConfigurationRace.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/ConfigurationRace.java
@@ -47,8 +47,6 @@
 
 	private final Map<String, Long> highest = new ConcurrentHashMap<>();
 
-	private final Map<String, Long> disturbedUntil = new ConcurrentHashMap<>();
-
 	private final List<Long> inForceMillis = new ArrayList<>();
 
 	private final List<String> broken = new ArrayList<>();
@@ -188,9 +186,6 @@
 
 	private void watch(ManagedProcess entry) {
 		while (!this.stopped && entry.alive()) {
-			if (!this.churn.undisturbed(entry.name())) {
-				this.disturbedUntil.put(entry.name(), System.nanoTime());
-			}
 			revision(entry).ifPresent((revision) -> {
 				long before = this.highest.getOrDefault(entry.name(), 0L);
 				if (revision < before) {
@@ -211,9 +206,7 @@
 				}
 				return;
 			}
-			long since = Math.max(change.atNanos(), this.disturbedUntil.getOrDefault(entry.name(), 0L));
-			boolean over = System.nanoTime() - since > Duration.ofSeconds(BOUND_SECONDS).toNanos();
-			if (over && !late && this.churn.undisturbed(entry.name())) {
+			if (!late && overdue(this.churn.undisturbedSince(entry.name()), change)) {
 				late = true;
 				broken("revision " + change.revision() + " is not in force on " + entry.name() + " after "
 						+ BOUND_SECONDS + " s");
@@ -222,6 +215,14 @@
 		}
 	}
 
+	// The time in which a fault holds the entry is left out.
+	private static boolean overdue(long undisturbedSince, Accepted change) {
+		long now = System.nanoTime();
+		boolean held = undisturbedSince == Long.MAX_VALUE;
+		return !held
+				&& now - Math.max(change.atNanos(), undisturbedSince) > Duration.ofSeconds(BOUND_SECONDS).toNanos();
+	}
+
 	private Optional<Long> revision(ManagedProcess entry) {
 		try {
 			JsonNode status = this.cluster.call("GET", entry.listener("operators"), "/apis/v1/status", "");
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/EntryChurn.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/EntryChurn.java
@@ -3,8 +3,10 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -32,6 +34,8 @@
 
 	private final Consumer<List<String>> balancer;
 
+	private final Map<String, Long> released = new HashMap<>();
+
 	private final Set<String> disturbed = new HashSet<>();
 
 	private final Set<String> killed = ConcurrentHashMap.newKeySet();
@@ -99,8 +103,10 @@
 		return Set.copyOf(this.killed);
 	}
 
-	synchronized boolean undisturbed(String name) {
-		return !this.disturbed.contains(name);
+	// Since when no fault has held an entry, in nanoseconds; the end of time while one
+	// does.
+	synchronized long undisturbedSince(String name) {
+		return this.disturbed.contains(name) ? Long.MAX_VALUE : this.released.getOrDefault(name, Long.MIN_VALUE);
 	}
 
 	// -- choices
@@ -121,6 +127,7 @@
 
 	synchronized void release(ManagedProcess process) {
 		this.disturbed.remove(process.name());
+		this.released.put(process.name(), System.nanoTime());
 	}
 
 	// -- actions
