--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffReceiver.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffReceiver.java
@@ -20,6 +20,7 @@
 import org.rosemaryfront.peer.proto.HandoffReply;
 import org.rosemaryfront.peer.proto.ResultRead;
 import org.rosemaryfront.peer.proto.ResultTokens;
+import org.rosemaryfront.problems.ProblemDocument;
 import org.rosemaryfront.serving.ServingEvent;
 
 /**
@@ -105,7 +106,7 @@
 				stream.request().epoch(), "complete", handoff.getComplete());
 		this.decisions.add(id, "adopted tokens=" + stream.size() + " epoch=" + stream.request().epoch());
 		if (handoff.getComplete()) {
-			stream.finishAdopted(handoff.getFinishReason());
+			end(stream, handoff);
 			return;
 		}
 		if (!handoff.getAttempt().isEmpty()) {
@@ -115,6 +116,15 @@
 		this.control.accept(new ServingEvent.RequestAdopted(id, stream.request().spec(), stream.size()));
 	}
 
+	private static void end(AnswerStream stream, Handoff handoff) {
+		if (handoff.getProblem().isEmpty()) {
+			stream.finishAdopted(handoff.getFinishReason());
+		}
+		else {
+			stream.fail(ProblemDocument.read(handoff.getProblem()));
+		}
+	}
+
 	private static HandoffReply refused(String reason) {
 		return HandoffReply.newBuilder().setReason(reason).build();
 	}
@@ -157,7 +167,7 @@
 			case AnswerEvent.Token token -> frame.setOffset(token.index()).addTokens(token.text());
 			case AnswerEvent.Finished finished -> frame.setComplete(true).setFinishReason(finished.reason());
 			case AnswerEvent.Failed failed ->
-				frame.setProblem(ProblemDocument.write(failed.problem(), request.id().value()));
+				frame.setProblem(ProblemDocument.of(failed.problem(), request.id().value()).toString());
 			case AnswerEvent.Heartbeat _, AnswerEvent.Moved _ -> {
 			}
 		}
