--- a/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/PromisesTests.java
+++ b/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/PromisesTests.java
@@ -15,6 +15,7 @@
 @ConfigurationParameter(key = "cucumber.glue", value = "org.rosemaryfront.proof")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
 @ConfigurationParameter(key = "cucumber.junit-platform.naming-strategy", value = "long")
+@ConfigurationParameter(key = "cucumber.junit-platform.naming-strategy.long.example-name", value = "pickle")
 class PromisesTests {
 
 }
--- a/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/ProofsPageTests.java
+++ b/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/ProofsPageTests.java
@@ -30,6 +30,12 @@
 	private static final Pattern TEST_CASE = Pattern
 		.compile("<testcase name=\"([^\"]*)\" classname=\"([^\"]*)\"[^>]*?(/>|>)(\\s*<(failure|error|skipped))?");
 
+	private static final Pattern JAVA_NAME = Pattern.compile("[\\w.$]+");
+
+	private static final String SCENARIOS = "PromisesTests";
+
+	private static final String SCENARIO_SEPARATOR = " - ";
+
 	@Test
 	void shouldCountTheCellsAsThePageSays() throws IOException {
 		Map<String, Long> counts = rows().stream().collect(Collectors.groupingBy(Row::status, Collectors.counting()));
@@ -83,12 +89,25 @@
 		return passed;
 	}
 
+	// Reports give a scenario the names of its feature and outline before its own.
 	private static String identifier(String className, String testName) {
+		if (className.endsWith(SCENARIOS) || !JAVA_NAME.matcher(className).matches()) {
+			int own = testName.lastIndexOf(SCENARIO_SEPARATOR);
+			return SCENARIOS + "#" + unescaped(testName.substring((own < 0) ? 0 : own + SCENARIO_SEPARATOR.length()));
+		}
 		String simple = className.substring(className.lastIndexOf('.') + 1);
 		Matcher method = Pattern.compile("^\\w+").matcher(testName);
 		return simple + "#" + (method.find() ? method.group() : testName);
 	}
 
+	private static String unescaped(String text) {
+		return text.replace("&apos;", "'")
+			.replace("&quot;", "\"")
+			.replace("&lt;", "<")
+			.replace("&gt;", ">")
+			.replace("&amp;", "&");
+	}
+
 	private record Row(String promise, String fault, String step, String status, String test, String brokenBy) {
 	}
 
