Count broken invariants of the serving decisions

Cause: the decisions report their own broken invariants and nothing in the entry asked, so invariants.broken stayed 0 whatever they found. The control thread now takes them each tick, logs E9204 and counts. Without the change ServingControlTests waits 30 s in vain; with it the violation is counted.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServingControl.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServingControl.java
@@ -8,6 +8,7 @@
 import java.util.function.IntFunction;
 import java.util.function.IntSupplier;
 
+import org.rosemaryfront.events.Invariants;
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.serving.ServingCommand;
 import org.rosemaryfront.serving.ServingDecisions;
@@ -83,6 +84,9 @@
 
 	private void tick(long now) {
 		this.decisions.tick(now).forEach(this.executor);
+		this.decisions.takeViolations()
+			.forEach((violation) -> Invariants.check(false, ServingEvents.DECISION_INVARIANT_BROKEN, "violation",
+					violation));
 		if (now - this.publishedNanos >= PUBLISH_NANOS) {
 			this.publishedNanos = now;
 			this.tokensInFlight = Map.copyOf(this.decisions.tokensInFlight());
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServingEvents.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/ServingEvents.java
@@ -84,7 +84,12 @@
 	ANSWER_NOT_WHOLE(9202),
 
 	/** Broken invariant: a request was refused as not run although tokens exist. */
-	NOT_RUN_ALTHOUGH_RAN(9203);
+	NOT_RUN_ALTHOUGH_RAN(9203),
+
+	/**
+	 * The serving decisions broke one of their own invariants; a defect of the program.
+	 */
+	DECISION_INVARIANT_BROKEN(9204);
 
 	private final int number;
 
