--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/EntryChurn.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/EntryChurn.java
@@ -40,6 +40,8 @@
 
 	private final Set<String> killed = ConcurrentHashMap.newKeySet();
 
+	private final Set<String> ended = ConcurrentHashMap.newKeySet();
+
 	private final Set<String> unready = ConcurrentHashMap.newKeySet();
 
 	private final List<String> badStops = new ArrayList<>();
@@ -93,9 +95,16 @@
 
 	// -- queries
 
-	// Stops in good order that did not end in time, or not with 0.
+	// Stops in good order that did not end in time, or not with 0, and processes that
+	// ended
+	// without being asked.
 	synchronized List<String> badStops() {
-		return List.copyOf(this.badStops);
+		List<String> all = new ArrayList<>(this.badStops);
+		this.cluster.processes()
+			.stream()
+			.filter((process) -> !process.alive() && !this.ended.contains(process.name()))
+			.forEach((process) -> all.add(process.name() + " ended by itself with " + process.exitCode()));
+		return all;
 	}
 
 	// Entries that ended without notice.
@@ -135,12 +144,14 @@
 	// Ends an entry without notice and starts another one.
 	void kill(ManagedProcess entry) {
 		this.killed.add(entry.name());
+		this.ended.add(entry.name());
 		entry.kill();
 		replace(entry);
 	}
 
 	// Asks an entry to stop, as for an upgrade, and starts another one meanwhile.
 	void terminate(ManagedProcess entry) {
+		this.ended.add(entry.name());
 		entry.terminate();
 		Pause.of(SEEN_AFTER);
 		replace(entry);
@@ -157,19 +168,18 @@
 	void reclaim(ManagedProcess entry, Duration notice) {
 		this.cluster.reclaim("\"vm\": \"" + entry.name() + "\"", notice);
 		long end = System.nanoTime() + notice.toNanos();
-		ManagedProcess next = start(entry.zone());
+		start(entry.zone());
 		Pause.of(Duration.ofNanos(Math.max(0, end - System.nanoTime())));
+		this.ended.add(entry.name());
 		entry.kill();
 		Pause.of(SEEN_AFTER);
 		this.cluster.forget(entry);
 		tellBalancer();
-		if (!next.alive()) {
-			badStop(next.name() + " ended by itself");
-		}
 	}
 
 	// Ends a controller without notice and starts another one.
 	void killController(ManagedProcess controller) {
+		this.ended.add(controller.name());
 		controller.kill();
 		this.cluster.forgetController(controller);
 		this.cluster.startController("controller-" + this.lastVm.incrementAndGet(), controller.zone());
@@ -182,12 +192,11 @@
 		start(entry.zone());
 	}
 
-	private ManagedProcess start(String zone) {
+	private void start(String zone) {
 		String vm = "entry-" + this.lastVm.incrementAndGet();
 		this.unready.add(vm);
-		ManagedProcess next = this.cluster.startEntry(vm, zone);
+		this.cluster.startEntry(vm, zone);
 		tellBalancer();
-		return next;
 	}
 
 	private synchronized void badStop(String told) {
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/SoakLogs.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/SoakLogs.java
@@ -18,7 +18,7 @@
 
 	private static final Pattern BROKEN = Pattern.compile(" (E9\\d{3} \\S+)");
 
-	private static final Pattern ERROR = Pattern.compile(" ERROR \\S+ (E\\d{4} \\S+)");
+	private static final Pattern ERROR = Pattern.compile(" ERROR \\S+ (E\\d{4} \\S+|.{1,90})");
 
 	private final Map<String, List<String>> lines = new TreeMap<>();
 
