--- a/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/AskedRequest.java
+++ b/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/AskedRequest.java
@@ -81,10 +81,12 @@
 	// so the engine is looked up anew each time.
 	private void awaitTokens(int tokens) {
 		awaitDispatch();
-		Pause.until(tokens + " tokens are generated", PromiseCluster.LIMIT, () -> {
-			String engine = this.cluster.address(server());
-			return this.cluster.generated(engine) - this.generatedBefore.get(engine) >= tokens || ended();
-		});
+		Pause.until(tokens + " tokens are generated", PromiseCluster.LIMIT, () -> ended()
+				|| this.cluster.address(server()).filter((engine) -> generated(engine) >= tokens).isPresent());
+	}
+
+	private long generated(String engine) {
+		return this.cluster.generated(engine) - this.generatedBefore.get(engine);
 	}
 
 	// -- queries
--- a/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/PromiseCluster.java
+++ b/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/PromiseCluster.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.stream.StreamSupport;
 
@@ -66,13 +67,13 @@
 		return Caller.of(organisation, Deployment.key(organisation), this.cluster.callers());
 	}
 
-	/** The address of the machine on which a VM runs. */
-	String address(String vm) {
+	/** The address of the machine on which a VM runs, empty when it is gone. */
+	Optional<String> address(String vm) {
 		return vms().stream()
 			.filter((found) -> found.path("id").asText().equals(vm))
 			.map((found) -> found.path("address").asText())
-			.findFirst()
-			.orElseThrow();
+			.filter((address) -> !address.isEmpty())
+			.findFirst();
 	}
 
 	String zone(String vm) {
--- a/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/SurvivalSteps.java
+++ b/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/SurvivalSteps.java
@@ -11,7 +11,10 @@
 /** Steps of the features on promises 1 and 2. */
 public class SurvivalSteps {
 
-	private static final Duration NOTICE = Duration.ofSeconds(3);
+	/** Less than the rest of an answer takes mid-stream. */
+	private static final Duration RUNNER_NOTICE = Duration.ofMillis(1_500);
+
+	private static final Duration ENTRY_NOTICE = Duration.ofSeconds(3);
 
 	private static final Duration NONE = Duration.ZERO;
 
@@ -47,11 +50,11 @@
 		assertThat(this.asked.ended()).as("the answer ended before the fault").isFalse();
 		ManagedProcess entry = this.cluster.cluster().entries().getFirst();
 		switch (fault) {
-			case "its runner is reclaimed with notice" -> reclaim(NOTICE);
+			case "its runner is reclaimed with notice" -> reclaim(RUNNER_NOTICE);
 			case "its runner halts without notice" -> reclaim(NONE);
 			case "its engine's open connections fall silent" -> this.cluster.engineFault("{\"kind\": \"silent\"}");
-			case "its runner's zone is reclaimed" ->
-				this.cluster.cluster().reclaim("\"zone\": \"" + this.cluster.zone(this.asked.server()) + "\"", NOTICE);
+			case "its runner's zone is reclaimed" -> this.cluster.cluster()
+				.reclaim("\"zone\": \"" + this.cluster.zone(this.asked.server()) + "\"", RUNNER_NOTICE);
 			case "its runner and then its next runner are reclaimed" -> reclaimTwice();
 			case "its entry is asked to stop" -> {
 				entry.terminate();
@@ -68,18 +71,18 @@
 
 	private void reclaimTwice() {
 		int before = this.asked.servers().size();
-		reclaim(NOTICE);
+		reclaim(RUNNER_NOTICE);
 		Pause.until("the request is sent elsewhere or ended", PromiseCluster.LIMIT,
 				() -> this.asked.servers().size() > before || this.asked.ended());
-		reclaim(NOTICE);
+		reclaim(RUNNER_NOTICE);
 	}
 
 	// The cloud tells the entry and takes its VM when the notice is over.
 	private void reclaimEntry(ManagedProcess entry) {
-		this.cluster.cluster().reclaim("\"vm\": \"" + entry.name() + "\"", NOTICE);
+		this.cluster.cluster().reclaim("\"vm\": \"" + entry.name() + "\"", ENTRY_NOTICE);
 		this.cluster.retire(entry);
 		Thread.ofVirtual().start(() -> {
-			Pause.of(NOTICE);
+			Pause.of(ENTRY_NOTICE);
 			entry.kill();
 		});
 	}
