--- a/rosemaryfront-controller/src/test/java/org/rosemaryfront/controller/ControllerTests.java
+++ b/rosemaryfront-controller/src/test/java/org/rosemaryfront/controller/ControllerTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -13,6 +14,7 @@
 import org.rosemaryfront.platform.CloudClient;
 import org.rosemaryfront.standin.engine.OrderOutcome;
 import org.rosemaryfront.standin.platform.InMemoryPlatform;
+import org.rosemaryfront.tls.TlsSettings;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -86,8 +88,9 @@
 		InProcessEngines engines = InProcessEngines.of(true);
 		boolean[] ready = new boolean[1];
 		try (Controller controller = start("entry-1", engines, 1);
-				StatusServer server = StatusServer.start(new ControllerSettings.Listener("127.0.0.1", 0), controller,
-						() -> ready[0])) {
+				StatusServer server = StatusServer.start(
+						new ControllerSettings.Listener("127.0.0.1", 0, TlsSettings.none()), UnaryOperator.identity(),
+						controller, () -> ready[0])) {
 			assertThat(get(server, "/healthz")).startsWith("200 ");
 			assertThat(get(server, "/readyz")).startsWith("503 ");
 			ready[0] = true;
--- a/rosemaryfront-controller/src/test/java/org/rosemaryfront/controller/Fixtures.java
+++ b/rosemaryfront-controller/src/test/java/org/rosemaryfront/controller/Fixtures.java
@@ -14,6 +14,7 @@
 import org.rosemaryfront.standin.platform.InMemoryPlatform;
 import org.rosemaryfront.standin.platform.SlotOffer;
 import org.rosemaryfront.standin.platform.StandinPlatformSettings;
+import org.rosemaryfront.tls.TlsSettings;
 
 /** A region with one zone and a pool of one server, and a controller's parts. */
 final class Fixtures {
@@ -39,7 +40,8 @@
 
 	static ControllerSettings settings(String vm) {
 		return new ControllerSettings(vm, "region", ZONE, new PlatformSettings("http://unused", 500),
-				new ControllerSettings.Listener("127.0.0.1", 0), new ControllerSettings.Listener("127.0.0.1", 0),
+				new ControllerSettings.Listener("127.0.0.1", 0, TlsSettings.none()),
+				new ControllerSettings.Listener("127.0.0.1", 0, TlsSettings.none()),
 				new ControllerSettings.Lease(2_000L, 400L), new ControllerSettings.Capacity(4, 4, 200L, 1_000L, 2_000L,
 						500L, 10_000L, 10_000L, 500L, 100L, 1L, 0.25, 0.75));
 	}
