Pass answers of plain services on as copies

Model answers use buffers of their own; the answers of plain services passed pooled buffers of the backend connection on, and a pooled buffer released twice can carry one caller's bytes into another's answer. Change: parts are copied for the response. Ruled out: nothing yet; ServiceCallsTests (19) and ServiceClientTests (3) pass, and no test shows the double release.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceClient.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceClient.java
@@ -139,7 +139,11 @@
 		if (length != null) {
 			response.header("Content-Length", length);
 		}
-		return response.send(connection.inbound().receive().retain()).then();
+		// Copies instead of passing the backend connection's pooled buffers on: a caller
+		// that breaks off may have them released twice, a pooled buffer released twice
+		// goes to two connections, and one caller reads bytes of another's answer. A
+		// copy belongs to this response alone.
+		return response.sendByteArray(connection.inbound().receive().asByteArray()).then();
 	}
 
 	private static void head(HttpClientRequest request, ServiceCall call, Duration remaining) {
