Say the message of an error where clients of the OpenAI API read it

Cause: a trial with the npm client openai against a demo that was left up: chat whole and streamed, completions and models worked unchanged, but errors showed as 'status code (no body)', since the client reads the member error only. Change: problem documents carry it too.

--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/problems/ProblemDocument.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/problems/ProblemDocument.java
@@ -57,6 +57,7 @@
 			document.put("request", request);
 		}
 		problem.retryAfter().ifPresent((delay) -> document.put("retryAfterSeconds", retrySeconds(delay)));
+		addErrorObject(document, problem);
 		return document;
 	}
 
@@ -81,6 +82,14 @@
 		}
 	}
 
+	// Clients of the OpenAI API read the message of an error from this member only.
+	private static void addErrorObject(ObjectNode document, Problem problem) {
+		document.putObject("error")
+			.put("message", problem.detail())
+			.put("type", problem.code().code())
+			.put("code", problem.code().code());
+	}
+
 	private static long retrySeconds(Duration delay) {
 		return Math.max(1, delay.plusMillis(999).toSeconds());
 	}
