Wrap comments that the formatter had left with orphaned words

Cause: the formatter breaks long comment lines and leaves single words on lines of their own. Comments only; formatter, linter and build pass.

--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Run.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Run.java
@@ -87,8 +87,7 @@
 	}
 
 	// Runs until every answer has ended, at most until the last one must have: one that
-	// has
-	// begun may take twice its time.
+	// has begun may take twice its time.
 	private void drain() {
 		long longest = this.plan.deployment().summary().answerMillis() * VirtualTime.MILLI;
 		long last = this.plan.durationNanos() + 2 * longest + VirtualTime.SECOND;
--- a/rosemaryfront-bench/src/test/java/org/rosemaryfront/bench/MembershipSimulationTests.java
+++ b/rosemaryfront-bench/src/test/java/org/rosemaryfront/bench/MembershipSimulationTests.java
@@ -139,10 +139,9 @@
 	@ParameterizedTest
 	@CsvSource({ "3,20", "9,20", "9,120", "27,60" })
 	void shouldTakeBackMemberThatWasPaused(int count, int seconds) {
-		// The VM of an entry is paused for some time and goes on where it was. Its peers
-		// hold it for dead; unless it hears so and refutes, it would never again be
-		// handed
-		// a request nor told a departure.
+		// The VM of an entry is paused for some time and goes on where it was. Its
+		// peers hold it for dead; unless it hears so and refutes, it would never again
+		// be handed a request nor told a departure.
 		MembershipSimulation simulation = settled(count);
 		SimulatedMember paused = simulation.members().getFirst();
 		simulation.freeze(paused);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/claims/ClaimMachine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/claims/ClaimMachine.java
@@ -317,10 +317,10 @@
 	}
 
 	// A process can be paused between its claim and the first byte, for longer than the
-	// call may take. The caller and the repeats then have their answers, so the call must
-	// not go out any more. The check is made on the monotonic clock right before the
-	// first
-	// byte, and from here on the call counts as sent whatever the process does.
+	// call may take. The caller and the repeats then have their answers, so the call
+	// must not go out any more. The check is made on the monotonic clock right before
+	// the first byte, and from here on the call counts as sent whatever the process
+	// does.
 	private void readyToSend(ClaimEvent.ReadyToSend ready, long now) {
 		boolean current = this.goal == Goal.RUN && ready.attempt() == this.attempt && !this.sent;
 		if (!current || now >= at(this.times.sendMillis())) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseMachine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseMachine.java
@@ -320,8 +320,7 @@
 			return true;
 		}
 		// The holder cannot have asked after this process saw the row, so that a full
-		// term
-		// from there outlasts it; the holder's own term counts, not this process's
+		// term from there outlasts it; the holder's own term counts, not this process's
 		// setting.
 		return nowNanos - this.seenNanos >= held.termMillis() * NANOS_PER_MILLI;
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/AdmissionSystem.java
@@ -62,10 +62,9 @@
 	private static Optional<Problem> late(ServingState state, Request request, PoolLoad load, long nowNanos) {
 		double wait = request.chat() ? chatWait(state, load) : summaryWait(state, request);
 		// What begins at once is not refused for its own time: coming back later would
-		// not
-		// help, and the estimates that a short burst or a slow engine has spoilt could
-		// never
-		// be corrected, so that each long prompt would read "overloaded" on an idle pool.
+		// not help, and the estimates that a short burst or a slow engine has spoilt
+		// could never be corrected, so that each long prompt would read "overloaded" on
+		// an idle pool.
 		if (request.chat() ? load.hasFreeSlot() : wait == 0) {
 			return Optional.empty();
 		}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/PoolLoad.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/PoolLoad.java
@@ -37,8 +37,7 @@
 	}
 
 	// The time until one more stream finds a slot when a part of the slots can be used,
-	// in
-	// nanoseconds.
+	// in nanoseconds.
 	double waitNanos(double usable, double answerNanos) {
 		return Math.max(0, this.streams + 1 - usable * this.slots) * answerNanos / Math.max(1, this.slots);
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Router.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Router.java
@@ -66,8 +66,7 @@
 	}
 
 	// A summary leaves slots free for chat, which would have to wait for the end of a
-	// long
-	// answer otherwise, until half of its time to the first token is over.
+	// long answer otherwise, until half of its time to the first token is over.
 	private static double depth(ServingState state, Request request, long nowNanos) {
 		if (!state.has(ServingFeature.PRIORITIES) || request.chat() || request.begun()) {
 			return Double.MAX_VALUE;
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/RoutingCost.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/RoutingCost.java
@@ -79,8 +79,7 @@
 	}
 
 	// A stream that has moved once should not have to move again, so it goes to no zone
-	// that
-	// is leaving; fresh requests are short and use what is left there.
+	// that is leaving; fresh requests are short and use what is left there.
 	private boolean zoneLeaves(Server server) {
 		return this.state.has(ServingFeature.ZONES) && this.request.begun() && this.state.servers.zoneLeaves(server);
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingState.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ServingState.java
@@ -121,8 +121,7 @@
 	void cancel(Attempt attempt, String reason, long nowNanos) {
 		end(attempt, nowNanos);
 		// The engine may have begun it before the cancellation arrives, so a later
-		// refusal
-		// of the request must not say that it did not run.
+		// refusal of the request must not say that it did not run.
 		attempt.request.verdict = attempt.request.verdict.then(Verdict.mayHaveRun());
 		this.commands.add(new ServingCommand.Cancel(attempt.request.id, attempt.id, reason));
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/ControllerFaultTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/ControllerFaultTests.java
@@ -96,9 +96,8 @@
 	}
 
 	// Engines that ignore the fencing number still take an order of the holder before:
-	// the
-	// new holder's order would be undone by one that is under way. It must wait out the
-	// longest validity before its first order.
+	// the new holder's order would be undone by one that is under way. It must wait out
+	// the longest validity before its first order.
 	@Test
 	void shouldWaitOutOrdersWhenEnginesIgnoreFencing() {
 		Deployment deployment = new Deployment(9, false);
@@ -120,10 +119,10 @@
 			.isGreaterThanOrEqualTo((Deployment.SETTINGS.orderValidityMillis() - 20) * VirtualWorld.MILLI);
 	}
 
-	// A caller's streams run on VMs that are bought and given back in turn, and the bill
-	// grows: a cloud without VMs is asked again and again. All offers refuse; each
-	// refusal
-	// doubles the pause of its offer, and only one purchase at a time probes an offer.
+	// A caller's streams run on VMs that are bought and given back in turn, and the
+	// bill grows: a cloud without VMs is asked again and again. All offers refuse; each
+	// refusal doubles the pause of its offer, and only one purchase at a time probes an
+	// offer.
 	@Test
 	void shouldAskSeldomWhenAllStartsAreRefused() {
 		Deployment deployment = new Deployment(3, false);
@@ -209,8 +208,8 @@
 	}
 
 	// An upgrade never ends: a stream that its caller forgot holds the old version, or
-	// the
-	// engine does not tell on which version its streams run and new ones keep coming.
+	// the engine does not tell on which version its streams run and new ones keep
+	// coming.
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
 	void shouldDropOldVersionWhenLimitPasses(boolean engineTells) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/ControllerSoakTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/ControllerSoakTests.java
@@ -30,9 +30,9 @@
 
 	// Operators find VMs too many, streams cut off or an old version left in service
 	// after a bad hour. Crashes, pauses, outages, lost messages, reclaims, refused
-	// starts,
-	// silent engines and new declarations come at random times, several at once; when
-	// they stop, the declared state must come back, and the limits hold all the time.
+	// starts, silent engines and new declarations come at random times, several at
+	// once; when they stop, the declared state must come back, and the limits hold all
+	// the time.
 	@ParameterizedTest(name = "seed {0}")
 	@MethodSource("seeds")
 	void shouldReachDeclaredStateWhenRandomFaultsStop(long seed) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/PoolSizeTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/capacity/PoolSizeTests.java
@@ -45,8 +45,8 @@
 	}
 
 	// Callers wait in the engines' queues and the pool stays as small as it is: every
-	// slot
-	// is busy, so that no more streams can run, and only the queue shows what is lacking.
+	// slot is busy, so that no more streams can run, and only the queue shows what is
+	// lacking.
 	@Test
 	void shouldGrowWhenStreamsWaitAllThroughWindow() {
 		this.running = 12;
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/membership/MembershipTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/membership/MembershipTests.java
@@ -110,8 +110,7 @@
 	@Test
 	void shouldTellTheDeadWhatIsThoughtOfThemWhenAskingAgain() {
 		// A partition heals long after the deaths were last passed on. A member can
-		// refute
-		// only what it hears, so that the one that asks it again must say it.
+		// refute only what it hears, so that the one that asks it again must say it.
 		gossip(record("vm-2", 1, MemberState.DEAD));
 		tickUntil(60 * SECOND);
 		this.commands.clear();
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/serving/ServingDecisionsTests.java
@@ -59,11 +59,9 @@
 		assertThat(refuse.problem().retryAfter()).isPresent();
 	}
 
-	// Engines were slow for a while, and the measured rate of prompts became small. Then
-	// a
-	// caller sends a long history to the idle pool and reads "overloaded", and so does
-	// each
-	// repeat, for good: what is refused cannot correct the measured rate.
+	// Engines were slow for a while, and the measured rate of prompts became small.
+	// Then a caller sends a long history to the idle pool and reads "overloaded", and
+	// so does each repeat, for good: what is refused cannot correct the measured rate.
 	@Test
 	void shouldAcceptALongPromptWhenThePoolIsIdleAndEarlierOnesWereSlow() {
 		seen(FIRST);
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerServer.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/CallerServer.java
@@ -279,8 +279,7 @@
 
 	// Guards against an entry that has no current configuration yet and therefore knows
 	// no key: callers would read that their key is wrong, which is final to them, and
-	// give
-	// up answers that they were coming back for.
+	// give up answers that they were coming back for.
 	private RosemaryException unknownKey() {
 		return this.context.fresh() ? problem(ProblemCode.UNAUTHENTICATED, "the bearer key is absent or unknown")
 				: unfresh();
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffSender.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/HandoffSender.java
@@ -81,8 +81,7 @@
 	}
 
 	// A caller that knows the identifier may come back for the problem of a failed
-	// answer;
-	// any other caller has read it on its connection.
+	// answer; any other caller has read it on its connection.
 	private static boolean wanted(AnswerStream stream) {
 		return stream.isOpen() || stream.ending()
 			.filter((last) -> last instanceof AnswerEvent.Finished || stream.canResume())
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ClaimedCalls.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ClaimedCalls.java
@@ -200,9 +200,8 @@
 	}
 
 	// The permission came from the control thread; the process may have been paused
-	// between
-	// it and this connection's thread. Nothing is written yet, so giving up here is
-	// not-run.
+	// between it and this connection's thread. Nothing is written yet, so giving up
+	// here is not-run.
 	private Mono<Void> sendCheck(Open call) {
 		boolean late = System.nanoTime() - call.sendBy >= 0;
 		return late ? Mono.error(ServiceFailure.notRun("the deadline passed before the first byte")) : Mono.empty();
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCalls.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCalls.java
@@ -160,10 +160,8 @@
 	}
 
 	// An idempotent call may run again, so each failure before the first byte of the
-	// answer
-	// may be tried elsewhere; only the first attempt uses a pooled connection, since the
-	// next
-	// one would time out as well when the pool went silent.
+	// answer may be tried elsewhere; only the first attempt uses a pooled connection,
+	// since the next one would time out as well when the pool went silent.
 	private Mono<Void> attempt(ServiceCall call, HttpServerResponse response, long deadline, int number,
 			Set<VmId> tried) {
 		Duration remaining = Duration.ofNanos(deadline - System.nanoTime());
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/ServingControlTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/entry/ServingControlTests.java
@@ -15,8 +15,7 @@
 class ServingControlTests {
 
 	// The decisions find that one of their invariants is broken, for instance new work
-	// for
-	// a server that is leaving. The entry did not ask for it, so operators saw
+	// for a server that is leaving. The entry did not ask for it, so operators saw
 	// invariants.broken at 0 while a promise was being broken.
 	@Test
 	void shouldCountBrokenInvariantWhenDecisionsReportOne() {
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ClaimWriterTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ClaimWriterTests.java
@@ -32,8 +32,7 @@
 	}
 
 	// Five bookings share a transaction and one key is taken: the other four households
-	// must
-	// not be refused for it.
+	// must not be refused for it.
 	@Test
 	void shouldWriteTheRestWhenOneOfGroupConflicts() throws InterruptedException {
 		write(List.of("c"));
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceCallsTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceCallsTests.java
@@ -93,8 +93,7 @@
 	}
 
 	// A homeowner confirms twice while the first confirmation is still running. The
-	// second
-	// must wait for the first one's outcome; run again, it sends two crews.
+	// second must wait for the first one's outcome; run again, it sends two crews.
 	@Test
 	void shouldWaitForRunningCallWhenRepeatedMeanwhile() {
 		this.booking.behave(BookingService.Behaviour.SLOW);
@@ -137,10 +136,8 @@
 	}
 
 	// The claim's fate is unknown, the store cannot be read, and the caller is refused.
-	// The
-	// claim must be voided when the store is back, else the household's next try waits
-	// for
-	// a booking that nobody makes.
+	// The claim must be voided when the store is back, else the household's next try
+	// waits for a booking that nobody makes.
 	@Test
 	void shouldRunRepeatWhenRefusedAfterUncertainClaim() {
 		this.tables.loseAnswerOf((_) -> true);
@@ -193,8 +190,7 @@
 	}
 
 	// The booking ran and the store cannot keep its outcome in time: the caller still
-	// reads
-	// its confirmation, and the outcome is stored when the store is back.
+	// reads its confirmation, and the outcome is stored when the store is back.
 	@Test
 	void shouldAnswerWhatRanWhenOutcomeCannotBeStored() {
 		AtomicInteger commits = new AtomicInteger();
@@ -217,12 +213,10 @@
 		assertThat(this.booking.runs("villa-12")).isOne();
 	}
 
-	// An entry claimed the key and died; nobody knows whether it sent the booking. Run by
-	// the
-	// repeat, the booking could be doubled. An entry known to be gone, or an earlier
-	// process
-	// of this VM, is answered for at once; for any other the repeat waits as for a
-	// running call.
+	// An entry claimed the key and died; nobody knows whether it sent the booking. Run
+	// by the repeat, the booking could be doubled. An entry known to be gone, or an
+	// earlier process of this VM, is answered for at once; for any other the repeat
+	// waits as for a running call.
 	@ParameterizedTest
 	@CsvSource({ "gone, its outcome is unknown", "entry-1, its outcome is unknown", "entry-2, has no outcome yet" })
 	void shouldNotRunWhenHolderDied(String holder, String detail) {
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceClientTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceClientTests.java
@@ -19,8 +19,7 @@
 	private static final Duration LIMIT = Duration.ofSeconds(20);
 
 	// An entry is paused after it connected and wakes when its caller has read not-run.
-	// If
-	// one byte went out now, the booking could run after all.
+	// If one byte went out now, the booking could run after all.
 	@Test
 	void shouldSendNothingWhenPermitIsRefused() {
 		try (BookingService booking = BookingService.start("vm-a");
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/EntryChurn.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/EntryChurn.java
@@ -96,8 +96,7 @@
 	// -- queries
 
 	// Stops in good order that did not end in time, or not with 0, and processes that
-	// ended
-	// without being asked.
+	// ended without being asked.
 	synchronized List<String> badStops() {
 		List<String> all = new ArrayList<>(this.badStops);
 		this.cluster.processes()
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/SoakResult.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/SoakResult.java
@@ -19,8 +19,7 @@
 	private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
 	// Final answers that the protocol allows to an accepted request; all others are
-	// broken
-	// promises. The deadline is the organisation's own.
+	// broken promises. The deadline is the organisation's own.
 	private static final Set<String> ALLOWED_ENDS = Set.of("deadline-exceeded");
 
 	private final LoadReport load;
--- a/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/AskedRequest.java
+++ b/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/AskedRequest.java
@@ -77,8 +77,7 @@
 	}
 
 	// An engine that has not loaded the model yet refuses, and the request goes to
-	// another;
-	// so the engine is looked up anew each time.
+	// another; so the engine is looked up anew each time.
 	private void awaitTokens(int tokens) {
 		awaitDispatch();
 		Pause.until(tokens + " tokens are generated", PromiseCluster.LIMIT, () -> ended()
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/platform/PlatformModel.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/platform/PlatformModel.java
@@ -286,8 +286,7 @@
 	}
 
 	// The caller's cancellation must not stop a call that arrived: a real service does
-	// its
-	// work although nobody waits for the answer any more.
+	// its work although nobody waits for the answer any more.
 	private <T> Mono<T> delayed(Effect effect, Supplier<T> work) {
 		if (effect.delayMillis() == 0) {
 			return Mono.fromSupplier(work);
--- a/rosemaryfront-standins/src/test/java/org/rosemaryfront/standin/platform/InMemoryPlatformTests.java
+++ b/rosemaryfront-standins/src/test/java/org/rosemaryfront/standin/platform/InMemoryPlatformTests.java
@@ -53,8 +53,7 @@
 	}
 
 	// A claim that was given up shows up as written a second later. The store was slow,
-	// the
-	// caller's time-out passed, and the store did the write it still had.
+	// the caller's time-out passed, and the store did the write it still had.
 	@Test
 	void shouldTakeEffectAfterCallerGaveUpWhenSlow() {
 		this.platform.begin(Fault.of(Kind.SLOW, 500).delayed(3 * TIMEOUT));
@@ -141,9 +140,8 @@
 	// -- rates
 
 	// The store refuses what is above its rate, and the refusal had no effect: a caller
-	// may
-	// answer not-run. Were the refused write done all the same, the answer would be a
-	// lie.
+	// may answer not-run. Were the refused write done all the same, the answer would be
+	// a lie.
 	@Test
 	void shouldRefuseWithoutEffectWhenAboveRate() {
 		int committed = 0;
--- a/rosemaryfront-standins/src/test/java/org/rosemaryfront/standin/platform/TableStoreTests.java
+++ b/rosemaryfront-standins/src/test/java/org/rosemaryfront/standin/platform/TableStoreTests.java
@@ -34,9 +34,8 @@
 class TableStoreTests {
 
 	// Two controllers both believe that they hold the lease. Both read the lease row,
-	// both
-	// write it conditional on the version read; a store that checks the conditions of a
-	// transaction apart from its writes, or writes half of it, lets both win.
+	// both write it conditional on the version read; a store that checks the conditions
+	// of a transaction apart from its writes, or writes half of it, lets both win.
 	@Property(seed = "-4525340256736528496")
 	void shouldBehaveAsPlainModelWhenTransactionsComeInAnyOrder(@ForAll("steps") List<Step> steps) {
 		TableStore store = TableStore.empty();
@@ -72,9 +71,8 @@
 	}
 
 	// A claim that was voided is taken for the claim of its caller. The row is deleted
-	// and
-	// written again while the caller's conditional write is under way; if versions began
-	// anew with each row, the old condition would hold on the new row.
+	// and written again while the caller's conditional write is under way; if versions
+	// began anew with each row, the old condition would hold on the new row.
 	@Test
 	void shouldConflictWhenRowWasDeletedAndWrittenAgain() {
 		TableStore store = TableStore.empty();
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/platform/HttpPlatform.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/platform/HttpPlatform.java
@@ -78,8 +78,8 @@
 			.lifo()
 			.build();
 		// Whether a call is sent again is decided from its verdict, by the caller: a
-		// commit
-		// sent twice would conflict with itself. So Reactor Netty's own retry is off.
+		// commit sent twice would conflict with itself. So Reactor Netty's own retry is
+		// off.
 		this.http = HttpClient.create(this.connections)
 			.runOn(this.loops)
 			.baseUrl(settings.url())
@@ -217,10 +217,8 @@
 	}
 
 	// Reactor Netty closes a connection whose call is cancelled, as the time-out does,
-	// and
-	// never pools it: a connection gone silent would otherwise take the next call too,
-	// and
-	// a late answer would be read as the answer to that call.
+	// and never pools it: a connection gone silent would otherwise take the next call
+	// too, and a late answer would be read as the answer to that call.
 	private Mono<Answer> send(HttpMethod method, String path, Body body, AtomicBoolean sent) {
 		return this.http.request(method).uri(path).send((request, out) -> {
 			sent.set(true);
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
@@ -105,8 +105,7 @@
 				EventLog.close();
 				stopped.countDown();
 				// Without the halt the virtual machine ends with 143 after SIGTERM, and
-				// who
-				// stopped the program cannot tell a stop in good order from a kill.
+				// who stopped the program cannot tell a stop in good order from a kill.
 				Runtime.getRuntime().halt(0);
 			}
 		}, "stop"));
--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/platform/HttpPlatformTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/platform/HttpPlatformTests.java
@@ -134,10 +134,10 @@
 
 	// -- connections
 
-	// A caller is told that another call has its key. A pooled connection is reset after
-	// the claim was committed and before the answer. Were the commit sent once more
-	// unseen,
-	// it would conflict with itself and the client would report that as the outcome.
+	// A caller is told that another call has its key. A pooled connection is reset
+	// after the claim was committed and before the answer. Were the commit sent once
+	// more unseen, it would conflict with itself and the client would report that as
+	// the outcome.
 	@Test
 	void shouldSendCommitOnceWhenPooledConnectionIsReset() {
 		serve((_, response) -> (this.calls.get() == 2) ? reset(response) : response.sendString(Mono.just(COMMITTED)));
@@ -175,9 +175,8 @@
 	}
 
 	// An entry reads the row of another call. The answer to its first read comes after
-	// its
-	// time-out; were the connection used again, the late answer would be taken as the
-	// answer to the second read.
+	// its time-out; were the connection used again, the late answer would be taken as
+	// the answer to the second read.
 	@Test
 	void shouldNotTakeLateAnswerAsAnswerToNextCall() throws InterruptedException {
 		CountDownLatch closed = new CountDownLatch(1);
@@ -202,8 +201,8 @@
 	}
 
 	// The first call after a quiet time fails. Servers and address translators forget
-	// idle
-	// connections without telling the client, whose connection then only looks open.
+	// idle connections without telling the client, whose connection then only looks
+	// open.
 	@Test
 	void shouldCloseConnectionWhenItWasIdleForLimit() throws InterruptedException {
 		CountDownLatch closed = new CountDownLatch(1);
