--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Result.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Result.java
@@ -1,8 +1,10 @@
 package org.rosemaryfront.bench;
 
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -107,7 +109,7 @@
 	// -- the line
 
 	Map<String, Object> line() {
-		Map<String, Object> line = new java.util.LinkedHashMap<>();
+		Map<String, Object> line = new LinkedHashMap<>();
 		line.put("requests", this.answers.size());
 		line.put("finished", this.answers.stream().filter(Answer::finished).count());
 		line.put("within", within());
@@ -116,7 +118,7 @@
 		line.put("summaryWithinShare", rounded(share(Priority.SUMMARY)));
 		line.put("withinShareByOrganisation", byOrganisation());
 		for (Priority priority : Priority.values()) {
-			String word = priority.name().toLowerCase(java.util.Locale.ROOT);
+			String word = priority.name().toLowerCase(Locale.ROOT);
 			line.put(word + "FirstTokenMillis", percentiles(firstTokens(priority)));
 			line.put(word + "BetweenTokensMillis", percentiles(this.run.journal.between(priority)));
 		}
--- a/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Scenarios.java
+++ b/rosemaryfront-bench/src/main/java/org/rosemaryfront/bench/Scenarios.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.bench;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -91,7 +92,7 @@
 		return (run) -> {
 			Random random = new Random(seed);
 			List<Runner> runners = new ArrayList<>(run.fleet.all());
-			java.util.Collections.shuffle(runners, random);
+			Collections.shuffle(runners, random);
 			for (Runner runner : runners.subList(0, count)) {
 				run.reclaim(runner, 20 * VirtualTime.SECOND + random.nextInt(2_000) * VirtualTime.MILLI,
 						(4_000 + random.nextInt(8_000)) * VirtualTime.MILLI);
--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/Controller.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/Controller.java
@@ -1,8 +1,10 @@
 package org.rosemaryfront.controller;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.IntSupplier;
@@ -220,7 +222,7 @@
 				Thread.currentThread().interrupt();
 				return false;
 			}
-			catch (java.util.concurrent.ExecutionException | TimeoutException ex) {
+			catch (ExecutionException | TimeoutException ex) {
 				return false;
 			}
 		}
@@ -238,7 +240,7 @@
 	 * @param decisions the last decisions with their reasons
 	 */
 	record Status(String holder, long fence, boolean held, long remainingMillis, CapacityStatus capacity,
-			java.util.List<String> decisions) {
+			List<String> decisions) {
 
 		Map<String, Object> asMap() {
 			return Map.of("lease", Map.of("holder", this.holder, "fence", this.fence, "held", this.held,
--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/StatusServer.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/StatusServer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 
@@ -19,8 +20,7 @@
 final class StatusServer implements AutoCloseable {
 
 	private static final JsonMapper MAPPER = JsonMapper.builder()
-		.addModule(new MetricsModule(java.util.concurrent.TimeUnit.SECONDS, java.util.concurrent.TimeUnit.MILLISECONDS,
-				false))
+		.addModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false))
 		.build();
 
 	private static final Duration CLOSE_LIMIT = Duration.ofSeconds(1);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/HashRing.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/HashRing.java
@@ -1,7 +1,9 @@
 package org.rosemaryfront.serving;
 
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * The servers of a pool at fixed pseudo-random places of a ring. The servers that follow
@@ -24,7 +26,7 @@
 
 	static HashRing of(List<Server> servers) {
 		long[] sorted = new long[servers.size() * PLACES];
-		java.util.Map<Long, Server> byPlace = new java.util.HashMap<>(2 * sorted.length);
+		Map<Long, Server> byPlace = new HashMap<>(2 * sorted.length);
 		int count = 0;
 		for (Server server : servers) {
 			for (int i = 0; i < PLACES; i++) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ReroutingSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/ReroutingSystem.java
@@ -1,6 +1,8 @@
 package org.rosemaryfront.serving;
 
+import java.util.ArrayList;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -35,7 +37,7 @@
 		}
 		double patience = LATENCY_NANOS + STEPS * state.estimates.stepNanos();
 		Iterator<Attempt> oldest = state.attempts.unaccepted().iterator();
-		java.util.List<Attempt> waiting = new java.util.ArrayList<>();
+		List<Attempt> waiting = new ArrayList<>();
 		while (oldest.hasNext()) {
 			Attempt attempt = oldest.next();
 			if (nowNanos - attempt.dispatchedNanos < patience) {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -23,6 +23,7 @@
 import org.rosemaryfront.engine.EngineClientSettings;
 import org.rosemaryfront.engine.HttpEngineClient;
 import org.rosemaryfront.model.Configuration;
+import org.rosemaryfront.model.RequestId;
 import org.rosemaryfront.model.VmId;
 import org.rosemaryfront.operators.LeaseView;
 import org.rosemaryfront.operators.OperatorServer;
@@ -370,7 +371,7 @@
 
 		@Override
 		public List<String> explain(String request) {
-			return EntryProcess.this.decisions.explain(new org.rosemaryfront.model.RequestId(request));
+			return EntryProcess.this.decisions.explain(new RequestId(request));
 		}
 
 		@Override
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ClaimWriter.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ClaimWriter.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
@@ -97,7 +98,7 @@
 			this.control.schedule(() -> {
 				this.flushPlanned = false;
 				flush();
-			}, this.window.toNanos(), java.util.concurrent.TimeUnit.NANOSECONDS);
+			}, this.window.toNanos(), TimeUnit.NANOSECONDS);
 		}
 	}
 
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCall.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCall.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.Locale;
 import java.util.Objects;
@@ -104,7 +105,7 @@
 	private static Set<String> connectionTokens(HttpHeaders headers) {
 		return headers.getAll("Connection")
 			.stream()
-			.flatMap((value) -> java.util.Arrays.stream(value.split(",")))
+			.flatMap((value) -> Arrays.stream(value.split(",")))
 			.map((token) -> token.trim().toLowerCase(Locale.ROOT))
 			.collect(java.util.stream.Collectors.toSet());
 	}
--- a/rosemaryfront-model/src/main/java/org/rosemaryfront/model/Kind.java
+++ b/rosemaryfront-model/src/main/java/org/rosemaryfront/model/Kind.java
@@ -1,5 +1,8 @@
 package org.rosemaryfront.model;
 
+import java.util.Arrays;
+import java.util.Optional;
+
 /**
  * The kinds of resource that operators declare.
  */
@@ -39,8 +42,8 @@
 	 * @param label the name in a declaration
 	 * @return the kind, empty when no kind has the name
 	 */
-	public static java.util.Optional<Kind> ofLabel(String label) {
-		return java.util.Arrays.stream(values()).filter((kind) -> kind.label.equals(label)).findFirst();
+	public static Optional<Kind> ofLabel(String label) {
+		return Arrays.stream(values()).filter((kind) -> kind.label.equals(label)).findFirst();
 	}
 
 }
--- a/rosemaryfront-model/src/main/java/org/rosemaryfront/model/ProblemCode.java
+++ b/rosemaryfront-model/src/main/java/org/rosemaryfront/model/ProblemCode.java
@@ -1,5 +1,7 @@
 package org.rosemaryfront.model;
 
+import java.util.Locale;
+
 /**
  * Every reason that a caller or an operator can read in an error document, with its HTTP
  * status.
@@ -82,7 +84,7 @@
 	 * @return lower case words joined by hyphens
 	 */
 	public String code() {
-		return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
 	}
 
 }
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
@@ -13,8 +13,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -22,6 +24,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.rosemaryfront.keys.Sha256;
+
 /**
  * A deployment as real processes on loopback: stand-ins, entries and controllers.
  *
@@ -36,7 +40,7 @@
 	/** The operators' key of every demo and test. */
 	public static final String OPERATOR_KEY = "demo-operator-key";
 
-	private static final String OPERATOR_KEY_HASH = Hashes.sha256(OPERATOR_KEY);
+	private static final String OPERATOR_KEY_HASH = Sha256.hex(OPERATOR_KEY);
 
 	private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
@@ -250,7 +254,7 @@
 			Process process = new ProcessBuilder(command).redirectErrorStream(true)
 				.redirectOutput(output.toFile())
 				.start();
-			boolean ended = process.waitFor(COMMAND_LIMIT.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS);
+			boolean ended = process.waitFor(COMMAND_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
 			String printed = Files.readString(output);
 			if (!ended || process.exitValue() != 0) {
 				process.destroyForcibly();
@@ -322,8 +326,8 @@
 	 * How often each booking ran, over all booking services.
 	 * @return the number of executions by idempotency key
 	 */
-	public java.util.Map<String, Integer> executions() {
-		java.util.Map<String, Integer> counts = new java.util.TreeMap<>();
+	public Map<String, Integer> executions() {
+		Map<String, Integer> counts = new TreeMap<>();
 		for (ManagedProcess service : this.services) {
 			if (service.alive()) {
 				call("GET", service.listener("http"), "/standin/v1/executions", "").properties()
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/ManagedProcess.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/ManagedProcess.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -254,7 +255,7 @@
 	private Map<String, String> parseListeners(String line) {
 		try {
 			JsonNode ready = MAPPER.readTree(line);
-			Map<String, String> found = new java.util.TreeMap<>();
+			Map<String, String> found = new TreeMap<>();
 			ready.path("listeners")
 				.properties()
 				.forEach((entry) -> found.put(entry.getKey(), entry.getValue().asText()));
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/ProgramFigures.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/ProgramFigures.java
@@ -8,6 +8,8 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.rosemaryfront.keys.Sha256;
+
 /**
  * Measures the start-up time and the memory of each program, alone and idle: the time
  * from the start of the process to its ready line, and what it uses after a while. Prints
@@ -67,7 +69,7 @@
 			ObjectNode entry = node(url);
 			entry.set("callers", listener());
 			ObjectNode operators = listener();
-			operators.putArray("keyHashes").add(Hashes.sha256(Cluster.OPERATOR_KEY));
+			operators.putArray("keyHashes").add(Sha256.hex(Cluster.OPERATOR_KEY));
 			entry.set("operators", operators);
 			ObjectNode controller = node(url);
 			controller.set("status", listener());
--- a/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/OperatorServerTests.java
+++ b/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/OperatorServerTests.java
@@ -22,6 +22,7 @@
 import org.rosemaryfront.configuration.Change;
 import org.rosemaryfront.configuration.ConfigurationStore;
 import org.rosemaryfront.ctl.ExitCode;
+import org.rosemaryfront.keys.Sha256;
 import org.rosemaryfront.model.Resource;
 import org.rosemaryfront.operators.OperatorServer;
 import org.rosemaryfront.operators.OperatorSettings;
@@ -227,8 +228,7 @@
 	@Test
 	void shouldServeOverTlsWhenTheSettingsSaySo() {
 		String folder = "../rosemaryfront-wire/src/test/resources/tls/";
-		OperatorSettings settings = new OperatorSettings("127.0.0.1", 0,
-				List.of(OperatorsFixture.sha256(OperatorsFixture.KEY)),
+		OperatorSettings settings = new OperatorSettings("127.0.0.1", 0, List.of(Sha256.hex(OperatorsFixture.KEY)),
 				new TlsSettings(folder + "first.pem", folder + "first.key", ""));
 		try (OperatorServer server = OperatorServer.start(settings, this.fixture.store(), this.fixture.entry())) {
 			String url = "https://" + server.address();
--- a/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/OperatorsFixture.java
+++ b/rosemaryfront-proof/src/test/java/org/rosemaryfront/proof/OperatorsFixture.java
@@ -21,6 +21,7 @@
 import org.rosemaryfront.ctl.Console;
 import org.rosemaryfront.ctl.ExitCode;
 import org.rosemaryfront.ctl.Rosemaryctl;
+import org.rosemaryfront.keys.Sha256;
 import org.rosemaryfront.membership.MemberState;
 import org.rosemaryfront.model.Configuration;
 import org.rosemaryfront.model.VmId;
@@ -56,7 +57,8 @@
 
 	private OperatorsFixture() {
 		this.server = OperatorServer.start(
-				new OperatorSettings("127.0.0.1", 0, List.of(sha256(KEY)), TlsSettings.none()), this.store, this.entry);
+				new OperatorSettings("127.0.0.1", 0, List.of(Sha256.hex(KEY)), TlsSettings.none()), this.store,
+				this.entry);
 	}
 
 	static OperatorsFixture start() {
@@ -132,17 +134,6 @@
 		}
 	}
 
-	static String sha256(String text) {
-		try {
-			return java.util.HexFormat.of()
-				.formatHex(java.security.MessageDigest.getInstance("SHA-256")
-					.digest(text.getBytes(StandardCharsets.UTF_8)));
-		}
-		catch (java.security.NoSuchAlgorithmException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
-
 	// -- values
 
 	record Ctl(ExitCode exit, String out, String err) {
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadHttp.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadHttp.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiFunction;
@@ -100,7 +101,7 @@
 	 * @param body the body, empty for none
 	 * @param limit the greatest time without a byte, empty for the usual one
 	 */
-	record Call(HttpMethod method, String url, List<Header> headers, String body, java.util.Optional<Duration> limit) {
+	record Call(HttpMethod method, String url, List<Header> headers, String body, Optional<Duration> limit) {
 	}
 
 	/**
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadRun.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadRun.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -156,7 +157,7 @@
 		Map<String, Integer> executions = new HashMap<>();
 		for (String service : this.settings.services()) {
 			Call call = new Call(HttpMethod.GET, service + "/standin/v1/executions", List.of(), "",
-					java.util.Optional.of(Duration.ofSeconds(5)));
+					Optional.of(Duration.ofSeconds(5)));
 			JsonNode counts = this.http.call(call, LoadHttp::read).blockFirst().body();
 			counts.properties().forEach((key) -> executions.merge(key.getKey(), key.getValue().asInt(), Integer::sum));
 		}
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadSettings.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/load/LoadSettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 
 /**
  * What a load run sends.
@@ -156,7 +157,7 @@
 			int[] shares = new int[Kind.values().length];
 			for (String part : text.split(",")) {
 				String[] pair = part.split("=");
-				shares[Kind.valueOf(pair[0].trim().toUpperCase(java.util.Locale.ROOT)).ordinal()] = Integer
+				shares[Kind.valueOf(pair[0].trim().toUpperCase(Locale.ROOT)).ordinal()] = Integer
 					.parseInt(pair[1].trim());
 			}
 			return new Mix(shares[0], shares[1], shares[2], shares[3]);
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/EngineJson.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/EngineJson.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
@@ -126,7 +127,7 @@
 		return new StreamOrder(new AttemptId(node.path("attempt").asText()), node.path("model").asText(),
 				node.path("adapter").asText(), node.path("prompt").asText(), blocks(node.path("blocks")),
 				texts(node.path("emitted")), node.path("maxTokens").asInt(), node.path("priority").asInt(),
-				java.time.Duration.ofMillis(node.path("expiresMillis").asLong()));
+				Duration.ofMillis(node.path("expiresMillis").asLong()));
 	}
 
 	/**
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.program;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -52,7 +53,7 @@
 	 * @param tick runs the systems at the given time, {@link System#nanoTime}
 	 * @return the running loop
 	 */
-	public static ControlLoop start(String name, java.time.Duration interval, Consumer<Long> tick) {
+	public static ControlLoop start(String name, Duration interval, Consumer<Long> tick) {
 		Objects.requireNonNull(tick, "tick is null");
 		ControlLoop loop = new ControlLoop(interval.toNanos(), tick);
 		Thread thread = new Thread(loop::run, name);
