Start the lease and the tables wherever the monotonic clock starts

Cause: LeaseMachine planned its first read and write for time 0, so that a process with a negative clock never took the lease; on a VM that booted less than ten minutes ago CapacityExecutorTests#shouldSendNothingWhenLeaseLapsedInPause handed it such a time. The queue window of a pool, the next release of a VM and the marks "avoid", "full" and "export busy" of a server had the same origin. Ruled out: the term arithmetic, which compares differences. Change: first times are taken from the first tick or from the row's making; "not yet" is an empty value or a flag, never 0.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacityDecisions.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/CapacityDecisions.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.rosemaryfront.capacity.CapacityCommand.Source;
@@ -103,7 +104,7 @@
 		switch (event) {
 			case CapacityEvent.LeaseTaken taken -> leaseTaken(taken.fence(), nowNanos);
 			case CapacityEvent.LeaseLost _ -> this.tables.leading = false;
-			case CapacityEvent.ConfigurationApplied applied -> configuration(applied.configuration());
+			case CapacityEvent.ConfigurationApplied applied -> configuration(applied.configuration(), nowNanos);
 			case CapacityEvent.OffersRead read -> offersRead(read.offers(), nowNanos);
 			case CapacityEvent.VmsRead read -> vmsRead(read, nowNanos);
 			case CapacityEvent.NoticesRead read -> noticesRead(read, nowNanos);
@@ -128,7 +129,7 @@
 			case CapacityEvent.StateRead read -> find(read.vm()).ifPresent((row) -> stateRead(row, read, nowNanos));
 			case CapacityEvent.StateUnknown unknown -> find(unknown.vm()).ifPresent((row) -> {
 				row.exchanging = false;
-				row.silentSinceNanos = (row.silentSinceNanos != 0) ? row.silentSinceNanos : nowNanos;
+				row.silentSinceNanos = OptionalLong.of(row.silentSinceNanos.orElse(nowNanos));
 				row.nextReadNanos = nowNanos + this.tables.jittered(this.tables.settings.pollMillis());
 			});
 		}
@@ -147,12 +148,12 @@
 		this.tables.sources.values().forEach(SourceRow::reset);
 	}
 
-	private void configuration(Configuration configuration) {
+	private void configuration(Configuration configuration, long nowNanos) {
 		this.tables.configuration = configuration;
 		Set<String> names = new HashSet<>();
 		configuration.all(Resource.Pool.class).forEach((pool) -> {
 			names.add(pool.name());
-			this.tables.pools.computeIfAbsent(pool.name(), (_) -> new PoolRow(pool)).pool = pool;
+			this.tables.pools.computeIfAbsent(pool.name(), (_) -> new PoolRow(pool, nowNanos)).pool = pool;
 		});
 		this.tables.pools.keySet().retainAll(names);
 	}
@@ -210,7 +211,7 @@
 
 	private void stateRead(VmRow row, CapacityEvent.StateRead read, long nowNanos) {
 		row.exchanging = false;
-		row.silentSinceNanos = 0;
+		row.silentSinceNanos = OptionalLong.empty();
 		row.actual = Optional.of(read.state());
 		row.actualAskedNanos = read.askedNanos();
 		// Entries keep "leaving" for good, so that a drained engine is never put back.
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/DrainSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/DrainSystem.java
@@ -61,13 +61,13 @@
 	// Replaces engines that no longer answer. When most of a pool is silent, this process
 	// is the one that is cut off: giving all of them back would end every stream.
 	private static void drainSilent(CapacityTables tables, PoolRow row, long nowNanos) {
-		long silent = row.vms.stream().filter((vm) -> vm.silentSinceNanos != 0).count();
+		long silent = row.vms.stream().filter((vm) -> vm.silentSinceNanos.isPresent()).count();
 		if (silent * 2 > Math.max(2, row.vms.size())) {
 			return;
 		}
 		row.vms.stream()
-			.filter((vm) -> vm.counts() && vm.silentSinceNanos != 0
-					&& isOver(vm.silentSinceNanos, tables.settings.unreachableMillis(), nowNanos))
+			.filter((vm) -> vm.counts() && vm.silentSinceNanos.isPresent()
+					&& isOver(vm.silentSinceNanos.getAsLong(), tables.settings.unreachableMillis(), nowNanos))
 			.forEach((vm) -> vm.drain(nowNanos, "unreachable"));
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/OrderSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/OrderSystem.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.rosemaryfront.model.Resource;
 
@@ -89,14 +90,14 @@
 		old.removeAll(pool.models);
 		old.removeAll(pool.adapters);
 		if (old.isEmpty()) {
-			row.oldVersionsSinceNanos = 0;
+			row.oldVersionsSinceNanos = OptionalLong.empty();
 			return false;
 		}
-		if (row.oldVersionsSinceNanos == 0) {
-			row.oldVersionsSinceNanos = nowNanos;
+		if (row.oldVersionsSinceNanos.isEmpty()) {
+			row.oldVersionsSinceNanos = OptionalLong.of(nowNanos);
 		}
 		return !state.mayRunOn(old)
-				|| DrainSystem.isOver(row.oldVersionsSinceNanos, tables.settings.drainMillis(), nowNanos);
+				|| DrainSystem.isOver(row.oldVersionsSinceNanos.getAsLong(), tables.settings.drainMillis(), nowNanos);
 	}
 
 	private static boolean lacks(PoolRow pool, ServerState state) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/PoolRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/PoolRow.java
@@ -45,8 +45,10 @@
 
 	List<String> adapters = List.of();
 
-	PoolRow(Pool pool) {
+	PoolRow(Pool pool, long nowNanos) {
 		this.pool = pool;
+		this.demandPeakUntilNanos = nowNanos;
+		this.queueWindowEndNanos = nowNanos;
 	}
 
 	boolean servesModels() {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/ReadSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/ReadSystem.java
@@ -87,8 +87,8 @@
 
 	private static long pause(CapacityTables tables, PoolRow pool, VmRow row) {
 		long poll = tables.settings.pollMillis();
-		boolean settled = pool.isReady(row) && tables.isKnown(pool, row) && row.silentSinceNanos == 0
-				&& row.oldVersionsSinceNanos == 0 && row.actual.orElseThrow().loading().isEmpty();
+		boolean settled = pool.isReady(row) && tables.isKnown(pool, row) && row.silentSinceNanos.isEmpty()
+				&& row.oldVersionsSinceNanos.isEmpty() && row.actual.orElseThrow().loading().isEmpty();
 		return tables.jittered(settled ? Math.max(SETTLED_PERIODS * poll, perVm(tables)) : poll);
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/VmRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/capacity/VmRow.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.capacity;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.rosemaryfront.capacity.CloudVm.State;
 import org.rosemaryfront.model.VmId;
@@ -29,11 +30,11 @@
 
 	long nextReadNanos;
 
-	/** When the engine's silence began; 0 while it answers. */
-	long silentSinceNanos;
+	/** When the engine's silence began; empty while it answers. */
+	OptionalLong silentSinceNanos = OptionalLong.empty();
 
-	/** Since when old versions wait for their streams; 0 when there are none. */
-	long oldVersionsSinceNanos;
+	/** Since when old versions wait for their streams; empty when there are none. */
+	OptionalLong oldVersionsSinceNanos = OptionalLong.empty();
 
 	boolean releasing;
 
@@ -51,6 +52,7 @@
 		this.vm = vm;
 		this.firstSeenNanos = nowNanos;
 		this.nextReadNanos = nowNanos;
+		this.nextReleaseNanos = nowNanos;
 	}
 
 	// Whether it adds to its pool's size.
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseMachine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseMachine.java
@@ -68,6 +68,9 @@
 
 	private boolean releasing;
 
+	/** Whether the clock was read; a monotonic clock may start anywhere, also below 0. */
+	private boolean started;
+
 	private long readNumber;
 
 	private boolean readInFlight;
@@ -228,6 +231,7 @@
 	 */
 	public List<LeaseCommand> tick(long nowNanos) {
 		List<LeaseCommand> commands = new ArrayList<>();
+		start(nowNanos);
 		if (this.holding && nowNanos - this.validUntilNanos >= 0) {
 			this.holding = false;
 		}
@@ -241,6 +245,14 @@
 		return commands;
 	}
 
+	private void start(long nowNanos) {
+		if (!this.started) {
+			this.started = true;
+			this.nextReadNanos = nowNanos;
+			this.nextWriteNanos = nowNanos;
+		}
+	}
+
 	// -- reads
 
 	private LeaseCommand read(long nowNanos) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Attempt.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Attempt.java
@@ -30,8 +30,8 @@
 
 	int cachedTokens;
 
-	/** The time of its first token, 0 before it. */
-	long firstTokenNanos;
+	/** Whether its first token came. */
+	boolean begun;
 
 	long lastTokenNanos;
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/DepartureSystem.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/DepartureSystem.java
@@ -59,7 +59,7 @@
 		Request request = attempt.request;
 		double expected = state.estimates.answerTokens(request) - request.emittedTokens;
 		double remaining = (expected > 1) ? expected : (request.spec.maxTokens() - request.emittedTokens) / 2.0;
-		double prefill = (attempt.firstTokenNanos == 0) ? state.estimates.prefillNanos(request.contextTokens()) : 0;
+		double prefill = attempt.begun ? 0 : state.estimates.prefillNanos(request.contextTokens());
 		double needed = prefill + remaining * state.estimates.tokenNanos();
 		return nowNanos + FINISH_MARGIN * needed + state.parameters.noticeMarginNanos() < attempt.server.goneAtNanos;
 	}
@@ -95,7 +95,7 @@
 	}
 
 	private static boolean importIsBetter(ServingState state, Attempt attempt, long nowNanos) {
-		if (attempt.firstTokenNanos == 0) {
+		if (!attempt.begun) {
 			return false;
 		}
 		double end = exportEnd(state, attempt, nowNanos);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/EventIntake.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/EventIntake.java
@@ -87,8 +87,8 @@
 		if (fresh <= 0) {
 			return;
 		}
-		if (attempt.firstTokenNanos == 0) {
-			attempt.firstTokenNanos = nowNanos;
+		if (!attempt.begun) {
+			attempt.begun = true;
 			this.state.estimates.firstToken(attempt.firstOffset + request.spec.promptTokens() - attempt.cachedTokens,
 					nowNanos - attempt.acceptedNanos);
 		}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Request.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Request.java
@@ -61,6 +61,7 @@
 		this.id = id;
 		this.spec = spec;
 		this.arrivedNanos = arrivedNanos;
+		this.notBeforeNanos = arrivedNanos;
 		this.blocks = spec.prefixBlocks().stream().mapToLong(Long::longValue).toArray();
 		this.key = key(spec, this.blocks, affinityBlocks);
 		this.adopted = adopted;
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Router.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Router.java
@@ -74,7 +74,7 @@
 		if (state.summariesRunning >= SummaryLimit.of(state, request.spec.pool(), nowNanos)) {
 			return 0;
 		}
-		boolean early = nowNanos < (request.arrivedNanos + request.spec.firstTokenNanos()) / 2;
+		boolean early = nowNanos - request.arrivedNanos < (request.spec.firstTokenNanos() - request.arrivedNanos) / 2;
 		return state.slots(request.spec.pool()) - (early ? CHAT_SLOTS : 0);
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Server.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/serving/Server.java
@@ -41,10 +41,10 @@
 	final ServerLoad load = new ServerLoad();
 
 	/** No new work before this time, after a failure there. */
-	long avoidUntilNanos;
+	long avoidUntilNanos = Long.MIN_VALUE;
 
 	/** It is known to be full until then, in nanoseconds. */
-	long fullUntilNanos;
+	long fullUntilNanos = Long.MIN_VALUE;
 
 	/** The time between tokens of its streams, in nanoseconds, 0 before the first. */
 	double tokenNanos;
@@ -56,7 +56,7 @@
 	int failures;
 
 	/** When its KV export is free for another stream of this process. */
-	long exportFreeNanos;
+	long exportFreeNanos = Long.MIN_VALUE;
 
 	Server(VmId id, String pool, String zone, String address) {
 		this.id = id;
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseMachineTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseMachineTests.java
@@ -122,6 +122,20 @@
 		assertThat(writes(5_001 * MILLI)).isEmpty();
 	}
 
+	// On a VM that has just booted no process ever takes the lease, so that nobody buys
+	// or
+	// orders: the monotonic clock starts anywhere, and a first read planned for "time 0"
+	// lies minutes ahead of a negative clock and half a turn away from one that wraps.
+	@ParameterizedTest
+	@ValueSource(longs = { -600_000 * MILLI, -1, 0, 1, Long.MAX_VALUE - 3 * MILLI, Long.MIN_VALUE })
+	void shouldTakeHoldAndLapseWhereverTheClockStarts(long start) {
+		LeaseCommand.Write write = takeOver(start);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), start + 5 * MILLI);
+		assertThat(this.lease.mayOrder(start + 8_999 * MILLI)).isTrue();
+		assertThat(this.lease.mayOrder(start + 9_000 * MILLI)).isFalse();
+		assertThat(writes(start + 9_000 * MILLI)).hasSize(1);
+	}
+
 	// -- giving back
 
 	@Test
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
@@ -96,7 +96,7 @@
 		while (!this.closed || !this.work.isEmpty()) {
 			boolean worked = runBatch(nextTick - System.nanoTime());
 			long now = System.nanoTime();
-			if (worked || now >= nextTick) {
+			if (worked || now - nextTick >= 0) {
 				guarded(this.tick, now);
 				nextTick = now + this.tickNanos;
 			}
