--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -0,0 +1,190 @@
+package org.rosemaryfront.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The backend servers that may get calls, from their registrations. Times are on the
+ * monotonic clock, in nanoseconds.
+ */
+public final class BackendTable {
+
+	/**
+	 * How long a server is kept whose registration lapsed while the registry was away:
+	 * servers that live register again within about two seconds of its return.
+	 */
+	public static final long LAPSED_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
+
+	/**
+	 * How long a server gets no new calls after a failure, doubled for each failure in a
+	 * row up to {@link #AVOID_DOUBLINGS}. Long enough to spare callers a server that is
+	 * gone before its registration says so, short enough to find out that it is back.
+	 */
+	private static final long AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+	private static final int AVOID_DOUBLINGS = 4;
+
+	/** Failures in a row before a server is avoided: one may be the call's own fault. */
+	private static final int AVOID_AFTER = 2;
+
+	private final Map<String, BackendRow> rows = new LinkedHashMap<>();
+
+	// -- registrations
+
+	/**
+	 * Takes the registration of a server, new or changed.
+	 * @param server the server
+	 * @return true when it is new or changed
+	 */
+	public boolean registered(BackendServer server) {
+		BackendRow known = this.rows.get(server.id());
+		if (known == null) {
+			this.rows.put(server.id(), new BackendRow(server));
+			return true;
+		}
+		boolean changed = !known.server.equals(server) || known.dropAtNanos.isPresent();
+		known.server = server;
+		known.dropAtNanos = OptionalLong.empty();
+		return changed;
+	}
+
+	/**
+	 * Takes the end of a registration.
+	 * @param id the server
+	 * @param dropAtNanos when the server is dropped unless it registers again
+	 */
+	public void lapsed(String id, long dropAtNanos) {
+		BackendRow row = this.rows.get(id);
+		if (row != null && row.dropAtNanos.isEmpty()) {
+			row.dropAtNanos = OptionalLong.of(dropAtNanos);
+		}
+	}
+
+	/**
+	 * Drops the servers whose time is over.
+	 * @param nowNanos the time
+	 * @return the servers dropped
+	 */
+	public List<BackendServer> expire(long nowNanos) {
+		List<BackendServer> dropped = new ArrayList<>();
+		this.rows.values().removeIf((row) -> {
+			boolean over = row.dropAtNanos.isPresent() && nowNanos - row.dropAtNanos.getAsLong() >= 0;
+			if (over) {
+				dropped.add(row.server);
+			}
+			return over;
+		});
+		return dropped;
+	}
+
+	// -- load
+
+	/**
+	 * Notes that a call was handed to a server.
+	 * @param id the server
+	 */
+	public void began(String id) {
+		Optional.ofNullable(this.rows.get(id)).ifPresent((row) -> row.own++);
+	}
+
+	/**
+	 * Notes that a call ended.
+	 * @param id the server
+	 * @param failed whether the server failed it
+	 * @param nowNanos the time
+	 */
+	public void ended(String id, boolean failed, long nowNanos) {
+		BackendRow row = this.rows.get(id);
+		if (row == null) {
+			return;
+		}
+		row.own = Math.max(0, row.own - 1);
+		row.failures = failed ? row.failures + 1 : 0;
+		if (row.failures >= AVOID_AFTER) {
+			long nanos = AVOID_NANOS << Math.min(AVOID_DOUBLINGS, row.failures - AVOID_AFTER);
+			row.avoidUntilNanos = OptionalLong.of(nowNanos + nanos);
+		}
+	}
+
+	/**
+	 * Takes what another process has at the servers.
+	 * @param process the other process
+	 * @param calls its calls by server; servers that are absent have none
+	 */
+	public void othersAt(String process, Map<String, Integer> calls) {
+		for (BackendRow row : this.rows.values()) {
+			Integer count = calls.get(row.server.id());
+			if (count == null) {
+				row.others.remove(process);
+			}
+			else {
+				row.others.put(process, count);
+			}
+		}
+	}
+
+	/**
+	 * This process's own calls.
+	 * @return the calls by server, without servers that have none
+	 */
+	public Map<String, Integer> ownCalls() {
+		Map<String, Integer> calls = new HashMap<>();
+		for (BackendRow row : this.rows.values()) {
+			if (row.own > 0) {
+				calls.put(row.server.id(), row.own);
+			}
+		}
+		return calls;
+	}
+
+	// -- queries
+
+	/**
+	 * A server.
+	 * @param id the server
+	 * @return the server, empty when it is not known
+	 */
+	public Optional<BackendServer> find(String id) {
+		return Optional.ofNullable(this.rows.get(id)).map((row) -> row.server);
+	}
+
+	/**
+	 * All servers that are registered or may still register again.
+	 * @return the servers
+	 */
+	public List<BackendServer> servers() {
+		return this.rows.values().stream().map((row) -> row.server).toList();
+	}
+
+	/**
+	 * The calls that run at a service, of all processes.
+	 * @param service the service
+	 * @return the calls
+	 */
+	public int callsOf(String service) {
+		return this.rows.values()
+			.stream()
+			.filter((row) -> row.server.service().equals(service))
+			.mapToInt(BackendRow::load)
+			.sum();
+	}
+
+	// Servers of a service that take new calls.
+	List<BackendRow> takers(String service, Collection<String> tried) {
+		List<BackendRow> takers = new ArrayList<>();
+		for (BackendRow row : this.rows.values()) {
+			if (row.server.service().equals(service) && !row.server.leaving() && !tried.contains(row.server.id())) {
+				takers.add(row);
+			}
+		}
+		return takers;
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/RetryAllowance.java
@@ -0,0 +1,85 @@
+package org.rosemaryfront.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * How many calls this process may send a second time, by service.
+ *
+ * <p>
+ * Retries in a wave of failures double the load of servers that are short of capacity
+ * already. All processes together may repeat a share of the calls in any window; each
+ * keeps to that share of its own calls and to its part of the fixed allowance, so that
+ * the sum holds without talking.
+ */
+public final class RetryAllowance {
+
+	private final double share;
+
+	private final double fixed;
+
+	private final long windowNanos;
+
+	private final Map<String, Windows> services = new HashMap<>();
+
+	/**
+	 * An allowance.
+	 * @param share the retries allowed for each call
+	 * @param fixed the retries allowed in a window beside the share
+	 * @param windowMillis the window, in milliseconds
+	 */
+	public RetryAllowance(double share, double fixed, long windowMillis) {
+		this.share = share;
+		this.fixed = fixed;
+		this.windowNanos = TimeUnit.MILLISECONDS.toNanos(windowMillis);
+	}
+
+	/**
+	 * Counts a first sending.
+	 * @param service the service
+	 * @param nowNanos the time
+	 */
+	public void first(String service, long nowNanos) {
+		windows(service, nowNanos).firsts.add(nowNanos);
+	}
+
+	/**
+	 * Takes a retry if the window allows one.
+	 * @param service the service
+	 * @param nowNanos the time
+	 * @return whether the call may be sent again
+	 */
+	public boolean take(String service, long nowNanos) {
+		Windows windows = windows(service, nowNanos);
+		boolean allowed = windows.retries.size() + 1 <= this.share * windows.firsts.size() + this.fixed;
+		if (allowed) {
+			windows.retries.add(nowNanos);
+		}
+		return allowed;
+	}
+
+	private Windows windows(String service, long nowNanos) {
+		Windows windows = this.services.computeIfAbsent(service, (_) -> new Windows());
+		expire(windows.firsts, nowNanos);
+		expire(windows.retries, nowNanos);
+		return windows;
+	}
+
+	private void expire(Deque<Long> times, long nowNanos) {
+		while (!times.isEmpty() && nowNanos - times.getFirst() >= this.windowNanos) {
+			times.removeFirst();
+		}
+	}
+
+	private static final class Windows {
+
+		private final Deque<Long> firsts = new ArrayDeque<>();
+
+		private final Deque<Long> retries = new ArrayDeque<>();
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -0,0 +1,174 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.lease.LeaseCommand;
+import org.rosemaryfront.lease.LeaseEvent;
+import org.rosemaryfront.lease.LeaseMachine;
+import org.rosemaryfront.lease.LeaseRow;
+import org.rosemaryfront.lease.LeaseTerms;
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.RowStore.Commit;
+import org.rosemaryfront.ports.RowStore.Condition;
+import org.rosemaryfront.ports.RowStore.Outcome;
+import org.rosemaryfront.ports.RowStore.Range;
+import org.rosemaryfront.ports.RowStore.Row;
+import org.rosemaryfront.ports.RowStore.Write;
+import org.rosemaryfront.ports.StoreException;
+
+/**
+ * Keeps the lease of the duties in one row of the table service. Used on the control
+ * thread.
+ */
+final class DutyLease {
+
+	/**
+	 * The term of the lease. Reports of use are due ten seconds after their window, so
+	 * that a successor still has half of that; shorter terms cost more calls to the
+	 * store.
+	 */
+	private static final Duration TERM = Duration.ofSeconds(5);
+
+	/** What the holder stops before the end of its term; covers an order's way. */
+	private static final Duration MARGIN = Duration.ofSeconds(1);
+
+	/** The time between two renewals: two of them may fail before the term ends. */
+	private static final Duration RENEWAL = Duration.ofMillis(1_500);
+
+	/** The time between two reads of a process that waits for the lease. */
+	private static final Duration READING = Duration.ofMillis(2_500);
+
+	/** The pause behind a call that failed. */
+	private static final Duration RETRY = Duration.ofMillis(300);
+
+	/** When a call without an answer counts as unknown; an answer takes 4 ms. */
+	private static final Duration ANSWER = Duration.ofSeconds(1);
+
+	private static final LeaseTerms TERMS = new LeaseTerms(TERM.toNanos(), MARGIN.toNanos(), RENEWAL.toNanos(),
+			READING.toNanos(), RETRY.toNanos(), ANSWER.toNanos());
+
+	private static final String TABLE = "leases";
+
+	private static final String KEY = "duties";
+
+	private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+	private final RowStore store;
+
+	private final LeaseMachine machine;
+
+	private final Consumer<Runnable> control;
+
+	private boolean held;
+
+	DutyLease(RowStore store, String self, long seed, Consumer<Runnable> control) {
+		this.store = store;
+		this.control = control;
+		this.machine = LeaseMachine.of(self, TERMS, seed);
+	}
+
+	void tick(long nowNanos) {
+		for (LeaseCommand command : this.machine.tick(nowNanos)) {
+			switch (command) {
+				case LeaseCommand.Read read -> read(read);
+				case LeaseCommand.Write write -> write(write);
+			}
+		}
+		noteChange(nowNanos);
+	}
+
+	boolean mayAct(long nowNanos) {
+		return this.machine.mayOrder(nowNanos);
+	}
+
+	long fence() {
+		return this.machine.fence();
+	}
+
+	void gateways(int count) {
+		this.machine.processes(count);
+	}
+
+	void fenced() {
+		this.machine.fenceSeen(this.machine.fence() + 1);
+	}
+
+	void release(long nowNanos) {
+		this.machine.release(nowNanos);
+		tick(nowNanos);
+	}
+
+	private void noteChange(long nowNanos) {
+		boolean holds = this.machine.mayOrder(nowNanos);
+		if (holds != this.held) {
+			this.held = holds;
+			EventLog.info(holds ? GatewayEvents.DUTIES_TAKEN : GatewayEvents.DUTIES_LOST, "fence", this.machine.fence(),
+					"holder", this.machine.holder());
+		}
+	}
+
+	private void read(LeaseCommand.Read read) {
+		this.store.read(new Range(TABLE, KEY, KEY + '\0')).subscribe((page) -> {
+			Optional<Row> row = page.rows().stream().findFirst();
+			accept(new LeaseEvent.RowRead(read.number(), row.flatMap(Row::value).map(DutyLease::decode),
+					row.map(Row::version).orElse(0L)));
+		}, (failure) -> {
+			EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", KEY, "call", "read", "cause", failure.getMessage());
+			accept(new LeaseEvent.ReadFailed(read.number()));
+		});
+	}
+
+	private void write(LeaseCommand.Write write) {
+		Commit commit = new Commit(TABLE, List.of(new Condition(KEY, write.version())),
+				List.of(new Write(KEY, encode(write.row()))), List.of());
+		String token = write.row().token();
+		this.store.commit(commit).subscribe((outcome) -> {
+			switch (outcome) {
+				case Outcome.Committed done -> accept(new LeaseEvent.WriteCommitted(token, done.version()));
+				case Outcome.Conflict _ -> accept(new LeaseEvent.WriteRejected(token));
+			}
+		}, (failure) -> {
+			EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", KEY, "call", "write", "cause", failure.getMessage());
+			boolean notRun = failure instanceof StoreException ex && ex.verdict() instanceof Verdict.NotRun;
+			accept(notRun ? new LeaseEvent.WriteRejected(token) : new LeaseEvent.WriteUnknown(token));
+		});
+	}
+
+	private void accept(LeaseEvent event) {
+		this.control.accept(() -> this.machine.accept(event, System.nanoTime()));
+	}
+
+	private static byte[] encode(LeaseRow row) {
+		try {
+			return MAPPER.writeValueAsBytes(MAPPER.createObjectNode()
+				.put("holder", row.holder())
+				.put("fence", row.fence())
+				.put("termMillis", row.termMillis())
+				.put("token", row.token()));
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static LeaseRow decode(byte[] value) {
+		try {
+			JsonNode row = MAPPER.readTree(value);
+			return new LeaseRow(row.path("holder").asText(), row.path("fence").asLong(),
+					row.path("termMillis").asLong(), row.path("token").asText());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("the lease's row cannot be read", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -0,0 +1,327 @@
+package org.rosemaryfront.gateway;
+
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.dispatch.Dispatcher;
+import org.rosemaryfront.dispatch.Dispatcher.Choice;
+import org.rosemaryfront.dispatch.RetryAllowance;
+import org.rosemaryfront.duties.UsageLedger;
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.ports.CallTerms.Prompt;
+import org.rosemaryfront.program.ControlLoop;
+import org.rosemaryfront.quota.QuotaTable;
+import org.rosemaryfront.routes.Organisation;
+import org.rosemaryfront.routes.ServiceSpec;
+import org.rosemaryfront.routes.TrafficConfiguration;
+import org.rosemaryfront.traffic.Call;
+import org.rosemaryfront.traffic.CallPolicy;
+import org.rosemaryfront.traffic.TrafficEvents;
+
+/**
+ * Decides about calls, on the control thread, from the tables of servers, quotas and
+ * retries.
+ */
+final class GatewayControl implements CallPolicy {
+
+	/**
+	 * The share of a server's connections that all gateways together use, so that
+	 * gateways that do not know of each other yet stay under the server's cap.
+	 */
+	private static final double CONNECTION_SHARE = 0.8;
+
+	/**
+	 * When to come back after a refusal for want of room, in milliseconds, least and
+	 * spread: about the time in which a slot comes free, and not all at once.
+	 */
+	private static final long FULL_RETRY_MILLIS = 250;
+
+	private static final long FULL_RETRY_SPREAD_MILLIS = 500;
+
+	/** The part of the allowed retry share that is used; windows slide elsewhere. */
+	private static final double RETRY_CAUTION = 0.8;
+
+	/**
+	 * How many parts the fixed allowance of retries is cut into, one for each gateway:
+	 * more than there are, since some come while others still go.
+	 */
+	private static final int RETRY_PARTS = 16;
+
+	/** Servers that may be tried in vain without anything sent, for one call. */
+	private static final int UNSENT_MOST = 3;
+
+	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+	private final ControlLoop loop;
+
+	private final BackendTable servers;
+
+	private final Dispatcher dispatcher;
+
+	private final RetryAllowance retries;
+
+	private final QuotaTable quotas;
+
+	private final UsageLedger usage;
+
+	/** Calls under way with what was decided about them. */
+	private final Map<Call, Decided> calls = new IdentityHashMap<>();
+
+	private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
+
+	private volatile boolean stopping;
+
+	/** The store's version and the time of the last news of servers. */
+	private long serversVersion;
+
+	private long serversNanos = System.nanoTime();
+
+	private int gateways = 1;
+
+	/** The prompt tokens that calls sent to servers were expected to make them read. */
+	private long readingTokens;
+
+	GatewayControl(ControlLoop loop, BackendTable servers, GatewaySettings settings, QuotaTable quotas,
+			UsageLedger usage) {
+		this.loop = loop;
+		this.servers = servers;
+		this.dispatcher = new Dispatcher(servers, settings.zone());
+		this.quotas = quotas;
+		this.usage = usage;
+		GatewaySettings.Bounds bounds = settings.bounds();
+		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed() / RETRY_PARTS,
+				bounds.retryWindowMillis());
+	}
+
+	// -- policy, on the traffic thread
+
+	@Override
+	public Optional<TrafficConfiguration> configuration() {
+		return this.configuration;
+	}
+
+	@Override
+	public boolean stopping() {
+		return this.stopping;
+	}
+
+	@Override
+	public void admit(Call call) {
+		this.loop.post((now) -> admit(call, now));
+	}
+
+	@Override
+	public void began(Call call) {
+		long epochMillis = System.currentTimeMillis();
+		this.loop.post((_) -> call.organisation()
+			.ifPresent((organisation) -> this.usage.began(organisation.name(), epochMillis)));
+	}
+
+	@Override
+	public void failed(Call call, BackendServer server, Failure failure) {
+		this.loop.post((now) -> failed(call, server, failure, now));
+	}
+
+	@Override
+	public void ended(Call call, BackendServer server) {
+		this.loop.post((now) -> {
+			this.servers.ended(server.id(), false, now);
+			this.calls.remove(call);
+		});
+	}
+
+	@Override
+	public void dropped(Call call) {
+		this.loop.post((now) -> {
+			Decided decided = this.calls.remove(call);
+			if (decided != null && !decided.ran) {
+				giveBack(call, decided, now);
+			}
+		});
+	}
+
+	// -- decisions, on the control thread
+
+	private void admit(Call call, long now) {
+		Decided decided = new Decided();
+		if (call.organisation().isPresent()) {
+			Organisation organisation = call.organisation().get();
+			double units = units(call, organisation);
+			long wait = this.quotas.take(current(organisation), units, now);
+			if (wait > 0) {
+				call.refuse(429, wait + ThreadLocalRandom.current().nextLong(wait / 2 + 1),
+						"quota of " + organisation.name());
+				return;
+			}
+			decided.units = units;
+		}
+		this.calls.put(call, decided);
+		this.retries.first(call.service(), now);
+		dispatch(call, decided, now);
+	}
+
+	private void dispatch(Call call, Decided decided, long now) {
+		String part = call.terms().prompt().map(Prompt::sharedPart).orElse("");
+		switch (this.dispatcher.choose(call.service(), part, decided.tried, now)) {
+			case Choice.Chosen chosen -> send(call, decided, chosen, now);
+			case Choice.Full full -> call.refuse(503, fullRetryMillis(), "all " + full.servers() + " servers are full");
+			case Choice.NoServer _ -> call.refuse(503, fullRetryMillis(), "no server of " + call.service());
+		}
+	}
+
+	private void send(Call call, Decided decided, Choice.Chosen chosen, long now) {
+		BackendServer server = chosen.server();
+		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "route", call.route().name(), "server",
+				server.id(), "zone", server.zone(), "load", chosen.load(), "candidates", chosen.candidates(),
+				"serversVersion", this.serversVersion, "serversAgeMillis", (now - this.serversNanos) / NANOS_PER_MILLI,
+				"configuration", this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
+				call.remainingMillis(now));
+		decided.tried.add(server.id());
+		this.servers.began(server.id());
+		this.readingTokens += call.terms().prompt().map(Prompt::ownTokens).orElse(0);
+		call.send(server, mostConnections(call.service()));
+	}
+
+	private void failed(Call call, BackendServer server, Failure failure, long now) {
+		boolean serverFault = !(failure.answered() && failure.verdict() instanceof Verdict.NotRun);
+		this.servers.ended(server.id(), serverFault, now);
+		Decided decided = this.calls.get(call);
+		if (decided == null) {
+			return;
+		}
+		boolean notRun = failure.verdict() instanceof Verdict.NotRun;
+		decided.ran |= !notRun;
+		Optional<String> refusal = refusal(call, decided, failure, notRun, now);
+		if (refusal.isEmpty()) {
+			dispatch(call, decided, now);
+		}
+		else if (notRun) {
+			call.refuse(503, fullRetryMillis(), failure.cause() + "; " + refusal.get());
+		}
+		else {
+			call.giveUp(failure.cause() + "; " + refusal.get());
+		}
+	}
+
+	// Why the call is not sent again, empty when it may be. A call that may have run goes
+	// out again only if running twice does no harm.
+	private Optional<String> refusal(Call call, Decided decided, Failure failure, boolean notRun, long now) {
+		if (!failure.sent()) {
+			decided.unsent++;
+			return (decided.unsent < UNSENT_MOST) ? Optional.empty() : Optional.of("no server can be reached");
+		}
+		if (!notRun && !call.route().repeatable()) {
+			return Optional.of("it may have run");
+		}
+		if (!call.isRepeatable()) {
+			return Optional.of("its body is not kept");
+		}
+		if (call.sends() >= call.route().maxAttempts()) {
+			return Optional.of("all attempts are used");
+		}
+		if (!this.retries.take(call.service(), now)) {
+			return Optional.of("too many calls are sent again");
+		}
+		return Optional.empty();
+	}
+
+	private void giveBack(Call call, Decided decided, long now) {
+		if (decided.units > 0) {
+			this.quotas.giveBack(current(call.organisation().orElseThrow()), decided.units, now);
+			decided.units = 0;
+		}
+	}
+
+	private static double units(Call call, Organisation organisation) {
+		return switch (organisation.counts()) {
+			case REQUESTS -> 1;
+			case TOKENS -> call.terms()
+				.prompt()
+				.map((prompt) -> prompt.promptTokens() + prompt.answerTokens())
+				.orElse(organisation.plainTokens());
+		};
+	}
+
+	// The quota in force now, which may be lower than when the call came.
+	private Organisation current(Organisation organisation) {
+		return this.configuration
+			.flatMap((now) -> now.organisations()
+				.stream()
+				.filter((known) -> known.name().equals(organisation.name()))
+				.findFirst())
+			.orElse(organisation);
+	}
+
+	private int mostConnections(String service) {
+		int cap = this.configuration.flatMap((known) -> known.service(service))
+			.map(ServiceSpec::maxConnections)
+			.orElse(0);
+		return Math.max(2, (int) (cap * CONNECTION_SHARE / this.gateways));
+	}
+
+	private static long fullRetryMillis() {
+		return FULL_RETRY_MILLIS + ThreadLocalRandom.current().nextLong(FULL_RETRY_SPREAD_MILLIS);
+	}
+
+	// -- news, on the control thread
+
+	void configuration(TrafficConfiguration newer) {
+		long known = this.configuration.map(TrafficConfiguration::version).orElse(Long.MIN_VALUE);
+		if (newer.version() <= known) {
+			return;
+		}
+		this.configuration = Optional.of(newer);
+		EventLog.info(GatewayEvents.CONFIGURATION_IN_FORCE, "version", newer.version(), "before",
+				(known == Long.MIN_VALUE) ? "none" : known);
+	}
+
+	void serversSeen(long version, long now) {
+		this.serversVersion = version;
+		this.serversNanos = now;
+	}
+
+	void gateways(int count) {
+		this.gateways = Math.max(1, count);
+	}
+
+	void stop() {
+		this.stopping = true;
+	}
+
+	// -- queries, on the control thread
+
+	long readingTokens() {
+		return this.readingTokens;
+	}
+
+	Set<String> knownServers() {
+		Set<String> ids = new HashSet<>();
+		List<BackendServer> known = this.servers.servers();
+		known.forEach((server) -> ids.add(server.id()));
+		return ids;
+	}
+
+	/** What was decided about a call. */
+	private static final class Decided {
+
+		private final Set<String> tried = new HashSet<>();
+
+		private double units;
+
+		/** Whether a server may have run it, so that its units are spent. */
+		private boolean ran;
+
+		private int unsent;
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -0,0 +1,82 @@
+package org.rosemaryfront.gateway;
+
+import org.rosemaryfront.events.EventCode;
+
+/** Events of what a gateway believes and of its duties. */
+public enum GatewayEvents implements EventCode {
+
+	/** A configuration came into force. */
+	CONFIGURATION_IN_FORCE(2801),
+
+	/** A configuration was not taken. */
+	CONFIGURATION_REJECTED(2802),
+
+	/** A backend server registered itself or changed its registration. */
+	SERVER_REGISTERED(2803),
+
+	/** The registration of a backend server ended. */
+	SERVER_LAPSED(2804),
+
+	/** A backend server gets no more calls. */
+	SERVER_DROPPED(2805),
+
+	/** The registration of a backend server cannot be read. */
+	SERVER_UNREADABLE(2806),
+
+	/** The platform's table service does not answer. */
+	STORE_LOST(2810),
+
+	/** The platform's table service answers again. */
+	STORE_REGAINED(2811),
+
+	/** A table is read as a whole, since its changes are no longer kept. */
+	TABLE_READ_ANEW(2812),
+
+	/** A row of our own could not be written or read; it is tried again. */
+	ROW_CALL_FAILED(2813),
+
+	/** This process holds the duties. */
+	DUTIES_TAKEN(2820),
+
+	/** This process no longer holds the duties. */
+	DUTIES_LOST(2821),
+
+	/** The use of a window was reported. */
+	USAGE_REPORTED(2822),
+
+	/** The use of a window could not be reported; it is tried again. */
+	USAGE_NOT_REPORTED(2823),
+
+	/** The time for a report of a window is over. */
+	USAGE_GIVEN_UP(2824),
+
+	/** The size of a service in an availability zone was ordered. */
+	SIZE_ORDERED(2825),
+
+	/** The size of a service could not be ordered. */
+	SIZE_NOT_ORDERED(2826),
+
+	/** Another gateway was heard for the first time, or again. */
+	PEER_HEARD(2830),
+
+	/** Another gateway was not heard for a while. */
+	PEER_SILENT(2831),
+
+	/** A datagram cannot be read. */
+	DATAGRAM_UNREADABLE(2832),
+
+	/** This process was paused or its VM was suspended. */
+	PAUSED(2840);
+
+	private final int number;
+
+	GatewayEvents(int number) {
+		this.number = number;
+	}
+
+	@Override
+	public int number() {
+		return this.number;
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -0,0 +1,489 @@
+package org.rosemaryfront.gateway;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.duties.UsageLedger;
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.gateway.proto.GatewayReport;
+import org.rosemaryfront.gateway.proto.OrganisationUse;
+import org.rosemaryfront.gateway.proto.ServerUse;
+import org.rosemaryfront.ports.CallCodec;
+import org.rosemaryfront.ports.Duties;
+import org.rosemaryfront.ports.RecordCodec;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.RowStore.Commit;
+import org.rosemaryfront.ports.RowStore.Range;
+import org.rosemaryfront.ports.RowStore.Row;
+import org.rosemaryfront.program.ControlLoop;
+import org.rosemaryfront.program.Program;
+import org.rosemaryfront.quota.QuotaTable;
+import org.rosemaryfront.routes.Organisation;
+import org.rosemaryfront.routes.TrafficConfiguration;
+import org.rosemaryfront.traffic.Gateway;
+import org.rosemaryfront.traffic.TrafficMetrics;
+
+/**
+ * The process before the backend servers: traffic on one thread, decisions on another,
+ * and the platform's rows, the other gateways and the duties behind them.
+ *
+ * <pre>
+ * try (GatewayProcess gateway = GatewayProcess.start(settings, platform)) {
+ *     ...
+ * }
+ * </pre>
+ */
+public final class GatewayProcess implements Program.Running {
+
+	/** The longest time between two looks of the control thread at its tables. */
+	private static final Duration TICK = Duration.ofMillis(50);
+
+	/** The time between two reports to the other gateways, in nanoseconds. */
+	private static final long TELL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+	/** The time between two reads of the rows of gateways, in nanoseconds. */
+	private static final long PEERS_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+	/** The time between two looks at the duties, in nanoseconds. */
+	private static final long DUTIES_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	/**
+	 * How long callers may still come after the stop signal, in milliseconds: the
+	 * balancer takes a gateway out after two misses of its question, asked once a second.
+	 */
+	private static final long STILL_COMING_MILLIS = 3_000;
+
+	/** What is kept of the stop's time to close and exit, in milliseconds. */
+	private static final long EXIT_MILLIS = 400;
+
+	/** A pause of the process beyond this is logged, in milliseconds. */
+	private static final long PAUSE_MILLIS = 700;
+
+	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+	private static final String GATEWAYS_TABLE = "gateways";
+
+	private final GatewaySettings settings;
+
+	private final Platform platform;
+
+	private final int start = ThreadLocalRandom.current().nextInt();
+
+	private final BackendTable servers = new BackendTable();
+
+	private final QuotaTable quotas = new QuotaTable();
+
+	private final UsageLedger usage;
+
+	private final TrafficMetrics metrics = new TrafficMetrics();
+
+	private final MultiThreadIoEventLoopGroup traffic;
+
+	private final LoopResources loops;
+
+	private final ControlLoop control;
+
+	private final GatewayControl decisions;
+
+	private final Gateway gateway;
+
+	private final AdminServer admin;
+
+	private final PeerExchange peers;
+
+	private final DutyLease lease;
+
+	private final UsageDuty usageDuty;
+
+	private final SizeDuty sizeDuty;
+
+	private final Map<String, Long> othersReading = new HashMap<>();
+
+	private long othersReadingTotal;
+
+	private volatile boolean configured;
+
+	private volatile boolean serversKnown;
+
+	private volatile boolean stopping;
+
+	/** Until then an ended registration may only have lapsed while the store was away. */
+	private Optional<Long> lapsedUntilNanos = Optional.empty();
+
+	/** Whether all parts are there, so that the control thread may use them. */
+	private volatile boolean started;
+
+	private long nextTellNanos = System.nanoTime();
+
+	private long nextPeersNanos = System.nanoTime();
+
+	private long nextDutiesNanos = System.nanoTime();
+
+	private long tickNanos = System.nanoTime();
+
+	private long tickMillis = System.currentTimeMillis();
+
+	private TableWatch configurationWatch;
+
+	private TableWatch serversWatch;
+
+	private GatewayProcess(GatewaySettings settings, Platform platform, LoopResources loops) {
+		this.settings = settings;
+		this.platform = platform;
+		this.loops = loops;
+		this.usage = new UsageLedger(settings.bounds().usageWindowMillis());
+		this.control = ControlLoop.start("control", TICK, this::tick);
+		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.usage);
+		this.traffic = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+		this.gateway = Gateway.open(this.traffic.next(), settings.callers(), platform.calls(), this.decisions,
+				this.metrics);
+		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry());
+		this.peers = PeerExchange.open(this.traffic.next(), settings.peers(), settings.name(), this.start,
+				(heard) -> this.control.post((now) -> heard(heard, now)));
+		this.lease = new DutyLease(platform.rows(), settings.name(), this.start, this::onControl);
+		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl);
+		this.sizeDuty = new SizeDuty(this.servers, platform.duties(), settings.zones(), this::onControl);
+		this.metrics.gauge("log.dropped", EventLog::dropped);
+	}
+
+	// -- factories
+
+	/**
+	 * Starts a gateway.
+	 * @param settings what the machine tells
+	 * @param platform what the platform offers
+	 * @param loops the threads of the platform's calls
+	 * @return the running gateway
+	 */
+	public static GatewayProcess start(GatewaySettings settings, Platform platform, LoopResources loops) {
+		GatewayProcess process = new GatewayProcess(settings, platform, loops);
+		process.follow();
+		return process;
+	}
+
+	// -- queries
+
+	@Override
+	public Map<String, String> listeners() {
+		return Map.of("callers", this.settings.callers().toString(), "metrics", this.settings.metrics().toString());
+	}
+
+	private boolean isReady() {
+		return this.configured && this.serversKnown && !this.stopping;
+	}
+
+	// -- news of the platform
+
+	private void follow() {
+		this.configurationWatch = TableWatch.start(this.platform.rows(),
+				this.platform.records().configuration().table(), new ConfigurationNews());
+		this.serversWatch = TableWatch.start(this.platform.rows(), this.platform.records().servers(), new ServerNews());
+		announce();
+		this.started = true;
+	}
+
+	private void announce() {
+		String address = this.settings.peers().getAddress().getHostAddress() + ':' + this.settings.peers().getPort();
+		Commit row = Commit.put(GATEWAYS_TABLE, this.settings.name(), address.getBytes(StandardCharsets.UTF_8));
+		this.platform.rows().commit(row).subscribe((_) -> {
+		}, (failure) -> {
+			EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", this.settings.name(), "call", "write", "cause",
+					failure.getMessage());
+			Mono.delay(Duration.ofSeconds(1)).subscribe((_) -> announce());
+		});
+	}
+
+	private void readPeers() {
+		this.platform.rows()
+			.read(new Range(GATEWAYS_TABLE, "", ""))
+			.subscribe((page) -> onControl(() -> page.rows().forEach(this::found)), (failure) -> EventLog
+				.info(GatewayEvents.ROW_CALL_FAILED, "row", "all", "call", "read", "cause", failure.getMessage()));
+	}
+
+	private void found(Row row) {
+		String address = new String(row.value().orElse(new byte[0]), StandardCharsets.UTF_8);
+		int colon = address.lastIndexOf(':');
+		if (colon > 0) {
+			this.peers.found(row.key(),
+					new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+		}
+	}
+
+	private void configurationRow(Row row) {
+		if (!row.key().equals(this.platform.records().configuration().key()) || row.value().isEmpty()) {
+			return;
+		}
+		try {
+			TrafficConfiguration read = this.platform.records().configuration(row.value().get());
+			onControl(() -> {
+				this.decisions.configuration(read);
+				this.configured = true;
+			});
+		}
+		catch (IllegalArgumentException ex) {
+			EventLog.error(GatewayEvents.CONFIGURATION_REJECTED, "rowVersion", row.version(), "cause", ex.getMessage());
+		}
+	}
+
+	private void serverRow(Row row, long now) {
+		if (row.value().isEmpty()) {
+			lapsed(row.key(), now);
+			return;
+		}
+		try {
+			BackendServer server = this.platform.records().server(row.key(), row.value().get());
+			if (this.servers.registered(server)) {
+				EventLog.info(GatewayEvents.SERVER_REGISTERED, "server", server.id(), "service", server.service(),
+						"address", server.address(), "zone", server.zone(), "leaving", server.leaving(), "reclaimable",
+						server.reclaimable(), "rowVersion", row.version());
+			}
+		}
+		catch (IllegalArgumentException ex) {
+			EventLog.warn(GatewayEvents.SERVER_UNREADABLE, "server", row.key(), "cause", ex.getMessage());
+		}
+	}
+
+	// Registrations lapse while the store is away, also those of servers that live.
+	private void lapsed(String id, long now) {
+		long dropAt = this.lapsedUntilNanos.filter((until) -> until - now > 0).orElse(now);
+		EventLog.info(GatewayEvents.SERVER_LAPSED, "server", id, "dropInMillis", (dropAt - now) / NANOS_PER_MILLI);
+		this.servers.lapsed(id, dropAt);
+	}
+
+	private void serversAll(List<Row> rows, long version, long now) {
+		Set<String> present = new HashSet<>();
+		rows.forEach((row) -> present.add(row.key()));
+		this.servers.servers()
+			.stream()
+			.map(BackendServer::id)
+			.filter((id) -> !present.contains(id))
+			.forEach((id) -> lapsed(id, now));
+		rows.forEach((row) -> serverRow(row, now));
+		this.decisions.serversSeen(version, now);
+		this.serversKnown = true;
+	}
+
+	// -- the control thread
+
+	private void onControl(Runnable task) {
+		this.control.post((_) -> task.run());
+	}
+
+	private void tick(long now) {
+		if (!this.started) {
+			return;
+		}
+		notePause(now);
+		List<BackendServer> dropped = this.servers.expire(now);
+		if (!dropped.isEmpty()) {
+			dropped.forEach((server) -> EventLog.info(GatewayEvents.SERVER_DROPPED, "server", server.id(), "service",
+					server.service()));
+			this.gateway.retainServers(this.decisions.knownServers());
+		}
+		if (now - this.nextPeersNanos >= 0) {
+			this.nextPeersNanos = now + PEERS_NANOS;
+			readPeers();
+		}
+		if (now - this.nextTellNanos >= 0) {
+			this.nextTellNanos = now + TELL_NANOS;
+			tell(false);
+		}
+		if (now - this.nextDutiesNanos >= 0) {
+			this.nextDutiesNanos = now + DUTIES_NANOS;
+			duties(now);
+		}
+	}
+
+	private void notePause(long now) {
+		long epochMillis = System.currentTimeMillis();
+		long passed = Math.max(epochMillis - this.tickMillis, (now - this.tickNanos) / NANOS_PER_MILLI);
+		if (passed > PAUSE_MILLIS) {
+			EventLog.warn(GatewayEvents.PAUSED, "millis", passed, "monotonicMillis",
+					(now - this.tickNanos) / NANOS_PER_MILLI);
+		}
+		this.tickNanos = now;
+		this.tickMillis = epochMillis;
+	}
+
+	private void tell(boolean leaving) {
+		GatewayReport.Builder report = GatewayReport.newBuilder();
+		this.quotas.used()
+			.forEach((name, units) -> report
+				.addOrganisations(OrganisationUse.newBuilder().setOrganisation(name).setUnits(units)));
+		this.servers.ownCalls()
+			.forEach((id, calls) -> report.addServers(ServerUse.newBuilder().setServer(id).setCalls(calls)));
+		report.setReadingTokens(this.decisions.readingTokens()).setLeaving(leaving);
+		this.peers.tell(report);
+	}
+
+	private void heard(PeerExchange.Heard heard, long now) {
+		if (!this.peers.accept(heard, now)) {
+			return;
+		}
+		GatewayReport report = heard.report();
+		String process = report.getGateway() + '/' + report.getStart();
+		report.getOrganisationsList()
+			.forEach((use) -> this.quotas.usedByOther(process, use.getOrganisation(), use.getUnits(), now));
+		Map<String, Integer> calls = new HashMap<>();
+		report.getServersList().forEach((use) -> calls.put(use.getServer(), use.getCalls()));
+		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : calls);
+		long before = this.othersReading.getOrDefault(process, report.getReadingTokens());
+		this.othersReadingTotal += Math.max(0, report.getReadingTokens() - before);
+		this.othersReading.put(process, report.getReadingTokens());
+	}
+
+	private void duties(long now) {
+		this.peers.silent(now).forEach((gateway) -> this.servers.othersAt(gateway, Map.of()));
+		this.decisions.gateways(this.peers.living());
+		this.lease.gateways(this.peers.living());
+		this.lease.tick(now);
+		long epochMillis = System.currentTimeMillis();
+		this.usageDuty.closed(this.usage.close(epochMillis), this.start);
+		this.usageDuty.tick(epochMillis);
+		Optional<TrafficConfiguration> known = this.decisions.configuration();
+		if (known.isPresent() && this.lease.mayAct(now) && !this.stopping) {
+			Set<String> organisations = new HashSet<>();
+			known.get().organisations().stream().map(Organisation::name).forEach(organisations::add);
+			this.usageDuty.act(this.lease.fence(), epochMillis, organisations);
+			this.sizeDuty.act(this.lease.fence(), known.get(),
+					this.decisions.readingTokens() + (double) this.othersReadingTotal, now);
+		}
+	}
+
+	// -- the end
+
+	@Override
+	public void close() {
+		long begun = System.nanoTime();
+		this.stopping = true;
+		this.decisions.stop();
+		this.gateway.closeIdle();
+		long most = this.settings.bounds().drainMillis() - EXIT_MILLIS;
+		boolean left = false;
+		while (passedMillis(begun) < most) {
+			if (passedMillis(begun) >= STILL_COMING_MILLIS) {
+				if (!left) {
+					left = true;
+					leave();
+				}
+				this.gateway.closeIdle();
+				if (this.gateway.isIdle() && this.usageDuty.isWritten()) {
+					break;
+				}
+			}
+			sleep(50);
+		}
+		this.gateway.close();
+		this.configurationWatch.close();
+		this.serversWatch.close();
+		this.admin.close();
+		this.control.close();
+		this.peers.close();
+		this.traffic.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+		this.loops.dispose();
+	}
+
+	// Gives the duties back and hands the counts over while calls still end.
+	private void leave() {
+		this.control.post((now) -> {
+			this.lease.release(now);
+			this.usageDuty.closed(this.usage.closeAll(), this.start);
+			tell(true);
+		});
+	}
+
+	private static long passedMillis(long begun) {
+		return (System.nanoTime() - begun) / NANOS_PER_MILLI;
+	}
+
+	private static void sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * What the platform offers.
+	 *
+	 * @param calls the headers of calls
+	 * @param rows the table service
+	 * @param records the rows that others write
+	 * @param duties the calls that one process at a time may make
+	 */
+	public record Platform(CallCodec calls, RowStore rows, RecordCodec records, Duties duties) {
+	}
+
+	/** Takes news of the configuration. */
+	private final class ConfigurationNews implements TableWatch.Listener {
+
+		@Override
+		public void all(List<Row> rows, long version) {
+			changed(rows, version);
+		}
+
+		@Override
+		public void changed(List<Row> rows, long version) {
+			rows.forEach(GatewayProcess.this::configurationRow);
+		}
+
+		@Override
+		public void lost() {
+			// The configuration known stays in force.
+		}
+
+		@Override
+		public void regained() {
+			// What changed meanwhile follows as changes.
+		}
+
+	}
+
+	/** Takes news of backend servers. */
+	private final class ServerNews implements TableWatch.Listener {
+
+		@Override
+		public void all(List<Row> rows, long version) {
+			GatewayProcess.this.control.post((now) -> serversAll(rows, version, now));
+		}
+
+		@Override
+		public void changed(List<Row> rows, long version) {
+			GatewayProcess.this.control.post((now) -> {
+				rows.forEach((row) -> serverRow(row, now));
+				GatewayProcess.this.decisions.serversSeen(version, now);
+			});
+		}
+
+		@Override
+		public void lost() {
+			// The servers known stay; calls find out which are gone.
+		}
+
+		@Override
+		public void regained() {
+			GatewayProcess.this.control
+				.post((now) -> GatewayProcess.this.lapsedUntilNanos = Optional.of(now + BackendTable.LAPSED_NANOS));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -0,0 +1,170 @@
+package org.rosemaryfront.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.duties.SizePlan;
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.ports.Duties;
+import org.rosemaryfront.ports.Duties.Size;
+import org.rosemaryfront.ports.StoreException;
+import org.rosemaryfront.routes.ServiceSpec;
+import org.rosemaryfront.routes.TrafficConfiguration;
+
+/**
+ * Orders the size of services, as the holder of the duties. Used on the control thread.
+ *
+ * <p>
+ * Reclaimable VMs are ordered first; on-demand ones are given back only once the
+ * reclaimable ones serve, and asked for only while no reclaimable one is to be had.
+ */
+final class SizeDuty {
+
+	/** The time between two looks at the sizes, in nanoseconds. */
+	private static final long LOOK_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/** How long an order may take to show before it is given again, beside the boot. */
+	private static final long SHOW_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+	/** The pause behind an order that failed, in nanoseconds. */
+	private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private final BackendTable servers;
+
+	private final Duties duties;
+
+	private final List<String> zones;
+
+	private final Consumer<Runnable> control;
+
+	private final Map<String, SizePlan> plans = new HashMap<>();
+
+	/** The last order by service, zone and sort. */
+	private final Map<Sort, Order> orders = new HashMap<>();
+
+	private long lookedNanos;
+
+	private boolean looked;
+
+	private double lastTokens;
+
+	private double tokensPerSecond;
+
+	SizeDuty(BackendTable servers, Duties duties, List<String> zones, Consumer<Runnable> control) {
+		this.servers = servers;
+		this.duties = duties;
+		this.zones = zones;
+		this.control = control;
+	}
+
+	/**
+	 * Looks at the sizes.
+	 * @param fence the fencing number
+	 * @param configuration the configuration in force
+	 * @param readingTokens the prompt tokens read by servers since the start
+	 * @param now the time
+	 */
+	void act(long fence, TrafficConfiguration configuration, double readingTokens, long now) {
+		if (this.looked && now - this.lookedNanos < LOOK_NANOS) {
+			return;
+		}
+		if (this.looked) {
+			double rate = (readingTokens - this.lastTokens) * 1e9 / (now - this.lookedNanos);
+			// Half of the newest second: one prompt may be a large part of a second's.
+			this.tokensPerSecond = (this.tokensPerSecond + Math.max(0, rate)) / 2;
+		}
+		this.looked = true;
+		this.lookedNanos = now;
+		this.lastTokens = readingTokens;
+		for (ServiceSpec service : configuration.services()) {
+			if (service.scaling().isPresent()) {
+				plan(fence, service, now);
+			}
+		}
+	}
+
+	private void plan(long fence, ServiceSpec service, long now) {
+		int wanted = this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
+			.perZone(service, this.zones.size(), this.tokensPerSecond, this.servers.callsOf(service.name()), now);
+		for (String zone : this.zones) {
+			int reclaimable = count(service.name(), zone, true);
+			int onDemand = count(service.name(), zone, false);
+			order(fence, service, new Size(service.name(), zone, wanted, true), reclaimable, now);
+			boolean refused = refused(service.name(), zone);
+			int missing = Math.max(0, wanted - reclaimable);
+			int kept = refused ? missing : Math.min(onDemand, missing);
+			order(fence, service, new Size(service.name(), zone, kept, false), onDemand, now);
+		}
+	}
+
+	private void order(long fence, ServiceSpec service, Size size, int present, long now) {
+		Sort sort = new Sort(size.service(), size.zone(), size.reclaimable());
+		Order last = this.orders.get(sort);
+		long boot = TimeUnit.MILLISECONDS.toNanos(service.scaling().orElseThrow().bootMillis());
+		boolean same = last != null && last.size.equals(size);
+		boolean settled = present == size.servers();
+		if (last != null && now - last.notBeforeNanos < 0) {
+			return;
+		}
+		if ((same && settled) || (same && now - last.atNanos < boot + SHOW_NANOS) || (last == null && settled)) {
+			return;
+		}
+		Order order = new Order(size, now);
+		this.orders.put(sort, order);
+		EventLog.info(GatewayEvents.SIZE_ORDERED, "service", size.service(), "zone", size.zone(), "servers",
+				size.servers(), "reclaimable", size.reclaimable(), "present", present, "tokensPerSecond",
+				Math.round(this.tokensPerSecond), "calls", this.servers.callsOf(size.service()), "fence", fence);
+		this.duties.resize(fence, size).subscribe((_) -> {
+		}, (failure) -> this.control.accept(() -> failed(order, failure)),
+				() -> this.control.accept(() -> order.refused = false));
+	}
+
+	private void failed(Order order, Throwable failure) {
+		EventLog.info(GatewayEvents.SIZE_NOT_ORDERED, "service", order.size.service(), "zone", order.size.zone(),
+				"servers", order.size.servers(), "reclaimable", order.size.reclaimable(), "cause",
+				failure.getMessage());
+		order.refused = failure instanceof StoreException ex && ex.reason() == StoreException.Reason.NONE_AVAILABLE;
+		order.notBeforeNanos = System.nanoTime() + RETRY_NANOS;
+		// Whatever it was: it is ordered again at the next look.
+		order.atNanos = order.atNanos - TimeUnit.MINUTES.toNanos(1);
+	}
+
+	private boolean refused(String service, String zone) {
+		Order order = this.orders.get(new Sort(service, zone, true));
+		return order != null && order.refused;
+	}
+
+	private int count(String service, String zone, boolean reclaimable) {
+		return (int) this.servers.servers()
+			.stream()
+			.filter((server) -> server.service().equals(service) && server.zone().equals(zone))
+			.filter((server) -> server.reclaimable() == reclaimable && !server.leaving())
+			.count();
+	}
+
+	private record Sort(String service, String zone, boolean reclaimable) {
+	}
+
+	private static final class Order {
+
+		private final Size size;
+
+		private long atNanos;
+
+		private long notBeforeNanos;
+
+		private boolean refused;
+
+		private Order(Size size, long nowNanos) {
+			this.size = size;
+			this.atNanos = nowNanos;
+			this.notBeforeNanos = nowNanos;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -0,0 +1,157 @@
+package org.rosemaryfront.gateway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.Mono;
+
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.RowStore.Page;
+import org.rosemaryfront.ports.RowStore.Range;
+import org.rosemaryfront.ports.RowStore.Row;
+import org.rosemaryfront.ports.StoreException;
+
+/**
+ * Follows one table: reads it whole, then waits for its changes, and begins anew when the
+ * changes since its last look are no longer kept.
+ */
+final class TableWatch implements AutoCloseable {
+
+	/** How long one question for changes waits at the store. */
+	private static final Duration WAIT = Duration.ofSeconds(20);
+
+	/** The first pause after a failure, in milliseconds; it doubles with each. */
+	private static final long BACKOFF_MILLIS = 100;
+
+	/**
+	 * The longest pause, in milliseconds: entries of servers are back two seconds after
+	 * the store is, and must be seen by then.
+	 */
+	private static final long BACKOFF_MOST_MILLIS = 800;
+
+	private final RowStore store;
+
+	private final String table;
+
+	private final Listener listener;
+
+	private final Disposable.Swap running = Disposables.swap();
+
+	private int failures;
+
+	private TableWatch(RowStore store, String table, Listener listener) {
+		this.store = store;
+		this.table = table;
+		this.listener = listener;
+	}
+
+	/**
+	 * Starts to follow a table.
+	 * @param store the store
+	 * @param table the table
+	 * @param listener told of rows, on any thread, one call at a time
+	 * @return the running watch
+	 */
+	static TableWatch start(RowStore store, String table, Listener listener) {
+		TableWatch watch = new TableWatch(store, table, listener);
+		watch.readAll("", new ArrayList<>());
+		return watch;
+	}
+
+	@Override
+	public void close() {
+		this.running.dispose();
+	}
+
+	private void readAll(String from, List<Row> before) {
+		run(this.store.read(new Range(this.table, from, "")), (page) -> {
+			List<Row> rows = new ArrayList<>(before);
+			rows.addAll(page.rows());
+			if (page.more()) {
+				// The smallest key behind the last one.
+				readAll(page.rows().getLast().key() + '\0', rows);
+			}
+			else {
+				this.listener.all(rows, page.version());
+				follow(page.version());
+			}
+		}, () -> readAll("", new ArrayList<>()));
+	}
+
+	private void follow(long since) {
+		run(this.store.changes(this.table, since, WAIT), (page) -> {
+			if (!page.rows().isEmpty()) {
+				this.listener.changed(page.rows(), page.version());
+			}
+			follow(Math.max(since, page.version()));
+		}, () -> follow(since));
+	}
+
+	private void run(Mono<Page> question, Consumer<Page> next, Runnable again) {
+		this.running.update(question.subscribe((page) -> {
+			regained();
+			next.accept(page);
+		}, (failure) -> failed(failure, again)));
+	}
+
+	private void regained() {
+		if (this.failures > 0) {
+			EventLog.info(GatewayEvents.STORE_REGAINED, "table", this.table, "failures", this.failures);
+			this.failures = 0;
+			this.listener.regained();
+		}
+	}
+
+	private void failed(Throwable failure, Runnable again) {
+		boolean historyLost = failure instanceof StoreException ex && ex.reason() == StoreException.Reason.HISTORY_LOST;
+		if (historyLost) {
+			EventLog.info(GatewayEvents.TABLE_READ_ANEW, "table", this.table);
+			this.running
+				.update(Mono.delay(jittered(BACKOFF_MILLIS / 4)).subscribe((_) -> readAll("", new ArrayList<>())));
+			return;
+		}
+		if (this.failures == 0) {
+			EventLog.warn(GatewayEvents.STORE_LOST, "table", this.table, "cause", failure.getMessage());
+			this.listener.lost();
+		}
+		long pause = Math.min(BACKOFF_MOST_MILLIS, BACKOFF_MILLIS << Math.min(this.failures, 6));
+		this.failures++;
+		this.running.update(Mono.delay(jittered(pause)).subscribe((_) -> again.run()));
+	}
+
+	private static Duration jittered(long millis) {
+		return Duration.ofMillis(millis / 2 + ThreadLocalRandom.current().nextLong(millis + 1));
+	}
+
+	/** Takes what a watch sees. */
+	interface Listener {
+
+		/**
+		 * The whole table was read.
+		 * @param rows all rows
+		 * @param version the version of the store at that moment
+		 */
+		void all(List<Row> rows, long version);
+
+		/**
+		 * Rows changed.
+		 * @param rows the changed rows in order
+		 * @param version the version up to which changes are known
+		 */
+		void changed(List<Row> rows, long version);
+
+		/** The store does not answer. */
+		void lost();
+
+		/** The store answers again. */
+		void regained();
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -0,0 +1,257 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+import org.rosemaryfront.duties.UsageLedger.Window;
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.ports.Duties;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.RowStore.Commit;
+import org.rosemaryfront.ports.RowStore.Condition;
+import org.rosemaryfront.ports.RowStore.Outcome;
+import org.rosemaryfront.ports.RowStore.Range;
+import org.rosemaryfront.ports.RowStore.Row;
+import org.rosemaryfront.ports.RowStore.Write;
+import org.rosemaryfront.ports.StoreException;
+
+/**
+ * The report of use: each gateway writes its counts of a window into a row, and the
+ * holder of the duties adds them up and reports the sum. Used on the control thread.
+ *
+ * <p>
+ * The sum is written down before it is reported for the first time. A report whose answer
+ * was lost is repeated, also by a successor; were it added up anew, a row that came late
+ * would make it a second, different report of the same window.
+ */
+final class UsageDuty {
+
+	/** When rows of a window are added up, behind its end, in milliseconds. */
+	private static final long SETTLE_MILLIS = 2_000;
+
+	/**
+	 * How long behind its end a window is still reported, in milliseconds; a report is
+	 * due after ten seconds.
+	 */
+	private static final long DUE_MILLIS = 9_500;
+
+	/** The pause behind a failure, in milliseconds. */
+	private static final long RETRY_MILLIS = 400;
+
+	private static final String TABLE = "usage";
+
+	/** Sorts behind the names of gateways, so that one read brings rows and sum. */
+	private static final String SUM = "~sum";
+
+	private static final TypeReference<TreeMap<String, Long>> COUNTS = new TypeReference<>() {
+	};
+
+	private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+	private final RowStore store;
+
+	private final Duties duties;
+
+	private final String self;
+
+	private final long windowMillis;
+
+	private final Consumer<Runnable> control;
+
+	/** Own windows whose rows are not known to be written, with their row's value. */
+	private final Map<String, byte[]> unwritten = new TreeMap<>();
+
+	private final Set<String> writing = new HashSet<>();
+
+	private final TreeSet<Long> reported = new TreeSet<>();
+
+	private long firstWindow = Long.MIN_VALUE;
+
+	private int written;
+
+	private boolean busy;
+
+	private long notBeforeMillis;
+
+	UsageDuty(RowStore store, Duties duties, GatewaySettings settings, Consumer<Runnable> control) {
+		this.store = store;
+		this.duties = duties;
+		this.self = settings.name();
+		this.windowMillis = settings.bounds().usageWindowMillis();
+		this.control = control;
+	}
+
+	// -- own counts
+
+	/**
+	 * Takes windows that are over.
+	 * @param windows the windows
+	 * @param start tells starts of this process apart
+	 */
+	void closed(List<Window> windows, int start) {
+		for (Window window : windows) {
+			// A window can be closed twice, before the process ends and at its end.
+			this.written++;
+			String row = this.self + '/' + Integer.toHexString(start) + '/' + this.written;
+			this.unwritten.put(key(window.index(), row), encode(window.counts()));
+		}
+		writeOwn();
+	}
+
+	boolean isWritten() {
+		return this.unwritten.isEmpty();
+	}
+
+	private void writeOwn() {
+		List.copyOf(this.unwritten.keySet()).forEach((key) -> {
+			if (this.writing.add(key)) {
+				this.store.commit(Commit.put(TABLE, key, this.unwritten.get(key)))
+					.subscribe((_) -> this.control.accept(() -> {
+						this.writing.remove(key);
+						this.unwritten.remove(key);
+					}), (failure) -> this.control.accept(() -> {
+						// The same row with the same value again does no harm.
+						this.writing.remove(key);
+						EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", key, "call", "write", "cause",
+								failure.getMessage());
+					}));
+			}
+		});
+	}
+
+	// -- the duty
+
+	/**
+	 * Lets time pass.
+	 * @param epochMillis the time on the wall clock
+	 */
+	void tick(long epochMillis) {
+		if (epochMillis >= this.notBeforeMillis) {
+			writeOwn();
+		}
+		if (this.firstWindow == Long.MIN_VALUE) {
+			this.firstWindow = epochMillis / this.windowMillis;
+		}
+	}
+
+	/**
+	 * Reports the oldest window that is due, as the holder of the duties.
+	 * @param fence the fencing number
+	 * @param epochMillis the time on the wall clock
+	 * @param organisations all organisations
+	 */
+	void act(long fence, long epochMillis, Set<String> organisations) {
+		if (this.busy || epochMillis < this.notBeforeMillis) {
+			return;
+		}
+		long last = (epochMillis - SETTLE_MILLIS) / this.windowMillis - 1;
+		long first = Math.max(this.firstWindow, (epochMillis - DUE_MILLIS) / this.windowMillis - 1);
+		for (long window = first; window <= last; window++) {
+			if (!this.reported.contains(window)) {
+				sum(fence, window, organisations);
+				return;
+			}
+		}
+	}
+
+	private void sum(long fence, long window, Set<String> organisations) {
+		this.busy = true;
+		this.store.read(new Range(TABLE, key(window, ""), key(window, "~~")))
+			.subscribe((page) -> this.control.accept(() -> summed(fence, window, organisations, page.rows())),
+					(failure) -> this.control.accept(() -> failed(window, failure)));
+	}
+
+	private void summed(long fence, long window, Set<String> organisations, List<Row> rows) {
+		Map<String, Long> sum = new TreeMap<>();
+		organisations.forEach((name) -> sum.put(name, 0L));
+		List<String> keys = new ArrayList<>();
+		for (Row row : rows) {
+			Map<String, Long> counts = decode(row.value().orElse(new byte[0]));
+			if (row.key().equals(key(window, SUM))) {
+				report(fence, window, counts, rows.size() - 1, List.of());
+				return;
+			}
+			keys.add(row.key());
+			counts.forEach((name, count) -> sum.merge(name, count, Long::sum));
+		}
+		Commit commit = new Commit(TABLE, List.of(new Condition(key(window, SUM), 0)),
+				List.of(new Write(key(window, SUM), encode(sum))), List.of());
+		this.store.commit(commit).subscribe((outcome) -> this.control.accept(() -> {
+			switch (outcome) {
+				case Outcome.Committed _ -> report(fence, window, sum, keys.size(), keys);
+				case Outcome.Conflict _ -> again(0);
+			}
+		}), (failure) -> this.control.accept(() -> failed(window, failure)));
+	}
+
+	private void report(long fence, long window, Map<String, Long> counts, int gateways, List<String> keys) {
+		this.duties.reportUsage(fence, window, counts).subscribe((_) -> {
+		}, (failure) -> this.control.accept(() -> failed(window, failure)), () -> this.control.accept(() -> {
+			EventLog.info(GatewayEvents.USAGE_REPORTED, "window", window, "fence", fence, "gateways", gateways,
+					"counts", counts);
+			this.reported.add(window);
+			again(0);
+			tidy(window, keys);
+		}));
+	}
+
+	// Deletes the rows that were added up, and the sum that no report can need any more.
+	private void tidy(long window, List<String> keys) {
+		long old = window - 2 - DUE_MILLIS / this.windowMillis;
+		this.reported.headSet(old).clear();
+		List<String> deletes = new ArrayList<>(keys);
+		deletes.add(key(old, SUM));
+		this.store.commit(new Commit(TABLE, List.of(), List.of(), deletes)).subscribe((_) -> {
+		}, (failure) -> EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", key(window, ""), "call", "delete", "cause",
+				failure.getMessage()));
+	}
+
+	private void failed(long window, Throwable failure) {
+		if (failure instanceof StoreException ex && ex.reason() == StoreException.Reason.REJECTED) {
+			EventLog.warn(GatewayEvents.USAGE_GIVEN_UP, "window", window, "cause", failure.getMessage());
+			this.reported.add(window);
+		}
+		else {
+			EventLog.info(GatewayEvents.USAGE_NOT_REPORTED, "window", window, "cause", failure.getMessage());
+		}
+		again(RETRY_MILLIS);
+	}
+
+	private void again(long pauseMillis) {
+		this.busy = false;
+		this.notBeforeMillis = System.currentTimeMillis() + pauseMillis;
+	}
+
+	private static String key(long window, String rest) {
+		return String.format("%012d/%s", window, rest);
+	}
+
+	private static byte[] encode(Map<String, Long> counts) {
+		try {
+			return MAPPER.writeValueAsBytes(counts);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static Map<String, Long> decode(byte[] value) {
+		try {
+			return MAPPER.readValue(value, COUNTS);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("a row of use cannot be read", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -0,0 +1,658 @@
+package org.rosemaryfront.traffic;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.ports.AnswerTerms;
+import org.rosemaryfront.ports.CallTerms;
+import org.rosemaryfront.ports.Handover;
+import org.rosemaryfront.routes.CallKind;
+import org.rosemaryfront.routes.Organisation;
+import org.rosemaryfront.routes.Route;
+
+/**
+ * One request of a caller on its way to a backend server and back. Its state belongs to
+ * the traffic thread; what other threads ask of it is posted there.
+ */
+public final class Call implements AnswerListener {
+
+	/**
+	 * The body that is gathered before the call goes out, in bytes: a slow caller then
+	 * holds no place at a server, and the call can be sent again. Longer bodies are
+	 * passed on as they come.
+	 */
+	private static final int GATHERED_BYTES = 262_144;
+
+	/**
+	 * The answer that is gathered before it goes to the caller, in bytes, unless it is a
+	 * stream: an answer that breaks off before that can be asked for again.
+	 */
+	private static final int GATHERED_ANSWER_BYTES = 262_144;
+
+	private final Gateway gateway;
+
+	private final CallerConnection caller;
+
+	private final HttpRequest head;
+
+	private final CallTerms terms;
+
+	private final Route route;
+
+	private final Optional<Organisation> organisation;
+
+	private final String service;
+
+	private final long arrivedNanos = System.nanoTime();
+
+	private final long deadlineNanos;
+
+	private final Future<?> deadlineTimer;
+
+	// The request's body.
+
+	private final Deque<ByteBuf> gathered = new ArrayDeque<>();
+
+	private long bodyBytes;
+
+	private boolean bodyComplete;
+
+	/** Whether parts of the body went out that are not kept. */
+	private boolean passingOn;
+
+	// The server and its answer.
+
+	private State state = State.GATHERING;
+
+	private Optional<BackendServer> server = Optional.empty();
+
+	private ServerChannel channel;
+
+	private int sends;
+
+	private Optional<HttpResponse> answer = Optional.empty();
+
+	private AnswerTerms answerTerms = new AnswerTerms("", false, false);
+
+	private final Deque<ByteBuf> answerParts = new ArrayDeque<>();
+
+	private int answerBytes;
+
+	/** Whether a failure of the server came to its end, so that it can be passed on. */
+	private boolean failureWhole;
+
+	private boolean answering;
+
+	private boolean begun;
+
+	private Optional<EventFramer> framer = Optional.empty();
+
+	Call(Gateway gateway, CallerConnection caller, HttpRequest head, CallTerms terms, Route route,
+			Optional<Organisation> organisation, String service) {
+		this.gateway = gateway;
+		this.caller = caller;
+		this.head = head;
+		this.terms = terms;
+		this.route = route;
+		this.organisation = organisation;
+		this.service = service;
+		long millis = Math.min(route.timeoutMillis(), terms.remainingMillis().orElse(Long.MAX_VALUE));
+		this.deadlineNanos = this.arrivedNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, millis));
+		this.deadlineTimer = loop().schedule(this::deadline, Math.max(0, millis), TimeUnit.MILLISECONDS);
+	}
+
+	// -- queries, from any thread
+
+	/**
+	 * The name of the call.
+	 * @return the caller's name for it
+	 */
+	public String id() {
+		return this.terms.requestId();
+	}
+
+	/**
+	 * What the caller says of the call.
+	 * @return the terms
+	 */
+	public CallTerms terms() {
+		return this.terms;
+	}
+
+	/**
+	 * The route that was in force when the call came.
+	 * @return the route
+	 */
+	public Route route() {
+		return this.route;
+	}
+
+	/**
+	 * Whose call it is.
+	 * @return the organisation, empty where callers need no key
+	 */
+	public Optional<Organisation> organisation() {
+		return this.organisation;
+	}
+
+	/**
+	 * The service that was drawn for it.
+	 * @return the name
+	 */
+	public String service() {
+		return this.service;
+	}
+
+	/**
+	 * When it came.
+	 * @return the time on the monotonic clock, in nanoseconds
+	 */
+	public long arrivedNanos() {
+		return this.arrivedNanos;
+	}
+
+	/**
+	 * How long it may still take.
+	 * @param nowNanos the time
+	 * @return the time left, in milliseconds; 0 when it is over
+	 */
+	public long remainingMillis(long nowNanos) {
+		return Math.max(0, TimeUnit.NANOSECONDS.toMillis(this.deadlineNanos - nowNanos));
+	}
+
+	// -- decisions, from any thread
+
+	/**
+	 * Sends the call to a server.
+	 * @param to the server
+	 * @param mostConnections the connections that this process may have to it
+	 */
+	public void send(BackendServer to, int mostConnections) {
+		loop().execute(() -> connect(to, mostConnections));
+	}
+
+	/**
+	 * Refuses a call that did not run and never will.
+	 * @param status the HTTP status, 429 or 503
+	 * @param retryAfterMillis when coming back can help, in milliseconds
+	 * @param reason why, for the log
+	 */
+	public void refuse(int status, long retryAfterMillis, String reason) {
+		loop().execute(() -> refuseNow(status, retryAfterMillis, reason));
+	}
+
+	/**
+	 * Ends a call whose server failed it, with the server's own answer if there is one.
+	 * @param reason why it is not sent again, for the log
+	 */
+	public void giveUp(String reason) {
+		loop().execute(() -> giveUpNow(reason));
+	}
+
+	// -- the request
+
+	/**
+	 * Takes a piece of the request's body.
+	 * @param bytes the bytes; released here
+	 */
+	void bodyBytes(ByteBuf bytes) {
+		this.bodyBytes += bytes.readableBytes();
+		if (this.state == State.DONE) {
+			bytes.release();
+		}
+		else if (this.passingOn) {
+			this.channel.write(new DefaultHttpContent(bytes));
+			this.channel.flush();
+			this.caller.reading(this.channel.isWritable());
+		}
+		else {
+			this.gathered.add(bytes);
+			if (this.state == State.GATHERING && this.bodyBytes >= GATHERED_BYTES) {
+				this.caller.reading(false);
+				admit();
+			}
+		}
+	}
+
+	/** The request is complete. */
+	void bodyComplete() {
+		this.bodyComplete = true;
+		if (this.passingOn && this.state == State.SENT) {
+			this.channel.write(new DefaultLastHttpContent());
+		}
+		else if (this.state == State.GATHERING) {
+			admit();
+		}
+	}
+
+	long received() {
+		return this.bodyBytes;
+	}
+
+	boolean isOver() {
+		return this.state == State.DONE;
+	}
+
+	boolean isReceived() {
+		return this.bodyComplete;
+	}
+
+	/** The caller left: nothing it asked for is of use any more. */
+	void callerLeft() {
+		if (this.state == State.DONE) {
+			return;
+		}
+		EventLog.info(TrafficEvents.CALLER_LEFT, "request", id(), "state", this.state, "millis", ageMillis());
+		finish();
+	}
+
+	/** The caller takes more bytes. */
+	void callerWritable() {
+		if (this.state == State.SENT) {
+			this.channel.reading(true);
+		}
+	}
+
+	private void admit() {
+		this.state = State.DECIDING;
+		this.gateway.policy().admit(this);
+	}
+
+	// -- the server
+
+	private void connect(BackendServer to, int mostConnections) {
+		if (this.state == State.DONE) {
+			this.gateway.policy().ended(this, to);
+			return;
+		}
+		this.server = Optional.of(to);
+		this.state = State.CONNECTING;
+		this.gateway.pool().acquire(to, mostConnections, this::connected, this::notConnected);
+	}
+
+	private void notConnected(String cause) {
+		if (this.state == State.DONE) {
+			return;
+		}
+		failed(Verdict.notRun(), false, false, cause);
+	}
+
+	private void connected(ServerChannel to) {
+		if (this.state == State.DONE) {
+			this.gateway.pool().rest(to);
+			return;
+		}
+		if (!to.isActive()) {
+			notConnected("closed before the call");
+			return;
+		}
+		this.channel = to;
+		this.state = State.SENT;
+		this.sends++;
+		forgetFailure();
+		to.begin(id(), this);
+		to.write(outgoing());
+		for (ByteBuf part : this.gathered) {
+			to.write(new DefaultHttpContent(part.retainedDuplicate()));
+		}
+		if (this.bodyComplete) {
+			to.write(new DefaultLastHttpContent());
+		}
+		else {
+			this.passingOn = true;
+			releaseGathered();
+			to.flush();
+			this.caller.reading(true);
+		}
+	}
+
+	private OptionalInt priority() {
+		return OptionalInt.of(this.organisation.map(Organisation::priority)
+			.filter(OptionalInt::isPresent)
+			.map(OptionalInt::getAsInt)
+			.orElse(this.route.priority()));
+	}
+
+	private void forgetFailure() {
+		this.failureWhole = false;
+		dropAnswer();
+		if (!this.answering) {
+			this.answer = Optional.empty();
+		}
+	}
+
+	private HttpRequest outgoing() {
+		HttpHeaders headers = this.head.headers().copy();
+		boolean framed = HttpUtil.isContentLengthSet(this.head) || HttpUtil.isTransferEncodingChunked(this.head);
+		HopHeaders.remove(headers);
+		if (this.bodyComplete && framed) {
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, this.bodyBytes);
+		}
+		else if (framed && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+			headers.set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
+		}
+		long left = Math.max(1, remainingMillis(System.nanoTime()));
+		this.gateway.codec()
+			.handOver(headers, new Handover(left, this.server.map(BackendServer::id).orElse(""),
+					this.organisation.map(Organisation::name), this.framer.flatMap(EventFramer::lastId), priority()));
+		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, this.head.method(), this.head.uri(), headers);
+	}
+
+	// -- the answer
+
+	@Override
+	public void answerHead(HttpResponse answerHead, AnswerTerms from) {
+		if (this.answering) {
+			resumed(answerHead, from);
+			return;
+		}
+		this.answer = Optional.of(answerHead);
+		this.answerTerms = from;
+		boolean success = answerHead.status().codeClass() == HttpStatusClass.SUCCESS;
+		if (success && !from.signed()) {
+			abortAnswer("a success without signature");
+			return;
+		}
+		if (this.route.kind() == CallKind.STREAMING && success) {
+			startAnswer();
+			if (this.route.resumable()) {
+				this.framer = Optional.of(new EventFramer(this.caller.allocator()));
+			}
+		}
+		else if (!from.notRun()) {
+			markBegun();
+		}
+	}
+
+	private void resumed(HttpResponse answerHead, AnswerTerms from) {
+		boolean success = answerHead.status().codeClass() == HttpStatusClass.SUCCESS && from.signed();
+		if (!success) {
+			abortAnswer("a resumed stream was answered " + answerHead.status().code());
+			return;
+		}
+		EventLog.info(TrafficEvents.STREAM_RESUMED, "request", id(), "server", serverId(), "after",
+				this.framer.flatMap(EventFramer::lastId).orElse("none"));
+	}
+
+	@Override
+	public void answerBytes(ByteBuf bytes) {
+		if (this.state == State.DONE) {
+			bytes.release();
+		}
+		else if (this.answering) {
+			markBegun();
+			ByteBuf whole = this.framer.map((cut) -> cut.add(bytes)).orElse(bytes);
+			if (!this.caller.write(whole)) {
+				this.channel.reading(false);
+			}
+		}
+		else {
+			this.answerBytes += bytes.readableBytes();
+			this.answerParts.add(bytes);
+			if (this.answerBytes > GATHERED_ANSWER_BYTES && isFinal()) {
+				startAnswer();
+				flushGatheredAnswer();
+			}
+		}
+	}
+
+	@Override
+	public void answerPause() {
+		if (this.answering && this.state == State.SENT) {
+			this.caller.flush();
+		}
+	}
+
+	@Override
+	public void answerComplete() {
+		BackendServer from = this.server.orElseThrow();
+		if (this.answering) {
+			this.framer.ifPresent((cut) -> this.caller.write(cut.rest()));
+			answered(from);
+			return;
+		}
+		if (!isFinal()) {
+			this.failureWhole = true;
+			failed(this.answerTerms.notRun() ? Verdict.notRun() : Verdict.ran(), true, true, "status " + statusCode());
+			return;
+		}
+		startAnswer();
+		flushGatheredAnswer();
+		answered(from);
+	}
+
+	@Override
+	public void answerBroken(String cause) {
+		if (this.state != State.DONE) {
+			failed(Verdict.mayHaveRun(), true, false, cause);
+		}
+	}
+
+	@Override
+	public void requestWritable() {
+		this.caller.reading(true);
+	}
+
+	// Whether the answer goes to the caller whatever the policy says: a success, or a
+	// failure that another server would give as well.
+	private boolean isFinal() {
+		HttpStatusClass status = this.answer.orElseThrow().status().codeClass();
+		boolean serverFault = status == HttpStatusClass.SERVER_ERROR || this.answerTerms.notRun();
+		return !serverFault;
+	}
+
+	private void startAnswer() {
+		this.answering = true;
+		this.caller.startAnswer(this.answer.orElseThrow(), this.head.method().equals(HttpMethod.HEAD));
+	}
+
+	private void flushGatheredAnswer() {
+		while (!this.answerParts.isEmpty()) {
+			this.caller.write(this.answerParts.poll());
+		}
+	}
+
+	private void answered(BackendServer from) {
+		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", statusCode(),
+				"server", from.id(), "sends", this.sends, "millis", ageMillis());
+		this.gateway.metrics().answered(this, statusCode());
+		this.server = Optional.empty();
+		this.gateway.policy().ended(this, from);
+		this.caller.endAnswer();
+		finish();
+	}
+
+	private void abortAnswer(String cause) {
+		this.channel.abort();
+		failed(Verdict.mayHaveRun(), true, false, cause);
+	}
+
+	private void markBegun() {
+		if (!this.begun) {
+			this.begun = true;
+			this.gateway.metrics().began(this);
+			this.gateway.policy().began(this);
+		}
+	}
+
+	// -- ends
+
+	private void failed(Verdict verdict, boolean sent, boolean answered, String cause) {
+		BackendServer by = this.server.orElseThrow();
+		this.server = Optional.empty();
+		this.framer.ifPresent(EventFramer::dropHalf);
+		this.state = State.DECIDING;
+		EventLog.info(TrafficEvents.CALL_FAILED, "request", id(), "server", by.id(), "verdict", verdict.code(), "cause",
+				cause, "answering", this.answering, "millis", ageMillis());
+		if (verdict instanceof Verdict.MayHaveRun) {
+			// The server may have begun it: the use of its organisation is not lost.
+			markBegun();
+		}
+		this.gateway.policy().failed(this, by, new CallPolicy.Failure(verdict, sent, answered, cause));
+	}
+
+	/**
+	 * Whether the call can go out again as it came.
+	 * @return false once parts of it are no longer kept
+	 */
+	public boolean isRepeatable() {
+		return !this.passingOn && (!this.answering || this.framer.isPresent());
+	}
+
+	/**
+	 * The servers that had it.
+	 * @return the count
+	 */
+	public int sends() {
+		return this.sends;
+	}
+
+	private void refuseNow(int status, long retryAfterMillis, String reason) {
+		if (this.state == State.DONE) {
+			return;
+		}
+		if (this.answering) {
+			giveUpNow(reason);
+			return;
+		}
+		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "route", this.route.name(), "status", status,
+				"retryAfterMillis", retryAfterMillis, "reason", reason, "millis", ageMillis());
+		this.gateway.metrics().refused(status);
+		this.caller.refuse(status, retryAfterMillis);
+		finish();
+	}
+
+	private void giveUpNow(String reason) {
+		if (this.state == State.DONE) {
+			return;
+		}
+		if (this.answering) {
+			EventLog.warn(TrafficEvents.ANSWER_BROKEN, "request", id(), "reason", reason, "millis", ageMillis());
+			this.gateway.metrics().broken();
+			this.caller.abort();
+		}
+		else if (this.failureWhole && !this.answerTerms.notRun()) {
+			startAnswer();
+			flushGatheredAnswer();
+			EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status",
+					statusCode(), "reason", reason, "sends", this.sends, "millis", ageMillis());
+			this.gateway.metrics().answered(this, statusCode());
+			this.caller.endAnswer();
+		}
+		else {
+			EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", 502,
+					"reason", reason, "sends", this.sends, "millis", ageMillis());
+			this.gateway.metrics().answered(this, 502);
+			this.caller.refuse(502, 0);
+		}
+		finish();
+	}
+
+	private void deadline() {
+		if (this.state == State.DONE) {
+			return;
+		}
+		if (this.answering) {
+			giveUpNow("deadline");
+			return;
+		}
+		boolean mayHaveRun = this.state == State.SENT || this.begun;
+		int status = mayHaveRun ? 504 : 503;
+		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "route", this.route.name(), "status", status,
+				"reason", "deadline", "state", this.state, "millis", ageMillis());
+		this.gateway.metrics().refused(status);
+		this.caller.refuse(status, mayHaveRun ? 0 : 200);
+		finish();
+	}
+
+	// Ends the call wherever it is; the connection to the server goes with a run that is
+	// under way, which tells the server to stop.
+	private void finish() {
+		State was = this.state;
+		this.state = State.DONE;
+		this.deadlineTimer.cancel(false);
+		if (was == State.SENT && this.server.isPresent()) {
+			this.channel.abort();
+		}
+		if (this.server.isPresent()) {
+			this.gateway.policy().ended(this, this.server.get());
+		}
+		else {
+			this.gateway.policy().dropped(this);
+		}
+		releaseGathered();
+		dropAnswer();
+		this.framer.ifPresent(EventFramer::release);
+		this.framer = Optional.empty();
+		this.caller.callOver(this);
+	}
+
+	private void dropAnswer() {
+		this.answerParts.forEach(ByteBuf::release);
+		this.answerParts.clear();
+		this.answerBytes = 0;
+	}
+
+	private void releaseGathered() {
+		this.gathered.forEach(ByteBuf::release);
+		this.gathered.clear();
+	}
+
+	private EventLoop loop() {
+		return this.gateway.loop();
+	}
+
+	private String serverId() {
+		return this.server.map(BackendServer::id).orElse("none");
+	}
+
+	private int statusCode() {
+		return this.answer.map((given) -> given.status().code()).orElse(0);
+	}
+
+	private long ageMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.arrivedNanos);
+	}
+
+	/** How far a call is. */
+	private enum State {
+
+		/** Its body comes in. */
+		GATHERING,
+
+		/** The policy is asked. */
+		DECIDING,
+
+		/** A connection is being made; nothing was sent. */
+		CONNECTING,
+
+		/** It was sent. */
+		SENT,
+
+		/** It is over. */
+		DONE
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -0,0 +1,71 @@
+package org.rosemaryfront.traffic;
+
+import java.util.Optional;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.routes.TrafficConfiguration;
+
+/**
+ * Decides about calls. Called on the traffic thread; what it decides comes back by
+ * {@link Call#send}, {@link Call#refuse} and {@link Call#giveUp}, from any thread.
+ */
+public interface CallPolicy {
+
+	/**
+	 * The configuration in force.
+	 * @return the newest known, empty while none is known
+	 */
+	Optional<TrafficConfiguration> configuration();
+
+	/**
+	 * Whether this process is stopping, so that connections end with their answer.
+	 * @return true once a stop was asked for
+	 */
+	boolean stopping();
+
+	/**
+	 * A call came in and wants a backend server.
+	 * @param call the call
+	 */
+	void admit(Call call);
+
+	/**
+	 * A call began to run: its first token came, or its answer.
+	 * @param call the call
+	 */
+	void began(Call call);
+
+	/**
+	 * A backend server did not answer a call to a good end.
+	 * @param call the call
+	 * @param server the server
+	 * @param failure what happened
+	 */
+	void failed(Call call, BackendServer server, Failure failure);
+
+	/**
+	 * A call is over at a backend server, answered or given up by its caller.
+	 * @param call the call
+	 * @param server the server
+	 */
+	void ended(Call call, BackendServer server);
+
+	/**
+	 * A call is over that no backend server has.
+	 * @param call the call
+	 */
+	void dropped(Call call);
+
+	/**
+	 * How a backend server failed a call.
+	 *
+	 * @param verdict whether the call may have run
+	 * @param sent whether anything was sent to the server
+	 * @param answered whether the server itself gave a final answer, kept by the call
+	 * @param cause what happened, for the log
+	 */
+	record Failure(Verdict verdict, boolean sent, boolean answered, String cause) {
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -0,0 +1,214 @@
+package org.rosemaryfront.traffic;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import jdk.net.ExtendedSocketOptions;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.ports.CallCodec;
+
+/**
+ * The connections to the backend servers, kept for the next call. Used on the traffic
+ * thread only.
+ *
+ * <p>
+ * New connections are dear for servers and their number is capped over all processes, so
+ * the one used last is used first and the others rest until they are stale.
+ */
+final class ConnectionPool {
+
+	/**
+	 * How long a connection may take to be made, in milliseconds. One round trip within a
+	 * region is a few; the lost first packet is sent again after a second.
+	 */
+	private static final int CONNECT_MILLIS = 500;
+
+	/**
+	 * Keep-alive probes, in seconds and counts: a connection that something between the
+	 * ends forgot is found within 4 s, before a call is sent into it.
+	 */
+	private static final int PROBE_AFTER_SECONDS = 2;
+
+	private static final int PROBE_COUNT = 2;
+
+	private static final int HEADER_BYTES = 65_536;
+
+	private static final long SWEEP_MILLIS = 250;
+
+	private final EventLoop loop;
+
+	private final CallCodec codec;
+
+	private final Map<String, Connections> servers = new HashMap<>();
+
+	private final Map<ServerChannel, Connections> owners = new HashMap<>();
+
+	private long opened;
+
+	ConnectionPool(EventLoop loop, CallCodec codec) {
+		this.loop = loop;
+		this.codec = codec;
+		loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Gets a connection.
+	 * @param server the server
+	 * @param most the connections that this process may have to it
+	 * @param taker gets the connection
+	 * @param failure gets the cause when there is none; nothing was sent
+	 */
+	void acquire(BackendServer server, int most, Consumer<ServerChannel> taker, Consumer<String> failure) {
+		Connections connections = this.servers.computeIfAbsent(server.id(), (_) -> new Connections());
+		while (!connections.idle.isEmpty()) {
+			ServerChannel idle = connections.idle.pollLast();
+			if (idle.isActive() && !idle.isStale(System.nanoTime())) {
+				taker.accept(idle);
+				return;
+			}
+			idle.close();
+		}
+		if (connections.open.size() + connections.connecting >= most) {
+			failure.accept("all " + most + " connections are in use");
+			return;
+		}
+		connect(server, connections, taker, failure);
+	}
+
+	/**
+	 * Closes the resting connections to servers that are gone.
+	 * @param known the servers that are known
+	 */
+	void retain(Set<String> known) {
+		this.servers.forEach((id, connections) -> {
+			if (!known.contains(id)) {
+				connections.idle.forEach(ServerChannel::close);
+			}
+		});
+		this.servers.entrySet()
+			.removeIf((entry) -> !known.contains(entry.getKey()) && entry.getValue().open.isEmpty()
+					&& entry.getValue().connecting == 0);
+	}
+
+	void rest(ServerChannel channel) {
+		Connections connections = this.owners.get(channel);
+		if (connections != null) {
+			connections.idle.addLast(channel);
+		}
+	}
+
+	void gone(ServerChannel channel) {
+		Connections connections = this.owners.remove(channel);
+		if (connections != null) {
+			connections.open.remove(channel);
+			connections.idle.remove(channel);
+		}
+	}
+
+	/**
+	 * The connections made since the start.
+	 * @return the count
+	 */
+	long opened() {
+		return this.opened;
+	}
+
+	/**
+	 * The connections open now.
+	 * @return the count
+	 */
+	int open() {
+		return this.owners.size();
+	}
+
+	private void connect(BackendServer server, Connections connections, Consumer<ServerChannel> taker,
+			Consumer<String> failure) {
+		ServerChannel handler = new ServerChannel(this, this.codec);
+		connections.connecting++;
+		this.opened++;
+		ChannelFuture connecting = bootstrap(handler).connect(address(server.address()));
+		connecting.addListener((_) -> {
+			connections.connecting--;
+			if (!connecting.isSuccess()) {
+				failure.accept(String.valueOf(connecting.cause().getMessage()));
+				return;
+			}
+			if (!connecting.channel().isActive()) {
+				failure.accept("closed at once");
+				return;
+			}
+			connections.open.add(handler);
+			this.owners.put(handler, connections);
+			taker.accept(handler);
+		});
+	}
+
+	private Bootstrap bootstrap(ServerChannel handler) {
+		return new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.SO_KEEPALIVE, true)
+			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_SECONDS)
+			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
+			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBE_COUNT)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+			.handler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					channel.pipeline()
+						.addLast(new HttpClientCodec(new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES)
+							.setMaxInitialLineLength(HEADER_BYTES), false, false))
+						.addLast(handler);
+				}
+			});
+	}
+
+	private void sweep() {
+		long now = System.nanoTime();
+		for (Connections connections : this.servers.values()) {
+			for (Iterator<ServerChannel> it = connections.idle.iterator(); it.hasNext();) {
+				ServerChannel idle = it.next();
+				if (idle.isStale(now)) {
+					it.remove();
+					idle.close();
+				}
+			}
+		}
+	}
+
+	private static InetSocketAddress address(String hostPort) {
+		int colon = hostPort.lastIndexOf(':');
+		return new InetSocketAddress(hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
+	}
+
+	/** The connections to one server. */
+	private static final class Connections {
+
+		private final Set<ServerChannel> open = new HashSet<>();
+
+		private final Deque<ServerChannel> idle = new ArrayDeque<>();
+
+		private int connecting;
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -0,0 +1,175 @@
+package org.rosemaryfront.traffic;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+
+import org.rosemaryfront.ports.CallCodec;
+import org.rosemaryfront.routes.CallerLimits;
+import org.rosemaryfront.routes.TrafficConfiguration;
+
+/**
+ * The traffic side of a gateway: callers' connections, calls and servers' connections, on
+ * one thread. It decides nothing; see {@link CallPolicy}.
+ */
+public final class Gateway implements AutoCloseable {
+
+	/** Connections that wait to be accepted, for many callers that come at once. */
+	private static final int BACKLOG = 1_024;
+
+	private static final long SWEEP_MILLIS = 500;
+
+	private final EventLoop loop;
+
+	private final CallCodec codec;
+
+	private final CallPolicy policy;
+
+	private final TrafficMetrics metrics;
+
+	private final ConnectionPool pool;
+
+	private final Set<CallerConnection> callers = new HashSet<>();
+
+	private Gateway(EventLoop loop, CallCodec codec, CallPolicy policy, TrafficMetrics metrics) {
+		this.loop = loop;
+		this.codec = codec;
+		this.policy = policy;
+		this.metrics = metrics;
+		this.pool = new ConnectionPool(loop, codec);
+	}
+
+	// -- factories
+
+	/**
+	 * Opens the callers' address.
+	 * @param loop the traffic thread
+	 * @param address the address
+	 * @param codec the headers of calls
+	 * @param policy decides about calls
+	 * @param metrics counts them
+	 * @return the running traffic side
+	 */
+	public static Gateway open(EventLoop loop, InetSocketAddress address, CallCodec codec, CallPolicy policy,
+			TrafficMetrics metrics) {
+		Gateway gateway = new Gateway(loop, codec, policy, metrics);
+		gateway.bind(address);
+		loop.scheduleWithFixedDelay(gateway::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+		metrics.gauge("callers.connections", gateway.callers::size);
+		metrics.gauge("servers.connections", gateway.pool::open);
+		metrics.gauge("servers.connections.opened", gateway.pool::opened);
+		return gateway;
+	}
+
+	// -- changes
+
+	/**
+	 * Forgets the connections to servers that are gone.
+	 * @param known the servers that are known
+	 */
+	public void retainServers(Set<String> known) {
+		Set<String> ids = Set.copyOf(known);
+		this.loop.execute(() -> this.pool.retain(ids));
+	}
+
+	/** Closes callers' connections that carry no request; the others end with theirs. */
+	public void closeIdle() {
+		this.loop.execute(() -> List.copyOf(this.callers).forEach(CallerConnection::closeIfIdle));
+	}
+
+	/**
+	 * Whether no call is under way.
+	 * @return true when nothing is left to finish
+	 */
+	public boolean isIdle() {
+		return this.loop.submit(() -> this.callers.stream().allMatch(CallerConnection::isIdle))
+			.syncUninterruptibly()
+			.getNow();
+	}
+
+	@Override
+	public void close() {
+		this.loop.submit(() -> new ArrayList<>(this.callers).forEach(CallerConnection::abort)).syncUninterruptibly();
+	}
+
+	// -- for the parts
+
+	EventLoop loop() {
+		return this.loop;
+	}
+
+	CallCodec codec() {
+		return this.codec;
+	}
+
+	CallPolicy policy() {
+		return this.policy;
+	}
+
+	TrafficMetrics metrics() {
+		return this.metrics;
+	}
+
+	ConnectionPool pool() {
+		return this.pool;
+	}
+
+	Set<CallerConnection> callers() {
+		return this.callers;
+	}
+
+	private CallerLimits limits() {
+		return this.policy.configuration().map(TrafficConfiguration::limits).orElse(CallerLimits.INITIAL);
+	}
+
+	private void bind(InetSocketAddress address) {
+		new ServerBootstrap().group(this.loop, this.loop)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					accept(channel);
+				}
+			})
+			.bind(address)
+			.syncUninterruptibly();
+	}
+
+	private void accept(Channel channel) {
+		CallerConnection connection = new CallerConnection(this);
+		channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+			@Override
+			public void channelRead(ChannelHandlerContext context, Object message) {
+				connection.bytesArrived();
+				context.fireChannelRead(message);
+			}
+		})
+			.addLast(new StrictRequestDecoder(limits().headerBytes()))
+			.addLast(new HttpResponseEncoder())
+			.addLast(connection);
+	}
+
+	private void sweep() {
+		long now = System.nanoTime();
+		CallerLimits limits = limits();
+		List.copyOf(this.callers).forEach((connection) -> connection.sweep(now, limits));
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerChannel.java
@@ -0,0 +1,283 @@
+package org.rosemaryfront.traffic;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.ports.AnswerTerms;
+import org.rosemaryfront.ports.CallCodec;
+
+/**
+ * One connection to a backend server, with at most one call on it.
+ *
+ * <p>
+ * A faulty server sends bytes that belong to no call: a second answer behind a complete
+ * one, or an answer to an earlier call. An answer is taken only if it names the call
+ * under way; whatever comes while no call waits ends the connection.
+ */
+final class ServerChannel extends ChannelInboundHandlerAdapter {
+
+	/**
+	 * How long before the server's own idle limit a connection is given up: the server
+	 * resets what arrives behind that, and such a call may have run.
+	 */
+	private static final long IDLE_MARGIN_MILLIS = 1_200;
+
+	/** The idle limit of servers that name none, in milliseconds. */
+	private static final long IDLE_UNKNOWN_MILLIS = 20_000;
+
+	private final ConnectionPool pool;
+
+	private final CallCodec codec;
+
+	private Channel channel;
+
+	private AnswerListener listener;
+
+	private String requestId = "";
+
+	/** Whether the answer under way belongs to an earlier call. */
+	private boolean skipping;
+
+	private boolean headSeen;
+
+	private boolean requestWritten;
+
+	private boolean reusable = true;
+
+	private boolean failed;
+
+	private long idleSinceNanos;
+
+	private long idleLimitNanos = TimeUnit.MILLISECONDS.toNanos(IDLE_UNKNOWN_MILLIS);
+
+	ServerChannel(ConnectionPool pool, CallCodec codec) {
+		this.pool = pool;
+		this.codec = codec;
+	}
+
+	// -- the call
+
+	/**
+	 * Begins a call on an idle connection.
+	 * @param callId names the call
+	 * @param to takes the answer
+	 */
+	void begin(String callId, AnswerListener to) {
+		this.listener = to;
+		this.requestId = callId;
+		this.skipping = false;
+		this.headSeen = false;
+		this.requestWritten = false;
+	}
+
+	/**
+	 * Sends a part of the request.
+	 * @param part the head or a piece of the body
+	 */
+	void write(HttpObject part) {
+		if (part instanceof LastHttpContent) {
+			this.requestWritten = true;
+			this.channel.writeAndFlush(part);
+		}
+		else {
+			this.channel.write(part);
+		}
+	}
+
+	void flush() {
+		this.channel.flush();
+	}
+
+	boolean isActive() {
+		return this.channel != null && this.channel.isActive();
+	}
+
+	boolean isWritable() {
+		return this.channel.isWritable();
+	}
+
+	void reading(boolean on) {
+		this.channel.config().setAutoRead(on);
+	}
+
+	/** Ends the call and the connection with it. */
+	void abort() {
+		this.listener = null;
+		this.reusable = false;
+		this.channel.close();
+	}
+
+	// -- the pool
+
+	boolean isStale(long nowNanos) {
+		return nowNanos - this.idleSinceNanos >= this.idleLimitNanos;
+	}
+
+	void close() {
+		this.channel.close();
+	}
+
+	Channel channel() {
+		return this.channel;
+	}
+
+	// -- Netty
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) {
+		this.channel = context.channel();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			if (this.listener == null) {
+				stray("bytes while no call waits");
+				return;
+			}
+			if (message instanceof HttpResponse head) {
+				head(head);
+			}
+			if (message instanceof HttpContent content && this.listener != null) {
+				content(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void head(HttpResponse head) {
+		if (head.decoderResult().isFailure()) {
+			broken("no HTTP: " + head.decoderResult().cause().getMessage());
+			return;
+		}
+		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+				&& head.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+			this.skipping = true;
+			return;
+		}
+		AnswerTerms terms = this.codec.answer(head.status().code(), head.headers());
+		if (!terms.requestId().isEmpty() && !terms.requestId().equals(this.requestId)) {
+			EventLog.warn(TrafficEvents.STRAY_ANSWER, "request", this.requestId, "answers", terms.requestId());
+			this.skipping = true;
+			this.reusable = false;
+			return;
+		}
+		this.skipping = false;
+		this.headSeen = true;
+		noteKeepAlive(head);
+		this.listener.answerHead(head, terms);
+	}
+
+	private void content(HttpContent content) {
+		if (content.decoderResult().isFailure()) {
+			broken("no HTTP: " + content.decoderResult().cause().getMessage());
+			return;
+		}
+		if (!this.skipping && this.headSeen) {
+			ByteBuf bytes = content.content();
+			if (bytes.isReadable()) {
+				this.listener.answerBytes(bytes.retain());
+			}
+			// The decoder ends an answer without length at the end of the connection,
+			// whether that was a close or a reset; after a reset bytes may be missing.
+			if (content instanceof LastHttpContent && this.listener != null && !this.failed) {
+				complete();
+			}
+		}
+	}
+
+	private void complete() {
+		AnswerListener done = this.listener;
+		this.listener = null;
+		this.reusable &= this.requestWritten && this.channel.isActive();
+		if (!this.reusable) {
+			this.channel.close();
+		}
+		else {
+			// Not at once: a second answer may stand in the bytes that are being read.
+			this.channel.eventLoop().execute(this::rest);
+		}
+		done.answerComplete();
+	}
+
+	private void rest() {
+		if (this.channel.isActive() && this.reusable) {
+			this.idleSinceNanos = System.nanoTime();
+			this.channel.config().setAutoRead(true);
+			this.pool.rest(this);
+		}
+	}
+
+	private void noteKeepAlive(HttpResponse head) {
+		if (!HttpUtil.isKeepAlive(head)) {
+			this.reusable = false;
+		}
+		String value = head.headers().get("Keep-Alive", "");
+		int at = value.indexOf("timeout=");
+		if (at >= 0) {
+			String digits = value.substring(at + "timeout=".length()).split("[^0-9]", 2)[0];
+			if (!digits.isEmpty() && digits.length() < 7) {
+				long millis = Math.max(200, Long.parseLong(digits) * 1_000 - IDLE_MARGIN_MILLIS);
+				this.idleLimitNanos = TimeUnit.MILLISECONDS.toNanos(millis);
+			}
+		}
+	}
+
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.listener != null) {
+			this.listener.answerPause();
+		}
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (this.listener != null && this.channel.isWritable()) {
+			this.listener.requestWritable();
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.pool.gone(this);
+		broken(this.failed ? "reset" : "closed");
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.failed = true;
+		broken(String.valueOf(cause.getMessage()));
+	}
+
+	private void stray(String what) {
+		this.reusable = false;
+		EventLog.warn(TrafficEvents.STRAY_ANSWER, "request", this.requestId, "answers", what);
+		this.channel.close();
+	}
+
+	private void broken(String cause) {
+		AnswerListener told = this.listener;
+		this.listener = null;
+		this.reusable = false;
+		this.channel.close();
+		if (told != null) {
+			told.answerBroken(cause);
+		}
+	}
+
+}
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/EventLog.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/EventLog.java
@@ -1,5 +1,11 @@
 package org.rosemaryfront.events;
 
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.LongAdder;
+
 import org.tinylog.Logger;
 import org.tinylog.provider.ProviderRegistry;
 
@@ -7,12 +13,33 @@
  * Writes numbered events, one a line: {@code E2001 REQUEST_DISPATCHED request=r1
  * server=vm3}.
  *
+ * <p>
+ * A line is handed to a writing thread over a bounded queue. When nobody reads the output
+ * or more is logged than can be written, lines are dropped and counted; work never waits
+ * for its log.
+ *
  * <pre>
  * EventLog.info(ServingEvents.REQUEST_DISPATCHED, "request", request, "server", server);
  * </pre>
  */
 public final class EventLog {
 
+	/**
+	 * The lines that may wait, at about 200 bytes each: two seconds of a gateway at its
+	 * greatest load, under a megabyte.
+	 */
+	private static final int WAITING_LINES = 4_096;
+
+	private static final long CLOSE_MILLIS = 1_000;
+
+	private static final BlockingQueue<Runnable> WAITING = new ArrayBlockingQueue<>(WAITING_LINES);
+
+	private static final LongAdder DROPPED = new LongAdder();
+
+	private static final AtomicBoolean STARTED = new AtomicBoolean();
+
+	private static volatile long reported;
+
 	private EventLog() {
 	}
 
@@ -22,7 +49,8 @@
 	 * @param fields names and values in turn
 	 */
 	public static void info(EventCode code, Object... fields) {
-		Logger.info(() -> line(code, fields));
+		String line = line(code, fields);
+		write(() -> Logger.info(line));
 	}
 
 	/**
@@ -31,7 +59,8 @@
 	 * @param fields names and values in turn
 	 */
 	public static void warn(EventCode code, Object... fields) {
-		Logger.warn(() -> line(code, fields));
+		String line = line(code, fields);
+		write(() -> Logger.warn(line));
 	}
 
 	/**
@@ -40,7 +69,8 @@
 	 * @param fields names and values in turn
 	 */
 	public static void error(EventCode code, Object... fields) {
-		Logger.error(() -> line(code, fields));
+		String line = line(code, fields);
+		write(() -> Logger.error(line));
 	}
 
 	/**
@@ -50,7 +80,16 @@
 	 * @param fields names and values in turn
 	 */
 	public static void error(Throwable failure, EventCode code, Object... fields) {
-		Logger.error(failure, () -> line(code, fields));
+		String line = line(code, fields);
+		write(() -> Logger.error(failure, line));
+	}
+
+	/**
+	 * The lines dropped since the start.
+	 * @return the count
+	 */
+	public static long dropped() {
+		return DROPPED.sum();
 	}
 
 	/**
@@ -58,6 +97,10 @@
 	 */
 	public static void close() {
 		try {
+			long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CLOSE_MILLIS);
+			while (!WAITING.isEmpty() && until - System.nanoTime() > 0) {
+				Thread.sleep(1);
+			}
 			ProviderRegistry.getLoggingProvider().shutdown();
 		}
 		catch (InterruptedException ex) {
@@ -65,6 +108,37 @@
 		}
 	}
 
+	private static void write(Runnable line) {
+		if (STARTED.compareAndSet(false, true)) {
+			Thread writer = new Thread(EventLog::writeAll, "log");
+			writer.setDaemon(true);
+			writer.start();
+		}
+		if (!WAITING.offer(line)) {
+			DROPPED.increment();
+		}
+	}
+
+	private static void writeAll() {
+		try {
+			while (true) {
+				WAITING.take().run();
+				reportDropped();
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static void reportDropped() {
+		long dropped = DROPPED.sum();
+		if (dropped > reported && WAITING.isEmpty()) {
+			Logger.warn(line(ProgramEvents.LOG_DROPPED, "lines", dropped - reported));
+			reported = dropped;
+		}
+	}
+
 	static String line(EventCode code, Object... fields) {
 		StringBuilder line = new StringBuilder().append('E').append(code.number()).append(' ').append(code.name());
 		for (int i = 0; i + 1 < fields.length; i += 2) {
@@ -74,8 +148,13 @@
 	}
 
 	private static String value(Object value) {
-		String text = String.valueOf(value).replace("\"", "'").replaceAll("[\\r\\n]+", " ");
-		return (text.indexOf(' ') >= 0 || text.isEmpty()) ? "\"" + text + "\"" : text;
+		String text = String.valueOf(value);
+		boolean plain = !text.isEmpty();
+		for (int i = 0; plain && i < text.length(); i++) {
+			char c = text.charAt(i);
+			plain = c > ' ' && c != '"';
+		}
+		return plain ? text : '"' + text.replace("\"", "'").replaceAll("[\\r\\n]+", " ") + '"';
 	}
 
 }
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/ProgramEvents.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/ProgramEvents.java
@@ -16,7 +16,10 @@
 	PROGRAM_FAILED(1004),
 
 	/** A piece of work on the control thread failed; the thread goes on. */
-	CONTROL_WORK_FAILED(1005);
+	CONTROL_WORK_FAILED(1005),
+
+	/** Lines of the log were dropped, since more came than could be written. */
+	LOG_DROPPED(1006);
 
 	private final int number;
 
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -56,8 +57,18 @@
 			System.out.println(arguments.settings + ": valid");
 			return;
 		}
+		serve(name, () -> start.apply(settings));
+	}
+
+	/**
+	 * Runs a program that has its settings from elsewhere until it is stopped; does not
+	 * return.
+	 * @param name the program's name
+	 * @param start starts the program
+	 */
+	public static void serve(String name, Supplier<Running> start) {
 		try {
-			serve(name, start.apply(settings));
+			serve(name, start.get());
 		}
 		catch (RuntimeException | InterruptedException ex) {
 			EventLog.error(ex, ProgramEvents.PROGRAM_FAILED, "program", name, "cause", ex);
