--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -12,8 +12,11 @@
 	/** Calls of this process that wait for an answer or run there. */
 	int own;
 
-	/** Calls of other processes there, by process, as last told. */
-	final Map<String, Integer> others = new HashMap<>();
+	/** Prompt tokens of own calls whose first token did not come yet. */
+	long ownUnread;
+
+	/** What other processes have there, by process, as last told. */
+	final Map<String, BackendUse> others = new HashMap<>();
 
 	/** When it is dropped unless it registers again; empty while it is registered. */
 	OptionalLong dropAtNanos = OptionalLong.empty();
@@ -21,17 +24,32 @@
 	/** No new calls before this time unless no other server is left, after failures. */
 	OptionalLong avoidUntilNanos = OptionalLong.empty();
 
+	/** How long first tokens took, against what was expected; smoothed. */
+	double slowness = 1;
+
+	/** When it registered itself. */
+	final long registeredNanos;
+
 	/** Failures since the last good answer. */
 	int failures;
 
-	BackendRow(BackendServer server) {
+	BackendRow(BackendServer server, long nowNanos) {
 		this.server = server;
+		this.registeredNanos = nowNanos;
 	}
 
 	int load() {
 		int sum = this.own;
-		for (int other : this.others.values()) {
-			sum += other;
+		for (BackendUse other : this.others.values()) {
+			sum += other.calls();
+		}
+		return sum;
+	}
+
+	long unreadTokens() {
+		long sum = this.ownUnread;
+		for (BackendUse other : this.others.values()) {
+			sum += other.unreadTokens();
 		}
 		return sum;
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -34,6 +34,12 @@
 	/** Failures in a row before a server is avoided: one may be the call's own fault. */
 	private static final int AVOID_AFTER = 2;
 
+	/** The weight of the newest first token in a server's slowness. */
+	private static final double SLOWNESS_NEWEST = 0.15;
+
+	/** One first token counts at most as so much slower, or faster, than expected. */
+	private static final double SLOWNESS_MOST = 5;
+
 	private final Map<String, BackendRow> rows = new LinkedHashMap<>();
 
 	// -- registrations
@@ -41,12 +47,13 @@
 	/**
 	 * Takes the registration of a server, new or changed.
 	 * @param server the server
+	 * @param nowNanos the time
 	 * @return true when it is new or changed
 	 */
-	public boolean registered(BackendServer server) {
+	public boolean registered(BackendServer server, long nowNanos) {
 		BackendRow known = this.rows.get(server.id());
 		if (known == null) {
-			this.rows.put(server.id(), new BackendRow(server));
+			this.rows.put(server.id(), new BackendRow(server, nowNanos));
 			return true;
 		}
 		boolean changed = !known.server.equals(server) || known.dropAtNanos.isPresent();
@@ -89,9 +96,35 @@
 	/**
 	 * Notes that a call was handed to a server.
 	 * @param id the server
+	 * @param unreadTokens the prompt tokens that the server has to read for it
+	 */
+	public void sent(String id, long unreadTokens) {
+		Optional.ofNullable(this.rows.get(id)).ifPresent((row) -> {
+			row.own++;
+			row.ownUnread += unreadTokens;
+		});
+	}
+
+	/**
+	 * Notes that a server has read the prompt of a call.
+	 * @param id the server
+	 * @param unreadTokens the tokens that were noted when the call was sent
+	 */
+	public void read(String id, long unreadTokens) {
+		Optional.ofNullable(this.rows.get(id))
+			.ifPresent((row) -> row.ownUnread = Math.max(0, row.ownUnread - unreadTokens));
+	}
+
+	/**
+	 * Notes how long the first token of a call took.
+	 * @param id the server
+	 * @param expectedMillis the time that was expected, in milliseconds
+	 * @param millis the time that it took, in milliseconds
 	 */
-	public void began(String id) {
-		Optional.ofNullable(this.rows.get(id)).ifPresent((row) -> row.own++);
+	public void firstToken(String id, long expectedMillis, long millis) {
+		double ratio = Math.clamp((double) millis / Math.max(1, expectedMillis), 1 / SLOWNESS_MOST, SLOWNESS_MOST);
+		Optional.ofNullable(this.rows.get(id))
+			.ifPresent((row) -> row.slowness += SLOWNESS_NEWEST * (ratio - row.slowness));
 	}
 
 	/**
@@ -116,32 +149,32 @@
 	/**
 	 * Takes what another process has at the servers.
 	 * @param process the other process
-	 * @param calls its calls by server; servers that are absent have none
+	 * @param uses what it has, by server; servers that are absent have nothing
 	 */
-	public void othersAt(String process, Map<String, Integer> calls) {
+	public void othersAt(String process, Map<String, BackendUse> uses) {
 		for (BackendRow row : this.rows.values()) {
-			Integer count = calls.get(row.server.id());
-			if (count == null) {
+			BackendUse use = uses.get(row.server.id());
+			if (use == null) {
 				row.others.remove(process);
 			}
 			else {
-				row.others.put(process, count);
+				row.others.put(process, use);
 			}
 		}
 	}
 
 	/**
-	 * This process's own calls.
-	 * @return the calls by server, without servers that have none
+	 * What this process has at the servers.
+	 * @return its use by server, without servers at which it has nothing
 	 */
-	public Map<String, Integer> ownCalls() {
-		Map<String, Integer> calls = new HashMap<>();
+	public Map<String, BackendUse> ownUse() {
+		Map<String, BackendUse> uses = new HashMap<>();
 		for (BackendRow row : this.rows.values()) {
 			if (row.own > 0) {
-				calls.put(row.server.id(), row.own);
+				uses.put(row.server.id(), new BackendUse(row.own, row.ownUnread));
 			}
 		}
-		return calls;
+		return uses;
 	}
 
 	// -- queries
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
@@ -2,6 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 
 import org.rosemaryfront.routes.ServiceSpec;
@@ -29,32 +33,67 @@
 	/** The share of an engine's slots that is planned to be used. */
 	private static final double SLOT_SHARE = 0.4;
 
+	/**
+	 * The share of the first size that is taken as needed until traffic shows the need.
+	 */
+	private static final double FIRST_SHARE = 0.7;
+
+	/** How long that is; traffic begins some time after the processes. */
+	private static final long FIRST_NANOS = TimeUnit.SECONDS.toNanos(30);
+
 	/**
 	 * How long the greatest need of late is kept. Shorter than that and a wave of traffic
 	 * gives servers back that it needs again half a minute later, with cold caches.
 	 */
 	private static final long PEAK_NANOS = TimeUnit.SECONDS.toNanos(25);
 
+	/**
+	 * The share of the need that runs on VMs that cannot be reclaimed. Reclaims come in
+	 * waves, zone after zone while nowhere another VM is to be had: without such a share
+	 * one wave takes every server of the service.
+	 */
+	private static final double LASTING_SHARE = 0.5;
+
 	private final Deque<Need> recent = new ArrayDeque<>();
 
+	private OptionalDouble firstNeed = OptionalDouble.empty();
+
+	private long firstUntilNanos;
+
 	/**
 	 * Plans the size.
 	 * @param service the service
-	 * @param zones the availability zones
-	 * @param tokensPerSecond the prompt tokens that are read in a second, without those
-	 * found in caches
-	 * @param running the calls running
+	 * @param zones the availability zones, the cheapest first
+	 * @param demand what the service has to do
 	 * @param nowNanos the time
-	 * @return the servers for each zone
+	 * @return the servers of each zone
 	 */
-	public int perZone(ServiceSpec service, int zones, double tokensPerSecond, int running, long nowNanos) {
+	public Map<String, ZoneSize> plan(ServiceSpec service, List<String> zones, Demand demand, long nowNanos) {
 		ServiceSpec.ScalingSpec bounds = service.scaling().orElseThrow();
 		int slots = service.engine().map(ServiceSpec.EngineSpec::slots).orElse(1);
-		double reading = tokensPerSecond / TOKENS_PER_SECOND / READING_SHARE;
-		double generating = running / (slots * SLOT_SHARE);
-		double need = peak(Math.max(reading, generating), nowNanos);
-		int remaining = Math.max(1, zones - 1);
-		return Math.clamp((int) Math.ceil(need / remaining), bounds.min(), bounds.max());
+		double reading = demand.tokensPerSecond() / TOKENS_PER_SECOND / READING_SHARE;
+		double generating = demand.running() / (slots * SLOT_SHARE);
+		double now = Math.max(reading, generating);
+		double need = Math.max(first(demand, nowNanos), peak(now, nowNanos));
+		int lasting = (int) Math.ceil(need * LASTING_SHARE);
+		int remaining = Math.max(1, zones.size() - 1);
+		int each = (int) Math.ceil((need - lasting) / remaining);
+		Map<String, ZoneSize> sizes = new LinkedHashMap<>();
+		for (int i = 0; i < zones.size(); i++) {
+			int kept = Math.min(bounds.max(), lasting / zones.size() + ((i < lasting % zones.size()) ? 1 : 0));
+			int reclaimable = Math.clamp(each, Math.max(0, bounds.min() - kept), bounds.max() - kept);
+			sizes.put(zones.get(i), new ZoneSize(kept, reclaimable));
+		}
+		return sizes;
+	}
+
+	// Nothing is known yet of what is to come: whoever set the first size knew more.
+	private double first(Demand demand, long nowNanos) {
+		if (this.firstNeed.isEmpty()) {
+			this.firstNeed = OptionalDouble.of(demand.present() * FIRST_SHARE);
+			this.firstUntilNanos = nowNanos + FIRST_NANOS;
+		}
+		return (nowNanos - this.firstUntilNanos < 0) ? this.firstNeed.getAsDouble() : 0;
 	}
 
 	private double peak(double need, long nowNanos) {
@@ -68,6 +107,26 @@
 		return this.recent.getFirst().need();
 	}
 
+	/**
+	 * What a service has to do.
+	 *
+	 * @param tokensPerSecond the prompt tokens that its servers read in a second, without
+	 * those found in caches
+	 * @param running the calls running
+	 * @param present its servers
+	 */
+	public record Demand(double tokensPerSecond, int running, int present) {
+	}
+
+	/**
+	 * The servers of a zone.
+	 *
+	 * @param lasting those on VMs that cannot be reclaimed
+	 * @param reclaimable those on VMs that can
+	 */
+	public record ZoneSize(int lasting, int reclaimable) {
+	}
+
 	private record Need(double need, long atNanos) {
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -1,6 +1,9 @@
 package org.rosemaryfront.quota;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -10,18 +13,28 @@
  * The quotas of the organisations over all processes together.
  *
  * <p>
- * Each organisation has one bucket that fills at its rate. This process takes its own use
- * from it at once and that of other processes when they tell of it, so that callers may
- * come to any process, however unevenly. What others have used and not told yet is
- * expected to go on as it last did: without that, a steady flood passes the quota by the
- * whole delay of the news.
+ * In any window an organisation may use its rate times the window, and its burst. This
+ * process counts its own use at once and that of other processes when they tell of it, so
+ * that callers may come to any process, however unevenly. A window admits more of what is
+ * due than a bucket of the burst's size would: such a bucket loses what was not used for
+ * a second.
  */
 public final class QuotaTable {
 
-	/** Beyond this age the others' last known rate says nothing, in nanoseconds. */
-	private static final long NEWS_NANOS = TimeUnit.SECONDS.toNanos(2);
+	/** Uses closer together than this are counted as one, in nanoseconds. */
+	private static final long SLOT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
-	private final Map<String, Bucket> buckets = new HashMap<>();
+	private final long windowNanos;
+
+	private final Map<String, Account> accounts = new HashMap<>();
+
+	/**
+	 * Quotas of which nothing is used.
+	 * @param windowMillis the window, in milliseconds
+	 */
+	public QuotaTable(long windowMillis) {
+		this.windowNanos = TimeUnit.MILLISECONDS.toNanos(windowMillis);
+	}
 
 	// -- changes
 
@@ -33,31 +46,28 @@
 	 * @return the time until the units are there, in milliseconds; 0 when they were taken
 	 */
 	public long take(Organisation organisation, double units, long nowNanos) {
-		Bucket bucket = bucket(organisation, nowNanos);
-		if (organisation.unitsPerSecond() <= 0) {
-			bucket.used += units;
-			return 0;
-		}
-		double expected = bucket.expectedOfOthers(nowNanos);
-		if (bucket.level - expected < units) {
-			double missing = units - bucket.level + expected;
-			return Math.max(1, (long) (1_000 * missing / organisation.unitsPerSecond()));
+		Account account = account(organisation.name());
+		account.expire(nowNanos - this.windowNanos);
+		if (organisation.unitsPerSecond() > 0) {
+			double over = account.sum + units - limit(organisation);
+			if (over > 0) {
+				return waitMillis(account, over, nowNanos);
+			}
 		}
-		bucket.level -= units;
-		bucket.used += units;
+		account.add(units, nowNanos);
+		account.own += units;
 		return 0;
 	}
 
 	/**
 	 * Gives back the units of a call that did not run.
-	 * @param organisation the organisation
+	 * @param organisation the name of the organisation
 	 * @param units the units
-	 * @param nowNanos the time
 	 */
-	public void giveBack(Organisation organisation, double units, long nowNanos) {
-		Bucket bucket = bucket(organisation, nowNanos);
-		bucket.level = Math.min(organisation.burst(), bucket.level + units);
-		bucket.used -= units;
+	public void giveBack(String organisation, double units) {
+		Account account = account(organisation);
+		account.remove(units);
+		account.own -= units;
 	}
 
 	/**
@@ -68,8 +78,15 @@
 	 * @param nowNanos the time
 	 */
 	public void usedByOther(String process, String organisation, double total, long nowNanos) {
-		Bucket bucket = this.buckets.computeIfAbsent(organisation, (_) -> new Bucket(nowNanos));
-		bucket.others.computeIfAbsent(process, (_) -> new Other(total, nowNanos)).tell(bucket, total, nowNanos);
+		Account account = account(organisation);
+		double before = account.others.getOrDefault(process, 0.0);
+		account.others.put(process, total);
+		if (total >= before) {
+			account.add(total - before, nowNanos);
+		}
+		else {
+			account.remove(before - total);
+		}
 	}
 
 	// -- queries
@@ -80,74 +97,77 @@
 	 */
 	public Map<String, Double> used() {
 		Map<String, Double> used = new HashMap<>();
-		this.buckets.forEach((name, bucket) -> used.put(name, bucket.used));
+		this.accounts.forEach((name, account) -> used.put(name, account.own));
 		return used;
 	}
 
-	private Bucket bucket(Organisation organisation, long nowNanos) {
-		Bucket bucket = this.buckets.computeIfAbsent(organisation.name(), (_) -> new Bucket(nowNanos));
-		bucket.fill(organisation, nowNanos);
-		return bucket;
+	private Account account(String organisation) {
+		return this.accounts.computeIfAbsent(organisation, (_) -> new Account());
+	}
+
+	private double limit(Organisation organisation) {
+		return organisation.unitsPerSecond() * this.windowNanos / 1e9 + organisation.burst();
 	}
 
-	private static final class Bucket {
+	// When enough of the oldest uses have left the window.
+	private long waitMillis(Account account, double over, long nowNanos) {
+		double left = over;
+		for (Slot slot : account.slots) {
+			left -= slot.units;
+			if (left <= 0) {
+				long nanos = slot.atNanos + this.windowNanos - nowNanos;
+				return Math.max(1, TimeUnit.NANOSECONDS.toMillis(nanos));
+			}
+		}
+		return TimeUnit.NANOSECONDS.toMillis(this.windowNanos);
+	}
 
-		private double level = Double.MAX_VALUE;
+	/** What an organisation used within the window. */
+	private static final class Account {
 
-		private double used;
+		private final Deque<Slot> slots = new ArrayDeque<>();
 
-		private long filledNanos;
+		private final Map<String, Double> others = new HashMap<>();
 
-		private final Map<String, Other> others = new HashMap<>();
+		private double sum;
 
-		private Bucket(long nowNanos) {
-			this.filledNanos = nowNanos;
+		private double own;
+
+		private void add(double units, long nowNanos) {
+			if (this.slots.isEmpty() || nowNanos - this.slots.getLast().atNanos >= SLOT_NANOS) {
+				this.slots.addLast(new Slot(nowNanos));
+			}
+			this.slots.getLast().units += units;
+			this.sum += units;
 		}
 
-		private void fill(Organisation organisation, long nowNanos) {
-			double grown = this.level + organisation.unitsPerSecond() * (nowNanos - this.filledNanos) / 1e9;
-			this.level = Math.min(organisation.burst(), grown);
-			this.filledNanos = nowNanos;
+		private void remove(double units) {
+			double left = units;
+			for (Iterator<Slot> newest = this.slots.descendingIterator(); left > 0 && newest.hasNext();) {
+				Slot slot = newest.next();
+				double taken = Math.min(left, slot.units);
+				slot.units -= taken;
+				this.sum -= taken;
+				left -= taken;
+			}
 		}
 
-		private double expectedOfOthers(long nowNanos) {
-			double sum = 0;
-			for (Other other : this.others.values()) {
-				sum += other.expected(nowNanos);
+		private void expire(long beforeNanos) {
+			while (!this.slots.isEmpty() && this.slots.getFirst().atNanos - beforeNanos < 0) {
+				this.sum -= this.slots.removeFirst().units;
 			}
-			return sum;
 		}
 
 	}
 
-	private static final class Other {
+	private static final class Slot {
 
-		private double total;
+		private final long atNanos;
 
-		private double perNano;
-
-		private long toldNanos;
-
-		private Other(double total, long nowNanos) {
-			this.total = total;
-			this.toldNanos = nowNanos;
-		}
-
-		private void tell(Bucket bucket, double newTotal, long nowNanos) {
-			// A smaller total is that of a process that started anew.
-			double fresh = (newTotal >= this.total) ? newTotal - this.total : newTotal;
-			bucket.level -= fresh;
-			long elapsed = nowNanos - this.toldNanos;
-			if (elapsed > 0) {
-				this.perNano = fresh / elapsed;
-			}
-			this.total = newTotal;
-			this.toldNanos = nowNanos;
-		}
+		private double units;
 
-		private double expected(long nowNanos) {
-			long age = nowNanos - this.toldNanos;
-			return (age < NEWS_NANOS) ? this.perNano * age : 0;
+		private Slot(long atNanos) {
+			this.atNanos = atNanos;
 		}
 
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -13,6 +13,7 @@
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.dispatch.Dispatcher;
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
+import org.rosemaryfront.dispatch.Dispatcher.Wish;
 import org.rosemaryfront.dispatch.RetryAllowance;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
@@ -122,8 +123,17 @@
 	@Override
 	public void began(Call call) {
 		long epochMillis = System.currentTimeMillis();
-		this.loop.post((_) -> call.organisation()
-			.ifPresent((organisation) -> this.usage.began(organisation.name(), epochMillis)));
+		long beganNanos = System.nanoTime();
+		this.loop.post((_) -> {
+			call.organisation().ifPresent((organisation) -> this.usage.began(organisation.name(), epochMillis));
+			Decided decided = this.calls.get(call);
+			if (decided != null && decided.expectedMillis > 0) {
+				this.servers.firstToken(decided.server, decided.expectedMillis,
+						(beganNanos - decided.sentNanos) / NANOS_PER_MILLI);
+				decided.expectedMillis = 0;
+			}
+			promptRead(decided);
+		});
 	}
 
 	@Override
@@ -134,17 +144,17 @@
 	@Override
 	public void ended(Call call, BackendServer server) {
 		this.loop.post((now) -> {
+			promptRead(this.calls.remove(call));
 			this.servers.ended(server.id(), false, now);
-			this.calls.remove(call);
 		});
 	}
 
 	@Override
 	public void dropped(Call call) {
-		this.loop.post((now) -> {
+		this.loop.post((_) -> {
 			Decided decided = this.calls.remove(call);
 			if (decided != null && !decided.ran) {
-				giveBack(call, decided, now);
+				giveBack(call, decided);
 			}
 		});
 	}
@@ -170,31 +180,45 @@
 	}
 
 	private void dispatch(Call call, Decided decided, long now) {
-		String part = call.terms().prompt().map(Prompt::sharedPart).orElse("");
-		switch (this.dispatcher.choose(call.service(), part, decided.tried, now)) {
+		switch (this.dispatcher.choose(wish(call, now), decided.tried, now)) {
 			case Choice.Chosen chosen -> send(call, decided, chosen, now);
-			case Choice.Full full -> call.refuse(503, fullRetryMillis(), "all " + full.servers() + " servers are full");
+			case Choice.Full full -> call.refuse(503, fullRetryMillis(),
+					full.servers() + " servers have no room, first token after " + full.expectedMillis() + " ms");
 			case Choice.NoServer _ -> call.refuse(503, fullRetryMillis(), "no server of " + call.service());
 		}
 	}
 
+	private static Wish wish(Call call, long now) {
+		long age = (now - call.arrivedNanos()) / NANOS_PER_MILLI;
+		Optional<Prompt> prompt = call.terms().prompt();
+		return new Wish(call.service(), prompt.map(Prompt::sharedPart).orElse(""),
+				prompt.map(Prompt::sharedTokens).orElse(0), prompt.map(Prompt::ownTokens).orElse(0),
+				Math.max(0, call.route().targetMillis() - age), call.priority());
+	}
+
 	private void send(Call call, Decided decided, Choice.Chosen chosen, long now) {
 		BackendServer server = chosen.server();
 		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "route", call.route().name(), "server",
-				server.id(), "zone", server.zone(), "load", chosen.load(), "candidates", chosen.candidates(),
-				"serversVersion", this.serversVersion, "serversAgeMillis", (now - this.serversNanos) / NANOS_PER_MILLI,
-				"configuration", this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
+				server.id(), "zone", server.zone(), "load", chosen.load(), "unreadTokens", chosen.unreadTokens(),
+				"expectedMillis", chosen.expectedMillis(), "candidates", chosen.candidates(), "serversVersion",
+				this.serversVersion, "serversAgeMillis", (now - this.serversNanos) / NANOS_PER_MILLI, "configuration",
+				this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
 				call.remainingMillis(now));
 		decided.tried.add(server.id());
-		this.servers.began(server.id());
-		this.readingTokens += call.terms().prompt().map(Prompt::ownTokens).orElse(0);
+		this.servers.sent(server.id(), chosen.unreadTokens());
+		decided.server = server.id();
+		decided.unreadTokens = chosen.unreadTokens();
+		decided.expectedMillis = chosen.expectedMillis();
+		decided.sentNanos = now;
+		this.readingTokens += chosen.unreadTokens();
 		call.send(server, mostConnections(call.service()));
 	}
 
 	private void failed(Call call, BackendServer server, Failure failure, long now) {
 		boolean serverFault = !(failure.answered() && failure.verdict() instanceof Verdict.NotRun);
-		this.servers.ended(server.id(), serverFault, now);
 		Decided decided = this.calls.get(call);
+		promptRead(decided);
+		this.servers.ended(server.id(), serverFault, now);
 		if (decided == null) {
 			return;
 		}
@@ -234,9 +258,16 @@
 		return Optional.empty();
 	}
 
-	private void giveBack(Call call, Decided decided, long now) {
+	private void promptRead(Decided decided) {
+		if (decided != null) {
+			this.servers.read(decided.server, decided.unreadTokens);
+			decided.unreadTokens = 0;
+		}
+	}
+
+	private void giveBack(Call call, Decided decided) {
 		if (decided.units > 0) {
-			this.quotas.giveBack(current(call.organisation().orElseThrow()), decided.units, now);
+			this.quotas.giveBack(call.organisation().orElseThrow().name(), decided.units);
 			decided.units = 0;
 		}
 	}
@@ -315,6 +346,15 @@
 
 		private final Set<String> tried = new HashSet<>();
 
+		private String server = "";
+
+		private long unreadTokens;
+
+		/** When its first token was expected, behind its sending; 0 for not at all. */
+		private long expectedMillis;
+
+		private long sentNanos;
+
 		private double units;
 
 		/** Whether a server may have run it, so that its units are spent. */
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -19,6 +19,7 @@
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.dispatch.BackendUse;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.gateway.proto.GatewayReport;
@@ -87,7 +88,7 @@
 
 	private final BackendTable servers = new BackendTable();
 
-	private final QuotaTable quotas = new QuotaTable();
+	private final QuotaTable quotas;
 
 	private final UsageLedger usage;
 
@@ -147,6 +148,7 @@
 		this.settings = settings;
 		this.platform = platform;
 		this.loops = loops;
+		this.quotas = new QuotaTable(settings.bounds().quotaWindowMillis());
 		this.usage = new UsageLedger(settings.bounds().usageWindowMillis());
 		this.control = ControlLoop.start("control", TICK, this::tick);
 		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.usage);
@@ -248,7 +250,7 @@
 		}
 		try {
 			BackendServer server = this.platform.records().server(row.key(), row.value().get());
-			if (this.servers.registered(server)) {
+			if (this.servers.registered(server, now)) {
 				EventLog.info(GatewayEvents.SERVER_REGISTERED, "server", server.id(), "service", server.service(),
 						"address", server.address(), "zone", server.zone(), "leaving", server.leaving(), "reclaimable",
 						server.reclaimable(), "rowVersion", row.version());
@@ -326,8 +328,12 @@
 		this.quotas.used()
 			.forEach((name, units) -> report
 				.addOrganisations(OrganisationUse.newBuilder().setOrganisation(name).setUnits(units)));
-		this.servers.ownCalls()
-			.forEach((id, calls) -> report.addServers(ServerUse.newBuilder().setServer(id).setCalls(calls)));
+		this.servers.ownUse()
+			.forEach((id,
+					use) -> report.addServers(ServerUse.newBuilder()
+						.setServer(id)
+						.setCalls(use.calls())
+						.setUnreadTokens((int) use.unreadTokens())));
 		report.setReadingTokens(this.decisions.readingTokens()).setLeaving(leaving);
 		this.peers.tell(report);
 	}
@@ -340,9 +346,10 @@
 		String process = report.getGateway() + '/' + report.getStart();
 		report.getOrganisationsList()
 			.forEach((use) -> this.quotas.usedByOther(process, use.getOrganisation(), use.getUnits(), now));
-		Map<String, Integer> calls = new HashMap<>();
-		report.getServersList().forEach((use) -> calls.put(use.getServer(), use.getCalls()));
-		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : calls);
+		Map<String, BackendUse> uses = new HashMap<>();
+		report.getServersList()
+			.forEach((use) -> uses.put(use.getServer(), new BackendUse(use.getCalls(), use.getUnreadTokens())));
+		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses);
 		long before = this.othersReading.getOrDefault(process, report.getReadingTokens());
 		this.othersReadingTotal += Math.max(0, report.getReadingTokens() - before);
 		this.othersReading.put(process, report.getReadingTokens());
@@ -357,7 +364,7 @@
 		this.usageDuty.closed(this.usage.close(epochMillis), this.start);
 		this.usageDuty.tick(epochMillis);
 		Optional<TrafficConfiguration> known = this.decisions.configuration();
-		if (known.isPresent() && this.lease.mayAct(now) && !this.stopping) {
+		if (known.isPresent() && this.serversKnown && this.lease.mayAct(now) && !this.stopping) {
 			Set<String> organisations = new HashSet<>();
 			known.get().organisations().stream().map(Organisation::name).forEach(organisations::add);
 			this.usageDuty.act(this.lease.fence(), epochMillis, organisations);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
@@ -34,11 +34,12 @@
 	 * @param retryFixed the calls that may be sent again beside the share, in a window,
 	 * by all processes together
 	 * @param retryWindowMillis that window, in milliseconds
+	 * @param quotaWindowMillis the window of quotas, in milliseconds
 	 * @param usageWindowMillis the window of usage reports, in milliseconds
 	 * @param leaseMillis the shortest time between two turns of a holder of the duties
 	 */
 	public record Bounds(long drainMillis, double retryShare, double retryFixed, long retryWindowMillis,
-			long usageWindowMillis, long leaseMillis) {
+			long quotaWindowMillis, long usageWindowMillis, long leaseMillis) {
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.gateway;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,8 @@
 
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.duties.SizePlan;
+import org.rosemaryfront.duties.SizePlan.Demand;
+import org.rosemaryfront.duties.SizePlan.ZoneSize;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.ports.Duties;
 import org.rosemaryfront.ports.Duties.Size;
@@ -88,17 +91,28 @@
 	}
 
 	private void plan(long fence, ServiceSpec service, long now) {
-		int wanted = this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
-			.perZone(service, this.zones.size(), this.tokensPerSecond, this.servers.callsOf(service.name()), now);
-		for (String zone : this.zones) {
+		Map<String, Double> prices = service.scaling().orElseThrow().zonePrices();
+		List<String> cheapestFirst = this.zones.stream()
+			.sorted(Comparator.comparingDouble((zone) -> prices.getOrDefault(zone, 1.0)))
+			.toList();
+		Demand demand = new Demand(this.tokensPerSecond, this.servers.callsOf(service.name()), present(service.name()));
+		Map<String, ZoneSize> sizes = this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
+			.plan(service, cheapestFirst, demand, now);
+		sizes.forEach((zone, size) -> {
 			int reclaimable = count(service.name(), zone, true);
-			int onDemand = count(service.name(), zone, false);
-			order(fence, service, new Size(service.name(), zone, wanted, true), reclaimable, now);
-			boolean refused = refused(service.name(), zone);
-			int missing = Math.max(0, wanted - reclaimable);
-			int kept = refused ? missing : Math.min(onDemand, missing);
-			order(fence, service, new Size(service.name(), zone, kept, false), onDemand, now);
-		}
+			int lasting = count(service.name(), zone, false);
+			order(fence, service, new Size(service.name(), zone, size.reclaimable(), true), reclaimable, now);
+			int missing = Math.max(0, size.reclaimable() - reclaimable);
+			int stopgap = refused(service.name(), zone) ? missing : Math.clamp(lasting - size.lasting(), 0, missing);
+			order(fence, service, new Size(service.name(), zone, size.lasting() + stopgap, false), lasting, now);
+		});
+	}
+
+	private int present(String service) {
+		return (int) this.servers.servers()
+			.stream()
+			.filter((server) -> server.service().equals(service) && !server.leaving())
+			.count();
 	}
 
 	private void order(long fence, ServiceSpec service, Size size, int present, long now) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/CallTerms.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/CallTerms.java
@@ -35,6 +35,14 @@
 			return (this.parts.size() < 2) ? "" : this.parts.get(this.parts.size() - 2).id();
 		}
 
+		/**
+		 * The tokens that the call shares with others.
+		 * @return the tokens of all parts but its own
+		 */
+		public int sharedTokens() {
+			return this.parts.stream().limit(Math.max(0, this.parts.size() - 1)).mapToInt(Part::tokens).sum();
+		}
+
 		/**
 		 * The tokens that no other call has.
 		 * @return the tokens of the call's own part
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -327,11 +327,15 @@
 		}
 	}
 
-	private OptionalInt priority() {
-		return OptionalInt.of(this.organisation.map(Organisation::priority)
+	/**
+	 * Its rank: the organisation's, else the route's.
+	 * @return 0 for the most urgent
+	 */
+	public int priority() {
+		return this.organisation.map(Organisation::priority)
 			.filter(OptionalInt::isPresent)
 			.map(OptionalInt::getAsInt)
-			.orElse(this.route.priority()));
+			.orElse(this.route.priority());
 	}
 
 	private void forgetFailure() {
@@ -354,8 +358,10 @@
 		}
 		long left = Math.max(1, remainingMillis(System.nanoTime()));
 		this.gateway.codec()
-			.handOver(headers, new Handover(left, this.server.map(BackendServer::id).orElse(""),
-					this.organisation.map(Organisation::name), this.framer.flatMap(EventFramer::lastId), priority()));
+			.handOver(headers,
+					new Handover(left, this.server.map(BackendServer::id).orElse(""),
+							this.organisation.map(Organisation::name), this.framer.flatMap(EventFramer::lastId),
+							OptionalInt.of(priority())));
 		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, this.head.method(), this.head.uri(), headers);
 	}
 
