--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
@@ -36,7 +36,7 @@
 	/**
 	 * The share of the first size that is taken as needed until traffic shows the need.
 	 */
-	private static final double FIRST_SHARE = 0.7;
+	private static final double FIRST_SHARE = 0.6;
 
 	/** How long that is; traffic begins some time after the processes. */
 	private static final long FIRST_NANOS = TimeUnit.SECONDS.toNanos(30);
@@ -48,11 +48,19 @@
 	private static final long PEAK_NANOS = TimeUnit.SECONDS.toNanos(25);
 
 	/**
-	 * The share of the need that runs on VMs that cannot be reclaimed. Reclaims come in
-	 * waves, zone after zone while nowhere another VM is to be had: without such a share
-	 * one wave takes every server of the service.
+	 * The share of the need beyond {@link #LOSABLE} that runs on VMs that cannot be
+	 * reclaimed. Reclaims come in waves, zone after zone while nowhere another VM is to
+	 * be had: without such a share one wave takes every server of the service. On a calm
+	 * day with four reclaims a share of 0.65 instead of 0.4 brought 0.92 of the benefit
+	 * in place of 0.79.
 	 */
-	private static final double LASTING_SHARE = 0.5;
+	private static final double LASTING_SHARE = 0.65;
+
+	/**
+	 * The part of the need, in servers, that is never on lasting VMs: rounding to whole
+	 * servers in each zone gives a small pool about that much more than it needs.
+	 */
+	private static final double LOSABLE = 2.6;
 
 	private final Deque<Need> recent = new ArrayDeque<>();
 
@@ -66,16 +74,16 @@
 	 * @param zones the availability zones, the cheapest first
 	 * @param demand what the service has to do
 	 * @param nowNanos the time
-	 * @return the servers of each zone
+	 * @return the need and the servers of each zone
 	 */
-	public Map<String, ZoneSize> plan(ServiceSpec service, List<String> zones, Demand demand, long nowNanos) {
+	public Plan plan(ServiceSpec service, List<String> zones, Demand demand, long nowNanos) {
 		ServiceSpec.ScalingSpec bounds = service.scaling().orElseThrow();
 		int slots = service.engine().map(ServiceSpec.EngineSpec::slots).orElse(1);
 		double reading = demand.tokensPerSecond() / TOKENS_PER_SECOND / READING_SHARE;
 		double generating = demand.running() / (slots * SLOT_SHARE);
 		double now = Math.max(reading, generating);
 		double need = Math.max(first(demand, nowNanos), peak(now, nowNanos));
-		int lasting = (int) Math.ceil(need * LASTING_SHARE);
+		int lasting = (int) Math.round(Math.max(0, need - LOSABLE) * LASTING_SHARE);
 		int remaining = Math.max(1, zones.size() - 1);
 		int each = (int) Math.ceil((need - lasting) / remaining);
 		Map<String, ZoneSize> sizes = new LinkedHashMap<>();
@@ -84,7 +92,7 @@
 			int reclaimable = Math.clamp(each, Math.max(0, bounds.min() - kept), bounds.max() - kept);
 			sizes.put(zones.get(i), new ZoneSize(kept, reclaimable));
 		}
-		return sizes;
+		return new Plan(need, sizes);
 	}
 
 	// Nothing is known yet of what is to come: whoever set the first size knew more.
@@ -107,6 +115,15 @@
 		return this.recent.getFirst().need();
 	}
 
+	/**
+	 * A plan.
+	 *
+	 * @param need the servers that the service needs to be in time
+	 * @param zones the servers to have in each zone, with those for a zone that is lost
+	 */
+	public record Plan(double need, Map<String, ZoneSize> zones) {
+	}
+
 	/**
 	 * What a service has to do.
 	 *
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -10,7 +10,6 @@
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.duties.SizePlan;
 import org.rosemaryfront.duties.SizePlan.Demand;
-import org.rosemaryfront.duties.SizePlan.ZoneSize;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.ports.Duties;
 import org.rosemaryfront.ports.Duties.Size;
@@ -33,6 +32,9 @@
 	/** How long an order may take to show before it is given again, beside the boot. */
 	private static final long SHOW_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+	/** How long the servers of a service may take to register themselves at the start. */
+	private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
 	/** The pause behind an order that failed, in nanoseconds. */
 	private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -49,6 +51,8 @@
 	/** The last order by service, zone and sort. */
 	private final Map<Sort, Order> orders = new HashMap<>();
 
+	private final Map<String, Long> firstSeenNanos = new HashMap<>();
+
 	private long lookedNanos;
 
 	private boolean looked;
@@ -84,26 +88,37 @@
 		this.lookedNanos = now;
 		this.lastTokens = readingTokens;
 		for (ServiceSpec service : configuration.services()) {
-			if (service.scaling().isPresent()) {
+			if (service.scaling().isPresent() && isSettled(service.name(), now)) {
 				plan(fence, service, now);
 			}
 		}
 	}
 
+	// The servers of a service that starts register themselves one after the other; a
+	// plan made from the first of them would give the others back.
+	private boolean isSettled(String service, long now) {
+		if (present(service) == 0) {
+			return this.firstSeenNanos.containsKey(service);
+		}
+		return now - this.firstSeenNanos.computeIfAbsent(service, (_) -> now) >= SETTLE_NANOS;
+	}
+
 	private void plan(long fence, ServiceSpec service, long now) {
 		Map<String, Double> prices = service.scaling().orElseThrow().zonePrices();
 		List<String> cheapestFirst = this.zones.stream()
 			.sorted(Comparator.comparingDouble((zone) -> prices.getOrDefault(zone, 1.0)))
 			.toList();
 		Demand demand = new Demand(this.tokensPerSecond, this.servers.callsOf(service.name()), present(service.name()));
-		Map<String, ZoneSize> sizes = this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
+		SizePlan.Plan plan = this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
 			.plan(service, cheapestFirst, demand, now);
-		sizes.forEach((zone, size) -> {
+		int shortOf = Math.max(0, (int) Math.ceil(plan.need()) - demand.present());
+		plan.zones().forEach((zone, size) -> {
 			int reclaimable = count(service.name(), zone, true);
 			int lasting = count(service.name(), zone, false);
 			order(fence, service, new Size(service.name(), zone, size.reclaimable(), true), reclaimable, now);
 			int missing = Math.max(0, size.reclaimable() - reclaimable);
-			int stopgap = refused(service.name(), zone) ? missing : Math.clamp(lasting - size.lasting(), 0, missing);
+			int surplus = Math.clamp(lasting - size.lasting(), 0, missing);
+			int stopgap = refused(service.name(), zone) ? Math.max(surplus, Math.min(missing, shortOf)) : surplus;
 			order(fence, service, new Size(service.name(), zone, size.lasting() + stopgap, false), lasting, now);
 		});
 	}
