--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -0,0 +1,198 @@
+package org.rosemaryfront.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rosemaryfront.dispatch.Dispatcher.Choice;
+import org.rosemaryfront.dispatch.Dispatcher.Wish;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DispatcherTests {
+
+	private static final long LONG_AGO = -TimeUnit.MINUTES.toNanos(5);
+
+	private final BackendTable table = new BackendTable();
+
+	private final Dispatcher dispatcher = new Dispatcher(this.table, "a");
+
+	@BeforeEach
+	void register() {
+		for (String id : List.of("s1", "s2", "s3")) {
+			this.table.registered(server(id, false), LONG_AGO);
+		}
+	}
+
+	// -- where prompts go
+
+	// Prompts of one subject are read again at every server they come to, until no
+	// subject stays in any cache: half of the pool's reading time is lost.
+	@Test
+	void shouldKeepPartAtOneServerWhenItHasRoom() {
+		Set<String> used = new HashSet<>();
+		for (int i = 0; i < 4; i++) {
+			BackendServer chosen = chosen(prompt("part", 800));
+			used.add(chosen.id());
+			this.table.sent(chosen.id(), 0);
+		}
+		assertThat(used).hasSize(1);
+	}
+
+	// One subject is asked for far more than others: its server would queue while others
+	// idle.
+	@Test
+	void shouldSpreadPartWhenItsServerIsBehind() {
+		BackendServer first = chosen(prompt("part", 800));
+		this.table.sent(first.id(), 100_000);
+		assertThat(chosen(prompt("part", 2_000)).id()).isNotEqualTo(first.id());
+	}
+
+	@Test
+	void shouldSpreadDifferentPartsOverServers() {
+		Set<String> used = new HashSet<>();
+		for (int i = 0; i < 50; i++) {
+			used.add(chosen(prompt("part-" + i, 800)).id());
+		}
+		assertThat(used).hasSize(3);
+	}
+
+	@Test
+	void shouldCountWhatOtherProcessesHaveThere() {
+		BackendServer first = chosen(prompt("part", 2_000));
+		this.table.othersAt("gateway-2", Map.of(first.id(), new BackendUse(9, 100_000)));
+		assertThat(chosen(prompt("part", 2_000)).id()).isNotEqualTo(first.id());
+		this.table.othersAt("gateway-2", Map.of());
+		assertThat(chosen(prompt("part", 2_000))).isEqualTo(first);
+	}
+
+	@Test
+	void shouldShunServerWhoseFirstTokensAreSlow() {
+		BackendServer first = chosen(prompt("part", 2_000));
+		for (int i = 0; i < 30; i++) {
+			this.table.firstToken(first.id(), 100, 900);
+		}
+		assertThat(chosen(prompt("part", 2_000)).id()).isNotEqualTo(first.id());
+	}
+
+	// -- who is refused
+
+	// In overload calls were sent to servers that could only answer late, and made those
+	// behind them late too: nobody was in time. A call whose first token cannot come in
+	// time is refused at once, the less urgent ones first.
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 2 })
+	void shouldRefuseLessUrgentCallsFirst(int priority) {
+		List<Integer> taken = new ArrayList<>();
+		for (String id : List.of("s1", "s2", "s3")) {
+			this.table.sent(id, 48_000);
+		}
+		for (int rank = 0; rank <= 2; rank++) {
+			Wish wish = new Wish("llm", "part", 0, 1_000, 500, rank);
+			if (this.dispatcher.choose(wish, Set.of(), 0) instanceof Choice.Chosen) {
+				taken.add(rank);
+			}
+		}
+		assertThat(taken.contains(priority)).isEqualTo(priority == 0);
+	}
+
+	@Test
+	void shouldRefuseWhenAllSlotsAreTaken() {
+		for (String id : List.of("s1", "s2", "s3")) {
+			for (int i = 0; i < 4; i++) {
+				this.table.sent(id, 0);
+			}
+		}
+		assertThat(this.dispatcher.choose(plain(), Set.of(), 0)).isEqualTo(new Choice.Full(3, 0));
+	}
+
+	@Test
+	void shouldFindNoServerWhenAllWereTried() {
+		assertThat(this.dispatcher.choose(plain(), Set.of("s1", "s2", "s3"), 0)).isEqualTo(new Choice.NoServer());
+	}
+
+	// -- plain calls
+
+	@Test
+	void shouldPreferOwnZoneAmongEquallyLoaded() {
+		this.table.registered(new BackendServer("s0", "llm", "h:1", "b", 4, false, false), LONG_AGO);
+		assertThat(chosen(plain()).zone()).isEqualTo("a");
+	}
+
+	// -- servers that go
+
+	@Test
+	void shouldSendNothingToServerThatLeaves() {
+		this.table.registered(server("s1", true), 0);
+		this.table.registered(server("s2", true), 0);
+		assertThat(chosen(plain()).id()).isEqualTo("s3");
+	}
+
+	// The store was away for some seconds and dropped the registrations of servers that
+	// live; they come back two seconds after it. Whoever takes them as gone at once has
+	// nobody to send calls to.
+	@Test
+	void shouldKeepLapsedServerUntilItsTimeIsOver() {
+		this.table.lapsed("s1", 1_000);
+		assertThat(this.table.expire(999)).isEmpty();
+		assertThat(this.table.expire(1_000)).extracting(BackendServer::id).containsExactly("s1");
+	}
+
+	@Test
+	void shouldKeepLapsedServerThatRegistersAgain() {
+		this.table.lapsed("s1", 1_000);
+		assertThat(this.table.registered(server("s1", false), 500)).isTrue();
+		assertThat(this.table.expire(2_000)).isEmpty();
+	}
+
+	// A server dies and its registration stays for seconds: calls go there one after the
+	// other and fail.
+	@Test
+	void shouldAvoidServerThatFailsInARowAndTryItAgainLater() {
+		String failing = chosen(plain()).id();
+		for (int i = 0; i < 2; i++) {
+			this.table.sent(failing, 0);
+			this.table.ended(failing, true, 0);
+		}
+		assertThat(chosen(plain()).id()).isNotEqualTo(failing);
+		assertThat(
+				((Choice.Chosen) this.dispatcher.choose(plain(), Set.of(), TimeUnit.SECONDS.toNanos(9))).server().id())
+			.isEqualTo(failing);
+	}
+
+	@Test
+	void shouldUseAvoidedServersWhenNoOtherIsLeft() {
+		for (String id : List.of("s1", "s2", "s3")) {
+			this.table.ended(id, true, 0);
+			this.table.ended(id, true, 0);
+		}
+		assertThat(this.dispatcher.choose(plain(), Set.of(), 0)).isInstanceOf(Choice.Chosen.class);
+	}
+
+	// -- helpers
+
+	private BackendServer chosen(Wish wish) {
+		return ((Choice.Chosen) this.dispatcher.choose(wish, Set.of(), 0)).server();
+	}
+
+	private static Wish prompt(String part, int ownTokens) {
+		return new Wish("llm", part, 4_000, ownTokens, 10_000, 0);
+	}
+
+	private static Wish plain() {
+		return new Wish("llm", "", 0, 0, 500, 0);
+	}
+
+	private static BackendServer server(String id, boolean leaving) {
+		return new BackendServer(id, "llm", "127.0.0.1:1", "a", 4, leaving, false);
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizePlanTests.java
@@ -0,0 +1,84 @@
+package org.rosemaryfront.duties;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.rosemaryfront.duties.SizePlan.Demand;
+import org.rosemaryfront.duties.SizePlan.Plan;
+import org.rosemaryfront.duties.SizePlan.ZoneSize;
+import org.rosemaryfront.routes.ServiceSpec;
+import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
+import org.rosemaryfront.routes.ServiceSpec.ScalingSpec;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SizePlanTests {
+
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private static final List<String> ZONES = List.of("a", "b", "c");
+
+	private static final ServiceSpec LLM = new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000)),
+			Optional.of(new ScalingSpec(1, 6, 4_000, 0.2, Map.of("a", 0.8, "b", 1.0, "c", 1.2))));
+
+	private final SizePlan plan = new SizePlan();
+
+	// Reclaims come in waves: all reclaimable servers of one zone after the other are
+	// taken within seconds, and no order is carried out meanwhile. What is not
+	// reclaimable
+	// is all that is left.
+	@Test
+	void shouldKeepLastingServersForLargeNeed() {
+		Plan sizes = this.plan.plan(LLM, ZONES, new Demand(320_000, 0, 9), 0);
+		assertThat(sizes.zones().values().stream().mapToInt(ZoneSize::lasting).sum()).isEqualTo(4);
+		assertThat(sizes.zones().get("a").lasting()).isGreaterThanOrEqualTo(sizes.zones().get("c").lasting());
+	}
+
+	@Test
+	void shouldCarryNeedWithoutOneZone() {
+		Plan sizes = this.plan.plan(LLM, ZONES, new Demand(320_000, 0, 9), 0);
+		for (String lost : ZONES) {
+			int left = sizes.zones()
+				.entrySet()
+				.stream()
+				.filter((zone) -> !zone.getKey().equals(lost))
+				.mapToInt((zone) -> zone.getValue().lasting() + zone.getValue().reclaimable())
+				.sum();
+			assertThat(left + 2).as("without %s", lost).isGreaterThanOrEqualTo((int) Math.ceil(sizes.need()));
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "0, 0, 0", "100000, 0, 3", "0, 100, 3", "10000000, 0, 3" })
+	void shouldStayWithinBounds(double tokens, int running, int present) {
+		this.plan.plan(LLM, ZONES, new Demand(tokens, running, present), 0).zones().values().forEach((zone) -> {
+			assertThat(zone.lasting() + zone.reclaimable()).isBetween(1, 6);
+			assertThat(zone.lasting()).isNotNegative();
+		});
+	}
+
+	// Traffic swings with a period of some tens of seconds: servers given back in the
+	// trough are missing at the next crest, four seconds of boot and cold caches away.
+	@Test
+	void shouldHoldPeakThroughTrough() {
+		double peak = this.plan.plan(LLM, ZONES, new Demand(300_000, 0, 0), 100 * SECOND).need();
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(50_000, 0, 0), 120 * SECOND).need()).isEqualTo(peak);
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(50_000, 0, 0), 130 * SECOND).need()).isLessThan(peak);
+	}
+
+	// The processes start before the traffic: a plan from no traffic gives all servers
+	// back that the first second of traffic needs.
+	@Test
+	void shouldTakeFirstSizeAsNeededUntilTrafficShows() {
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, 0, 10), 0).need()).isEqualTo(6);
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, 0, 9), 29 * SECOND).need()).isEqualTo(6);
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, 0, 9), 60 * SECOND).need()).isZero();
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/UsageLedgerTests.java
@@ -0,0 +1,41 @@
+package org.rosemaryfront.duties;
+
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import org.rosemaryfront.duties.UsageLedger.Window;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class UsageLedgerTests {
+
+	private final UsageLedger ledger = new UsageLedger(5_000);
+
+	@Test
+	void shouldCountByWindowAndOrganisation() {
+		this.ledger.began("sfax", 10_000);
+		this.ledger.began("sfax", 14_999);
+		this.ledger.began("tunis", 12_000);
+		this.ledger.began("sfax", 15_000);
+		assertThat(this.ledger.close(15_200)).containsExactly(new Window(2, Map.of("sfax", 2L, "tunis", 1L)));
+		assertThat(this.ledger.close(20_200)).containsExactly(new Window(3, Map.of("sfax", 1L)));
+	}
+
+	// A call that began in the last moment of a window is told of a little later; closed
+	// too early, the window would be reported without it.
+	@Test
+	void shouldKeepWindowOpenForNewsUnderWay() {
+		this.ledger.began("sfax", 14_999);
+		assertThat(this.ledger.close(15_199)).isEmpty();
+		assertThat(this.ledger.close(15_200)).hasSize(1);
+	}
+
+	@Test
+	void shouldHandOverUnfinishedWindowAtTheEnd() {
+		this.ledger.began("sfax", 16_000);
+		assertThat(this.ledger.closeAll()).containsExactly(new Window(3, Map.of("sfax", 1L)));
+		assertThat(this.ledger.closeAll()).isEmpty();
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -64,12 +64,6 @@
 	/** The time between two looks at the duties, in nanoseconds. */
 	private static final long DUTIES_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-	/**
-	 * How long callers may still come after the stop signal, in milliseconds: the
-	 * balancer takes a gateway out after two misses of its question, asked once a second.
-	 */
-	private static final long STILL_COMING_MILLIS = 3_000;
-
 	/** What is kept of the stop's time to close and exit, in milliseconds. */
 	private static final long EXIT_MILLIS = 400;
 
@@ -384,7 +378,7 @@
 		long most = this.settings.bounds().drainMillis() - EXIT_MILLIS;
 		boolean left = false;
 		while (passedMillis(begun) < most) {
-			if (passedMillis(begun) >= STILL_COMING_MILLIS) {
+			if (passedMillis(begun) >= this.settings.bounds().balancerMillis()) {
 				if (!left) {
 					left = true;
 					leave();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
@@ -30,6 +30,8 @@
 	 * The bounds.
 	 *
 	 * @param drainMillis the time from a stop signal to the kill, in milliseconds
+	 * @param balancerMillis how long callers may still come after the stop signal: the
+	 * balancer takes a process out after some misses of its question, in milliseconds
 	 * @param retryShare the calls that may be sent again, as a share of all
 	 * @param retryFixed the calls that may be sent again beside the share, in a window,
 	 * by all processes together
@@ -38,8 +40,8 @@
 	 * @param usageWindowMillis the window of usage reports, in milliseconds
 	 * @param leaseMillis the shortest time between two turns of a holder of the duties
 	 */
-	public record Bounds(long drainMillis, double retryShare, double retryFixed, long retryWindowMillis,
-			long quotaWindowMillis, long usageWindowMillis, long leaseMillis) {
+	public record Bounds(long drainMillis, long balancerMillis, double retryShare, double retryFixed,
+			long retryWindowMillis, long quotaWindowMillis, long usageWindowMillis, long leaseMillis) {
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -6,8 +6,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 
-import reactor.core.Disposable;
-import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
 
 import org.rosemaryfront.events.EventLog;
@@ -41,7 +39,7 @@
 
 	private final Listener listener;
 
-	private final Disposable.Swap running = Disposables.swap();
+	private volatile boolean closed;
 
 	private int failures;
 
@@ -66,7 +64,7 @@
 
 	@Override
 	public void close() {
-		this.running.dispose();
+		this.closed = true;
 	}
 
 	private void readAll(String from, List<Row> before) {
@@ -94,10 +92,20 @@
 	}
 
 	private void run(Mono<Page> question, Consumer<Page> next, Runnable again) {
-		this.running.update(question.subscribe((page) -> {
-			regained();
-			next.accept(page);
-		}, (failure) -> failed(failure, again)));
+		// The answer may come, and the next question go out, before subscribe returns: a
+		// handle kept to cancel this question could end up cancelling the next one, and
+		// the
+		// table would never be read again.
+		question.subscribe((page) -> {
+			if (!this.closed) {
+				regained();
+				next.accept(page);
+			}
+		}, (failure) -> {
+			if (!this.closed) {
+				failed(failure, again);
+			}
+		});
 	}
 
 	private void regained() {
@@ -112,8 +120,7 @@
 		boolean historyLost = failure instanceof StoreException ex && ex.reason() == StoreException.Reason.HISTORY_LOST;
 		if (historyLost) {
 			EventLog.info(GatewayEvents.TABLE_READ_ANEW, "table", this.table);
-			this.running
-				.update(Mono.delay(jittered(BACKOFF_MILLIS / 4)).subscribe((_) -> readAll("", new ArrayList<>())));
+			Mono.delay(jittered(BACKOFF_MILLIS / 4)).subscribe((_) -> readAll("", new ArrayList<>()));
 			return;
 		}
 		if (this.failures == 0) {
@@ -122,7 +129,7 @@
 		}
 		long pause = Math.min(BACKOFF_MOST_MILLIS, BACKOFF_MILLIS << Math.min(this.failures, 6));
 		this.failures++;
-		this.running.update(Mono.delay(jittered(pause)).subscribe((_) -> again.run()));
+		Mono.delay(jittered(pause)).subscribe((_) -> again.run());
 	}
 
 	private static Duration jittered(long millis) {
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -0,0 +1,171 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import org.rosemaryfront.gateway.RawCaller.Answer;
+import org.rosemaryfront.gateway.RecordedDuties.Usage;
+import org.rosemaryfront.routes.CallerLimits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class BeliefsTests {
+
+	// -- configuration
+
+	@Test
+	void shouldTakeNewerConfigurationAndNeverAnOlder() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start()) {
+			gateway.declare().ready();
+			assertThat(gateway.ask(RawCaller.get("c1", "/sheets/")).status()).isEqualTo(503);
+			gateway.declare(GatewayHarness.configuration(5, CallerLimits.INITIAL));
+			GatewayHarness.await(() -> status(gateway, "no-key") != 401);
+			gateway.declare(GatewayHarness.configuration(4, CallerLimits.INITIAL, GatewayHarness.organisation(0)));
+			gateway.declare(GatewayHarness.configuration(5, CallerLimits.INITIAL, GatewayHarness.organisation(0)));
+			assertThat(status(gateway, "no-key")).isEqualTo(503);
+		}
+	}
+
+	// An operator's row cannot be read: whoever takes it as "no configuration" answers
+	// every caller with 404.
+	@Test
+	void shouldKeepConfigurationWhenNewerCannotBeRead() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start()) {
+			gateway.declare().ready();
+			gateway.store.put("declared", "traffic", "{ cut in ha");
+			gateway.declare(GatewayHarness.configuration(7, CallerLimits.INITIAL));
+			GatewayHarness.await(() -> status(gateway, "no-key") != 401);
+		}
+	}
+
+	@Test
+	void shouldTakeConfigurationThatCameWhileStoreWasAwayOrForgot() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start()) {
+			gateway.declare().ready();
+			gateway.store.away(true);
+			gateway.declare(GatewayHarness.configuration(7, CallerLimits.INITIAL));
+			gateway.store.forgetHistory();
+			assertThat(status(gateway, "no-key")).isEqualTo(401);
+			gateway.store.away(false);
+			GatewayHarness.await(() -> status(gateway, "no-key") != 401);
+		}
+	}
+
+	// -- servers
+
+	@Test
+	void shouldSendNothingToServerThatSaysItLeaves() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.declare().register("s1", server).ready();
+			GatewayHarness.await(() -> status(gateway, "key-1") == 200);
+			gateway.store.put(GatewayHarness.SERVERS, "s1", "app " + server.address() + " leaving");
+			GatewayHarness.await(() -> status(gateway, "key-1") == 503);
+			int before = server.requests().size();
+			assertThat(status(gateway, "key-1")).isEqualTo(503);
+			assertThat(server.requests()).hasSize(before);
+		}
+	}
+
+	@Test
+	void shouldServeOnWhileStoreIsAway() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.declare().register("s1", server).ready();
+			GatewayHarness.await(() -> status(gateway, "key-1") == 200);
+			gateway.store.away(true);
+			assertThat(status(gateway, "key-1")).isEqualTo(200);
+			assertThat(gateway.readiness()).isEqualTo(200);
+			gateway.store.away(false);
+		}
+	}
+
+	// -- duties
+
+	// The platform accepts one report for a window; a second with other counts is a fault
+	// that is counted against the operators. The answer to the first was lost.
+	@Test
+	void shouldRepeatReportExactlyWhenItsAnswerIsLost() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.startWithUsageWindow(1_000);
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.duties.losingAnswers(true);
+			gateway.declare().register("s1", server).ready();
+			GatewayHarness.await(() -> status(gateway, "key-1") == 200);
+			GatewayHarness.await(() -> repeats(gateway.duties.usages()) >= 1);
+			gateway.duties.losingAnswers(false);
+			List<Usage> all = List.copyOf(gateway.duties.usages());
+			for (Usage usage : all) {
+				assertThat(all.stream().filter((other) -> other.window() == usage.window()))
+					.allMatch((other) -> other.counts().equals(usage.counts()));
+			}
+		}
+	}
+
+	@Test
+	void shouldReportAllCallsThatRan() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.startWithUsageWindow(1_000);
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.declare().register("s1", server).ready();
+			GatewayHarness.await(() -> status(gateway, "key-1") == 200);
+			for (int i = 0; i < 20; i++) {
+				status(gateway, "key-1");
+			}
+			long ran = server.requests().size();
+			GatewayHarness.await(() -> gateway.duties.usages()
+				.stream()
+				.mapToLong((usage) -> usage.counts().getOrDefault("sfax", 0L))
+				.sum() == ran);
+		}
+	}
+
+	// -- planned stops
+
+	// The VM is stopped while calls run: each must come to its end, new ones are told to
+	// come back elsewhere, and the duties go to another process at once.
+	@Test
+	void shouldFinishCallsAndGiveDutiesBackWhenStopped() throws Exception {
+		GatewayHarness gateway = GatewayHarness.start();
+		CompletableFuture<Void> go = new CompletableFuture<>();
+		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> {
+			go.join();
+			exchange.ok(request, "late");
+		})) {
+			gateway.declare().register("s1", server).ready();
+			GatewayHarness.await(() -> gateway.store.rows("leases").containsKey("duties"));
+			RawCaller caller = gateway.caller();
+			caller.send(RawCaller.post("c1", "/visits/", "x"));
+			GatewayHarness.await(() -> !server.requests().isEmpty());
+			CompletableFuture<Void> stopped = CompletableFuture.runAsync(gateway::stop);
+			GatewayHarness.await(() -> gateway.readiness() != 200);
+			go.complete(null);
+			Answer answer = caller.read();
+			assertThat(answer.body()).isEqualTo("late");
+			assertThat(answer.head().toLowerCase(Locale.ROOT)).contains("connection: close");
+			stopped.get(10, TimeUnit.SECONDS);
+			assertThat(new String(gateway.store.rows("leases").get("duties").value().orElseThrow()))
+				.contains("\"holder\":\"\"");
+		}
+		finally {
+			gateway.store.close();
+		}
+	}
+
+	private static int repeats(List<Usage> usages) {
+		return usages.size() - (int) usages.stream().mapToLong(Usage::window).distinct().count();
+	}
+
+	private static int status(GatewayHarness gateway, String key) {
+		try {
+			return gateway.ask(RawCaller.get("c1", "/sheets/").replace("key-1", key)).status();
+		}
+		catch (IOException ex) {
+			throw new AssertionError(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
@@ -0,0 +1,200 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rosemaryfront.gateway.RawCaller.Answer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FaultyServerTests {
+
+	private GatewayHarness gateway;
+
+	@BeforeEach
+	void start() {
+		this.gateway = GatewayHarness.start();
+	}
+
+	@AfterEach
+	void stop() {
+		this.gateway.close();
+	}
+
+	// -- what may run twice
+
+	// A booking was sent and its answer lost. Sent again, two crews turn up; answered
+	// "not
+	// run", the caller books again with the same effect.
+	@ParameterizedTest
+	@ValueSource(strings = { "reset", "close", "half" })
+	void shouldNeverRepeatBookingThatMayHaveRun(String end) throws IOException {
+		try (ScriptedServer server = serving((request, exchange) -> {
+			if (end.equals("half")) {
+				exchange.write("HTTP/1.1 200 OK\r\nCall: c1\r\nSignature: s\r\nContent-Length: 100\r\n\r\nhalf");
+			}
+			if (end.equals("reset")) {
+				exchange.reset();
+			}
+			else {
+				exchange.socket().close();
+			}
+		})) {
+			Answer answer = this.gateway.ask(RawCaller.post("c1", "/visits/", "x"));
+			assertThat(answer.status()).isEqualTo(502);
+			assertThat(server.requests()).hasSize(1);
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "/sheets/, reset", "/sheets/, half", "/sheets/, error", "/visits/, refused" })
+	void shouldRepeatOnceWhatMayBeRepeated(String path, String fault) throws IOException {
+		AtomicInteger runs = new AtomicInteger();
+		ScriptedServer.Script script = (request, exchange) -> {
+			if (runs.getAndIncrement() > 0) {
+				exchange.ok(request, "good");
+				return;
+			}
+			switch (fault) {
+				case "error" -> exchange.status(request, 500, "Signature: s\r\n");
+				case "refused" -> exchange.status(request, 503, "Not-Run: 1\r\n");
+				case "half" -> {
+					exchange.write("HTTP/1.1 200 OK\r\nCall: c1\r\nSignature: s\r\nContent-Length: 100\r\n\r\nhalf");
+					exchange.socket().close();
+				}
+				default -> exchange.reset();
+			}
+		};
+		try (ScriptedServer _ = serving(script); ScriptedServer second = ScriptedServer.start(script)) {
+			this.gateway.register("s2", second);
+			awaitServers("s2");
+			Answer answer = this.gateway.ask(RawCaller.post("c1", path, "x"));
+			assertThat(answer.status()).isEqualTo(200);
+			assertThat(answer.body()).isEqualTo("good");
+			assertThat(runs.get()).isEqualTo(2);
+		}
+	}
+
+	@Test
+	void shouldSayNotRunOnlyWhenNoServerRanIt() throws IOException {
+		try (ScriptedServer server = serving((request, exchange) -> exchange.status(request, 503, "Not-Run: 1\r\n"))) {
+			Answer answer = this.gateway.ask(RawCaller.post("c1", "/visits/", "x"));
+			assertThat(answer.status()).isEqualTo(503);
+			assertThat(answer.says("retry-after")).isTrue();
+			assertThat(server.requests()).hasSize(1);
+		}
+	}
+
+	@Test
+	void shouldPassOnServersOwnFailureWhenNothingElseIsLeft() throws IOException {
+		try (ScriptedServer _ = serving((request, exchange) -> exchange.status(request, 500, "Signature: s\r\n"))) {
+			Answer answer = this.gateway.ask(RawCaller.post("c1", "/visits/", "x"));
+			assertThat(answer.status()).isEqualTo(500);
+			assertThat(answer.says("signature")).isTrue();
+		}
+	}
+
+	@Test
+	void shouldTryNextServerWhenOneCannotBeReached() throws IOException {
+		try (ScriptedServer dead = ScriptedServer.start((_, _) -> {
+		}); ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "good"))) {
+			String address = dead.address();
+			dead.close();
+			this.gateway.store.put(GatewayHarness.SERVERS, "s0", "app " + address + " ready");
+			for (int i = 0; i < 6; i++) {
+				assertThat(this.gateway.ask(RawCaller.post("c" + i, "/visits/", "x")).status()).isEqualTo(200);
+			}
+			assertThat(server.requests()).hasSize(6);
+		}
+	}
+
+	// -- whose answer it is
+
+	// A faulty server sends a second answer behind a good one. Taken for the answer of
+	// the
+	// next call, a household reads another's booking.
+	@Test
+	void shouldNeverTakeExtraAnswerForTheNextCall() throws Exception {
+		try (ScriptedServer _ = serving((request, exchange) -> {
+			exchange.ok(request, request.call());
+			exchange.ok(request, "extra");
+		}); RawCaller caller = this.gateway.caller()) {
+			for (int i = 0; i < 10; i++) {
+				Answer answer = caller.send(RawCaller.get("c" + i, "/sheets/")).read();
+				assertThat(answer.body()).isEqualTo("c" + i);
+			}
+		}
+	}
+
+	// The extra answer comes late, just where the next one is awaited.
+	@Test
+	void shouldSkipAnswerThatNamesAnotherCall() throws IOException {
+		try (ScriptedServer _ = serving((request, exchange) -> {
+			exchange.write("HTTP/1.1 200 OK\r\nCall: other\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwrong");
+			exchange.ok(request, "right");
+		})) {
+			assertThat(this.gateway.ask(RawCaller.post("c1", "/visits/", "x")).body()).isEqualTo("right");
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "this is no answer\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nCall: c1\r\nContent-Length: 8\r\n\r\nunsigned" })
+	void shouldNotPassOnWhatIsNoGoodAnswer(String bytes) throws IOException {
+		try (ScriptedServer _ = serving((_, exchange) -> exchange.write(bytes))) {
+			Answer answer = this.gateway.ask(RawCaller.post("c1", "/visits/", "x"));
+			assertThat(answer.status()).isEqualTo(502);
+			assertThat(answer.body()).doesNotContain("unsigned");
+		}
+	}
+
+	// An answer without a length ends with its connection; after a reset bytes may be
+	// missing, and what is there looks whole.
+	@ParameterizedTest
+	@CsvSource({ "close, 200", "reset, 502" })
+	void shouldTakeAnswerWithoutLengthOnlyFromCleanEnd(String end, int status) throws IOException {
+		try (ScriptedServer _ = serving((request, exchange) -> {
+			exchange.write("HTTP/1.1 200 OK\r\nCall: " + request.call() + "\r\nSignature: s\r\n\r\nall of it");
+			if (end.equals("reset")) {
+				sleep(200);
+				exchange.reset();
+			}
+			else {
+				exchange.socket().close();
+			}
+		})) {
+			assertThat(this.gateway.ask(RawCaller.post("c1", "/visits/", "x")).status()).isEqualTo(status);
+		}
+	}
+
+	// -- helpers
+
+	private ScriptedServer serving(ScriptedServer.Script script) throws IOException {
+		ScriptedServer server = ScriptedServer.start(script);
+		this.gateway.declare().register("s1", server).ready();
+		awaitServers("s1");
+		return server;
+	}
+
+	private void awaitServers(String id) {
+		GatewayHarness.await(() -> this.gateway.store.rows(GatewayHarness.SERVERS).containsKey(id));
+		sleep(100);
+	}
+
+	private static void sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -0,0 +1,167 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.BooleanSupplier;
+
+import reactor.netty.resources.LoopResources;
+
+import org.rosemaryfront.gateway.GatewayProcess.Platform;
+import org.rosemaryfront.routes.CallKind;
+import org.rosemaryfront.routes.CallerLimits;
+import org.rosemaryfront.routes.Organisation;
+import org.rosemaryfront.routes.Organisation.Counts;
+import org.rosemaryfront.routes.Route;
+import org.rosemaryfront.routes.ServiceSpec;
+import org.rosemaryfront.routes.TrafficConfiguration;
+
+/** A gateway with a store in memory, for tests that talk to it over sockets. */
+final class GatewayHarness implements AutoCloseable {
+
+	static final String SERVERS = "servers";
+
+	/** Long enough for a slow machine; a test that passes waits for none of it. */
+	private static final long AWAIT_MILLIS = 10_000;
+
+	final MemoryRowStore store = new MemoryRowStore();
+
+	final PlainCodecs codecs = new PlainCodecs();
+
+	final RecordedDuties duties = new RecordedDuties();
+
+	final GatewaySettings settings;
+
+	private final GatewayProcess process;
+
+	private GatewayHarness(String name, long usageWindowMillis) {
+		this.settings = new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), freeDatagram(),
+				new GatewaySettings.Bounds(4_000, 100, 0.2, 64, 10_000, 8_000, usageWindowMillis, 3_000));
+		this.process = GatewayProcess.start(this.settings,
+				new Platform(this.codecs, this.store, this.codecs, this.duties),
+				LoopResources.create("test", 1, 1, true));
+	}
+
+	static GatewayHarness start() {
+		return new GatewayHarness("gateway-1", 5_000);
+	}
+
+	static GatewayHarness startWithUsageWindow(long millis) {
+		return new GatewayHarness("gateway-1", millis);
+	}
+
+	// -- what is declared
+
+	static TrafficConfiguration configuration(long version, CallerLimits limits, Organisation... organisations) {
+		return TrafficConfiguration.of(version,
+				List.of(route("sheets", "/sheets/", CallKind.IDEMPOTENT, 2, false, 3_000),
+						route("visits", "/visits/", CallKind.NON_IDEMPOTENT, 2, false, 3_000),
+						route("drafts", "/drafts/", CallKind.STREAMING, 2, false, 3_000),
+						route("summaries", "/summaries/", CallKind.STREAMING, 2, true, 3_000),
+						route("short", "/short/", CallKind.IDEMPOTENT, 1, false, 300)),
+				List.of(new ServiceSpec("app", 100, Optional.empty(), Optional.empty())), List.of(organisations),
+				limits);
+	}
+
+	static Organisation organisation(double unitsPerSecond) {
+		return new Organisation("sfax", List.of("key-1"), OptionalInt.empty(), unitsPerSecond, 1, Counts.REQUESTS, 1);
+	}
+
+	private static Route route(String name, String prefix, CallKind kind, int attempts, boolean resumable,
+			long timeoutMillis) {
+		return new Route(name, "a.example", prefix, kind, timeoutMillis, 500, 0, List.of(new Route.Target("app", 1)),
+				attempts, false, resumable);
+	}
+
+	GatewayHarness declare(TrafficConfiguration configuration) {
+		this.store.put("declared", "traffic", this.codecs.row(configuration));
+		return this;
+	}
+
+	GatewayHarness declare() {
+		return declare(configuration(1, CallerLimits.INITIAL, organisation(0)));
+	}
+
+	GatewayHarness register(String id, ScriptedServer server) {
+		this.store.put(SERVERS, id, "app " + server.address() + " ready");
+		return this;
+	}
+
+	/** Waits until callers may come. */
+	GatewayHarness ready() throws IOException {
+		await(() -> readiness() == 200);
+		return this;
+	}
+
+	// -- talking to it
+
+	RawCaller caller() throws IOException {
+		return new RawCaller(this.settings.callers());
+	}
+
+	RawCaller.Answer ask(String request) throws IOException {
+		try (RawCaller caller = caller()) {
+			return caller.send(request).read();
+		}
+	}
+
+	int readiness() {
+		try (RawCaller caller = new RawCaller(this.settings.readiness())) {
+			return caller.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").read().status();
+		}
+		catch (IOException ex) {
+			return 0;
+		}
+	}
+
+	static void await(BooleanSupplier condition) {
+		long until = System.nanoTime() + AWAIT_MILLIS * 1_000_000;
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() - until > 0) {
+				throw new AssertionError("what was waited for did not come");
+			}
+			try {
+				Thread.sleep(10);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				throw new AssertionError(ex);
+			}
+		}
+	}
+
+	void stop() {
+		this.process.close();
+	}
+
+	@Override
+	public void close() {
+		this.process.close();
+		this.store.close();
+	}
+
+	private static InetSocketAddress free() {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static InetSocketAddress freeDatagram() {
+		try (DatagramSocket socket = new DatagramSocket()) {
+			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
@@ -0,0 +1,167 @@
+package org.rosemaryfront.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.StoreException;
+import org.rosemaryfront.ports.StoreException.Reason;
+
+/** A table service in memory, which can be away, lose answers and forget its history. */
+final class MemoryRowStore implements RowStore {
+
+	private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
+
+	private final List<Change> history = new ArrayList<>();
+
+	private long version;
+
+	private long historyFrom;
+
+	private boolean away;
+
+	private boolean losingAnswers;
+
+	private int commits;
+
+	private boolean closed;
+
+	// -- the test's side
+
+	synchronized void put(String table, String key, String value) {
+		write(table, key, Optional.of(value.getBytes(StandardCharsets.UTF_8)));
+		notifyAll();
+	}
+
+	synchronized void delete(String table, String key) {
+		write(table, key, Optional.empty());
+		notifyAll();
+	}
+
+	synchronized void away(boolean now) {
+		this.away = now;
+		notifyAll();
+	}
+
+	/** Answers whoever still waits, so that no thread outlives its test. */
+	synchronized void close() {
+		this.closed = true;
+		notifyAll();
+	}
+
+	synchronized void losingAnswers(boolean now) {
+		this.losingAnswers = now;
+	}
+
+	synchronized void forgetHistory() {
+		this.history.clear();
+		this.historyFrom = this.version;
+	}
+
+	synchronized Map<String, Row> rows(String table) {
+		return Map.copyOf(this.tables.getOrDefault(table, new TreeMap<>()));
+	}
+
+	synchronized int commits() {
+		return this.commits;
+	}
+
+	// -- the gateway's side
+
+	@Override
+	public Mono<Outcome> commit(Commit commit) {
+		return Mono.fromCallable(() -> committed(commit)).subscribeOn(Schedulers.boundedElastic());
+	}
+
+	@Override
+	public Mono<Page> read(Range range) {
+		return Mono.fromCallable(() -> page(range)).subscribeOn(Schedulers.boundedElastic());
+	}
+
+	@Override
+	public Mono<Page> changes(String table, long since, Duration wait) {
+		return Mono.fromCallable(() -> changed(table, since, wait)).subscribeOn(Schedulers.boundedElastic());
+	}
+
+	private synchronized Outcome committed(Commit commit) {
+		check();
+		TreeMap<String, Row> rows = this.tables.computeIfAbsent(commit.table(), (_) -> new TreeMap<>());
+		for (Condition condition : commit.conditions()) {
+			long found = Optional.ofNullable(rows.get(condition.key())).map(Row::version).orElse(0L);
+			if (found != condition.version()) {
+				return new Outcome.Conflict();
+			}
+		}
+		this.commits++;
+		commit.writes().forEach((write) -> write(commit.table(), write.key(), Optional.of(write.value())));
+		commit.deletes().forEach((key) -> write(commit.table(), key, Optional.empty()));
+		notifyAll();
+		if (this.losingAnswers) {
+			throw StoreException.of(Reason.UNREACHABLE, Verdict.mayHaveRun(), "the answer is lost");
+		}
+		return new Outcome.Committed(this.version);
+	}
+
+	private synchronized Page page(Range range) {
+		check();
+		List<Row> rows = this.tables.getOrDefault(range.table(), new TreeMap<>())
+			.values()
+			.stream()
+			.filter((row) -> row.key().compareTo(range.from()) >= 0)
+			.filter((row) -> range.to().isEmpty() || row.key().compareTo(range.to()) < 0)
+			.toList();
+		return new Page(rows, false, this.version);
+	}
+
+	private synchronized Page changed(String table, long since, Duration wait) throws InterruptedException {
+		long until = System.nanoTime() + wait.toNanos();
+		while (true) {
+			check();
+			if (since < this.historyFrom) {
+				throw StoreException.of(Reason.HISTORY_LOST, Verdict.notRun(), "history lost");
+			}
+			List<Row> rows = this.history.stream()
+				.filter((change) -> change.table.equals(table) && change.row.version() > since)
+				.map((change) -> change.row)
+				.toList();
+			long left = until - System.nanoTime();
+			if (!rows.isEmpty() || left <= 0 || this.closed) {
+				return new Page(rows, false, this.version);
+			}
+			wait(Math.max(1, left / 1_000_000));
+		}
+	}
+
+	private void check() {
+		if (this.away) {
+			throw StoreException.of(Reason.UNAVAILABLE, Verdict.notRun(), "away");
+		}
+	}
+
+	private void write(String table, String key, Optional<byte[]> value) {
+		this.version++;
+		Row row = new Row(key, value, this.version);
+		TreeMap<String, Row> rows = this.tables.computeIfAbsent(table, (_) -> new TreeMap<>());
+		if (value.isPresent()) {
+			rows.put(key, row);
+		}
+		else {
+			rows.remove(key);
+		}
+		this.history.add(new Change(table, row));
+	}
+
+	private record Change(String table, Row row) {
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PassingThroughTests.java
@@ -0,0 +1,278 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rosemaryfront.gateway.RawCaller.Answer;
+import org.rosemaryfront.gateway.ScriptedServer.Request;
+import org.rosemaryfront.routes.CallerLimits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PassingThroughTests {
+
+	private static final String EVENTS = "HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n";
+
+	private GatewayHarness gateway;
+
+	@BeforeEach
+	void start() {
+		this.gateway = GatewayHarness.start();
+	}
+
+	@AfterEach
+	void stop() {
+		this.gateway.close();
+	}
+
+	// -- a good call
+
+	@Test
+	void shouldPassOnMethodPathBodyAndAnswerUnchanged() throws IOException {
+		try (ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "booked"))) {
+			Answer answer = this.gateway.ask(RawCaller.post("c1", "/visits/7?when=now", "visit"));
+			assertThat(answer.status()).isEqualTo(200);
+			assertThat(answer.body()).isEqualTo("booked");
+			assertThat(answer.says("signature")).isTrue();
+			Request sent = server.requests().getFirst();
+			assertThat(sent.line()).isEqualTo("POST /visits/7?when=now HTTP/1.1");
+			assertThat(sent.body()).isEqualTo("visit");
+			assertThat(sent.header("organisation")).isEqualTo("sfax");
+			assertThat(sent.header("server")).isEqualTo("s1");
+			assertThat(sent.header("key")).isEmpty();
+			assertThat(Long.parseLong(sent.header("remaining"))).isBetween(1L, 3_000L);
+		}
+	}
+
+	@Test
+	void shouldNeverHandOnMoreTimeThanIsLeft() throws IOException {
+		try (ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "x"))) {
+			this.gateway.ask(RawCaller.get("c1", "/sheets/").replace("Key:", "Remaining: 700\r\nKey:"));
+			assertThat(Long.parseLong(server.requests().getFirst().header("remaining"))).isBetween(1L, 700L);
+		}
+	}
+
+	@Test
+	void shouldTakeLongBodyInChunks() throws IOException {
+		try (ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "x"))) {
+			String chunk = "x".repeat(10_000);
+			StringBuilder body = new StringBuilder();
+			for (int i = 0; i < 10; i++) {
+				body.append(Integer.toHexString(chunk.length())).append("\r\n").append(chunk).append("\r\n");
+			}
+			Answer answer = this.gateway.ask("POST /visits/ HTTP/1.1\r\nHost: a.example\r\nCall: c1\r\nKey: key-1\r\n"
+					+ "Transfer-Encoding: chunked\r\n\r\n" + body + "0\r\n\r\n");
+			assertThat(answer.status()).isEqualTo(200);
+			assertThat(server.requests().getFirst().body()).isEqualTo(chunk.repeat(10));
+		}
+	}
+
+	@Test
+	void shouldUseConnectionsAgain() throws IOException {
+		try (ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "x"));
+				RawCaller caller = this.gateway.caller()) {
+			for (int i = 0; i < 5; i++) {
+				assertThat(caller.send(RawCaller.get("c" + i, "/sheets/")).read().status()).isEqualTo(200);
+			}
+			assertThat(server.connections()).isEqualTo(1);
+		}
+	}
+
+	@Test
+	void shouldAnswerRequestsSentAheadInOrder() throws IOException {
+		try (ScriptedServer _ = serving((request, exchange) -> exchange.ok(request, request.call()));
+				RawCaller caller = this.gateway.caller()) {
+			caller.send(RawCaller.get("c1", "/sheets/") + RawCaller.post("c2", "/visits/", "x")
+					+ RawCaller.get("c3", "/sheets/"));
+			for (int i = 1; i <= 3; i++) {
+				assertThat(caller.read().body()).isEqualTo("c" + i);
+			}
+		}
+	}
+
+	// -- refusals
+
+	// The first callers come before the configuration does. A 404 would tell them that
+	// their route does not exist, and they would not come back.
+	@Test
+	void shouldTellToComeBackWhileNoConfigurationIsKnown() throws IOException {
+		Answer answer = this.gateway.ask(RawCaller.get("c1", "/sheets/"));
+		assertThat(answer.status()).isEqualTo(503);
+		assertThat(answer.says("retry-after")).isTrue();
+		assertThat(this.gateway.readiness()).isEqualTo(503);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "/nowhere/, key-1, 404", "/sheets/, key-2, 401", "/sheets/, key-1, 503" })
+	void shouldRefuseWhatIsNotDeclared(String path, String key, int status) throws IOException {
+		this.gateway.declare().ready();
+		Answer answer = this.gateway.ask(RawCaller.get("c1", path).replace("key-1", key));
+		assertThat(answer.status()).isEqualTo(status);
+	}
+
+	@Test
+	void shouldRefuseBeyondQuotaWithTheTimeToComeBack() throws IOException {
+		this.gateway.declare(GatewayHarness.configuration(1, CallerLimits.INITIAL, GatewayHarness.organisation(0.25)));
+		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			this.gateway.register("s1", server).ready();
+			for (int i = 0; i < 3; i++) {
+				assertThat(this.gateway.ask(RawCaller.get("c" + i, "/sheets/")).status()).isEqualTo(200);
+			}
+			Answer over = this.gateway.ask(RawCaller.get("c4", "/sheets/"));
+			assertThat(over.status()).isEqualTo(429);
+			assertThat(over.says("retry-after")).isTrue();
+			assertThat(server.requests()).hasSize(3);
+		}
+	}
+
+	// A request hides another one in its body: the gateway reads one request, the server
+	// two, and the second runs with nobody's key checked.
+	@ParameterizedTest
+	@ValueSource(strings = { "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5, 6\r\n",
+			"Content-Length: 5\r\nContent-Length: 6\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+			"Transfer-Encoding : chunked\r\n", "Transfer-Encoding: xchunked\r\n", "Content-Length: +5\r\n",
+			"Content-Length: 5\n" })
+	void shouldRefuseRequestThatCanBeFramedInTwoWays(String framing) throws IOException {
+		try (ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "x"));
+				RawCaller caller = this.gateway.caller()) {
+			caller.send("POST /visits/ HTTP/1.1\r\nHost: a.example\r\nCall: c1\r\nKey: key-1\r\n" + framing
+					+ "\r\n0\r\n\r\nGET /sheets/ HTTP/1.1\r\nHost: a.example\r\nCall: c2\r\nKey: key-1\r\n\r\n");
+			assertThat(caller.read().status()).isEqualTo(400);
+			assertThat(caller.isClosed()).isTrue();
+			assertThat(server.requests()).isEmpty();
+		}
+	}
+
+	@Test
+	void shouldRefuseTwoHosts() throws IOException {
+		this.gateway.declare().ready();
+		assertThat(this.gateway.ask("GET /sheets/ HTTP/1.1\r\nHost: a.example\r\nHost: b.example\r\n\r\n").status())
+			.isEqualTo(400);
+	}
+
+	@Test
+	void shouldRefuseLongHeadersAndLongBodies() throws IOException {
+		this.gateway
+			.declare(GatewayHarness.configuration(1, new CallerLimits(2_000, 1_000, 3_000, 15_000),
+					GatewayHarness.organisation(0)))
+			.ready();
+		assertThat(this.gateway
+			.ask(RawCaller.get("c1", "/sheets/").replace("Key:", "X: " + "y".repeat(3_000) + "\r\nKey:"))
+			.status()).isEqualTo(431);
+		assertThat(this.gateway.ask(RawCaller.post("c2", "/visits/", "x".repeat(1_001))).status()).isEqualTo(413);
+	}
+
+	@Test
+	void shouldCloseOnRequestThatStaysHalf() throws IOException {
+		this.gateway
+			.declare(GatewayHarness.configuration(1, new CallerLimits(2_000, 1_000, 300, 15_000),
+					GatewayHarness.organisation(0)))
+			.ready();
+		try (RawCaller caller = this.gateway.caller()) {
+			assertThat(caller.send("GET /sheets/ HTTP/1.1\r\nHost: a.exam").read().status()).isEqualTo(408);
+			assertThat(caller.isClosed()).isTrue();
+		}
+	}
+
+	// -- streams
+
+	@Test
+	void shouldPassOnEventsAsTheyCome() throws IOException {
+		try (ScriptedServer server = serving((request, exchange) -> {
+			exchange.write(EVENTS + "Call: " + request.call() + "\r\n\r\n");
+			exchange.write(chunk("id: 1\ndata: a\n\n"));
+			exchange.hold();
+		}); RawCaller caller = this.gateway.caller()) {
+			caller.send(RawCaller.post("c1", "/drafts/", "x"));
+			GatewayHarness.await(() -> !server.requests().isEmpty());
+			assertThat(caller.readSome()).contains("id: 1");
+		}
+	}
+
+	// A server stops in the middle of an event. The answer goes on at another server: the
+	// caller must see each event once, none of them in two halves.
+	@Test
+	void shouldGoOnAtAnotherServerWithinTheSameAnswer() throws IOException {
+		AtomicInteger runs = new AtomicInteger();
+		ScriptedServer.Script script = (request, exchange) -> {
+			exchange.write(EVENTS + "Call: " + request.call() + "\r\n\r\n");
+			if (runs.getAndIncrement() == 0) {
+				exchange.write(chunk("id: 1\ndata: a\n\nid: 2\nda"));
+				exchange.reset();
+			}
+			else {
+				exchange.write(chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+			}
+		};
+		try (ScriptedServer first = serving(script); ScriptedServer second = ScriptedServer.start(script)) {
+			this.gateway.register("s2", second);
+			GatewayHarness.await(() -> this.gateway.store.rows(GatewayHarness.SERVERS).size() == 2);
+			Answer answer = this.gateway.ask(RawCaller.post("c1", "/summaries/", "x"));
+			assertThat(answer.whole()).isTrue();
+			assertThat(answer.body()).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+			assertThat(Stream.of(first, second).flatMap((server) -> server.requests().stream()))
+				.extracting((sent) -> sent.header("resume-after"))
+				.containsExactlyInAnyOrder("", "1");
+		}
+	}
+
+	// A stream that may not be resumed breaks: its caller must not take the half of it
+	// for
+	// the whole.
+	@Test
+	void shouldNotLetBrokenStreamLookComplete() throws IOException {
+		try (ScriptedServer server = serving((request, exchange) -> {
+			exchange.write(EVENTS + "Call: " + request.call() + "\r\n\r\n" + chunk("id: 1\ndata: a\n\n"));
+			exchange.reset();
+		})) {
+			Answer answer = this.gateway.ask(RawCaller.post("c1", "/drafts/", "x"));
+			assertThat(answer.whole()).isFalse();
+			assertThat(server.requests()).hasSize(1);
+		}
+	}
+
+	// -- callers that leave
+
+	// A caller left; its call goes on at the server for nobody and holds a slot that
+	// others wait for.
+	@ParameterizedTest
+	@ValueSource(strings = { "/sheets/", "/visits/", "/drafts/" })
+	void shouldEndCallAtServerWhenCallerLeaves(String path) throws Exception {
+		try (ScriptedServer server = serving((request, exchange) -> exchange.hold())) {
+			try (RawCaller caller = this.gateway.caller()) {
+				caller.send(RawCaller.post("c1", path, "x"));
+				GatewayHarness.await(() -> !server.requests().isEmpty());
+			}
+			assertThat(server.awaitLeft()).isTrue();
+		}
+	}
+
+	@Test
+	void shouldAnswerAtTheRoutesTimeoutAndFreeTheServer() throws Exception {
+		try (ScriptedServer server = serving((request, exchange) -> exchange.hold())) {
+			assertThat(this.gateway.ask(RawCaller.get("c1", "/short/")).status()).isEqualTo(504);
+			assertThat(server.awaitLeft()).isTrue();
+		}
+	}
+
+	// -- helpers
+
+	private ScriptedServer serving(ScriptedServer.Script script) throws IOException {
+		ScriptedServer server = ScriptedServer.start(script);
+		this.gateway.declare().register("s1", server).ready();
+		return server;
+	}
+
+	private static String chunk(String text) {
+		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -0,0 +1,94 @@
+package org.rosemaryfront.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.ports.AnswerTerms;
+import org.rosemaryfront.ports.CallCodec;
+import org.rosemaryfront.ports.CallTerms;
+import org.rosemaryfront.ports.Handover;
+import org.rosemaryfront.ports.RecordCodec;
+import org.rosemaryfront.routes.TrafficConfiguration;
+
+/** Headers and rows in plain words, for tests. */
+final class PlainCodecs implements CallCodec, RecordCodec {
+
+	private final Map<String, TrafficConfiguration> configurations = new ConcurrentHashMap<>();
+
+	/**
+	 * Makes a configuration readable.
+	 * @param configuration the configuration
+	 * @return the value of its row
+	 */
+	String row(TrafficConfiguration configuration) {
+		String name = "version-" + configuration.version();
+		this.configurations.put(name, configuration);
+		return name;
+	}
+
+	// -- calls
+
+	@Override
+	public CallTerms terms(HttpHeaders headers) {
+		String millis = headers.get("Remaining");
+		return new CallTerms(headers.get("Call", ""),
+				(millis != null) ? OptionalLong.of(Long.parseLong(millis)) : OptionalLong.empty(),
+				Optional.ofNullable(headers.get("Key")), Optional.empty());
+	}
+
+	@Override
+	public void handOver(HttpHeaders headers, Handover handover) {
+		headers.remove("Key");
+		headers.set("Remaining", handover.remainingMillis());
+		headers.set("Server", handover.serverId());
+		headers.remove("Organisation");
+		handover.organisation().ifPresent((name) -> headers.set("Organisation", name));
+		handover.resumeAfter().ifPresent((event) -> headers.set("Resume-After", event));
+	}
+
+	@Override
+	public AnswerTerms answer(int status, HttpHeaders headers) {
+		return new AnswerTerms(headers.get("Call", ""), headers.contains("Signature"), headers.contains("Not-Run"));
+	}
+
+	@Override
+	public void handBack(HttpHeaders headers) {
+		headers.remove("Not-Run");
+	}
+
+	// -- rows
+
+	@Override
+	public Place configuration() {
+		return new Place("declared", "traffic");
+	}
+
+	@Override
+	public String servers() {
+		return "servers";
+	}
+
+	@Override
+	public TrafficConfiguration configuration(byte[] value) {
+		String name = new String(value, StandardCharsets.UTF_8);
+		return Optional.ofNullable(this.configurations.get(name))
+			.orElseThrow(() -> new IllegalArgumentException("no configuration: " + name));
+	}
+
+	// A row is "service address state".
+	@Override
+	public BackendServer server(String id, byte[] value) {
+		String[] parts = new String(value, StandardCharsets.UTF_8).split(" ");
+		if (parts.length != 3) {
+			throw new IllegalArgumentException("no registration");
+		}
+		return new BackendServer(id, parts[0], parts[1], "a", 8, parts[2].equals("leaving"), false);
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
@@ -0,0 +1,157 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** A caller that writes bytes and reads what comes. */
+final class RawCaller implements AutoCloseable {
+
+	private static final int READ_MILLIS = 8_000;
+
+	private final Socket socket = new Socket();
+
+	RawCaller(InetSocketAddress gateway) throws IOException {
+		this.socket.setSoTimeout(READ_MILLIS);
+		this.socket.connect(gateway, READ_MILLIS);
+	}
+
+	static String get(String call, String path) {
+		return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nCall: " + call + "\r\nKey: key-1\r\n\r\n";
+	}
+
+	static String post(String call, String path, String body) {
+		return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nCall: " + call + "\r\nKey: key-1\r\nContent-Length: "
+				+ body.length() + "\r\n\r\n" + body;
+	}
+
+	RawCaller send(String bytes) throws IOException {
+		this.socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+		return this;
+	}
+
+	/**
+	 * Reads one answer.
+	 * @return the answer; {@code whole} is false when the connection ended within it
+	 */
+	Answer read() throws IOException {
+		InputStream in = this.socket.getInputStream();
+		StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			int next = in.read();
+			if (next < 0) {
+				return new Answer(head.toString(), "", false);
+			}
+			head.append((char) next);
+		}
+		String lower = head.toString().toLowerCase(Locale.ROOT);
+		if (lower.contains("transfer-encoding: chunked")) {
+			return chunks(head.toString(), in);
+		}
+		int at = lower.indexOf("content-length:");
+		int length = (at < 0) ? 0 : Integer.parseInt(lower.substring(at + 15, lower.indexOf("\r\n", at)).trim());
+		byte[] body = in.readNBytes(length);
+		return new Answer(head.toString(), new String(body, StandardCharsets.UTF_8), body.length == length);
+	}
+
+	private static Answer chunks(String head, InputStream in) throws IOException {
+		StringBuilder body = new StringBuilder();
+		while (true) {
+			String line = line(in);
+			if (line.isEmpty()) {
+				return new Answer(head, body.toString(), false);
+			}
+			int size = Integer.parseInt(line, 16);
+			byte[] chunk = in.readNBytes(size);
+			body.append(new String(chunk, StandardCharsets.UTF_8));
+			if (chunk.length < size) {
+				return new Answer(head, body.toString(), false);
+			}
+			line(in);
+			if (size == 0) {
+				return new Answer(head, body.toString(), true);
+			}
+		}
+	}
+
+	private static String line(InputStream in) throws IOException {
+		StringBuilder line = new StringBuilder();
+		while (true) {
+			int next = readOrEnd(in);
+			if (next < 0 || next == '\n') {
+				return line.toString().trim();
+			}
+			line.append((char) next);
+		}
+	}
+
+	private static int readOrEnd(InputStream in) {
+		try {
+			return in.read();
+		}
+		catch (IOException ex) {
+			return -1;
+		}
+	}
+
+	/**
+	 * Reads until a whole event came.
+	 * @return the bytes so far
+	 */
+	String readSome() throws IOException {
+		StringBuilder bytes = new StringBuilder();
+		while (bytes.indexOf("\n\n") < 0) {
+			int next = this.socket.getInputStream().read();
+			if (next < 0) {
+				throw new IOException("the connection ended after " + bytes);
+			}
+			bytes.append((char) next);
+		}
+		return bytes.toString();
+	}
+
+	/**
+	 * Whether the gateway closed the connection.
+	 * @return true at the end of the connection, false when bytes came
+	 */
+	boolean isClosed() {
+		return readOrEnd(inputOrEnd()) < 0;
+	}
+
+	private InputStream inputOrEnd() {
+		try {
+			return this.socket.getInputStream();
+		}
+		catch (IOException ex) {
+			return InputStream.nullInputStream();
+		}
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.socket.close();
+	}
+
+	/**
+	 * An answer.
+	 *
+	 * @param head the line and the headers
+	 * @param body the body
+	 * @param whole whether it came to its end
+	 */
+	record Answer(String head, String body, boolean whole) {
+
+		int status() {
+			return this.head.isEmpty() ? 0 : Integer.parseInt(this.head.split(" ")[1]);
+		}
+
+		boolean says(String header) {
+			return this.head.toLowerCase(Locale.ROOT).contains(header + ":");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RecordedDuties.java
@@ -0,0 +1,67 @@
+package org.rosemaryfront.gateway;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import reactor.core.publisher.Mono;
+
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.ports.Duties;
+import org.rosemaryfront.ports.StoreException;
+import org.rosemaryfront.ports.StoreException.Reason;
+
+/** Remembers the calls of duties, and can lose their answers. */
+final class RecordedDuties implements Duties {
+
+	private final List<Usage> usages = new CopyOnWriteArrayList<>();
+
+	private final List<Size> sizes = new CopyOnWriteArrayList<>();
+
+	private volatile boolean losingAnswers;
+
+	List<Usage> usages() {
+		return this.usages;
+	}
+
+	List<Size> sizes() {
+		return this.sizes;
+	}
+
+	void losingAnswers(boolean now) {
+		this.losingAnswers = now;
+	}
+
+	@Override
+	public Mono<Void> reportUsage(long fence, long window, Map<String, Long> counts) {
+		return Mono.defer(() -> {
+			this.usages.add(new Usage(fence, window, Map.copyOf(counts)));
+			return answer();
+		});
+	}
+
+	@Override
+	public Mono<Void> resize(long fence, Size order) {
+		return Mono.defer(() -> {
+			this.sizes.add(order);
+			return answer();
+		});
+	}
+
+	private Mono<Void> answer() {
+		return this.losingAnswers
+				? Mono.error(StoreException.of(Reason.UNREACHABLE, Verdict.mayHaveRun(), "the answer is lost"))
+				: Mono.empty();
+	}
+
+	/**
+	 * A report of use.
+	 *
+	 * @param fence the fencing number
+	 * @param window the window
+	 * @param counts the counts
+	 */
+	record Usage(long fence, long window, Map<String, Long> counts) {
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ScriptedServer.java
@@ -0,0 +1,225 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A backend server that does with each request what its script says, down to the bytes
+ * and the way its connection ends.
+ */
+final class ScriptedServer implements AutoCloseable {
+
+	private final ServerSocket listener;
+
+	private final Script script;
+
+	private final List<Request> requests = new CopyOnWriteArrayList<>();
+
+	private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+	private final CountDownLatch left = new CountDownLatch(1);
+
+	private ScriptedServer(ServerSocket listener, Script script) {
+		this.listener = listener;
+		this.script = script;
+	}
+
+	static ScriptedServer start(Script script) {
+		try {
+			ScriptedServer server = new ScriptedServer(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()),
+					script);
+			Thread.ofVirtual().start(server::acceptAll);
+			return server;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	String address() {
+		return "127.0.0.1:" + this.listener.getLocalPort();
+	}
+
+	/**
+	 * The requests that came, whole.
+	 * @return the requests in order
+	 */
+	List<Request> requests() {
+		return this.requests;
+	}
+
+	int connections() {
+		return this.sockets.size();
+	}
+
+	/**
+	 * Waits until the other end closed a connection.
+	 * @return whether it did within five seconds
+	 */
+	boolean awaitLeft() throws InterruptedException {
+		return this.left.await(5, TimeUnit.SECONDS);
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.listener.close();
+			for (Socket socket : this.sockets) {
+				socket.close();
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void acceptAll() {
+		try {
+			while (true) {
+				Socket socket = this.listener.accept();
+				this.sockets.add(socket);
+				Thread.ofVirtual().start(() -> serve(socket));
+			}
+		}
+		catch (IOException ex) {
+			// The test is over.
+		}
+	}
+
+	private void serve(Socket socket) {
+		try (socket) {
+			InputStream in = socket.getInputStream();
+			while (true) {
+				Request request = read(in);
+				if (request == null) {
+					break;
+				}
+				this.requests.add(request);
+				this.script.answer(request, new Exchange(socket));
+				if (socket.isClosed()) {
+					return;
+				}
+			}
+		}
+		catch (IOException ex) {
+			// The other end left, which is what some tests wait for.
+		}
+		finally {
+			this.left.countDown();
+		}
+	}
+
+	private static Request read(InputStream in) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			int next = in.read();
+			if (next < 0) {
+				return null;
+			}
+			head.append((char) next);
+		}
+		Request request = new Request(head.toString(), "");
+		int length = request.header("content-length").isEmpty() ? 0
+				: Integer.parseInt(request.header("content-length"));
+		String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+		return new Request(head.toString(), body);
+	}
+
+	/** What a server does with a request. */
+	interface Script {
+
+		void answer(Request request, Exchange exchange) throws IOException;
+
+	}
+
+	/**
+	 * A request as it came.
+	 *
+	 * @param head the line and the headers
+	 * @param body the body
+	 */
+	record Request(String head, String body) {
+
+		String line() {
+			return this.head.substring(0, this.head.indexOf("\r\n"));
+		}
+
+		String header(String name) {
+			for (String line : this.head.split("\r\n")) {
+				if (line.toLowerCase(Locale.ROOT).startsWith(name + ":")) {
+					return line.substring(name.length() + 1).trim();
+				}
+			}
+			return "";
+		}
+
+		String call() {
+			return header("call");
+		}
+
+	}
+
+	/**
+	 * The connection of a request.
+	 *
+	 * @param socket the socket
+	 */
+	record Exchange(Socket socket) {
+
+		void write(String bytes) throws IOException {
+			OutputStream out = this.socket.getOutputStream();
+			out.write(bytes.getBytes(StandardCharsets.UTF_8));
+			out.flush();
+		}
+
+		/**
+		 * A good answer.
+		 * @param request what it answers
+		 * @param body the body
+		 */
+		void ok(Request request, String body) throws IOException {
+			write("HTTP/1.1 200 OK\r\nCall: " + request.call() + "\r\nSignature: s\r\nContent-Length: " + body.length()
+					+ "\r\n\r\n" + body);
+		}
+
+		void status(Request request, int status, String more) throws IOException {
+			write("HTTP/1.1 " + status + " X\r\nCall: " + request.call() + "\r\n" + more + "Content-Length: 0\r\n\r\n");
+		}
+
+		void reset() throws IOException {
+			this.socket.setSoLinger(true, 0);
+			this.socket.close();
+		}
+
+		void hold() {
+			try {
+				// Reads until the other end leaves.
+				int next = this.socket.getInputStream().read();
+				if (next >= 0) {
+					throw new IllegalStateException("a request on a connection in use");
+				}
+				this.socket.close();
+			}
+			catch (SocketException ex) {
+				// Left by a reset.
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}
+
+	}
+
+}
