Take quotas as used before a start, refuse calls long after the stop signal

QUOTA: nine processes killed at once forgot what a flooding organisation had used and let it have its window again (2.31 of 2.08 million tokens in 8 s). LOST: a stopping process took calls seconds after the signal, since the balancer uses all of a zone's processes when most are out, and the kill cut them off.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.rosemaryfront.routes.Organisation;
@@ -26,13 +27,17 @@
 
 	private final long windowNanos;
 
+	private final long startedNanos;
+
 	private final Map<String, Account> accounts = new HashMap<>();
 
 	/**
 	 * Quotas of which nothing is used.
 	 * @param windowMillis the window, in milliseconds
+	 * @param nowNanos the time
 	 */
-	public QuotaTable(long windowMillis) {
+	public QuotaTable(long windowMillis, long nowNanos) {
+		this.startedNanos = nowNanos;
 		this.windowNanos = TimeUnit.MILLISECONDS.toNanos(windowMillis);
 	}
 
@@ -49,7 +54,7 @@
 		Account account = account(organisation.name());
 		account.expire(nowNanos - this.windowNanos);
 		if (organisation.unitsPerSecond() > 0) {
-			double over = account.sum + units - limit(organisation);
+			double over = account.sum + units - limit(organisation, nowNanos);
 			if (over > 0) {
 				return waitMillis(account, over, nowNanos);
 			}
@@ -79,8 +84,8 @@
 	 */
 	public void usedByOther(String process, String organisation, double total, long nowNanos) {
 		Account account = account(organisation);
-		double before = account.others.getOrDefault(process, 0.0);
-		account.others.put(process, total);
+		// What was used before the first telling was used at an unknown time.
+		double before = Optional.ofNullable(account.others.put(process, total)).orElse(total);
 		if (total >= before) {
 			account.add(total - before, nowNanos);
 		}
@@ -105,8 +110,13 @@
 		return this.accounts.computeIfAbsent(organisation, (_) -> new Account());
 	}
 
-	private double limit(Organisation organisation) {
-		return organisation.unitsPerSecond() * this.windowNanos / 1e9 + organisation.burst();
+	// A process that has just started does not know what was used before: many processes
+	// killed at once would let every organisation use its whole window again. It takes
+	// the
+	// quota as used up to its start.
+	private double limit(Organisation organisation, long nowNanos) {
+		double known = Math.min(1, (nowNanos - this.startedNanos) / (double) this.windowNanos);
+		return known * (organisation.unitsPerSecond() * this.windowNanos / 1e9 + organisation.burst());
 	}
 
 	// When enough of the oldest uses have left the window.
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -81,6 +81,8 @@
 
 	private volatile boolean stopping;
 
+	private volatile boolean accepting = true;
+
 	/** The store's version and the time of the last news of servers. */
 	private long serversVersion;
 
@@ -115,6 +117,11 @@
 		return this.stopping;
 	}
 
+	@Override
+	public boolean accepting() {
+		return this.accepting;
+	}
+
 	@Override
 	public void admit(Call call) {
 		this.loop.post((now) -> admit(call, now));
@@ -328,6 +335,10 @@
 		this.stopping = true;
 	}
 
+	void refuseAll() {
+		this.accepting = false;
+	}
+
 	// -- queries, on the control thread
 
 	long readingTokens() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -142,7 +142,7 @@
 		this.settings = settings;
 		this.platform = platform;
 		this.loops = loops;
-		this.quotas = new QuotaTable(settings.bounds().quotaWindowMillis());
+		this.quotas = new QuotaTable(settings.bounds().quotaWindowMillis(), System.nanoTime());
 		this.usage = new UsageLedger(settings.bounds().usageWindowMillis());
 		this.control = ControlLoop.start("control", TICK, this::tick);
 		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.usage);
@@ -381,6 +381,7 @@
 			if (passedMillis(begun) >= this.settings.bounds().balancerMillis()) {
 				if (!left) {
 					left = true;
+					this.decisions.refuseAll();
 					leave();
 				}
 				this.gateway.closeIdle();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -24,6 +24,12 @@
 	 */
 	boolean stopping();
 
+	/**
+	 * Whether new calls are taken.
+	 * @return false once a stop is so far that a new call may not come to its end
+	 */
+	boolean accepting();
+
 	/**
 	 * A call came in and wants a backend server.
 	 * @param call the call
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -47,6 +47,9 @@
 	/** How long the rest of a request is read behind the last answer, in milliseconds. */
 	private static final long LINGER_MILLIS = 300;
 
+	/** When to come back to another process, in milliseconds. */
+	private static final long STOPPING_MILLIS = 50;
+
 	/** When to come back while no configuration is known, in milliseconds. */
 	private static final long NOT_READY_MILLIS = 300;
 
@@ -141,6 +144,11 @@
 			refuseHead(terms.requestId(), 503, NOT_READY_MILLIS, "no configuration is known");
 			return;
 		}
+		if (!this.gateway.policy().accepting()) {
+			// The balancer still sends callers here when most processes of the zone stop.
+			refuseHead(terms.requestId(), 503, STOPPING_MILLIS, "the process stops");
+			return;
+		}
 		route(head, terms, configuration.get());
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -142,6 +142,7 @@
 			GatewayHarness.await(() -> !server.requests().isEmpty());
 			CompletableFuture<Void> stopped = CompletableFuture.runAsync(gateway::stop);
 			GatewayHarness.await(() -> gateway.readiness() != 200);
+			GatewayHarness.await(() -> status(gateway, "key-1") == 503);
 			go.complete(null);
 			Answer answer = caller.read();
 			assertThat(answer.body()).isEqualTo("late");
@@ -155,6 +156,34 @@
 		}
 	}
 
+	// Most processes of a zone stop at once, and the balancer goes on sending callers to
+	// all of them. A call taken seconds after the signal is cut off by the kill.
+	@Test
+	void shouldTellToComeBackWhenCalledLongAfterStopSignal() throws Exception {
+		GatewayHarness gateway = GatewayHarness.start();
+		CompletableFuture<Void> go = new CompletableFuture<>();
+		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> {
+			go.join();
+			exchange.ok(request, "late");
+		})) {
+			gateway.declare().register("s1", server).ready();
+			RawCaller caller = gateway.caller();
+			caller.send(RawCaller.post("c1", "/visits/", "x"));
+			GatewayHarness.await(() -> !server.requests().isEmpty());
+			CompletableFuture<Void> stopped = CompletableFuture.runAsync(gateway::stop);
+			GatewayHarness.await(() -> status(gateway, "key-1") == 503);
+			Answer refused = gateway.ask(RawCaller.post("c2", "/visits/", "x"));
+			assertThat(refused.says("retry-after")).isTrue();
+			go.complete(null);
+			assertThat(caller.read().status()).isEqualTo(200);
+			stopped.get(10, TimeUnit.SECONDS);
+			assertThat(server.requests()).hasSize(1);
+		}
+		finally {
+			gateway.store.close();
+		}
+	}
+
 	private static int repeats(List<Usage> usages) {
 		return usages.size() - (int) usages.stream().mapToLong(Usage::window).distinct().count();
 	}
