Learn of configuration and servers from another gateway while the store turns this one away

Cause: a machine that the store rejects kept its last configuration and servers, so that a key that was taken away stayed in force there. The test failed without the question to the others (a wait of ten seconds) and passes with it.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -32,6 +32,12 @@
 	/** A table is read as a whole, since its changes are no longer kept. */
 	TABLE_READ_ANEW(2812),
 
+	/** A table came from another gateway, since the store does not answer here. */
+	TABLE_FROM_PEER(2814),
+
+	/** Another gateway did not answer the question for a table. */
+	PEER_CALL_FAILED(2815),
+
 	/** A row of our own could not be written or read; it is tried again. */
 	ROW_CALL_FAILED(2813),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -134,6 +134,15 @@
 
 	private long tickMillis = System.currentTimeMillis();
 
+	private final FollowedTable configurationTable = new FollowedTable();
+
+	private final FollowedTable serversTable = new FollowedTable();
+
+	private final PeerTables peerTables;
+
+	/** Where other gateways serve their tables; written by the control thread. */
+	private volatile List<InetSocketAddress> tableAddresses = List.of();
+
 	private TableWatch configurationWatch;
 
 	private TableWatch serversWatch;
@@ -149,7 +158,10 @@
 		this.traffic = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 		this.gateway = Gateway.open(this.traffic.next(), settings.callers(), platform.calls(), this.decisions,
 				this.metrics);
-		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry());
+		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
+				Map.of(platform.records().configuration().table(), this.configurationTable,
+						platform.records().servers(), this.serversTable));
+		this.peerTables = new PeerTables(loops, () -> this.tableAddresses);
 		this.peers = PeerExchange.open(this.traffic.next(), settings.peers(), settings.name(), this.start,
 				(heard) -> this.control.post((now) -> heard(heard, now)));
 		this.lease = new DutyLease(platform.rows(), settings.name(), this.start, this::onControl);
@@ -180,6 +192,11 @@
 		return Map.of("callers", this.settings.callers().toString(), "metrics", this.settings.metrics().toString());
 	}
 
+	// Itself and the gateways whose tables it may read.
+	int living() {
+		return 1 + this.tableAddresses.size();
+	}
+
 	private boolean isReady() {
 		return this.configured && this.serversKnown && !this.stopping;
 	}
@@ -188,8 +205,10 @@
 
 	private void follow() {
 		this.configurationWatch = TableWatch.start(this.platform.rows(),
-				this.platform.records().configuration().table(), new ConfigurationNews());
-		this.serversWatch = TableWatch.start(this.platform.rows(), this.platform.records().servers(), new ServerNews());
+				this.platform.records().configuration().table(), this.configurationTable, this.peerTables,
+				new ConfigurationNews());
+		this.serversWatch = TableWatch.start(this.platform.rows(), this.platform.records().servers(), this.serversTable,
+				this.peerTables, new ServerNews());
 		announce();
 		this.started = true;
 	}
@@ -328,7 +347,9 @@
 						.setServer(id)
 						.setCalls(use.calls())
 						.setUnreadTokens((int) use.unreadTokens())));
-		report.setReadingTokens(this.decisions.readingTokens()).setLeaving(leaving);
+		report.setReadingTokens(this.decisions.readingTokens())
+			.setLeaving(leaving)
+			.setAdminPort(this.settings.metrics().getPort());
 		this.peers.tell(report);
 	}
 
@@ -351,6 +372,7 @@
 
 	private void duties(long now) {
 		this.peers.silent(now).forEach((gateway) -> this.servers.othersAt(gateway, Map.of()));
+		this.tableAddresses = this.peers.tableAddresses();
 		this.decisions.gateways(this.peers.living());
 		this.lease.gateways(this.peers.living());
 		this.lease.tick(now);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -117,6 +117,7 @@
 		peer.number = report.getNumber();
 		peer.heard = !report.getLeaving();
 		peer.heardNanos = nowNanos;
+		peer.adminPort = report.getAdminPort();
 		return true;
 	}
 
@@ -146,6 +147,18 @@
 		return 1 + (int) this.peers.values().stream().filter((peer) -> peer.heard).count();
 	}
 
+	/**
+	 * Where the gateways that live serve the tables that they follow.
+	 * @return the addresses
+	 */
+	List<InetSocketAddress> tableAddresses() {
+		return this.peers.values()
+			.stream()
+			.filter((peer) -> peer.heard && peer.adminPort > 0)
+			.map((peer) -> new InetSocketAddress(peer.address.getAddress(), peer.adminPort))
+			.toList();
+	}
+
 	@Override
 	public void close() {
 		this.channel.close();
@@ -172,6 +185,8 @@
 
 		private long heardNanos;
 
+		private int adminPort;
+
 	}
 
 	private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -39,13 +39,19 @@
 
 	private final Listener listener;
 
+	private final FollowedTable known;
+
+	private final PeerTables peers;
+
 	private volatile boolean closed;
 
 	private int failures;
 
-	private TableWatch(RowStore store, String table, Listener listener) {
+	private TableWatch(RowStore store, String table, FollowedTable known, PeerTables peers, Listener listener) {
 		this.store = store;
 		this.table = table;
+		this.known = known;
+		this.peers = peers;
 		this.listener = listener;
 	}
 
@@ -53,11 +59,13 @@
 	 * Starts to follow a table.
 	 * @param store the store
 	 * @param table the table
+	 * @param known takes the rows, for other gateways
+	 * @param peers other gateways, asked while the store does not answer
 	 * @param listener told of rows, on any thread, one call at a time
 	 * @return the running watch
 	 */
-	static TableWatch start(RowStore store, String table, Listener listener) {
-		TableWatch watch = new TableWatch(store, table, listener);
+	static TableWatch start(RowStore store, String table, FollowedTable known, PeerTables peers, Listener listener) {
+		TableWatch watch = new TableWatch(store, table, known, peers, listener);
 		watch.readAll("", new ArrayList<>());
 		return watch;
 	}
@@ -76,6 +84,7 @@
 				readAll(page.rows().getLast().key() + '\0', rows);
 			}
 			else {
+				this.known.all(rows, page.version());
 				this.listener.all(rows, page.version());
 				follow(page.version());
 			}
@@ -84,11 +93,12 @@
 
 	private void follow(long since) {
 		run(this.store.changes(this.table, since, WAIT), (page) -> {
+			this.known.changed(page.rows(), page.version());
 			if (!page.rows().isEmpty()) {
 				this.listener.changed(page.rows(), page.version());
 			}
 			follow(Math.max(since, page.version()));
-		}, () -> follow(since));
+		}, () -> follow(Math.max(since, this.known.version())));
 	}
 
 	private void run(Mono<Page> question, Consumer<Page> next, Runnable again) {
@@ -127,11 +137,24 @@
 			EventLog.warn(GatewayEvents.STORE_LOST, "table", this.table, "cause", failure.getMessage());
 			this.listener.lost();
 		}
+		askPeers();
 		long pause = Math.min(BACKOFF_MOST_MILLIS, BACKOFF_MILLIS << Math.min(this.failures, 6));
 		this.failures++;
 		Mono.delay(jittered(pause)).subscribe((_) -> again.run());
 	}
 
+	// The store may turn this gateway away and serve the others.
+	private void askPeers() {
+		this.peers.newer(this.table, this.known.version()).subscribe((newer) -> {
+			List<Row> rows = FollowedTable.rows(newer);
+			EventLog.info(GatewayEvents.TABLE_FROM_PEER, "table", this.table, "version", newer.getVersion(), "before",
+					this.known.version(), "rows", rows.size());
+			this.known.all(rows, newer.getVersion());
+			this.listener.all(rows, newer.getVersion());
+		}, (failure) -> EventLog.info(GatewayEvents.PEER_CALL_FAILED, "table", this.table, "cause",
+				failure.getMessage()));
+	}
+
 	private static Duration jittered(long millis) {
 		return Duration.ofMillis(millis / 2 + ThreadLocalRandom.current().nextLong(millis + 1));
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -11,6 +12,7 @@
 import org.rosemaryfront.gateway.RawCaller.Answer;
 import org.rosemaryfront.gateway.RecordedDuties.Usage;
 import org.rosemaryfront.routes.CallerLimits;
+import org.rosemaryfront.routes.Organisation;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -56,6 +58,27 @@
 		}
 	}
 
+	// The store turns one machine away and serves the others. A key is taken away
+	// meanwhile:
+	// at that machine it would open doors for as long as the store does so, and calls
+	// would
+	// go to servers that left.
+	@Test
+	void shouldLearnFromOtherGatewaysWhenStoreTurnsItAway() throws IOException {
+		try (GatewayHarness other = GatewayHarness.start();
+				GatewayHarness gateway = GatewayHarness.startBeside(other);
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			other.declare().register("s1", server).ready();
+			GatewayHarness.await(() -> status(gateway, "key-1") == 200 && gateway.hears() == 2);
+			gateway.access.deny();
+			other.store.put(GatewayHarness.SERVERS, "s1", "app " + server.address() + " leaving");
+			GatewayHarness.await(() -> status(gateway, "key-1") == 503);
+			other.declare(GatewayHarness.configuration(9, CallerLimits.INITIAL, new Organisation("sfax",
+					List.of("key-9"), OptionalInt.empty(), 0, 0, Organisation.Counts.REQUESTS, 1)));
+			GatewayHarness.await(() -> status(gateway, "key-1") == 401);
+		}
+	}
+
 	// -- servers
 
 	@Test
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/DeniableStore.java
@@ -0,0 +1,56 @@
+package org.rosemaryfront.gateway;
+
+import java.time.Duration;
+
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.StoreException;
+import org.rosemaryfront.ports.StoreException.Reason;
+
+/** A way to a table service that turns one gateway away and serves the others. */
+final class DeniableStore implements RowStore {
+
+	private final RowStore store;
+
+	private final Sinks.One<Void> denied = Sinks.one();
+
+	private volatile boolean denying;
+
+	DeniableStore(RowStore store) {
+		this.store = store;
+	}
+
+	/** Turns the gateway away for good, also what it waits for now. */
+	void deny() {
+		this.denying = true;
+		this.denied.tryEmitError(failure());
+	}
+
+	@Override
+	public Mono<Outcome> commit(Commit commit) {
+		return guarded(this.store.commit(commit));
+	}
+
+	@Override
+	public Mono<Page> read(Range range) {
+		return guarded(this.store.read(range));
+	}
+
+	@Override
+	public Mono<Page> changes(String table, long since, Duration wait) {
+		return guarded(this.store.changes(table, since, wait));
+	}
+
+	private <T> Mono<T> guarded(Mono<T> call) {
+		return Mono.defer(() -> this.denying ? Mono.error(failure())
+				: Mono.firstWithSignal(call, this.denied.asMono().then(Mono.never())));
+	}
+
+	private static StoreException failure() {
+		return StoreException.of(Reason.BUSY, Verdict.notRun(), "turned away");
+	}
+
+}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -30,9 +30,11 @@
 	/** Long enough for a slow machine; a test that passes waits for none of it. */
 	private static final long AWAIT_MILLIS = 10_000;
 
-	final MemoryRowStore store = new MemoryRowStore();
+	final MemoryRowStore store;
 
-	final PlainCodecs codecs = new PlainCodecs();
+	final DeniableStore access;
+
+	final PlainCodecs codecs;
 
 	final RecordedDuties duties = new RecordedDuties();
 
@@ -40,20 +42,32 @@
 
 	private final GatewayProcess process;
 
-	private GatewayHarness(String name, long usageWindowMillis) {
+	private GatewayHarness(String name, long usageWindowMillis, MemoryRowStore store, PlainCodecs codecs) {
+		this.store = store;
+		this.access = new DeniableStore(store);
+		this.codecs = codecs;
 		this.settings = new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), freeDatagram(),
 				new GatewaySettings.Bounds(4_000, 100, 0.2, 64, 10_000, 8_000, usageWindowMillis, 3_000));
 		this.process = GatewayProcess.start(this.settings,
-				new Platform(this.codecs, this.store, this.codecs, this.duties),
+				new Platform(this.codecs, this.access, this.codecs, this.duties),
 				LoopResources.create("test", 1, 1, true));
 	}
 
 	static GatewayHarness start() {
-		return new GatewayHarness("gateway-1", 5_000);
+		return new GatewayHarness("gateway-1", 5_000, new MemoryRowStore(), new PlainCodecs());
 	}
 
 	static GatewayHarness startWithUsageWindow(long millis) {
-		return new GatewayHarness("gateway-1", millis);
+		return new GatewayHarness("gateway-1", millis, new MemoryRowStore(), new PlainCodecs());
+	}
+
+	/**
+	 * Starts a second gateway before the same store.
+	 * @param other the first one
+	 * @return the second
+	 */
+	static GatewayHarness startBeside(GatewayHarness other) {
+		return new GatewayHarness("gateway-2", 5_000, other.store, other.codecs);
 	}
 
 	// -- what is declared
@@ -136,6 +150,14 @@
 		}
 	}
 
+	/**
+	 * The gateways that this one knows to live.
+	 * @return the count, itself included
+	 */
+	int hears() {
+		return this.process.living();
+	}
+
 	void stop() {
 		this.process.close();
 	}
