--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
@@ -56,11 +56,17 @@
 	 */
 	private static final double LASTING_SHARE = 0.65;
 
+	/**
+	 * The lasting servers of the smallest service: with none, a wave through all zones
+	 * left nobody to serve models for 16 s of a day, and no order could be carried out.
+	 */
+	private static final int LASTING_LEAST = 1;
+
 	/**
 	 * The part of the need, in servers, that is never on lasting VMs: rounding to whole
 	 * servers in each zone gives a small pool about that much more than it needs.
 	 */
-	private static final double LOSABLE = 2.6;
+	private static final double LOSABLE = 1.5;
 
 	private final Deque<Need> recent = new ArrayDeque<>();
 
@@ -83,7 +89,7 @@
 		double generating = demand.running() / (slots * SLOT_SHARE);
 		double now = Math.max(reading, generating);
 		double need = Math.max(first(demand, nowNanos), peak(now, nowNanos));
-		int lasting = (int) Math.round(Math.max(0, need - LOSABLE) * LASTING_SHARE);
+		int lasting = Math.max(LASTING_LEAST, (int) Math.round((need - LOSABLE) * LASTING_SHARE));
 		int remaining = Math.max(1, zones.size() - 1);
 		int each = (int) Math.ceil((need - lasting) / remaining);
 		Map<String, ZoneSize> sizes = new LinkedHashMap<>();
@@ -98,7 +104,7 @@
 	// Nothing is known yet of what is to come: whoever set the first size knew more.
 	private double first(Demand demand, long nowNanos) {
 		if (this.firstNeed.isEmpty()) {
-			this.firstNeed = OptionalDouble.of(demand.present() * FIRST_SHARE);
+			this.firstNeed = OptionalDouble.of(demand.lasting() * FIRST_SHARE);
 			this.firstUntilNanos = nowNanos + FIRST_NANOS;
 		}
 		return (nowNanos - this.firstUntilNanos < 0) ? this.firstNeed.getAsDouble() : 0;
@@ -131,8 +137,9 @@
 	 * those found in caches
 	 * @param running the calls running
 	 * @param present its servers
+	 * @param lasting those of them that cannot be reclaimed
 	 */
-	public record Demand(double tokensPerSecond, int running, int present) {
+	public record Demand(double tokensPerSecond, int running, int present, int lasting) {
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -48,20 +48,21 @@
 	 * @param organisation the organisation
 	 * @param units the units that the call counts
 	 * @param nowNanos the time
-	 * @return the time until the units are there, in milliseconds; 0 when they were taken
+	 * @return whether they were taken, with what decided it
 	 */
-	public long take(Organisation organisation, double units, long nowNanos) {
+	public Taking take(Organisation organisation, double units, long nowNanos) {
 		Account account = account(organisation.name());
 		account.expire(nowNanos - this.windowNanos);
 		if (organisation.unitsPerSecond() > 0) {
-			double over = account.sum + units - limit(organisation, nowNanos);
+			double limit = limit(organisation, nowNanos);
+			double over = account.sum + units - limit;
 			if (over > 0) {
-				return waitMillis(account, over, nowNanos);
+				return new Taking(waitMillis(account, over, nowNanos), account.sum, limit);
 			}
 		}
 		account.add(units, nowNanos);
 		account.own += units;
-		return 0;
+		return new Taking(0, account.sum, limit(organisation, nowNanos));
 	}
 
 	/**
@@ -132,6 +133,17 @@
 		return TimeUnit.NANOSECONDS.toMillis(this.windowNanos);
 	}
 
+	/**
+	 * What came of a wish for units.
+	 *
+	 * @param waitMillis the time until the units are there, in milliseconds; 0 when they
+	 * were taken
+	 * @param used the units used within the window, by all processes
+	 * @param limit the units that the window allows
+	 */
+	public record Taking(long waitMillis, double used, double limit) {
+	}
+
 	/** What an organisation used within the window. */
 	private static final class Account {
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -21,6 +22,7 @@
 import org.rosemaryfront.ports.CallTerms.Prompt;
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.quota.QuotaTable;
+import org.rosemaryfront.quota.QuotaTable.Taking;
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.ServiceSpec;
 import org.rosemaryfront.routes.TrafficConfiguration;
@@ -173,10 +175,12 @@
 		if (call.organisation().isPresent()) {
 			Organisation organisation = call.organisation().get();
 			double units = units(call, organisation);
-			long wait = this.quotas.take(current(organisation), units, now);
+			Taking taking = this.quotas.take(current(organisation), units, now);
+			long wait = taking.waitMillis();
 			if (wait > 0) {
 				call.refuse(429, wait + ThreadLocalRandom.current().nextLong(wait / 2 + 1),
-						"quota of " + organisation.name());
+						String.format(Locale.ROOT, "quota of %s: %.0f of %.0f units used, %.0f asked",
+								organisation.name(), taking.used(), taking.limit(), units));
 				return;
 			}
 			decided.units = units;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -33,7 +33,10 @@
 	private static final long SHOW_NANOS = TimeUnit.SECONDS.toNanos(4);
 
 	/** How long the servers of a service may take to register themselves at the start. */
-	private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(2);
+	private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+	/** The reclaimable servers of a zone that are ordered before a plan can be made. */
+	private static final int FIRST_RECLAIMABLE = 2;
 
 	/** The pause behind an order that failed, in nanoseconds. */
 	private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -91,6 +94,9 @@
 			if (service.scaling().isPresent() && isSettled(service.name(), now)) {
 				plan(fence, service, now);
 			}
+			else if (service.scaling().isPresent()) {
+				this.zones.forEach((zone) -> begin(fence, service, zone, now));
+			}
 		}
 	}
 
@@ -108,7 +114,8 @@
 		List<String> cheapestFirst = this.zones.stream()
 			.sorted(Comparator.comparingDouble((zone) -> prices.getOrDefault(zone, 1.0)))
 			.toList();
-		Demand demand = new Demand(this.tokensPerSecond, this.servers.callsOf(service.name()), present(service.name()));
+		Demand demand = new Demand(this.tokensPerSecond, this.servers.callsOf(service.name()), present(service.name()),
+				onDemand(service.name()));
 		SizePlan.Plan plan = this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
 			.plan(service, cheapestFirst, demand, now);
 		int shortOf = Math.max(0, (int) Math.ceil(plan.need()) - demand.present());
@@ -123,6 +130,10 @@
 		});
 	}
 
+	private int onDemand(String service) {
+		return this.zones.stream().mapToInt((zone) -> count(service, zone, false)).sum();
+	}
+
 	private int present(String service) {
 		return (int) this.servers.servers()
 			.stream()
@@ -162,6 +173,16 @@
 		order.atNanos = order.atNanos - TimeUnit.MINUTES.toNanos(1);
 	}
 
+	// Some reclaimable servers are needed whatever the plan says: they boot while the
+	// servers that run register themselves, and take over from them seconds earlier.
+	private void begin(long fence, ServiceSpec service, String zone, long now) {
+		ServiceSpec.ScalingSpec bounds = service.scaling().orElseThrow();
+		if (count(service.name(), zone, true) == 0) {
+			int servers = Math.clamp(FIRST_RECLAIMABLE, bounds.min(), bounds.max());
+			order(fence, service, new Size(service.name(), zone, servers, true), 0, now);
+		}
+	}
+
 	private boolean refused(String service, String zone) {
 		Order order = this.orders.get(new Sort(service, zone, true));
 		return order != null && order.refused;
