Give the duties up when a newer holder acted or the VM stood still

A suspended VM's monotonic clock does not count the time, so that its lease looked valid; a refusal for a higher fencing number was taken for a failure and repeated with the same number. Both give the lease up now; the test failed first with the same number twice.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -98,6 +98,11 @@
 		this.machine.processes(count);
 	}
 
+	/**
+	 * Gives up the lease, since a newer holder acted or this VM stood still for a time
+	 * that its monotonic clock did not count; it may be taken again under a higher
+	 * number.
+	 */
 	void fenced() {
 		this.machine.fenceSeen(this.machine.fence() + 1);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -70,6 +70,11 @@
 	/** A pause of the process beyond this is logged, in milliseconds. */
 	private static final long PAUSE_MILLIS = 700;
 
+	/**
+	 * The time of day went on so much longer than the monotonic clock, in milliseconds.
+	 */
+	private static final long SUSPENDED_MILLIS = 500;
+
 	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
 	private static final String GATEWAYS_TABLE = "gateways";
@@ -165,8 +170,10 @@
 		this.peers = PeerExchange.open(this.traffic.next(), settings.peers(), settings.name(), this.start,
 				(heard) -> this.control.post((now) -> heard(heard, now)));
 		this.lease = new DutyLease(platform.rows(), settings.name(), this.start, this::onControl);
-		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl);
-		this.sizeDuty = new SizeDuty(this.servers, platform.duties(), settings.zones(), this::onControl);
+		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl,
+				this.lease::fenced);
+		this.sizeDuty = new SizeDuty(this.servers, platform.duties(), settings.zones(), this::onControl,
+				this.lease::fenced);
 		this.metrics.gauge("log.dropped", EventLog::dropped);
 	}
 
@@ -332,6 +339,12 @@
 			EventLog.warn(GatewayEvents.PAUSED, "millis", passed, "monotonicMillis",
 					(now - this.tickNanos) / NANOS_PER_MILLI);
 		}
+		// A suspended VM: another process holds the lease by now, which the monotonic
+		// clock
+		// does not show.
+		if (epochMillis - this.tickMillis - (now - this.tickNanos) / NANOS_PER_MILLI > SUSPENDED_MILLIS) {
+			this.lease.fenced();
+		}
 		this.tickNanos = now;
 		this.tickMillis = epochMillis;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -49,6 +49,8 @@
 
 	private final Consumer<Runnable> control;
 
+	private final Runnable fenced;
+
 	private final Map<String, SizePlan> plans = new HashMap<>();
 
 	/** The last order by service, zone and sort. */
@@ -64,7 +66,8 @@
 
 	private double tokensPerSecond;
 
-	SizeDuty(BackendTable servers, Duties duties, List<String> zones, Consumer<Runnable> control) {
+	SizeDuty(BackendTable servers, Duties duties, List<String> zones, Consumer<Runnable> control, Runnable fenced) {
+		this.fenced = fenced;
 		this.servers = servers;
 		this.duties = duties;
 		this.zones = zones;
@@ -167,6 +170,9 @@
 		EventLog.info(GatewayEvents.SIZE_NOT_ORDERED, "service", order.size.service(), "zone", order.size.zone(),
 				"servers", order.size.servers(), "reclaimable", order.size.reclaimable(), "cause",
 				failure.getMessage());
+		if (failure instanceof StoreException ex && ex.reason() == StoreException.Reason.FENCED) {
+			this.fenced.run();
+		}
 		order.refused = failure instanceof StoreException ex && ex.reason() == StoreException.Reason.NONE_AVAILABLE;
 		order.notBeforeNanos = System.nanoTime() + RETRY_NANOS;
 		// Whatever it was: it is ordered again at the next look.
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -68,6 +68,8 @@
 
 	private final Consumer<Runnable> control;
 
+	private final Runnable fenced;
+
 	/** Own windows whose rows are not known to be written, with their row's value. */
 	private final Map<String, byte[]> unwritten = new TreeMap<>();
 
@@ -83,7 +85,8 @@
 
 	private long notBeforeMillis;
 
-	UsageDuty(RowStore store, Duties duties, GatewaySettings settings, Consumer<Runnable> control) {
+	UsageDuty(RowStore store, Duties duties, GatewaySettings settings, Consumer<Runnable> control, Runnable fenced) {
+		this.fenced = fenced;
 		this.store = store;
 		this.duties = duties;
 		this.self = settings.name();
@@ -222,6 +225,9 @@
 			this.reported.add(window);
 		}
 		else {
+			if (failure instanceof StoreException ex && ex.reason() == StoreException.Reason.FENCED) {
+				this.fenced.run();
+			}
 			EventLog.info(GatewayEvents.USAGE_NOT_REPORTED, "window", window, "cause", failure.getMessage());
 		}
 		again(RETRY_MILLIS);
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -129,6 +129,19 @@
 		}
 	}
 
+	// This process stood still while another one held the duties and acted. It goes on
+	// with
+	// its old number and is refused, again and again, and its windows are never reported.
+	@Test
+	void shouldTakeDutiesAnewWhenANewerHolderActed() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.startWithUsageWindow(1_000)) {
+			gateway.duties.fencedBelow(4);
+			gateway.declare().ready();
+			GatewayHarness.await(() -> gateway.duties.usages().stream().anyMatch((usage) -> usage.fence() >= 4));
+			assertThat(gateway.duties.usages().stream().filter((usage) -> usage.fence() == 1)).hasSize(1);
+		}
+	}
+
 	@Test
 	void shouldReportAllCallsThatRan() throws IOException {
 		try (GatewayHarness gateway = GatewayHarness.startWithUsageWindow(1_000);
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RecordedDuties.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RecordedDuties.java
@@ -20,6 +20,8 @@
 
 	private volatile boolean losingAnswers;
 
+	private volatile long fencedBelow;
+
 	List<Usage> usages() {
 		return this.usages;
 	}
@@ -28,6 +30,10 @@
 		return this.sizes;
 	}
 
+	void fencedBelow(long fence) {
+		this.fencedBelow = fence;
+	}
+
 	void losingAnswers(boolean now) {
 		this.losingAnswers = now;
 	}
@@ -36,7 +42,9 @@
 	public Mono<Void> reportUsage(long fence, long window, Map<String, Long> counts) {
 		return Mono.defer(() -> {
 			this.usages.add(new Usage(fence, window, Map.copyOf(counts)));
-			return answer();
+			return (fence < this.fencedBelow)
+					? Mono.error(StoreException.of(Reason.FENCED, Verdict.notRun(), "a higher fence was seen"))
+					: answer();
 		});
 	}
 
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -0,0 +1,82 @@
+package org.rosemaryfront.gateway;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.ports.Duties.Size;
+import org.rosemaryfront.routes.CallerLimits;
+import org.rosemaryfront.routes.ServiceSpec;
+import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
+import org.rosemaryfront.routes.ServiceSpec.ScalingSpec;
+import org.rosemaryfront.routes.TrafficConfiguration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SizeDutyTests {
+
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private static final TrafficConfiguration CONFIGURATION = TrafficConfiguration.of(1, List.of(),
+			List.of(new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000)),
+					Optional.of(new ScalingSpec(1, 4, 4_000, 0.2, Map.of("a", 0.8, "b", 1.0))))),
+			List.of(), CallerLimits.INITIAL);
+
+	private final BackendTable servers = new BackendTable();
+
+	private final RecordedDuties duties = new RecordedDuties();
+
+	private final SizeDuty duty = new SizeDuty(this.servers, this.duties, List.of("a", "b"), Runnable::run, () -> {
+	});
+
+	@Test
+	void shouldOrderReclaimableServersAtOnce() {
+		act(0);
+		assertThat(this.duties.sizes()).containsExactly(new Size("llm", "a", 2, true), new Size("llm", "b", 2, true));
+	}
+
+	// The servers that run were given back before those that replace them served: for the
+	// time of a boot there was nobody.
+	@Test
+	void shouldKeepServersThatRunUntilOthersServe() {
+		registerLasting();
+		act(0);
+		act(2);
+		assertThat(this.duties.sizes()).allMatch(Size::reclaimable);
+		register("r1", "a", true);
+		register("r2", "b", true);
+		register("r3", "a", true);
+		register("r4", "b", true);
+		act(4);
+		assertThat(this.duties.sizes()).contains(new Size("llm", "b", 0, false));
+	}
+
+	@Test
+	void shouldNotRepeatOrderThatIsUnderWay() {
+		act(0);
+		act(1);
+		act(2);
+		assertThat(this.duties.sizes()).hasSize(2);
+	}
+
+	private void registerLasting() {
+		for (String zone : List.of("a", "b")) {
+			register(zone + "1", zone, false);
+			register(zone + "2", zone, false);
+		}
+	}
+
+	private void register(String id, String zone, boolean reclaimable) {
+		this.servers.registered(new BackendServer(id, "llm", "127.0.0.1:1", zone, 64, false, reclaimable), 0);
+	}
+
+	private void act(int second) {
+		this.duty.act(1, CONFIGURATION, 0, second * SECOND);
+	}
+
+}
