--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -19,12 +18,8 @@
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
-import org.rosemaryfront.dispatch.BackendUse;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
-import org.rosemaryfront.gateway.proto.GatewayReport;
-import org.rosemaryfront.gateway.proto.OrganisationUse;
-import org.rosemaryfront.gateway.proto.ServerUse;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.ports.Duties;
 import org.rosemaryfront.ports.RecordCodec;
@@ -113,19 +108,12 @@
 
 	private final SizeDuty sizeDuty;
 
-	private final Map<String, Long> othersReading = new HashMap<>();
+	private final GatewayReports reports;
 
-	private long othersReadingTotal;
-
-	private volatile boolean configured;
-
-	private volatile boolean serversKnown;
+	private final PlatformNews news;
 
 	private volatile boolean stopping;
 
-	/** Until then an ended registration may only have lapsed while the store was away. */
-	private Optional<Long> lapsedUntilNanos = Optional.empty();
-
 	/** Whether all parts are there, so that the control thread may use them. */
 	private volatile boolean started;
 
@@ -167,8 +155,10 @@
 				Map.of(platform.records().configuration().table(), this.configurationTable,
 						platform.records().servers(), this.serversTable));
 		this.peerTables = new PeerTables(loops, () -> this.tableAddresses);
-		this.peers = PeerExchange.open(this.traffic.next(), settings.peers(), settings.name(), this.start,
-				(heard) -> this.control.post((now) -> heard(heard, now)));
+		this.peers = PeerExchange.open(this.traffic.next(), settings.peers(), settings.name(), this.start, this::heard);
+		this.reports = new GatewayReports(this.peers, this.servers, this.quotas, this.decisions,
+				settings.metrics().getPort());
+		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions);
 		this.lease = new DutyLease(platform.rows(), settings.name(), this.start, this::onControl);
 		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl,
 				this.lease::fenced);
@@ -205,7 +195,7 @@
 	}
 
 	private boolean isReady() {
-		return this.configured && this.serversKnown && !this.stopping;
+		return this.news.isComplete() && !this.stopping;
 	}
 
 	// -- news of the platform
@@ -213,9 +203,9 @@
 	private void follow() {
 		this.configurationWatch = TableWatch.start(this.platform.rows(),
 				this.platform.records().configuration().table(), this.configurationTable, this.peerTables,
-				new ConfigurationNews());
+				this.news.configuration());
 		this.serversWatch = TableWatch.start(this.platform.rows(), this.platform.records().servers(), this.serversTable,
-				this.peerTables, new ServerNews());
+				this.peerTables, this.news.servers());
 		announce();
 		this.started = true;
 	}
@@ -247,66 +237,18 @@
 		}
 	}
 
-	private void configurationRow(Row row) {
-		if (!row.key().equals(this.platform.records().configuration().key()) || row.value().isEmpty()) {
-			return;
-		}
-		try {
-			TrafficConfiguration read = this.platform.records().configuration(row.value().get());
-			onControl(() -> {
-				this.decisions.configuration(read);
-				this.configured = true;
-			});
-		}
-		catch (IllegalArgumentException ex) {
-			EventLog.error(GatewayEvents.CONFIGURATION_REJECTED, "rowVersion", row.version(), "cause", ex.getMessage());
-		}
-	}
-
-	private void serverRow(Row row, long now) {
-		if (row.value().isEmpty()) {
-			lapsed(row.key(), now);
-			return;
-		}
-		try {
-			BackendServer server = this.platform.records().server(row.key(), row.value().get());
-			if (this.servers.registered(server, now)) {
-				EventLog.info(GatewayEvents.SERVER_REGISTERED, "server", server.id(), "service", server.service(),
-						"address", server.address(), "zone", server.zone(), "leaving", server.leaving(), "reclaimable",
-						server.reclaimable(), "rowVersion", row.version());
-			}
-		}
-		catch (IllegalArgumentException ex) {
-			EventLog.warn(GatewayEvents.SERVER_UNREADABLE, "server", row.key(), "cause", ex.getMessage());
-		}
-	}
-
-	// Registrations lapse while the store is away, also those of servers that live.
-	private void lapsed(String id, long now) {
-		long dropAt = this.lapsedUntilNanos.filter((until) -> until - now > 0).orElse(now);
-		EventLog.info(GatewayEvents.SERVER_LAPSED, "server", id, "dropInMillis", (dropAt - now) / NANOS_PER_MILLI);
-		this.servers.lapsed(id, dropAt);
-	}
-
-	private void serversAll(List<Row> rows, long version, long now) {
-		Set<String> present = new HashSet<>();
-		rows.forEach((row) -> present.add(row.key()));
-		this.servers.servers()
-			.stream()
-			.map(BackendServer::id)
-			.filter((id) -> !present.contains(id))
-			.forEach((id) -> lapsed(id, now));
-		rows.forEach((row) -> serverRow(row, now));
-		this.decisions.serversSeen(version, now);
-		this.serversKnown = true;
-	}
-
 	// -- the control thread
 
 	private void onControl(Runnable task) {
 		this.control.post((_) -> task.run());
 	}
 
+	private void heard(PeerExchange.Heard heard) {
+		if (this.started) {
+			this.control.post((now) -> this.reports.heard(heard, now));
+		}
+	}
+
 	private void tick(long now) {
 		if (!this.started) {
 			return;
@@ -324,7 +266,7 @@
 		}
 		if (now - this.nextTellNanos >= 0) {
 			this.nextTellNanos = now + TELL_NANOS;
-			tell(false);
+			this.reports.tell(false);
 		}
 		if (now - this.nextDutiesNanos >= 0) {
 			this.nextDutiesNanos = now + DUTIES_NANOS;
@@ -349,40 +291,6 @@
 		this.tickMillis = epochMillis;
 	}
 
-	private void tell(boolean leaving) {
-		GatewayReport.Builder report = GatewayReport.newBuilder();
-		this.quotas.used()
-			.forEach((name, units) -> report
-				.addOrganisations(OrganisationUse.newBuilder().setOrganisation(name).setUnits(units)));
-		this.servers.ownUse()
-			.forEach((id,
-					use) -> report.addServers(ServerUse.newBuilder()
-						.setServer(id)
-						.setCalls(use.calls())
-						.setUnreadTokens((int) use.unreadTokens())));
-		report.setReadingTokens(this.decisions.readingTokens())
-			.setLeaving(leaving)
-			.setAdminPort(this.settings.metrics().getPort());
-		this.peers.tell(report);
-	}
-
-	private void heard(PeerExchange.Heard heard, long now) {
-		if (!this.peers.accept(heard, now)) {
-			return;
-		}
-		GatewayReport report = heard.report();
-		String process = report.getGateway() + '/' + report.getStart();
-		report.getOrganisationsList()
-			.forEach((use) -> this.quotas.usedByOther(process, use.getOrganisation(), use.getUnits(), now));
-		Map<String, BackendUse> uses = new HashMap<>();
-		report.getServersList()
-			.forEach((use) -> uses.put(use.getServer(), new BackendUse(use.getCalls(), use.getUnreadTokens())));
-		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses);
-		long before = this.othersReading.getOrDefault(process, report.getReadingTokens());
-		this.othersReadingTotal += Math.max(0, report.getReadingTokens() - before);
-		this.othersReading.put(process, report.getReadingTokens());
-	}
-
 	private void duties(long now) {
 		this.peers.silent(now).forEach((gateway) -> this.servers.othersAt(gateway, Map.of()));
 		this.tableAddresses = this.peers.tableAddresses();
@@ -393,12 +301,11 @@
 		this.usageDuty.closed(this.usage.close(epochMillis), this.start);
 		this.usageDuty.tick(epochMillis);
 		Optional<TrafficConfiguration> known = this.decisions.configuration();
-		if (known.isPresent() && this.serversKnown && this.lease.mayAct(now) && !this.stopping) {
+		if (known.isPresent() && this.news.isComplete() && this.lease.mayAct(now) && !this.stopping) {
 			Set<String> organisations = new HashSet<>();
 			known.get().organisations().stream().map(Organisation::name).forEach(organisations::add);
 			this.usageDuty.act(this.lease.fence(), epochMillis, organisations);
-			this.sizeDuty.act(this.lease.fence(), known.get(),
-					this.decisions.readingTokens() + (double) this.othersReadingTotal, now);
+			this.sizeDuty.act(this.lease.fence(), known.get(), this.reports.readingTokens(), now);
 		}
 	}
 
@@ -441,7 +348,7 @@
 		this.control.post((now) -> {
 			this.lease.release(now);
 			this.usageDuty.closed(this.usage.closeAll(), this.start);
-			tell(true);
+			this.reports.tell(true);
 		});
 	}
 
@@ -469,58 +376,4 @@
 	public record Platform(CallCodec calls, RowStore rows, RecordCodec records, Duties duties) {
 	}
 
-	/** Takes news of the configuration. */
-	private final class ConfigurationNews implements TableWatch.Listener {
-
-		@Override
-		public void all(List<Row> rows, long version) {
-			changed(rows, version);
-		}
-
-		@Override
-		public void changed(List<Row> rows, long version) {
-			rows.forEach(GatewayProcess.this::configurationRow);
-		}
-
-		@Override
-		public void lost() {
-			// The configuration known stays in force.
-		}
-
-		@Override
-		public void regained() {
-			// What changed meanwhile follows as changes.
-		}
-
-	}
-
-	/** Takes news of backend servers. */
-	private final class ServerNews implements TableWatch.Listener {
-
-		@Override
-		public void all(List<Row> rows, long version) {
-			GatewayProcess.this.control.post((now) -> serversAll(rows, version, now));
-		}
-
-		@Override
-		public void changed(List<Row> rows, long version) {
-			GatewayProcess.this.control.post((now) -> {
-				rows.forEach((row) -> serverRow(row, now));
-				GatewayProcess.this.decisions.serversSeen(version, now);
-			});
-		}
-
-		@Override
-		public void lost() {
-			// The servers known stay; calls find out which are gone.
-		}
-
-		@Override
-		public void regained() {
-			GatewayProcess.this.control
-				.post((now) -> GatewayProcess.this.lapsedUntilNanos = Optional.of(now + BackendTable.LAPSED_NANOS));
-		}
-
-	}
-
 }
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -0,0 +1,96 @@
+package org.rosemaryfront.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.dispatch.BackendUse;
+import org.rosemaryfront.gateway.proto.GatewayReport;
+import org.rosemaryfront.gateway.proto.OrganisationUse;
+import org.rosemaryfront.gateway.proto.ServerUse;
+import org.rosemaryfront.quota.QuotaTable;
+
+/**
+ * What gateways tell one another of their use of quotas and servers. Used on the control
+ * thread.
+ */
+final class GatewayReports {
+
+	private final PeerExchange peers;
+
+	private final BackendTable servers;
+
+	private final QuotaTable quotas;
+
+	private final GatewayControl decisions;
+
+	private final int adminPort;
+
+	/** The prompt tokens that each start of another gateway last told. */
+	private final Map<String, Long> othersReading = new HashMap<>();
+
+	private long othersReadingTotal;
+
+	GatewayReports(PeerExchange peers, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
+			int adminPort) {
+		this.peers = peers;
+		this.servers = servers;
+		this.quotas = quotas;
+		this.decisions = decisions;
+		this.adminPort = adminPort;
+	}
+
+	/**
+	 * Tells the other gateways.
+	 * @param leaving whether this gateway will not be heard again
+	 */
+	void tell(boolean leaving) {
+		GatewayReport.Builder report = GatewayReport.newBuilder();
+		this.quotas.used()
+			.forEach((name, units) -> report
+				.addOrganisations(OrganisationUse.newBuilder().setOrganisation(name).setUnits(units)));
+		this.servers.ownUse()
+			.forEach((id,
+					use) -> report.addServers(ServerUse.newBuilder()
+						.setServer(id)
+						.setCalls(use.calls())
+						.setUnreadTokens((int) use.unreadTokens())));
+		report.setReadingTokens(this.decisions.readingTokens()).setLeaving(leaving).setAdminPort(this.adminPort);
+		this.peers.tell(report);
+	}
+
+	/**
+	 * Takes the report of another gateway.
+	 * @param heard the report
+	 * @param now the time
+	 */
+	void heard(PeerExchange.Heard heard, long now) {
+		if (!this.peers.accept(heard, now)) {
+			return;
+		}
+		GatewayReport report = heard.report();
+		String process = report.getGateway() + '/' + report.getStart();
+		report.getOrganisationsList()
+			.forEach((use) -> this.quotas.usedByOther(process, use.getOrganisation(), use.getUnits(), now));
+		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
+		long before = this.othersReading.getOrDefault(process, report.getReadingTokens());
+		this.othersReadingTotal += Math.max(0, report.getReadingTokens() - before);
+		this.othersReading.put(process, report.getReadingTokens());
+	}
+
+	/**
+	 * The prompt tokens that all gateways made servers read since this one started.
+	 * @return the tokens
+	 */
+	double readingTokens() {
+		return this.decisions.readingTokens() + (double) this.othersReadingTotal;
+	}
+
+	private static Map<String, BackendUse> uses(GatewayReport report) {
+		Map<String, BackendUse> uses = new HashMap<>();
+		report.getServersList()
+			.forEach((use) -> uses.put(use.getServer(), new BackendUse(use.getCalls(), use.getUnreadTokens())));
+		return uses;
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -0,0 +1,171 @@
+package org.rosemaryfront.gateway;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.ports.RecordCodec;
+import org.rosemaryfront.ports.RowStore.Row;
+import org.rosemaryfront.program.ControlLoop;
+import org.rosemaryfront.routes.TrafficConfiguration;
+
+/**
+ * Turns rows of the platform into what this gateway believes of the configuration and of
+ * the backend servers.
+ */
+final class PlatformNews {
+
+	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+	private final RecordCodec records;
+
+	private final ControlLoop control;
+
+	private final BackendTable servers;
+
+	private final GatewayControl decisions;
+
+	private volatile boolean configured;
+
+	private volatile boolean serversKnown;
+
+	/** Until then an ended registration may only have lapsed while the store was away. */
+	private Optional<Long> lapsedUntilNanos = Optional.empty();
+
+	PlatformNews(RecordCodec records, ControlLoop control, BackendTable servers, GatewayControl decisions) {
+		this.records = records;
+		this.control = control;
+		this.servers = servers;
+		this.decisions = decisions;
+	}
+
+	/**
+	 * Whether a configuration and the servers are known.
+	 * @return true from then on
+	 */
+	boolean isComplete() {
+		return this.configured && this.serversKnown;
+	}
+
+	TableWatch.Listener configuration() {
+		return new ConfigurationNews();
+	}
+
+	TableWatch.Listener servers() {
+		return new ServerNews();
+	}
+
+	private void configurationRow(Row row) {
+		if (!row.key().equals(this.records.configuration().key()) || row.value().isEmpty()) {
+			return;
+		}
+		try {
+			TrafficConfiguration read = this.records.configuration(row.value().get());
+			this.control.post((_) -> {
+				this.decisions.configuration(read);
+				this.configured = true;
+			});
+		}
+		catch (IllegalArgumentException ex) {
+			EventLog.error(GatewayEvents.CONFIGURATION_REJECTED, "rowVersion", row.version(), "cause", ex.getMessage());
+		}
+	}
+
+	private void serverRow(Row row, long now) {
+		if (row.value().isEmpty()) {
+			lapsed(row.key(), now);
+			return;
+		}
+		try {
+			BackendServer server = this.records.server(row.key(), row.value().get());
+			if (this.servers.registered(server, now)) {
+				EventLog.info(GatewayEvents.SERVER_REGISTERED, "server", server.id(), "service", server.service(),
+						"address", server.address(), "zone", server.zone(), "leaving", server.leaving(), "reclaimable",
+						server.reclaimable(), "rowVersion", row.version());
+			}
+		}
+		catch (IllegalArgumentException ex) {
+			EventLog.warn(GatewayEvents.SERVER_UNREADABLE, "server", row.key(), "cause", ex.getMessage());
+		}
+	}
+
+	// Registrations lapse while the store is away, also those of servers that live.
+	private void lapsed(String id, long now) {
+		long dropAt = this.lapsedUntilNanos.filter((until) -> until - now > 0).orElse(now);
+		EventLog.info(GatewayEvents.SERVER_LAPSED, "server", id, "dropInMillis", (dropAt - now) / NANOS_PER_MILLI);
+		this.servers.lapsed(id, dropAt);
+	}
+
+	private void serversAll(List<Row> rows, long version, long now) {
+		Set<String> present = new HashSet<>();
+		rows.forEach((row) -> present.add(row.key()));
+		this.servers.servers()
+			.stream()
+			.map(BackendServer::id)
+			.filter((id) -> !present.contains(id))
+			.forEach((id) -> lapsed(id, now));
+		rows.forEach((row) -> serverRow(row, now));
+		this.decisions.serversSeen(version, now);
+		this.serversKnown = true;
+	}
+
+	/** Takes news of the configuration. */
+	private final class ConfigurationNews implements TableWatch.Listener {
+
+		@Override
+		public void all(List<Row> rows, long version) {
+			changed(rows, version);
+		}
+
+		@Override
+		public void changed(List<Row> rows, long version) {
+			rows.forEach(PlatformNews.this::configurationRow);
+		}
+
+		@Override
+		public void lost() {
+			// The configuration known stays in force.
+		}
+
+		@Override
+		public void regained() {
+			// What changed meanwhile follows as changes.
+		}
+
+	}
+
+	/** Takes news of backend servers. */
+	private final class ServerNews implements TableWatch.Listener {
+
+		@Override
+		public void all(List<Row> rows, long version) {
+			PlatformNews.this.control.post((now) -> serversAll(rows, version, now));
+		}
+
+		@Override
+		public void changed(List<Row> rows, long version) {
+			PlatformNews.this.control.post((now) -> {
+				rows.forEach((row) -> serverRow(row, now));
+				PlatformNews.this.decisions.serversSeen(version, now);
+			});
+		}
+
+		@Override
+		public void lost() {
+			// The servers known stay; calls find out which are gone.
+		}
+
+		@Override
+		public void regained() {
+			PlatformNews.this.control
+				.post((now) -> PlatformNews.this.lapsedUntilNanos = Optional.of(now + BackendTable.LAPSED_NANOS));
+		}
+
+	}
+
+}
