--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -1,24 +1,18 @@
 package org.rosemaryfront.traffic;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 
 import org.rosemaryfront.dispatch.BackendServer;
@@ -72,7 +66,7 @@
 
 	// The request's body.
 
-	private final Deque<ByteBuf> gathered = new ArrayDeque<>();
+	private final GatheredBytes gathered = new GatheredBytes();
 
 	private long bodyBytes;
 
@@ -95,9 +89,7 @@
 
 	private AnswerTerms answerTerms = new AnswerTerms("", false, false);
 
-	private final Deque<ByteBuf> answerParts = new ArrayDeque<>();
-
-	private int answerBytes;
+	private final GatheredBytes answerParts = new GatheredBytes();
 
 	/** Whether a failure of the server came to its end, so that it can be passed on. */
 	private boolean failureWhole;
@@ -313,15 +305,13 @@
 		forgetFailure();
 		to.begin(id(), this);
 		to.write(outgoing());
-		for (ByteBuf part : this.gathered) {
-			to.write(new DefaultHttpContent(part.retainedDuplicate()));
-		}
+		this.gathered.copies().forEach((part) -> to.write(new DefaultHttpContent(part)));
 		if (this.bodyComplete) {
 			to.write(new DefaultLastHttpContent());
 		}
 		else {
 			this.passingOn = true;
-			releaseGathered();
+			this.gathered.release();
 			to.flush();
 			this.caller.reading(true);
 		}
@@ -340,29 +330,18 @@
 
 	private void forgetFailure() {
 		this.failureWhole = false;
-		dropAnswer();
+		this.answerParts.release();
 		if (!this.answering) {
 			this.answer = Optional.empty();
 		}
 	}
 
 	private HttpRequest outgoing() {
-		HttpHeaders headers = this.head.headers().copy();
-		boolean framed = HttpUtil.isContentLengthSet(this.head) || HttpUtil.isTransferEncodingChunked(this.head);
-		HopHeaders.remove(headers);
-		if (this.bodyComplete && framed) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, this.bodyBytes);
-		}
-		else if (framed && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-			headers.set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
-		}
 		long left = Math.max(1, remainingMillis(System.nanoTime()));
-		this.gateway.codec()
-			.handOver(headers,
-					new Handover(left, this.server.map(BackendServer::id).orElse(""),
-							this.organisation.map(Organisation::name), this.framer.flatMap(EventFramer::lastId),
-							OptionalInt.of(priority())));
-		return new DefaultHttpRequest(HttpVersion.HTTP_1_1, this.head.method(), this.head.uri(), headers);
+		Handover handover = new Handover(left, serverId(), this.organisation.map(Organisation::name),
+				this.framer.flatMap(EventFramer::lastId), OptionalInt.of(priority()));
+		OptionalLong length = this.bodyComplete ? OptionalLong.of(this.bodyBytes) : OptionalLong.empty();
+		return ServerRequest.of(this.head, length, this.gateway.codec(), handover);
 	}
 
 	// -- the answer
@@ -414,9 +393,8 @@
 			}
 		}
 		else {
-			this.answerBytes += bytes.readableBytes();
 			this.answerParts.add(bytes);
-			if (this.answerBytes > GATHERED_ANSWER_BYTES && isFinal()) {
+			if (this.answerParts.size() > GATHERED_ANSWER_BYTES && isFinal()) {
 				startAnswer();
 				flushGatheredAnswer();
 			}
@@ -474,9 +452,7 @@
 	}
 
 	private void flushGatheredAnswer() {
-		while (!this.answerParts.isEmpty()) {
-			this.caller.write(this.answerParts.poll());
-		}
+		this.answerParts.takeAll().forEach(this.caller::write);
 	}
 
 	private void answered(BackendServer from) {
@@ -607,24 +583,13 @@
 		else {
 			this.gateway.policy().dropped(this);
 		}
-		releaseGathered();
-		dropAnswer();
+		this.gathered.release();
+		this.answerParts.release();
 		this.framer.ifPresent(EventFramer::release);
 		this.framer = Optional.empty();
 		this.caller.callOver(this);
 	}
 
-	private void dropAnswer() {
-		this.answerParts.forEach(ByteBuf::release);
-		this.answerParts.clear();
-		this.answerBytes = 0;
-	}
-
-	private void releaseGathered() {
-		this.gathered.forEach(ByteBuf::release);
-		this.gathered.clear();
-	}
-
 	private EventLoop loop() {
 		return this.gateway.loop();
 	}
