--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -25,6 +25,14 @@
 	/** Uses closer together than this are counted as one, in nanoseconds. */
 	private static final long SLOT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+	/**
+	 * The part of a window's quota that may be used at once; the rest comes evenly. An
+	 * organisation that begins to flood would use the whole window in its first second;
+	 * when all processes are killed right then and forget it, they let a part of the next
+	 * window pass too: 1.2 of a quota was seen in one window, of 1.1 allowed.
+	 */
+	private static final double AT_ONCE = 0.2;
+
 	private final long windowNanos;
 
 	private final long startedNanos;
@@ -55,9 +63,11 @@
 		account.expire(nowNanos - this.windowNanos);
 		if (organisation.unitsPerSecond() > 0) {
 			double limit = limit(organisation, nowNanos);
-			double over = account.sum + units - limit;
-			if (over > 0) {
-				return new Taking(waitMillis(account, over, nowNanos), account.sum, limit);
+			account.fill(limit(organisation, this.startedNanos + this.windowNanos), this.windowNanos, nowNanos);
+			long wait = Math.max(waitMillis(account, this.windowNanos, limit - units, nowNanos),
+					account.waitMillis(units));
+			if (wait > 0) {
+				return new Taking(wait, account.sum, limit);
 			}
 		}
 		account.add(units, nowNanos);
@@ -108,7 +118,7 @@
 	}
 
 	private Account account(String organisation) {
-		return this.accounts.computeIfAbsent(organisation, (_) -> new Account());
+		return this.accounts.computeIfAbsent(organisation, (_) -> new Account(this.startedNanos));
 	}
 
 	// A process that has just started does not know what was used before: many processes
@@ -120,17 +130,21 @@
 		return known * (organisation.unitsPerSecond() * this.windowNanos / 1e9 + organisation.burst());
 	}
 
-	// When enough of the oldest uses have left the window.
-	private long waitMillis(Account account, double over, long nowNanos) {
-		double left = over;
-		for (Slot slot : account.slots) {
-			left -= slot.units;
-			if (left <= 0) {
-				long nanos = slot.atNanos + this.windowNanos - nowNanos;
-				return Math.max(1, TimeUnit.NANOSECONDS.toMillis(nanos));
+	// The time until no more than the given units were used within a window, 0 for now.
+	private static long waitMillis(Account account, long window, double allowed, long nowNanos) {
+		double used = 0;
+		for (Iterator<Slot> newest = account.slots.descendingIterator(); newest.hasNext();) {
+			Slot slot = newest.next();
+			long leavesNanos = slot.atNanos + window - nowNanos;
+			if (leavesNanos <= 0) {
+				return 0;
+			}
+			used += slot.units;
+			if (used > allowed) {
+				return Math.max(1, TimeUnit.NANOSECONDS.toMillis(leavesNanos));
 			}
 		}
-		return TimeUnit.NANOSECONDS.toMillis(this.windowNanos);
+		return (allowed < 0) ? TimeUnit.NANOSECONDS.toMillis(window) : 0;
 	}
 
 	/**
@@ -155,15 +169,40 @@
 
 		private double own;
 
+		/** What may be used at once; below 0 after news of the use of other processes. */
+		private double level;
+
+		private double unitsPerNano;
+
+		private long filledNanos;
+
+		private Account(long startedNanos) {
+			this.filledNanos = startedNanos;
+		}
+
+		private void fill(double limit, long windowNanos, long nowNanos) {
+			this.unitsPerNano = limit / windowNanos;
+			this.level += this.unitsPerNano * (nowNanos - this.filledNanos);
+			this.level = Math.min(limit * AT_ONCE, this.level);
+			this.filledNanos = nowNanos;
+		}
+
+		private long waitMillis(double units) {
+			double missing = units - this.level;
+			return (missing > 0) ? Math.max(1, TimeUnit.NANOSECONDS.toMillis((long) (missing / this.unitsPerNano))) : 0;
+		}
+
 		private void add(double units, long nowNanos) {
 			if (this.slots.isEmpty() || nowNanos - this.slots.getLast().atNanos >= SLOT_NANOS) {
 				this.slots.addLast(new Slot(nowNanos));
 			}
 			this.slots.getLast().units += units;
+			this.level -= units;
 			this.sum += units;
 		}
 
 		private void remove(double units) {
+			this.level += units;
 			double left = units;
 			for (Iterator<Slot> newest = this.slots.descendingIterator(); left > 0 && newest.hasNext();) {
 				Slot slot = newest.next();
