Avoid servers that let calls wait until their time is over

Cause: a call whose time was over counted as a good end of its server, so that a server that went dark kept getting every other call on the connections that it had. Plain calls take turns among equally loaded servers. The test failed first (more than four of twelve calls unanswered) with the end counted as good.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -27,6 +27,9 @@
 	/** How long first tokens took, against what was expected; smoothed. */
 	double slowness = 1;
 
+	/** The number of the last call sent there. */
+	long lastSent;
+
 	/** When it registered itself. */
 	final long registeredNanos;
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -42,6 +42,9 @@
 
 	private final Map<String, BackendRow> rows = new LinkedHashMap<>();
 
+	/** Calls sent so far, to any server. */
+	private long sent;
+
 	// -- registrations
 
 	/**
@@ -101,6 +104,7 @@
 	public void sent(String id, long unreadTokens) {
 		Optional.ofNullable(this.rows.get(id)).ifPresent((row) -> {
 			row.own++;
+			row.lastSent = ++this.sent;
 			row.ownUnread += unreadTokens;
 		});
 	}
@@ -146,6 +150,14 @@
 		}
 	}
 
+	/**
+	 * Notes that a caller gave a call up, which says nothing of its server.
+	 * @param id the server
+	 */
+	public void abandoned(String id) {
+		Optional.ofNullable(this.rows.get(id)).ifPresent((row) -> row.own = Math.max(0, row.own - 1));
+	}
+
 	/**
 	 * Takes what another process has at the servers.
 	 * @param process the other process
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -98,6 +98,7 @@
 		BackendRow chosen = free.stream()
 			.min(Comparator.comparingInt(BackendRow::load)
 				.thenComparing((row) -> !row.server.zone().equals(this.zone))
+				.thenComparingLong((row) -> row.lastSent)
 				.thenComparing((row) -> row.server.id()))
 			.orElseThrow();
 		return new Choice.Chosen(chosen.server, chosen.load(), 0, 0, free.size());
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -151,10 +151,17 @@
 	}
 
 	@Override
-	public void ended(Call call, BackendServer server) {
+	public void ended(Call call, BackendServer server, Ending ending) {
 		this.loop.post((now) -> {
 			promptRead(this.calls.remove(call));
-			this.servers.ended(server.id(), false, now);
+			switch (ending) {
+				case ANSWERED -> this.servers.ended(server.id(), false, now);
+				// A server that is dark takes calls on connections that it had and lets
+				// them
+				// wait: only its silence shows it.
+				case UNANSWERED -> this.servers.ended(server.id(), true, now);
+				case ABANDONED -> this.servers.abandoned(server.id());
+			}
 		});
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -24,6 +24,7 @@
 import org.rosemaryfront.routes.CallKind;
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.Route;
+import org.rosemaryfront.traffic.CallPolicy.Ending;
 
 /**
  * One request of a caller on its way to a backend server and back. Its state belongs to
@@ -275,7 +276,7 @@
 
 	private void connect(BackendServer to, int mostConnections) {
 		if (this.state == State.DONE) {
-			this.gateway.policy().ended(this, to);
+			this.gateway.policy().ended(this, to, Ending.ABANDONED);
 			return;
 		}
 		this.server = Optional.of(to);
@@ -460,7 +461,7 @@
 				"server", from.id(), "sends", this.sends, "millis", ageMillis());
 		this.gateway.metrics().answered(this, statusCode());
 		this.server = Optional.empty();
-		this.gateway.policy().ended(this, from);
+		this.gateway.policy().ended(this, from, Ending.ANSWERED);
 		this.caller.endAnswer();
 		finish();
 	}
@@ -565,12 +566,16 @@
 				"reason", "deadline", "state", this.state, "millis", ageMillis());
 		this.gateway.metrics().refused(status);
 		this.caller.refuse(status, mayHaveRun ? 0 : 200);
-		finish();
+		finish((this.state == State.SENT) ? Ending.UNANSWERED : Ending.ABANDONED);
 	}
 
 	// Ends the call wherever it is; the connection to the server goes with a run that is
 	// under way, which tells the server to stop.
 	private void finish() {
+		finish(Ending.ABANDONED);
+	}
+
+	private void finish(Ending ending) {
 		State was = this.state;
 		this.state = State.DONE;
 		this.deadlineTimer.cancel(false);
@@ -578,7 +583,7 @@
 			this.channel.abort();
 		}
 		if (this.server.isPresent()) {
-			this.gateway.policy().ended(this, this.server.get());
+			this.gateway.policy().ended(this, this.server.get(), ending);
 		}
 		else {
 			this.gateway.policy().dropped(this);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -51,11 +51,12 @@
 	void failed(Call call, BackendServer server, Failure failure);
 
 	/**
-	 * A call is over at a backend server, answered or given up by its caller.
+	 * A call is over at a backend server.
 	 * @param call the call
 	 * @param server the server
+	 * @param ending how it ended
 	 */
-	void ended(Call call, BackendServer server);
+	void ended(Call call, BackendServer server, Ending ending);
 
 	/**
 	 * A call is over that no backend server has.
@@ -63,6 +64,20 @@
 	 */
 	void dropped(Call call);
 
+	/** How a call ended at a backend server that did not fail it. */
+	enum Ending {
+
+		/** It was answered. */
+		ANSWERED,
+
+		/** Its time was over before the server answered. */
+		UNANSWERED,
+
+		/** Its caller left, or it ended before it was sent. */
+		ABANDONED
+
+	}
+
 	/**
 	 * How a backend server failed a call.
 	 *
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -68,7 +68,7 @@
 
 	private boolean oldProtocol;
 
-	private boolean headlessAnswer;
+	private boolean answerWithoutBody;
 
 	private boolean closed;
 
@@ -221,8 +221,8 @@
 		boolean sized = HttpUtil.isContentLengthSet(from);
 		HopHeaders.remove(head.headers());
 		this.gateway.codec().handBack(head.headers());
-		this.headlessAnswer = bodiless || from.status().code() == 204 || from.status().code() == 304;
-		if (!sized && !this.headlessAnswer) {
+		this.answerWithoutBody = bodiless || from.status().code() == 204 || from.status().code() == 304;
+		if (!sized && !this.answerWithoutBody) {
 			if (this.oldProtocol) {
 				this.closeAfterAnswer = true;
 			}
@@ -240,7 +240,7 @@
 	 * @return whether the caller takes more
 	 */
 	boolean write(ByteBuf bytes) {
-		if (!bytes.isReadable() || this.headlessAnswer) {
+		if (!bytes.isReadable() || this.answerWithoutBody) {
 			bytes.release();
 		}
 		else {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
@@ -115,6 +115,23 @@
 		}
 	}
 
+	// A server went dark: it takes calls on the connections that it had and never
+	// answers.
+	// Without a look at its silence every second call waits there until its time is over.
+	@Test
+	void shouldAvoidServerThatLetsCallsWait() throws IOException {
+		try (ScriptedServer _ = serving((_, exchange) -> exchange.hold());
+				ScriptedServer good = ScriptedServer.start((request, exchange) -> exchange.ok(request, "good"))) {
+			this.gateway.register("s2", good);
+			awaitServers("s2");
+			int unanswered = 0;
+			for (int i = 0; i < 12; i++) {
+				unanswered += (this.gateway.ask(RawCaller.get("c" + i, "/short/")).status() == 504) ? 1 : 0;
+			}
+			assertThat(unanswered).isBetween(1, 4);
+		}
+	}
+
 	// -- whose answer it is
 
 	// A faulty server sends a second answer behind a good one. Taken for the answer of
