Let a random run of the configuration store end without a refusal

The test failed once beside load: in that run no change was refused, and the check "none of the refused is there" does not take an empty set (IllegalArgumentException at the check, not a broken promise). Which changes are refused follows from the order of four threads. The check is as strict as before for every set that is not empty.

--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/configuration/ConfigurationStoreTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/configuration/ConfigurationStoreTests.java
@@ -170,7 +170,7 @@
 		}
 		assertThat(answers.done()).isNotEmpty();
 		assertThat(logged).as("what was done is there").containsAllEntriesOf(answers.done());
-		assertThat(logged.keySet()).as("what was refused is nowhere").doesNotContainAnyElementsOf(answers.refused());
+		assertThat(answers.refused()).as("what was refused is nowhere").noneMatch(logged::containsKey);
 		Configuration last = shared.read().block();
 		for (ChangeRecord change : log) {
 			change.changed()
