--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -17,10 +17,16 @@
 public final class BackendTable {
 
 	/**
-	 * How long a server is kept whose registration lapsed while the registry was away:
-	 * servers that live register again within about two seconds of its return.
+	 * How long after the return of the registry registrations come back that lapsed while
+	 * it was away.
 	 */
-	public static final long LAPSED_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
+	private static final long RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_200);
+
+	/**
+	 * How long a server whose registration ended is kept at most. It may have left for
+	 * good and must get no calls two seconds later; the rest is for calls under way.
+	 */
+	private static final long KEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
 
 	/**
 	 * How long a server gets no new calls after a failure, doubled for each failure in a
@@ -66,14 +72,17 @@
 	}
 
 	/**
-	 * Takes the end of a registration.
+	 * Takes the end of a registration. The server is dropped at once, unless its
+	 * registration may only have lapsed while the registry was away.
 	 * @param id the server
-	 * @param dropAtNanos when the server is dropped unless it registers again
+	 * @param nowNanos the time
+	 * @param returnedNanos when the registry last came back, empty if it was never away
 	 */
-	public void lapsed(String id, long dropAtNanos) {
+	public void lapsed(String id, long nowNanos, OptionalLong returnedNanos) {
 		BackendRow row = this.rows.get(id);
 		if (row != null && row.dropAtNanos.isEmpty()) {
-			row.dropAtNanos = OptionalLong.of(dropAtNanos);
+			long comesBack = returnedNanos.isPresent() ? returnedNanos.getAsLong() + RETURN_NANOS - nowNanos : 0;
+			row.dropAtNanos = OptionalLong.of(nowNanos + Math.clamp(comesBack, 0, KEPT_NANOS));
 		}
 	}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -4,12 +4,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
@@ -19,6 +21,8 @@
 
 class DispatcherTests {
 
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
 	private static final long LONG_AGO = -TimeUnit.MINUTES.toNanos(5);
 
 	private final BackendTable table = new BackendTable();
@@ -151,18 +155,27 @@
 	// The store was away for some seconds and dropped the registrations of servers that
 	// live; they come back two seconds after it. Whoever takes them as gone at once has
 	// nobody to send calls to.
+	@ParameterizedTest
+	@CsvSource({ "0, 1600", "500, 1600", "1000, 1200", "2200, 0", "9000, 0" })
+	void shouldKeepLapsedServerUntilItsTimeIsOver(long sinceReturnMillis, long keptMillis) {
+		long now = TimeUnit.MILLISECONDS.toNanos(sinceReturnMillis);
+		long dropped = now + TimeUnit.MILLISECONDS.toNanos(keptMillis);
+		this.table.lapsed("s1", now, OptionalLong.of(0));
+		assertThat(this.table.expire(dropped - 1)).isEmpty();
+		assertThat(this.table.expire(dropped)).extracting(BackendServer::id).containsExactly("s1");
+	}
+
 	@Test
-	void shouldKeepLapsedServerUntilItsTimeIsOver() {
-		this.table.lapsed("s1", 1_000);
-		assertThat(this.table.expire(999)).isEmpty();
-		assertThat(this.table.expire(1_000)).extracting(BackendServer::id).containsExactly("s1");
+	void shouldDropServerAtOnceWhenRegistryWasNeverAway() {
+		this.table.lapsed("s1", 1_000, OptionalLong.empty());
+		assertThat(this.table.expire(1_000)).hasSize(1);
 	}
 
 	@Test
 	void shouldKeepLapsedServerThatRegistersAgain() {
-		this.table.lapsed("s1", 1_000);
+		this.table.lapsed("s1", 0, OptionalLong.of(0));
 		assertThat(this.table.registered(server("s1", false), 500)).isTrue();
-		assertThat(this.table.expire(2_000)).isEmpty();
+		assertThat(this.table.expire(9 * SECOND)).isEmpty();
 	}
 
 	// A server dies and its registration stays for seconds: calls go there one after the
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -2,7 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -34,8 +34,8 @@
 
 	private volatile boolean serversKnown;
 
-	/** Until then an ended registration may only have lapsed while the store was away. */
-	private Optional<Long> lapsedUntilNanos = Optional.empty();
+	/** When the store last answered again after it did not. */
+	private OptionalLong storeBackNanos = OptionalLong.empty();
 
 	PlatformNews(RecordCodec records, ControlLoop control, BackendTable servers, GatewayControl decisions) {
 		this.records = records;
@@ -96,9 +96,9 @@
 
 	// Registrations lapse while the store is away, also those of servers that live.
 	private void lapsed(String id, long now) {
-		long dropAt = this.lapsedUntilNanos.filter((until) -> until - now > 0).orElse(now);
-		EventLog.info(GatewayEvents.SERVER_LAPSED, "server", id, "dropInMillis", (dropAt - now) / NANOS_PER_MILLI);
-		this.servers.lapsed(id, dropAt);
+		EventLog.info(GatewayEvents.SERVER_LAPSED, "server", id, "storeBackMillis",
+				this.storeBackNanos.isPresent() ? (now - this.storeBackNanos.getAsLong()) / NANOS_PER_MILLI : "never");
+		this.servers.lapsed(id, now, this.storeBackNanos);
 	}
 
 	private void serversAll(List<Row> rows, long version, long now) {
@@ -162,8 +162,7 @@
 
 		@Override
 		public void regained() {
-			PlatformNews.this.control
-				.post((now) -> PlatformNews.this.lapsedUntilNanos = Optional.of(now + BackendTable.LAPSED_NANOS));
+			PlatformNews.this.control.post((now) -> PlatformNews.this.storeBackNanos = OptionalLong.of(now));
 		}
 
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -92,7 +92,13 @@
 	}
 
 	private void follow(long since) {
-		run(this.store.changes(this.table, since, WAIT), (page) -> {
+		// A question that waits is answered with the first change: the store's return
+		// would
+		// be noticed only then, and a server that leaves long after it be taken for one
+		// whose
+		// registration lapsed.
+		Duration wait = (this.failures > 0) ? Duration.ZERO : WAIT;
+		run(this.store.changes(this.table, since, wait), (page) -> {
 			this.known.changed(page.rows(), page.version());
 			if (!page.rows().isEmpty()) {
 				this.listener.changed(page.rows(), page.version());
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -6,11 +6,14 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.junit.jupiter.api.Test;
+import reactor.netty.resources.LoopResources;
 
 import org.rosemaryfront.gateway.RawCaller.Answer;
 import org.rosemaryfront.gateway.RecordedDuties.Usage;
+import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.routes.CallerLimits;
 import org.rosemaryfront.routes.Organisation;
 
@@ -95,6 +98,42 @@
 		}
 	}
 
+	// The store was away for this process; it comes back, and long after it a server
+	// leaves.
+	// Noticed only with that news, the return made the server's end look like a lapse,
+	// and
+	// calls went there for two seconds more.
+	@Test
+	void shouldNoticeReturnOfStoreBeforeTheNextChange() {
+		MemoryRowStore store = new MemoryRowStore();
+		AtomicBoolean back = new AtomicBoolean();
+		TableWatch watch = TableWatch.start(store, "servers", new FollowedTable(),
+				new PeerTables(LoopResources.create("test", 1, 1, true), List::of), new TableWatch.Listener() {
+					@Override
+					public void all(List<RowStore.Row> rows, long version) {
+						store.away(true);
+					}
+
+					@Override
+					public void changed(List<RowStore.Row> rows, long version) {
+						throw new AssertionError("nothing changed");
+					}
+
+					@Override
+					public void lost() {
+						store.away(false);
+					}
+
+					@Override
+					public void regained() {
+						back.set(true);
+					}
+				});
+		GatewayHarness.await(back::get);
+		watch.close();
+		store.close();
+	}
+
 	@Test
 	void shouldServeOnWhileStoreIsAway() throws IOException {
 		try (GatewayHarness gateway = GatewayHarness.start();
