Never go back to an older table that another gateway sends

Cause: a gateway that the store turns away asks another one for a table; the answer was taken whatever it was, also when the store came back first and told more. A server that left would have taken calls again until its next change. The test of that order failed first.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/FollowedTable.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/FollowedTable.java
@@ -22,11 +22,16 @@
 	 * Takes the whole table.
 	 * @param all its rows
 	 * @param tableVersion the version of the store at that moment
+	 * @return whether it was taken; an older table than the one known is not
 	 */
-	synchronized void all(List<Row> all, long tableVersion) {
+	synchronized boolean all(List<Row> all, long tableVersion) {
+		if (tableVersion < this.version) {
+			return false;
+		}
 		this.rows.clear();
 		all.forEach((row) -> this.rows.put(row.key(), row));
 		this.version = tableVersion;
+		return true;
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -84,8 +84,7 @@
 				readAll(page.rows().getLast().key() + '\0', rows);
 			}
 			else {
-				this.known.all(rows, page.version());
-				this.listener.all(rows, page.version());
+				take(rows, page.version());
 				follow(page.version());
 			}
 		}, () -> readAll("", new ArrayList<>()));
@@ -93,10 +92,8 @@
 
 	private void follow(long since) {
 		// A question that waits is answered with the first change: the store's return
-		// would
-		// be noticed only then, and a server that leaves long after it be taken for one
-		// whose
-		// registration lapsed.
+		// would be noticed only then, and a server that leaves long after it be taken
+		// for one whose registration lapsed.
 		Duration wait = (this.failures > 0) ? Duration.ZERO : WAIT;
 		run(this.store.changes(this.table, since, wait), (page) -> {
 			this.known.changed(page.rows(), page.version());
@@ -108,10 +105,9 @@
 	}
 
 	private void run(Mono<Page> question, Consumer<Page> next, Runnable again) {
-		// The answer may come, and the next question go out, before subscribe returns: a
-		// handle kept to cancel this question could end up cancelling the next one, and
-		// the
-		// table would never be read again.
+		// The answer may come, and the next question go out, before subscribe returns:
+		// a handle kept to cancel this question could end up cancelling the next one,
+		// and the table would never be read again.
 		question.subscribe((page) -> {
 			if (!this.closed) {
 				regained();
@@ -155,12 +151,19 @@
 			List<Row> rows = FollowedTable.rows(newer);
 			EventLog.info(GatewayEvents.TABLE_FROM_PEER, "table", this.table, "version", newer.getVersion(), "before",
 					this.known.version(), "rows", rows.size());
-			this.known.all(rows, newer.getVersion());
-			this.listener.all(rows, newer.getVersion());
+			take(rows, newer.getVersion());
 		}, (failure) -> EventLog.info(GatewayEvents.PEER_CALL_FAILED, "table", this.table, "cause",
 				failure.getMessage()));
 	}
 
+	// Another gateway may answer after the store told more: going back to its table would
+	// send calls to a server that has left.
+	private void take(List<Row> rows, long version) {
+		if (this.known.all(rows, version)) {
+			this.listener.all(rows, version);
+		}
+	}
+
 	private static Duration jittered(long millis) {
 		return Duration.ofMillis(millis / 2 + ThreadLocalRandom.current().nextLong(millis + 1));
 	}
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FollowedTableTests.java
@@ -0,0 +1,41 @@
+package org.rosemaryfront.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import org.rosemaryfront.ports.RowStore.Row;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FollowedTableTests {
+
+	private final FollowedTable table = new FollowedTable();
+
+	// The store turned this process away, and it asked another one for the table; the
+	// store
+	// came back and told that a server leaves, and only then the other process answered
+	// with the older table. Taken, it made the server one that takes calls again.
+	@Test
+	void shouldNotGoBackToOlderTable() {
+		assertThat(this.table.all(List.of(row("ready", 10)), 10)).isTrue();
+		this.table.changed(List.of(row("leaving", 20)), 20);
+		assertThat(this.table.all(List.of(row("ready", 10)), 15)).isFalse();
+		assertThat(this.table.version()).isEqualTo(20);
+		assertThat(this.table.newerThan(0).orElseThrow().getRows(0).getValue().toStringUtf8()).isEqualTo("leaving");
+	}
+
+	@Test
+	void shouldGiveOnlyWhatIsNewer() {
+		this.table.all(List.of(row("ready", 10)), 10);
+		assertThat(this.table.newerThan(9)).isPresent();
+		assertThat(this.table.newerThan(10)).isEmpty();
+	}
+
+	private static Row row(String value, long version) {
+		return new Row("s1", Optional.of(value.getBytes(StandardCharsets.UTF_8)), version);
+	}
+
+}
