Read addresses, limits and window quotas in one place, and drop what nothing uses

The caller's limits come from Gateway#limits. A quota with room left is no longer counted slot by slot. Gone: a setting, three fakes and a callback that nothing used. The event CONNECTION_FAILED, which nothing wrote, reports failures of a caller's connection other than resets, which were swallowed. Comments that the formatter had torn are whole again.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -63,9 +63,8 @@
 		account.expire(nowNanos - this.windowNanos);
 		if (organisation.unitsPerSecond() > 0) {
 			double limit = limit(organisation, nowNanos);
-			account.fill(limit(organisation, this.startedNanos + this.windowNanos), this.windowNanos, nowNanos);
-			long wait = Math.max(waitMillis(account, this.windowNanos, limit - units, nowNanos),
-					account.waitMillis(units));
+			account.fill(windowUnits(organisation), this.windowNanos, nowNanos);
+			long wait = Math.max(waitMillis(account, limit - units, nowNanos), account.waitMillis(units));
 			if (wait > 0) {
 				return new Taking(wait, account.sum, limit);
 			}
@@ -121,21 +120,27 @@
 		return this.accounts.computeIfAbsent(organisation, (_) -> new Account(this.startedNanos));
 	}
 
-	// A process that has just started does not know what was used before: many processes
-	// killed at once would let every organisation use its whole window again. It takes
-	// the
-	// quota as used up to its start.
+	// A process that has just started does not know what was used before: many
+	// processes killed at once would let every organisation use its whole window
+	// again. It takes the quota as used up to its start.
 	private double limit(Organisation organisation, long nowNanos) {
 		double known = Math.min(1, (nowNanos - this.startedNanos) / (double) this.windowNanos);
-		return known * (organisation.unitsPerSecond() * this.windowNanos / 1e9 + organisation.burst());
+		return known * windowUnits(organisation);
+	}
+
+	private double windowUnits(Organisation organisation) {
+		return organisation.unitsPerSecond() * this.windowNanos / 1e9 + organisation.burst();
 	}
 
 	// The time until no more than the given units were used within a window, 0 for now.
-	private static long waitMillis(Account account, long window, double allowed, long nowNanos) {
+	private long waitMillis(Account account, double allowed, long nowNanos) {
+		if (account.sum <= allowed) {
+			return 0;
+		}
 		double used = 0;
 		for (Iterator<Slot> newest = account.slots.descendingIterator(); newest.hasNext();) {
 			Slot slot = newest.next();
-			long leavesNanos = slot.atNanos + window - nowNanos;
+			long leavesNanos = slot.atNanos + this.windowNanos - nowNanos;
 			if (leavesNanos <= 0) {
 				return 0;
 			}
@@ -144,7 +149,7 @@
 				return Math.max(1, TimeUnit.NANOSECONDS.toMillis(leavesNanos));
 			}
 		}
-		return (allowed < 0) ? TimeUnit.NANOSECONDS.toMillis(window) : 0;
+		return (allowed < 0) ? TimeUnit.NANOSECONDS.toMillis(this.windowNanos) : 0;
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -156,9 +156,8 @@
 			promptRead(this.calls.remove(call));
 			switch (ending) {
 				case ANSWERED -> this.servers.ended(server.id(), false, now);
-				// A server that is dark takes calls on connections that it had and lets
-				// them
-				// wait: only its silence shows it.
+				// A server that is dark takes calls on connections that it had and
+				// lets them wait: only its silence shows it.
 				case UNANSWERED -> this.servers.ended(server.id(), true, now);
 				case ABANDONED -> this.servers.abandoned(server.id());
 			}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -20,6 +20,7 @@
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.peer.Addresses;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.ports.Duties;
 import org.rosemaryfront.ports.RecordCodec;
@@ -62,6 +63,9 @@
 	/** What is kept of the stop's time to close and exit, in milliseconds. */
 	private static final long EXIT_MILLIS = 400;
 
+	/** The time between two looks at what is left while stopping, in milliseconds. */
+	private static final long STOP_LOOK_MILLIS = 50;
+
 	/** A pause of the process beyond this is logged, in milliseconds. */
 	private static final long PAUSE_MILLIS = 700;
 
@@ -211,7 +215,7 @@
 	}
 
 	private void announce() {
-		String address = this.settings.peers().getAddress().getHostAddress() + ':' + this.settings.peers().getPort();
+		String address = Addresses.format(this.settings.peers());
 		Commit row = Commit.put(GATEWAYS_TABLE, this.settings.name(), address.getBytes(StandardCharsets.UTF_8));
 		this.platform.rows().commit(row).subscribe((_) -> {
 		}, (failure) -> {
@@ -230,10 +234,11 @@
 
 	private void found(Row row) {
 		String address = new String(row.value().orElse(new byte[0]), StandardCharsets.UTF_8);
-		int colon = address.lastIndexOf(':');
-		if (colon > 0) {
-			this.peers.found(row.key(),
-					new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+		try {
+			this.peers.found(row.key(), Addresses.parse(address));
+		}
+		catch (IllegalArgumentException ex) {
+			EventLog.warn(GatewayEvents.ROW_CALL_FAILED, "row", row.key(), "call", "read", "cause", ex.getMessage());
 		}
 	}
 
@@ -282,8 +287,7 @@
 					(now - this.tickNanos) / NANOS_PER_MILLI);
 		}
 		// A suspended VM: another process holds the lease by now, which the monotonic
-		// clock
-		// does not show.
+		// clock does not show.
 		if (epochMillis - this.tickMillis - (now - this.tickNanos) / NANOS_PER_MILLI > SUSPENDED_MILLIS) {
 			this.lease.fenced();
 		}
@@ -331,7 +335,7 @@
 					break;
 				}
 			}
-			sleep(50);
+			sleep(STOP_LOOK_MILLIS);
 		}
 		this.gateway.close();
 		this.configurationWatch.close();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
@@ -38,10 +38,9 @@
 	 * @param retryWindowMillis that window, in milliseconds
 	 * @param quotaWindowMillis the window of quotas, in milliseconds
 	 * @param usageWindowMillis the window of usage reports, in milliseconds
-	 * @param leaseMillis the shortest time between two turns of a holder of the duties
 	 */
 	public record Bounds(long drainMillis, long balancerMillis, double retryShare, double retryFixed,
-			long retryWindowMillis, long quotaWindowMillis, long usageWindowMillis, long leaseMillis) {
+			long retryWindowMillis, long quotaWindowMillis, long usageWindowMillis) {
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -153,7 +153,9 @@
 		if (last != null && now - last.notBeforeNanos < 0) {
 			return;
 		}
-		if ((same && settled) || (same && now - last.atNanos < boot + SHOW_NANOS) || (last == null && settled)) {
+		boolean underWay = same && now - last.atNanos < boot + SHOW_NANOS;
+		boolean inForce = settled && (same || last == null);
+		if (underWay || inForce) {
 			return;
 		}
 		Order order = new Order(size, now);
@@ -162,8 +164,7 @@
 				size.servers(), "reclaimable", size.reclaimable(), "present", present, "tokensPerSecond",
 				Math.round(this.tokensPerSecond), "calls", this.servers.callsOf(size.service()), "fence", fence);
 		this.duties.resize(fence, size).subscribe((_) -> {
-		}, (failure) -> this.control.accept(() -> failed(order, failure)),
-				() -> this.control.accept(() -> order.refused = false));
+		}, (failure) -> this.control.accept(() -> failed(order, failure)));
 	}
 
 	private void failed(Order order, Throwable failure) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -45,6 +45,13 @@
 	 */
 	private static final int GATHERED_ANSWER_BYTES = 262_144;
 
+	/**
+	 * When to come back with a call whose time passed before it was sent, in
+	 * milliseconds: soon, since what it waited for is over by then or the caller has no
+	 * time left.
+	 */
+	private static final long UNSENT_RETRY_MILLIS = 200;
+
 	private final Gateway gateway;
 
 	private final CallerConnection caller;
@@ -174,6 +181,33 @@
 		return Math.max(0, TimeUnit.NANOSECONDS.toMillis(this.deadlineNanos - nowNanos));
 	}
 
+	/**
+	 * Its rank: the organisation's, else the route's.
+	 * @return 0 for the most urgent
+	 */
+	public int priority() {
+		return this.organisation.map(Organisation::priority)
+			.filter(OptionalInt::isPresent)
+			.map(OptionalInt::getAsInt)
+			.orElse(this.route.priority());
+	}
+
+	/**
+	 * Whether the call can go out again as it came.
+	 * @return false once parts of it are no longer kept
+	 */
+	public boolean isRepeatable() {
+		return !this.passingOn && (!this.answering || this.framer.isPresent());
+	}
+
+	/**
+	 * The servers that had it.
+	 * @return the count
+	 */
+	public int sends() {
+		return this.sends;
+	}
+
 	// -- decisions, from any thread
 
 	/**
@@ -318,17 +352,6 @@
 		}
 	}
 
-	/**
-	 * Its rank: the organisation's, else the route's.
-	 * @return 0 for the most urgent
-	 */
-	public int priority() {
-		return this.organisation.map(Organisation::priority)
-			.filter(OptionalInt::isPresent)
-			.map(OptionalInt::getAsInt)
-			.orElse(this.route.priority());
-	}
-
 	private void forgetFailure() {
 		this.failureWhole = false;
 		this.answerParts.release();
@@ -495,22 +518,6 @@
 		this.gateway.policy().failed(this, by, new CallPolicy.Failure(verdict, sent, answered, cause));
 	}
 
-	/**
-	 * Whether the call can go out again as it came.
-	 * @return false once parts of it are no longer kept
-	 */
-	public boolean isRepeatable() {
-		return !this.passingOn && (!this.answering || this.framer.isPresent());
-	}
-
-	/**
-	 * The servers that had it.
-	 * @return the count
-	 */
-	public int sends() {
-		return this.sends;
-	}
-
 	private void refuseNow(int status, long retryAfterMillis, String reason) {
 		if (this.state == State.DONE) {
 			return;
@@ -538,20 +545,22 @@
 		else if (this.failureWhole && !this.answerTerms.notRun()) {
 			startAnswer();
 			flushGatheredAnswer();
-			EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status",
-					statusCode(), "reason", reason, "sends", this.sends, "millis", ageMillis());
-			this.gateway.metrics().answered(this, statusCode());
+			noteGivenUp(statusCode(), reason);
 			this.caller.endAnswer();
 		}
 		else {
-			EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", 502,
-					"reason", reason, "sends", this.sends, "millis", ageMillis());
-			this.gateway.metrics().answered(this, 502);
+			noteGivenUp(502, reason);
 			this.caller.refuse(502, 0);
 		}
 		finish();
 	}
 
+	private void noteGivenUp(int status, String reason) {
+		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", status,
+				"reason", reason, "sends", this.sends, "millis", ageMillis());
+		this.gateway.metrics().answered(this, status);
+	}
+
 	private void deadline() {
 		if (this.state == State.DONE) {
 			return;
@@ -565,7 +574,7 @@
 		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "route", this.route.name(), "status", status,
 				"reason", "deadline", "state", this.state, "millis", ageMillis());
 		this.gateway.metrics().refused(status);
-		this.caller.refuse(status, mayHaveRun ? 0 : 200);
+		this.caller.refuse(status, mayHaveRun ? 0 : UNSENT_RETRY_MILLIS);
 		finish((this.state == State.SENT) ? Ending.UNANSWERED : Ending.ABANDONED);
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.traffic;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
@@ -132,8 +133,7 @@
 		this.oldProtocol = head.protocolVersion().equals(HttpVersion.HTTP_1_0);
 		this.closeAfterAnswer = !HttpUtil.isKeepAlive(head);
 		Optional<TrafficConfiguration> configuration = this.gateway.policy().configuration();
-		CallerLimits limits = configuration.map(TrafficConfiguration::limits).orElse(CallerLimits.INITIAL);
-		Optional<RequestCheck.Fault> fault = RequestCheck.check(head, limits);
+		Optional<RequestCheck.Fault> fault = RequestCheck.check(head, this.gateway.limits());
 		if (fault.isPresent()) {
 			this.closeAfterAnswer = true;
 			refuseHead("", fault.get().status(), 0, fault.get().reason());
@@ -185,11 +185,8 @@
 		}
 		Call taker = this.call.get();
 		if (content.content().isReadable()) {
-			CallerLimits limits = this.gateway.policy()
-				.configuration()
-				.map(TrafficConfiguration::limits)
-				.orElse(CallerLimits.INITIAL);
-			if (taker.received() + content.content().readableBytes() > limits.bodyBytes()) {
+			long received = taker.received() + content.content().readableBytes();
+			if (received > this.gateway.limits().bodyBytes()) {
 				this.closeAfterAnswer = true;
 				taker.callerLeft();
 				refuseHead(taker.id(), 413, 0, "the body is too long");
@@ -401,6 +398,10 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		// Callers reset connections all the time; anything else is a defect of ours.
+		if (!(cause instanceof IOException)) {
+			EventLog.error(cause, TrafficEvents.CONNECTION_FAILED, "cause", cause);
+		}
 		this.channel.close();
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -1,6 +1,5 @@
 package org.rosemaryfront.traffic;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -24,6 +23,7 @@
 import jdk.net.ExtendedSocketOptions;
 
 import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.peer.Addresses;
 import org.rosemaryfront.ports.CallCodec;
 
 /**
@@ -145,7 +145,7 @@
 		ServerChannel handler = new ServerChannel(this, this.codec);
 		connections.connecting++;
 		this.opened++;
-		ChannelFuture connecting = bootstrap(handler).connect(address(server.address()));
+		ChannelFuture connecting = bootstrap(handler).connect(Addresses.parse(server.address()));
 		connecting.addListener((_) -> {
 			connections.connecting--;
 			if (!connecting.isSuccess()) {
@@ -195,11 +195,6 @@
 		}
 	}
 
-	private static InetSocketAddress address(String hostPort) {
-		int colon = hostPort.lastIndexOf(':');
-		return new InetSocketAddress(hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
-	}
-
 	/** The connections to one server. */
 	private static final class Connections {
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -132,7 +132,7 @@
 		return this.callers;
 	}
 
-	private CallerLimits limits() {
+	CallerLimits limits() {
 		return this.policy.configuration().map(TrafficConfiguration::limits).orElse(CallerLimits.INITIAL);
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -62,10 +62,8 @@
 	}
 
 	// The store turns one machine away and serves the others. A key is taken away
-	// meanwhile:
-	// at that machine it would open doors for as long as the store does so, and calls
-	// would
-	// go to servers that left.
+	// meanwhile: at that machine it would open doors for as long as the store does so,
+	// and calls would go to servers that left.
 	@Test
 	void shouldLearnFromOtherGatewaysWhenStoreTurnsItAway() throws IOException {
 		try (GatewayHarness other = GatewayHarness.start();
@@ -99,10 +97,8 @@
 	}
 
 	// The store was away for this process; it comes back, and long after it a server
-	// leaves.
-	// Noticed only with that news, the return made the server's end look like a lapse,
-	// and
-	// calls went there for two seconds more.
+	// leaves. Noticed only with that news, the return made the server's end look like
+	// a lapse, and calls went there for two seconds more.
 	@Test
 	void shouldNoticeReturnOfStoreBeforeTheNextChange() {
 		MemoryRowStore store = new MemoryRowStore();
@@ -169,8 +165,8 @@
 	}
 
 	// This process stood still while another one held the duties and acted. It goes on
-	// with
-	// its old number and is refused, again and again, and its windows are never reported.
+	// with its old number and is refused, again and again, and its windows are never
+	// reported.
 	@Test
 	void shouldTakeDutiesAnewWhenANewerHolderActed() throws IOException {
 		try (GatewayHarness gateway = GatewayHarness.startWithUsageWindow(1_000)) {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
@@ -31,8 +31,7 @@
 	// -- what may run twice
 
 	// A booking was sent and its answer lost. Sent again, two crews turn up; answered
-	// "not
-	// run", the caller books again with the same effect.
+	// "not run", the caller books again with the same effect.
 	@ParameterizedTest
 	@ValueSource(strings = { "reset", "close", "half" })
 	void shouldNeverRepeatBookingThatMayHaveRun(String end) throws IOException {
@@ -116,8 +115,8 @@
 	}
 
 	// A server went dark: it takes calls on the connections that it had and never
-	// answers.
-	// Without a look at its silence every second call waits there until its time is over.
+	// answers. Without a look at its silence every second call waits there until its
+	// time is over.
 	@Test
 	void shouldAvoidServerThatLetsCallsWait() throws IOException {
 		try (ScriptedServer _ = serving((_, exchange) -> exchange.hold());
@@ -135,8 +134,7 @@
 	// -- whose answer it is
 
 	// A faulty server sends a second answer behind a good one. Taken for the answer of
-	// the
-	// next call, a household reads another's booking.
+	// the next call, a household reads another's booking.
 	@Test
 	void shouldNeverTakeExtraAnswerForTheNextCall() throws Exception {
 		try (ScriptedServer _ = serving((request, exchange) -> {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -47,7 +47,7 @@
 		this.access = new DeniableStore(store);
 		this.codecs = codecs;
 		this.settings = new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), freeDatagram(),
-				new GatewaySettings.Bounds(4_000, 100, 0.2, 64, 10_000, 8_000, usageWindowMillis, 3_000));
+				new GatewaySettings.Bounds(4_000, 100, 0.2, 64, 10_000, 8_000, usageWindowMillis));
 		this.process = GatewayProcess.start(this.settings,
 				new Platform(this.codecs, this.access, this.codecs, this.duties),
 				LoopResources.create("test", 1, 1, true));
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
@@ -17,7 +17,7 @@
 import org.rosemaryfront.ports.StoreException;
 import org.rosemaryfront.ports.StoreException.Reason;
 
-/** A table service in memory, which can be away, lose answers and forget its history. */
+/** A table service in memory, which can be away and forget its history. */
 final class MemoryRowStore implements RowStore {
 
 	private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
@@ -30,10 +30,6 @@
 
 	private boolean away;
 
-	private boolean losingAnswers;
-
-	private int commits;
-
 	private boolean closed;
 
 	// -- the test's side
@@ -43,11 +39,6 @@
 		notifyAll();
 	}
 
-	synchronized void delete(String table, String key) {
-		write(table, key, Optional.empty());
-		notifyAll();
-	}
-
 	synchronized void away(boolean now) {
 		this.away = now;
 		notifyAll();
@@ -59,10 +50,6 @@
 		notifyAll();
 	}
 
-	synchronized void losingAnswers(boolean now) {
-		this.losingAnswers = now;
-	}
-
 	synchronized void forgetHistory() {
 		this.history.clear();
 		this.historyFrom = this.version;
@@ -72,10 +59,6 @@
 		return Map.copyOf(this.tables.getOrDefault(table, new TreeMap<>()));
 	}
 
-	synchronized int commits() {
-		return this.commits;
-	}
-
 	// -- the gateway's side
 
 	@Override
@@ -102,13 +85,9 @@
 				return new Outcome.Conflict();
 			}
 		}
-		this.commits++;
 		commit.writes().forEach((write) -> write(commit.table(), write.key(), Optional.of(write.value())));
 		commit.deletes().forEach((key) -> write(commit.table(), key, Optional.empty()));
 		notifyAll();
-		if (this.losingAnswers) {
-			throw StoreException.of(Reason.UNREACHABLE, Verdict.mayHaveRun(), "the answer is lost");
-		}
 		return new Outcome.Committed(this.version);
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PassingThroughTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PassingThroughTests.java
@@ -225,8 +225,7 @@
 	}
 
 	// A stream that may not be resumed breaks: its caller must not take the half of it
-	// for
-	// the whole.
+	// for the whole.
 	@Test
 	void shouldNotLetBrokenStreamLookComplete() throws IOException {
 		try (ScriptedServer server = serving((request, exchange) -> {
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/Addresses.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/Addresses.java
@@ -10,12 +10,18 @@
  * address that a datagram names must never make the control thread wait for a name
  * service.
  */
-final class Addresses {
+public final class Addresses {
 
 	private Addresses() {
 	}
 
-	static InetSocketAddress parse(String address) {
+	/**
+	 * Reads an address.
+	 * @param address {@code host:port}, the host an IP number
+	 * @return the socket address
+	 * @throws IllegalArgumentException when it is none
+	 */
+	public static InetSocketAddress parse(String address) {
 		int colon = address.lastIndexOf(':');
 		if (colon <= 0) {
 			throw new IllegalArgumentException("'" + address + "' is no host:port");
@@ -28,7 +34,12 @@
 		return new InetSocketAddress(ip, Integer.parseInt(address.substring(colon + 1)));
 	}
 
-	static String format(InetSocketAddress address) {
+	/**
+	 * Writes an address.
+	 * @param address a socket address with an IP number
+	 * @return {@code host:port}
+	 */
+	public static String format(InetSocketAddress address) {
 		String host = address.getAddress().getHostAddress();
 		return ((host.indexOf(':') >= 0) ? "[" + host + "]" : host) + ":" + address.getPort();
 	}
