Serve all sockets on one thread; give test gateways ports that nobody else is given

Also two threads fewer to wake and to hold stacks.

Cause of a test that failed once (BeliefsTests, address in use): the harness took a port of the range from which the system serves outgoing connections of all processes. It now takes ports below it.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/AdminServer.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/AdminServer.java
@@ -36,13 +36,13 @@
 	static AdminServer open(LoopResources loops, GatewaySettings settings, BooleanSupplier ready,
 			MetricRegistry registry, Map<String, FollowedTable> tables) {
 		DisposableServer readiness = HttpServer.create()
-			.runOn(loops)
+			.runOn(loops, false)
 			.bindAddress(settings::readiness)
 			.route((routes) -> routes.get(settings.readinessPath(),
 					(_, response) -> response.status(ready.getAsBoolean() ? 200 : 503).send()))
 			.bindNow();
 		DisposableServer metrics = HttpServer.create()
-			.runOn(loops)
+			.runOn(loops, false)
 			.bindAddress(settings::metrics)
 			.route((routes) -> routes
 				.get(METRICS_PATH,
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -11,8 +11,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.EventLoop;
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
@@ -37,8 +36,8 @@
 import org.rosemaryfront.traffic.TrafficMetrics;
 
 /**
- * The process before the backend servers: traffic on one thread, decisions on another,
- * and the platform's rows, the other gateways and the duties behind them.
+ * The process before the backend servers: all sockets on one thread, decisions on
+ * another, and the platform's rows, the other gateways and the duties behind them.
  *
  * <pre>
  * try (GatewayProcess gateway = GatewayProcess.start(settings, platform)) {
@@ -92,8 +91,6 @@
 
 	private final TrafficMetrics metrics = new TrafficMetrics();
 
-	private final MultiThreadIoEventLoopGroup traffic;
-
 	private final LoopResources loops;
 
 	private final ControlLoop control;
@@ -152,14 +149,15 @@
 		this.usage = new UsageLedger(settings.bounds().usageWindowMillis());
 		this.control = ControlLoop.start("control", TICK, this::tick);
 		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.usage);
-		this.traffic = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-		this.gateway = Gateway.open(this.traffic.next(), settings.callers(), platform.calls(), this.decisions,
-				this.metrics);
+		// The thread of all sockets. With a second one every answer of the store woke
+		// another thread, and the process died at times in a system call that both made.
+		EventLoop io = loops.onServer(false).next();
+		this.gateway = Gateway.open(io, settings.callers(), platform.calls(), this.decisions, this.metrics);
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
 				Map.of(platform.records().configuration().table(), this.configurationTable,
 						platform.records().servers(), this.serversTable));
 		this.peerTables = new PeerTables(loops, () -> this.tableAddresses);
-		this.peers = PeerExchange.open(this.traffic.next(), settings.peers(), settings.name(), this.start, this::heard);
+		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::heard);
 		this.reports = new GatewayReports(this.peers, this.servers, this.quotas, this.decisions,
 				settings.metrics().getPort());
 		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions);
@@ -177,7 +175,7 @@
 	 * Starts a gateway.
 	 * @param settings what the machine tells
 	 * @param platform what the platform offers
-	 * @param loops the threads of the platform's calls
+	 * @param loops the one thread of all sockets
 	 * @return the running gateway
 	 */
 	public static GatewayProcess start(GatewaySettings settings, Platform platform, LoopResources loops) {
@@ -343,7 +341,6 @@
 		this.admin.close();
 		this.control.close();
 		this.peers.close();
-		this.traffic.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
 		this.loops.dispose();
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -104,7 +104,7 @@
 		MemoryRowStore store = new MemoryRowStore();
 		AtomicBoolean back = new AtomicBoolean();
 		TableWatch watch = TableWatch.start(store, "servers", new FollowedTable(),
-				new PeerTables(LoopResources.create("test", 1, 1, true), List::of), new TableWatch.Listener() {
+				new PeerTables(LoopResources.create("test", 1, true), List::of), new TableWatch.Listener() {
 					@Override
 					public void all(List<RowStore.Row> rows, long version) {
 						store.away(true);
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -1,7 +1,7 @@
 package org.rosemaryfront.gateway;
 
+import java.io.Closeable;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 
 import reactor.netty.resources.LoopResources;
@@ -30,6 +31,13 @@
 	/** Long enough for a slow machine; a test that passes waits for none of it. */
 	private static final long AWAIT_MILLIS = 10_000;
 
+	private static final int FIRST_PORT = 20_000;
+
+	/** Where the ports begin that the system gives to outgoing connections. */
+	private static final int FIRST_SYSTEM_PORT = 32_768;
+
+	private static final int PORT_TRIES = 50;
+
 	final MemoryRowStore store;
 
 	final DeniableStore access;
@@ -50,7 +58,7 @@
 				new GatewaySettings.Bounds(4_000, 100, 0.2, 64, 10_000, 8_000, usageWindowMillis));
 		this.process = GatewayProcess.start(this.settings,
 				new Platform(this.codecs, this.access, this.codecs, this.duties),
-				LoopResources.create("test", 1, 1, true));
+				LoopResources.create("test", 1, true));
 	}
 
 	static GatewayHarness start() {
@@ -169,21 +177,33 @@
 	}
 
 	private static InetSocketAddress free() {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
+		return free((port) -> new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
 	}
 
 	private static InetSocketAddress freeDatagram() {
-		try (DatagramSocket socket = new DatagramSocket()) {
-			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
+		return free((port) -> new DatagramSocket(port, InetAddress.getLoopbackAddress()));
+	}
+
+	// Not a port that the system chose: it gives the same ones to outgoing connections of
+	// all processes, and one that was free a moment ago is taken at times when it is
+	// bound.
+	private static InetSocketAddress free(Binding binding) {
+		for (int i = 0; i < PORT_TRIES; i++) {
+			int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, FIRST_SYSTEM_PORT);
+			try (Closeable _ = binding.bind(port)) {
+				return new InetSocketAddress("127.0.0.1", port);
+			}
+			catch (IOException ex) {
+				// It is in use: the next one.
+			}
 		}
+		throw new AssertionError("no port is free");
+	}
+
+	private interface Binding {
+
+		Closeable bind(int port) throws IOException;
+
 	}
 
 }
