Order stand-ins for reclaimed servers at once and keep them until reclaimable ones serve

Change: orders are a decision without network (SizeOrders) that remembers refusals until an order is taken, orders anew at once what was there and is gone, shares stand-ins among zones; the need until traffic shows grows as servers register.

--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
@@ -0,0 +1,165 @@
+package org.rosemaryfront.duties;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.rosemaryfront.duties.Size.Sort;
+import org.rosemaryfront.duties.SizePlan.Plan;
+import org.rosemaryfront.duties.SizePlan.ZoneSize;
+import org.rosemaryfront.routes.ServiceSpec;
+
+/**
+ * Which sizes to order now, from the plan, the servers present and what became of earlier
+ * orders. Times are on the monotonic clock, in nanoseconds.
+ *
+ * <p>
+ * Reclaimable VMs are ordered first. On-demand ones are given back only once the
+ * reclaimable ones serve. While no reclaimable one is to be had in a zone, on-demand ones
+ * stand in for what the service is short of, until they can be had again.
+ */
+public final class SizeOrders {
+
+	/** How long an order may take to show before it is given again, beside the boot. */
+	private static final long SHOW_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+	/** The pause behind an order that failed, in nanoseconds. */
+	private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	private final Map<Sort, Placed> orders = new HashMap<>();
+
+	// -- orders
+
+	/**
+	 * The orders that bring a service to its plan. They count as given.
+	 * @param service the service
+	 * @param plan the plan
+	 * @param present the servers that take calls, by zone
+	 * @param nowNanos the time
+	 * @return the orders
+	 */
+	public List<Size> next(ServiceSpec service, Plan plan, Map<String, ZoneSize> present, long nowNanos) {
+		List<Size> sizes = new ArrayList<>();
+		int shortOf = (int) Math.ceil(plan.need()) - all(present);
+		for (Map.Entry<String, ZoneSize> planned : plan.zones().entrySet()) {
+			String zone = planned.getKey();
+			ZoneSize here = present.getOrDefault(zone, ZoneSize.NONE);
+			Size reclaimable = new Size(service.name(), zone, planned.getValue().reclaimable(), true);
+			order(service, reclaimable, here.reclaimable(), nowNanos).ifPresent(sizes::add);
+			int missing = Math.max(0, reclaimable.servers() - here.reclaimable());
+			int kept = Math.clamp(here.lasting() - planned.getValue().lasting(), 0, missing);
+			int added = isRefused(reclaimable) ? Math.clamp(shortOf, 0, missing - kept) : 0;
+			shortOf -= added;
+			Size lasting = new Size(service.name(), zone, planned.getValue().lasting() + kept + added, false);
+			order(service, lasting, here.lasting(), nowNanos).ifPresent(sizes::add);
+		}
+		return sizes;
+	}
+
+	/**
+	 * The order of one sort of servers, if one is due. It counts as given.
+	 * @param service the service
+	 * @param size the size wanted
+	 * @param present the servers of that sort that take calls
+	 * @param nowNanos the time
+	 * @return the order, empty when it is in force or under way
+	 */
+	public Optional<Size> order(ServiceSpec service, Size size, int present, long nowNanos) {
+		Placed last = this.orders.get(size.sort());
+		boolean settled = present == size.servers();
+		if (last == null && settled) {
+			return Optional.empty();
+		}
+		if (last != null) {
+			last.note(present);
+			long bootNanos = TimeUnit.MILLISECONDS.toNanos(service.scaling().orElseThrow().bootMillis());
+			boolean waits = nowNanos - last.notBeforeNanos < 0;
+			boolean inForce = last.size.equals(size) && (settled || !last.isDue(nowNanos, bootNanos + SHOW_NANOS));
+			if (waits || inForce) {
+				return Optional.empty();
+			}
+		}
+		this.orders.put(size.sort(), new Placed(size, nowNanos, isRefused(size)));
+		return Optional.of(size);
+	}
+
+	// -- what became of them
+
+	/**
+	 * An order was taken.
+	 * @param size the order
+	 */
+	public void taken(Size size) {
+		placed(size).ifPresent((order) -> order.refused = false);
+	}
+
+	/**
+	 * An order failed; it is given again after a pause.
+	 * @param size the order
+	 * @param noneAvailable whether it failed because no VM of its sort is to be had
+	 * @param nowNanos the time
+	 */
+	public void failed(Size size, boolean noneAvailable, long nowNanos) {
+		placed(size).ifPresent((order) -> {
+			order.failed = true;
+			order.refused |= noneAvailable;
+			order.notBeforeNanos = nowNanos + RETRY_NANOS;
+		});
+	}
+
+	// Guards against stand-ins that never come: an order that is given again is open
+	// until it is answered. Taken as good meanwhile, it cancelled the stand-ins each
+	// second, which boot for four.
+	private boolean isRefused(Size size) {
+		Placed order = this.orders.get(size.sort());
+		return order != null && order.refused;
+	}
+
+	private Optional<Placed> placed(Size size) {
+		return Optional.ofNullable(this.orders.get(size.sort())).filter((order) -> order.size.equals(size));
+	}
+
+	private static int all(Map<String, ZoneSize> present) {
+		return present.values().stream().mapToInt((here) -> here.lasting() + here.reclaimable()).sum();
+	}
+
+	/** The last order of a sort. */
+	private static final class Placed {
+
+		private final Size size;
+
+		private final long atNanos;
+
+		private long notBeforeNanos;
+
+		/** Whether no VM of the sort was to be had when it was last asked for. */
+		private boolean refused;
+
+		private boolean failed;
+
+		/** Whether all of its servers were there. */
+		private boolean reached;
+
+		private Placed(Size size, long nowNanos, boolean refused) {
+			this.size = size;
+			this.atNanos = nowNanos;
+			this.notBeforeNanos = nowNanos;
+			this.refused = refused;
+		}
+
+		private void note(int present) {
+			this.reached |= present >= this.size.servers();
+		}
+
+		// Servers that were there and are not any more were reclaimed: waiting for them
+		// as for servers that boot would lose the seconds of notice.
+		private boolean isDue(long nowNanos, long mostNanos) {
+			return this.failed || this.reached || nowNanos - this.atNanos >= mostNanos;
+		}
+
+	}
+
+}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.rosemaryfront.routes.ServiceSpec;
@@ -70,9 +70,11 @@
 
 	private final Deque<Need> recent = new ArrayDeque<>();
 
-	private OptionalDouble firstNeed = OptionalDouble.empty();
+	/** Taken as needed until traffic shows the need; grows as servers register. */
+	private double firstNeed;
 
-	private long firstUntilNanos;
+	/** Until when that is; empty before the first plan. */
+	private OptionalLong firstUntilNanos = OptionalLong.empty();
 
 	/**
 	 * Plans the size.
@@ -101,13 +103,17 @@
 		return new Plan(need, sizes);
 	}
 
-	// Nothing is known yet of what is to come: whoever set the first size knew more.
+	// Nothing is known yet of what is to come: whoever set the first size knew more. The
+	// servers register one after the other, so that the first plan sees a part of them.
 	private double first(Demand demand, long nowNanos) {
-		if (this.firstNeed.isEmpty()) {
-			this.firstNeed = OptionalDouble.of(demand.lasting() * FIRST_SHARE);
-			this.firstUntilNanos = nowNanos + FIRST_NANOS;
+		if (this.firstUntilNanos.isEmpty()) {
+			this.firstUntilNanos = OptionalLong.of(nowNanos + FIRST_NANOS);
 		}
-		return (nowNanos - this.firstUntilNanos < 0) ? this.firstNeed.getAsDouble() : 0;
+		if (nowNanos - this.firstUntilNanos.getAsLong() >= 0) {
+			return 0;
+		}
+		this.firstNeed = Math.max(this.firstNeed, demand.lasting() * FIRST_SHARE);
+		return this.firstNeed;
 	}
 
 	private double peak(double need, long nowNanos) {
@@ -149,6 +155,10 @@
 	 * @param reclaimable those on VMs that can
 	 */
 	public record ZoneSize(int lasting, int reclaimable) {
+
+		/** No servers. */
+		public static final ZoneSize NONE = new ZoneSize(0, 0);
+
 	}
 
 	private record Need(double need, long atNanos) {
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizeOrdersTests.java
@@ -0,0 +1,111 @@
+package org.rosemaryfront.duties;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import org.rosemaryfront.duties.SizePlan.Plan;
+import org.rosemaryfront.duties.SizePlan.ZoneSize;
+import org.rosemaryfront.routes.ServiceSpec;
+import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
+import org.rosemaryfront.routes.ServiceSpec.ScalingSpec;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SizeOrdersTests {
+
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private static final ServiceSpec LLM = new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000)),
+			Optional.of(new ScalingSpec(1, 6, 4_000, 0.2, Map.of("a", 0.8, "b", 1.0))));
+
+	/** Four servers are needed, two reclaimable ones in each zone. */
+	private static final Plan PLAN = new Plan(4, Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 2)));
+
+	private static final Map<String, ZoneSize> COMPLETE = Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 2));
+
+	private static final Map<String, ZoneSize> WITHOUT_B = Map.of("a", new ZoneSize(1, 2), "b", ZoneSize.NONE);
+
+	private static final Size RECLAIMABLE_IN_B = new Size("llm", "b", 2, true);
+
+	private static final Size STAND_IN = new Size("llm", "b", 1, false);
+
+	private final SizeOrders orders = new SizeOrders();
+
+	@Test
+	void shouldOrderNothingWhenPlanIsThere() {
+		assertThat(next(COMPLETE, 0)).isEmpty();
+	}
+
+	// Callers wait and are refused for as long as a zone is missing. The reclaimable
+	// servers of a zone are reclaimed; their order was given seconds ago, so that it
+	// still counts as under way, and it is given again only after the time of a boot.
+	@Test
+	void shouldOrderAnewAtOnceWhenServersThatWereThereAreReclaimed() {
+		next(WITHOUT_B, 0);
+		next(COMPLETE, SECOND);
+		assertThat(next(WITHOUT_B, 2 * SECOND)).containsExactly(RECLAIMABLE_IN_B);
+	}
+
+	@Test
+	void shouldNotRepeatOrderThatIsUnderWay() {
+		next(WITHOUT_B, 0);
+		assertThat(next(WITHOUT_B, 2 * SECOND)).isEmpty();
+		assertThat(next(WITHOUT_B, 9 * SECOND)).containsExactly(RECLAIMABLE_IN_B);
+	}
+
+	// Callers are refused for as long as no reclaimable VM is to be had, although others
+	// are. Each order of a reclaimable one that is given again took the refusal of the
+	// one before for void, and the stand-ins were cancelled in the middle of their boot.
+	@Test
+	void shouldKeepStandInsWhileReclaimableOnesAreAskedForAgain() {
+		next(WITHOUT_B, 0);
+		this.orders.failed(RECLAIMABLE_IN_B, true, 0);
+		assertThat(next(WITHOUT_B, SECOND / 10)).containsExactly(STAND_IN);
+		this.orders.taken(STAND_IN);
+		assertThat(next(WITHOUT_B, 2 * SECOND)).containsExactly(RECLAIMABLE_IN_B);
+		assertThat(next(WITHOUT_B, 3 * SECOND)).isEmpty();
+	}
+
+	@Test
+	void shouldGiveStandInsBackOnceReclaimableOnesServe() {
+		next(WITHOUT_B, 0);
+		this.orders.failed(RECLAIMABLE_IN_B, true, 0);
+		next(WITHOUT_B, SECOND);
+		Map<String, ZoneSize> standing = Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(1, 0));
+		this.orders.taken(RECLAIMABLE_IN_B);
+		assertThat(next(standing, 6 * SECOND)).isEmpty();
+		Map<String, ZoneSize> both = Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(1, 2));
+		assertThat(next(both, 9 * SECOND)).containsExactly(new Size("llm", "b", 0, false));
+	}
+
+	// Two zones are reclaimed at once: each of them ordered all that the service was
+	// short
+	// of, twice as many servers at the full price as were needed.
+	@Test
+	void shouldShareStandInsAmongZones() {
+		Map<String, ZoneSize> left = Map.of("a", new ZoneSize(1, 0), "b", ZoneSize.NONE);
+		next(left, 0);
+		this.orders.failed(new Size("llm", "a", 2, true), true, 0);
+		this.orders.failed(RECLAIMABLE_IN_B, true, 0);
+		List<Size> standIns = next(left, SECOND / 10);
+		assertThat(standIns).noneMatch(Size::reclaimable);
+		assertThat(standIns.stream().mapToInt(Size::servers).sum()).isEqualTo(4);
+	}
+
+	@Test
+	void shouldPauseBehindOrderThatFailed() {
+		next(WITHOUT_B, 0);
+		this.orders.failed(RECLAIMABLE_IN_B, false, 0);
+		assertThat(next(WITHOUT_B, SECOND / 2)).isEmpty();
+		assertThat(next(WITHOUT_B, 2 * SECOND)).containsExactly(RECLAIMABLE_IN_B);
+	}
+
+	private List<Size> next(Map<String, ZoneSize> present, long now) {
+		return this.orders.next(LLM, PLAN, present, now);
+	}
+
+}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizePlanTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizePlanTests.java
@@ -17,6 +17,7 @@
 import org.rosemaryfront.routes.ServiceSpec.ScalingSpec;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 class SizePlanTests {
 
@@ -81,6 +82,14 @@
 		assertThat(this.plan.plan(LLM, ZONES, new Demand(50_000, 0, 0, 0), 130 * SECOND).need()).isLessThan(peak);
 	}
 
+	// The first seconds of traffic meet too few servers: those that ran at the start
+	// register one after the other, and the first plan took the part seen for all.
+	@Test
+	void shouldRaiseFirstNeedWhileServersRegister() {
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, 0, 4, 4), 0).need()).isCloseTo(2.4, within(0.01));
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, 0, 10, 10), SECOND).need()).isEqualTo(6);
+	}
+
 	// The processes start before the traffic: a plan from no traffic gives all servers
 	// back that the first second of traffic needs.
 	@Test
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/Duties.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/Duties.java
@@ -4,6 +4,8 @@
 
 import reactor.core.publisher.Mono;
 
+import org.rosemaryfront.duties.Size;
+
 /**
  * The calls to the platform that only one process at a time may make.
  */
@@ -26,15 +28,4 @@
 	 */
 	Mono<Void> resize(long fence, Size order);
 
-	/**
-	 * A size.
-	 *
-	 * @param service the service
-	 * @param zone the availability zone
-	 * @param servers the backend servers
-	 * @param reclaimable whether they run on reclaimable VMs
-	 */
-	record Size(String service, String zone, int servers, boolean reclaimable) {
-	}
-
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -9,7 +9,7 @@
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
-import org.rosemaryfront.ports.Duties.Size;
+import org.rosemaryfront.duties.Size;
 import org.rosemaryfront.routes.CallerLimits;
 import org.rosemaryfront.routes.ServiceSpec;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
