Keep callers of the first moments waiting, serve short calls while stopping, and never call a call not run that ran

Changes: requests wait up to a second for the first configuration and servers; a stopping process takes calls whose timeout lies before its end; a call that may have run gets its server's failure or 502. The time of a request that waits runs from its arrival.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +25,7 @@
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.quota.QuotaTable.Taking;
 import org.rosemaryfront.routes.Organisation;
+import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.routes.ServiceSpec;
 import org.rosemaryfront.routes.TrafficConfiguration;
 import org.rosemaryfront.traffic.Call;
@@ -62,6 +64,17 @@
 	/** Servers that may be tried in vain without anything sent, for one call. */
 	private static final int UNSENT_MOST = 3;
 
+	/**
+	 * How long callers wait at most for the first configuration and servers: both are
+	 * read within 0.2 s of the start, unless the store does not answer.
+	 */
+	private static final long START_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/**
+	 * What the answer of a call's timeout takes to reach its caller, in milliseconds.
+	 */
+	private static final long END_MARGIN_MILLIS = 200;
+
 	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
 	private final ControlLoop loop;
@@ -83,7 +96,12 @@
 
 	private volatile boolean stopping;
 
-	private volatile boolean accepting = true;
+	/** When the process ends, once a stop is far; calls must end before. */
+	private volatile OptionalLong endsNanos = OptionalLong.empty();
+
+	private final long startedNanos = System.nanoTime();
+
+	private volatile boolean serversKnown;
 
 	/** The store's version and the time of the last news of servers. */
 	private long serversVersion;
@@ -120,8 +138,19 @@
 	}
 
 	@Override
-	public boolean accepting() {
-		return this.accepting;
+	public boolean starting() {
+		boolean complete = this.configuration.isPresent() && this.serversKnown;
+		return !complete && System.nanoTime() - this.startedNanos < START_NANOS;
+	}
+
+	@Override
+	public boolean accepting(Optional<Route> route) {
+		OptionalLong ends = this.endsNanos;
+		if (ends.isEmpty()) {
+			return true;
+		}
+		long leftMillis = (ends.getAsLong() - System.nanoTime()) / NANOS_PER_MILLI - END_MARGIN_MILLIS;
+		return route.filter((known) -> known.timeoutMillis() <= leftMillis).isPresent();
 	}
 
 	@Override
@@ -199,9 +228,20 @@
 	private void dispatch(Call call, Decided decided, long now) {
 		switch (this.dispatcher.choose(wish(call, now), decided.tried, now)) {
 			case Choice.Chosen chosen -> send(call, decided, chosen, now);
-			case Choice.Full full -> call.refuse(503, fullRetryMillis(),
+			case Choice.Full full -> unserved(call, decided,
 					full.servers() + " servers have no room, first token after " + full.expectedMillis() + " ms");
-			case Choice.NoServer _ -> call.refuse(503, fullRetryMillis(), "no server of " + call.service());
+			case Choice.NoServer _ -> unserved(call, decided, "no server of " + call.service());
+		}
+	}
+
+	// A refusal promises that the call did not run: a call that is sent again, and finds
+	// no server for that, may have run at the first one.
+	private static void unserved(Call call, Decided decided, String reason) {
+		if (decided.ran) {
+			call.giveUp(reason);
+		}
+		else {
+			call.refuse(503, fullRetryMillis(), reason);
 		}
 	}
 
@@ -333,6 +373,7 @@
 	}
 
 	void serversSeen(long version, long now) {
+		this.serversKnown = true;
 		this.serversVersion = version;
 		this.serversNanos = now;
 	}
@@ -345,8 +386,12 @@
 		this.stopping = true;
 	}
 
-	void refuseAll() {
-		this.accepting = false;
+	/**
+	 * Takes only calls from now on that end in time whatever their servers do.
+	 * @param atNanos when the process ends
+	 */
+	void endsAt(long atNanos) {
+		this.endsNanos = OptionalLong.of(atNanos);
 	}
 
 	// -- queries, on the control thread
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -325,7 +325,7 @@
 			if (passedMillis(begun) >= this.settings.bounds().balancerMillis()) {
 				if (!left) {
 					left = true;
-					this.decisions.refuseAll();
+					this.decisions.endsAt(begun + TimeUnit.MILLISECONDS.toNanos(most));
 					leave();
 				}
 				this.gateway.closeIdle();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -66,7 +66,7 @@
 
 	private final String service;
 
-	private final long arrivedNanos = System.nanoTime();
+	private final long arrivedNanos;
 
 	private final long deadlineNanos;
 
@@ -109,7 +109,8 @@
 	private Optional<EventFramer> framer = Optional.empty();
 
 	Call(Gateway gateway, CallerConnection caller, HttpRequest head, CallTerms terms, Route route,
-			Optional<Organisation> organisation, String service) {
+			Optional<Organisation> organisation, String service, long arrivedNanos) {
+		this.arrivedNanos = arrivedNanos;
 		this.gateway = gateway;
 		this.caller = caller;
 		this.head = head;
@@ -119,7 +120,8 @@
 		this.service = service;
 		long millis = Math.min(route.timeoutMillis(), terms.remainingMillis().orElse(Long.MAX_VALUE));
 		this.deadlineNanos = this.arrivedNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, millis));
-		this.deadlineTimer = loop().schedule(this::deadline, Math.max(0, millis), TimeUnit.MILLISECONDS);
+		this.deadlineTimer = loop().schedule(this::deadline, this.deadlineNanos - System.nanoTime(),
+				TimeUnit.NANOSECONDS);
 	}
 
 	// -- queries, from any thread
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -4,6 +4,7 @@
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.routes.TrafficConfiguration;
 
 /**
@@ -25,10 +26,18 @@
 	boolean stopping();
 
 	/**
-	 * Whether new calls are taken.
-	 * @return false once a stop is so far that a new call may not come to its end
+	 * Whether this process has just started and does not know yet what it may serve.
+	 * Callers wait for that as long as it is a matter of moments.
+	 * @return false once it knows, or should know by now
 	 */
-	boolean accepting();
+	boolean starting();
+
+	/**
+	 * Whether a new call is taken.
+	 * @param route its route, empty when there is none
+	 * @return false once a stop is so far that the call may not come to its end
+	 */
+	boolean accepting(Optional<Route> route);
 
 	/**
 	 * A call came in and wants a backend server.
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -56,7 +56,10 @@
 
 	private final Gateway gateway;
 
-	private final Deque<Object> held = new ArrayDeque<>();
+	/** The time between two looks of callers that wait for the process to start. */
+	private static final long STARTING_LOOK_MILLIS = 10;
+
+	private final Deque<Held> held = new ArrayDeque<>();
 
 	private Channel channel;
 
@@ -103,21 +106,39 @@
 			return;
 		}
 		boolean ahead = this.call.map(Call::isReceived).orElse(false);
-		if (ahead || !this.held.isEmpty()) {
-			this.held.add(message);
+		boolean starting = this.held.isEmpty() && this.gateway.policy().starting();
+		if (ahead || starting || !this.held.isEmpty()) {
+			this.held.add(new Held(message, System.nanoTime()));
 			if (this.held.size() > HELD_PARTS) {
 				reading(false);
 			}
+			if (starting) {
+				awaitStart();
+			}
 			return;
 		}
-		take(message);
+		take(message, System.nanoTime());
 	}
 
-	private void take(Object message) {
+	// Guards callers against the first moments of a process: after a kill of all, those
+	// who came back were refused for the 0.2 s until the first configuration was read,
+	// and most callers come back only once.
+	private void awaitStart() {
+		this.gateway.loop().schedule(() -> {
+			if (!this.closed && this.gateway.policy().starting()) {
+				awaitStart();
+			}
+			else {
+				takeHeld();
+			}
+		}, STARTING_LOOK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void take(Object message, long arrivedNanos) {
 		try {
 			if (message instanceof HttpRequest head) {
 				this.headUnderWay = false;
-				request(head);
+				request(head, arrivedNanos);
 			}
 			if (message instanceof HttpContent content) {
 				body(content);
@@ -128,7 +149,7 @@
 		}
 	}
 
-	private void request(HttpRequest head) {
+	private void request(HttpRequest head, long arrivedNanos) {
 		this.dropping = false;
 		this.oldProtocol = head.protocolVersion().equals(HttpVersion.HTTP_1_0);
 		this.closeAfterAnswer = !HttpUtil.isKeepAlive(head);
@@ -144,17 +165,17 @@
 			refuseHead(terms.requestId(), 503, NOT_READY_MILLIS, "no configuration is known");
 			return;
 		}
-		if (!this.gateway.policy().accepting()) {
-			// The balancer still sends callers here when most processes of the zone stop.
-			refuseHead(terms.requestId(), 503, STOPPING_MILLIS, "the process stops");
-			return;
-		}
-		route(head, terms, configuration.get());
+		route(head, terms, configuration.get(), arrivedNanos);
 	}
 
-	private void route(HttpRequest head, CallTerms terms, TrafficConfiguration configuration) {
+	private void route(HttpRequest head, CallTerms terms, TrafficConfiguration configuration, long arrivedNanos) {
 		String path = RequestCheck.path(head.uri());
 		Optional<Route> route = configuration.route(RequestCheck.host(head), path);
+		if (!this.gateway.policy().accepting(route)) {
+			// The balancer still sends callers here when most processes of the zone stop.
+			refuseHead(terms.requestId(), 503, STOPPING_MILLIS, "the process stops");
+			return;
+		}
 		if (route.isEmpty()) {
 			refuseHead(terms.requestId(), 404, 0, "no route in version " + configuration.version());
 			return;
@@ -168,7 +189,8 @@
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
 		String service = route.get().service(Math.random());
-		this.call = Optional.of(new Call(this.gateway, this, head, terms, route.get(), organisation, service));
+		this.call = Optional
+			.of(new Call(this.gateway, this, head, terms, route.get(), organisation, service, arrivedNanos));
 	}
 
 	private void body(HttpContent content) {
@@ -318,7 +340,8 @@
 
 	private void takeHeld() {
 		while (!this.held.isEmpty() && !this.closed && this.call.map((now) -> !now.isReceived()).orElse(true)) {
-			take(this.held.poll());
+			Held next = this.held.poll();
+			take(next.message(), next.arrivedNanos());
 		}
 		if (this.held.size() <= HELD_PARTS) {
 			reading(true);
@@ -392,7 +415,7 @@
 		this.closed = true;
 		this.gateway.callers().remove(this);
 		this.call.ifPresent(Call::callerLeft);
-		this.held.forEach(ReferenceCountUtil::release);
+		this.held.forEach((part) -> ReferenceCountUtil.release(part.message()));
 		this.held.clear();
 	}
 
@@ -405,4 +428,8 @@
 		this.channel.close();
 	}
 
+	/** A part of a request that waits for its turn; its time runs from its arrival. */
+	private record Held(Object message, long arrivedNanos) {
+	}
+
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -278,6 +278,34 @@
 		}
 	}
 
+	// The balancer goes on sending callers to a process that stops. A call whose timeout
+	// lies before the kill comes to its end there, and is served.
+	@Test
+	void shouldServeCallsThatEndBeforeTheKill() throws Exception {
+		GatewayHarness gateway = GatewayHarness.start();
+		CompletableFuture<Void> go = new CompletableFuture<>();
+		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> {
+			if (request.line().contains("/visits/")) {
+				go.join();
+			}
+			exchange.ok(request, "x");
+		})) {
+			gateway.declare().register("s1", server).ready();
+			RawCaller caller = gateway.caller();
+			caller.send(RawCaller.post("c1", "/visits/", "x"));
+			GatewayHarness.await(() -> !server.requests().isEmpty());
+			CompletableFuture<Void> stopped = CompletableFuture.runAsync(gateway::stop);
+			GatewayHarness.await(() -> refuses(gateway));
+			assertThat(gateway.ask(RawCaller.post("c2", "/visits/", "x")).status()).isEqualTo(503);
+			assertThat(gateway.ask(RawCaller.get("c3", "/short/")).status()).isEqualTo(200);
+			go.complete(null);
+			stopped.get(10, TimeUnit.SECONDS);
+		}
+		finally {
+			gateway.store.close();
+		}
+	}
+
 	// Asked without reaching a server: a route that does not exist is 404 until then.
 	private static boolean refuses(GatewayHarness gateway) {
 		try {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
@@ -100,6 +100,17 @@
 		}
 	}
 
+	// A call fails at the only server of its service and may be sent again, but there is
+	// nowhere to send it. Told that it did not run, its caller would take it for undone.
+	@Test
+	void shouldNotSayNotRunWhenCallRanAndNoOtherServerIsLeft() throws IOException {
+		try (ScriptedServer server = serving(
+				(request, exchange) -> exchange.status(request, 500, "Signature: s\r\n"))) {
+			assertThat(this.gateway.ask(RawCaller.post("c1", "/sheets/", "x")).status()).isEqualTo(500);
+			assertThat(server.requests()).hasSize(1);
+		}
+	}
+
 	@Test
 	void shouldTryNextServerWhenOneCannotBeReached() throws IOException {
 		try (ScriptedServer dead = ScriptedServer.start((_, _) -> {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -31,6 +31,9 @@
 	/** Long enough for a slow machine; a test that passes waits for none of it. */
 	private static final long AWAIT_MILLIS = 10_000;
 
+	/** Shorter than the timeout of most routes, longer than that of {@code /short/}. */
+	private static final long STOP_MILLIS = 3_000;
+
 	private static final int FIRST_PORT = 20_000;
 
 	/** Where the ports begin that the system gives to outgoing connections. */
@@ -55,7 +58,7 @@
 		this.access = new DeniableStore(store);
 		this.codecs = codecs;
 		this.settings = new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), freeDatagram(),
-				new GatewaySettings.Bounds(4_000, 100, 0.2, 64, 10_000, 8_000, usageWindowMillis));
+				new GatewaySettings.Bounds(STOP_MILLIS, 100, 0.2, 64, 10_000, 8_000, usageWindowMillis));
 		this.process = GatewayProcess.start(this.settings,
 				new Platform(this.codecs, this.access, this.codecs, this.duties),
 				LoopResources.create("test", 1, true));
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PassingThroughTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PassingThroughTests.java
@@ -110,6 +110,46 @@
 		assertThat(this.gateway.readiness()).isEqualTo(503);
 	}
 
+	// All processes were killed. Callers come back before the configuration is read, some
+	// hundred milliseconds later; refused then, they do not come again.
+	@Test
+	void shouldServeCallerThatCameBeforeTheFirstConfiguration() throws IOException {
+		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			this.gateway.register("s1", server);
+			try (GatewayHarness again = GatewayHarness.startBeside(this.gateway); RawCaller caller = again.caller()) {
+				caller.send(RawCaller.post("c1", "/visits/", "body").replace("Key:", "Remaining: 2000\r\nKey:"));
+				again.declare();
+				assertThat(caller.read().status()).isEqualTo(200);
+				assertThat(server.requests().getFirst().body()).isEqualTo("body");
+			}
+		}
+	}
+
+	// The time of a request that waits behind another one on the same connection runs
+	// from its arrival: told the whole of it, the server works on after its caller left.
+	@Test
+	void shouldCountTimeThatRequestWaitedBehindAnother() throws IOException {
+		try (ScriptedServer server = serving((request, exchange) -> {
+			pause(300);
+			exchange.ok(request, "x");
+		}); RawCaller caller = this.gateway.caller()) {
+			caller.send(RawCaller.get("c1", "/sheets/"))
+				.send(RawCaller.get("c2", "/sheets/").replace("Key:", "Remaining: 2000\r\nKey:"));
+			caller.read();
+			caller.read();
+			assertThat(Long.parseLong(server.requests().get(1).header("remaining"))).isLessThanOrEqualTo(1_700L);
+		}
+	}
+
+	private static void pause(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			throw new AssertionError(ex);
+		}
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "/nowhere/, key-1, 404", "/sheets/, key-2, 401", "/sheets/, key-1, 503" })
 	void shouldRefuseWhatIsNotDeclared(String path, String key, int status) throws IOException {
