Order stand-ins for a zone at the notice, leave them where they boot, and log the times of an answer's parts

Changes: an order is due again as soon as servers go that were there; stand-ins stay where they were ordered. The answered line now tells the time to the first part and the longest pause.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
@@ -52,20 +52,61 @@
 	 */
 	public List<Size> next(ServiceSpec service, Plan plan, Map<String, ZoneSize> present, long nowNanos) {
 		List<Size> sizes = new ArrayList<>();
-		int shortOf = (int) Math.ceil(plan.need() * STAND_IN_SHARE) - all(present);
+		plan.zones()
+			.forEach((zone, planned) -> order(service, reclaimable(service, zone, planned),
+					present.getOrDefault(zone, ZoneSize.NONE).reclaimable(), nowNanos)
+				.ifPresent(sizes::add));
+		Map<String, Integer> standIns = standIns(service, plan, present);
+		plan.zones().forEach((zone, planned) -> {
+			Size lasting = new Size(service.name(), zone, planned.lasting() + standIns.get(zone), false);
+			order(service, lasting, present.getOrDefault(zone, ZoneSize.NONE).lasting(), nowNanos)
+				.ifPresent(sizes::add);
+		});
+		return sizes;
+	}
+
+	// The on-demand servers beyond the plan, by zone: those that are there and cannot be
+	// spared yet, and in zones that are refused those that the service is short of.
+	private Map<String, Integer> standIns(ServiceSpec service, Plan plan, Map<String, ZoneSize> present) {
+		Map<String, Integer> standIns = new HashMap<>();
+		Map<String, Integer> room = new HashMap<>();
+		plan.zones().forEach((zone, planned) -> {
+			ZoneSize here = present.getOrDefault(zone, ZoneSize.NONE);
+			int missing = Math.max(0, planned.reclaimable() - here.reclaimable());
+			int kept = Math.clamp(here.lasting() - planned.lasting(), 0, missing);
+			standIns.put(zone, kept);
+			room.put(zone, isRefused(reclaimable(service, zone, planned)) ? missing - kept : 0);
+		});
+		int shortOf = Math.max(0, (int) Math.ceil(plan.need() * STAND_IN_SHARE) - all(present));
+		// Those that boot stay where they are: moved to a zone that is refused later,
+		// they
+		// would begin to boot anew.
 		for (Map.Entry<String, ZoneSize> planned : plan.zones().entrySet()) {
 			String zone = planned.getKey();
-			ZoneSize here = present.getOrDefault(zone, ZoneSize.NONE);
-			Size reclaimable = new Size(service.name(), zone, planned.getValue().reclaimable(), true);
-			order(service, reclaimable, here.reclaimable(), nowNanos).ifPresent(sizes::add);
-			int missing = Math.max(0, reclaimable.servers() - here.reclaimable());
-			int kept = Math.clamp(here.lasting() - planned.getValue().lasting(), 0, missing);
-			int added = isRefused(reclaimable) ? Math.clamp(shortOf, 0, missing - kept) : 0;
-			shortOf -= added;
-			Size lasting = new Size(service.name(), zone, planned.getValue().lasting() + kept + added, false);
-			order(service, lasting, here.lasting(), nowNanos).ifPresent(sizes::add);
+			int ordered = lastOrdered(service, zone) - planned.getValue().lasting() - standIns.get(zone);
+			shortOf -= add(standIns, room, zone, Math.clamp(ordered, 0, shortOf));
 		}
-		return sizes;
+		for (String zone : plan.zones().keySet()) {
+			shortOf -= add(standIns, room, zone, shortOf);
+		}
+		return standIns;
+	}
+
+	// Adds servers as far as there is room in the zone.
+	private static int add(Map<String, Integer> standIns, Map<String, Integer> room, String zone, int wanted) {
+		int added = Math.min(wanted, room.get(zone));
+		standIns.merge(zone, added, Integer::sum);
+		room.merge(zone, -added, Integer::sum);
+		return added;
+	}
+
+	private int lastOrdered(ServiceSpec service, String zone) {
+		Placed last = this.orders.get(new Sort(service.name(), zone, false));
+		return (last != null) ? last.size.servers() : 0;
+	}
+
+	private static Size reclaimable(ServiceSpec service, String zone, ZoneSize planned) {
+		return new Size(service.name(), zone, planned.reclaimable(), true);
 	}
 
 	/**
@@ -86,7 +127,8 @@
 			last.note(present);
 			long bootNanos = TimeUnit.MILLISECONDS.toNanos(service.scaling().orElseThrow().bootMillis());
 			boolean waits = nowNanos - last.notBeforeNanos < 0;
-			boolean inForce = last.size.equals(size) && (settled || !last.isDue(nowNanos, bootNanos + SHOW_NANOS));
+			boolean due = last.isDue(present, nowNanos, bootNanos + SHOW_NANOS);
+			boolean inForce = last.size.equals(size) && (settled || !due);
 			if (waits || inForce) {
 				return Optional.empty();
 			}
@@ -149,8 +191,8 @@
 
 		private boolean failed;
 
-		/** Whether all of its servers were there. */
-		private boolean reached;
+		/** The most servers that were there since it was given. */
+		private int most;
 
 		private Placed(Size size, long nowNanos, boolean refused) {
 			this.size = size;
@@ -160,13 +202,14 @@
 		}
 
 		private void note(int present) {
-			this.reached |= present >= this.size.servers();
+			this.most = Math.max(this.most, present);
 		}
 
 		// Servers that were there and are not any more were reclaimed: waiting for them
 		// as for servers that boot would lose the seconds of notice.
-		private boolean isDue(long nowNanos, long mostNanos) {
-			return this.failed || this.reached || nowNanos - this.atNanos >= mostNanos;
+		private boolean isDue(int present, long nowNanos, long mostNanos) {
+			boolean fewer = present < this.most;
+			return this.failed || fewer || nowNanos - this.atNanos >= mostNanos;
 		}
 
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizeOrdersTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizeOrdersTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
@@ -23,12 +24,15 @@
 			Optional.of(new ScalingSpec(1, 6, 4_000, 0.2, Map.of("a", 0.8, "b", 1.0))));
 
 	/** Four servers are needed at the least, two reclaimable ones in each zone. */
-	private static final Plan PLAN = new Plan(5, Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 2)));
+	private static final Plan PLAN = new Plan(5,
+			new TreeMap<>(Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 2))));
 
 	private static final Map<String, ZoneSize> COMPLETE = Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 2));
 
 	private static final Map<String, ZoneSize> WITHOUT_B = Map.of("a", new ZoneSize(1, 2), "b", ZoneSize.NONE);
 
+	private static final Size RECLAIMABLE_IN_A = new Size("llm", "a", 2, true);
+
 	private static final Size RECLAIMABLE_IN_B = new Size("llm", "b", 2, true);
 
 	private static final Size STAND_IN = new Size("llm", "b", 1, false);
@@ -50,6 +54,27 @@
 		assertThat(next(WITHOUT_B, 2 * SECOND)).containsExactly(RECLAIMABLE_IN_B);
 	}
 
+	// The same, while the zone was about to grow: not all that was ordered had come.
+	@Test
+	void shouldOrderAnewAtOnceWhenSomeOfServersUnderWayAreReclaimed() {
+		next(WITHOUT_B, 0);
+		next(Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 1)), SECOND);
+		assertThat(next(WITHOUT_B, 2 * SECOND)).containsExactly(RECLAIMABLE_IN_B);
+	}
+
+	// Zones are reclaimed one after the other. Stand-ins that boot in the one were
+	// cancelled and ordered in the next as soon as that was refused too.
+	@Test
+	void shouldLeaveStandInsWhereTheyBoot() {
+		next(WITHOUT_B, 0);
+		this.orders.failed(RECLAIMABLE_IN_B, true, 0);
+		assertThat(next(WITHOUT_B, SECOND / 10)).containsExactly(STAND_IN);
+		Map<String, ZoneSize> left = Map.of("a", new ZoneSize(1, 1), "b", ZoneSize.NONE);
+		assertThat(next(left, SECOND / 5)).containsExactly(RECLAIMABLE_IN_A, new Size("llm", "b", 2, false));
+		this.orders.failed(RECLAIMABLE_IN_A, true, SECOND / 5);
+		assertThat(next(left, SECOND / 2)).isEmpty();
+	}
+
 	@Test
 	void shouldNotRepeatOrderThatIsUnderWay() {
 		next(WITHOUT_B, 0);
@@ -89,7 +114,7 @@
 	void shouldShareStandInsAmongZones() {
 		Map<String, ZoneSize> left = Map.of("a", new ZoneSize(1, 0), "b", ZoneSize.NONE);
 		next(left, 0);
-		this.orders.failed(new Size("llm", "a", 2, true), true, 0);
+		this.orders.failed(RECLAIMABLE_IN_A, true, 0);
 		this.orders.failed(RECLAIMABLE_IN_B, true, 0);
 		List<Size> standIns = next(left, SECOND / 10);
 		assertThat(standIns).noneMatch(Size::reclaimable);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -106,6 +106,8 @@
 
 	private boolean begun;
 
+	private final AnswerTimes times = new AnswerTimes();
+
 	private Optional<EventFramer> framer = Optional.empty();
 
 	Call(Gateway gateway, CallerConnection caller, HttpRequest head, CallTerms terms, Route route,
@@ -413,6 +415,7 @@
 		}
 		else if (this.answering) {
 			markBegun();
+			this.times.bytes(System.nanoTime());
 			ByteBuf whole = this.framer.map((cut) -> cut.add(bytes)).orElse(bytes);
 			if (!this.caller.write(whole)) {
 				this.channel.reading(false);
@@ -483,7 +486,8 @@
 
 	private void answered(BackendServer from) {
 		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", statusCode(),
-				"server", from.id(), "sends", this.sends, "millis", ageMillis());
+				"server", from.id(), "sends", this.sends, "millis", ageMillis(), "firstMillis",
+				this.times.firstMillis(this.arrivedNanos), "longestPauseMillis", this.times.longestPauseMillis());
 		this.gateway.metrics().answered(this, statusCode());
 		this.server = Optional.empty();
 		this.gateway.policy().ended(this, from, Ending.ANSWERED);
