--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/RetryAllowance.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/RetryAllowance.java
@@ -23,6 +23,8 @@
 
 	private final long windowNanos;
 
+	private final long startedNanos;
+
 	private final Map<String, Windows> services = new HashMap<>();
 
 	/**
@@ -30,8 +32,10 @@
 	 * @param share the retries allowed for each call
 	 * @param fixed the retries allowed in a window beside the share
 	 * @param windowMillis the window, in milliseconds
+	 * @param startedNanos when the process started
 	 */
-	public RetryAllowance(double share, double fixed, long windowMillis) {
+	public RetryAllowance(double share, double fixed, long windowMillis, long startedNanos) {
+		this.startedNanos = startedNanos;
 		this.share = share;
 		this.fixed = fixed;
 		this.windowNanos = TimeUnit.MILLISECONDS.toNanos(windowMillis);
@@ -54,13 +58,20 @@
 	 */
 	public boolean take(String service, long nowNanos) {
 		Windows windows = windows(service, nowNanos);
-		boolean allowed = windows.retries.size() + 1 <= this.share * windows.firsts.size() + this.fixed;
+		boolean allowed = windows.retries.size() + 1 <= this.share * windows.firsts.size() + fixed(nowNanos);
 		if (allowed) {
 			windows.retries.add(nowNanos);
 		}
 		return allowed;
 	}
 
+	// Guards the sum over all processes against restarts: an earlier life of this process
+	// may have used the fixed part within the same window. Killed twice in a window, all
+	// processes together would use it three times.
+	private double fixed(long nowNanos) {
+		return (nowNanos - this.startedNanos >= this.windowNanos) ? this.fixed : 0;
+	}
+
 	private Windows windows(String service, long nowNanos) {
 		Windows windows = this.services.computeIfAbsent(service, (_) -> new Windows());
 		expire(windows.firsts, nowNanos);
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/RetryAllowanceTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/RetryAllowanceTests.java
@@ -12,12 +12,15 @@
 
 	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
+	/** Long ago: whatever an earlier life used has left the window. */
+	private static final long STARTED = -60 * SECOND;
+
 	// All servers of a service fail: without a bound every call is sent twice, and the
 	// servers that come back get twice the load at once.
 	@ParameterizedTest
 	@CsvSource({ "0, 2", "10, 4", "100, 22" })
 	void shouldAllowShareOfCallsAndFixedPart(int calls, int retries) {
-		RetryAllowance allowance = new RetryAllowance(0.2, 2, 10_000);
+		RetryAllowance allowance = new RetryAllowance(0.2, 2, 10_000, STARTED);
 		for (int i = 0; i < calls; i++) {
 			allowance.first("booking", i);
 		}
@@ -30,7 +33,7 @@
 
 	@Test
 	void shouldForgetWhatLeftTheWindow() {
-		RetryAllowance allowance = new RetryAllowance(0, 1, 10_000);
+		RetryAllowance allowance = new RetryAllowance(0, 1, 10_000, STARTED);
 		assertThat(allowance.take("booking", 0)).isTrue();
 		assertThat(allowance.take("booking", 9 * SECOND)).isFalse();
 		assertThat(allowance.take("booking", 10 * SECOND)).isTrue();
@@ -38,9 +41,34 @@
 
 	@Test
 	void shouldCountEachServiceByItself() {
-		RetryAllowance allowance = new RetryAllowance(0, 1, 10_000);
+		RetryAllowance allowance = new RetryAllowance(0, 1, 10_000, STARTED);
 		assertThat(allowance.take("booking", 0)).isTrue();
 		assertThat(allowance.take("llm", 0)).isTrue();
 	}
 
+	// All processes are killed again and again while servers fail. Each life took the
+	// fixed part anew, and together they repeated more calls than a window allows.
+	@Test
+	void shouldStayWithinWindowOverRestarts() {
+		int repeated = 0;
+		for (int life = 0; life < 5; life++) {
+			long start = 2 * life * SECOND;
+			RetryAllowance allowance = new RetryAllowance(0.2, 4, 10_000, start);
+			for (int i = 0; i < 10; i++) {
+				allowance.first("booking", start + SECOND);
+			}
+			while (allowance.take("booking", start + SECOND)) {
+				repeated++;
+			}
+		}
+		assertThat(repeated).isEqualTo(5 * 2);
+	}
+
+	@Test
+	void shouldAllowFixedPartOnceAWindowHasPassedSinceTheStart() {
+		RetryAllowance allowance = new RetryAllowance(0, 1, 10_000, 0);
+		assertThat(allowance.take("booking", 9 * SECOND)).isFalse();
+		assertThat(allowance.take("booking", 10 * SECOND)).isTrue();
+	}
+
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -122,7 +122,7 @@
 		this.usage = usage;
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed() / RETRY_PARTS,
-				bounds.retryWindowMillis());
+				bounds.retryWindowMillis(), this.startedNanos);
 	}
 
 	// -- policy, on the traffic thread
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -19,6 +20,7 @@
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.gateway.PauseWatch.Finding;
 import org.rosemaryfront.peer.Addresses;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.ports.Duties;
@@ -65,14 +67,6 @@
 	/** The time between two looks at what is left while stopping, in milliseconds. */
 	private static final long STOP_LOOK_MILLIS = 50;
 
-	/** A pause of the process beyond this is logged, in milliseconds. */
-	private static final long PAUSE_MILLIS = 700;
-
-	/**
-	 * The time of day went on so much longer than the monotonic clock, in milliseconds.
-	 */
-	private static final long SUSPENDED_MILLIS = 500;
-
 	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
 	private static final String GATEWAYS_TABLE = "gateways";
@@ -124,9 +118,7 @@
 
 	private long nextDutiesNanos = System.nanoTime();
 
-	private long tickNanos = System.nanoTime();
-
-	private long tickMillis = System.currentTimeMillis();
+	private final PauseWatch pauses = new PauseWatch(System.nanoTime(), System.currentTimeMillis());
 
 	private final FollowedTable configurationTable = new FollowedTable();
 
@@ -196,6 +188,13 @@
 		return 1 + this.tableAddresses.size();
 	}
 
+	// Whether a backend server is known; asks the control thread.
+	boolean knows(String server) {
+		CompletableFuture<Boolean> known = new CompletableFuture<>();
+		this.control.post((_) -> known.complete(this.servers.find(server).isPresent()));
+		return known.join();
+	}
+
 	private boolean isReady() {
 		return this.news.isComplete() && !this.stopping;
 	}
@@ -278,19 +277,18 @@
 	}
 
 	private void notePause(long now) {
-		long epochMillis = System.currentTimeMillis();
-		long passed = Math.max(epochMillis - this.tickMillis, (now - this.tickNanos) / NANOS_PER_MILLI);
-		if (passed > PAUSE_MILLIS) {
-			EventLog.warn(GatewayEvents.PAUSED, "millis", passed, "monotonicMillis",
-					(now - this.tickNanos) / NANOS_PER_MILLI);
-		}
-		// A suspended VM: another process holds the lease by now, which the monotonic
-		// clock does not show.
-		if (epochMillis - this.tickMillis - (now - this.tickNanos) / NANOS_PER_MILLI > SUSPENDED_MILLIS) {
-			this.lease.fenced();
+		switch (this.pauses.look(now, System.currentTimeMillis())) {
+			case Finding.Running _ -> {
+			}
+			case Finding.Paused paused -> EventLog.warn(GatewayEvents.PAUSED, "millis", paused.millis(),
+					"monotonicMillis", paused.monotonicMillis());
+			case Finding.Suspended suspended -> {
+				EventLog.warn(GatewayEvents.PAUSED, "millis", suspended.millis(), "monotonicMillis",
+						suspended.monotonicMillis());
+				// Another process holds the lease by now.
+				this.lease.fenced();
+			}
 		}
-		this.tickNanos = now;
-		this.tickMillis = epochMillis;
 	}
 
 	private void duties(long now) {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -34,6 +35,9 @@
 	/** Shorter than the timeout of most routes, longer than that of {@code /short/}. */
 	private static final long STOP_MILLIS = 3_000;
 
+	/** Over by the first call, so that the fixed part of the retries is there. */
+	private static final long RETRY_WINDOW_MILLIS = 10;
+
 	private static final int FIRST_PORT = 20_000;
 
 	/** Where the ports begin that the system gives to outgoing connections. */
@@ -53,12 +57,14 @@
 
 	private final GatewayProcess process;
 
+	private final List<String> registered = new ArrayList<>();
+
 	private GatewayHarness(String name, long usageWindowMillis, MemoryRowStore store, PlainCodecs codecs) {
 		this.store = store;
 		this.access = new DeniableStore(store);
 		this.codecs = codecs;
 		this.settings = new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), freeDatagram(),
-				new GatewaySettings.Bounds(STOP_MILLIS, 100, 0.2, 64, 10_000, 8_000, usageWindowMillis));
+				new GatewaySettings.Bounds(STOP_MILLIS, 100, 0.2, 64, RETRY_WINDOW_MILLIS, 8_000, usageWindowMillis));
 		this.process = GatewayProcess.start(this.settings,
 				new Platform(this.codecs, this.access, this.codecs, this.duties),
 				LoopResources.create("test", 1, true));
@@ -115,12 +121,16 @@
 
 	GatewayHarness register(String id, ScriptedServer server) {
 		this.store.put(SERVERS, id, "app " + server.address() + " ready");
+		this.registered.add(id);
 		return this;
 	}
 
-	/** Waits until callers may come. */
+	/**
+	 * Waits until callers may come and the servers registered so far are known: the two
+	 * tables are followed apart, so that the configuration can come first.
+	 */
 	GatewayHarness ready() throws IOException {
-		await(() -> readiness() == 200);
+		await(() -> readiness() == 200 && this.registered.stream().allMatch(this.process::knows));
 		return this;
 	}
 
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PauseWatchTests.java
@@ -0,0 +1,29 @@
+package org.rosemaryfront.gateway;
+
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PauseWatchTests {
+
+	private static final long EPOCH = 1_770_000_000_000L;
+
+	// A VM that held the duties was suspended for seconds, and another gateway took them.
+	// Awake again, it went on under its old number: its term, counted on a clock that
+	// stood still as well, was not over.
+	@ParameterizedTest
+	@CsvSource({ "50, 50, Running", "3000, 3000, Paused", "50, 3050, Suspended", "3000, 6000, Suspended",
+			"50, -1950, Running", "650, 1200, Suspended", "50, 400, Running" })
+	void shouldTellSuspensionFromPause(long monotonicMillis, long dayMillis, String finding) {
+		for (long start : new long[] { 0, -5, Long.MAX_VALUE - 7 }) {
+			PauseWatch watch = new PauseWatch(start, EPOCH);
+			long now = start + TimeUnit.MILLISECONDS.toNanos(monotonicMillis);
+			assertThat(watch.look(now, EPOCH + dayMillis).getClass().getSimpleName()).isEqualTo(finding);
+			assertThat(watch.look(now, EPOCH + dayMillis)).isEqualTo(new PauseWatch.Finding.Running());
+		}
+	}
+
+}
