--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -16,14 +16,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import jdk.net.ExtendedSocketOptions;
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.peer.Addresses;
+import org.rosemaryfront.peer.KeepAliveProbes;
 import org.rosemaryfront.ports.CallCodec;
 
 /**
@@ -42,13 +41,8 @@
 	 */
 	private static final int CONNECT_MILLIS = 500;
 
-	/**
-	 * Keep-alive probes, in seconds and counts: a connection that something between the
-	 * ends forgot is found within 4 s, before a call is sent into it.
-	 */
-	private static final int PROBE_AFTER_SECONDS = 2;
-
-	private static final int PROBE_COUNT = 2;
+	/** A dead connection is found within 4 s, before a call is sent into it. */
+	private static final KeepAliveProbes PROBES = new KeepAliveProbes(2, 1, 2);
 
 	private static final int HEADER_BYTES = 65_536;
 
@@ -163,13 +157,10 @@
 	}
 
 	private Bootstrap bootstrap(ServerChannel handler) {
-		return new Bootstrap().group(this.loop)
+		Bootstrap bootstrap = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_SECONDS)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), 1)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBE_COUNT)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
@@ -180,6 +171,8 @@
 						.addLast(handler);
 				}
 			});
+		PROBES.options().forEach(bootstrap::option);
+		return bootstrap;
 	}
 
 	private void sweep() {
