Take servers found at a start as warm

Change: how long ago a server registered that was there at the first look is unknown, and its caches are taken as warm. The test failed before (the class did not know the case).

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -30,15 +30,15 @@
 	/** The number of the last call sent there. */
 	long lastSent;
 
-	/** When it registered itself. */
-	final long registeredNanos;
+	/** When it registered itself; empty when it was there before this process looked. */
+	final OptionalLong registeredNanos;
 
 	/** Failures since the last good answer. */
 	int failures;
 
-	BackendRow(BackendServer server, long nowNanos) {
+	BackendRow(BackendServer server, OptionalLong registeredNanos) {
 		this.server = server;
-		this.registeredNanos = nowNanos;
+		this.registeredNanos = registeredNanos;
 	}
 
 	int load() {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -60,9 +60,23 @@
 	 * @return true when it is new or changed
 	 */
 	public boolean registered(BackendServer server, long nowNanos) {
+		return put(server, OptionalLong.of(nowNanos));
+	}
+
+	/**
+	 * Takes a server that was registered before this process first looked: how long ago
+	 * is not known.
+	 * @param server the server
+	 * @return true when it is new or changed
+	 */
+	public boolean foundAtStart(BackendServer server) {
+		return put(server, OptionalLong.empty());
+	}
+
+	private boolean put(BackendServer server, OptionalLong registeredNanos) {
 		BackendRow known = this.rows.get(server.id());
 		if (known == null) {
-			this.rows.put(server.id(), new BackendRow(server, nowNanos));
+			this.rows.put(server.id(), new BackendRow(server, registeredNanos));
 			return true;
 		}
 		boolean changed = !known.server.equals(server) || known.dropAtNanos.isPresent();
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -125,7 +125,7 @@
 	}
 
 	private static Priced price(Wish wish, BackendRow row, int place, long nowNanos) {
-		double cold = Math.max(0, 1 - (nowNanos - row.registeredNanos) / WARM_NANOS);
+		double cold = cold(row, nowNanos);
 		double lacks = switch (place) {
 			case 0 -> cold;
 			case 1 -> Math.max(cold, SECOND_LACKS);
@@ -136,6 +136,16 @@
 		return new Priced(row, unread, row.slowness * (tokens / TOKENS_PER_MILLI + FIRST_TOKEN_MILLIS));
 	}
 
+	// The part of its shared parts that the first server of an order is taken to lack.
+	// Guards a process that was just restarted: taken as new, the servers that it finds
+	// seemed to have every prompt to read anew, and 200 calls were refused for that in
+	// the
+	// two seconds behind a kill of all processes.
+	private static double cold(BackendRow row, long nowNanos) {
+		return row.registeredNanos.isPresent()
+				? Math.max(0, 1 - (nowNanos - row.registeredNanos.getAsLong()) / WARM_NANOS) : 0;
+	}
+
 	private static long rank(String sharedPart, String server) {
 		return Hashing.wyhashFinal4().hashCharsToLong(sharedPart + '@' + server);
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -51,6 +51,20 @@
 		assertThat(used).hasSize(1);
 	}
 
+	// All processes are killed and start again before servers that ran all the while.
+	// Took
+	// they them as new, with every prompt to be read anew, they refused what was due.
+	@Test
+	void shouldTakeServersFoundAtStartAsWarm() {
+		BackendTable restarted = new BackendTable();
+		restarted.foundAtStart(server("s1", false));
+		BackendTable scaledOut = new BackendTable();
+		scaledOut.registered(server("s1", false), 0);
+		Wish wish = new Wish("llm", "part", 100_000, 800, 600, 0);
+		assertThat(new Dispatcher(restarted, "a").choose(wish, Set.of(), SECOND)).isInstanceOf(Choice.Chosen.class);
+		assertThat(new Dispatcher(scaledOut, "a").choose(wish, Set.of(), SECOND)).isInstanceOf(Choice.Full.class);
+	}
+
 	// One subject is asked for far more than others: its server would queue while others
 	// idle.
 	@Test
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -83,7 +83,8 @@
 		}
 		try {
 			BackendServer server = this.records.server(row.key(), row.value().get());
-			if (this.servers.registered(server, now)) {
+			boolean news = this.serversKnown ? this.servers.registered(server, now) : this.servers.foundAtStart(server);
+			if (news) {
 				EventLog.info(GatewayEvents.SERVER_REGISTERED, "server", server.id(), "service", server.service(),
 						"address", server.address(), "zone", server.zone(), "leaving", server.leaving(), "reclaimable",
 						server.reclaimable(), "rowVersion", row.version());
