--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -317,8 +317,11 @@
 		this.stopping = true;
 		this.decisions.stop();
 		this.gateway.closeIdle();
+		// It does not act any more: a successor need not wait for the last calls.
+		this.control.post(this.lease::release);
 		long most = this.settings.bounds().drainMillis() - EXIT_MILLIS;
 		boolean left = false;
+		boolean counted = false;
 		while (passedMillis(begun) < most) {
 			if (passedMillis(begun) >= this.settings.bounds().balancerMillis()) {
 				if (!left) {
@@ -327,12 +330,20 @@
 					leave();
 				}
 				this.gateway.closeIdle();
-				if (this.gateway.isIdle() && this.usageDuty.isWritten()) {
+				if (counted && this.usageDuty.isWritten()) {
 					break;
 				}
+				if (!counted && this.gateway.isIdle()) {
+					counted = true;
+					writeCounts();
+				}
 			}
 			sleep(STOP_LOOK_MILLIS);
 		}
+		if (!counted) {
+			writeCounts();
+			sleep(STOP_LOOK_MILLIS);
+		}
 		this.gateway.close();
 		this.configurationWatch.close();
 		this.serversWatch.close();
@@ -342,13 +353,14 @@
 		this.loops.dispose();
 	}
 
-	// Gives the duties back and hands the counts over while calls still end.
+	// Hands over what is known so far, while calls still end.
 	private void leave() {
-		this.control.post((now) -> {
-			this.lease.release(now);
-			this.usageDuty.closed(this.usage.closeAll(), this.start);
-			this.reports.tell(true);
-		});
+		writeCounts();
+		this.control.post((_) -> this.reports.tell(true));
+	}
+
+	private void writeCounts() {
+		this.control.post((_) -> this.usageDuty.closed(this.usage.closeAll(), this.start));
 	}
 
 	private static long passedMillis(long begun) {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.junit.jupiter.api.Test;
 import reactor.netty.resources.LoopResources;
@@ -279,10 +281,11 @@
 	}
 
 	// The balancer goes on sending callers to a process that stops. A call whose timeout
-	// lies before the kill comes to its end there, and is served.
+	// lies before the kill comes to its end there, is served, and is counted, although
+	// the counts were handed over before.
 	@Test
 	void shouldServeCallsThatEndBeforeTheKill() throws Exception {
-		GatewayHarness gateway = GatewayHarness.start();
+		GatewayHarness gateway = GatewayHarness.startWithUsageWindow(60_000);
 		CompletableFuture<Void> go = new CompletableFuture<>();
 		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> {
 			if (request.line().contains("/visits/")) {
@@ -300,12 +303,25 @@
 			assertThat(gateway.ask(RawCaller.get("c3", "/short/")).status()).isEqualTo(200);
 			go.complete(null);
 			stopped.get(10, TimeUnit.SECONDS);
+			assertThat(counted(gateway)).isEqualTo(server.requests().size());
 		}
 		finally {
 			gateway.store.close();
 		}
 	}
 
+	// The calls in the rows of use, of one organisation.
+	private static long counted(GatewayHarness gateway) {
+		Pattern count = Pattern.compile("\"sfax\":([0-9]+)");
+		return gateway.store.rows("usage")
+			.values()
+			.stream()
+			.map((row) -> count.matcher(new String(row.value().orElseThrow())))
+			.filter(Matcher::find)
+			.mapToLong((found) -> Long.parseLong(found.group(1)))
+			.sum();
+	}
+
 	// Asked without reaching a server: a route that does not exist is 404 until then.
 	private static boolean refuses(GatewayHarness gateway) {
 		try {
