Know the need when the duties are taken over, order at the notice, and count on no zone that may be next

Ruled out: no VM to be had on demand (each such order was taken). Changes: every gateway measures the demand; the holder looks at once when servers come or go; once a zone is refused, the reclaimable servers of the largest zone are not counted on.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
@@ -77,7 +77,8 @@
 			standIns.put(zone, kept);
 			room.put(zone, isRefused(reclaimable(service, zone, planned)) ? missing - kept : 0);
 		});
-		int shortOf = Math.max(0, (int) Math.ceil(plan.need() * STAND_IN_SHARE) - all(present));
+		int sure = all(present) - atRisk(service, plan, present);
+		int shortOf = Math.max(0, (int) Math.ceil(plan.need() * STAND_IN_SHARE) - sure);
 		// Those that boot stay where they are: moved to a zone that is refused later,
 		// they
 		// would begin to boot anew.
@@ -92,6 +93,18 @@
 		return standIns;
 	}
 
+	// Guards against waves: reclaims go from zone to zone, some five seconds apart, while
+	// nowhere another VM is to be had. Ordered with the third zone's notice, stand-ins
+	// come when it is gone; one server was left of seven for five seconds. Once a zone is
+	// refused, the reclaimable servers of the largest are not counted on any more.
+	private int atRisk(ServiceSpec service, Plan plan, Map<String, ZoneSize> present) {
+		boolean refused = plan.zones()
+			.keySet()
+			.stream()
+			.anyMatch((zone) -> isRefused(reclaimable(service, zone, ZoneSize.NONE)));
+		return refused ? present.values().stream().mapToInt(ZoneSize::reclaimable).max().orElse(0) : 0;
+	}
+
 	// Adds servers as far as there is room in the zone.
 	private static int add(Map<String, Integer> standIns, Map<String, Integer> room, String zone, int wanted) {
 		int added = Math.min(wanted, room.get(zone));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -301,11 +301,15 @@
 		this.usageDuty.closed(this.usage.close(epochMillis), this.start);
 		this.usageDuty.tick(epochMillis);
 		Optional<TrafficConfiguration> known = this.decisions.configuration();
-		if (known.isPresent() && this.news.isComplete() && this.lease.mayAct(now) && !this.stopping) {
+		if (known.isEmpty() || !this.news.isComplete()) {
+			return;
+		}
+		this.sizeDuty.look(known.get(), this.reports.readingTokens(), now);
+		if (this.lease.mayAct(now) && !this.stopping) {
 			Set<String> organisations = new HashSet<>();
 			known.get().organisations().stream().map(Organisation::name).forEach(organisations::add);
 			this.usageDuty.act(this.lease.fence(), epochMillis, organisations);
-			this.sizeDuty.act(this.lease.fence(), known.get(), this.reports.readingTokens(), now);
+			this.sizeDuty.act(this.lease.fence(), known.get(), now);
 		}
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -24,7 +24,7 @@
  */
 final class SizeDuty {
 
-	/** The time between two looks at the sizes, in nanoseconds. */
+	/** The time between two looks at the demand, in nanoseconds. */
 	private static final long LOOK_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	/** How long the servers of a service may take to register themselves at the start. */
@@ -45,14 +45,23 @@
 
 	private final Map<String, SizePlan> plans = new HashMap<>();
 
+	/** The newest plan by service. */
+	private final Map<String, SizePlan.Plan> needs = new HashMap<>();
+
 	private final SizeOrders orders = new SizeOrders();
 
+	/** The servers at the last look at the orders, by service. */
+	private final Map<String, Map<String, ZoneSize>> lastPresent = new HashMap<>();
+
 	private final Map<String, Long> firstSeenNanos = new HashMap<>();
 
 	private long lookedNanos;
 
 	private boolean looked;
 
+	/** Whether there are plans that no order was derived from yet. */
+	private boolean planned;
+
 	/** Others boot for seconds before they can stand in: they are ordered at once. */
 	private boolean standInsWanted;
 
@@ -69,24 +78,44 @@
 	}
 
 	/**
-	 * Looks at the sizes.
-	 * @param fence the fencing number
+	 * Looks at the demand; every gateway does, so that whoever takes the duties over
+	 * knows what was needed of late. A successor that began from nothing gave the
+	 * stand-ins of its predecessor back in the middle of a wave of reclaims.
 	 * @param configuration the configuration in force
 	 * @param readingTokens the prompt tokens read by servers since the start
 	 * @param now the time
 	 */
-	void act(long fence, TrafficConfiguration configuration, double readingTokens, long now) {
-		boolean due = !this.looked || now - this.lookedNanos >= LOOK_NANOS;
-		if (!due && !this.standInsWanted) {
+	void look(TrafficConfiguration configuration, double readingTokens, long now) {
+		if (this.looked && now - this.lookedNanos < LOOK_NANOS) {
 			return;
 		}
+		measure(readingTokens, now);
+		configuration.services()
+			.stream()
+			.filter((service) -> service.scaling().isPresent() && isSettled(service.name(), now))
+			.forEach((service) -> this.needs.put(service.name(), plan(service, now)));
+		this.planned = true;
+	}
+
+	/**
+	 * Orders what the plans lack, as the holder of the duties: with each new plan, and at
+	 * once when servers come or go.
+	 * @param fence the fencing number
+	 * @param configuration the configuration in force
+	 * @param now the time
+	 */
+	void act(long fence, TrafficConfiguration configuration, long now) {
+		boolean due = this.planned || this.standInsWanted;
+		this.planned = false;
 		this.standInsWanted = false;
-		if (due) {
-			measure(readingTokens, now);
-		}
 		for (ServiceSpec service : configuration.services()) {
-			if (service.scaling().isPresent() && isSettled(service.name(), now)) {
-				plan(fence, service, now);
+			SizePlan.Plan plan = this.needs.get(service.name());
+			if (plan != null) {
+				Map<String, ZoneSize> here = present(service.name());
+				boolean moved = !here.equals(this.lastPresent.put(service.name(), here));
+				if (due || moved) {
+					this.orders.next(service, plan, here, now).forEach((size) -> order(fence, size));
+				}
 			}
 			else if (service.scaling().isPresent()) {
 				this.zones.forEach((zone) -> begin(fence, service, zone, now));
@@ -114,16 +143,15 @@
 		return now - this.firstSeenNanos.computeIfAbsent(service, (_) -> now) >= SETTLE_NANOS;
 	}
 
-	private void plan(long fence, ServiceSpec service, long now) {
+	private SizePlan.Plan plan(ServiceSpec service, long now) {
 		Map<String, Double> prices = service.scaling().orElseThrow().zonePrices();
 		List<String> cheapestFirst = this.zones.stream()
 			.sorted(Comparator.comparingDouble((zone) -> prices.getOrDefault(zone, 1.0)))
 			.toList();
 		Demand demand = new Demand(this.tokensPerSecond, this.servers.callsOf(service.name()), all(service.name()),
 				this.zones.stream().mapToInt((zone) -> count(service.name(), zone, false)).sum());
-		SizePlan.Plan plan = this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
+		return this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
 			.plan(service, cheapestFirst, demand, now);
-		this.orders.next(service, plan, present(service.name()), now).forEach((size) -> order(fence, size));
 	}
 
 	// Some reclaimable servers are needed whatever the plan says: they boot while the
