--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
@@ -18,8 +18,8 @@
  *
  * <p>
  * Reclaimable VMs are ordered first. On-demand ones are given back only once the
- * reclaimable ones serve. While no reclaimable one is to be had in a zone, on-demand ones
- * stand in for what the service is short of, until they can be had again.
+ * reclaimable ones serve. While no reclaimable one is to be had in a zone, the service
+ * falls back to on-demand ones for what it is short of, until they can be had again.
  */
 public final class SizeOrders {
 
@@ -30,13 +30,13 @@
 	private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	/**
-	 * The share of the need up to which on-demand VMs stand in. The need has room for
-	 * peaks, and an on-demand VM costs some five times as much as the one it stands in
-	 * for: with all of the need the servers of two days with reclaims cost 0.24 of what
-	 * the days were worth, with this share 0.19, while what was served stayed the same
-	 * (0.896 and 0.894).
+	 * The share of the need up to which the service falls back to on-demand VMs. The need
+	 * has room for peaks, and an on-demand VM costs some five times as much as a
+	 * reclaimable one: with all of the need the servers of two days with reclaims cost
+	 * 0.24 of what the days were worth, with this share 0.19, while what was served
+	 * stayed the same (0.896 and 0.894).
 	 */
-	private static final double STAND_IN_SHARE = 0.7;
+	private static final double FALLBACK_SHARE = 0.7;
 
 	private final Map<Sort, Placed> orders = new HashMap<>();
 
@@ -56,47 +56,46 @@
 			.forEach((zone, planned) -> order(service, reclaimable(service, zone, planned),
 					present.getOrDefault(zone, ZoneSize.NONE).reclaimable(), nowNanos)
 				.ifPresent(sizes::add));
-		Map<String, Integer> standIns = standIns(service, plan, present);
+		Fallback fallback = fallback(service, plan, present);
 		plan.zones().forEach((zone, planned) -> {
-			Size lasting = new Size(service.name(), zone, planned.lasting() + standIns.get(zone), false);
+			Size lasting = new Size(service.name(), zone, planned.lasting() + fallback.servers(zone), false);
 			order(service, lasting, present.getOrDefault(zone, ZoneSize.NONE).lasting(), nowNanos)
 				.ifPresent(sizes::add);
 		});
 		return sizes;
 	}
 
-	// The on-demand servers beyond the plan, by zone: those that are there and cannot be
-	// spared yet, and in zones that are refused those that the service is short of.
-	private Map<String, Integer> standIns(ServiceSpec service, Plan plan, Map<String, ZoneSize> present) {
-		Map<String, Integer> standIns = new HashMap<>();
-		Map<String, Integer> room = new HashMap<>();
+	// The on-demand servers beyond the plan: those that are there and cannot be spared
+	// yet, and in zones that are refused those that the service is short of.
+	private Fallback fallback(ServiceSpec service, Plan plan, Map<String, ZoneSize> present) {
+		Fallback fallback = new Fallback();
 		plan.zones().forEach((zone, planned) -> {
 			ZoneSize here = present.getOrDefault(zone, ZoneSize.NONE);
 			int missing = Math.max(0, planned.reclaimable() - here.reclaimable());
 			int kept = Math.clamp(here.lasting() - planned.lasting(), 0, missing);
-			standIns.put(zone, kept);
-			room.put(zone, isRefused(reclaimable(service, zone, planned)) ? missing - kept : 0);
+			boolean refused = isRefused(reclaimable(service, zone, planned));
+			fallback.begin(zone, kept, refused ? missing - kept : 0);
 		});
 		int sure = all(present) - atRisk(service, plan, present);
-		int shortOf = Math.max(0, (int) Math.ceil(plan.need() * STAND_IN_SHARE) - sure);
-		// Those that boot stay where they are: moved to a zone that is refused later,
-		// they
-		// would begin to boot anew.
+		int shortOf = Math.max(0, (int) Math.ceil(plan.need() * FALLBACK_SHARE) - sure);
+		// Those that boot stay where they are: cancelled in favour of a zone that is
+		// refused later, others would have to boot anew.
 		for (Map.Entry<String, ZoneSize> planned : plan.zones().entrySet()) {
 			String zone = planned.getKey();
-			int ordered = lastOrdered(service, zone) - planned.getValue().lasting() - standIns.get(zone);
-			shortOf -= add(standIns, room, zone, Math.clamp(ordered, 0, shortOf));
+			int booting = lastOrdered(service, zone) - planned.getValue().lasting() - fallback.servers(zone);
+			shortOf -= fallback.add(zone, Math.clamp(booting, 0, shortOf));
 		}
 		for (String zone : plan.zones().keySet()) {
-			shortOf -= add(standIns, room, zone, shortOf);
+			shortOf -= fallback.add(zone, shortOf);
 		}
-		return standIns;
+		return fallback;
 	}
 
 	// Guards against waves: reclaims go from zone to zone, some five seconds apart, while
-	// nowhere another VM is to be had. Ordered with the third zone's notice, stand-ins
-	// come when it is gone; one server was left of seven for five seconds. Once a zone is
-	// refused, the reclaimable servers of the largest are not counted on any more.
+	// nowhere another reclaimable VM is to be had. Ordered with the third zone's notice,
+	// on-demand ones come when it is gone, and one server was left of seven for five
+	// seconds. Once a zone is refused, the reclaimable servers of the largest one are not
+	// counted on any more.
 	private int atRisk(ServiceSpec service, Plan plan, Map<String, ZoneSize> present) {
 		boolean refused = plan.zones()
 			.keySet()
@@ -105,14 +104,6 @@
 		return refused ? present.values().stream().mapToInt(ZoneSize::reclaimable).max().orElse(0) : 0;
 	}
 
-	// Adds servers as far as there is room in the zone.
-	private static int add(Map<String, Integer> standIns, Map<String, Integer> room, String zone, int wanted) {
-		int added = Math.min(wanted, room.get(zone));
-		standIns.merge(zone, added, Integer::sum);
-		room.merge(zone, -added, Integer::sum);
-		return added;
-	}
-
 	private int lastOrdered(ServiceSpec service, String zone) {
 		Placed last = this.orders.get(new Sort(service.name(), zone, false));
 		return (last != null) ? last.size.servers() : 0;
@@ -174,9 +165,9 @@
 		});
 	}
 
-	// Guards against stand-ins that never come: an order that is given again is open
-	// until it is answered. Taken as good meanwhile, it cancelled the stand-ins each
-	// second, which boot for four.
+	// Guards against fallback servers that never come: an order that is given again is
+	// open until it is answered. Taken as good meanwhile, it cancelled the fallback each
+	// second, which boots for four.
 	private boolean isRefused(Size size) {
 		Placed order = this.orders.get(size.sort());
 		return order != null && order.refused;
@@ -190,6 +181,32 @@
 		return present.values().stream().mapToInt((here) -> here.lasting() + here.reclaimable()).sum();
 	}
 
+	/** On-demand servers beyond the plan, by zone, and how many more there may be. */
+	private static final class Fallback {
+
+		private final Map<String, Integer> servers = new HashMap<>();
+
+		private final Map<String, Integer> room = new HashMap<>();
+
+		private void begin(String zone, int kept, int more) {
+			this.servers.put(zone, kept);
+			this.room.put(zone, more);
+		}
+
+		private int servers(String zone) {
+			return this.servers.getOrDefault(zone, 0);
+		}
+
+		// Adds as many servers as there is room for, and tells how many.
+		private int add(String zone, int wanted) {
+			int added = Math.min(wanted, this.room.get(zone));
+			this.servers.merge(zone, added, Integer::sum);
+			this.room.merge(zone, -added, Integer::sum);
+			return added;
+		}
+
+	}
+
 	/** The last order of a sort. */
 	private static final class Placed {
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizeOrdersTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizeOrdersTests.java
@@ -35,7 +35,7 @@
 
 	private static final Size RECLAIMABLE_IN_B = new Size("llm", "b", 2, true);
 
-	private static final Size STAND_IN = new Size("llm", "b", 1, false);
+	private static final Size FALLBACK = new Size("llm", "b", 1, false);
 
 	private final SizeOrders orders = new SizeOrders();
 
@@ -62,13 +62,13 @@
 		assertThat(next(WITHOUT_B, 2 * SECOND)).containsExactly(RECLAIMABLE_IN_B);
 	}
 
-	// Zones are reclaimed one after the other. Stand-ins that boot in the one were
+	// Zones are reclaimed one after the other. Fallback servers that boot in the one were
 	// cancelled and ordered in the next as soon as that was refused too.
 	@Test
-	void shouldLeaveStandInsWhereTheyBoot() {
+	void shouldLeaveFallbackServersWhereTheyBoot() {
 		next(WITHOUT_B, 0);
 		this.orders.failed(RECLAIMABLE_IN_B, true, 0);
-		assertThat(next(WITHOUT_B, SECOND / 10)).containsExactly(STAND_IN);
+		assertThat(next(WITHOUT_B, SECOND / 10)).containsExactly(FALLBACK);
 		Map<String, ZoneSize> left = Map.of("a", new ZoneSize(1, 1), "b", ZoneSize.NONE);
 		assertThat(next(left, SECOND / 5)).containsExactly(RECLAIMABLE_IN_A);
 		this.orders.failed(RECLAIMABLE_IN_A, true, SECOND / 5);
@@ -84,19 +84,20 @@
 
 	// Callers are refused for as long as no reclaimable VM is to be had, although others
 	// are. Each order of a reclaimable one that is given again took the refusal of the
-	// one before for void, and the stand-ins were cancelled in the middle of their boot.
+	// one before for void, and the fallback servers were cancelled in the middle of their
+	// boot.
 	@Test
-	void shouldKeepStandInsWhileReclaimableOnesAreAskedForAgain() {
+	void shouldKeepFallbackServersWhileReclaimableOnesAreAskedForAgain() {
 		next(WITHOUT_B, 0);
 		this.orders.failed(RECLAIMABLE_IN_B, true, 0);
-		assertThat(next(WITHOUT_B, SECOND / 10)).containsExactly(STAND_IN);
-		this.orders.taken(STAND_IN);
+		assertThat(next(WITHOUT_B, SECOND / 10)).containsExactly(FALLBACK);
+		this.orders.taken(FALLBACK);
 		assertThat(next(WITHOUT_B, 2 * SECOND)).containsExactly(RECLAIMABLE_IN_B);
 		assertThat(next(WITHOUT_B, 3 * SECOND)).isEmpty();
 	}
 
 	@Test
-	void shouldGiveStandInsBackOnceReclaimableOnesServe() {
+	void shouldGiveFallbackServersBackOnceReclaimableOnesServe() {
 		next(WITHOUT_B, 0);
 		this.orders.failed(RECLAIMABLE_IN_B, true, 0);
 		next(WITHOUT_B, SECOND);
@@ -109,7 +110,7 @@
 
 	// Reclaims go from zone to zone while nowhere another VM is to be had. Ordered with
 	// the
-	// notice of the last zone, stand-ins boot while nobody serves.
+	// notice of the last zone, fallback servers boot while nobody serves.
 	@Test
 	void shouldNotCountOnTheNextZoneOnceOneIsRefused() {
 		Plan large = new Plan(4.2, PLAN.zones());
@@ -124,14 +125,14 @@
 	// short
 	// of, twice as many servers at the full price as were needed.
 	@Test
-	void shouldShareStandInsAmongZones() {
+	void shouldShareFallbackServersAmongZones() {
 		Map<String, ZoneSize> left = Map.of("a", new ZoneSize(1, 0), "b", ZoneSize.NONE);
 		next(left, 0);
 		this.orders.failed(RECLAIMABLE_IN_A, true, 0);
 		this.orders.failed(RECLAIMABLE_IN_B, true, 0);
-		List<Size> standIns = next(left, SECOND / 10);
-		assertThat(standIns).noneMatch(Size::reclaimable);
-		assertThat(standIns.stream().mapToInt(Size::servers).sum()).isEqualTo(2);
+		List<Size> fallback = next(left, SECOND / 10);
+		assertThat(fallback).noneMatch(Size::reclaimable);
+		assertThat(fallback.stream().mapToInt(Size::servers).sum()).isEqualTo(2);
 	}
 
 	@Test
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -62,8 +62,8 @@
 	/** Whether there are plans that no order was derived from yet. */
 	private boolean planned;
 
-	/** Others boot for seconds before they can stand in: they are ordered at once. */
-	private boolean standInsWanted;
+	/** Whether a reclaimable VM was refused: what replaces it boots for seconds. */
+	private boolean fallbackWanted;
 
 	private double lastTokens;
 
@@ -79,8 +79,8 @@
 
 	/**
 	 * Looks at the demand; every gateway does, so that whoever takes the duties over
-	 * knows what was needed of late. A successor that began from nothing gave the
-	 * stand-ins of its predecessor back in the middle of a wave of reclaims.
+	 * knows what was needed of late. A successor that began from nothing gave back, in
+	 * the middle of a wave of reclaims, what its predecessor had ordered.
 	 * @param configuration the configuration in force
 	 * @param readingTokens the prompt tokens read by servers since the start
 	 * @param now the time
@@ -105,9 +105,9 @@
 	 * @param now the time
 	 */
 	void act(long fence, TrafficConfiguration configuration, long now) {
-		boolean due = this.planned || this.standInsWanted;
+		boolean due = this.planned || this.fallbackWanted;
 		this.planned = false;
-		this.standInsWanted = false;
+		this.fallbackWanted = false;
 		for (ServiceSpec service : configuration.services()) {
 			SizePlan.Plan plan = this.needs.get(service.name());
 			if (plan != null) {
@@ -184,7 +184,7 @@
 		boolean none = failure instanceof StoreException ex && ex.reason() == StoreException.Reason.NONE_AVAILABLE;
 		this.orders.failed(size, none, System.nanoTime());
 		if (none) {
-			this.standInsWanted = true;
+			this.fallbackWanted = true;
 		}
 	}
 
