--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -108,18 +108,22 @@
 		boolean due = this.planned || this.fallbackWanted;
 		this.planned = false;
 		this.fallbackWanted = false;
-		for (ServiceSpec service : configuration.services()) {
-			SizePlan.Plan plan = this.needs.get(service.name());
-			if (plan != null) {
-				Map<String, ZoneSize> here = present(service.name());
-				boolean moved = !here.equals(this.lastPresent.put(service.name(), here));
-				if (due || moved) {
-					this.orders.next(service, plan, here, now).forEach((size) -> order(fence, size));
-				}
-			}
-			else if (service.scaling().isPresent()) {
-				this.zones.forEach((zone) -> begin(fence, service, zone, now));
-			}
+		configuration.services()
+			.stream()
+			.filter((service) -> service.scaling().isPresent())
+			.forEach((service) -> act(fence, service, due, now));
+	}
+
+	private void act(long fence, ServiceSpec service, boolean due, long now) {
+		SizePlan.Plan plan = this.needs.get(service.name());
+		if (plan == null) {
+			this.zones.forEach((zone) -> begin(fence, service, zone, now));
+			return;
+		}
+		Map<String, ZoneSize> here = present(service.name());
+		boolean moved = !here.equals(this.lastPresent.put(service.name(), here));
+		if (due || moved) {
+			this.orders.next(service, plan, here, now).forEach((size) -> order(fence, size));
 		}
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -244,12 +244,7 @@
 			keys.add(row.key());
 			counts.forEach((name, count) -> sum.merge(name, count, Long::sum));
 		}
-		List<String> stored = keys.stream().map((key) -> key.substring(key(window, "").length())).toList();
-		Map<String, Long> missing = this.heard.missing(window, stored);
-		if (!missing.isEmpty()) {
-			EventLog.info(GatewayEvents.USAGE_FROM_PEERS, "window", window, "rows", stored.size(), "missing", missing);
-			missing.forEach((name, count) -> sum.merge(name, count, Long::sum));
-		}
+		addHeard(window, keys, sum);
 		Commit commit = new Commit(TABLE, List.of(new Condition(key(window, SUM), 0)),
 				List.of(new Write(key(window, SUM), encode(sum))), List.of());
 		this.store.commit(commit).subscribe((outcome) -> this.control.accept(() -> {
@@ -260,6 +255,15 @@
 		}), (failure) -> this.control.accept(() -> failed(window, failure)));
 	}
 
+	private void addHeard(long window, List<String> keys, Map<String, Long> sum) {
+		List<String> stored = keys.stream().map((key) -> key.substring(key(window, "").length())).toList();
+		Map<String, Long> missing = this.heard.missing(window, stored);
+		if (!missing.isEmpty()) {
+			EventLog.info(GatewayEvents.USAGE_FROM_PEERS, "window", window, "rows", stored.size(), "missing", missing);
+			missing.forEach((name, count) -> sum.merge(name, count, Long::sum));
+		}
+	}
+
 	private void report(long fence, long window, Map<String, Long> counts, int gateways, List<String> keys) {
 		this.duties.reportUsage(fence, window, counts).subscribe((_) -> {
 		}, (failure) -> this.control.accept(() -> failed(window, failure)), () -> this.control.accept(() -> {
