--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/ReclaimWaveTests.java
@@ -0,0 +1,168 @@
+package org.rosemaryfront.duties;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rosemaryfront.duties.SizePlan.Demand;
+import org.rosemaryfront.duties.SizePlan.Plan;
+import org.rosemaryfront.duties.SizePlan.ZoneSize;
+import org.rosemaryfront.routes.ServiceSpec;
+import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
+import org.rosemaryfront.routes.ServiceSpec.ScalingSpec;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A wave of reclaims: all reclaimable servers of one zone after the other get two to
+ * three seconds of notice, some seconds apart and in any order, and for twelve seconds
+ * and more no reclaimable VM is to be had anywhere. VMs boot for four seconds. Time is
+ * virtual.
+ */
+class ReclaimWaveTests {
+
+	private static final long TENTH = TimeUnit.MILLISECONDS.toNanos(100);
+
+	private static final int BOOT_TENTHS = 40;
+
+	private static final List<String> ZONES = List.of("a", "b", "c");
+
+	private static final ServiceSpec LLM = new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000)),
+			Optional.of(new ScalingSpec(1, 12, 4_000, 0.2, Map.of("a", 0.8, "b", 1.0, "c", 1.2))));
+
+	private final SizePlan plan = new SizePlan();
+
+	private final SizeOrders orders = new SizeOrders();
+
+	private final Cloud cloud = new Cloud();
+
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16 })
+	void shouldFallBackInWaveAndReturnBehindIt(long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		Demand demand = new Demand(150_000 + random.nextInt(250_000), 0, 9, 3);
+		int wave = 600;
+		int dryUntil = wave + 120 + random.nextInt(40);
+		Map<String, Integer> noticed = new HashMap<>();
+		int gap = 0;
+		for (String zone : shuffled(random)) {
+			noticed.put(zone, wave + gap);
+			gap += random.nextInt(60);
+		}
+		for (int tenth = 0; tenth < 1_200; tenth++) {
+			this.cloud.dry = tenth >= wave && tenth < dryUntil;
+			for (String zone : ZONES) {
+				if (noticed.get(zone) == tenth) {
+					this.cloud.reclaim(zone);
+				}
+			}
+			this.cloud.boot(tenth);
+			Plan wanted = this.plan.plan(LLM, ZONES, demand, tenth * TENTH);
+			order(wanted, tenth);
+			int least = (int) Math.ceil(wanted.need() * 0.7);
+			if (tenth >= 550 && tenth < wave) {
+				assertThat(this.cloud.all()).as("before the wave").isGreaterThanOrEqualTo(least);
+			}
+			// From the first refusal on, what is short is ordered, without the next zone.
+			if (tenth > wave + 5) {
+				assertThat(this.cloud.all() + this.cloud.booting()).as("at %s", tenth).isGreaterThanOrEqualTo(least);
+			}
+			assertThat(this.cloud.ordersOfSecond).as("orders at %s", tenth).isLessThanOrEqualTo(12);
+			if (tenth % 10 == 9) {
+				this.cloud.ordersOfSecond = 0;
+			}
+		}
+		Plan wanted = this.plan.plan(LLM, ZONES, demand, 1_200 * TENTH);
+		assertThat(this.cloud.present()).as("behind the wave").isEqualTo(new TreeMap<>(wanted.zones()));
+	}
+
+	private void order(Plan wanted, int tenth) {
+		for (Size size : this.orders.next(LLM, wanted, this.cloud.present(), tenth * TENTH)) {
+			if (this.cloud.order(size, tenth)) {
+				this.orders.taken(size);
+			}
+			else {
+				this.orders.failed(size, true, tenth * TENTH);
+			}
+		}
+	}
+
+	private static List<String> shuffled(SplittableRandom random) {
+		List<String> left = new ArrayList<>(ZONES);
+		List<String> order = new ArrayList<>();
+		while (!left.isEmpty()) {
+			order.add(left.remove(random.nextInt(left.size())));
+		}
+		return order;
+	}
+
+	/** A cloud that boots what is ordered, and has no reclaimable VMs while it is dry. */
+	private static final class Cloud {
+
+		private final Map<Size.Sort, Integer> running = new HashMap<>();
+
+		private final Map<Size.Sort, List<Integer>> booting = new HashMap<>();
+
+		private boolean dry;
+
+		private int ordersOfSecond;
+
+		private boolean order(Size size, int tenth) {
+			this.ordersOfSecond++;
+			int runs = this.running.getOrDefault(size.sort(), 0);
+			List<Integer> boots = this.booting.computeIfAbsent(size.sort(), (_) -> new ArrayList<>());
+			if (size.reclaimable() && this.dry && size.servers() > runs + boots.size()) {
+				return false;
+			}
+			while (runs + boots.size() > size.servers() && !boots.isEmpty()) {
+				boots.removeLast();
+			}
+			while (runs + boots.size() < size.servers()) {
+				boots.add(tenth + BOOT_TENTHS);
+			}
+			this.running.put(size.sort(), Math.min(runs, size.servers()));
+			return true;
+		}
+
+		private void boot(int tenth) {
+			this.booting.forEach((sort, ready) -> {
+				int before = ready.size();
+				ready.removeIf((at) -> at <= tenth);
+				this.running.merge(sort, before - ready.size(), Integer::sum);
+			});
+		}
+
+		private void reclaim(String zone) {
+			Size.Sort sort = new Size.Sort("llm", zone, true);
+			this.running.put(sort, 0);
+			this.booting.remove(sort);
+		}
+
+		private Map<String, ZoneSize> present() {
+			Map<String, ZoneSize> present = new TreeMap<>();
+			for (String zone : ZONES) {
+				present.put(zone, new ZoneSize(this.running.getOrDefault(new Size.Sort("llm", zone, false), 0),
+						this.running.getOrDefault(new Size.Sort("llm", zone, true), 0)));
+			}
+			return present;
+		}
+
+		private int all() {
+			return this.running.values().stream().mapToInt(Integer::intValue).sum();
+		}
+
+		private int booting() {
+			return this.booting.values().stream().mapToInt(List::size).sum();
+		}
+
+	}
+
+}
