--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -334,10 +334,13 @@
 					leave();
 				}
 				this.gateway.closeIdle();
-				if (counted && this.usageDuty.isWritten()) {
+				boolean idle = this.gateway.isIdle();
+				if (idle && counted && this.usageDuty.isWritten()) {
 					break;
 				}
-				if (!counted && this.gateway.isIdle()) {
+				if (idle && !counted) {
+					// A call taken from now on would be cut by the end of the process.
+					this.decisions.endsAt(System.nanoTime());
 					counted = true;
 					writeCounts();
 				}
