--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -310,6 +310,35 @@
 		}
 	}
 
+	// A process that stops has ended its calls and writes its last counts. A call that it
+	// takes meanwhile is cut off by its end, which comes as soon as they are written.
+	@Test
+	void shouldTakeNoCallOnceItOnlyWritesItsCounts() throws Exception {
+		GatewayHarness gateway = GatewayHarness.startWithStopTime(30_000);
+		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.declare().register("s1", server).ready();
+			assertThat(status(gateway, "key-1")).isEqualTo(200);
+			gateway.access.denyWrites(true);
+			CompletableFuture<Void> stopped = CompletableFuture.runAsync(gateway::stop);
+			GatewayHarness.await(() -> refusesShortCall(gateway));
+			assertThat(stopped).isNotDone();
+			gateway.access.denyWrites(false);
+			stopped.get(10, TimeUnit.SECONDS);
+		}
+		finally {
+			gateway.store.close();
+		}
+	}
+
+	private static boolean refusesShortCall(GatewayHarness gateway) {
+		try {
+			return gateway.ask(RawCaller.get("c8", "/short/")).status() == 503;
+		}
+		catch (IOException ex) {
+			throw new AssertionError(ex);
+		}
+	}
+
 	// The calls in the rows of use, of one organisation.
 	private static long counted(GatewayHarness gateway) {
 		Pattern count = Pattern.compile("\"sfax\":([0-9]+)");
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/DeniableStore.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/DeniableStore.java
@@ -19,6 +19,8 @@
 
 	private volatile boolean denying;
 
+	private volatile boolean denyingWrites;
+
 	DeniableStore(RowStore store) {
 		this.store = store;
 	}
@@ -29,9 +31,17 @@
 		this.denied.tryEmitError(failure());
 	}
 
+	/**
+	 * Turns the gateway's writes away, or takes them again.
+	 * @param now whether they are turned away
+	 */
+	void denyWrites(boolean now) {
+		this.denyingWrites = now;
+	}
+
 	@Override
 	public Mono<Outcome> commit(Commit commit) {
-		return guarded(this.store.commit(commit));
+		return Mono.defer(() -> this.denyingWrites ? Mono.error(failure()) : guarded(this.store.commit(commit)));
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -60,11 +60,16 @@
 	private final List<String> registered = new ArrayList<>();
 
 	private GatewayHarness(String name, long usageWindowMillis, MemoryRowStore store, PlainCodecs codecs) {
+		this(name, usageWindowMillis, STOP_MILLIS, store, codecs);
+	}
+
+	private GatewayHarness(String name, long usageWindowMillis, long stopMillis, MemoryRowStore store,
+			PlainCodecs codecs) {
 		this.store = store;
 		this.access = new DeniableStore(store);
 		this.codecs = codecs;
 		this.settings = new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), freeDatagram(),
-				new GatewaySettings.Bounds(STOP_MILLIS, 100, 0.2, 64, RETRY_WINDOW_MILLIS, 8_000, usageWindowMillis));
+				new GatewaySettings.Bounds(stopMillis, 100, 0.2, 64, RETRY_WINDOW_MILLIS, 8_000, usageWindowMillis));
 		this.process = GatewayProcess.start(this.settings,
 				new Platform(this.codecs, this.access, this.codecs, this.duties),
 				LoopResources.create("test", 1, true));
@@ -74,6 +79,10 @@
 		return new GatewayHarness("gateway-1", 5_000, new MemoryRowStore(), new PlainCodecs());
 	}
 
+	static GatewayHarness startWithStopTime(long millis) {
+		return new GatewayHarness("gateway-1", 5_000, millis, new MemoryRowStore(), new PlainCodecs());
+	}
+
 	static GatewayHarness startWithUsageWindow(long millis) {
 		return new GatewayHarness("gateway-1", millis, new MemoryRowStore(), new PlainCodecs());
 	}
