--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -90,12 +90,16 @@
 	 * @param process the process
 	 * @param organisation the name of the organisation
 	 * @param total the units used since the process started
+	 * @param fresh whether the process started less than a window ago
 	 * @param nowNanos the time
 	 */
-	public void usedByOther(String process, String organisation, double total, long nowNanos) {
+	public void usedByOther(String process, String organisation, double total, boolean fresh, long nowNanos) {
 		Account account = account(organisation);
-		// What was used before the first telling was used at an unknown time.
-		double before = Optional.ofNullable(account.others.put(process, total)).orElse(total);
+		// What was used before the first telling was used at an unknown time, unless the
+		// process is fresh. Guards quotas over a kill of all processes: what each
+		// admitted
+		// before the others heard of it was never counted, 3% over in one window.
+		double before = Optional.ofNullable(account.others.put(process, total)).orElse(fresh ? 0 : total);
 		if (total >= before) {
 			account.add(total - before, nowNanos);
 		}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
@@ -49,22 +49,32 @@
 		assertThat(this.quotas.take(SFAX, 120, 7 * SECOND + (wait + 1) * MILLI).waitMillis()).isZero();
 	}
 
+	// All processes are killed and start again. Each admits calls before it hears of the
+	// others; taken as used long ago, those were never counted.
+	@Test
+	void shouldCountWhatFreshProcessUsedBeforeItWasHeard() {
+		QuotaTable old = new QuotaTable(8_000, -8 * SECOND);
+		old.usedByOther("gateway-2", "sfax", 700, true, 0);
+		old.usedByOther("gateway-3", "sfax", 90_000, false, 0);
+		assertThat(old.take(SFAX, 0, 0).used()).isEqualTo(700);
+	}
+
 	// Callers of one organisation come to nine processes; each alone sees a ninth of the
 	// use and would let the whole pass nine times over.
 	@Test
 	void shouldCountWhatOtherProcessesTell() {
-		this.quotas.usedByOther("gateway-2", "sfax", 9_000, 0);
-		this.quotas.usedByOther("gateway-2", "sfax", 9_500, 0);
-		this.quotas.usedByOther("gateway-2", "sfax", 9_800, SECOND);
+		this.quotas.usedByOther("gateway-2", "sfax", 9_000, false, 0);
+		this.quotas.usedByOther("gateway-2", "sfax", 9_500, false, 0);
+		this.quotas.usedByOther("gateway-2", "sfax", 9_800, false, SECOND);
 		assertThat(this.quotas.take(SFAX, 51, 7 * SECOND).waitMillis()).isPositive();
 		assertThat(this.quotas.take(SFAX, 50, 7 * SECOND).waitMillis()).isZero();
 	}
 
 	@Test
 	void shouldCountEachTellingOnce() {
-		this.quotas.usedByOther("gateway-2", "sfax", 0, 0);
-		this.quotas.usedByOther("gateway-2", "sfax", 500, 0);
-		this.quotas.usedByOther("gateway-2", "sfax", 500, MILLI);
+		this.quotas.usedByOther("gateway-2", "sfax", 0, false, 0);
+		this.quotas.usedByOther("gateway-2", "sfax", 500, false, 0);
+		this.quotas.usedByOther("gateway-2", "sfax", 500, false, MILLI);
 		assertThat(this.quotas.take(SFAX, 170, 6 * SECOND).waitMillis()).isZero();
 		assertThat(this.quotas.take(SFAX, 170, 7 * SECOND + 900 * MILLI).waitMillis()).isZero();
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -21,6 +21,12 @@
  */
 final class GatewayReports {
 
+	/**
+	 * A gateway that sent no more reports than this started less than a window of quotas
+	 * (8 s) ago: it sends four a second.
+	 */
+	private static final int FRESH_REPORTS = 30;
+
 	private final PeerExchange peers;
 
 	private final BackendTable servers;
@@ -91,7 +97,8 @@
 		GatewayReport report = heard.report();
 		String process = UsageDuty.process(report.getGateway(), report.getStart());
 		report.getOrganisationsList()
-			.forEach((use) -> this.quotas.usedByOther(process, use.getOrganisation(), use.getUnits(), now));
+			.forEach((use) -> this.quotas.usedByOther(process, use.getOrganisation(), use.getUnits(),
+					report.getNumber() <= FRESH_REPORTS, now));
 		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
 		Map<String, Long> begun = new HashMap<>();
 		report.getOrganisationsList().forEach((use) -> begun.put(use.getOrganisation(), (long) use.getBegun()));
