--- a/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/LeaseTable.java
+++ b/rosemaryfront-controller/src/main/java/org/rosemaryfront/controller/LeaseTable.java
@@ -7,12 +7,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import reactor.core.publisher.Mono;
 
 import org.rosemaryfront.lease.LeaseCommand;
 import org.rosemaryfront.lease.LeaseEvent;
-import org.rosemaryfront.lease.LeaseRow;
+import org.rosemaryfront.lease.LeaseRowCodec;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.platform.PlatformException;
 import org.rosemaryfront.platform.TableClient;
@@ -58,7 +57,8 @@
 
 	private Mono<LeaseEvent> read(LeaseCommand.Read read) {
 		return this.tables.read(TABLE, ROW)
-			.<LeaseEvent>map((row) -> new LeaseEvent.RowRead(read.number(), row.map((found) -> decode(found.value())),
+			.<LeaseEvent>map((row) -> new LeaseEvent.RowRead(read.number(),
+					row.map((found) -> LeaseRowCodec.read(found.value())),
 					row.map(TableClient.Row::version).orElse(0L)))
 			.onErrorReturn(new LeaseEvent.ReadFailed(read.number()));
 	}
@@ -66,7 +66,7 @@
 	private Mono<LeaseEvent> write(LeaseCommand.Write write) {
 		String token = write.row().token();
 		List<TableClient.Write> writes = new ArrayList<>();
-		writes.add(new TableClient.Write(TABLE, ROW, Optional.of(encode(write.row()))));
+		writes.add(new TableClient.Write(TABLE, ROW, Optional.of(LeaseRowCodec.write(write.row()))));
 		if (write.takeOver()) {
 			JsonNode fence = JsonNodeFactory.instance.objectNode().put("fence", write.row().fence());
 			writes.add(new TableClient.Write(TABLE, FENCE_ROW, Optional.of(fence)));
@@ -86,17 +86,4 @@
 		return failure instanceof PlatformException known && known.verdict() instanceof Verdict.NotRun;
 	}
 
-	private static LeaseRow decode(JsonNode value) {
-		return new LeaseRow(value.path("holder").asText(), value.path("fence").asLong(),
-				value.path("termMillis").asLong(), value.path("token").asText());
-	}
-
-	private static ObjectNode encode(LeaseRow row) {
-		return JsonNodeFactory.instance.objectNode()
-			.put("holder", row.holder())
-			.put("fence", row.fence())
-			.put("termMillis", row.termMillis())
-			.put("token", row.token());
-	}
-
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
@@ -178,7 +178,7 @@
 	}
 
 	private static int all(Map<String, ZoneSize> present) {
-		return present.values().stream().mapToInt((here) -> here.lasting() + here.reclaimable()).sum();
+		return present.values().stream().mapToInt(ZoneSize::servers).sum();
 	}
 
 	/** On-demand servers beyond the plan, by zone, and how many more there may be. */
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
@@ -159,6 +159,14 @@
 		/** No servers. */
 		public static final ZoneSize NONE = new ZoneSize(0, 0);
 
+		/**
+		 * The servers of both sorts.
+		 * @return the count
+		 */
+		public int servers() {
+			return this.lasting + this.reclaimable;
+		}
+
 	}
 
 	private record Need(double need, long atNanos) {
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/entry/EntryProcess.java
@@ -22,6 +22,7 @@
 import org.rosemaryfront.configuration.ConfigurationStore;
 import org.rosemaryfront.engine.EngineClientSettings;
 import org.rosemaryfront.engine.HttpEngineClient;
+import org.rosemaryfront.lease.LeaseRowCodec;
 import org.rosemaryfront.model.Configuration;
 import org.rosemaryfront.model.RequestId;
 import org.rosemaryfront.model.VmId;
@@ -382,8 +383,8 @@
 		@Override
 		public Mono<Optional<LeaseView>> lease() {
 			return EntryProcess.this.platform.read("lease", "controller")
-				.map((row) -> row.map((lease) -> new LeaseView(new VmId(lease.value().path("holder").asText()),
-						lease.value().path("fence").asLong(), lease.value().path("termMillis").asLong())))
+				.map((row) -> row.map((found) -> LeaseRowCodec.read(found.value()))
+					.map((lease) -> new LeaseView(new VmId(lease.holder()), lease.fence(), lease.termMillis())))
 				.onErrorReturn(Optional.empty());
 		}
 
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCall.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceCall.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -107,7 +108,7 @@
 			.stream()
 			.flatMap((value) -> Arrays.stream(value.split(",")))
 			.map((token) -> token.trim().toLowerCase(Locale.ROOT))
-			.collect(java.util.stream.Collectors.toSet());
+			.collect(Collectors.toSet());
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -1,19 +1,16 @@
 package org.rosemaryfront.gateway;
 
-import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.lease.LeaseCommand;
 import org.rosemaryfront.lease.LeaseEvent;
 import org.rosemaryfront.lease.LeaseMachine;
 import org.rosemaryfront.lease.LeaseRow;
+import org.rosemaryfront.lease.LeaseRowCodec;
 import org.rosemaryfront.lease.LeaseTerms;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.ports.RowStore;
@@ -60,8 +57,6 @@
 
 	private static final String KEY = "duties";
 
-	private static final JsonMapper MAPPER = JsonMapper.builder().build();
-
 	private final RowStore store;
 
 	private final LeaseMachine machine;
@@ -153,27 +148,11 @@
 	}
 
 	private static byte[] encode(LeaseRow row) {
-		try {
-			return MAPPER.writeValueAsBytes(MAPPER.createObjectNode()
-				.put("holder", row.holder())
-				.put("fence", row.fence())
-				.put("termMillis", row.termMillis())
-				.put("token", row.token()));
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
-		}
+		return RowJson.write(LeaseRowCodec.write(row));
 	}
 
 	private static LeaseRow decode(byte[] value) {
-		try {
-			JsonNode row = MAPPER.readTree(value);
-			return new LeaseRow(row.path("holder").asText(), row.path("fence").asLong(),
-					row.path("termMillis").asLong(), row.path("token").asText());
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("the lease's row cannot be read", ex);
-		}
+		return LeaseRowCodec.read(RowJson.tree(value, "the lease's row"));
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -93,8 +93,6 @@
 	/** When the process ends, once a stop is far; calls must end before. */
 	private volatile OptionalLong endsNanos = OptionalLong.empty();
 
-	private final long startedNanos = System.nanoTime();
-
 	/** The store's version and the time of the last news of servers. */
 	private long serversVersion;
 
@@ -114,7 +112,7 @@
 		this.usage = usage;
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed() / RETRY_PARTS,
-				bounds.retryWindowMillis(), this.startedNanos);
+				bounds.retryWindowMillis(), System.nanoTime());
 	}
 
 	// -- policy, on the traffic thread
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -96,12 +96,13 @@
 		}
 		GatewayReport report = heard.report();
 		String process = UsageDuty.process(report.getGateway(), report.getStart());
-		report.getOrganisationsList()
-			.forEach((use) -> this.quotas.usedByOther(process, use.getOrganisation(), use.getUnits(),
-					report.getNumber() <= FRESH_REPORTS, now));
-		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
+		boolean fresh = report.getNumber() <= FRESH_REPORTS;
 		Map<String, Long> begun = new HashMap<>();
-		report.getOrganisationsList().forEach((use) -> begun.put(use.getOrganisation(), (long) use.getBegun()));
+		report.getOrganisationsList().forEach((use) -> {
+			this.quotas.usedByOther(process, use.getOrganisation(), use.getUnits(), fresh, now);
+			begun.put(use.getOrganisation(), (long) use.getBegun());
+		});
+		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
 		this.usageDuty.heardUnderWay(report.getWindow(), process, begun);
 		report.getUnwrittenList()
 			.forEach((row) -> this.usageDuty.heardUnwritten(row.getWindow(), row.getRow(),
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -8,18 +8,11 @@
 import java.util.function.Consumer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.gateway.proto.GatewayReport;
+import org.rosemaryfront.peer.UdpSocket;
 
 /**
  * Tells the other gateways what this one uses, and hears it of them. Used on the control
@@ -34,16 +27,16 @@
 
 	private final int start;
 
-	private final Channel channel;
+	private final UdpSocket socket;
 
 	private final Map<String, Peer> peers = new HashMap<>();
 
 	private int number;
 
-	private PeerExchange(String self, int start, Channel channel) {
+	private PeerExchange(String self, int start, UdpSocket socket) {
 		this.self = self;
 		this.start = start;
-		this.channel = channel;
+		this.socket = socket;
 	}
 
 	/**
@@ -57,13 +50,8 @@
 	 */
 	static PeerExchange open(EventLoop loop, InetSocketAddress address, String self, int start,
 			Consumer<Heard> receiver) {
-		Channel channel = new Bootstrap().group(loop)
-			.channel(NioDatagramChannel.class)
-			.handler(new Receiver(receiver))
-			.bind(address)
-			.syncUninterruptibly()
-			.channel();
-		return new PeerExchange(self, start, channel);
+		UdpSocket socket = UdpSocket.open(loop, address, (from, bytes) -> received(from, bytes, receiver));
+		return new PeerExchange(self, start, socket);
 	}
 
 	// -- sending
@@ -87,12 +75,21 @@
 		this.number++;
 		byte[] bytes = report.setGateway(this.self).setStart(this.start).setNumber(this.number).build().toByteArray();
 		for (Peer peer : this.peers.values()) {
-			this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer.address));
+			this.socket.send(peer.address, bytes);
 		}
 	}
 
 	// -- hearing
 
+	private static void received(InetSocketAddress from, byte[] bytes, Consumer<Heard> receiver) {
+		try {
+			receiver.accept(new Heard(from, GatewayReport.parseFrom(bytes)));
+		}
+		catch (InvalidProtocolBufferException ex) {
+			EventLog.warn(GatewayEvents.DATAGRAM_UNREADABLE, "from", from, "cause", ex.getMessage());
+		}
+	}
+
 	/**
 	 * Takes a report.
 	 * @param heard the report
@@ -161,7 +158,7 @@
 
 	@Override
 	public void close() {
-		this.channel.close();
+		this.socket.close();
 	}
 
 	/**
@@ -189,31 +186,4 @@
 
 	}
 
-	private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-
-		private final Consumer<Heard> receiver;
-
-		private Receiver(Consumer<Heard> receiver) {
-			this.receiver = receiver;
-		}
-
-		@Override
-		protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-			try {
-				GatewayReport report = GatewayReport.parseFrom(ByteBufUtil.getBytes(packet.content()));
-				this.receiver.accept(new Heard(packet.sender(), report));
-			}
-			catch (InvalidProtocolBufferException ex) {
-				EventLog.warn(GatewayEvents.DATAGRAM_UNREADABLE, "from", packet.sender(), "cause", ex.getMessage());
-			}
-		}
-
-		@Override
-		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			// A closed port of a gateway that is gone is reported here; its silence
-			// tells.
-		}
-
-	}
-
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.gateway;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.duties.Size;
 import org.rosemaryfront.duties.SizeOrders;
@@ -141,7 +143,7 @@
 	// The servers of a service that starts register themselves one after the other; a
 	// plan made from the first of them would give the others back.
 	private boolean isSettled(String service, long now) {
-		if (all(service) == 0) {
+		if (present(service).values().stream().allMatch(ZoneSize.NONE::equals)) {
 			return this.firstSeenNanos.containsKey(service);
 		}
 		return now - this.firstSeenNanos.computeIfAbsent(service, (_) -> now) >= SETTLE_NANOS;
@@ -152,8 +154,9 @@
 		List<String> cheapestFirst = this.zones.stream()
 			.sorted(Comparator.comparingDouble((zone) -> prices.getOrDefault(zone, 1.0)))
 			.toList();
-		Demand demand = new Demand(this.tokensPerSecond, this.servers.callsOf(service.name()), all(service.name()),
-				this.zones.stream().mapToInt((zone) -> count(service.name(), zone, false)).sum());
+		Collection<ZoneSize> here = present(service.name()).values();
+		Demand demand = new Demand(this.tokensPerSecond, this.servers.callsOf(service.name()),
+				here.stream().mapToInt(ZoneSize::servers).sum(), here.stream().mapToInt(ZoneSize::lasting).sum());
 		return this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
 			.plan(service, cheapestFirst, demand, now);
 	}
@@ -162,7 +165,7 @@
 	// servers that run register themselves, and take over from them seconds earlier.
 	private void begin(long fence, ServiceSpec service, String zone, long now) {
 		ServiceSpec.ScalingSpec bounds = service.scaling().orElseThrow();
-		if (count(service.name(), zone, true) == 0) {
+		if (present(service.name()).get(zone).reclaimable() == 0) {
 			int servers = Math.clamp(FIRST_RECLAIMABLE, bounds.min(), bounds.max());
 			this.orders.order(service, new Size(service.name(), zone, servers, true), 0, now)
 				.ifPresent((size) -> order(fence, size));
@@ -170,9 +173,10 @@
 	}
 
 	private void order(long fence, Size size) {
+		ZoneSize here = present(size.service()).get(size.zone());
 		EventLog.info(GatewayEvents.SIZE_ORDERED, "service", size.service(), "zone", size.zone(), "servers",
 				size.servers(), "reclaimable", size.reclaimable(), "present",
-				count(size.service(), size.zone(), size.reclaimable()), "tokensPerSecond",
+				size.reclaimable() ? here.reclaimable() : here.lasting(), "tokensPerSecond",
 				Math.round(this.tokensPerSecond), "calls", this.servers.callsOf(size.service()), "fence", fence);
 		this.duties.resize(fence, size).subscribe((_) -> {
 		}, (failure) -> this.control.accept(() -> failed(size, failure)),
@@ -194,26 +198,19 @@
 
 	// -- the servers present
 
-	private int all(String service) {
-		return (int) this.servers.servers()
-			.stream()
-			.filter((server) -> server.service().equals(service) && !server.leaving())
-			.count();
-	}
-
 	private Map<String, ZoneSize> present(String service) {
 		Map<String, ZoneSize> present = new HashMap<>();
-		this.zones.forEach(
-				(zone) -> present.put(zone, new ZoneSize(count(service, zone, false), count(service, zone, true))));
+		this.zones.forEach((zone) -> present.put(zone, ZoneSize.NONE));
+		this.servers.servers()
+			.stream()
+			.filter((server) -> server.service().equals(service) && !server.leaving())
+			.forEach((server) -> present.computeIfPresent(server.zone(), (_, here) -> with(here, server)));
 		return present;
 	}
 
-	private int count(String service, String zone, boolean reclaimable) {
-		return (int) this.servers.servers()
-			.stream()
-			.filter((server) -> server.service().equals(service) && server.zone().equals(zone))
-			.filter((server) -> server.reclaimable() == reclaimable && !server.leaving())
-			.count();
+	private static ZoneSize with(ZoneSize here, BackendServer server) {
+		return server.reclaimable() ? new ZoneSize(here.lasting(), here.reclaimable() + 1)
+				: new ZoneSize(here.lasting() + 1, here.reclaimable());
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -1,6 +1,5 @@
 package org.rosemaryfront.gateway;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -12,7 +11,6 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.core.type.TypeReference;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 
 import org.rosemaryfront.duties.HeardUsage;
 import org.rosemaryfront.duties.UsageLedger.Window;
@@ -65,8 +63,6 @@
 	private static final TypeReference<TreeMap<String, Long>> COUNTS = new TypeReference<>() {
 	};
 
-	private static final JsonMapper MAPPER = JsonMapper.builder().build();
-
 	private final RowStore store;
 
 	private final Duties duties;
@@ -118,7 +114,7 @@
 			this.written++;
 			String row = process(this.self, start) + '/' + this.written;
 			this.unwritten.put(key(window.index(), row),
-					new UnwrittenRow(window.index(), row, encode(window.counts()), System.nanoTime()));
+					new UnwrittenRow(window.index(), row, RowJson.write(window.counts()), System.nanoTime()));
 		}
 		writeOwn();
 	}
@@ -246,7 +242,7 @@
 		}
 		addHeard(window, keys, sum);
 		Commit commit = new Commit(TABLE, List.of(new Condition(key(window, SUM), 0)),
-				List.of(new Write(key(window, SUM), encode(sum))), List.of());
+				List.of(new Write(key(window, SUM), RowJson.write(sum))), List.of());
 		this.store.commit(commit).subscribe((outcome) -> this.control.accept(() -> {
 			switch (outcome) {
 				case Outcome.Committed _ -> report(fence, window, sum, keys.size(), keys);
@@ -314,22 +310,8 @@
 		return String.format("%012d/%s", window, rest);
 	}
 
-	private static byte[] encode(Map<String, Long> counts) {
-		try {
-			return MAPPER.writeValueAsBytes(counts);
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
-
 	private static Map<String, Long> decode(byte[] value) {
-		try {
-			return MAPPER.readValue(value, COUNTS);
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("a row of use cannot be read", ex);
-		}
+		return RowJson.read(value, COUNTS, "a row of use");
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -189,10 +189,7 @@
 				status(gateway, "key-1");
 			}
 			long ran = server.requests().size();
-			GatewayHarness.await(() -> gateway.duties.usages()
-				.stream()
-				.mapToLong((usage) -> usage.counts().getOrDefault("sfax", 0L))
-				.sum() == ran);
+			GatewayHarness.await(() -> reported(gateway) == ran);
 		}
 	}
 
@@ -211,10 +208,7 @@
 					status(denied, "key-1");
 				}
 				long ran = server.requests().size();
-				GatewayHarness.await(() -> holder.duties.usages()
-					.stream()
-					.mapToLong((usage) -> usage.counts().getOrDefault("sfax", 0L))
-					.sum() == ran);
+				GatewayHarness.await(() -> reported(holder) == ran);
 			}
 		}
 	}
@@ -238,7 +232,7 @@
 			GatewayHarness.await(() -> !server.requests().isEmpty());
 			CompletableFuture<Void> stopped = CompletableFuture.runAsync(gateway::stop);
 			GatewayHarness.await(() -> gateway.readiness() != 200);
-			GatewayHarness.await(() -> refuses(gateway));
+			GatewayHarness.await(() -> refuses(gateway, "/nowhere/"));
 			go.complete(null);
 			Answer answer = caller.read();
 			assertThat(answer.body()).isEqualTo("late");
@@ -267,7 +261,7 @@
 			caller.send(RawCaller.post("c1", "/visits/", "x"));
 			GatewayHarness.await(() -> !server.requests().isEmpty());
 			CompletableFuture<Void> stopped = CompletableFuture.runAsync(gateway::stop);
-			GatewayHarness.await(() -> refuses(gateway));
+			GatewayHarness.await(() -> refuses(gateway, "/nowhere/"));
 			Answer refused = gateway.ask(RawCaller.post("c2", "/visits/", "x"));
 			assertThat(refused.says("retry-after")).isTrue();
 			go.complete(null);
@@ -298,7 +292,7 @@
 			caller.send(RawCaller.post("c1", "/visits/", "x"));
 			GatewayHarness.await(() -> !server.requests().isEmpty());
 			CompletableFuture<Void> stopped = CompletableFuture.runAsync(gateway::stop);
-			GatewayHarness.await(() -> refuses(gateway));
+			GatewayHarness.await(() -> refuses(gateway, "/nowhere/"));
 			assertThat(gateway.ask(RawCaller.post("c2", "/visits/", "x")).status()).isEqualTo(503);
 			assertThat(gateway.ask(RawCaller.get("c3", "/short/")).status()).isEqualTo(200);
 			go.complete(null);
@@ -320,7 +314,7 @@
 			assertThat(status(gateway, "key-1")).isEqualTo(200);
 			gateway.access.denyWrites(true);
 			CompletableFuture<Void> stopped = CompletableFuture.runAsync(gateway::stop);
-			GatewayHarness.await(() -> refusesShortCall(gateway));
+			GatewayHarness.await(() -> refuses(gateway, "/short/"));
 			assertThat(stopped).isNotDone();
 			gateway.access.denyWrites(false);
 			stopped.get(10, TimeUnit.SECONDS);
@@ -330,15 +324,6 @@
 		}
 	}
 
-	private static boolean refusesShortCall(GatewayHarness gateway) {
-		try {
-			return gateway.ask(RawCaller.get("c8", "/short/")).status() == 503;
-		}
-		catch (IOException ex) {
-			throw new AssertionError(ex);
-		}
-	}
-
 	// The calls in the rows of use, of one organisation.
 	private static long counted(GatewayHarness gateway) {
 		Pattern count = Pattern.compile("\"sfax\":([0-9]+)");
@@ -351,16 +336,22 @@
 			.sum();
 	}
 
-	// Asked without reaching a server: a route that does not exist is 404 until then.
-	private static boolean refuses(GatewayHarness gateway) {
+	// A route that does not exist is 404 until then: it is asked without reaching a
+	// server.
+	private static boolean refuses(GatewayHarness gateway, String path) {
 		try {
-			return gateway.ask(RawCaller.get("c9", "/nowhere/")).status() == 503;
+			return gateway.ask(RawCaller.get("c9", path)).status() == 503;
 		}
 		catch (IOException ex) {
 			throw new AssertionError(ex);
 		}
 	}
 
+	// The calls of one organisation in the reports of use.
+	private static long reported(GatewayHarness gateway) {
+		return gateway.duties.usages().stream().mapToLong((usage) -> usage.counts().getOrDefault("sfax", 0L)).sum();
+	}
+
 	private static int repeats(List<Usage> usages) {
 		return usages.size() - (int) usages.stream().mapToLong(Usage::window).distinct().count();
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
@@ -35,7 +35,7 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "reset", "close", "half" })
 	void shouldNeverRepeatBookingThatMayHaveRun(String end) throws IOException {
-		try (ScriptedServer server = serving((request, exchange) -> {
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> {
 			if (end.equals("half")) {
 				exchange.write("HTTP/1.1 200 OK\r\nCall: c1\r\nSignature: s\r\nContent-Length: 100\r\n\r\nhalf");
 			}
@@ -71,9 +71,9 @@
 				default -> exchange.reset();
 			}
 		};
-		try (ScriptedServer _ = serving(script); ScriptedServer second = ScriptedServer.start(script)) {
+		try (ScriptedServer _ = this.gateway.serving(script); ScriptedServer second = ScriptedServer.start(script)) {
 			this.gateway.register("s2", second);
-			awaitServers("s2");
+			this.gateway.ready();
 			Answer answer = this.gateway.ask(RawCaller.post("c1", path, "x"));
 			assertThat(answer.status()).isEqualTo(200);
 			assertThat(answer.body()).isEqualTo("good");
@@ -83,7 +83,8 @@
 
 	@Test
 	void shouldSayNotRunOnlyWhenNoServerRanIt() throws IOException {
-		try (ScriptedServer server = serving((request, exchange) -> exchange.status(request, 503, "Not-Run: 1\r\n"))) {
+		try (ScriptedServer server = this.gateway
+			.serving((request, exchange) -> exchange.status(request, 503, "Not-Run: 1\r\n"))) {
 			Answer answer = this.gateway.ask(RawCaller.post("c1", "/visits/", "x"));
 			assertThat(answer.status()).isEqualTo(503);
 			assertThat(answer.says("retry-after")).isTrue();
@@ -93,7 +94,8 @@
 
 	@Test
 	void shouldPassOnServersOwnFailureWhenNothingElseIsLeft() throws IOException {
-		try (ScriptedServer _ = serving((request, exchange) -> exchange.status(request, 500, "Signature: s\r\n"))) {
+		try (ScriptedServer _ = this.gateway
+			.serving((request, exchange) -> exchange.status(request, 500, "Signature: s\r\n"))) {
 			Answer answer = this.gateway.ask(RawCaller.post("c1", "/visits/", "x"));
 			assertThat(answer.status()).isEqualTo(500);
 			assertThat(answer.says("signature")).isTrue();
@@ -104,8 +106,8 @@
 	// nowhere to send it. Told that it did not run, its caller would take it for undone.
 	@Test
 	void shouldNotSayNotRunWhenCallRanAndNoOtherServerIsLeft() throws IOException {
-		try (ScriptedServer server = serving(
-				(request, exchange) -> exchange.status(request, 500, "Signature: s\r\n"))) {
+		try (ScriptedServer server = this.gateway
+			.serving((request, exchange) -> exchange.status(request, 500, "Signature: s\r\n"))) {
 			assertThat(this.gateway.ask(RawCaller.post("c1", "/sheets/", "x")).status()).isEqualTo(500);
 			assertThat(server.requests()).hasSize(1);
 		}
@@ -114,7 +116,7 @@
 	@Test
 	void shouldTryNextServerWhenOneCannotBeReached() throws IOException {
 		try (ScriptedServer dead = ScriptedServer.start((_, _) -> {
-		}); ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "good"))) {
+		}); ScriptedServer server = this.gateway.serving((request, exchange) -> exchange.ok(request, "good"))) {
 			String address = dead.address();
 			dead.close();
 			this.gateway.store.put(GatewayHarness.SERVERS, "s0", "app " + address + " ready");
@@ -130,10 +132,10 @@
 	// time is over.
 	@Test
 	void shouldAvoidServerThatLetsCallsWait() throws IOException {
-		try (ScriptedServer _ = serving((_, exchange) -> exchange.hold());
+		try (ScriptedServer _ = this.gateway.serving((_, exchange) -> exchange.hold());
 				ScriptedServer good = ScriptedServer.start((request, exchange) -> exchange.ok(request, "good"))) {
 			this.gateway.register("s2", good);
-			awaitServers("s2");
+			this.gateway.ready();
 			int unanswered = 0;
 			for (int i = 0; i < 12; i++) {
 				unanswered += (this.gateway.ask(RawCaller.get("c" + i, "/short/")).status() == 504) ? 1 : 0;
@@ -148,7 +150,7 @@
 	// the next call, a household reads another's booking.
 	@Test
 	void shouldNeverTakeExtraAnswerForTheNextCall() throws Exception {
-		try (ScriptedServer _ = serving((request, exchange) -> {
+		try (ScriptedServer _ = this.gateway.serving((request, exchange) -> {
 			exchange.ok(request, request.call());
 			exchange.ok(request, "extra");
 		}); RawCaller caller = this.gateway.caller()) {
@@ -162,7 +164,7 @@
 	// The extra answer comes late, just where the next one is awaited.
 	@Test
 	void shouldSkipAnswerThatNamesAnotherCall() throws IOException {
-		try (ScriptedServer _ = serving((request, exchange) -> {
+		try (ScriptedServer _ = this.gateway.serving((request, exchange) -> {
 			exchange.write("HTTP/1.1 200 OK\r\nCall: other\r\nSignature: s\r\nContent-Length: 5\r\n\r\nwrong");
 			exchange.ok(request, "right");
 		})) {
@@ -174,7 +176,7 @@
 	@ValueSource(strings = { "this is no answer\r\n\r\n",
 			"HTTP/1.1 200 OK\r\nCall: c1\r\nContent-Length: 8\r\n\r\nunsigned" })
 	void shouldNotPassOnWhatIsNoGoodAnswer(String bytes) throws IOException {
-		try (ScriptedServer _ = serving((_, exchange) -> exchange.write(bytes))) {
+		try (ScriptedServer _ = this.gateway.serving((_, exchange) -> exchange.write(bytes))) {
 			Answer answer = this.gateway.ask(RawCaller.post("c1", "/visits/", "x"));
 			assertThat(answer.status()).isEqualTo(502);
 			assertThat(answer.body()).doesNotContain("unsigned");
@@ -186,7 +188,7 @@
 	@ParameterizedTest
 	@CsvSource({ "close, 200", "reset, 502" })
 	void shouldTakeAnswerWithoutLengthOnlyFromCleanEnd(String end, int status) throws IOException {
-		try (ScriptedServer _ = serving((request, exchange) -> {
+		try (ScriptedServer _ = this.gateway.serving((request, exchange) -> {
 			exchange.write("HTTP/1.1 200 OK\r\nCall: " + request.call() + "\r\nSignature: s\r\n\r\nall of it");
 			if (end.equals("reset")) {
 				sleep(200);
@@ -202,18 +204,6 @@
 
 	// -- helpers
 
-	private ScriptedServer serving(ScriptedServer.Script script) throws IOException {
-		ScriptedServer server = ScriptedServer.start(script);
-		this.gateway.declare().register("s1", server).ready();
-		awaitServers("s1");
-		return server;
-	}
-
-	private void awaitServers(String id) {
-		GatewayHarness.await(() -> this.gateway.store.rows(GatewayHarness.SERVERS).containsKey(id));
-		sleep(100);
-	}
-
 	private static void sleep(long millis) {
 		try {
 			Thread.sleep(millis);
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -134,6 +134,17 @@
 		return this;
 	}
 
+	/**
+	 * Declares the routes and starts the one server behind them.
+	 * @param script what the server does
+	 * @return the server, named {@code s1}
+	 */
+	ScriptedServer serving(ScriptedServer.Script script) throws IOException {
+		ScriptedServer server = ScriptedServer.start(script);
+		declare().register("s1", server).ready();
+		return server;
+	}
+
 	/**
 	 * Waits until callers may come and the servers registered so far are known: the two
 	 * tables are followed apart, so that the configuration can come first.
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PassingThroughTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PassingThroughTests.java
@@ -37,7 +37,7 @@
 
 	@Test
 	void shouldPassOnMethodPathBodyAndAnswerUnchanged() throws IOException {
-		try (ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "booked"))) {
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> exchange.ok(request, "booked"))) {
 			Answer answer = this.gateway.ask(RawCaller.post("c1", "/visits/7?when=now", "visit"));
 			assertThat(answer.status()).isEqualTo(200);
 			assertThat(answer.body()).isEqualTo("booked");
@@ -54,7 +54,7 @@
 
 	@Test
 	void shouldNeverHandOnMoreTimeThanIsLeft() throws IOException {
-		try (ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "x"))) {
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> exchange.ok(request, "x"))) {
 			this.gateway.ask(RawCaller.get("c1", "/sheets/").replace("Key:", "Remaining: 700\r\nKey:"));
 			assertThat(Long.parseLong(server.requests().getFirst().header("remaining"))).isBetween(1L, 700L);
 		}
@@ -62,7 +62,7 @@
 
 	@Test
 	void shouldTakeLongBodyInChunks() throws IOException {
-		try (ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "x"))) {
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> exchange.ok(request, "x"))) {
 			String chunk = "x".repeat(10_000);
 			StringBuilder body = new StringBuilder();
 			for (int i = 0; i < 10; i++) {
@@ -77,7 +77,7 @@
 
 	@Test
 	void shouldUseConnectionsAgain() throws IOException {
-		try (ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "x"));
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> exchange.ok(request, "x"));
 				RawCaller caller = this.gateway.caller()) {
 			for (int i = 0; i < 5; i++) {
 				assertThat(caller.send(RawCaller.get("c" + i, "/sheets/")).read().status()).isEqualTo(200);
@@ -88,7 +88,7 @@
 
 	@Test
 	void shouldAnswerRequestsSentAheadInOrder() throws IOException {
-		try (ScriptedServer _ = serving((request, exchange) -> exchange.ok(request, request.call()));
+		try (ScriptedServer _ = this.gateway.serving((request, exchange) -> exchange.ok(request, request.call()));
 				RawCaller caller = this.gateway.caller()) {
 			caller.send(RawCaller.get("c1", "/sheets/") + RawCaller.post("c2", "/visits/", "x")
 					+ RawCaller.get("c3", "/sheets/"));
@@ -114,7 +114,7 @@
 	// from its arrival: told the whole of it, the server works on after its caller left.
 	@Test
 	void shouldCountTimeThatRequestWaitedBehindAnother() throws IOException {
-		try (ScriptedServer server = serving((request, exchange) -> {
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> {
 			pause(300);
 			exchange.ok(request, "x");
 		}); RawCaller caller = this.gateway.caller()) {
@@ -166,7 +166,7 @@
 			"Transfer-Encoding : chunked\r\n", "Transfer-Encoding: xchunked\r\n", "Content-Length: +5\r\n",
 			"Content-Length: 5\n" })
 	void shouldRefuseRequestThatCanBeFramedInTwoWays(String framing) throws IOException {
-		try (ScriptedServer server = serving((request, exchange) -> exchange.ok(request, "x"));
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> exchange.ok(request, "x"));
 				RawCaller caller = this.gateway.caller()) {
 			caller.send("POST /visits/ HTTP/1.1\r\nHost: a.example\r\nCall: c1\r\nKey: key-1\r\n" + framing
 					+ "\r\n0\r\n\r\nGET /sheets/ HTTP/1.1\r\nHost: a.example\r\nCall: c2\r\nKey: key-1\r\n\r\n");
@@ -211,7 +211,7 @@
 
 	@Test
 	void shouldPassOnEventsAsTheyCome() throws IOException {
-		try (ScriptedServer server = serving((request, exchange) -> {
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> {
 			exchange.write(EVENTS + "Call: " + request.call() + "\r\n\r\n");
 			exchange.write(chunk("id: 1\ndata: a\n\n"));
 			exchange.hold();
@@ -237,7 +237,8 @@
 				exchange.write(chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
 			}
 		};
-		try (ScriptedServer first = serving(script); ScriptedServer second = ScriptedServer.start(script)) {
+		try (ScriptedServer first = this.gateway.serving(script);
+				ScriptedServer second = ScriptedServer.start(script)) {
 			this.gateway.register("s2", second);
 			GatewayHarness.await(() -> this.gateway.store.rows(GatewayHarness.SERVERS).size() == 2);
 			Answer answer = this.gateway.ask(RawCaller.post("c1", "/summaries/", "x"));
@@ -253,7 +254,7 @@
 	// for the whole.
 	@Test
 	void shouldNotLetBrokenStreamLookComplete() throws IOException {
-		try (ScriptedServer server = serving((request, exchange) -> {
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> {
 			exchange.write(EVENTS + "Call: " + request.call() + "\r\n\r\n" + chunk("id: 1\ndata: a\n\n"));
 			exchange.reset();
 		})) {
@@ -270,7 +271,7 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "/sheets/", "/visits/", "/drafts/" })
 	void shouldEndCallAtServerWhenCallerLeaves(String path) throws Exception {
-		try (ScriptedServer server = serving((request, exchange) -> exchange.hold())) {
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> exchange.hold())) {
 			try (RawCaller caller = this.gateway.caller()) {
 				caller.send(RawCaller.post("c1", path, "x"));
 				GatewayHarness.await(() -> !server.requests().isEmpty());
@@ -281,7 +282,7 @@
 
 	@Test
 	void shouldAnswerAtTheRoutesTimeoutAndFreeTheServer() throws Exception {
-		try (ScriptedServer server = serving((request, exchange) -> exchange.hold())) {
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> exchange.hold())) {
 			assertThat(this.gateway.ask(RawCaller.get("c1", "/short/")).status()).isEqualTo(504);
 			assertThat(server.awaitLeft()).isTrue();
 		}
@@ -289,12 +290,6 @@
 
 	// -- helpers
 
-	private ScriptedServer serving(ScriptedServer.Script script) throws IOException {
-		ScriptedServer server = ScriptedServer.start(script);
-		this.gateway.declare().register("s1", server).ready();
-		return server;
-	}
-
 	private static String chunk(String text) {
 		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
 	}
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/DatagramEndpoint.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/DatagramEndpoint.java
@@ -5,15 +5,7 @@
 import java.util.function.BiConsumer;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.membership.MembershipMessage;
@@ -26,12 +18,12 @@
 
 	private static final long LOG_SPACING_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-	private final Channel channel;
+	private final UdpSocket socket;
 
 	private final String region;
 
-	private DatagramEndpoint(Channel channel, String region) {
-		this.channel = channel;
+	private DatagramEndpoint(UdpSocket socket, String region) {
+		this.socket = socket;
 		this.region = region;
 	}
 
@@ -39,13 +31,8 @@
 
 	static DatagramEndpoint open(EventLoopGroup group, InetSocketAddress address, String region,
 			BiConsumer<String, MembershipMessage> receiver) {
-		Channel channel = new Bootstrap().group(group)
-			.channel(NioDatagramChannel.class)
-			.handler(new Receiver(region, receiver))
-			.bind(address)
-			.syncUninterruptibly()
-			.channel();
-		return new DatagramEndpoint(channel, region);
+		Receiver datagrams = new Receiver(region, receiver);
+		return new DatagramEndpoint(UdpSocket.open(group, address, datagrams::received), region);
 	}
 
 	// -- traffic
@@ -58,8 +45,7 @@
 	void send(String address, MembershipMessage message) {
 		try {
 			InetSocketAddress to = Addresses.parse(address);
-			byte[] bytes = DatagramCodec.encode(message, this.region).toByteArray();
-			this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+			this.socket.send(to, DatagramCodec.encode(message, this.region).toByteArray());
 		}
 		catch (IllegalArgumentException ex) {
 			EventLog.warn(MembershipEvents.DATAGRAM_DROPPED, "to", address, "reason", ex.getMessage());
@@ -68,10 +54,10 @@
 
 	@Override
 	public void close() {
-		this.channel.close().syncUninterruptibly();
+		this.socket.close();
 	}
 
-	private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+	private static final class Receiver {
 
 		private final String region;
 
@@ -84,11 +70,10 @@
 			this.receiver = receiver;
 		}
 
-		@Override
-		protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-			String from = Addresses.format(packet.sender());
+		private void received(InetSocketAddress sender, byte[] bytes) {
+			String from = Addresses.format(sender);
 			try {
-				Datagram datagram = Datagram.parseFrom(ByteBufUtil.getBytes(packet.content()));
+				Datagram datagram = Datagram.parseFrom(bytes);
 				if (DatagramCodec.belongsTo(datagram, this.region)) {
 					this.receiver.accept(from, DatagramCodec.decode(datagram));
 				}
@@ -110,11 +95,6 @@
 			}
 		}
 
-		@Override
-		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			// A closed port of a dead peer is reported here; the probe finds it out.
-		}
-
 	}
 
 }
--- /dev/null
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/UdpSocket.java
@@ -0,0 +1,78 @@
+package org.rosemaryfront.peer;
+
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+
+/**
+ * A UDP socket. What cannot be sent is lost, like any datagram.
+ */
+public final class UdpSocket implements AutoCloseable {
+
+	private final Channel channel;
+
+	private UdpSocket(Channel channel) {
+		this.channel = channel;
+	}
+
+	/**
+	 * Opens a socket.
+	 * @param group the threads of the socket
+	 * @param address where datagrams arrive
+	 * @param receiver takes the sender and the bytes of each, on the socket's thread
+	 * @return the open socket
+	 */
+	public static UdpSocket open(EventLoopGroup group, InetSocketAddress address,
+			BiConsumer<InetSocketAddress, byte[]> receiver) {
+		return new UdpSocket(new Bootstrap().group(group)
+			.channel(NioDatagramChannel.class)
+			.handler(new Receiver(receiver))
+			.bind(address)
+			.syncUninterruptibly()
+			.channel());
+	}
+
+	/**
+	 * Sends a datagram.
+	 * @param to the receiver
+	 * @param bytes what to send
+	 */
+	public void send(InetSocketAddress to, byte[] bytes) {
+		this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+	}
+
+	@Override
+	public void close() {
+		this.channel.close().syncUninterruptibly();
+	}
+
+	private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+		private final BiConsumer<InetSocketAddress, byte[]> receiver;
+
+		private Receiver(BiConsumer<InetSocketAddress, byte[]> receiver) {
+			this.receiver = receiver;
+		}
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+			this.receiver.accept(packet.sender(), ByteBufUtil.getBytes(packet.content()));
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			// A closed port of a dead process is reported here; its silence tells.
+		}
+
+	}
+
+}
