Tell starts of a server under one id apart, and use no server whose registration cannot be read

Change: the start of a server is part of its name in the tables of load, connections and in the reports of gateways; calls that an earlier start had end at once.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -21,6 +21,9 @@
 	/** When it is dropped unless it registers again; empty while it is registered. */
 	OptionalLong dropAtNanos = OptionalLong.empty();
 
+	/** Whether its last registration could not be read. */
+	boolean unreadable;
+
 	/** No new calls before this time unless no other server is left, after failures. */
 	OptionalLong avoidUntilNanos = OptionalLong.empty();
 
@@ -57,6 +60,10 @@
 		return sum;
 	}
 
+	boolean takesCalls() {
+		return !this.unreadable && !this.server.leaving();
+	}
+
 	boolean avoided(long nowNanos) {
 		return this.avoidUntilNanos.isPresent() && nowNanos - this.avoidUntilNanos.getAsLong() < 0;
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -10,6 +10,8 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import org.rosemaryfront.dispatch.BackendServer.Start;
+
 /**
  * The backend servers that may get calls, from their registrations. Times are on the
  * monotonic clock, in nanoseconds.
@@ -73,18 +75,32 @@
 		return put(server, OptionalLong.empty());
 	}
 
+	// Guards against a server that starts again under its id: it has none of the calls
+	// and
+	// cached prompts that were noted for it, and calls that are still counted there would
+	// keep others away, or end as its own and hide those that it really runs.
 	private boolean put(BackendServer server, OptionalLong registeredNanos) {
 		BackendRow known = this.rows.get(server.id());
-		if (known == null) {
+		if (known == null || !known.server.start().equals(server.start())) {
 			this.rows.put(server.id(), new BackendRow(server, registeredNanos));
 			return true;
 		}
-		boolean changed = !known.server.equals(server) || known.dropAtNanos.isPresent();
+		boolean changed = !known.server.equals(server) || known.dropAtNanos.isPresent() || known.unreadable;
 		known.server = server;
 		known.dropAtNanos = OptionalLong.empty();
+		known.unreadable = false;
 		return changed;
 	}
 
+	/**
+	 * Takes a registration that cannot be read: the server gets no new calls until one
+	 * comes that can.
+	 * @param id the server
+	 */
+	public void unreadable(String id) {
+		Optional.ofNullable(this.rows.get(id)).ifPresent((row) -> row.unreadable = true);
+	}
+
 	/**
 	 * Takes the end of a registration. The server is dropped at once, unless its
 	 * registration may only have lapsed while the registry was away.
@@ -121,11 +137,11 @@
 
 	/**
 	 * Notes that a call was handed to a server.
-	 * @param id the server
+	 * @param server the start of the server
 	 * @param unreadTokens the prompt tokens that the server has to read for it
 	 */
-	public void sent(String id, long unreadTokens) {
-		Optional.ofNullable(this.rows.get(id)).ifPresent((row) -> {
+	public void sent(Start server, long unreadTokens) {
+		row(server).ifPresent((row) -> {
 			row.own++;
 			row.lastSent = ++this.sent;
 			row.ownUnread += unreadTokens;
@@ -134,37 +150,35 @@
 
 	/**
 	 * Notes that a server has read the prompt of a call.
-	 * @param id the server
+	 * @param server the start of the server
 	 * @param unreadTokens the tokens that were noted when the call was sent
 	 */
-	public void read(String id, long unreadTokens) {
-		Optional.ofNullable(this.rows.get(id))
-			.ifPresent((row) -> row.ownUnread = Math.max(0, row.ownUnread - unreadTokens));
+	public void read(Start server, long unreadTokens) {
+		row(server).ifPresent((row) -> row.ownUnread = Math.max(0, row.ownUnread - unreadTokens));
 	}
 
 	/**
 	 * Notes how long the first token of a call took.
-	 * @param id the server
+	 * @param server the start of the server
 	 * @param expectedMillis the time that was expected, in milliseconds
 	 * @param millis the time that it took, in milliseconds
 	 */
-	public void firstToken(String id, long expectedMillis, long millis) {
+	public void firstToken(Start server, long expectedMillis, long millis) {
 		double ratio = Math.clamp((double) millis / Math.max(1, expectedMillis), 1 / SLOWNESS_MOST, SLOWNESS_MOST);
-		Optional.ofNullable(this.rows.get(id))
-			.ifPresent((row) -> row.slowness += SLOWNESS_NEWEST * (ratio - row.slowness));
+		row(server).ifPresent((row) -> row.slowness += SLOWNESS_NEWEST * (ratio - row.slowness));
 	}
 
 	/**
 	 * Notes that a call ended.
-	 * @param id the server
+	 * @param server the start of the server
 	 * @param failed whether the server failed it
 	 * @param nowNanos the time
 	 */
-	public void ended(String id, boolean failed, long nowNanos) {
-		BackendRow row = this.rows.get(id);
-		if (row == null) {
-			return;
-		}
+	public void ended(Start server, boolean failed, long nowNanos) {
+		row(server).ifPresent((row) -> ended(row, failed, nowNanos));
+	}
+
+	private static void ended(BackendRow row, boolean failed, long nowNanos) {
 		row.own = Math.max(0, row.own - 1);
 		row.failures = failed ? row.failures + 1 : 0;
 		if (row.failures >= AVOID_AFTER) {
@@ -175,20 +189,20 @@
 
 	/**
 	 * Notes that a caller gave a call up, which says nothing of its server.
-	 * @param id the server
+	 * @param server the start of the server
 	 */
-	public void abandoned(String id) {
-		Optional.ofNullable(this.rows.get(id)).ifPresent((row) -> row.own = Math.max(0, row.own - 1));
+	public void abandoned(Start server) {
+		row(server).ifPresent((row) -> row.own = Math.max(0, row.own - 1));
 	}
 
 	/**
 	 * Takes what another process has at the servers.
 	 * @param process the other process
-	 * @param uses what it has, by server; servers that are absent have nothing
+	 * @param uses what it has, by start of a server; those that are absent have nothing
 	 */
-	public void othersAt(String process, Map<String, BackendUse> uses) {
+	public void othersAt(String process, Map<Start, BackendUse> uses) {
 		for (BackendRow row : this.rows.values()) {
-			BackendUse use = uses.get(row.server.id());
+			BackendUse use = uses.get(row.server.start());
 			if (use == null) {
 				row.others.remove(process);
 			}
@@ -200,13 +214,13 @@
 
 	/**
 	 * What this process has at the servers.
-	 * @return its use by server, without servers at which it has nothing
+	 * @return its use by start of a server, without those at which it has nothing
 	 */
-	public Map<String, BackendUse> ownUse() {
-		Map<String, BackendUse> uses = new HashMap<>();
+	public Map<Start, BackendUse> ownUse() {
+		Map<Start, BackendUse> uses = new HashMap<>();
 		for (BackendRow row : this.rows.values()) {
 			if (row.own > 0) {
-				uses.put(row.server.id(), new BackendUse(row.own, row.ownUnread));
+				uses.put(row.server.start(), new BackendUse(row.own, row.ownUnread));
 			}
 		}
 		return uses;
@@ -248,11 +262,15 @@
 	List<BackendRow> takers(String service, Collection<String> tried) {
 		List<BackendRow> takers = new ArrayList<>();
 		for (BackendRow row : this.rows.values()) {
-			if (row.server.service().equals(service) && !row.server.leaving() && !tried.contains(row.server.id())) {
+			if (row.server.service().equals(service) && row.takesCalls() && !tried.contains(row.server.id())) {
 				takers.add(row);
 			}
 		}
 		return takers;
 	}
 
+	private Optional<BackendRow> row(Start server) {
+		return Optional.ofNullable(this.rows.get(server.id())).filter((row) -> row.server.start().equals(server));
+	}
+
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.IdentityHashMap;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
@@ -150,8 +150,8 @@
 			call.organisation().ifPresent((organisation) -> this.usage.began(organisation.name(), epochMillis));
 			Decided decided = this.calls.get(call);
 			if (decided != null && decided.expectedMillis > 0) {
-				this.servers.firstToken(decided.server, decided.expectedMillis,
-						(beganNanos - decided.sentNanos) / NANOS_PER_MILLI);
+				long millis = (beganNanos - decided.sentNanos) / NANOS_PER_MILLI;
+				decided.server.ifPresent((server) -> this.servers.firstToken(server, decided.expectedMillis, millis));
 				decided.expectedMillis = 0;
 			}
 			promptRead(decided);
@@ -168,11 +168,11 @@
 		this.loop.post((now) -> {
 			promptRead(this.calls.remove(call));
 			switch (ending) {
-				case ANSWERED -> this.servers.ended(server.id(), false, now);
+				case ANSWERED -> this.servers.ended(server.start(), false, now);
 				// A server that is dark takes calls on connections that it had and
 				// lets them wait: only its silence shows it.
-				case UNANSWERED -> this.servers.ended(server.id(), true, now);
-				case ABANDONED -> this.servers.abandoned(server.id());
+				case UNANSWERED -> this.servers.ended(server.start(), true, now);
+				case ABANDONED -> this.servers.abandoned(server.start());
 			}
 		});
 	}
@@ -246,8 +246,8 @@
 				this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
 				call.remainingMillis(now));
 		decided.tried.add(server.id());
-		this.servers.sent(server.id(), chosen.unreadTokens());
-		decided.server = server.id();
+		this.servers.sent(server.start(), chosen.unreadTokens());
+		decided.server = Optional.of(server.start());
 		decided.unreadTokens = chosen.unreadTokens();
 		decided.expectedMillis = chosen.expectedMillis();
 		decided.sentNanos = now;
@@ -259,7 +259,7 @@
 		boolean serverFault = !(failure.answered() && failure.verdict() instanceof Verdict.NotRun);
 		Decided decided = this.calls.get(call);
 		promptRead(decided);
-		this.servers.ended(server.id(), serverFault, now);
+		this.servers.ended(server.start(), serverFault, now);
 		if (decided == null) {
 			return;
 		}
@@ -301,7 +301,7 @@
 
 	private void promptRead(Decided decided) {
 		if (decided != null) {
-			this.servers.read(decided.server, decided.unreadTokens);
+			decided.server.ifPresent((server) -> this.servers.read(server, decided.unreadTokens));
 			decided.unreadTokens = 0;
 		}
 	}
@@ -361,6 +361,18 @@
 		this.serversNanos = now;
 	}
 
+	/**
+	 * Ends the calls of servers that started again: their answers will never come, on
+	 * connections that may stay silent until the caller's time is over.
+	 */
+	void dropCallsOfEarlierStarts() {
+		this.calls
+			.forEach((call,
+					decided) -> decided.server.filter((server) -> this.servers.find(server.id())
+						.filter((known) -> known.startedMillis() > server.startedMillis())
+						.isPresent()).ifPresent(call::serverGone));
+	}
+
 	void gateways(int count) {
 		this.gateways = Math.max(1, count);
 	}
@@ -383,11 +395,8 @@
 		return this.readingTokens;
 	}
 
-	Set<String> knownServers() {
-		Set<String> ids = new HashSet<>();
-		List<BackendServer> known = this.servers.servers();
-		known.forEach((server) -> ids.add(server.id()));
-		return ids;
+	Set<BackendServer.Start> knownServers() {
+		return this.servers.servers().stream().map(BackendServer::start).collect(Collectors.toSet());
 	}
 
 	/** What was decided about a call. */
@@ -395,7 +404,7 @@
 
 		private final Set<String> tried = new HashSet<>();
 
-		private String server = "";
+		private Optional<BackendServer.Start> server = Optional.empty();
 
 		private long unreadTokens;
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -150,7 +150,8 @@
 						platform.records().servers(), this.serversTable));
 		this.peerTables = new PeerTables(loops, () -> this.tableAddresses);
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::heard);
-		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions);
+		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions,
+				this::serverStartedAgain, () -> this.metrics.count("servers.unreadable"));
 		this.lease = new DutyLease(platform.rows(), settings.name(), this.start, this::onControl);
 		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl,
 				this.lease::fenced);
@@ -276,6 +277,11 @@
 		}
 	}
 
+	private void serverStartedAgain() {
+		this.gateway.retainServers(this.decisions.knownServers());
+		this.decisions.dropCallsOfEarlierStarts();
+	}
+
 	private void notePause(long now) {
 		switch (this.pauses.look(now, System.currentTimeMillis())) {
 			case Finding.Running _ -> {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -5,6 +5,7 @@
 
 import com.google.protobuf.ByteString;
 
+import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.dispatch.BackendUse;
 import org.rosemaryfront.duties.UsageLedger;
@@ -76,9 +77,10 @@
 				.setRow(row.row())
 				.setCounts(ByteString.copyFrom(row.counts()))));
 		this.servers.ownUse()
-			.forEach((id,
+			.forEach((server,
 					use) -> report.addServers(ServerUse.newBuilder()
-						.setServer(id)
+						.setServer(server.id())
+						.setStartedMillis(server.startedMillis())
 						.setCalls(use.calls())
 						.setUnreadTokens((int) use.unreadTokens())));
 		report.setReadingTokens(this.decisions.readingTokens()).setLeaving(leaving).setAdminPort(this.adminPort);
@@ -120,10 +122,11 @@
 		return this.decisions.readingTokens() + (double) this.othersReadingTotal;
 	}
 
-	private static Map<String, BackendUse> uses(GatewayReport report) {
-		Map<String, BackendUse> uses = new HashMap<>();
+	private static Map<BackendServer.Start, BackendUse> uses(GatewayReport report) {
+		Map<BackendServer.Start, BackendUse> uses = new HashMap<>();
 		report.getServersList()
-			.forEach((use) -> uses.put(use.getServer(), new BackendUse(use.getCalls(), use.getUnreadTokens())));
+			.forEach((use) -> uses.put(new BackendServer.Start(use.getServer(), use.getStartedMillis()),
+					new BackendUse(use.getCalls(), use.getUnreadTokens())));
 		return uses;
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -37,7 +37,16 @@
 	/** When the store last answered again after it did not. */
 	private OptionalLong storeBackNanos = OptionalLong.empty();
 
-	PlatformNews(RecordCodec records, ControlLoop control, BackendTable servers, GatewayControl decisions) {
+	/** Told when a server started again under its id. */
+	private final Runnable startedAgain;
+
+	/** Told of each registration that cannot be read. */
+	private final Runnable unreadable;
+
+	PlatformNews(RecordCodec records, ControlLoop control, BackendTable servers, GatewayControl decisions,
+			Runnable startedAgain, Runnable unreadable) {
+		this.startedAgain = startedAgain;
+		this.unreadable = unreadable;
 		this.records = records;
 		this.control = control;
 		this.servers = servers;
@@ -83,15 +92,25 @@
 		}
 		try {
 			BackendServer server = this.records.server(row.key(), row.value().get());
+			boolean startedAgain = this.servers.find(server.id())
+				.filter((known) -> !known.start().equals(server.start()))
+				.isPresent();
 			boolean news = this.serversKnown ? this.servers.registered(server, now) : this.servers.foundAtStart(server);
 			if (news) {
-				EventLog.info(GatewayEvents.SERVER_REGISTERED, "server", server.id(), "service", server.service(),
-						"address", server.address(), "zone", server.zone(), "leaving", server.leaving(), "reclaimable",
-						server.reclaimable(), "rowVersion", row.version());
+				EventLog.info(GatewayEvents.SERVER_REGISTERED, "server", server.id(), "started", server.startedMillis(),
+						"startedAgain", startedAgain, "service", server.service(), "address", server.address(), "zone",
+						server.zone(), "leaving", server.leaving(), "reclaimable", server.reclaimable(), "rowVersion",
+						row.version());
+			}
+			if (startedAgain) {
+				this.startedAgain.run();
 			}
 		}
 		catch (IllegalArgumentException ex) {
-			EventLog.warn(GatewayEvents.SERVER_UNREADABLE, "server", row.key(), "cause", ex.getMessage());
+			this.servers.unreadable(row.key());
+			this.unreadable.run();
+			EventLog.warn(GatewayEvents.SERVER_UNREADABLE, "server", row.key(), "bytes", row.value().get().length,
+					"cause", ex.getMessage(), "rowVersion", row.version());
 		}
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -241,6 +241,19 @@
 		loop().execute(() -> giveUpNow(reason));
 	}
 
+	/**
+	 * The server that has the call lost it with all that it held.
+	 * @param lost the start of the server
+	 */
+	public void serverGone(BackendServer.Start lost) {
+		loop().execute(() -> {
+			boolean waits = this.state == State.SENT && this.server.map(BackendServer::start).equals(Optional.of(lost));
+			if (waits) {
+				abortAnswer("its server started again");
+			}
+		});
+	}
+
 	// -- the request
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -52,7 +52,7 @@
 
 	private final CallCodec codec;
 
-	private final Map<String, Connections> servers = new HashMap<>();
+	private final Map<BackendServer.Start, Connections> servers = new HashMap<>();
 
 	private final Map<ServerChannel, Connections> owners = new HashMap<>();
 
@@ -72,7 +72,7 @@
 	 * @param failure gets the cause when there is none; nothing was sent
 	 */
 	void acquire(BackendServer server, int most, Consumer<ServerChannel> taker, Consumer<String> failure) {
-		Connections connections = this.servers.computeIfAbsent(server.id(), (_) -> new Connections());
+		Connections connections = this.servers.computeIfAbsent(server.start(), (_) -> new Connections());
 		while (!connections.idle.isEmpty()) {
 			ServerChannel idle = connections.idle.pollLast();
 			if (idle.isActive() && !idle.isStale(System.nanoTime())) {
@@ -89,12 +89,12 @@
 	}
 
 	/**
-	 * Closes the resting connections to servers that are gone.
-	 * @param known the servers that are known
+	 * Closes the resting connections to servers that are gone or started again.
+	 * @param known the starts of servers that are known
 	 */
-	void retain(Set<String> known) {
-		this.servers.forEach((id, connections) -> {
-			if (!known.contains(id)) {
+	void retain(Set<BackendServer.Start> known) {
+		this.servers.forEach((server, connections) -> {
+			if (!known.contains(server)) {
 				connections.idle.forEach(ServerChannel::close);
 			}
 		});
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -18,6 +18,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
+import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.routes.CallerLimits;
 import org.rosemaryfront.routes.TrafficConfiguration;
@@ -78,12 +79,12 @@
 	// -- changes
 
 	/**
-	 * Forgets the connections to servers that are gone.
-	 * @param known the servers that are known
+	 * Forgets the connections to servers that are gone or started again.
+	 * @param known the starts of servers that are known
 	 */
-	public void retainServers(Set<String> known) {
-		Set<String> ids = Set.copyOf(known);
-		this.loop.execute(() -> this.pool.retain(ids));
+	public void retainServers(Set<BackendServer.Start> known) {
+		Set<BackendServer.Start> starts = Set.copyOf(known);
+		this.loop.execute(() -> this.pool.retain(starts));
 	}
 
 	/** Closes callers' connections that carry no request; the others end with theirs. */
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -98,6 +98,40 @@
 		}
 	}
 
+	// Another writer spoils the registration of a server; calls went on to the address of
+	// the good one before it.
+	@Test
+	void shouldSendNothingToServerWhoseRegistrationWasSpoiled() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.declare().register("s1", server).ready();
+			GatewayHarness.await(() -> status(gateway, "key-1") == 200);
+			gateway.store.put(GatewayHarness.SERVERS, "s1", "rubbish");
+			gateway.store.put(GatewayHarness.SERVERS, "s2", "rubbish");
+			GatewayHarness.await(() -> status(gateway, "key-1") == 503);
+			gateway.store.put(GatewayHarness.SERVERS, "s1", "app " + server.address() + " ready");
+			GatewayHarness.await(() -> status(gateway, "key-1") == 200);
+		}
+	}
+
+	// A server crashes without a word on its connections and starts again under its id.
+	// The caller of a call that it had waited until its time was over, for an answer
+	// that cannot come.
+	@Test
+	void shouldEndCallsOfServerThatStartedAgain() throws IOException {
+		AtomicBoolean asked = new AtomicBoolean();
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> asked.set(true))) {
+			gateway.declare().ready();
+			gateway.store.put(GatewayHarness.SERVERS, "s1", "app " + server.address() + " ready 1000");
+			GatewayHarness.await(() -> gateway.readiness() == 200);
+			CompletableFuture<Integer> answer = CompletableFuture.supplyAsync(() -> status(gateway, "key-1"));
+			GatewayHarness.await(asked::get);
+			gateway.store.put(GatewayHarness.SERVERS, "s1", "app " + server.address() + " ready 2000");
+			assertThat(answer.orTimeout(10, TimeUnit.SECONDS).join()).isEqualTo(502);
+		}
+	}
+
 	// The store was away for this process; it comes back, and long after it a server
 	// leaves. Noticed only with that news, the return made the server's end look like
 	// a lapse, and calls went there for two seconds more.
