Make a page of gateways' logs: which calls were refused, late or lost, when and why

Why: whoever asks after a bad hour had only single lines; reasons were free text that could not be counted.

--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/Command.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/Command.java
@@ -4,7 +4,7 @@
  * A sub-command of {@code rosemaryctl}. Its variants are public with public constructors,
  * since args4j makes them by reflection.
  */
-sealed interface Command permits ServerCommand, ValidateCommand {
+sealed interface Command permits ReportCommand, ServerCommand, ValidateCommand {
 
 	/**
 	 * Runs the command.
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/Rosemaryctl.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/Rosemaryctl.java
@@ -30,6 +30,7 @@
 			  drain VM            take a backend server out of service
 			  explain REQUEST     show the decisions on a request
 			  get [KIND [NAME]]   show resources
+			  report LOGS         make a page of gateways' logs: refused, late and lost calls
 			  status              show declared against in force, and the backend servers
 			  validate PATH...    check files without a server
 			  wait                wait until a revision is in force, or a pool has its servers
@@ -47,6 +48,7 @@
 			@SubCommand(name = "drain", impl = DrainCommand.class),
 			@SubCommand(name = "explain", impl = ExplainCommand.class),
 			@SubCommand(name = "get", impl = GetCommand.class),
+			@SubCommand(name = "report", impl = ReportCommand.class),
 			@SubCommand(name = "status", impl = StatusCommand.class),
 			@SubCommand(name = "validate", impl = ValidateCommand.class),
 			@SubCommand(name = "wait", impl = WaitCommand.class),
--- /dev/null
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/CallTally.java
@@ -0,0 +1,64 @@
+package org.rosemaryfront.report;
+
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+import org.rosemaryfront.report.CallStory.Ending;
+
+/**
+ * How calls ended, counted.
+ */
+final class CallTally {
+
+	private final Map<Ending, Integer> endings = new EnumMap<>(Ending.class);
+
+	/** Refused and failed calls by reason. */
+	private final Map<String, Integer> reasons = new TreeMap<>();
+
+	/**
+	 * Counts calls by a property of theirs.
+	 * @param <K> the type of the property
+	 * @param calls the calls
+	 * @param key the property
+	 * @return a tally for each value, in its order
+	 */
+	static <K extends Comparable<K>> Map<K, CallTally> by(Collection<CallStory> calls, Function<CallStory, K> key) {
+		Map<K, CallTally> tallies = new TreeMap<>();
+		calls.forEach((call) -> tallies.computeIfAbsent(key.apply(call), (_) -> new CallTally()).add(call));
+		return tallies;
+	}
+
+	/**
+	 * Counts calls.
+	 * @param calls the calls
+	 * @return the tally
+	 */
+	static CallTally of(Collection<CallStory> calls) {
+		CallTally tally = new CallTally();
+		calls.forEach(tally::add);
+		return tally;
+	}
+
+	private void add(CallStory call) {
+		this.endings.merge(call.ending(), 1, Integer::sum);
+		if (!call.reason().isEmpty()) {
+			this.reasons.merge(call.reason(), 1, Integer::sum);
+		}
+	}
+
+	int count(Ending ending) {
+		return this.endings.getOrDefault(ending, 0);
+	}
+
+	int all() {
+		return this.endings.values().stream().mapToInt(Integer::intValue).sum();
+	}
+
+	Map<String, Integer> reasons() {
+		return this.reasons;
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/LogFolder.java
@@ -0,0 +1,96 @@
+package org.rosemaryfront.report;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.channels.Channels;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * The events in a folder of logs, in order of time.
+ *
+ * @param events the events
+ * @param damaged lines that were meant as events and cannot be read
+ * @param foreign lines of other programs
+ */
+record LogFolder(List<LogEvent> events, long damaged, long foreign) {
+
+	/**
+	 * Reads all files of a folder. A line that cannot be read is counted and passed over:
+	 * the last line of a process that was killed is often cut.
+	 * @param folder the folder, or one file
+	 * @return what was read
+	 * @throws ReportException when the folder cannot be read or holds no event
+	 */
+	static LogFolder read(Path folder) {
+		Counts counts = new Counts();
+		List<Path> files = files(folder);
+		files.forEach((file) -> read(file, counts));
+		if (counts.events.isEmpty()) {
+			throw ReportException.of(folder + " holds no event of a gateway: " + files.size() + " files, "
+					+ counts.damaged + " damaged and " + counts.foreign + " foreign lines");
+		}
+		counts.events.sort(Comparator.comparingDouble(LogEvent::second));
+		return new LogFolder(List.copyOf(counts.events), counts.damaged, counts.foreign);
+	}
+
+	private static List<Path> files(Path folder) {
+		if (!Files.exists(folder)) {
+			throw ReportException.of(folder + " does not exist");
+		}
+		try (Stream<Path> found = Files.walk(folder)) {
+			return found.filter(Files::isRegularFile).sorted().toList();
+		}
+		catch (IOException | UncheckedIOException ex) {
+			throw ReportException.of(folder + " cannot be read: " + ex.getMessage());
+		}
+	}
+
+	private static void read(Path file, Counts counts) {
+		String name = file.getFileName().toString();
+		try (BufferedReader lines = new BufferedReader(Channels.newReader(Files.newByteChannel(file),
+				StandardCharsets.UTF_8.newDecoder()
+					.onMalformedInput(CodingErrorAction.REPLACE)
+					.onUnmappableCharacter(CodingErrorAction.REPLACE),
+				-1))) {
+			for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+				counts.take(line, name);
+			}
+		}
+		catch (IOException ex) {
+			throw ReportException.of(file + " cannot be read: " + ex.getMessage());
+		}
+	}
+
+	private static final class Counts {
+
+		private final List<LogEvent> events = new ArrayList<>();
+
+		private long damaged;
+
+		private long foreign;
+
+		private void take(String line, String file) {
+			Optional<LogEvent> event = LogEvent.parse(line, file);
+			if (event.isPresent()) {
+				this.events.add(event.get());
+			}
+			else if (LogEvent.isOurs(line)) {
+				this.damaged++;
+			}
+			else if (!line.isBlank()) {
+				this.foreign++;
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/LogReport.java
@@ -0,0 +1,41 @@
+package org.rosemaryfront.report;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * Makes a page of the logs of gateways, for whoever asks after a bad hour which calls
+ * were refused, late or lost, when and why.
+ *
+ * <pre>
+ * List&lt;String&gt; summary = LogReport.write(Path.of("logs"), Path.of("report.html"));
+ * </pre>
+ */
+public final class LogReport {
+
+	private LogReport() {
+	}
+
+	/**
+	 * Writes the page.
+	 * @param logs the folder of logs, or one file
+	 * @param page where the page goes
+	 * @return the report as text
+	 * @throws ReportException when the logs cannot be read, hold no event, or the page
+	 * cannot be written
+	 */
+	public static List<String> write(Path logs, Path page) {
+		Report report = Report.of(LogFolder.read(logs));
+		List<String> summary = report.summary();
+		try {
+			Files.writeString(page, HtmlPage.of(summary, report.plots()));
+		}
+		catch (IOException ex) {
+			throw ReportException.of(page + " cannot be written: " + ex.getMessage());
+		}
+		return summary;
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Report.java
@@ -0,0 +1,270 @@
+package org.rosemaryfront.report;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+import org.rosemaryfront.report.CallStory.Ending;
+
+/**
+ * What became of the calls of a log, at which moments and for what reason.
+ *
+ * @param folder what was read
+ * @param calls the calls by name
+ */
+record Report(LogFolder folder, Map<String, CallStory> calls) {
+
+	/** The quota that was used when a call was sent, as the log writes it. */
+	private static final String QUOTA = "\\d+/\\d+";
+
+	/**
+	 * Windows with fewer calls are left out: one call more or less makes them best or
+	 * worst.
+	 */
+	private static final int MIN_WINDOW_CALLS = 10;
+
+	private static final int WORST_WINDOWS = 8;
+
+	/** Reasons that a row names, the most frequent ones. */
+	private static final int REASONS = 6;
+
+	/**
+	 * Rows of a table, those with the most calls; an operator may have hundreds of
+	 * routes.
+	 */
+	private static final int ROWS = 12;
+
+	/** Lines of a plot; with more it cannot be read. */
+	private static final int LINES = 14;
+
+	/**
+	 * Makes the report.
+	 * @param folder what was read
+	 * @return the report
+	 */
+	static Report of(LogFolder folder) {
+		return new Report(folder, CallStory.of(folder.events()));
+	}
+
+	// -- plots
+
+	/**
+	 * The plots of the page, by title.
+	 * @return the plots in order
+	 */
+	Map<String, Series> plots() {
+		Map<String, Series> plots = new LinkedHashMap<>();
+		plots.put("Calls a second, by how they ended", endings());
+		plots.put("Refused and failed calls a second, by reason", reasons());
+		plots.put("Calls at a server when one was sent there", dispatched("load"));
+		plots.put("Prompt tokens to read for a call", dispatched("unreadTokens"));
+		plots.put("First token: taken against expected, worst of a second", firstTokens());
+		plots.put("Servers present, by zone and sort", serversPresent());
+		plots.put("Servers ordered, by zone and sort; refused orders", serversOrdered());
+		plots.put("Quota used of what is allowed, by organisation", quotas());
+		plots.values().removeIf(Series::isEmpty);
+		plots.values().forEach((series) -> series.keepLargest(LINES));
+		return plots;
+	}
+
+	private Series endings() {
+		Series series = new Series();
+		this.calls.values().forEach((call) -> series.count(word(call.ending()), call.cameSecond()));
+		return series;
+	}
+
+	private Series reasons() {
+		Series series = new Series();
+		this.calls.values()
+			.stream()
+			.filter((call) -> !call.reason().isEmpty())
+			.forEach((call) -> series.count(call.reason(), call.cameSecond()));
+		return series;
+	}
+
+	private Series dispatched(String field) {
+		Series series = new Series();
+		named("CALL_DISPATCHED").forEach((event) -> event.number(field)
+			.ifPresent((value) -> series.put(event.text("server"), event.second(), value, Math::max)));
+		return series;
+	}
+
+	private Series firstTokens() {
+		Series series = new Series();
+		this.calls.values()
+			.forEach((call) -> call.firstAgainstExpected()
+				.ifPresent((ratio) -> series.put("ratio", call.cameSecond(), ratio, Math::max)));
+		return series;
+	}
+
+	// Each gateway tells the same servers; the one that tells most is followed.
+	private Series serversPresent() {
+		Series series = new Series();
+		Map<String, String> present = new TreeMap<>();
+		Map<String, Integer> counts = new TreeMap<>();
+		String teller = mostTelling("SERVER_REGISTERED");
+		this.folder.events().stream().filter((event) -> event.gateway().equals(teller)).forEach((event) -> {
+			String server = event.text("server");
+			if (event.name().equals("SERVER_REGISTERED")) {
+				move(counts, present.remove(server), -1);
+				if (event.text("leaving").equals("false")) {
+					present.put(server, sort(event));
+					move(counts, sort(event), 1);
+				}
+			}
+			else if (event.name().equals("SERVER_DROPPED")) {
+				move(counts, present.remove(server), -1);
+			}
+			else {
+				return;
+			}
+			counts.forEach((sort, count) -> series.put(sort, event.second(), count, (_, last) -> last));
+		});
+		return series;
+	}
+
+	private static void move(Map<String, Integer> counts, String sort, int by) {
+		if (sort != null) {
+			counts.merge(sort, by, Integer::sum);
+		}
+	}
+
+	private Series serversOrdered() {
+		Series series = new Series();
+		named("SIZE_ORDERED")
+			.forEach((event) -> series.put(sort(event), event.second(), event.number("servers", 0), (_, last) -> last));
+		named("SIZE_NOT_ORDERED").forEach((event) -> series.count("refused", event.second()));
+		return series;
+	}
+
+	private static String sort(LogEvent event) {
+		boolean reclaimable = event.text("reclaimable").equals("true");
+		return event.text("service") + ' ' + event.text("zone") + (reclaimable ? " reclaimable" : " on demand");
+	}
+
+	private Series quotas() {
+		Series series = new Series();
+		named("CALL_DISPATCHED").filter((event) -> event.text("quota").matches(QUOTA)).forEach((event) -> {
+			String[] parts = event.text("quota").split("/");
+			double allowed = Math.max(1, Double.parseDouble(parts[1]));
+			series.put(event.text("organisation"), event.second(), Double.parseDouble(parts[0]) / allowed, Math::max);
+		});
+		return series;
+	}
+
+	private String mostTelling(String event) {
+		Map<String, Integer> counts = new TreeMap<>();
+		named(event).forEach((told) -> counts.merge(told.gateway(), 1, Integer::sum));
+		return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse("");
+	}
+
+	private Stream<LogEvent> named(String name) {
+		return this.folder.events().stream().filter((event) -> event.name().equals(name));
+	}
+
+	// -- text
+
+	/**
+	 * The report as text.
+	 * @return the lines
+	 */
+	List<String> summary() {
+		List<String> lines = new ArrayList<>();
+		lines.add(this.folder.events().size() + " events of " + gateways() + " gateways; " + this.folder.damaged()
+				+ " damaged and " + this.folder.foreign() + " foreign lines passed over");
+		lines.add("");
+		lines.addAll(table("route", CallTally.by(this.calls.values(), CallStory::route)));
+		lines.add("");
+		lines.addAll(table("organisation", CallTally.by(this.calls.values(), CallStory::organisation)));
+		lines.add("");
+		lines.addAll(worst());
+		lines.add("");
+		lines.add("first token, taken / expected: " + firstTokenLine());
+		lines.add(sharedLine());
+		return lines;
+	}
+
+	private long gateways() {
+		return this.folder.events().stream().map(LogEvent::gateway).distinct().count();
+	}
+
+	private List<String> table(String title, Map<String, CallTally> tallies) {
+		List<String> lines = new ArrayList<>();
+		lines.add(String.format("%-20s %7s %7s %7s %7s %7s %7s %7s  %s", title, "calls", "in time", "late", "refused",
+				"failed", "left", "open", "refused and failed, by reason"));
+		tallies.entrySet()
+			.stream()
+			.sorted(Comparator.comparingInt((entry) -> -entry.getValue().all()))
+			.limit(ROWS)
+			.forEach((entry) -> lines.add(row(entry.getKey(), entry.getValue())));
+		lines.add(row("all " + tallies.size(), CallTally.of(this.calls.values())));
+		return lines;
+	}
+
+	private static String row(String name, CallTally tally) {
+		StringBuilder reasons = new StringBuilder();
+		tally.reasons()
+			.entrySet()
+			.stream()
+			.sorted(Map.Entry.<String, Integer>comparingByValue().reversed())
+			.limit(REASONS)
+			.forEach((reason) -> reasons.append(' ').append(reason.getKey()).append(' ').append(reason.getValue()));
+		return String.format("%-20s %7d %7d %7d %7d %7d %7d %7d %s", name, tally.all(), tally.count(Ending.IN_TIME),
+				tally.count(Ending.LATE), tally.count(Ending.REFUSED), tally.count(Ending.FAILED),
+				tally.count(Ending.LEFT), tally.count(Ending.OPEN), reasons);
+	}
+
+	// The two seconds in which the smallest share was in time, with at least a few calls.
+	private List<String> worst() {
+		Map<Long, CallTally> windows = CallTally.by(this.calls.values(),
+				(call) -> 2 * (long) Math.floor(call.cameSecond() / 2));
+		long start = this.folder.events().stream().mapToLong((event) -> (long) event.second()).min().orElse(0);
+		List<String> lines = new ArrayList<>();
+		lines.add("the two-second windows with the smallest share in time (seconds as the log counts them)");
+		windows.entrySet()
+			.stream()
+			.filter((window) -> window.getValue().all() >= MIN_WINDOW_CALLS)
+			.sorted((a, b) -> Double.compare(inTime(a.getValue()), inTime(b.getValue())))
+			.limit(WORST_WINDOWS)
+			.forEach((window) -> lines
+				.add(row(window.getKey() + " (+" + (window.getKey() - start) + ")", window.getValue())));
+		return lines;
+	}
+
+	private static double inTime(CallTally tally) {
+		return (double) tally.count(Ending.IN_TIME) / tally.all();
+	}
+
+	private String firstTokenLine() {
+		Deciles deciles = firstTokenDeciles(this.calls.values());
+		return (deciles.count() == 0) ? "nothing was expected"
+				: String.format(Locale.ROOT, "deciles %s, of %d calls", deciles, deciles.count());
+	}
+
+	static Deciles firstTokenDeciles(Collection<CallStory> calls) {
+		return Deciles.of(calls.stream()
+			.map(CallStory::firstAgainstExpected)
+			.filter(OptionalDouble::isPresent)
+			.mapToDouble(OptionalDouble::getAsDouble)
+			.toArray());
+	}
+
+	private String sharedLine() {
+		SharedParts parts = SharedParts.of(this.calls.values());
+		return String.format(Locale.ROOT,
+				"tokens of shared parts, by where calls went: %d found, %d read again (%.1f%% of both), %d read first",
+				parts.found(), parts.again(), 100 * parts.shareReadAgain(), parts.first());
+	}
+
+	private static String word(Ending ending) {
+		return ending.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -30,6 +30,8 @@
 import org.rosemaryfront.routes.TrafficConfiguration;
 import org.rosemaryfront.traffic.Call;
 import org.rosemaryfront.traffic.CallPolicy;
+import org.rosemaryfront.traffic.Refusal;
+import org.rosemaryfront.traffic.Refusal.Cause;
 import org.rosemaryfront.traffic.TrafficEvents;
 
 /**
@@ -198,11 +200,12 @@
 			long wait = taking.waitMillis();
 			if (wait > 0) {
 				call.refuse(429, wait + ThreadLocalRandom.current().nextLong(wait / 2 + 1),
-						String.format(Locale.ROOT, "quota of %s: %.0f of %.0f units used, %.0f asked",
-								organisation.name(), taking.used(), taking.limit(), units));
+						Refusal.of(Cause.QUOTA, String.format(Locale.ROOT, "%.0f of %.0f units used, %.0f asked",
+								taking.used(), taking.limit(), units)));
 				return;
 			}
 			decided.units = units;
+			decided.quota = String.format(Locale.ROOT, "%.0f/%.0f", taking.used(), taking.limit());
 		}
 		this.calls.put(call, decided);
 		this.retries.first(call.service(), now);
@@ -212,20 +215,20 @@
 	private void dispatch(Call call, Decided decided, long now) {
 		switch (this.dispatcher.choose(wish(call, now), decided.tried, now)) {
 			case Choice.Chosen chosen -> send(call, decided, chosen, now);
-			case Choice.Full full -> unserved(call, decided,
-					full.servers() + " servers have no room, first token after " + full.expectedMillis() + " ms");
-			case Choice.NoServer _ -> unserved(call, decided, "no server of " + call.service());
+			case Choice.Full full -> unserved(call, decided, Refusal.of(Cause.NO_ROOM,
+					full.servers() + " servers have no room, first token after " + full.expectedMillis() + " ms"));
+			case Choice.NoServer _ -> unserved(call, decided, Refusal.of(Cause.NO_SERVER, call.service()));
 		}
 	}
 
 	// A refusal promises that the call did not run: a call that is sent again, and finds
 	// no server for that, may have run at the first one.
-	private static void unserved(Call call, Decided decided, String reason) {
+	private static void unserved(Call call, Decided decided, Refusal refusal) {
 		if (decided.ran) {
-			call.giveUp(reason);
+			call.giveUp(refusal);
 		}
 		else {
-			call.refuse(503, fullRetryMillis(), reason);
+			call.refuse(503, fullRetryMillis(), refusal);
 		}
 	}
 
@@ -239,10 +242,13 @@
 
 	private void send(Call call, Decided decided, Choice.Chosen chosen, long now) {
 		BackendServer server = chosen.server();
-		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "route", call.route().name(), "server",
-				server.id(), "zone", server.zone(), "load", chosen.load(), "unreadTokens", chosen.unreadTokens(),
-				"expectedMillis", chosen.expectedMillis(), "candidates", chosen.candidates(), "serversVersion",
-				this.serversVersion, "serversAgeMillis", (now - this.serversNanos) / NANOS_PER_MILLI, "configuration",
+		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "route", call.route().name(), "organisation",
+				call.organisation().map(Organisation::name).orElse("none"), "units", Math.round(decided.units), "quota",
+				decided.quota, "parts", call.terms().prompt().map(Prompt::partList).orElse("none"), "targetMillis",
+				call.route().targetMillis(), "server", server.id(), "zone", server.zone(), "load", chosen.load(),
+				"unreadTokens", chosen.unreadTokens(), "expectedMillis", chosen.expectedMillis(), "candidates",
+				chosen.candidates(), "serversVersion", this.serversVersion, "serversAgeMillis",
+				(now - this.serversNanos) / NANOS_PER_MILLI, "configuration",
 				this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
 				call.remainingMillis(now));
 		decided.tried.add(server.id());
@@ -265,36 +271,36 @@
 		}
 		boolean notRun = failure.verdict() instanceof Verdict.NotRun;
 		decided.ran |= !notRun;
-		Optional<String> refusal = refusal(call, decided, failure, notRun, now);
+		Optional<Cause> refusal = refusal(call, decided, failure, notRun, now);
 		if (refusal.isEmpty()) {
 			dispatch(call, decided, now);
 		}
 		else if (notRun) {
-			call.refuse(503, fullRetryMillis(), failure.cause() + "; " + refusal.get());
+			call.refuse(503, fullRetryMillis(), Refusal.of(refusal.get(), failure.cause()));
 		}
 		else {
-			call.giveUp(failure.cause() + "; " + refusal.get());
+			call.giveUp(Refusal.of(refusal.get(), failure.cause()));
 		}
 	}
 
 	// Why the call is not sent again, empty when it may be. A call that may have run goes
 	// out again only if running twice does no harm.
-	private Optional<String> refusal(Call call, Decided decided, Failure failure, boolean notRun, long now) {
+	private Optional<Cause> refusal(Call call, Decided decided, Failure failure, boolean notRun, long now) {
 		if (!failure.sent()) {
 			decided.unsent++;
-			return (decided.unsent < UNSENT_MOST) ? Optional.empty() : Optional.of("no server can be reached");
+			return (decided.unsent < UNSENT_MOST) ? Optional.empty() : Optional.of(Cause.NO_CONNECTION);
 		}
 		if (!notRun && !call.route().repeatable()) {
-			return Optional.of("it may have run");
+			return Optional.of(Cause.MAY_HAVE_RUN);
 		}
 		if (!call.isRepeatable()) {
-			return Optional.of("its body is not kept");
+			return Optional.of(Cause.BODY_NOT_KEPT);
 		}
 		if (call.sends() >= call.route().maxAttempts()) {
-			return Optional.of("all attempts are used");
+			return Optional.of(Cause.ATTEMPTS_USED);
 		}
 		if (!this.retries.take(call.service(), now)) {
-			return Optional.of("too many calls are sent again");
+			return Optional.of(Cause.RETRIES_USED);
 		}
 		return Optional.empty();
 	}
@@ -415,6 +421,9 @@
 
 		private double units;
 
+		/** What of the quota was used of what is allowed, for the log. */
+		private String quota = "none";
+
 		/** Whether a server may have run it, so that its units are spent. */
 		private boolean ran;
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/CallTerms.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/CallTerms.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 /**
  * What a caller says of its call beside method, path and body.
@@ -43,6 +44,14 @@
 			return this.parts.stream().limit(Math.max(0, this.parts.size() - 1)).mapToInt(Part::tokens).sum();
 		}
 
+		/**
+		 * All parts as one word of a log line.
+		 * @return identifiers with sizes, in order
+		 */
+		public String partList() {
+			return this.parts.stream().map((part) -> part.id() + ":" + part.tokens()).collect(Collectors.joining(","));
+		}
+
 		/**
 		 * The tokens that no other call has.
 		 * @return the tokens of the call's own part
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -227,18 +227,18 @@
 	 * Refuses a call that did not run and never will.
 	 * @param status the HTTP status, 429 or 503
 	 * @param retryAfterMillis when coming back can help, in milliseconds
-	 * @param reason why, for the log
+	 * @param refusal why
 	 */
-	public void refuse(int status, long retryAfterMillis, String reason) {
-		loop().execute(() -> refuseNow(status, retryAfterMillis, reason));
+	public void refuse(int status, long retryAfterMillis, Refusal refusal) {
+		loop().execute(() -> refuseNow(status, retryAfterMillis, refusal));
 	}
 
 	/**
 	 * Ends a call whose server failed it, with the server's own answer if there is one.
-	 * @param reason why it is not sent again, for the log
+	 * @param refusal why it is not sent again
 	 */
-	public void giveUp(String reason) {
-		loop().execute(() -> giveUpNow(reason));
+	public void giveUp(Refusal refusal) {
+		loop().execute(() -> giveUpNow(refusal));
 	}
 
 	/**
@@ -537,46 +537,53 @@
 		this.gateway.policy().failed(this, by, new CallPolicy.Failure(verdict, sent, answered, cause));
 	}
 
-	private void refuseNow(int status, long retryAfterMillis, String reason) {
+	private void refuseNow(int status, long retryAfterMillis, Refusal refusal) {
 		if (this.state == State.DONE) {
 			return;
 		}
 		if (this.answering) {
-			giveUpNow(reason);
+			giveUpNow(refusal);
 			return;
 		}
-		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "route", this.route.name(), "status", status,
-				"retryAfterMillis", retryAfterMillis, "reason", reason, "millis", ageMillis());
-		this.gateway.metrics().refused(status);
+		noteRefused(status, refusal, retryAfterMillis);
 		this.caller.refuse(status, retryAfterMillis);
 		finish();
 	}
 
-	private void giveUpNow(String reason) {
+	private void noteRefused(int status, Refusal refusal, long retryAfterMillis) {
+		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "route", this.route.name(), "organisation",
+				organisationName(), "status", status, "reason", refusal.cause(), "detail", refusal.detail(),
+				"retryAfterMillis", retryAfterMillis, "state", this.state, "targetMillis", this.route.targetMillis(),
+				"millis", ageMillis());
+		this.gateway.metrics().refused(status);
+	}
+
+	private void giveUpNow(Refusal refusal) {
 		if (this.state == State.DONE) {
 			return;
 		}
 		if (this.answering) {
-			EventLog.warn(TrafficEvents.ANSWER_BROKEN, "request", id(), "reason", reason, "millis", ageMillis());
+			EventLog.warn(TrafficEvents.ANSWER_BROKEN, "request", id(), "reason", refusal.cause(), "detail",
+					refusal.detail(), "millis", ageMillis());
 			this.gateway.metrics().broken();
 			this.caller.abort();
 		}
 		else if (this.failureWhole && !this.answerTerms.notRun()) {
 			startAnswer();
 			flushGatheredAnswer();
-			noteGivenUp(statusCode(), reason);
+			noteGivenUp(statusCode(), refusal);
 			this.caller.endAnswer();
 		}
 		else {
-			noteGivenUp(502, reason);
+			noteGivenUp(502, refusal);
 			this.caller.refuse(502, 0);
 		}
 		finish();
 	}
 
-	private void noteGivenUp(int status, String reason) {
+	private void noteGivenUp(int status, Refusal refusal) {
 		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", status,
-				"reason", reason, "sends", this.sends, "millis", ageMillis());
+				"reason", refusal.cause(), "detail", refusal.detail(), "sends", this.sends, "millis", ageMillis());
 		this.gateway.metrics().answered(this, status);
 	}
 
@@ -585,15 +592,14 @@
 			return;
 		}
 		if (this.answering) {
-			giveUpNow("deadline");
+			giveUpNow(Refusal.DEADLINE);
 			return;
 		}
 		boolean mayHaveRun = this.state == State.SENT || this.begun;
 		int status = mayHaveRun ? 504 : 503;
-		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "route", this.route.name(), "status", status,
-				"reason", "deadline", "state", this.state, "millis", ageMillis());
-		this.gateway.metrics().refused(status);
-		this.caller.refuse(status, mayHaveRun ? 0 : UNSENT_RETRY_MILLIS);
+		long retryAfterMillis = mayHaveRun ? 0 : UNSENT_RETRY_MILLIS;
+		noteRefused(status, Refusal.DEADLINE, retryAfterMillis);
+		this.caller.refuse(status, retryAfterMillis);
 		finish((this.state == State.SENT) ? Ending.UNANSWERED : Ending.ABANDONED);
 	}
 
@@ -627,6 +633,10 @@
 		return this.gateway.loop();
 	}
 
+	private String organisationName() {
+		return this.organisation.map(Organisation::name).orElse("none");
+	}
+
 	private String serverId() {
 		return this.server.map(BackendServer::id).orElse("none");
 	}
