Let a stream go on elsewhere however old it is

Cause: a call that is sent again was held to the target of its first token less its age. A stream whose server crashed after that target was always refused elsewhere ('no-room', first token after 220 ms, with idle servers) and broke off in its caller's hands. Change: a call that may have run has all of its time left; it is refused for want of slots only.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -163,6 +163,22 @@
 	 */
 	public record Wish(String service, String sharedPart, int sharedTokens, int ownTokens, long targetMillis,
 			int priority) {
+
+		/**
+		 * The time that is left until a call's first token should come. A call that has
+		 * run is not refused for being late: its caller has the beginning of its answer,
+		 * or nobody may promise that it did not run, so that all of its time is left.
+		 * Held to the target of a first token, no stream went on at another server once
+		 * its own had run for longer than that.
+		 * @param targetMillis the target less the call's age, in milliseconds
+		 * @param remainingMillis what is left of the call's time, in milliseconds
+		 * @param ran whether a server may have run it
+		 * @return the time in milliseconds, never negative
+		 */
+		public static long millisLeft(long targetMillis, long remainingMillis, boolean ran) {
+			return Math.max(0, ran ? remainingMillis : targetMillis);
+		}
+
 	}
 
 	/** What came of a choice. */
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -123,6 +123,21 @@
 		assertThat(taken.contains(priority)).isEqualTo(priority == 0);
 	}
 
+	// A server crashes two seconds into a stream that may go on elsewhere. Its first
+	// token
+	// was due long ago: refused for that, each such stream broke off in its caller's
+	// hands
+	// while other servers were idle.
+	@ParameterizedTest
+	@CsvSource({ "true, 2000", "false, 0" })
+	void shouldNotRefuseForItsAgeWhatHasRun(boolean ran, long millisLeft) {
+		long left = Wish.millisLeft(600 - 2_600, 2_000, ran);
+		assertThat(left).isEqualTo(millisLeft);
+		Wish wish = new Wish("llm", "part", 0, 1_000, left, 0);
+		Choice choice = this.dispatcher.choose(wish, Set.of("s1"), 0);
+		assertThat(choice instanceof Choice.Chosen).isEqualTo(ran);
+	}
+
 	@Test
 	void shouldRefuseWhenAllSlotsAreTaken() {
 		for (String id : List.of("s1", "s2", "s3")) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -213,7 +213,7 @@
 	}
 
 	private void dispatch(Call call, Decided decided, long now) {
-		switch (this.dispatcher.choose(wish(call, now), decided.tried, now)) {
+		switch (this.dispatcher.choose(wish(call, decided, now), decided.tried, now)) {
 			case Choice.Chosen chosen -> send(call, decided, chosen, now);
 			case Choice.Full full -> unserved(call, decided, Refusal.of(Cause.NO_ROOM,
 					full.servers() + " servers have no room, first token after " + full.expectedMillis() + " ms"));
@@ -232,12 +232,13 @@
 		}
 	}
 
-	private static Wish wish(Call call, long now) {
+	private static Wish wish(Call call, Decided decided, long now) {
 		long age = (now - call.arrivedNanos()) / NANOS_PER_MILLI;
 		Optional<Prompt> prompt = call.terms().prompt();
 		return new Wish(call.service(), prompt.map(Prompt::sharedPart).orElse(""),
 				prompt.map(Prompt::sharedTokens).orElse(0), prompt.map(Prompt::ownTokens).orElse(0),
-				Math.max(0, call.route().targetMillis() - age), call.priority());
+				Wish.millisLeft(call.route().targetMillis() - age, call.remainingMillis(now), decided.ran),
+				call.priority());
 	}
 
 	private void send(Call call, Decided decided, Choice.Chosen chosen, long now) {
