Stand through waves on cheap spares, plan from all servers, and give none back while one is missing

(2) In a wave a live server was given back because the plan moved from reclaimable to lasting ones. (4) Lasting servers stood in for the second zone at five times the price. Change: plan once no more servers register themselves for 2.4 s; no reclaimable server given back while one is missing; fallback for the need of the last 6 s; where a spare in each zone costs less than a lasting server, one lasting server, and each zone alone carries 0.6 of the need.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
@@ -30,8 +30,8 @@
 	private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
 	/**
-	 * The share of the need up to which the service falls back to on-demand VMs. The need
-	 * has room for peaks, and an on-demand VM costs some five times as much as a
+	 * The share of the need of late up to which the service falls back to on-demand VMs.
+	 * The need has room for peaks, and an on-demand VM costs some five times as much as a
 	 * reclaimable one: with all of the need the servers of two days with reclaims cost
 	 * 0.24 of what the days were worth, with this share 0.19, while what was served
 	 * stayed the same (0.896 and 0.894).
@@ -52,10 +52,12 @@
 	 */
 	public List<Size> next(ServiceSpec service, Plan plan, Map<String, ZoneSize> present, long nowNanos) {
 		List<Size> sizes = new ArrayList<>();
-		plan.zones()
-			.forEach((zone, planned) -> order(service, reclaimable(service, zone, planned),
-					present.getOrDefault(zone, ZoneSize.NONE).reclaimable(), nowNanos)
-				.ifPresent(sizes::add));
+		boolean shortOf = isShort(plan, present);
+		plan.zones().forEach((zone, planned) -> {
+			int here = present.getOrDefault(zone, ZoneSize.NONE).reclaimable();
+			int wanted = shortOf ? Math.max(planned.reclaimable(), here) : planned.reclaimable();
+			order(service, new Size(service.name(), zone, wanted, true), here, nowNanos).ifPresent(sizes::add);
+		});
 		Fallback fallback = fallback(service, plan, present);
 		plan.zones().forEach((zone, planned) -> {
 			Size lasting = new Size(service.name(), zone, planned.lasting() + fallback.servers(zone), false);
@@ -65,6 +67,17 @@
 		return sizes;
 	}
 
+	// Guards against a plan that moves servers between zones or sorts in the middle of a
+	// wave: it gave a live server back while none of those that should stand in for it
+	// was to be had, and a third of the calls of two seconds were late.
+	private static boolean isShort(Plan plan, Map<String, ZoneSize> present) {
+		return plan.zones()
+			.entrySet()
+			.stream()
+			.anyMatch((zone) -> present.getOrDefault(zone.getKey(), ZoneSize.NONE).reclaimable() < zone.getValue()
+				.reclaimable());
+	}
+
 	// The on-demand servers beyond the plan: those that are there and cannot be spared
 	// yet, and in zones that are refused those that the service is short of.
 	private Fallback fallback(ServiceSpec service, Plan plan, Map<String, ZoneSize> present) {
@@ -77,7 +90,7 @@
 			fallback.begin(zone, kept, refused ? missing - kept : 0);
 		});
 		int sure = all(present) - atRisk(service, plan, present);
-		int shortOf = Math.max(0, (int) Math.ceil(plan.need() * FALLBACK_SHARE) - sure);
+		int shortOf = Math.max(0, (int) Math.ceil(plan.needOfLate() * FALLBACK_SHARE) - sure);
 		// Those that boot stay where they are: cancelled in favour of a zone that is
 		// refused later, others would have to boot anew.
 		for (Map.Entry<String, ZoneSize> planned : plan.zones().entrySet()) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
@@ -47,6 +47,17 @@
 	 */
 	private static final long PEAK_NANOS = TimeUnit.SECONDS.toNanos(25);
 
+	/** What of the need's peaks is still there when an order is carried out. */
+	private static final long LATE_NANOS = TimeUnit.SECONDS.toNanos(6);
+
+	/**
+	 * The part of the need that the servers of a single zone carry beside the lasting
+	 * ones: engines are then busy 0.83 of the time in place of half of it, for as long as
+	 * waves take two zones, some ten seconds. With a lasting server in place of each
+	 * spare, days with two waves cost the same and were short of servers in both.
+	 */
+	private static final double LAST_ZONE_SHARE = 0.6;
+
 	/**
 	 * The share of the need beyond {@link #LOSABLE} that runs on VMs that cannot be
 	 * reclaimed. Reclaims come in waves, zone after zone while nowhere another VM is to
@@ -91,16 +102,43 @@
 		double generating = demand.running() / (slots * SLOT_SHARE);
 		double now = Math.max(reading, generating);
 		double need = Math.max(first(demand, nowNanos), peak(now, nowNanos));
-		int lasting = Math.max(LASTING_LEAST, (int) Math.round((need - LOSABLE) * LASTING_SHARE));
-		int remaining = Math.max(1, zones.size() - 1);
-		int each = (int) Math.ceil((need - lasting) / remaining);
+		double ofLate = needOfLate(now, nowNanos);
+		int lasting = lasting(need, bounds, zones.size());
+		int each = eachZone(need, lasting, bounds, zones.size());
 		Map<String, ZoneSize> sizes = new LinkedHashMap<>();
 		for (int i = 0; i < zones.size(); i++) {
 			int kept = Math.min(bounds.max(), lasting / zones.size() + ((i < lasting % zones.size()) ? 1 : 0));
 			int reclaimable = Math.clamp(each, Math.max(0, bounds.min() - kept), bounds.max() - kept);
 			sizes.put(zones.get(i), new ZoneSize(kept, reclaimable));
 		}
-		return new Plan(need, sizes);
+		return new Plan(need, ofLate, sizes);
+	}
+
+	// Where a spare reclaimable server in every zone costs less than one server that
+	// lasts, spares are what carries the service through waves.
+	private static boolean sparesAreCheap(ServiceSpec.ScalingSpec bounds, int zones) {
+		return bounds.reclaimablePrice() * zones < 1;
+	}
+
+	private static int lasting(double need, ServiceSpec.ScalingSpec bounds, int zones) {
+		int share = (int) Math.round((need - LOSABLE) * LASTING_SHARE);
+		return sparesAreCheap(bounds, zones) ? LASTING_LEAST : Math.max(LASTING_LEAST, share);
+	}
+
+	// Enough for the need when one zone is lost, and for a part of it when all but one
+	// are.
+	private static int eachZone(double need, int lasting, ServiceSpec.ScalingSpec bounds, int zones) {
+		int withoutOne = (int) Math.ceil((need - lasting) / Math.max(1, zones - 1));
+		int onlyOne = (int) Math.ceil(need * LAST_ZONE_SHARE - lasting);
+		return sparesAreCheap(bounds, zones) ? Math.max(withoutOne, onlyOne) : withoutOne;
+	}
+
+	// The greatest need within the time that an order takes to be carried out.
+	private double needOfLate(double now, long nowNanos) {
+		return this.recent.stream()
+			.filter((need) -> nowNanos - need.atNanos() <= LATE_NANOS)
+			.mapToDouble(Need::need)
+			.reduce(now, Math::max);
 	}
 
 	// Nothing is known yet of what is to come: whoever set the first size knew more. The
@@ -130,10 +168,11 @@
 	/**
 	 * A plan.
 	 *
-	 * @param need the servers that the service needs to be in time
+	 * @param need the servers that the service needs to be in time, with its peaks
+	 * @param needOfLate the servers that it needed in the last seconds
 	 * @param zones the servers to have in each zone, with those for a zone that is lost
 	 */
-	public record Plan(double need, Map<String, ZoneSize> zones) {
+	public record Plan(double need, double needOfLate, Map<String, ZoneSize> zones) {
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -29,8 +29,11 @@
 	/** The time between two looks at the demand, in nanoseconds. */
 	private static final long LOOK_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-	/** How long the servers of a service may take to register themselves at the start. */
-	private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+	/**
+	 * How long after the last one no other server of a service has registered itself when
+	 * all are taken to have: twice the longest time seen between two of them at a start.
+	 */
+	private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_400);
 
 	/** The reclaimable servers of a zone that are ordered before a plan can be made. */
 	private static final int FIRST_RECLAIMABLE = 2;
@@ -55,7 +58,7 @@
 	/** The servers at the last look at the orders, by service. */
 	private final Map<String, Map<String, ZoneSize>> lastPresent = new HashMap<>();
 
-	private final Map<String, Long> firstSeenNanos = new HashMap<>();
+	private final Map<String, Registered> registered = new HashMap<>();
 
 	private long lookedNanos;
 
@@ -140,13 +143,23 @@
 		this.lastTokens = readingTokens;
 	}
 
-	// The servers of a service that starts register themselves one after the other; a
-	// plan made from the first of them would give the others back.
+	// The servers of a service that starts register themselves one after the other. A
+	// plan made from the first of them gave the others back, and the traffic began with
+	// four servers where it needed seven: in its first six seconds 0.5 of it was in time.
 	private boolean isSettled(String service, long now) {
-		if (present(service).values().stream().allMatch(ZoneSize.NONE::equals)) {
-			return this.firstSeenNanos.containsKey(service);
+		Registered before = this.registered.getOrDefault(service, Registered.NONE);
+		if (before.settled) {
+			return true;
 		}
-		return now - this.firstSeenNanos.computeIfAbsent(service, (_) -> now) >= SETTLE_NANOS;
+		Collection<ZoneSize> here = present(service).values();
+		// Reclaimable ones come of orders of ours and tell nothing of the others.
+		int lasting = here.stream().mapToInt(ZoneSize::lasting).sum();
+		boolean any = here.stream().anyMatch((zone) -> zone.servers() > 0);
+		boolean more = lasting > before.servers || (any && !before.any);
+		long since = more ? now : before.sinceNanos;
+		boolean settled = !more && any && now - since >= SETTLE_NANOS;
+		this.registered.put(service, new Registered(Math.max(lasting, before.servers), any, since, settled));
+		return settled;
 	}
 
 	private SizePlan.Plan plan(ServiceSpec service, long now) {
@@ -213,4 +226,18 @@
 				: new ZoneSize(here.lasting() + 1, here.reclaimable());
 	}
 
+	/**
+	 * What is known of the servers of a service at the start.
+	 *
+	 * @param servers the most lasting ones that were there at once
+	 * @param any whether there was any server
+	 * @param sinceNanos since when there are so many
+	 * @param settled whether no more are to be waited for
+	 */
+	private record Registered(int servers, boolean any, long sinceNanos, boolean settled) {
+
+		private static final Registered NONE = new Registered(0, false, 0, false);
+
+	}
+
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -57,6 +57,25 @@
 		assertThat(this.duties.sizes()).contains(new Size("llm", "b", 0, false));
 	}
 
+	// The servers of a service register themselves within some three seconds of the
+	// start.
+	// A plan from the first of them gave the others back, and the traffic met four
+	// servers
+	// in place of seven.
+	@Test
+	void shouldPlanOnceNoMoreServersRegisterThemselves() {
+		for (int second = 0; second < 3; second++) {
+			register("a" + second, "a", false);
+			act(second);
+			register("b" + second, "b", false);
+		}
+		act(4);
+		assertThat(this.duties.sizes()).allMatch(Size::reclaimable);
+		act(6);
+		act(7);
+		assertThat(this.duties.sizes()).noneMatch((size) -> size.reclaimable() && size.servers() < 2);
+	}
+
 	// The process that holds the duties is lost in the middle of high load. Its successor
 	// had never looked at the demand, and gave the servers back that were needed.
 	@Test
