Send prompts to the servers that have read their parts, and fetch these parts from there

Cause: placement knew one common order of servers by the last shared part. A server that lacks parts fetches them from the one that has most, where the configured link takes less time than reading; also from a server that leaves. A process that just started falls back to the common order for ten seconds.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -36,6 +36,9 @@
 	/** When it registered itself; empty when it was there before this process looked. */
 	final OptionalLong registeredNanos;
 
+	/** The shared parts of prompts that it is taken to have read. */
+	final PartCache parts = new PartCache();
+
 	/** Failures since the last good answer. */
 	int failures;
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -50,6 +50,8 @@
 
 	private final Map<String, BackendRow> rows = new LinkedHashMap<>();
 
+	private final PartNews partNews = new PartNews();
+
 	/** Calls sent so far, to any server. */
 	private long sent;
 
@@ -148,6 +150,38 @@
 		});
 	}
 
+	/**
+	 * Notes that a server reads or fetches shared parts for a call.
+	 * @param server the start of the server
+	 * @param shared the parts
+	 * @param memoryTokens what the server's memory holds, in tokens
+	 */
+	public void reads(Start server, SharedParts shared, long memoryTokens) {
+		row(server).ifPresent((row) -> shared.parts().forEach((part) -> {
+			if (row.parts.add(part, memoryTokens)) {
+				this.partNews.add(server, part);
+			}
+		}));
+	}
+
+	/**
+	 * Takes the parts that a server read for another process.
+	 * @param server the start of the server
+	 * @param parts the parts
+	 * @param memoryTokens what the server's memory holds, in tokens
+	 */
+	public void othersRead(Start server, List<SharedParts.Part> parts, long memoryTokens) {
+		row(server).ifPresent((row) -> parts.forEach((part) -> row.parts.add(part, memoryTokens)));
+	}
+
+	/**
+	 * The parts that servers read of late for this process, for the others.
+	 * @return the parts by start of a server
+	 */
+	public Map<Start, List<SharedParts.Part>> partsToTell() {
+		return this.partNews.take();
+	}
+
 	/**
 	 * Notes that a server has read the prompt of a call.
 	 * @param server the start of the server
@@ -269,6 +303,15 @@
 		return takers;
 	}
 
+	// Servers of a service that may have parts of prompts, whether they take calls or
+	// not.
+	List<BackendRow> holders(String service) {
+		return this.rows.values()
+			.stream()
+			.filter((row) -> !row.unreadable && row.server.service().equals(service))
+			.toList();
+	}
+
 	private Optional<BackendRow> row(Start server) {
 		return Optional.ofNullable(this.rows.get(server.id())).filter((row) -> row.server.start().equals(server));
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendUse.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendUse.java
@@ -7,4 +7,8 @@
  * @param unreadTokens the prompt tokens that the server still has to read for them
  */
 public record BackendUse(int calls, long unreadTokens) {
+
+	/** Nothing. */
+	public static final BackendUse NONE = new BackendUse(0, 0);
+
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -4,19 +4,22 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
+import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
+
 /**
  * Chooses the backend server of a call.
  *
  * <p>
  * Calls to models wait for the prompts that a server reads before theirs, so that the
- * server is chosen at which the fewest prompt tokens are to be read until the call's
- * first token. Calls that share a part of their prompt have a common order of servers for
- * it: the first one has the part in its cache, the second may have it, at the others it
- * would be read again. Two thirds of a long prompt are shared, and the shared parts fit
- * the memory of a pool only if each is kept by a server or two.
+ * server is chosen at which the first token of the call is expected first. It need not
+ * read the shared parts that it has, and fetches those that another server has where that
+ * takes less time than to read them. Processes tell one another which server read what;
+ * with equal times, calls that share parts have a common order of servers.
  *
  * <p>
  * Other calls go to the least loaded server, their own zone first.
@@ -32,14 +35,11 @@
 	/** The time from a prompt that is read to its first token, in milliseconds. */
 	private static final long FIRST_TOKEN_MILLIS = 90;
 
-	/** The part of a shared part that the second server in its order is taken to lack. */
-	private static final double SECOND_LACKS = 0.5;
-
 	/**
-	 * After this time the first server of an order is taken to have its shared parts: in
-	 * it a call to each of some hundred parts comes along, at tens of calls a second.
+	 * How long a process that started knows too little of what servers have read: in that
+	 * time it places, or hears of, most of the parts in use.
 	 */
-	private static final double WARM_NANOS = 15e9;
+	private static final long IGNORANT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
 	/**
 	 * What each running call adds to the cost of a server, in tokens: it slows the steps
@@ -63,6 +63,9 @@
 
 	private final String zone;
 
+	/** When the first prompt was placed. */
+	private OptionalLong firstPromptNanos = OptionalLong.empty();
+
 	/**
 	 * A dispatcher.
 	 * @param table the servers
@@ -101,68 +104,84 @@
 				.thenComparingLong((row) -> row.lastSent)
 				.thenComparing((row) -> row.server.id()))
 			.orElseThrow();
-		return new Choice.Chosen(chosen.server, chosen.load(), 0, 0, free.size());
+		return new Choice.Chosen(chosen.server, chosen.load(), 0, 0, free.size(), Optional.empty());
 	}
 
 	private Choice soonest(Wish wish, List<BackendRow> free, long nowNanos) {
-		List<BackendRow> order = free.stream()
-			.sorted(Comparator.comparingLong((BackendRow row) -> rank(wish.sharedPart(), row.server.id())))
-			.toList();
-		Optional<Priced> best = Optional.empty();
-		for (int i = 0; i < order.size(); i++) {
-			Priced priced = price(wish, order.get(i), i, nowNanos);
-			if (best.isEmpty() || priced.cost < best.get().cost) {
-				best = Optional.of(priced);
-			}
+		if (this.firstPromptNanos.isEmpty()) {
+			this.firstPromptNanos = OptionalLong.of(nowNanos);
 		}
-		Priced chosen = best.orElseThrow();
+		Optional<Holder> holder = holder(wish, nowNanos);
+		Priced chosen = free.stream()
+			.map((row) -> price(wish, row, holder))
+			.min(Comparator.comparingDouble(Priced::cost).thenComparingLong((priced) -> rank(wish, priced.row)))
+			.orElseThrow();
 		long millis = (long) chosen.cost;
 		double factor = Math.max(LATE_FACTOR_LEAST, LATE_FACTOR - LATE_FACTOR_STEP * wish.priority());
 		if (millis > wish.targetMillis() * factor) {
 			return new Choice.Full(free.size(), millis);
 		}
-		return new Choice.Chosen(chosen.row.server, chosen.row.load(), chosen.unread, millis, free.size());
+		return new Choice.Chosen(chosen.row.server, chosen.row.load(), chosen.unread, millis, free.size(),
+				chosen.fetchFrom.map((row) -> row.server));
 	}
 
-	private static Priced price(Wish wish, BackendRow row, int place, long nowNanos) {
-		double cold = cold(row, nowNanos);
-		double lacks = switch (place) {
-			case 0 -> cold;
-			case 1 -> Math.max(cold, SECOND_LACKS);
-			default -> 1;
-		};
-		long unread = wish.ownTokens() + (long) (wish.sharedTokens() * lacks);
-		double tokens = row.unreadTokens() + unread + TOKENS_PER_CALL * row.load();
-		return new Priced(row, unread, row.slowness * (tokens / TOKENS_PER_MILLI + FIRST_TOKEN_MILLIS));
+	// Who has most of the shared parts of a prompt; servers that leave have theirs until
+	// they are gone.
+	private Optional<Holder> holder(Wish wish, long nowNanos) {
+		List<BackendRow> rows = this.table.holders(wish.service())
+			.stream()
+			.filter((row) -> !row.avoided(nowNanos))
+			.toList();
+		Optional<Holder> most = rows.stream()
+			.map((row) -> new Holder(row, row.parts.held(wish.shared())))
+			.filter((holder) -> holder.tokens > 0)
+			.max(Comparator.comparingInt(Holder::tokens)
+				.thenComparing((holder) -> holder.row.server.zone().equals(this.zone))
+				.thenComparingLong((holder) -> rank(wish, holder.row)));
+		return most.isPresent() ? most : presumed(wish, rows, nowNanos);
 	}
 
-	// The part of its shared parts that the first server of an order is taken to lack.
-	// Guards a process that was just restarted: taken as new, the servers that it finds
-	// seemed to have every prompt to read anew, and 200 calls were refused for that in
-	// the
-	// two seconds behind a kill of all processes.
-	private static double cold(BackendRow row, long nowNanos) {
-		return row.registeredNanos.isPresent()
-				? Math.max(0, 1 - (nowNanos - row.registeredNanos.getAsLong()) / WARM_NANOS) : 0;
+	// A process that was just restarted knows of no part. Servers that ran before it are
+	// taken to have theirs by the common order: taken as empty, they seemed to have every
+	// prompt to read anew, and 200 calls were refused for that in the two seconds behind
+	// a kill of all processes.
+	private Optional<Holder> presumed(Wish wish, List<BackendRow> rows, long nowNanos) {
+		boolean ignorant = nowNanos - this.firstPromptNanos.getAsLong() < IGNORANT_NANOS;
+		return rows.stream()
+			.filter((row) -> ignorant && row.registeredNanos.isEmpty())
+			.min(Comparator.comparingLong((row) -> rank(wish, row)))
+			.map((row) -> new Holder(row, wish.shared().tokens()));
 	}
 
-	private static long rank(String sharedPart, String server) {
-		return Hashing.wyhashFinal4().hashCharsToLong(sharedPart + '@' + server);
+	private static Priced price(Wish wish, BackendRow row, Optional<Holder> holder) {
+		boolean isHolder = holder.isPresent() && holder.get().row == row;
+		int held = isHolder ? holder.get().tokens : row.parts.held(wish.shared());
+		int elsewhere = holder.map(Holder::tokens).orElse(0) - held;
+		double fetchMillis = (elsewhere > 0) ? wish.fetchMillis(elsewhere) : Double.POSITIVE_INFINITY;
+		boolean fetches = fetchMillis < elsewhere / TOKENS_PER_MILLI;
+		long unread = wish.ownTokens() + wish.shared().tokens() - held - (fetches ? elsewhere : 0);
+		double tokens = row.unreadTokens() + unread + TOKENS_PER_CALL * row.load();
+		double millis = tokens / TOKENS_PER_MILLI + FIRST_TOKEN_MILLIS + (fetches ? fetchMillis : 0);
+		return new Priced(row, unread, row.slowness * millis, fetches ? holder.map(Holder::row) : Optional.empty());
+	}
+
+	private static long rank(Wish wish, BackendRow row) {
+		return Hashing.wyhashFinal4().hashCharsToLong(Long.toHexString(wish.shared().name()) + '@' + row.server.id());
 	}
 
 	/**
 	 * What a call needs.
 	 *
 	 * @param service the service
-	 * @param sharedPart the part of its prompt that it shares with other calls
-	 * @param sharedTokens the tokens that it shares with other calls
+	 * @param shared the parts of its prompt that it shares with other calls
+	 * @param engine the engines of the service, empty when it has none
 	 * @param ownTokens the tokens of its prompt that no other call has; 0 for a call that
 	 * has no prompt
 	 * @param targetMillis the time that is left until its first token should come
 	 * @param priority its rank, 0 for the most urgent
 	 */
-	public record Wish(String service, String sharedPart, int sharedTokens, int ownTokens, long targetMillis,
-			int priority) {
+	public record Wish(String service, SharedParts shared, Optional<EngineSpec> engine, int ownTokens,
+			long targetMillis, int priority) {
 
 		/**
 		 * The time that is left until a call's first token should come. A call that has
@@ -179,6 +198,10 @@
 			return Math.max(0, ran ? remainingMillis : targetMillis);
 		}
 
+		private double fetchMillis(int tokens) {
+			return this.engine.map((spec) -> spec.fetchMillis(tokens)).orElse(Double.POSITIVE_INFINITY);
+		}
+
 	}
 
 	/** What came of a choice. */
@@ -192,9 +215,10 @@
 		 * @param unreadTokens the prompt tokens that it has to read for the call
 		 * @param expectedMillis the time to the first token, 0 when it is not known
 		 * @param candidates the servers that were weighed
+		 * @param fetchFrom who has the shared parts that it lacks
 		 */
-		record Chosen(BackendServer server, int load, long unreadTokens, long expectedMillis,
-				int candidates) implements Choice {
+		record Chosen(BackendServer server, int load, long unreadTokens, long expectedMillis, int candidates,
+				Optional<BackendServer> fetchFrom) implements Choice {
 		}
 
 		/**
@@ -213,7 +237,10 @@
 
 	}
 
-	private record Priced(BackendRow row, long unread, double cost) {
+	private record Holder(BackendRow row, int tokens) {
+	}
+
+	private record Priced(BackendRow row, long unread, double cost, Optional<BackendRow> fetchFrom) {
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/routes/ServiceSpec.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/routes/ServiceSpec.java
@@ -19,8 +19,26 @@
 	 *
 	 * @param slots the requests that it runs at once
 	 * @param kvTokens the tokens that its memory holds
+	 * @param tokenBytes what a token takes in it, in bytes; 0 when it is not told
+	 * @param linkMegabits what it sends to another engine in a second, in megabits; 0
+	 * when it is not told
 	 */
-	public record EngineSpec(int slots, long kvTokens) {
+	public record EngineSpec(int slots, long kvTokens, long tokenBytes, double linkMegabits) {
+
+		/** The least time that fetching from another engine takes, in milliseconds. */
+		private static final double FETCH_SETUP_MILLIS = 5;
+
+		/**
+		 * How long tokens take from the memory of one engine to that of another.
+		 * @param tokens the tokens
+		 * @return the time in milliseconds, infinite when engines cannot do that
+		 */
+		public double fetchMillis(long tokens) {
+			boolean able = this.tokenBytes > 0 && this.linkMegabits > 0;
+			return able ? FETCH_SETUP_MILLIS + tokens * this.tokenBytes * 8 / (this.linkMegabits * 1_000)
+					: Double.POSITIVE_INFINITY;
+		}
+
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,7 @@
 import org.rosemaryfront.dispatch.BackendServer.Start;
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
 import org.rosemaryfront.dispatch.Dispatcher.Wish;
+import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -26,6 +28,9 @@
 
 	private static final long LONG_AGO = -TimeUnit.MINUTES.toNanos(5);
 
+	/** What an engine's memory holds, in tokens. */
+	private static final long MEMORY = 700_000;
+
 	private final BackendTable table = new BackendTable();
 
 	private final Dispatcher dispatcher = new Dispatcher(this.table, "a");
@@ -48,10 +53,93 @@
 			BackendServer chosen = chosen(prompt("part", 800));
 			used.add(chosen.id());
 			this.table.sent(start(chosen.id()), 0);
+			this.table.reads(start(chosen.id()), shared("part"), MEMORY);
 		}
 		assertThat(used).hasSize(1);
 	}
 
+	// A zone was lost and its subjects went to other servers. Looked for at the servers
+	// that have them by a common order, a third of them were read again at each call.
+	@Test
+	void shouldSendPartToServerThatReadItForAnotherProcess() {
+		for (String holder : List.of("s1", "s2", "s3")) {
+			SharedParts shared = shared("part of " + holder);
+			this.table.othersRead(start(holder), shared.parts(), MEMORY);
+			assertThat(chosen(wish(shared, 800)).id()).isEqualTo(holder);
+		}
+	}
+
+	// The server that has a subject is behind. Read again at another one, its parts cost
+	// that server 60 ms of engine time and those behind it wait; fetched, a few.
+	@Test
+	void shouldFetchPartsFromServerThatIsBehind() {
+		this.table.reads(start("s1"), shared("part"), MEMORY);
+		this.table.sent(start("s1"), 40_000);
+		Choice.Chosen chosen = choose(wish(shared("part"), 800));
+		assertThat(chosen.server().id()).isNotEqualTo("s1");
+		assertThat(chosen.fetchFrom()).map(BackendServer::id).contains("s1");
+		assertThat(chosen.unreadTokens()).isEqualTo(800);
+	}
+
+	// A zone gets its notice: its servers take no calls any more, and what they have read
+	// is there for two seconds more.
+	@Test
+	void shouldFetchPartsFromServerThatLeaves() {
+		this.table.reads(start("s1"), shared("part"), MEMORY);
+		this.table.registered(server("s1", true), 0);
+		assertThat(choose(wish(shared("part"), 800)).fetchFrom()).map(BackendServer::id).contains("s1");
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 160_000 })
+	void shouldReadPartsThatCannotBeFetchedInLessTime(long tokenBytes) {
+		this.table.reads(start("s1"), shared("part"), MEMORY);
+		this.table.sent(start("s1"), 40_000);
+		EngineSpec slow = new EngineSpec(4, MEMORY, tokenBytes, 1_000);
+		Choice.Chosen chosen = choose(new Wish("llm", shared("part"), Optional.of(slow), 800, 10_000, 0));
+		assertThat(chosen.fetchFrom()).isEmpty();
+		assertThat(chosen.unreadTokens()).isEqualTo(4_800);
+	}
+
+	// A part is of use only behind all parts before it: the same text behind another
+	// beginning is another thing to an engine.
+	@Test
+	void shouldCountPartsOnlyBehindTheSameBeginning() {
+		this.table.reads(start("s1"), SharedParts.of(List.of("a", "b"), List.of(1_000, 3_000)), MEMORY);
+		SharedParts other = SharedParts.of(List.of("c", "b"), List.of(1_000, 3_000));
+		assertThat(choose(wish(other, 800)).unreadTokens()).isEqualTo(4_800);
+		SharedParts longer = SharedParts.of(List.of("a", "d"), List.of(1_000, 3_000));
+		assertThat(choose(wish(longer, 800)).unreadTokens()).isEqualTo(3_800);
+	}
+
+	// An engine's memory holds so much; the parts used least of late yield.
+	@Test
+	void shouldForgetPartsBeyondMemory() {
+		for (int i = 0; i < 40; i++) {
+			this.table.reads(start("s1"), shared("part " + i), 80_000);
+		}
+		assertThat(choose(wish(shared("part 0"), 800)).unreadTokens()).isEqualTo(4_800);
+		assertThat(choose(wish(shared("part 39"), 800)).unreadTokens()).isEqualTo(800);
+	}
+
+	@Test
+	void shouldForgetPartsOfServerThatStartsAgain() {
+		this.table.reads(start("s1"), shared("part"), MEMORY);
+		this.table.registered(started("s1", 77, false), LONG_AGO);
+		this.table.othersRead(start("s1"), shared("part").parts(), MEMORY);
+		assertThat(choose(wish(shared("part"), 800)).unreadTokens()).isEqualTo(4_800);
+	}
+
+	// Each part is told to the other processes with two reports: one of them may be lost.
+	@Test
+	void shouldTellPartsTwice() {
+		this.table.reads(start("s1"), shared("part"), MEMORY);
+		this.table.reads(start("s1"), shared("part"), MEMORY);
+		assertThat(this.table.partsToTell()).containsEntry(start("s1"), shared("part").parts());
+		assertThat(this.table.partsToTell()).containsEntry(start("s1"), shared("part").parts());
+		assertThat(this.table.partsToTell()).isEmpty();
+	}
+
 	// All processes are killed and start again before servers that ran all the while.
 	// Took
 	// they them as new, with every prompt to be read anew, they refused what was due.
@@ -61,7 +149,7 @@
 		restarted.foundAtStart(server("s1", false));
 		BackendTable scaledOut = new BackendTable();
 		scaledOut.registered(server("s1", false), 0);
-		Wish wish = new Wish("llm", "part", 100_000, 800, 600, 0);
+		Wish wish = new Wish("llm", SharedParts.of(List.of("part"), List.of(100_000)), Optional.empty(), 800, 600, 0);
 		assertThat(new Dispatcher(restarted, "a").choose(wish, Set.of(), SECOND)).isInstanceOf(Choice.Chosen.class);
 		assertThat(new Dispatcher(scaledOut, "a").choose(wish, Set.of(), SECOND)).isInstanceOf(Choice.Full.class);
 	}
@@ -115,7 +203,7 @@
 			this.table.sent(start(id), 48_000);
 		}
 		for (int rank = 0; rank <= 2; rank++) {
-			Wish wish = new Wish("llm", "part", 0, 1_000, 500, rank);
+			Wish wish = new Wish("llm", SharedParts.none(), Optional.empty(), 1_000, 500, rank);
 			if (this.dispatcher.choose(wish, Set.of(), 0) instanceof Choice.Chosen) {
 				taken.add(rank);
 			}
@@ -133,7 +221,7 @@
 	void shouldNotRefuseForItsAgeWhatHasRun(boolean ran, long millisLeft) {
 		long left = Wish.millisLeft(600 - 2_600, 2_000, ran);
 		assertThat(left).isEqualTo(millisLeft);
-		Wish wish = new Wish("llm", "part", 0, 1_000, left, 0);
+		Wish wish = new Wish("llm", SharedParts.none(), Optional.empty(), 1_000, left, 0);
 		Choice choice = this.dispatcher.choose(wish, Set.of("s1"), 0);
 		assertThat(choice instanceof Choice.Chosen).isEqualTo(ran);
 	}
@@ -291,15 +379,27 @@
 	// -- helpers
 
 	private BackendServer chosen(Wish wish) {
-		return ((Choice.Chosen) this.dispatcher.choose(wish, Set.of(), 0)).server();
+		return choose(wish).server();
+	}
+
+	private Choice.Chosen choose(Wish wish) {
+		return (Choice.Chosen) this.dispatcher.choose(wish, Set.of(), 0);
+	}
+
+	private static SharedParts shared(String part) {
+		return SharedParts.of(List.of(part), List.of(4_000));
+	}
+
+	private static Wish wish(SharedParts shared, int ownTokens) {
+		return new Wish("llm", shared, Optional.of(new EngineSpec(4, MEMORY, 160_000, 370_000)), ownTokens, 10_000, 0);
 	}
 
 	private static Wish prompt(String part, int ownTokens) {
-		return new Wish("llm", part, 4_000, ownTokens, 10_000, 0);
+		return wish(shared(part), ownTokens);
 	}
 
 	private static Wish plain() {
-		return new Wish("llm", "", 0, 0, 500, 0);
+		return new Wish("llm", SharedParts.none(), Optional.empty(), 0, 500, 0);
 	}
 
 	private static BackendServer server(String id, boolean leaving) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizeOrdersTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizeOrdersTests.java
@@ -20,7 +20,7 @@
 
 	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-	private static final ServiceSpec LLM = new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000)),
+	private static final ServiceSpec LLM = new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000, 0, 0)),
 			Optional.of(new ScalingSpec(1, 6, 4_000, 0.2, Map.of("a", 0.8, "b", 1.0))));
 
 	/** Two servers are needed at the least, two reclaimable ones in each zone. */
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizePlanTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizePlanTests.java
@@ -130,7 +130,7 @@
 	}
 
 	private static ServiceSpec service(double reclaimablePrice) {
-		return new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000)),
+		return new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000, 0, 0)),
 				Optional.of(new ScalingSpec(1, 6, 4_000, reclaimablePrice, Map.of("a", 0.8, "b", 1.0, "c", 1.2))));
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -17,6 +17,7 @@
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
 import org.rosemaryfront.dispatch.Dispatcher.Wish;
 import org.rosemaryfront.dispatch.RetryAllowance;
+import org.rosemaryfront.dispatch.SharedParts;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.model.Verdict;
@@ -27,6 +28,7 @@
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.routes.ServiceSpec;
+import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
 import org.rosemaryfront.routes.TrafficConfiguration;
 import org.rosemaryfront.traffic.Call;
 import org.rosemaryfront.traffic.CallPolicy;
@@ -192,7 +194,7 @@
 	// -- decisions, on the control thread
 
 	private void admit(Call call, long now) {
-		Decided decided = new Decided();
+		Decided decided = new Decided(call.terms().prompt().map(Prompt::shared).orElse(SharedParts.none()));
 		if (call.organisation().isPresent()) {
 			Organisation organisation = call.organisation().get();
 			double units = units(call, organisation);
@@ -232,34 +234,48 @@
 		}
 	}
 
-	private static Wish wish(Call call, Decided decided, long now) {
+	private Wish wish(Call call, Decided decided, long now) {
 		long age = (now - call.arrivedNanos()) / NANOS_PER_MILLI;
 		Optional<Prompt> prompt = call.terms().prompt();
-		return new Wish(call.service(), prompt.map(Prompt::sharedPart).orElse(""),
-				prompt.map(Prompt::sharedTokens).orElse(0), prompt.map(Prompt::ownTokens).orElse(0),
+		return new Wish(call.service(), decided.shared, engine(call.service()), prompt.map(Prompt::ownTokens).orElse(0),
 				Wish.millisLeft(call.route().targetMillis() - age, call.remainingMillis(now), decided.ran),
 				call.priority());
 	}
 
+	private Optional<EngineSpec> engine(String service) {
+		return this.configuration.flatMap((known) -> known.service(service)).flatMap(ServiceSpec::engine);
+	}
+
+	/**
+	 * What the engines of a service hold.
+	 * @param service the service
+	 * @return the tokens, 0 when it has no engines
+	 */
+	long memoryTokens(String service) {
+		return engine(service).map(EngineSpec::kvTokens).orElse(0L);
+	}
+
 	private void send(Call call, Decided decided, Choice.Chosen chosen, long now) {
 		BackendServer server = chosen.server();
 		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "route", call.route().name(), "organisation",
 				call.organisation().map(Organisation::name).orElse("none"), "units", Math.round(decided.units), "quota",
 				decided.quota, "parts", call.terms().prompt().map(Prompt::partList).orElse("none"), "targetMillis",
 				call.route().targetMillis(), "server", server.id(), "zone", server.zone(), "load", chosen.load(),
-				"unreadTokens", chosen.unreadTokens(), "expectedMillis", chosen.expectedMillis(), "candidates",
-				chosen.candidates(), "serversVersion", this.serversVersion, "serversAgeMillis",
+				"unreadTokens", chosen.unreadTokens(), "fetchFrom",
+				chosen.fetchFrom().map(BackendServer::id).orElse("none"), "expectedMillis", chosen.expectedMillis(),
+				"candidates", chosen.candidates(), "serversVersion", this.serversVersion, "serversAgeMillis",
 				(now - this.serversNanos) / NANOS_PER_MILLI, "configuration",
 				this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
 				call.remainingMillis(now));
 		decided.tried.add(server.id());
 		this.servers.sent(server.start(), chosen.unreadTokens());
+		this.servers.reads(server.start(), decided.shared, memoryTokens(call.service()));
 		decided.server = Optional.of(server.start());
 		decided.unreadTokens = chosen.unreadTokens();
 		decided.expectedMillis = chosen.expectedMillis();
 		decided.sentNanos = now;
 		this.readingTokens += chosen.unreadTokens();
-		call.send(server, mostConnections(call.service()));
+		call.send(server, mostConnections(call.service()), chosen.fetchFrom().map(BackendServer::address));
 	}
 
 	private void failed(Call call, BackendServer server, Failure failure, long now) {
@@ -409,6 +425,8 @@
 	/** What was decided about a call. */
 	private static final class Decided {
 
+		private final SharedParts shared;
+
 		private final Set<String> tried = new HashSet<>();
 
 		private Optional<BackendServer.Start> server = Optional.empty();
@@ -430,6 +448,10 @@
 
 		private int unsent;
 
+		private Decided(SharedParts shared) {
+			this.shared = shared;
+		}
+
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -1,13 +1,18 @@
 package org.rosemaryfront.gateway;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import com.google.protobuf.ByteString;
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.dispatch.BackendUse;
+import org.rosemaryfront.dispatch.SharedParts;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.duties.UsageLedger.Window;
 import org.rosemaryfront.gateway.proto.GatewayReport;
@@ -76,17 +81,28 @@
 				.setWindow(row.window())
 				.setRow(row.row())
 				.setCounts(ByteString.copyFrom(row.counts()))));
-		this.servers.ownUse()
-			.forEach((server,
-					use) -> report.addServers(ServerUse.newBuilder()
-						.setServer(server.id())
-						.setStartedMillis(server.startedMillis())
-						.setCalls(use.calls())
-						.setUnreadTokens((int) use.unreadTokens())));
+		addServers(report);
 		report.setReadingTokens(this.decisions.readingTokens()).setLeaving(leaving).setAdminPort(this.adminPort);
 		this.peers.tell(report);
 	}
 
+	private void addServers(GatewayReport.Builder report) {
+		Map<BackendServer.Start, BackendUse> uses = this.servers.ownUse();
+		Map<BackendServer.Start, List<SharedParts.Part>> parts = this.servers.partsToTell();
+		Set<BackendServer.Start> named = new HashSet<>(uses.keySet());
+		named.addAll(parts.keySet());
+		for (BackendServer.Start server : named) {
+			BackendUse use = uses.getOrDefault(server, BackendUse.NONE);
+			ServerUse.Builder told = report.addServersBuilder()
+				.setServer(server.id())
+				.setStartedMillis(server.startedMillis())
+				.setCalls(use.calls())
+				.setUnreadTokens((int) use.unreadTokens());
+			parts.getOrDefault(server, List.of())
+				.forEach((part) -> told.addParts(part.chain()).addPartTokens(part.tokens()));
+		}
+	}
+
 	/**
 	 * Takes the report of another gateway.
 	 * @param heard the report
@@ -105,6 +121,7 @@
 			begun.put(use.getOrganisation(), (long) use.getBegun());
 		});
 		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
+		report.getServersList().forEach(this::heardParts);
 		this.usageDuty.heardUnderWay(report.getWindow(), process, begun);
 		report.getUnwrittenList()
 			.forEach((row) -> this.usageDuty.heardUnwritten(row.getWindow(), row.getRow(),
@@ -114,6 +131,24 @@
 		this.othersReading.put(process, report.getReadingTokens());
 	}
 
+	private void heardParts(ServerUse use) {
+		int count = Math.min(use.getPartsCount(), use.getPartTokensCount());
+		if (count == 0) {
+			return;
+		}
+		List<SharedParts.Part> parts = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			parts.add(new SharedParts.Part(use.getParts(i), use.getPartTokens(i)));
+		}
+		this.servers.find(use.getServer())
+			.ifPresent((server) -> this.servers.othersRead(start(use), parts,
+					this.decisions.memoryTokens(server.service())));
+	}
+
+	private static BackendServer.Start start(ServerUse use) {
+		return new BackendServer.Start(use.getServer(), use.getStartedMillis());
+	}
+
 	/**
 	 * The prompt tokens that all gateways made servers read since this one started.
 	 * @return the tokens
@@ -125,8 +160,7 @@
 	private static Map<BackendServer.Start, BackendUse> uses(GatewayReport report) {
 		Map<BackendServer.Start, BackendUse> uses = new HashMap<>();
 		report.getServersList()
-			.forEach((use) -> uses.put(new BackendServer.Start(use.getServer(), use.getStartedMillis()),
-					new BackendUse(use.getCalls(), use.getUnreadTokens())));
+			.forEach((use) -> uses.put(start(use), new BackendUse(use.getCalls(), use.getUnreadTokens())));
 		return uses;
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/CallTerms.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/CallTerms.java
@@ -5,6 +5,8 @@
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
+import org.rosemaryfront.dispatch.SharedParts;
+
 /**
  * What a caller says of its call beside method, path and body.
  *
@@ -29,19 +31,12 @@
 		}
 
 		/**
-		 * The last part that the call shares with others.
-		 * @return its identifier, empty when it shares none
-		 */
-		public String sharedPart() {
-			return (this.parts.size() < 2) ? "" : this.parts.get(this.parts.size() - 2).id();
-		}
-
-		/**
-		 * The tokens that the call shares with others.
-		 * @return the tokens of all parts but its own
+		 * The parts that the call shares with others: all but its own.
+		 * @return the chain of parts
 		 */
-		public int sharedTokens() {
-			return this.parts.stream().limit(Math.max(0, this.parts.size() - 1)).mapToInt(Part::tokens).sum();
+		public SharedParts shared() {
+			List<Part> shared = this.parts.subList(0, Math.max(0, this.parts.size() - 1));
+			return SharedParts.of(shared.stream().map(Part::id).toList(), shared.stream().map(Part::tokens).toList());
 		}
 
 		/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/Handover.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/Handover.java
@@ -11,7 +11,9 @@
  * @param organisation the organisation of the caller, empty where callers need no key
  * @param resumeAfter the last event that the caller has, when a stream goes on
  * @param priority the rank of the call, 0 for the most urgent; empty for the usual one
+ * @param fetchFrom the address of a server that has read the shared parts of the prompt,
+ * from which they are fetched in place of being read again
  */
 public record Handover(long remainingMillis, String serverId, Optional<String> organisation,
-		Optional<String> resumeAfter, OptionalInt priority) {
+		Optional<String> resumeAfter, OptionalInt priority, Optional<String> fetchFrom) {
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -89,6 +89,8 @@
 
 	private Optional<BackendServer> server = Optional.empty();
 
+	private Optional<String> fetchFrom = Optional.empty();
+
 	private ServerChannel channel;
 
 	private int sends;
@@ -218,9 +220,13 @@
 	 * Sends the call to a server.
 	 * @param to the server
 	 * @param mostConnections the connections that this process may have to it
+	 * @param cacheOf the address of a server whose cache it may fetch from
 	 */
-	public void send(BackendServer to, int mostConnections) {
-		loop().execute(() -> connect(to, mostConnections));
+	public void send(BackendServer to, int mostConnections, Optional<String> cacheOf) {
+		loop().execute(() -> {
+			this.fetchFrom = cacheOf;
+			connect(to, mostConnections);
+		});
 	}
 
 	/**
@@ -380,7 +386,7 @@
 	private HttpRequest outgoing() {
 		long left = Math.max(1, remainingMillis(System.nanoTime()));
 		Handover handover = new Handover(left, serverId(), this.organisation.map(Organisation::name),
-				this.framer.flatMap(EventFramer::lastId), OptionalInt.of(priority()));
+				this.framer.flatMap(EventFramer::lastId), OptionalInt.of(priority()), this.fetchFrom);
 		OptionalLong length = this.bodyComplete ? OptionalLong.of(this.bodyBytes) : OptionalLong.empty();
 		return ServerRequest.of(this.head, length, this.gateway.codec(), handover);
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -24,7 +24,7 @@
 	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
 	private static final TrafficConfiguration CONFIGURATION = TrafficConfiguration.of(1, List.of(),
-			List.of(new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000)),
+			List.of(new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000, 0, 0)),
 					Optional.of(new ScalingSpec(1, 4, 4_000, 0.2, Map.of("a", 0.8, "b", 1.0))))),
 			List.of(), CallerLimits.INITIAL);
 
