--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/SharedParts.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/SharedParts.java
@@ -11,15 +11,16 @@
 
 /**
  * What servers could find of the shared parts of prompts, judged by where calls went: a
- * part is found at a server that had a call with it before, and read again where only
- * others had. Servers forget parts when their memory is full, so that what is read again
- * is at least this much.
+ * part is found at a server that had a call with it before, fetched where the server that
+ * it was to fetch from had one, and read again where only others had. Servers forget
+ * parts when their memory is full, so that what is read again is at least this much.
  *
  * @param found the tokens that a server had
+ * @param fetched the tokens that it fetched
  * @param again the tokens that only another server had
  * @param first the tokens that no server had
  */
-record SharedParts(long found, long again, long first) {
+record SharedParts(long found, long fetched, long again, long first) {
 
 	/**
 	 * Follows the calls of a log to their servers.
@@ -31,8 +32,8 @@
 		calls.forEach((call) -> sent.addAll(call.dispatches()));
 		sent.sort(Comparator.comparingDouble(LogEvent::second));
 		Memory memory = new Memory();
-		sent.forEach((event) -> memory.take(event.text("server"), event.text("parts")));
-		return new SharedParts(memory.found, memory.again, memory.first);
+		sent.forEach(memory::take);
+		return new SharedParts(memory.found, memory.fetched, memory.again, memory.first);
 	}
 
 	/**
@@ -40,7 +41,7 @@
 	 * @return the share, 0 when nothing could have been found
 	 */
 	double shareReadAgain() {
-		long possible = this.found + this.again;
+		long possible = this.found + this.fetched + this.again;
 		return (possible > 0) ? (double) this.again / possible : 0;
 	}
 
@@ -52,15 +53,18 @@
 
 		private long found;
 
+		private long fetched;
+
 		private long again;
 
 		private long first;
 
 		// A part is of use only behind all parts before it, so that its name is the
 		// chain.
-		private void take(String server, String parts) {
-			String[] entries = parts.split(",");
-			Set<String> here = this.servers.computeIfAbsent(server, (_) -> new HashSet<>());
+		private void take(LogEvent event) {
+			String[] entries = event.text("parts").split(",");
+			Set<String> here = of(event.text("server"));
+			Set<String> source = of(event.text("fetchFrom"));
 			StringBuilder chain = new StringBuilder();
 			for (int i = 0; i < entries.length - 1; i++) {
 				int colon = entries[i].lastIndexOf(':');
@@ -68,15 +72,22 @@
 					return;
 				}
 				chain.append(entries[i], 0, colon).append('/');
-				add(here, chain.toString(), tokens(entries[i].substring(colon + 1)));
+				add(here, source, chain.toString(), tokens(entries[i].substring(colon + 1)));
 			}
 		}
 
-		private void add(Set<String> here, String chain, long tokens) {
+		private Set<String> of(String server) {
+			return this.servers.computeIfAbsent(server, (_) -> new HashSet<>());
+		}
+
+		private void add(Set<String> here, Set<String> source, String chain, long tokens) {
 			boolean known = !this.anywhere.add(chain);
 			if (!here.add(chain)) {
 				this.found += tokens;
 			}
+			else if (source.contains(chain)) {
+				this.fetched += tokens;
+			}
 			else if (known) {
 				this.again += tokens;
 			}
