Learn how long servers take to a first token, and plan sizes by it

Cause: the expected first token and the sizes rested on figures of two deployments' sheets (74.8 tokens a millisecond, 90 ms to a first token, 40 tokens a running call). Sizes use the learned speed. A test's load is lower now, since the speed that nothing is known of is lower.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -2,13 +2,16 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
+import org.rosemaryfront.dispatch.FirstTokenModel.Work;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
 
 /**
@@ -26,27 +29,12 @@
  */
 public final class Dispatcher {
 
-	/**
-	 * The prompt tokens that a model engine reads in a millisecond, from the sheets of
-	 * the engines in use (74.8 and 93.6); the lower one.
-	 */
-	private static final double TOKENS_PER_MILLI = 74.8;
-
-	/** The time from a prompt that is read to its first token, in milliseconds. */
-	private static final long FIRST_TOKEN_MILLIS = 90;
-
 	/**
 	 * How long a process that started knows too little of what servers have read: in that
 	 * time it places, or hears of, most of the parts in use.
 	 */
 	private static final long IGNORANT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-	/**
-	 * What each running call adds to the cost of a server, in tokens: it slows the steps
-	 * of all others by a tenth of a millisecond.
-	 */
-	private static final double TOKENS_PER_CALL = 40;
-
 	/**
 	 * How far over the target the expected first token may be, as a factor, for the most
 	 * urgent calls: beyond that a call would be late and make those behind it late too.
@@ -63,6 +51,8 @@
 
 	private final String zone;
 
+	private final Map<String, FirstTokenModel> models = new HashMap<>();
+
 	/** When the first prompt was placed. */
 	private OptionalLong firstPromptNanos = OptionalLong.empty();
 
@@ -104,7 +94,7 @@
 				.thenComparingLong((row) -> row.lastSent)
 				.thenComparing((row) -> row.server.id()))
 			.orElseThrow();
-		return new Choice.Chosen(chosen.server, chosen.load(), 0, 0, free.size(), Optional.empty());
+		return new Choice.Chosen(chosen.server, chosen.load(), 0, 0, free.size(), Optional.empty(), Optional.empty());
 	}
 
 	private Choice soonest(Wish wish, List<BackendRow> free, long nowNanos) {
@@ -122,7 +112,7 @@
 			return new Choice.Full(free.size(), millis);
 		}
 		return new Choice.Chosen(chosen.row.server, chosen.row.load(), chosen.unread, millis, free.size(),
-				chosen.fetchFrom.map((row) -> row.server));
+				chosen.fetchFrom.map((row) -> row.server), Optional.of(chosen.work));
 	}
 
 	// Who has most of the shared parts of a prompt; servers that leave have theirs until
@@ -153,16 +143,35 @@
 			.map((row) -> new Holder(row, wish.shared().tokens()));
 	}
 
-	private static Priced price(Wish wish, BackendRow row, Optional<Holder> holder) {
+	private Priced price(Wish wish, BackendRow row, Optional<Holder> holder) {
+		FirstTokenModel model = model(wish.service());
 		boolean isHolder = holder.isPresent() && holder.get().row == row;
 		int held = isHolder ? holder.get().tokens : row.parts.held(wish.shared());
 		int elsewhere = holder.map(Holder::tokens).orElse(0) - held;
 		double fetchMillis = (elsewhere > 0) ? wish.fetchMillis(elsewhere) : Double.POSITIVE_INFINITY;
-		boolean fetches = fetchMillis < elsewhere / TOKENS_PER_MILLI;
-		long unread = wish.ownTokens() + wish.shared().tokens() - held - (fetches ? elsewhere : 0);
-		double tokens = row.unreadTokens() + unread + TOKENS_PER_CALL * row.load();
-		double millis = tokens / TOKENS_PER_MILLI + FIRST_TOKEN_MILLIS + (fetches ? fetchMillis : 0);
-		return new Priced(row, unread, row.slowness * millis, fetches ? holder.map(Holder::row) : Optional.empty());
+		boolean fetches = fetchMillis < elsewhere / model.tokensPerMilli();
+		int prompt = wish.ownTokens() + wish.shared().tokens();
+		long unread = prompt - held - (fetches ? elsewhere : 0);
+		Work work = Work.of(row.unreadTokens(), unread, prompt, row.load());
+		double millis = row.slowness * model.expectedMillis(work) + (fetches ? fetchMillis : 0);
+		return new Priced(row, unread, work, millis, fetches ? holder.map(Holder::row) : Optional.empty());
+	}
+
+	/**
+	 * What is learned of the servers of a service.
+	 * @param service the service
+	 * @return the model, shared by all calls
+	 */
+	public FirstTokenModel model(String service) {
+		return this.models.computeIfAbsent(service, (_) -> new FirstTokenModel());
+	}
+
+	/**
+	 * The services of which something is learned.
+	 * @return the models by service
+	 */
+	public Map<String, FirstTokenModel> models() {
+		return Map.copyOf(this.models);
 	}
 
 	private static long rank(Wish wish, BackendRow row) {
@@ -216,9 +225,11 @@
 		 * @param expectedMillis the time to the first token, 0 when it is not known
 		 * @param candidates the servers that were weighed
 		 * @param fetchFrom who has the shared parts that it lacks
+		 * @param work what it has to do until the first token, empty when that is not
+		 * known
 		 */
 		record Chosen(BackendServer server, int load, long unreadTokens, long expectedMillis, int candidates,
-				Optional<BackendServer> fetchFrom) implements Choice {
+				Optional<BackendServer> fetchFrom, Optional<Work> work) implements Choice {
 		}
 
 		/**
@@ -240,7 +251,7 @@
 	private record Holder(BackendRow row, int tokens) {
 	}
 
-	private record Priced(BackendRow row, long unread, double cost, Optional<BackendRow> fetchFrom) {
+	private record Priced(BackendRow row, long unread, Work work, double cost, Optional<BackendRow> fetchFrom) {
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
@@ -21,12 +21,6 @@
  */
 public final class SizePlan {
 
-	/**
-	 * The prompt tokens that an engine reads in a second, from the sheets of the engines
-	 * in use (74.8 and 93.6 a millisecond); the lower one.
-	 */
-	private static final double TOKENS_PER_SECOND = 74_800;
-
 	/** The share of an engine's reading time that is planned to be used. */
 	private static final double READING_SHARE = 0.5;
 
@@ -98,7 +92,7 @@
 	public Plan plan(ServiceSpec service, List<String> zones, Demand demand, long nowNanos) {
 		ServiceSpec.ScalingSpec bounds = service.scaling().orElseThrow();
 		int slots = service.engine().map(ServiceSpec.EngineSpec::slots).orElse(1);
-		double reading = demand.tokensPerSecond() / TOKENS_PER_SECOND / READING_SHARE;
+		double reading = demand.tokensPerSecond() / demand.serverTokensPerSecond() / READING_SHARE;
 		double generating = demand.running() / (slots * SLOT_SHARE);
 		double now = Math.max(reading, generating);
 		double need = Math.max(first(demand, nowNanos), peak(now, nowNanos));
@@ -180,11 +174,13 @@
 	 *
 	 * @param tokensPerSecond the prompt tokens that its servers read in a second, without
 	 * those found in caches
+	 * @param serverTokensPerSecond the prompt tokens that one server reads in a second
+	 * beside its other work
 	 * @param running the calls running
 	 * @param present its servers
 	 * @param lasting those of them that cannot be reclaimed
 	 */
-	public record Demand(double tokensPerSecond, int running, int present, int lasting) {
+	public record Demand(double tokensPerSecond, double serverTokensPerSecond, int running, int present, int lasting) {
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -200,7 +200,7 @@
 	void shouldRefuseLessUrgentCallsFirst(int priority) {
 		List<Integer> taken = new ArrayList<>();
 		for (String id : List.of("s1", "s2", "s3")) {
-			this.table.sent(start(id), 48_000);
+			this.table.sent(start(id), 40_000);
 		}
 		for (int rank = 0; rank <= 2; rank++) {
 			Wish wish = new Wish("llm", SharedParts.none(), Optional.empty(), 1_000, 500, rank);
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/FirstTokenModelTests.java
@@ -0,0 +1,109 @@
+package org.rosemaryfront.dispatch;
+
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rosemaryfront.dispatch.FirstTokenModel.Work;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+class FirstTokenModelTests {
+
+	private final FirstTokenModel model = new FirstTokenModel();
+
+	// A deployment comes with engines that nobody described. Placed and refused by the
+	// speed of others, calls went to servers that were behind, or were refused by idle
+	// ones.
+	@ParameterizedTest
+	@CsvSource({ "12, 66, 0.3, 0.28", "15, 20, 0.1, 0.5", "40, 180, 1.0, 0.05" })
+	void shouldLearnEnginesThatNobodyDescribed(double first, double tokensPerMilli, double perCall, double perPair) {
+		Random random = new Random(7);
+		for (int i = 0; i < 800; i++) {
+			Work work = work(random);
+			this.model.learn(work, noise(random) * millis(work, first, tokensPerMilli, perCall, perPair));
+		}
+		int near = 0;
+		for (int i = 0; i < 200; i++) {
+			Work work = work(random);
+			double ratio = millis(work, first, tokensPerMilli, perCall, perPair) / this.model.expectedMillis(work);
+			near += (ratio > 0.67 && ratio < 1.5) ? 1 : 0;
+		}
+		assertThat(near).isGreaterThanOrEqualTo(160);
+		assertThat(this.model.tokensPerMilli()).isCloseTo(tokensPerMilli, within(0.3 * tokensPerMilli));
+	}
+
+	@Test
+	void shouldExpectCautiouslyBeforeItKnows() {
+		assertThat(this.model.expectedMillis(Work.of(0, 5_000, 5_000, 0))).isBetween(100.0, 200.0);
+		assertThat(this.model.learned()).isEmpty();
+	}
+
+	// One call is answered after a long pause of its server. It may not make every server
+	// of the service seem slow.
+	@Test
+	void shouldBoundWhatOneOddCallCounts() {
+		Random random = new Random(3);
+		for (int i = 0; i < 200; i++) {
+			Work work = work(random);
+			this.model.learn(work, millis(work, 12, 66, 0.3, 0.28));
+		}
+		Work usual = Work.of(0, 4_000, 8_000, 4);
+		double before = this.model.expectedMillis(usual);
+		this.model.learn(usual, 60_000);
+		assertThat(this.model.expectedMillis(usual)).isLessThan(1.1 * before);
+	}
+
+	@Test
+	void shouldFollowEnginesThatChange() {
+		Random random = new Random(5);
+		for (int i = 0; i < 4_000; i++) {
+			Work work = work(random);
+			this.model.learn(work, millis(work, 12, (i < 2_000) ? 66 : 33, 0.3, 0.28));
+		}
+		assertThat(this.model.tokensPerMilli()).isCloseTo(33, within(6.0));
+	}
+
+	// A process that was restarted hears from the others what they learned.
+	@Test
+	void shouldBeginWithWhatAnotherProcessLearned() {
+		Random random = new Random(1);
+		for (int i = 0; i < 200; i++) {
+			Work work = work(random);
+			this.model.learn(work, millis(work, 12, 20, 0.3, 0.28));
+		}
+		FirstTokenModel fresh = new FirstTokenModel();
+		fresh.adopt(this.model.learned());
+		assertThat(fresh.tokensPerMilli()).isCloseTo(20, within(5.0));
+	}
+
+	@ParameterizedTest
+	@ValueSource(doubles = { 0, -1, Double.NaN, Double.POSITIVE_INFINITY, 1e9 })
+	void shouldNotTakeRatesThatMakeNoSense(double rate) {
+		double before = this.model.tokensPerMilli();
+		this.model.adopt(List.of(12.0, rate, 0.3, 0.28));
+		this.model.adopt(List.of(12.0));
+		assertThat(this.model.tokensPerMilli()).isEqualTo(before);
+	}
+
+	private static Work work(Random random) {
+		int prompt = 200 + (int) Math.min(40_000, Math.exp(7.5 + 1.2 * random.nextGaussian()));
+		int unread = (int) (prompt * (0.2 + 0.8 * random.nextDouble()));
+		int ahead = random.nextBoolean() ? 0 : random.nextInt(12_000);
+		return Work.of(ahead, unread, prompt, random.nextInt(20));
+	}
+
+	private static double millis(Work work, double first, double tokensPerMilli, double perCall, double perPair) {
+		return first + work.tokens() / tokensPerMilli + perCall * work.calls() + perPair * work.pairs();
+	}
+
+	private static double noise(Random random) {
+		return Math.exp(0.25 * random.nextGaussian());
+	}
+
+}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/ReclaimWaveTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/ReclaimWaveTests.java
@@ -35,6 +35,9 @@
 
 	private static final List<String> ZONES = List.of("a", "b", "c");
 
+	/** What an engine reads in a second, in tokens; one of the slower ones seen. */
+	private static final double SPEED = 74_800;
+
 	private static final ServiceSpec LLM = new ServiceSpec("llm", 100, Optional.of(new EngineSpec(64, 500_000, 0, 0)),
 			Optional.of(new ScalingSpec(1, 12, 4_000, 0.2, Map.of("a", 0.8, "b", 1.0, "c", 1.2))));
 
@@ -48,7 +51,7 @@
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16 })
 	void shouldFallBackInWaveAndReturnBehindIt(long seed) {
 		SplittableRandom random = new SplittableRandom(seed);
-		Demand demand = new Demand(150_000 + random.nextInt(250_000), 0, 9, 3);
+		Demand demand = new Demand(150_000 + random.nextInt(250_000), SPEED, 0, 9, 3);
 		int wave = 600;
 		int dryUntil = wave + 120 + random.nextInt(40);
 		Map<String, Integer> noticed = new HashMap<>();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -16,6 +16,7 @@
 import org.rosemaryfront.dispatch.Dispatcher;
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
 import org.rosemaryfront.dispatch.Dispatcher.Wish;
+import org.rosemaryfront.dispatch.FirstTokenModel.Work;
 import org.rosemaryfront.dispatch.RetryAllowance;
 import org.rosemaryfront.dispatch.SharedParts;
 import org.rosemaryfront.duties.UsageLedger;
@@ -273,6 +274,8 @@
 		decided.server = Optional.of(server.start());
 		decided.unreadTokens = chosen.unreadTokens();
 		decided.expectedMillis = chosen.expectedMillis();
+		decided.work = chosen.work();
+		decided.fetched = chosen.fetchFrom().isPresent();
 		decided.sentNanos = now;
 		this.readingTokens += chosen.unreadTokens();
 		call.send(server, mostConnections(call.service()), chosen.fetchFrom().map(BackendServer::address));
@@ -414,6 +417,10 @@
 
 	// -- queries, on the control thread
 
+	Dispatcher dispatcher() {
+		return this.dispatcher;
+	}
+
 	long readingTokens() {
 		return this.readingTokens;
 	}
@@ -438,6 +445,12 @@
 
 		private long sentNanos;
 
+		/** What its server had to do until its first token. */
+		private Optional<Work> work = Optional.empty();
+
+		/** Whether its server fetched parts of its prompt. */
+		private boolean fetched;
+
 		private double units;
 
 		/** What of the quota was used of what is allowed, for the log. */
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -157,8 +157,9 @@
 				this.lease::fenced);
 		this.reports = new GatewayReports(this.peers, this.servers, this.quotas, this.decisions, this.usage,
 				this.usageDuty, settings.metrics().getPort());
-		this.sizeDuty = new SizeDuty(this.servers, platform.duties(), settings.zones(), this::onControl,
-				this.lease::fenced);
+		this.sizeDuty = new SizeDuty(this.servers,
+				(service) -> this.decisions.dispatcher().model(service).tokensPerMilli(), platform.duties(),
+				settings.zones(), this::onControl, this.lease::fenced);
 		this.metrics.gauge("log.dropped", EventLog::dropped);
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -18,6 +18,7 @@
 import org.rosemaryfront.gateway.proto.GatewayReport;
 import org.rosemaryfront.gateway.proto.OrganisationUse;
 import org.rosemaryfront.gateway.proto.ServerUse;
+import org.rosemaryfront.gateway.proto.ServiceSpeed;
 import org.rosemaryfront.gateway.proto.UnwrittenUse;
 import org.rosemaryfront.quota.QuotaTable;
 
@@ -82,6 +83,10 @@
 				.setRow(row.row())
 				.setCounts(ByteString.copyFrom(row.counts()))));
 		addServers(report);
+		this.decisions.dispatcher()
+			.models()
+			.forEach((service, model) -> report
+				.addSpeeds(ServiceSpeed.newBuilder().setService(service).addAllRates(model.learned())));
 		report.setReadingTokens(this.decisions.readingTokens()).setLeaving(leaving).setAdminPort(this.adminPort);
 		this.peers.tell(report);
 	}
@@ -122,6 +127,8 @@
 		});
 		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
 		report.getServersList().forEach(this::heardParts);
+		report.getSpeedsList()
+			.forEach((speed) -> this.decisions.dispatcher().model(speed.getService()).adopt(speed.getRatesList()));
 		this.usageDuty.heardUnderWay(report.getWindow(), process, begun);
 		report.getUnwrittenList()
 			.forEach((row) -> this.usageDuty.heardUnwritten(row.getWindow(), row.getRow(),
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
@@ -40,6 +41,9 @@
 
 	private final BackendTable servers;
 
+	/** How fast a server of a service reads prompts, as learned from calls. */
+	private final ToDoubleFunction<String> tokensPerMilli;
+
 	private final Duties duties;
 
 	private final List<String> zones;
@@ -74,7 +78,9 @@
 
 	private double tokensPerSecond;
 
-	SizeDuty(BackendTable servers, Duties duties, List<String> zones, Consumer<Runnable> control, Runnable fenced) {
+	SizeDuty(BackendTable servers, ToDoubleFunction<String> tokensPerMilli, Duties duties, List<String> zones,
+			Consumer<Runnable> control, Runnable fenced) {
+		this.tokensPerMilli = tokensPerMilli;
 		this.fenced = fenced;
 		this.servers = servers;
 		this.duties = duties;
@@ -168,8 +174,9 @@
 			.sorted(Comparator.comparingDouble((zone) -> prices.getOrDefault(zone, 1.0)))
 			.toList();
 		Collection<ZoneSize> here = present(service.name()).values();
-		Demand demand = new Demand(this.tokensPerSecond, this.servers.callsOf(service.name()),
-				here.stream().mapToInt(ZoneSize::servers).sum(), here.stream().mapToInt(ZoneSize::lasting).sum());
+		Demand demand = new Demand(this.tokensPerSecond, 1_000 * this.tokensPerMilli.applyAsDouble(service.name()),
+				this.servers.callsOf(service.name()), here.stream().mapToInt(ZoneSize::servers).sum(),
+				here.stream().mapToInt(ZoneSize::lasting).sum());
 		return this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
 			.plan(service, cheapestFirst, demand, now);
 	}
@@ -190,7 +197,9 @@
 		EventLog.info(GatewayEvents.SIZE_ORDERED, "service", size.service(), "zone", size.zone(), "servers",
 				size.servers(), "reclaimable", size.reclaimable(), "present",
 				size.reclaimable() ? here.reclaimable() : here.lasting(), "tokensPerSecond",
-				Math.round(this.tokensPerSecond), "calls", this.servers.callsOf(size.service()), "fence", fence);
+				Math.round(this.tokensPerSecond), "serverTokensPerMilli",
+				Math.round(this.tokensPerMilli.applyAsDouble(size.service())), "calls",
+				this.servers.callsOf(size.service()), "fence", fence);
 		this.duties.resize(fence, size).subscribe((_) -> {
 		}, (failure) -> this.control.accept(() -> failed(size, failure)),
 				() -> this.control.accept(() -> this.orders.taken(size)));
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -32,8 +32,9 @@
 
 	private final RecordedDuties duties = new RecordedDuties();
 
-	private final SizeDuty duty = new SizeDuty(this.servers, this.duties, List.of("a", "b"), Runnable::run, () -> {
-	});
+	private final SizeDuty duty = new SizeDuty(this.servers, (_) -> 70, this.duties, List.of("a", "b"), Runnable::run,
+			() -> {
+			});
 
 	@Test
 	void shouldOrderReclaimableServersAtOnce() {
