Cut the fixed allowance of retries by the gateways there are

Cause: sixteen parts whatever the deployment: 87 gateways, as on the customer grown, would repeat five times what a window allows (87/16 of 214). Change: at least sixteen parts, 1.7 for each gateway known; the same for up to nine gateways. The test for 87 and 380 processes failed before by construction (1,131 of 214). Also: the report's type of parts found and read again has a name of its own (PartReuse).

--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/SharedParts.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/PartReuse.java
@@ -20,20 +20,20 @@
  * @param again the tokens that only another server had
  * @param first the tokens that no server had
  */
-record SharedParts(long found, long fetched, long again, long first) {
+record PartReuse(long found, long fetched, long again, long first) {
 
 	/**
 	 * Follows the calls of a log to their servers.
 	 * @param calls the calls
 	 * @return the tokens
 	 */
-	static SharedParts of(Collection<CallStory> calls) {
+	static PartReuse of(Collection<CallStory> calls) {
 		List<LogEvent> sent = new ArrayList<>();
 		calls.forEach((call) -> sent.addAll(call.dispatches()));
 		sent.sort(Comparator.comparingDouble(LogEvent::second));
 		Memory memory = new Memory();
 		sent.forEach(memory::take);
-		return new SharedParts(memory.found, memory.fetched, memory.again, memory.first);
+		return new PartReuse(memory.found, memory.fetched, memory.again, memory.first);
 	}
 
 	/**
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Report.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Report.java
@@ -257,7 +257,7 @@
 	}
 
 	private String sharedLine() {
-		SharedParts parts = SharedParts.of(this.calls.values());
+		PartReuse parts = PartReuse.of(this.calls.values());
 		return String.format(Locale.ROOT,
 				"tokens of shared parts, by where calls went: %d found, %d fetched, %d read again (%.1f%% of these), %d read first",
 				parts.found(), parts.fetched(), parts.again(), 100 * parts.shareReadAgain(), parts.first());
--- a/rosemaryfront-ctl/src/test/java/org/rosemaryfront/report/LogReportTests.java
+++ b/rosemaryfront-ctl/src/test/java/org/rosemaryfront/report/LogReportTests.java
@@ -119,7 +119,7 @@
 		Map<String, CallStory> calls = CallStory.of(events(dispatched(1, "c1", "s1"), dispatched(2, "c2", "s1"),
 				dispatched(3, "c3", "s2"), dispatched(4, "c4", "s2"), dispatched(5, "c5", "s3") + " fetchFrom=s2",
 				dispatched(6, "c6", "s4") + " fetchFrom=s5"));
-		assertThat(SharedParts.of(calls.values())).isEqualTo(new SharedParts(1_600, 800, 1_600, 800));
+		assertThat(PartReuse.of(calls.values())).isEqualTo(new PartReuse(1_600, 800, 1_600, 800));
 	}
 
 	// -- the page
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/RetryAllowance.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/RetryAllowance.java
@@ -17,10 +17,21 @@
  */
 public final class RetryAllowance {
 
+	/**
+	 * How many parts the fixed allowance is cut into at the least: more than the small
+	 * deployments seen have processes, since some come while others still go.
+	 */
+	private static final int LEAST_PARTS = 16;
+
+	/** Parts for each process that is known; some are not known yet. */
+	private static final double PARTS_PER_PROCESS = 1.7;
+
 	private final double share;
 
 	private final double fixed;
 
+	private int parts = LEAST_PARTS;
+
 	private final long windowNanos;
 
 	private final long startedNanos;
@@ -30,7 +41,8 @@
 	/**
 	 * An allowance.
 	 * @param share the retries allowed for each call
-	 * @param fixed the retries allowed in a window beside the share
+	 * @param fixed the retries that all processes together may make in a window beside
+	 * the share
 	 * @param windowMillis the window, in milliseconds
 	 * @param startedNanos when the process started
 	 */
@@ -41,6 +53,15 @@
 		this.windowNanos = TimeUnit.MILLISECONDS.toNanos(windowMillis);
 	}
 
+	/**
+	 * Takes how many processes share the fixed allowance. With sixteen parts for any
+	 * number, 87 processes would have made five times as many retries as allowed.
+	 * @param count the processes, this one included
+	 */
+	public void processes(int count) {
+		this.parts = Math.max(LEAST_PARTS, (int) Math.ceil(count * PARTS_PER_PROCESS));
+	}
+
 	/**
 	 * Counts a first sending.
 	 * @param service the service
@@ -69,7 +90,7 @@
 	// may have used the fixed part within the same window. Killed twice in a window, all
 	// processes together would use it three times.
 	private double fixed(long nowNanos) {
-		return (nowNanos - this.startedNanos >= this.windowNanos) ? this.fixed : 0;
+		return (nowNanos - this.startedNanos >= this.windowNanos) ? this.fixed / this.parts : 0;
 	}
 
 	private Windows windows(String service, long nowNanos) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/RetryAllowanceTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/RetryAllowanceTests.java
@@ -20,7 +20,7 @@
 	@ParameterizedTest
 	@CsvSource({ "0, 2", "10, 4", "100, 22" })
 	void shouldAllowShareOfCallsAndFixedPart(int calls, int retries) {
-		RetryAllowance allowance = new RetryAllowance(0.2, 2, 10_000, STARTED);
+		RetryAllowance allowance = new RetryAllowance(0.2, 32, 10_000, STARTED);
 		for (int i = 0; i < calls; i++) {
 			allowance.first("booking", i);
 		}
@@ -33,15 +33,33 @@
 
 	@Test
 	void shouldForgetWhatLeftTheWindow() {
-		RetryAllowance allowance = new RetryAllowance(0, 1, 10_000, STARTED);
+		RetryAllowance allowance = new RetryAllowance(0, 16, 10_000, STARTED);
 		assertThat(allowance.take("booking", 0)).isTrue();
 		assertThat(allowance.take("booking", 9 * SECOND)).isFalse();
 		assertThat(allowance.take("booking", 10 * SECOND)).isTrue();
 	}
 
+	// Servers of a large deployment fail, and each of its gateways repeats its part of
+	// the
+	// fixed allowance. Cut into as many parts as a small deployment has gateways, the sum
+	// was five times what is allowed, and doubled the load of the servers that were left.
+	@ParameterizedTest
+	@CsvSource({ "1", "9", "30", "87", "380" })
+	void shouldStayWithinFixedAllowanceHoweverManyProcesses(int processes) {
+		int repeated = 0;
+		for (int i = 0; i < processes; i++) {
+			RetryAllowance allowance = new RetryAllowance(0, 214, 10_000, STARTED);
+			allowance.processes(processes);
+			while (allowance.take("llm", 0)) {
+				repeated++;
+			}
+		}
+		assertThat(repeated).isLessThanOrEqualTo(214);
+	}
+
 	@Test
 	void shouldCountEachServiceByItself() {
-		RetryAllowance allowance = new RetryAllowance(0, 1, 10_000, STARTED);
+		RetryAllowance allowance = new RetryAllowance(0, 16, 10_000, STARTED);
 		assertThat(allowance.take("booking", 0)).isTrue();
 		assertThat(allowance.take("llm", 0)).isTrue();
 	}
@@ -53,7 +71,7 @@
 		int repeated = 0;
 		for (int life = 0; life < 5; life++) {
 			long start = 2 * life * SECOND;
-			RetryAllowance allowance = new RetryAllowance(0.2, 4, 10_000, start);
+			RetryAllowance allowance = new RetryAllowance(0.2, 64, 10_000, start);
 			for (int i = 0; i < 10; i++) {
 				allowance.first("booking", start + SECOND);
 			}
@@ -66,7 +84,7 @@
 
 	@Test
 	void shouldAllowFixedPartOnceAWindowHasPassedSinceTheStart() {
-		RetryAllowance allowance = new RetryAllowance(0, 1, 10_000, 0);
+		RetryAllowance allowance = new RetryAllowance(0, 16, 10_000, 0);
 		assertThat(allowance.take("booking", 9 * SECOND)).isFalse();
 		assertThat(allowance.take("booking", 10 * SECOND)).isTrue();
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -58,12 +58,6 @@
 	/** The part of the allowed retry share that is used; windows slide elsewhere. */
 	private static final double RETRY_CAUTION = 0.8;
 
-	/**
-	 * How many parts the fixed allowance of retries is cut into, one for each gateway:
-	 * more than there are, since some come while others still go.
-	 */
-	private static final int RETRY_PARTS = 16;
-
 	/** Servers that may be tried in vain without anything sent, for one call. */
 	private static final int UNSENT_MOST = 3;
 
@@ -124,7 +118,7 @@
 		this.quotas = quotas;
 		this.usage = usage;
 		GatewaySettings.Bounds bounds = settings.bounds();
-		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed() / RETRY_PARTS,
+		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed(),
 				bounds.retryWindowMillis(), System.nanoTime());
 	}
 
@@ -411,6 +405,7 @@
 	void gateways(int count) {
 		this.gateways = Math.max(1, count);
 		this.quotas.processes(count);
+		this.retries.processes(count);
 	}
 
 	void stop() {
