--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerTables.java
@@ -38,9 +38,10 @@
 	 */
 	PeerTables(LoopResources loops, Supplier<List<InetSocketAddress>> peers) {
 		this.peers = peers;
+		// The resolver first: threads without one bring a resolver of names.
 		this.client = HttpClient.create()
-			.runOn(loops, false)
 			.resolver(DefaultAddressResolverGroup.INSTANCE)
+			.runOn(loops, false)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS);
 	}
 
