Take the waiting of callers at the start back

Nothing gained: who is refused then comes back within 0.2 s and is served as late. What makes callers late there is the outage.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -61,12 +61,6 @@
 	/** Servers that may be tried in vain without anything sent, for one call. */
 	private static final int UNSENT_MOST = 3;
 
-	/**
-	 * How long callers wait at most for the first configuration and servers: both are
-	 * read within 0.2 s of the start, unless the store does not answer.
-	 */
-	private static final long START_NANOS = TimeUnit.SECONDS.toNanos(1);
-
 	/**
 	 * What the answer of a call's timeout takes to reach its caller, in milliseconds.
 	 */
@@ -96,10 +90,6 @@
 	/** When the process ends, once a stop is far; calls must end before. */
 	private volatile OptionalLong endsNanos = OptionalLong.empty();
 
-	private final long startedNanos = System.nanoTime();
-
-	private volatile boolean serversKnown;
-
 	/** The store's version and the time of the last news of servers. */
 	private long serversVersion;
 
@@ -134,12 +124,6 @@
 		return this.stopping;
 	}
 
-	@Override
-	public boolean starting() {
-		boolean complete = this.configuration.isPresent() && this.serversKnown;
-		return !complete && System.nanoTime() - this.startedNanos < START_NANOS;
-	}
-
 	@Override
 	public boolean accepting(Optional<Route> route) {
 		OptionalLong ends = this.endsNanos;
@@ -385,7 +369,6 @@
 	}
 
 	void serversSeen(long version, long now) {
-		this.serversKnown = true;
 		this.serversVersion = version;
 		this.serversNanos = now;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -25,13 +25,6 @@
 	 */
 	boolean stopping();
 
-	/**
-	 * Whether this process has just started and does not know yet what it may serve.
-	 * Callers wait for that as long as it is a matter of moments.
-	 * @return false once it knows, or should know by now
-	 */
-	boolean starting();
-
 	/**
 	 * Whether a new call is taken.
 	 * @param route its route, empty when there is none
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -56,9 +56,6 @@
 
 	private final Gateway gateway;
 
-	/** The time between two looks of callers that wait for the process to start. */
-	private static final long STARTING_LOOK_MILLIS = 10;
-
 	private final Deque<Held> held = new ArrayDeque<>();
 
 	private Channel channel;
@@ -106,34 +103,16 @@
 			return;
 		}
 		boolean ahead = this.call.map(Call::isReceived).orElse(false);
-		boolean starting = this.held.isEmpty() && this.gateway.policy().starting();
-		if (ahead || starting || !this.held.isEmpty()) {
+		if (ahead || !this.held.isEmpty()) {
 			this.held.add(new Held(message, System.nanoTime()));
 			if (this.held.size() > HELD_PARTS) {
 				reading(false);
 			}
-			if (starting) {
-				awaitStart();
-			}
 			return;
 		}
 		take(message, System.nanoTime());
 	}
 
-	// Guards callers against the first moments of a process: after a kill of all, those
-	// who came back were refused for the 0.2 s until the first configuration was read,
-	// and most callers come back only once.
-	private void awaitStart() {
-		this.gateway.loop().schedule(() -> {
-			if (!this.closed && this.gateway.policy().starting()) {
-				awaitStart();
-			}
-			else {
-				takeHeld();
-			}
-		}, STARTING_LOOK_MILLIS, TimeUnit.MILLISECONDS);
-	}
-
 	private void take(Object message, long arrivedNanos) {
 		try {
 			if (message instanceof HttpRequest head) {
