--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/HtmlPage.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/HtmlPage.java
@@ -45,7 +45,7 @@
 					width: 1.5, spanGaps: true, points: { show: plot.seconds.length < 3 } }));
 				new uPlot({ width: 1100, height: 240, scales: { x: { time: false } },
 					series: [{ label: "second" }, ...series],
-					axes: [{ values: (_, ticks) => ticks.map((tick) => tick - start) }, {}] },
+					axes: [{ values: (_, ticks) => ticks.map((tick) => tick - start) }, { size: 80 }] },
 					[plot.seconds, ...plot.lines.map((line) => line.values)], document.body);
 			}
 			""";
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Report.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Report.java
@@ -75,13 +75,13 @@
 	}
 
 	private Series endings() {
-		Series series = new Series();
+		Series series = Series.counts();
 		this.calls.values().forEach((call) -> series.count(word(call.ending()), call.cameSecond()));
 		return series;
 	}
 
 	private Series reasons() {
-		Series series = new Series();
+		Series series = Series.counts();
 		this.calls.values()
 			.stream()
 			.filter((call) -> !call.reason().isEmpty())
@@ -90,14 +90,14 @@
 	}
 
 	private Series dispatched(String field) {
-		Series series = new Series();
+		Series series = Series.measured();
 		named("CALL_DISPATCHED").forEach((event) -> event.number(field)
 			.ifPresent((value) -> series.put(event.text("server"), event.second(), value, Math::max)));
 		return series;
 	}
 
 	private Series firstTokens() {
-		Series series = new Series();
+		Series series = Series.measured();
 		this.calls.values()
 			.forEach((call) -> call.firstAgainstExpected()
 				.ifPresent((ratio) -> series.put("ratio", call.cameSecond(), ratio, Math::max)));
@@ -106,7 +106,7 @@
 
 	// Each gateway tells the same servers; the one that tells most is followed.
 	private Series serversPresent() {
-		Series series = new Series();
+		Series series = Series.measured();
 		Map<String, String> present = new TreeMap<>();
 		Map<String, Integer> counts = new TreeMap<>();
 		String teller = mostTelling("SERVER_REGISTERED");
@@ -137,7 +137,7 @@
 	}
 
 	private Series serversOrdered() {
-		Series series = new Series();
+		Series series = Series.measured();
 		named("SIZE_ORDERED")
 			.forEach((event) -> series.put(sort(event), event.second(), event.number("servers", 0), (_, last) -> last));
 		named("SIZE_NOT_ORDERED").forEach((event) -> series.count("refused", event.second()));
@@ -150,7 +150,7 @@
 	}
 
 	private Series quotas() {
-		Series series = new Series();
+		Series series = Series.measured();
 		named("CALL_DISPATCHED").filter((event) -> event.text("quota").matches(QUOTA)).forEach((event) -> {
 			String[] parts = event.text("quota").split("/");
 			double allowed = Math.max(1, Double.parseDouble(parts[1]));
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Series.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Series.java
@@ -15,6 +15,31 @@
 
 	private final Map<String, TreeMap<Long, Double>> lines = new LinkedHashMap<>();
 
+	/** What stands in a second of which a line says nothing; null for a gap. */
+	private final Double missing;
+
+	private Series(Double missing) {
+		this.missing = missing;
+	}
+
+	// -- factories
+
+	/**
+	 * Counts: a second of which nothing is said had none.
+	 * @return an empty series
+	 */
+	static Series counts() {
+		return new Series(0.0);
+	}
+
+	/**
+	 * Measured values: a second of which nothing is said is not known.
+	 * @return an empty series
+	 */
+	static Series measured() {
+		return new Series(null);
+	}
+
 	/**
 	 * Puts a value into its second.
 	 * @param line the name of the line
@@ -78,10 +103,13 @@
 	 * The values of a line.
 	 * @param line its name
 	 * @param seconds the seconds
-	 * @return a value for each, null for none
+	 * @return a value for each, null where it is not known
 	 */
 	Double[] values(String line, long[] seconds) {
-		return Arrays.stream(seconds).mapToObj(this.lines.get(line)::get).toArray(Double[]::new);
+		TreeMap<Long, Double> values = this.lines.get(line);
+		return Arrays.stream(seconds)
+			.mapToObj((second) -> values.getOrDefault(second, this.missing))
+			.toArray(Double[]::new);
 	}
 
 }
