--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/routes/ServiceSpec.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/routes/ServiceSpec.java
@@ -25,7 +25,10 @@
 	 */
 	public record EngineSpec(int slots, long kvTokens, long tokenBytes, double linkMegabits) {
 
-		/** The least time that fetching from another engine takes, in milliseconds. */
+		/**
+		 * The least time that fetching from another engine takes, in milliseconds: a few
+		 * round trips between availability zones; a choice.
+		 */
 		private static final double FETCH_SETUP_MILLIS = 5;
 
 		/**
