--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -80,23 +80,21 @@
 		Account account = account(organisation.name());
 		account.expire(nowNanos, this.windowNanos);
 		boolean small = account.isSmall(units, nowNanos);
+		double limit = limit(organisation, nowNanos);
 		if (organisation.unitsPerSecond() > 0) {
 			double window = windowUnits(organisation);
-			double limit = limit(organisation, nowNanos);
 			account.fill(window, this.windowNanos, nowNanos);
 			boolean keeps = !small && account.hadSmall(nowNanos, this.windowNanos);
 			double open = limit - units - (keeps ? window * KEPT_FOR_SMALL : 0);
-			long wait = waitMillis(account, open, nowNanos);
-			if (!small) {
-				wait = Math.max(wait, account.waitMillis(units));
-			}
+			long evenly = small ? 0 : account.waitMillis(units);
+			long wait = Math.max(evenly, waitMillis(account, open, nowNanos));
 			if (wait > 0) {
 				return new Taking(promise(account, open, units, wait, nowNanos), account.sum, limit);
 			}
 		}
 		account.add(units, nowNanos);
 		account.own += units;
-		return new Taking(0, account.sum, limit(organisation, nowNanos));
+		return new Taking(0, account.sum, limit);
 	}
 
 	// When a refused call finds units that nobody was told of before. Told the same time,
