Let gateways that are cut off from one another share a quota by their number

Change: a gateway that hears k of the n gateways that may serve lets k/n of a window's quota pass. The test fails without the change (three cut off of nine). Ruled out: small calls, the times told.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -55,6 +55,9 @@
 	/** The processes that callers come to. */
 	private int processes = 1;
 
+	/** The part of them whose use this process hears of, its own included. */
+	private double heardPart = 1;
+
 	private final Map<String, Account> accounts = new HashMap<>();
 
 	/**
@@ -115,6 +118,17 @@
 		this.processes = Math.max(1, count);
 	}
 
+	/**
+	 * Takes of what part of the processes this one hears. Processes that are cut off from
+	 * one another do not count each other's use: one third of them let an organisation
+	 * that flooded have 1.17 of its quota together with the others. Each group lets its
+	 * own part pass, so that the sum holds however they are cut.
+	 * @param part the part, 1 when none is missing
+	 */
+	public void heardPart(double part) {
+		this.heardPart = Math.clamp(part, 0, 1);
+	}
+
 	/**
 	 * Gives back the units of a call that did not run.
 	 * @param organisation the name of the organisation
@@ -174,7 +188,7 @@
 	}
 
 	private double windowUnits(Organisation organisation) {
-		return organisation.unitsPerSecond() * this.windowNanos / 1e9 + organisation.burst();
+		return this.heardPart * (organisation.unitsPerSecond() * this.windowNanos / 1e9 + organisation.burst());
 	}
 
 	// The time until no more than the given units were used within a window, 0 for now.
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
@@ -4,6 +4,8 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.DoubleStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -158,6 +160,30 @@
 		assertThat(taken).isBetween(405.0, 425.0);
 	}
 
+	// Three of nine gateways are cut off from the others, each by itself, while their
+	// callers still reach them and an organisation floods through all nine. Each counted
+	// only what it heard of, and together they let more pass than the quota.
+	@Test
+	void shouldStayWithinQuotaWhenProcessesAreCutOff() {
+		List<QuotaTable> joined = Stream.generate(() -> new QuotaTable(8_000, -8 * SECOND)).limit(6).toList();
+		List<QuotaTable> cut = Stream.generate(() -> new QuotaTable(8_000, -8 * SECOND)).limit(3).toList();
+		joined.forEach((table) -> table.heardPart(6 / 9.0));
+		cut.forEach((table) -> table.heardPart(1 / 9.0));
+		double[] used = new double[9];
+		for (long now = 0; now < 8_000; now += 10) {
+			for (int i = 0; i < 9; i++) {
+				QuotaTable table = (i < 6) ? joined.get(i) : cut.get(i - 6);
+				used[i] += (table.take(SFAX, 3, now * MILLI).waitMillis() == 0) ? 3 : 0;
+				for (int j = 0; i < 6 && j < 6; j++) {
+					if (j != i) {
+						joined.get(j).usedByOther("gateway-" + i, "sfax", used[i], true, now * MILLI);
+					}
+				}
+			}
+		}
+		assertThat(DoubleStream.of(used).sum()).isBetween(700.0, 850.0 + 9 * 3);
+	}
+
 	// An organisation that was quiet begins to flood; 4.4 s later all processes are
 	// killed
 	// and forget. What was let through before the kill and what the new processes let
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -309,6 +309,7 @@
 		this.peers.silent(now).forEach((gateway) -> this.servers.othersAt(gateway, Map.of()));
 		this.tableAddresses = this.peers.tableAddresses();
 		this.decisions.gateways(this.peers.living());
+		this.quotas.heardPart(this.peers.heardPart(now));
 		this.lease.gateways(this.peers.living());
 		this.lease.tick(now);
 		long epochMillis = System.currentTimeMillis();
