--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
@@ -0,0 +1,305 @@
+package org.rosemaryfront.quota;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import org.rosemaryfront.routes.Organisation;
+
+/**
+ * Gateways that share quotas by telling one another, on virtual time: reports that are
+ * late, lost or cut one way, processes that stand still, die and start. One organisation
+ * asks for far more than its quota, through all of them.
+ */
+final class QuotaFleet {
+
+	/** What the organisation may use in a window, in units. */
+	static final double QUOTA = 1_690_000;
+
+	/** What a call counts on average, in units: a long prompt. */
+	private static final double CALL_UNITS = 9_000;
+
+	private static final long WINDOW_MILLIS = 8_000;
+
+	/** Between two reports: a quarter of a second, and the tick that sends them. */
+	private static final long TELL_MILLIS = 250;
+
+	private static final int TICK_MILLIS = 50;
+
+	/** Of the network between gateways; the rest waits for its turn on a thread. */
+	private static final int DELAY_MILLIS = 15;
+
+	private static final Organisation SFAX = new Organisation("sfax", List.of("k"), OptionalInt.empty(),
+			QUOTA / 10 / (WINDOW_MILLIS / 1_000.0), QUOTA * 0.9, Organisation.Counts.TOKENS, 1);
+
+	private final Random random;
+
+	private final List<Gateway> gateways = new ArrayList<>();
+
+	/** Reports in the order in which they arrive. */
+	private final Deque<Telling> underWay = new ArrayDeque<>();
+
+	private final List<Use> uses = new ArrayList<>();
+
+	private double askedUnits;
+
+	private long nowMillis;
+
+	private QuotaFleet(long seed) {
+		this.random = new Random(seed);
+	}
+
+	/**
+	 * Gateways that have known one another for longer than a window.
+	 * @param count how many
+	 * @param seed of all that is random
+	 * @return the gateways
+	 */
+	static QuotaFleet of(int count, long seed) {
+		QuotaFleet fleet = new QuotaFleet(seed);
+		for (int i = 0; i < count; i++) {
+			fleet.gateways.add(fleet.new Gateway(i, -2 * WINDOW_MILLIS));
+		}
+		fleet.run(2 * WINDOW_MILLIS, 0);
+		return fleet;
+	}
+
+	// -- what happens
+
+	/**
+	 * Lets time pass while the organisation asks.
+	 * @param millis how long
+	 * @param quotasPerSecond what it asks for, in quotas a second
+	 */
+	void run(long millis, double quotasPerSecond) {
+		double callsPerMilli = quotasPerSecond * QUOTA / CALL_UNITS / 1_000;
+		for (long until = this.nowMillis + millis; this.nowMillis < until; this.nowMillis++) {
+			deliver();
+			for (double calls = callsPerMilli; calls > 0; calls--) {
+				if (this.random.nextDouble() < calls) {
+					caller().called(units());
+				}
+			}
+			this.gateways.forEach(Gateway::tick);
+		}
+	}
+
+	/**
+	 * Cuts the way from a gateway to another, or heals it.
+	 * @param from who is not heard any more
+	 * @param to who does not hear
+	 * @param cut whether it is cut
+	 */
+	void cut(int from, int to, boolean cut) {
+		this.gateways.get(to).deafTo.put(from, cut);
+	}
+
+	/**
+	 * Cuts a group off from all others, both ways, or heals it.
+	 * @param group the gateways
+	 * @param cut whether they are cut off
+	 */
+	void cutOff(List<Integer> group, boolean cut) {
+		for (int i = 0; i < this.gateways.size(); i++) {
+			for (int inside : group) {
+				if (!group.contains(i)) {
+					cut(i, inside, cut);
+					cut(inside, i, cut);
+				}
+			}
+		}
+	}
+
+	/**
+	 * A gateway stands still; its callers go on to call, and are served at its wake.
+	 * @param gateway which
+	 * @param frozen whether it stands still
+	 */
+	void freeze(int gateway, boolean frozen) {
+		this.gateways.get(gateway).freeze(frozen);
+	}
+
+	/**
+	 * A gateway is killed and another process starts in its place.
+	 * @param gateway which
+	 */
+	void restart(int gateway) {
+		this.gateways.set(gateway, new Gateway(gateway, this.nowMillis));
+	}
+
+	// -- what is seen
+
+	/**
+	 * The most that was let through in any window.
+	 * @return in quotas
+	 */
+	double worstWindow() {
+		double worst = 0;
+		double sum = 0;
+		int first = 0;
+		for (Use use : this.uses) {
+			sum += use.units;
+			while (this.uses.get(first).atMillis <= use.atMillis - WINDOW_MILLIS) {
+				sum -= this.uses.get(first++).units;
+			}
+			worst = Math.max(worst, sum);
+		}
+		return worst / QUOTA;
+	}
+
+	/**
+	 * What was let through since a moment.
+	 * @param sinceMillis the moment
+	 * @return in quotas
+	 */
+	double usedSince(long sinceMillis) {
+		return this.uses.stream().filter((use) -> use.atMillis >= sinceMillis).mapToDouble(Use::units).sum() / QUOTA;
+	}
+
+	/**
+	 * The share of what was asked for that was let through, by units.
+	 * @return from 0 to 1
+	 */
+	double served() {
+		return usedSince(Long.MIN_VALUE) * QUOTA / this.askedUnits;
+	}
+
+	long nowMillis() {
+		return this.nowMillis;
+	}
+
+	// -- inside
+
+	// Callers keep to some gateways more than to others: the first has three times the
+	// calls of the last.
+	private Gateway caller() {
+		double place = this.random.nextDouble();
+		return this.gateways.get((int) (this.gateways.size() * (0.5 * place + 0.5 * place * place)));
+	}
+
+	private double units() {
+		return Math.min(5 * CALL_UNITS, CALL_UNITS * -Math.log(1 - this.random.nextDouble()));
+	}
+
+	private void deliver() {
+		while (!this.underWay.isEmpty() && this.underWay.getFirst().arrives <= this.nowMillis) {
+			Telling telling = this.underWay.removeFirst();
+			this.gateways.get(telling.to).heard(telling);
+		}
+	}
+
+	/** A process with the part of the fleet that it hears. */
+	private final class Gateway {
+
+		private final int index;
+
+		private final String process;
+
+		private final QuotaTable table;
+
+		private final Map<Integer, Long> heardMillis = new HashMap<>();
+
+		private final Map<Integer, Boolean> deafTo = new HashMap<>();
+
+		/** What waits for this process to run again. */
+		private final Deque<Runnable> waiting = new ArrayDeque<>();
+
+		private boolean frozen;
+
+		private long nextTellMillis;
+
+		private long nextTickMillis;
+
+		private int number;
+
+		private Gateway(int index, long startedMillis) {
+			this.index = index;
+			this.process = index + "/" + startedMillis;
+			this.table = new QuotaTable(WINDOW_MILLIS, TimeUnit.MILLISECONDS.toNanos(startedMillis));
+			this.nextTellMillis = startedMillis + QuotaFleet.this.random.nextInt((int) TELL_MILLIS);
+			this.nextTickMillis = startedMillis + QuotaFleet.this.random.nextInt(TICK_MILLIS);
+		}
+
+		private void freeze(boolean now) {
+			this.frozen = now;
+			while (!now && !this.waiting.isEmpty()) {
+				this.waiting.removeFirst().run();
+			}
+		}
+
+		private void called(double units) {
+			QuotaFleet.this.askedUnits += units;
+			whenRunning(() -> {
+				if (this.table.take(SFAX, units, nowNanos()).waitMillis() == 0) {
+					QuotaFleet.this.uses.add(new Use(QuotaFleet.this.nowMillis, units));
+				}
+			});
+		}
+
+		private void heard(Telling telling) {
+			if (!this.deafTo.getOrDefault(telling.from, false)) {
+				whenRunning(() -> {
+					this.heardMillis.put(telling.from, QuotaFleet.this.nowMillis);
+					this.table.usedByOther(telling.process, "sfax", telling.units,
+							telling.number * TELL_MILLIS < WINDOW_MILLIS, nowNanos());
+				});
+			}
+		}
+
+		private void whenRunning(Runnable task) {
+			if (this.frozen) {
+				this.waiting.addLast(task);
+			}
+			else {
+				task.run();
+			}
+		}
+
+		private void tick() {
+			if (this.frozen || QuotaFleet.this.nowMillis < this.nextTickMillis) {
+				return;
+			}
+			this.nextTickMillis = QuotaFleet.this.nowMillis + TICK_MILLIS;
+			long heard = this.heardMillis.values()
+				.stream()
+				.filter((at) -> QuotaFleet.this.nowMillis - at < 1_000)
+				.count();
+			this.table.processes(1 + (int) heard);
+			this.table.heardPart((1.0 + heard) / QuotaFleet.this.gateways.size());
+			if (QuotaFleet.this.nowMillis >= this.nextTellMillis) {
+				this.nextTellMillis = QuotaFleet.this.nowMillis + TELL_MILLIS;
+				this.number++;
+				tell();
+			}
+		}
+
+		private void tell() {
+			for (int to = 0; to < QuotaFleet.this.gateways.size(); to++) {
+				if (to != this.index) {
+					QuotaFleet.this.underWay.addLast(new Telling(this.index, to, this.process, this.number,
+							this.table.used().getOrDefault("sfax", 0.0), QuotaFleet.this.nowMillis + DELAY_MILLIS));
+				}
+			}
+		}
+
+		private long nowNanos() {
+			return TimeUnit.MILLISECONDS.toNanos(QuotaFleet.this.nowMillis);
+		}
+
+	}
+
+	/** A report under way. */
+	private record Telling(int from, int to, String process, int number, double units, long arrives) {
+	}
+
+	/** A call that was let through. */
+	private record Use(long atMillis, double units) {
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
@@ -0,0 +1,123 @@
+package org.rosemaryfront.quota;
+
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+/**
+ * Quotas of gateways that tell one another of their use. An organisation's usual use is
+ * half of its quota, that is 0.07 quotas a second with a window of eight seconds; floods
+ * of eight and sixteen times that were seen.
+ */
+class QuotaFleetTests {
+
+	/** What may be let through in a window, in quotas: what comes beyond is a breach. */
+	private static final double MOST = 1.1;
+
+	private static final double USUAL = 0.07;
+
+	private static final double FLOOD = 0.55;
+
+	private static final double GREAT_FLOOD = 1.2;
+
+	// An organisation floods through nine gateways and gets 1.25 of its quota, while
+	// nothing fails. Each gateway heard a quarter of a second ago what the others used:
+	// when a window is nearly full, all nine let through what is left of it, nine times.
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 1, 2, 3, 4, 5 })
+	void shouldHoldQuotaInFloodThoughNewsIsLate(long seed) {
+		QuotaFleet fleet = QuotaFleet.of(9, seed);
+		fleet.run(8_000, 1.7 * USUAL);
+		fleet.run(10_000, GREAT_FLOOD);
+		assertThat(fleet.worstWindow()).isLessThan(MOST);
+	}
+
+	// In a flood some gateways are cut off from the others, or hear nobody while they are
+	// still heard, or stand still and serve at their wake whoever waited, or start anew.
+	// Each let through what the others let through as well, the first second of a silence
+	// above all: 1.17 of the quota was seen in one window.
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19 })
+	void shouldHoldQuotaWhateverIsHeard(long seed) {
+		Random random = new Random(seed);
+		QuotaFleet fleet = QuotaFleet.of(9, seed);
+		fleet.run(8_000, USUAL);
+		for (int fault = 0; fault < 3; fault++) {
+			double asked = (random.nextInt(3) == 0) ? GREAT_FLOOD : FLOOD;
+			fleet.run(random.nextInt(4_000), asked);
+			fault(fleet, random, asked);
+		}
+		fleet.run(8_000, FLOOD);
+		assertThat(fleet.worstWindow()).isLessThan(MOST);
+	}
+
+	private static void fault(QuotaFleet fleet, Random random, double asked) {
+		List<Integer> group = IntStream.range(0, 9).filter((_) -> random.nextInt(3) == 0).boxed().toList();
+		int one = random.nextInt(9);
+		long millis = 500 + random.nextInt(6_000);
+		switch (random.nextInt(4)) {
+			case 0 -> {
+				fleet.cutOff(group, true);
+				fleet.run(millis, asked);
+				fleet.cutOff(group, false);
+			}
+			case 1 -> {
+				group.forEach((deaf) -> hearsNobody(fleet, deaf, true));
+				fleet.run(millis, asked);
+				group.forEach((deaf) -> hearsNobody(fleet, deaf, false));
+			}
+			case 2 -> {
+				fleet.freeze(one, true);
+				fleet.run(millis, asked);
+				fleet.freeze(one, false);
+			}
+			default -> {
+				fleet.restart(one);
+				fleet.run(millis, asked);
+			}
+		}
+	}
+
+	private static void hearsNobody(QuotaFleet fleet, int deaf, boolean cut) {
+		IntStream.range(0, 9).filter((other) -> other != deaf).forEach((other) -> fleet.cut(other, deaf, cut));
+	}
+
+	// Whatever guards the quota must cost nothing while the organisation keeps to it,
+	// also through some gateways more than others, with prompts of very different sizes.
+	@ParameterizedTest
+	@CsvSource({ "9, 0", "9, 1", "9, 2", "30, 0", "78, 0", "78, 1" })
+	void shouldRefuseNothingOfUsualUse(int gateways, long seed) {
+		QuotaFleet fleet = QuotaFleet.of(gateways, seed);
+		fleet.run(30_000, USUAL);
+		assertThat(fleet.served()).isCloseTo(1, within(1e-9));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "9, 0", "9, 1", "78, 0", "78, 1" })
+	void shouldLetFloodHaveTheQuota(int gateways, long seed) {
+		QuotaFleet fleet = QuotaFleet.of(gateways, seed);
+		fleet.run(8_000, USUAL);
+		fleet.run(16_000, FLOOD);
+		assertThat(fleet.usedSince(fleet.nowMillis() - 8_000)).isGreaterThan(0.85);
+	}
+
+	// A gateway dies. The others know nothing of that for a second, and must not refuse
+	// what is due meanwhile.
+	@Test
+	void shouldServeUsualUseBesideSilentGateway() {
+		QuotaFleet fleet = QuotaFleet.of(9, 3);
+		fleet.run(10_000, USUAL);
+		fleet.cutOff(List.of(8), true);
+		fleet.run(4_000, USUAL);
+		assertThat(fleet.served()).isGreaterThan(0.98);
+	}
+
+}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -12,6 +12,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 
 import reactor.netty.resources.LoopResources;
 
@@ -35,6 +36,8 @@
 	/** Shorter than the timeout of most routes, longer than that of {@code /short/}. */
 	private static final long STOP_MILLIS = 3_000;
 
+	private static final long QUOTA_WINDOW_MILLIS = 8_000;
+
 	/** Over by the first call, so that the fixed part of the retries is there. */
 	private static final long RETRY_WINDOW_MILLIS = 10;
 
@@ -65,11 +68,17 @@
 
 	private GatewayHarness(String name, long usageWindowMillis, long stopMillis, MemoryRowStore store,
 			PlainCodecs codecs) {
+		this(name, usageWindowMillis, stopMillis, QUOTA_WINDOW_MILLIS, store, codecs);
+	}
+
+	private GatewayHarness(String name, long usageWindowMillis, long stopMillis, long quotaWindowMillis,
+			MemoryRowStore store, PlainCodecs codecs) {
 		this.store = store;
 		this.access = new DeniableStore(store);
 		this.codecs = codecs;
 		this.settings = new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), freeDatagram(),
-				new GatewaySettings.Bounds(stopMillis, 100, 0.2, 64, RETRY_WINDOW_MILLIS, 8_000, usageWindowMillis));
+				new GatewaySettings.Bounds(stopMillis, 100, 0.2, 64, RETRY_WINDOW_MILLIS, quotaWindowMillis,
+						usageWindowMillis));
 		this.process = GatewayProcess.start(this.settings,
 				new Platform(this.codecs, this.access, this.codecs, this.duties),
 				LoopResources.create("test", 1, true));
@@ -96,6 +105,20 @@
 		return new GatewayHarness("gateway-2", other.settings.bounds().usageWindowMillis(), other.store, other.codecs);
 	}
 
+	/**
+	 * Starts gateways before one store.
+	 * @param store the store
+	 * @param count how many
+	 * @param quotaWindowMillis the window of quotas, in milliseconds
+	 * @return the gateways
+	 */
+	static List<GatewayHarness> startFleet(MemoryRowStore store, int count, long quotaWindowMillis) {
+		PlainCodecs codecs = new PlainCodecs();
+		return IntStream.rangeClosed(1, count)
+			.mapToObj((i) -> new GatewayHarness("gateway-" + i, 5_000, STOP_MILLIS, quotaWindowMillis, store, codecs))
+			.toList();
+	}
+
 	// -- what is declared
 
 	static TrafficConfiguration configuration(long version, CallerLimits limits, Organisation... organisations) {
