Share quotas with gateways that confirm reports, and take no more of what is left than one's share

Cause, one class for all three failing tests: a gateway admits by a belief about the others that is old, one-sided or not formed yet, and takes it for the present. - What is left of a window was let through by each gateway for as long as its news was old. Now each takes the share that it has in what all ask for, until all have confirmed the report that told of it. - A gateway counted as heard for a second after its last report, also one that hears nobody itself, also by reports that had waited in a socket during a pause. Now it counts while it confirms reports sent a moment ago, which shows both ways and the age. Where groups overlap, each takes the part of one gateway. - A gateway that could not read the table of gateways took itself for the only one, and looked again after ten seconds. Now the table is followed like the others, from another gateway too, and no quota is given out before it is known; connections to servers and retries are divided by the gateways that may serve, not by those heard so far. - Units given back came off the newest use, and left the window twice. Now off the oldest, and not once they have left it.

A test of retries failed once beside this, for its harness: the first call came within the 10 ms in which a new process has no retries, since the start became faster. The harness now waits for them to be over, as its comment said.

--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
@@ -0,0 +1,329 @@
+package org.rosemaryfront.quota;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The gateways that share quotas, as one of them knows them: who may serve callers, and
+ * with whom this one exchanges reports both ways.
+ *
+ * <p>
+ * A report names the last report that its sender had from each other gateway. One that
+ * confirms a report of this gateway sent a moment ago proves three things at once: the
+ * other one is heard, hears this one, and what it tells is no older than that report.
+ * Reports that arrive say less: of a link cut one way, or of what waited in a socket
+ * while this process stood still.
+ */
+public final class Fleet {
+
+	/**
+	 * For how long a confirmed report counts since it was sent, in nanoseconds: both ways
+	 * take up to 300 ms each, and three reports in a row may be lost.
+	 */
+	private static final long CONFIRMED_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
+
+	/** After this time without a report none is confirmed any more, in nanoseconds. */
+	private static final long UNHEARD_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/**
+	 * After this time without a report a gateway counts as gone, in nanoseconds, as long
+	 * as most are still there; cuts of twelve seconds were seen.
+	 */
+	private static final long GONE_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+	/**
+	 * For this time gateways may differ on who is there, in nanoseconds: each sees a
+	 * change at its own moment, up to two reports after another.
+	 */
+	private static final long DIFFER_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/** Own reports whose sending is remembered: those of four seconds. */
+	private static final int REMEMBERED = 16;
+
+	private final int self;
+
+	private final long[] sentNanos = new long[REMEMBERED];
+
+	private final Map<String, Member> members = new HashMap<>();
+
+	private int number;
+
+	/** Reports up to this one are taken as not confirmed, whatever is heard. */
+	private int forgotten;
+
+	private boolean known;
+
+	/** Since when the others do not see the same group, empty while they do. */
+	private OptionalLong differSinceNanos = OptionalLong.empty();
+
+	/**
+	 * A fleet of which only this gateway is known.
+	 * @param self what tells this start of this gateway from all others
+	 */
+	public Fleet(int self) {
+		this.self = self;
+	}
+
+	// -- changes
+
+	/**
+	 * Notes a gateway that the table of gateways names.
+	 * @param gateway its name
+	 * @param nowNanos the time
+	 */
+	public void found(String gateway, long nowNanos) {
+		this.members.computeIfAbsent(gateway, (_) -> new Member(nowNanos));
+	}
+
+	/** The table of gateways was read: whoever may serve is known from now on. */
+	public void complete() {
+		this.known = true;
+	}
+
+	/**
+	 * Notes a report of this gateway that goes out now.
+	 * @param reportNumber its number, one more than that of the last one
+	 * @param nowNanos the time
+	 */
+	public void told(int reportNumber, long nowNanos) {
+		this.number = reportNumber;
+		this.sentNanos[reportNumber % REMEMBERED] = nowNanos;
+	}
+
+	/**
+	 * Takes a report of another gateway, newer than those before.
+	 * @param report what it says of the fleet
+	 * @param nowNanos the time
+	 */
+	public void heard(Report report, long nowNanos) {
+		Member member = this.members.computeIfAbsent(report.gateway(), (_) -> new Member(nowNanos));
+		member.heard = true;
+		member.left = report.leaving();
+		member.gone = false;
+		member.start = report.start();
+		member.number = report.number();
+		member.group = report.group();
+		member.confirmed = report.confirmed()
+			.stream()
+			.filter((confirmation) -> confirmation.start() == this.self)
+			.mapToInt(Confirmation::number)
+			.findFirst()
+			.orElse(0);
+		member.newsNanos = nowNanos;
+	}
+
+	/**
+	 * Takes nothing as confirmed that was sent up to now. After the suspension of its VM
+	 * this process takes old reports for recent: its monotonic clock stood still.
+	 */
+	public void forgetConfirmations() {
+		this.forgotten = this.number;
+	}
+
+	// -- queries
+
+	/**
+	 * What the next report confirms.
+	 * @param nowNanos the time
+	 * @return the gateways heard of late, with the last report of each
+	 */
+	public List<Confirmation> confirmations(long nowNanos) {
+		List<Confirmation> confirmations = new ArrayList<>();
+		for (Member member : this.members.values()) {
+			if (member.heard && !member.left && nowNanos - member.newsNanos < UNHEARD_NANOS) {
+				confirmations.add(new Confirmation(member.start, member.number));
+			}
+		}
+		return confirmations;
+	}
+
+	/**
+	 * What tells groups of gateways apart.
+	 * @param nowNanos the time
+	 * @return the same number for all that exchange reports with just one another
+	 */
+	public int group(long nowNanos) {
+		int sum = mixed(this.self);
+		for (Member member : this.members.values()) {
+			sum += isConfirming(member, nowNanos) ? mixed(member.start) : 0;
+		}
+		return sum;
+	}
+
+	/**
+	 * How quotas are shared now.
+	 * @param nowNanos the time
+	 * @return the sharing
+	 */
+	public Sharing sharing(long nowNanos) {
+		if (!this.known) {
+			return Sharing.UNKNOWN;
+		}
+		int group = group(nowNanos);
+		int confirming = 1;
+		int confirmed = this.number;
+		boolean same = true;
+		for (Member member : this.members.values()) {
+			if (isConfirming(member, nowNanos)) {
+				confirming++;
+				confirmed = Math.min(confirmed, member.confirmed);
+				same &= member.group == group;
+			}
+		}
+		return new Sharing(Math.max(confirming, serving(nowNanos)), confirming, isAgreed(same, nowNanos), confirmed);
+	}
+
+	/**
+	 * The gateways that may serve callers, heard or not.
+	 * @param nowNanos the time
+	 * @return the count, this one included
+	 */
+	public int serving(long nowNanos) {
+		dropGone(nowNanos);
+		return 1 + (int) this.members.values().stream().filter(Member::mayServe).count();
+	}
+
+	private boolean isAgreed(boolean same, long nowNanos) {
+		if (same) {
+			this.differSinceNanos = OptionalLong.empty();
+		}
+		else if (this.differSinceNanos.isEmpty()) {
+			this.differSinceNanos = OptionalLong.of(nowNanos);
+		}
+		return same || nowNanos - this.differSinceNanos.getAsLong() < DIFFER_NANOS;
+	}
+
+	// A gateway that is not heard for long is dead, or serves behind a cut. Its part of
+	// the quotas goes to the others only where most of them still are: never on both
+	// sides of a cut.
+	private void dropGone(long nowNanos) {
+		List<Member> serving = this.members.values().stream().filter(Member::mayServe).toList();
+		List<Member> silent = serving.stream().filter((member) -> nowNanos - member.newsNanos >= GONE_NANOS).toList();
+		boolean most = 2 * (1 + serving.size() - silent.size()) > 1 + serving.size();
+		if (most) {
+			silent.forEach((member) -> member.gone = true);
+		}
+	}
+
+	private boolean isConfirming(Member member, long nowNanos) {
+		boolean remembered = member.confirmed > this.forgotten && this.number - member.confirmed < REMEMBERED;
+		return member.mayServe() && remembered
+				&& nowNanos - this.sentNanos[member.confirmed % REMEMBERED] < CONFIRMED_NANOS;
+	}
+
+	// Spreads the bits, so that sums of different groups differ.
+	private static int mixed(int start) {
+		int bits = start * 0x9E3779B9;
+		return (bits ^ (bits >>> 15)) * 0x85EBCA6B;
+	}
+
+	/**
+	 * What a report says of the fleet.
+	 *
+	 * @param gateway who sent it
+	 * @param start which start of that gateway
+	 * @param number its number, from 1 up
+	 * @param leaving whether its sender will not be heard again
+	 * @param group the group that its sender is in
+	 * @param confirmed the reports that its sender had
+	 */
+	public record Report(String gateway, int start, int number, boolean leaving, int group,
+			List<Confirmation> confirmed) {
+
+		public Report {
+			confirmed = List.copyOf(confirmed);
+		}
+
+	}
+
+	/**
+	 * The last report that was had from a gateway.
+	 *
+	 * @param start which start of which gateway
+	 * @param number the number of the report
+	 */
+	public record Confirmation(int start, int number) {
+	}
+
+	/**
+	 * How quotas are shared.
+	 *
+	 * @param members the gateways that may serve callers, 0 while they are not known
+	 * @param group those of them that exchange reports both ways, this one included
+	 * @param agreed whether all of the group see the same group
+	 * @param confirmed the last report of this gateway that all of the group had
+	 */
+	public record Sharing(int members, int group, boolean agreed, int confirmed) {
+
+		/** Nobody knows yet who may serve callers. */
+		public static final Sharing UNKNOWN = new Sharing(0, 1, false, 0);
+
+		/** One gateway that serves all callers. */
+		public static final Sharing ALONE = new Sharing(1, 1, true, Integer.MAX_VALUE);
+
+		/**
+		 * Whether it is known who may serve callers.
+		 * @return false when no part can be told
+		 */
+		public boolean isKnown() {
+			return this.members > 0;
+		}
+
+		/**
+		 * Whether quotas are shared with as many gateways as in another sharing.
+		 * @param other the other sharing
+		 * @return true when they differ in confirmed reports only
+		 */
+		public boolean hasGroupOf(Sharing other) {
+			return this.members == other.members && this.group == other.group && this.agreed == other.agreed;
+		}
+
+		/**
+		 * The part of the quotas that is for the group.
+		 * @return from 0 to 1
+		 */
+		public double part() {
+			return isKnown() ? (double) this.group / this.members : 0;
+		}
+
+	}
+
+	/** Another gateway. */
+	private static final class Member {
+
+		/** When it was last heard, or found. */
+		private long newsNanos;
+
+		private int start;
+
+		private int number;
+
+		private int group;
+
+		/** The last report of this gateway that it had; 0 for none. */
+		private int confirmed;
+
+		/** Whether a report ever came. */
+		private boolean heard;
+
+		/** Whether it said that it will not be heard again. */
+		private boolean left;
+
+		/** Whether it was silent for so long that it is taken for dead. */
+		private boolean gone;
+
+		private Member(long newsNanos) {
+			this.newsNanos = newsNanos;
+		}
+
+		private boolean mayServe() {
+			return !this.left && !this.gone;
+		}
+
+	}
+
+}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
@@ -10,6 +10,8 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
+import org.rosemaryfront.quota.Fleet.Report;
+import org.rosemaryfront.quota.QuotaTable.Use;
 import org.rosemaryfront.routes.Organisation;
 
 /**
@@ -45,13 +47,16 @@
 	/** Reports in the order in which they arrive. */
 	private final Deque<Telling> underWay = new ArrayDeque<>();
 
-	private final List<Use> uses = new ArrayList<>();
+	private final List<Passed> passed = new ArrayList<>();
 
 	private double askedUnits;
 
+	private final int count;
+
 	private long nowMillis;
 
-	private QuotaFleet(long seed) {
+	private QuotaFleet(int count, long seed) {
+		this.count = count;
 		this.random = new Random(seed);
 	}
 
@@ -62,7 +67,7 @@
 	 * @return the gateways
 	 */
 	static QuotaFleet of(int count, long seed) {
-		QuotaFleet fleet = new QuotaFleet(seed);
+		QuotaFleet fleet = new QuotaFleet(count, seed);
 		for (int i = 0; i < count; i++) {
 			fleet.gateways.add(fleet.new Gateway(i, -2 * WINDOW_MILLIS));
 		}
@@ -143,10 +148,10 @@
 		double worst = 0;
 		double sum = 0;
 		int first = 0;
-		for (Use use : this.uses) {
+		for (Passed use : this.passed) {
 			sum += use.units;
-			while (this.uses.get(first).atMillis <= use.atMillis - WINDOW_MILLIS) {
-				sum -= this.uses.get(first++).units;
+			while (this.passed.get(first).atMillis <= use.atMillis - WINDOW_MILLIS) {
+				sum -= this.passed.get(first++).units;
 			}
 			worst = Math.max(worst, sum);
 		}
@@ -159,7 +164,8 @@
 	 * @return in quotas
 	 */
 	double usedSince(long sinceMillis) {
-		return this.uses.stream().filter((use) -> use.atMillis >= sinceMillis).mapToDouble(Use::units).sum() / QUOTA;
+		return this.passed.stream().filter((use) -> use.atMillis >= sinceMillis).mapToDouble(Passed::units).sum()
+				/ QUOTA;
 	}
 
 	/**
@@ -203,7 +209,7 @@
 
 		private final QuotaTable table;
 
-		private final Map<Integer, Long> heardMillis = new HashMap<>();
+		private final Fleet fleet;
 
 		private final Map<Integer, Boolean> deafTo = new HashMap<>();
 
@@ -221,7 +227,15 @@
 		private Gateway(int index, long startedMillis) {
 			this.index = index;
 			this.process = index + "/" + startedMillis;
-			this.table = new QuotaTable(WINDOW_MILLIS, TimeUnit.MILLISECONDS.toNanos(startedMillis));
+			this.table = new QuotaTable(WINDOW_MILLIS, TimeUnit.MILLISECONDS.toNanos(startedMillis),
+					QuotaFleet.this.random::nextDouble);
+			this.fleet = new Fleet(this.process.hashCode());
+			for (int other = 0; other < QuotaFleet.this.count; other++) {
+				if (other != index) {
+					this.fleet.found("gateway-" + other, nowNanos());
+				}
+			}
+			this.fleet.complete();
 			this.nextTellMillis = startedMillis + QuotaFleet.this.random.nextInt((int) TELL_MILLIS);
 			this.nextTickMillis = startedMillis + QuotaFleet.this.random.nextInt(TICK_MILLIS);
 		}
@@ -236,8 +250,9 @@
 		private void called(double units) {
 			QuotaFleet.this.askedUnits += units;
 			whenRunning(() -> {
+				this.table.sharing(this.fleet.sharing(nowNanos()));
 				if (this.table.take(SFAX, units, nowNanos()).waitMillis() == 0) {
-					QuotaFleet.this.uses.add(new Use(QuotaFleet.this.nowMillis, units));
+					QuotaFleet.this.passed.add(new Passed(QuotaFleet.this.nowMillis, units));
 				}
 			});
 		}
@@ -245,9 +260,8 @@
 		private void heard(Telling telling) {
 			if (!this.deafTo.getOrDefault(telling.from, false)) {
 				whenRunning(() -> {
-					this.heardMillis.put(telling.from, QuotaFleet.this.nowMillis);
-					this.table.usedByOther(telling.process, "sfax", telling.units,
-							telling.number * TELL_MILLIS < WINDOW_MILLIS, nowNanos());
+					this.fleet.heard(telling.report, nowNanos());
+					this.table.usedByOther(telling.process, "sfax", telling.use, nowNanos());
 				});
 			}
 		}
@@ -266,12 +280,6 @@
 				return;
 			}
 			this.nextTickMillis = QuotaFleet.this.nowMillis + TICK_MILLIS;
-			long heard = this.heardMillis.values()
-				.stream()
-				.filter((at) -> QuotaFleet.this.nowMillis - at < 1_000)
-				.count();
-			this.table.processes(1 + (int) heard);
-			this.table.heardPart((1.0 + heard) / QuotaFleet.this.gateways.size());
 			if (QuotaFleet.this.nowMillis >= this.nextTellMillis) {
 				this.nextTellMillis = QuotaFleet.this.nowMillis + TELL_MILLIS;
 				this.number++;
@@ -280,10 +288,15 @@
 		}
 
 		private void tell() {
+			Report report = new Report("gateway-" + this.index, this.process.hashCode(), this.number, false,
+					this.fleet.group(nowNanos()), this.fleet.confirmations(nowNanos()));
+			Use use = this.table.used(nowNanos()).getOrDefault("sfax", new Use(0, 0, false));
+			this.table.told(this.number, nowNanos());
+			this.fleet.told(this.number, nowNanos());
 			for (int to = 0; to < QuotaFleet.this.gateways.size(); to++) {
 				if (to != this.index) {
-					QuotaFleet.this.underWay.addLast(new Telling(this.index, to, this.process, this.number,
-							this.table.used().getOrDefault("sfax", 0.0), QuotaFleet.this.nowMillis + DELAY_MILLIS));
+					QuotaFleet.this.underWay.addLast(new Telling(this.index, to, this.process, report, use,
+							QuotaFleet.this.nowMillis + DELAY_MILLIS));
 				}
 			}
 		}
@@ -295,11 +308,11 @@
 	}
 
 	/** A report under way. */
-	private record Telling(int from, int to, String process, int number, double units, long arrives) {
+	private record Telling(int from, int to, String process, Report report, Use use, long arrives) {
 	}
 
 	/** A call that was let through. */
-	private record Use(long atMillis, double units) {
+	private record Passed(long atMillis, double units) {
 	}
 
 }
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
@@ -59,7 +59,7 @@
 		assertThat(fleet.worstWindow()).isLessThan(MOST);
 	}
 
-	private static void fault(QuotaFleet fleet, Random random, double asked) {
+	static void fault(QuotaFleet fleet, Random random, double asked) {
 		List<Integer> group = IntStream.range(0, 9).filter((_) -> random.nextInt(3) == 0).boxed().toList();
 		int one = random.nextInt(9);
 		long millis = 500 + random.nextInt(6_000);
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.rosemaryfront.quota.Fleet.Sharing;
+import org.rosemaryfront.quota.QuotaTable.Use;
 import org.rosemaryfront.routes.Organisation;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -23,7 +25,7 @@
 
 	private static final Organisation SFAX = organisation(100);
 
-	private final QuotaTable quotas = new QuotaTable(8_000, -8 * SECOND);
+	private final QuotaTable quotas = table(-8 * SECOND);
 
 	@Test
 	void shouldAllowRateTimesWindowAndBurst() {
@@ -55,9 +57,9 @@
 	// others; taken as used long ago, those were never counted.
 	@Test
 	void shouldCountWhatFreshProcessUsedBeforeItWasHeard() {
-		QuotaTable old = new QuotaTable(8_000, -8 * SECOND);
-		old.usedByOther("gateway-2", "sfax", 700, true, 0);
-		old.usedByOther("gateway-3", "sfax", 90_000, false, 0);
+		QuotaTable old = table(-8 * SECOND);
+		old.usedByOther("gateway-2", "sfax", new Use(700, 0, true), 0);
+		old.usedByOther("gateway-3", "sfax", new Use(90_000, 0, false), 0);
 		assertThat(old.take(SFAX, 0, 0).used()).isEqualTo(700);
 	}
 
@@ -65,18 +67,18 @@
 	// use and would let the whole pass nine times over.
 	@Test
 	void shouldCountWhatOtherProcessesTell() {
-		this.quotas.usedByOther("gateway-2", "sfax", 9_000, false, 0);
-		this.quotas.usedByOther("gateway-2", "sfax", 9_500, false, 0);
-		this.quotas.usedByOther("gateway-2", "sfax", 9_800, false, SECOND);
+		this.quotas.usedByOther("gateway-2", "sfax", new Use(9_000, 0, false), 0);
+		this.quotas.usedByOther("gateway-2", "sfax", new Use(9_500, 0, false), 0);
+		this.quotas.usedByOther("gateway-2", "sfax", new Use(9_800, 0, false), SECOND);
 		assertThat(this.quotas.take(SFAX, 51, 7 * SECOND).waitMillis()).isPositive();
 		assertThat(this.quotas.take(SFAX, 50, 7 * SECOND).waitMillis()).isZero();
 	}
 
 	@Test
 	void shouldCountEachTellingOnce() {
-		this.quotas.usedByOther("gateway-2", "sfax", 0, false, 0);
-		this.quotas.usedByOther("gateway-2", "sfax", 500, false, 0);
-		this.quotas.usedByOther("gateway-2", "sfax", 500, false, MILLI);
+		this.quotas.usedByOther("gateway-2", "sfax", new Use(0, 0, false), 0);
+		this.quotas.usedByOther("gateway-2", "sfax", new Use(500, 0, false), 0);
+		this.quotas.usedByOther("gateway-2", "sfax", new Use(500, 0, false), MILLI);
 		assertThat(this.quotas.take(SFAX, 170, 6 * SECOND).waitMillis()).isZero();
 		assertThat(this.quotas.take(SFAX, 170, 7 * SECOND + 900 * MILLI).waitMillis()).isZero();
 	}
@@ -125,7 +127,7 @@
 
 	@Test
 	void shouldExpectEachProcessToRefuseItsPart() {
-		this.quotas.processes(3);
+		this.quotas.sharing(new Sharing(3, 3, true, Integer.MAX_VALUE));
 		for (long second = 0; second < 8; second++) {
 			this.quotas.take(SFAX, 103, second * SECOND);
 		}
@@ -137,8 +139,8 @@
 	@Test
 	void shouldGiveBackUnitsOfCallThatDidNotRun() {
 		this.quotas.take(SFAX, 170, 0);
-		this.quotas.giveBack("sfax", 100);
-		assertThat(this.quotas.used().get("sfax")).isEqualTo(70);
+		this.quotas.giveBack("sfax", 100, 0, 0);
+		assertThat(this.quotas.used(0).get("sfax").units()).isEqualTo(70);
 		assertThat(this.quotas.take(SFAX, 100, 0).waitMillis()).isZero();
 	}
 
@@ -152,7 +154,7 @@
 	// know nothing of its use and let it have its whole window a second time.
 	@Test
 	void shouldTakeQuotaAsUsedBeforeTheStart() {
-		QuotaTable fresh = new QuotaTable(8_000, 0);
+		QuotaTable fresh = table(0);
 		double taken = 0;
 		for (long now = 0; now <= 4 * SECOND; now += 10 * MILLI) {
 			taken += (fresh.take(SFAX, 5, now).waitMillis() == 0) ? 5 : 0;
@@ -165,10 +167,10 @@
 	// only what it heard of, and together they let more pass than the quota.
 	@Test
 	void shouldStayWithinQuotaWhenProcessesAreCutOff() {
-		List<QuotaTable> joined = Stream.generate(() -> new QuotaTable(8_000, -8 * SECOND)).limit(6).toList();
-		List<QuotaTable> cut = Stream.generate(() -> new QuotaTable(8_000, -8 * SECOND)).limit(3).toList();
-		joined.forEach((table) -> table.heardPart(6 / 9.0));
-		cut.forEach((table) -> table.heardPart(1 / 9.0));
+		List<QuotaTable> joined = Stream.generate(() -> table(-8 * SECOND)).limit(6).toList();
+		List<QuotaTable> cut = Stream.generate(() -> table(-8 * SECOND)).limit(3).toList();
+		joined.forEach((table) -> table.sharing(new Sharing(9, 6, true, Integer.MAX_VALUE)));
+		cut.forEach((table) -> table.sharing(new Sharing(9, 1, true, Integer.MAX_VALUE)));
 		double[] used = new double[9];
 		for (long now = 0; now < 8_000; now += 10) {
 			for (int i = 0; i < 9; i++) {
@@ -176,7 +178,7 @@
 				used[i] += (table.take(SFAX, 3, now * MILLI).waitMillis() == 0) ? 3 : 0;
 				for (int j = 0; i < 6 && j < 6; j++) {
 					if (j != i) {
-						joined.get(j).usedByOther("gateway-" + i, "sfax", used[i], true, now * MILLI);
+						joined.get(j).usedByOther("gateway-" + i, "sfax", new Use(used[i], 0, true), now * MILLI);
 					}
 				}
 			}
@@ -191,7 +193,7 @@
 	@Test
 	void shouldStayWithinQuotaOverKillOfAllProcesses() {
 		double taken = flood(this.quotas, 0, 4_400);
-		taken += flood(new QuotaTable(8_000, 5_400 * MILLI), 5_400, 8_000);
+		taken += flood(table(5_400 * MILLI), 5_400, 8_000);
 		assertThat(taken).isBetween(700.0, 1.1 * 850);
 	}
 
@@ -232,6 +234,10 @@
 		}
 	}
 
+	private static QuotaTable table(long startedNanos) {
+		return new QuotaTable(8_000, startedNanos, new Random(1)::nextDouble);
+	}
+
 	private static Organisation organisation(double perSecond) {
 		return new Organisation("sfax", List.of("k"), OptionalInt.empty(), perSecond, 50, Organisation.Counts.REQUESTS,
 				1);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
@@ -38,9 +38,15 @@
 
 	private double units;
 
+	/** When its units were taken. */
+	private long takenNanos;
+
 	/** What of the quota was used of what is allowed, for the log. */
 	private String quota = "none";
 
+	/** What of that the others may not know of, and with whom it is shared. */
+	private String sharing = "none";
+
 	private boolean ran;
 
 	private int unsent;
@@ -62,8 +68,10 @@
 
 	// -- changes
 
-	void admitted(double taken, Taking taking) {
+	void admitted(double taken, Taking taking, long nowNanos) {
 		this.units = taken;
+		this.takenNanos = nowNanos;
+		this.sharing = String.format(Locale.ROOT, "%.0f/%s", taking.unconfirmed(), gateways(taking));
 		this.quota = String.format(Locale.ROOT, "%.0f/%.0f", taking.used(), taking.limit());
 	}
 
@@ -77,6 +85,15 @@
 		this.sentNanos = nowNanos;
 	}
 
+	/**
+	 * With whom the quota of a call was shared, for the log.
+	 * @param taking what came of the wish for units
+	 * @return the gateways of the group, of all that may serve callers
+	 */
+	static String gateways(Taking taking) {
+		return taking.sharing().group() + "/" + taking.sharing().members();
+	}
+
 	/** It did not reach the server that it was given to. */
 	void notSent() {
 		this.unsent++;
@@ -141,10 +158,18 @@
 		return this.units;
 	}
 
+	long takenNanos() {
+		return this.takenNanos;
+	}
+
 	String quota() {
 		return this.quota;
 	}
 
+	String sharing() {
+		return this.sharing;
+	}
+
 	boolean ran() {
 		return this.ran;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.stream.Collectors;
 
 import org.rosemaryfront.dispatch.BackendServer;
@@ -22,6 +23,8 @@
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.ports.CallTerms.Prompt;
 import org.rosemaryfront.program.ControlLoop;
+import org.rosemaryfront.quota.Fleet;
+import org.rosemaryfront.quota.Fleet.Sharing;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.quota.QuotaTable.Taking;
 import org.rosemaryfront.routes.Organisation;
@@ -78,6 +81,11 @@
 
 	private final QuotaTable quotas;
 
+	private final Fleet fleet;
+
+	/** Notices that this process stood still, at the time given. */
+	private final LongConsumer pauses;
+
 	private final UsageLedger usage;
 
 	/** Calls under way with what was progress about them. */
@@ -100,12 +108,14 @@
 	/** The prompt tokens that calls sent to servers were expected to make them read. */
 	private long readingTokens;
 
-	GatewayControl(ControlLoop loop, BackendTable servers, GatewaySettings settings, QuotaTable quotas,
-			UsageLedger usage) {
+	GatewayControl(ControlLoop loop, BackendTable servers, GatewaySettings settings, QuotaTable quotas, Fleet fleet,
+			UsageLedger usage, LongConsumer pauses) {
 		this.loop = loop;
 		this.servers = servers;
 		this.dispatcher = new Dispatcher(servers, settings.zone());
 		this.quotas = quotas;
+		this.fleet = fleet;
+		this.pauses = pauses;
 		this.usage = usage;
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed(),
@@ -174,33 +184,50 @@
 
 	@Override
 	public void dropped(Call call) {
-		this.loop.post((_) -> Optional.ofNullable(this.calls.remove(call))
+		this.loop.post((now) -> Optional.ofNullable(this.calls.remove(call))
 			.filter((progress) -> !progress.ran())
-			.ifPresent((progress) -> giveBack(call, progress)));
+			.ifPresent((progress) -> giveBack(call, progress, now)));
 	}
 
 	// -- decisions, on the control thread
 
 	private void admit(Call call, long now) {
 		CallProgress progress = CallProgress.of(call);
-		if (call.organisation().isPresent()) {
-			Organisation organisation = call.organisation().get();
-			double units = units(call, organisation);
-			Taking taking = this.quotas.take(current(organisation), units, now);
-			long wait = taking.waitMillis();
-			if (wait > 0) {
-				call.refuse(429, wait + ThreadLocalRandom.current().nextLong(wait / 2 + 1),
-						Refusal.of(Cause.QUOTA, String.format(Locale.ROOT, "%.0f of %.0f units used, %.0f asked",
-								taking.used(), taking.limit(), units)));
-				return;
-			}
-			progress.admitted(units, taking);
+		if (call.organisation().isPresent() && !takeUnits(call, current(call.organisation().get()), progress, now)) {
+			return;
 		}
 		this.calls.put(call, progress);
 		this.retries.first(call.service(), now);
 		dispatch(call, progress, now);
 	}
 
+	// Whether the call may go on; it is refused otherwise.
+	private boolean takeUnits(Call call, Organisation organisation, CallProgress progress, long now) {
+		// Calls that came while this process stood still are decided before it has read
+		// what the others told meanwhile.
+		this.pauses.accept(now);
+		Sharing sharing = this.fleet.sharing(now);
+		if (organisation.unitsPerSecond() > 0 && !sharing.isKnown()) {
+			call.refuse(503, fullRetryMillis(),
+					Refusal.of(Cause.GATEWAYS_UNKNOWN, "the gateways that share the quota are not known yet"));
+			return false;
+		}
+		this.quotas.sharing(sharing);
+		double units = units(call, organisation);
+		Taking taking = this.quotas.take(organisation, units, now);
+		long wait = taking.waitMillis();
+		if (wait > 0) {
+			call.refuse(429, wait + ThreadLocalRandom.current().nextLong(wait / 2 + 1),
+					Refusal.of(Cause.QUOTA,
+							String.format(Locale.ROOT,
+									"%.0f of %.0f units used, %.0f asked, %.0f unconfirmed, gateways %s", taking.used(),
+									taking.limit(), units, taking.unconfirmed(), CallProgress.gateways(taking))));
+			return false;
+		}
+		progress.admitted(units, taking, now);
+		return true;
+	}
+
 	private void dispatch(Call call, CallProgress progress, long now) {
 		switch (this.dispatcher.choose(wish(call, progress, now), progress.tried(), now)) {
 			case Choice.Chosen chosen -> send(call, progress, chosen, now);
@@ -247,12 +274,12 @@
 		BackendServer server = chosen.server();
 		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "route", call.route().name(), "organisation",
 				call.organisation().map(Organisation::name).orElse("none"), "units", Math.round(progress.units()),
-				"quota", progress.quota(), "parts", call.terms().prompt().map(Prompt::partList).orElse("none"),
-				"targetMillis", call.route().targetMillis(), "server", server.id(), "zone", server.zone(), "load",
-				chosen.load(), "unreadTokens", chosen.unreadTokens(), "fetchFrom",
-				chosen.fetchFrom().map(BackendServer::id).orElse("none"), "expectedMillis", chosen.expectedMillis(),
-				"candidates", chosen.candidates(), "serversVersion", this.serversVersion, "serversAgeMillis",
-				(now - this.serversNanos) / NANOS_PER_MILLI, "configuration",
+				"quota", progress.quota(), "unconfirmed", progress.sharing(), "parts",
+				call.terms().prompt().map(Prompt::partList).orElse("none"), "targetMillis", call.route().targetMillis(),
+				"server", server.id(), "zone", server.zone(), "load", chosen.load(), "unreadTokens",
+				chosen.unreadTokens(), "fetchFrom", chosen.fetchFrom().map(BackendServer::id).orElse("none"),
+				"expectedMillis", chosen.expectedMillis(), "candidates", chosen.candidates(), "serversVersion",
+				this.serversVersion, "serversAgeMillis", (now - this.serversNanos) / NANOS_PER_MILLI, "configuration",
 				this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
 				call.remainingMillis(now));
 		progress.sent(chosen, now);
@@ -318,10 +345,10 @@
 		progress.server().ifPresent((server) -> this.servers.read(server, tokens));
 	}
 
-	private void giveBack(Call call, CallProgress progress) {
+	private void giveBack(Call call, CallProgress progress, long now) {
 		double units = progress.takeUnits();
 		if (units > 0) {
-			this.quotas.giveBack(call.organisation().orElseThrow().name(), units);
+			this.quotas.giveBack(call.organisation().orElseThrow().name(), units, progress.takenNanos(), now);
 		}
 	}
 
@@ -385,9 +412,12 @@
 			.ifPresent(call::serverGone));
 	}
 
+	/**
+	 * Takes how many gateways share connections to servers and retries.
+	 * @param count the gateways that may serve callers, heard or not
+	 */
 	void gateways(int count) {
-		this.gateways = Math.max(1, count);
-		this.quotas.processes(count);
+		this.gateways = count;
 		this.retries.processes(count);
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -74,6 +74,9 @@
 	/** A datagram cannot be read. */
 	DATAGRAM_UNREADABLE(2832),
 
+	/** Quotas are shared with other gateways than before. */
+	QUOTA_SHARING(2833),
+
 	/** This process was paused or its VM was suspended. */
 	PAUSED(2840);
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -27,10 +27,11 @@
 import org.rosemaryfront.ports.RecordCodec;
 import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.ports.RowStore.Commit;
-import org.rosemaryfront.ports.RowStore.Range;
 import org.rosemaryfront.ports.RowStore.Row;
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.program.Program;
+import org.rosemaryfront.quota.Fleet;
+import org.rosemaryfront.quota.Fleet.Sharing;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.TrafficConfiguration;
@@ -55,9 +56,6 @@
 	/** The time between two reports to the other gateways, in nanoseconds. */
 	private static final long TELL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-	/** The time between two reads of the rows of gateways, in nanoseconds. */
-	private static final long PEERS_NANOS = TimeUnit.SECONDS.toNanos(10);
-
 	/** The time between two looks at the duties, in nanoseconds. */
 	private static final long DUTIES_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -81,6 +79,10 @@
 
 	private final QuotaTable quotas;
 
+	private final Fleet fleet = new Fleet(this.start);
+
+	private Sharing sharing = Sharing.UNKNOWN;
+
 	private final UsageLedger usage;
 
 	private final TrafficMetrics metrics = new TrafficMetrics();
@@ -114,8 +116,6 @@
 
 	private long nextTellNanos = System.nanoTime();
 
-	private long nextPeersNanos = System.nanoTime();
-
 	private long nextDutiesNanos = System.nanoTime();
 
 	private final PauseWatch pauses = new PauseWatch(System.nanoTime(), System.currentTimeMillis());
@@ -124,6 +124,8 @@
 
 	private final FollowedTable serversTable = new FollowedTable();
 
+	private final FollowedTable gatewaysTable = new FollowedTable();
+
 	private final PeerTables peerTables;
 
 	/** Where other gateways serve their tables; written by the control thread. */
@@ -133,21 +135,25 @@
 
 	private TableWatch serversWatch;
 
+	private TableWatch gatewaysWatch;
+
 	private GatewayProcess(GatewaySettings settings, Platform platform, LoopResources loops) {
 		this.settings = settings;
 		this.platform = platform;
 		this.loops = loops;
-		this.quotas = new QuotaTable(settings.bounds().quotaWindowMillis(), System.nanoTime());
+		this.quotas = new QuotaTable(settings.bounds().quotaWindowMillis(), System.nanoTime(),
+				ThreadLocalRandom.current()::nextDouble);
 		this.usage = new UsageLedger(settings.bounds().usageWindowMillis());
 		this.control = ControlLoop.start("control", TICK, this::tick);
-		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.usage);
+		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.fleet, this.usage,
+				this::notePause);
 		// The thread of all sockets. With a second one every answer of the store woke
 		// another thread, and the process died at times in a system call that both made.
 		EventLoop io = loops.onServer(false).next();
 		this.gateway = Gateway.open(io, settings.callers(), platform.calls(), this.decisions, this.metrics);
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
 				Map.of(platform.records().configuration().table(), this.configurationTable,
-						platform.records().servers(), this.serversTable));
+						platform.records().servers(), this.serversTable, GATEWAYS_TABLE, this.gatewaysTable));
 		this.peerTables = new PeerTables(loops, () -> this.tableAddresses);
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::heard);
 		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions,
@@ -155,7 +161,7 @@
 		this.lease = new DutyLease(platform.rows(), settings.name(), this.start, this::onControl);
 		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl,
 				this.lease::fenced);
-		this.reports = new GatewayReports(this.peers, this.servers, this.quotas, this.decisions, this.usage,
+		this.reports = new GatewayReports(this.peers, this.fleet, this.servers, this.quotas, this.decisions, this.usage,
 				this.usageDuty, settings.metrics().getPort());
 		this.sizeDuty = new SizeDuty(this.servers,
 				(service) -> this.decisions.dispatcher().model(service).tokensPerMilli(), platform.duties(),
@@ -216,6 +222,8 @@
 				this.news.configuration());
 		this.serversWatch = TableWatch.start(this.platform.rows(), this.platform.records().servers(), this.serversTable,
 				this.peerTables, this.news.servers());
+		this.gatewaysWatch = TableWatch.start(this.platform.rows(), GATEWAYS_TABLE, this.gatewaysTable, this.peerTables,
+				new GatewayNews());
 		announce();
 		this.started = true;
 	}
@@ -231,17 +239,14 @@
 		});
 	}
 
-	private void readPeers() {
-		this.platform.rows()
-			.read(new Range(GATEWAYS_TABLE, "", ""))
-			.subscribe((page) -> onControl(() -> page.rows().forEach(this::found)), (failure) -> EventLog
-				.info(GatewayEvents.ROW_CALL_FAILED, "row", "all", "call", "read", "cause", failure.getMessage()));
-	}
-
-	private void found(Row row) {
-		String address = new String(row.value().orElse(new byte[0]), StandardCharsets.UTF_8);
+	private void found(Row row, long now) {
+		if (row.value().isEmpty() || row.key().equals(this.settings.name())) {
+			return;
+		}
+		String address = new String(row.value().get(), StandardCharsets.UTF_8);
 		try {
 			this.peers.found(row.key(), Addresses.parse(address));
+			this.fleet.found(row.key(), now);
 		}
 		catch (IllegalArgumentException ex) {
 			EventLog.warn(GatewayEvents.ROW_CALL_FAILED, "row", row.key(), "call", "read", "cause", ex.getMessage());
@@ -271,13 +276,9 @@
 					server.service()));
 			this.gateway.retainServers(this.decisions.knownServers());
 		}
-		if (now - this.nextPeersNanos >= 0) {
-			this.nextPeersNanos = now + PEERS_NANOS;
-			readPeers();
-		}
 		if (now - this.nextTellNanos >= 0) {
 			this.nextTellNanos = now + TELL_NANOS;
-			this.reports.tell(false);
+			this.reports.tell(false, now);
 		}
 		if (now - this.nextDutiesNanos >= 0) {
 			this.nextDutiesNanos = now + DUTIES_NANOS;
@@ -299,17 +300,28 @@
 			case Finding.Suspended suspended -> {
 				EventLog.warn(GatewayEvents.PAUSED, "millis", suspended.millis(), "monotonicMillis",
 						suspended.monotonicMillis());
-				// Another process holds the lease by now.
+				// Another process holds the lease by now, and what the others told is
+				// old.
 				this.lease.fenced();
+				this.fleet.forgetConfirmations();
 			}
 		}
 	}
 
+	private void noteSharing(long now) {
+		Sharing before = this.sharing;
+		this.sharing = this.fleet.sharing(now);
+		if (!this.sharing.hasGroupOf(before)) {
+			EventLog.info(GatewayEvents.QUOTA_SHARING, "gateways", this.sharing.group(), "of", this.sharing.members(),
+					"agreed", this.sharing.agreed());
+		}
+	}
+
 	private void duties(long now) {
 		this.peers.silent(now).forEach((gateway) -> this.servers.othersAt(gateway, Map.of()));
 		this.tableAddresses = this.peers.tableAddresses();
-		this.decisions.gateways(this.peers.living());
-		this.quotas.heardPart(this.peers.heardPart(now));
+		this.decisions.gateways(this.fleet.serving(now));
+		noteSharing(now);
 		this.lease.gateways(this.peers.living());
 		this.lease.tick(now);
 		long epochMillis = System.currentTimeMillis();
@@ -369,6 +381,7 @@
 		this.gateway.close();
 		this.configurationWatch.close();
 		this.serversWatch.close();
+		this.gatewaysWatch.close();
 		this.admin.close();
 		this.control.close();
 		this.peers.close();
@@ -378,7 +391,7 @@
 	// Hands over what is known so far, while calls still end.
 	private void leave() {
 		writeCounts();
-		this.control.post((_) -> this.reports.tell(true));
+		this.control.post((now) -> this.reports.tell(true, now));
 	}
 
 	private void writeCounts() {
@@ -398,6 +411,38 @@
 		}
 	}
 
+	/**
+	 * Takes news of other gateways. Until the table was read once, no quota is given out:
+	 * a process that takes itself for the only gateway gives out the whole, and so does
+	 * each of the others.
+	 */
+	private final class GatewayNews implements TableWatch.Listener {
+
+		@Override
+		public void all(List<Row> rows, long version) {
+			GatewayProcess.this.control.post((now) -> {
+				rows.forEach((row) -> found(row, now));
+				GatewayProcess.this.fleet.complete();
+			});
+		}
+
+		@Override
+		public void changed(List<Row> rows, long version) {
+			GatewayProcess.this.control.post((now) -> rows.forEach((row) -> found(row, now)));
+		}
+
+		@Override
+		public void lost() {
+			// The gateways known may go on serving.
+		}
+
+		@Override
+		public void regained() {
+			// What changed meanwhile follows as changes.
+		}
+
+	}
+
 	/**
 	 * What the platform offers.
 	 *
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import com.google.protobuf.ByteString;
 
@@ -20,7 +21,10 @@
 import org.rosemaryfront.gateway.proto.ServerUse;
 import org.rosemaryfront.gateway.proto.ServiceSpeed;
 import org.rosemaryfront.gateway.proto.UnwrittenUse;
+import org.rosemaryfront.quota.Fleet;
+import org.rosemaryfront.quota.Fleet.Confirmation;
 import org.rosemaryfront.quota.QuotaTable;
+import org.rosemaryfront.quota.QuotaTable.Use;
 
 /**
  * What gateways tell one another of their use of quotas and servers. Used on the control
@@ -28,16 +32,12 @@
  */
 final class GatewayReports {
 
-	/**
-	 * A gateway that sent no more reports than this started less than a window of quotas
-	 * (8 s) ago: it sends four a second.
-	 */
-	private static final int FRESH_REPORTS = 30;
-
 	private final PeerExchange peers;
 
 	private final BackendTable servers;
 
+	private final Fleet fleet;
+
 	private final QuotaTable quotas;
 
 	private final GatewayControl decisions;
@@ -53,10 +53,11 @@
 
 	private long othersReadingTotal;
 
-	GatewayReports(PeerExchange peers, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
+	GatewayReports(PeerExchange peers, Fleet fleet, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
 			UsageLedger usage, UsageDuty usageDuty, int adminPort) {
 		this.peers = peers;
 		this.servers = servers;
+		this.fleet = fleet;
 		this.quotas = quotas;
 		this.decisions = decisions;
 		this.usage = usage;
@@ -67,16 +68,21 @@
 	/**
 	 * Tells the other gateways.
 	 * @param leaving whether this gateway will not be heard again
+	 * @param now the time
 	 */
-	void tell(boolean leaving) {
+	void tell(boolean leaving, long now) {
 		Window window = this.usage.current(System.currentTimeMillis());
 		GatewayReport.Builder report = GatewayReport.newBuilder().setWindow(window.index());
-		this.quotas.used()
+		this.quotas.used(now)
 			.forEach((name,
-					units) -> report.addOrganisations(OrganisationUse.newBuilder()
+					use) -> report.addOrganisations(OrganisationUse.newBuilder()
 						.setOrganisation(name)
-						.setUnits(units)
+						.setUnits(use.units())
+						.setAsked(use.asked())
 						.setBegun(window.counts().getOrDefault(name, 0L).intValue())));
+		report.setFresh(this.quotas.isFresh(now)).setGroup(this.fleet.group(now));
+		this.fleet.confirmations(now)
+			.forEach((heard) -> report.addHeardStarts(heard.start()).addHeardNumbers(heard.number()));
 		this.usageDuty.handover()
 			.forEach((row) -> report.addUnwritten(UnwrittenUse.newBuilder()
 				.setWindow(row.window())
@@ -88,7 +94,9 @@
 			.forEach((service, model) -> report
 				.addSpeeds(ServiceSpeed.newBuilder().setService(service).addAllRates(model.learned())));
 		report.setReadingTokens(this.decisions.readingTokens()).setLeaving(leaving).setAdminPort(this.adminPort);
-		this.peers.tell(report);
+		int number = this.peers.tell(report);
+		this.fleet.told(number, now);
+		this.quotas.told(number, now);
 	}
 
 	private void addServers(GatewayReport.Builder report) {
@@ -119,10 +127,11 @@
 		}
 		GatewayReport report = heard.report();
 		String process = UsageDuty.process(report.getGateway(), report.getStart());
-		boolean fresh = report.getNumber() <= FRESH_REPORTS;
+		this.fleet.heard(fleetReport(report), now);
 		Map<String, Long> begun = new HashMap<>();
 		report.getOrganisationsList().forEach((use) -> {
-			this.quotas.usedByOther(process, use.getOrganisation(), use.getUnits(), fresh, now);
+			this.quotas.usedByOther(process, use.getOrganisation(),
+					new Use(use.getUnits(), use.getAsked(), report.getFresh()), now);
 			begun.put(use.getOrganisation(), (long) use.getBegun());
 		});
 		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
@@ -138,6 +147,15 @@
 		this.othersReading.put(process, report.getReadingTokens());
 	}
 
+	private static Fleet.Report fleetReport(GatewayReport report) {
+		int count = Math.min(report.getHeardStartsCount(), report.getHeardNumbersCount());
+		List<Confirmation> confirmed = IntStream.range(0, count)
+			.mapToObj((i) -> new Confirmation(report.getHeardStarts(i), report.getHeardNumbers(i)))
+			.toList();
+		return new Fleet.Report(report.getGateway(), report.getStart(), report.getNumber(), report.getLeaving(),
+				report.getGroup(), confirmed);
+	}
+
 	private void heardParts(ServerUse use) {
 		int count = Math.min(use.getPartsCount(), use.getPartTokensCount());
 		if (count == 0) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -23,18 +23,6 @@
 	/** After this time without a report a gateway counts as gone, in nanoseconds. */
 	private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-	/**
-	 * After this time without a report a gateway counts as unheard: four reports are
-	 * missing.
-	 */
-	private static final long UNHEARD_NANOS = TimeUnit.SECONDS.toNanos(1);
-
-	/**
-	 * For this time an unheard gateway is taken to serve callers behind a cut; cuts of
-	 * twelve seconds were seen.
-	 */
-	private static final long CUT_NANOS = TimeUnit.SECONDS.toNanos(30);
-
 	private final String self;
 
 	private final int start;
@@ -82,13 +70,15 @@
 	/**
 	 * Tells all gateways.
 	 * @param report what to tell, without the sender
+	 * @return the number of the report
 	 */
-	void tell(GatewayReport.Builder report) {
+	int tell(GatewayReport.Builder report) {
 		this.number++;
 		byte[] bytes = report.setGateway(this.self).setStart(this.start).setNumber(this.number).build().toByteArray();
 		for (Peer peer : this.peers.values()) {
 			this.socket.send(peer.address, bytes);
 		}
+		return this.number;
 	}
 
 	// -- hearing
@@ -125,7 +115,6 @@
 		peer.start = report.getStart();
 		peer.number = report.getNumber();
 		peer.heard = !report.getLeaving();
-		peer.left = report.getLeaving();
 		peer.heardNanos = nowNanos;
 		peer.adminPort = report.getAdminPort();
 		return true;
@@ -157,18 +146,6 @@
 		return 1 + (int) this.peers.values().stream().filter((peer) -> peer.heard).count();
 	}
 
-	/**
-	 * The part of the gateways that this one hears, itself included. The others may be
-	 * dead, or serve callers behind a cut.
-	 * @param nowNanos the time
-	 * @return the part, 1 when none is missing
-	 */
-	double heardPart(long nowNanos) {
-		long serving = 1 + this.peers.values().stream().filter((peer) -> peer.mayServe(nowNanos)).count();
-		long heard = 1 + this.peers.values().stream().filter((peer) -> peer.isHeard(nowNanos)).count();
-		return (double) heard / serving;
-	}
-
 	/**
 	 * Where the gateways that live serve the tables that they follow.
 	 * @return the addresses
@@ -205,21 +182,10 @@
 
 		private boolean heard;
 
-		private long heardNanos = System.nanoTime();
-
-		/** Whether it said that it will not be heard again. */
-		private boolean left;
+		private long heardNanos;
 
 		private int adminPort;
 
-		private boolean mayServe(long nowNanos) {
-			return !this.left && nowNanos - this.heardNanos < CUT_NANOS;
-		}
-
-		private boolean isHeard(long nowNanos) {
-			return this.heard && nowNanos - this.heardNanos < UNHEARD_NANOS;
-		}
-
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
@@ -29,6 +29,9 @@
 		/** The organisation has used its quota. */
 		QUOTA,
 
+		/** It is not known yet which gateways share the quota. */
+		GATEWAYS_UNKNOWN,
+
 		/** No server can begin it in time. */
 		NO_ROOM,
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -38,7 +38,9 @@
 
 	private static final long QUOTA_WINDOW_MILLIS = 8_000;
 
-	/** Over by the first call, so that the fixed part of the retries is there. */
+	/**
+	 * Waited for before the first call, so that the fixed part of the retries is there.
+	 */
 	private static final long RETRY_WINDOW_MILLIS = 10;
 
 	private static final int FIRST_PORT = 20_000;
@@ -62,6 +64,8 @@
 
 	private final List<String> registered = new ArrayList<>();
 
+	private final long startedNanos;
+
 	private GatewayHarness(String name, long usageWindowMillis, MemoryRowStore store, PlainCodecs codecs) {
 		this(name, usageWindowMillis, STOP_MILLIS, store, codecs);
 	}
@@ -82,6 +86,7 @@
 		this.process = GatewayProcess.start(this.settings,
 				new Platform(this.codecs, this.access, this.codecs, this.duties),
 				LoopResources.create("test", 1, true));
+		this.startedNanos = System.nanoTime();
 	}
 
 	static GatewayHarness start() {
@@ -170,9 +175,11 @@
 
 	/**
 	 * Waits until callers may come and the servers registered so far are known: the two
-	 * tables are followed apart, so that the configuration can come first.
+	 * tables are followed apart, so that the configuration can come first. Retries come a
+	 * window after the start.
 	 */
 	GatewayHarness ready() throws IOException {
+		await(() -> System.nanoTime() - this.startedNanos > RETRY_WINDOW_MILLIS * 1_000_000);
 		await(() -> readiness() == 200 && this.registered.stream().allMatch(this.process::knows));
 		return this;
 	}
