--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/FleetTests.java
@@ -0,0 +1,156 @@
+package org.rosemaryfront.quota;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.rosemaryfront.quota.Fleet.Confirmation;
+import org.rosemaryfront.quota.Fleet.Report;
+import org.rosemaryfront.quota.Fleet.Sharing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FleetTests {
+
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private static final int SELF = 11;
+
+	private final Fleet fleet = new Fleet(SELF);
+
+	@BeforeEach
+	void find() {
+		this.fleet.found("gateway-2", 0);
+		this.fleet.found("gateway-3", 0);
+		this.fleet.told(1, 0);
+	}
+
+	// A process starts while the store is away. Nobody told it of other gateways yet; it
+	// took itself for the only one and gave out every quota as a whole.
+	@Test
+	void shouldHaveNoPartBeforeTableOfGatewaysWasRead() {
+		assertThat(new Fleet(SELF).sharing(0).isKnown()).isFalse();
+		assertThat(new Fleet(SELF).sharing(0).part()).isZero();
+	}
+
+	@Test
+	void shouldHaveItsOwnPartBeforeAnyoneConfirms() {
+		this.fleet.complete();
+		assertThat(this.fleet.sharing(0)).isEqualTo(new Sharing(3, 1, true, 1));
+	}
+
+	@Test
+	void shouldShareWithThoseThatConfirm() {
+		this.fleet.complete();
+		hear(2, 1, 0);
+		hear(3, 1, 0);
+		assertThat(this.fleet.sharing(0).group()).isEqualTo(3);
+	}
+
+	// Reports arrive from a gateway that hears nobody: it lets its own part pass, so that
+	// what it tells must not count as shared.
+	@Test
+	void shouldNotShareWithGatewayThatDoesNotHearThisOne() {
+		this.fleet.complete();
+		hear(2, 1, 0);
+		hear(3, 0, 0);
+		assertThat(this.fleet.sharing(0).group()).isEqualTo(2);
+	}
+
+	// The process stood still. What waited in its socket arrives all at once at its wake,
+	// and is as old as the pause.
+	@Test
+	void shouldNotShareByReportsThatWaitedInASocket() {
+		this.fleet.complete();
+		hear(2, 1, 4 * SECOND);
+		assertThat(this.fleet.sharing(4 * SECOND).group()).isEqualTo(1);
+		this.fleet.told(2, 4 * SECOND);
+		hear(2, 2, 4 * SECOND);
+		assertThat(this.fleet.sharing(4 * SECOND).group()).isEqualTo(2);
+	}
+
+	// While a VM is suspended its monotonic clock stands still, so that reports from
+	// before look recent at its wake.
+	@Test
+	void shouldNotShareByReportsFromBeforeSuspension() {
+		this.fleet.complete();
+		this.fleet.forgetConfirmations();
+		hear(2, 1, 0);
+		assertThat(this.fleet.sharing(0).group()).isEqualTo(1);
+	}
+
+	@Test
+	void shouldNotTakeConfirmationOfItsEarlierStart() {
+		this.fleet.complete();
+		this.fleet.heard(new Report("gateway-2", 2, 1, false, 0, List.of(new Confirmation(SELF + 1, 1))), 0);
+		assertThat(this.fleet.sharing(0).group()).isEqualTo(1);
+	}
+
+	@Test
+	void shouldConfirmWhatItHeardOfLateOnly() {
+		hear(2, 1, 0);
+		assertThat(this.fleet.confirmations(SECOND / 2)).containsExactly(new Confirmation(2, 1));
+		assertThat(this.fleet.confirmations(2 * SECOND)).isEmpty();
+	}
+
+	@Test
+	void shouldNameLastReportThatAllConfirm() {
+		this.fleet.complete();
+		this.fleet.told(2, SECOND / 4);
+		hear(2, 2, SECOND / 4);
+		hear(3, 1, SECOND / 4);
+		assertThat(this.fleet.sharing(SECOND / 4).confirmed()).isEqualTo(1);
+	}
+
+	// Two gateways do not hear each other, and both hear this one: their groups overlap.
+	// They see a change of the group at different moments, so that differing for a moment
+	// says nothing.
+	@ParameterizedTest
+	@CsvSource({ "0.5, true", "1.2, false" })
+	void shouldSeeWhenGroupsDifferForLong(double seconds, boolean agreed) {
+		this.fleet.complete();
+		hear(2, 1, 0);
+		this.fleet.sharing(0);
+		long now = (long) (seconds * SECOND);
+		this.fleet.told(2, now);
+		hear(2, 2, now);
+		assertThat(this.fleet.sharing(now).agreed()).isEqualTo(agreed);
+	}
+
+	@Test
+	void shouldForgetGatewayThatLeft() {
+		this.fleet.complete();
+		this.fleet.heard(new Report("gateway-2", 2, 1, true, 0, List.of()), 0);
+		assertThat(this.fleet.serving(0)).isEqualTo(2);
+	}
+
+	// One of three gateways is dead for good: its part is lost until the others take it
+	// over. On the smaller side of a cut they must not: the larger side does.
+	@ParameterizedTest
+	@CsvSource({ "true, 2", "false, 3" })
+	void shouldTakeOverPartOfSilentGatewayOnlyAmongMost(boolean second, int serving) {
+		if (second) {
+			hear(2, 1, 29 * SECOND);
+		}
+		assertThat(this.fleet.serving(29 * SECOND)).isEqualTo(3);
+		assertThat(this.fleet.serving(31 * SECOND)).isEqualTo(serving);
+	}
+
+	@Test
+	void shouldCountGatewayAgainThatWasTakenForDead() {
+		hear(2, 1, 29 * SECOND);
+		assertThat(this.fleet.serving(31 * SECOND)).isEqualTo(2);
+		hear(3, 1, 32 * SECOND);
+		assertThat(this.fleet.serving(32 * SECOND)).isEqualTo(3);
+	}
+
+	private void hear(int start, int confirmed, long nowNanos) {
+		this.fleet.heard(new Report("gateway-" + start, start, 1, false, 0, List.of(new Confirmation(SELF, confirmed))),
+				nowNanos);
+	}
+
+}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
@@ -144,6 +144,69 @@
 		assertThat(this.quotas.take(SFAX, 100, 0).waitMillis()).isZero();
 	}
 
+	// A call waits four seconds at a server that then says that it did not run it. Its
+	// units came off the newest use, and left the window once more with the second in
+	// which they were taken: what others of the same organisation really used since was
+	// let through a second time.
+	@Test
+	void shouldCountWhatRanOnceUnitsOfEarlierCallCameBack() {
+		double[] used = new double[16];
+		assertThat(this.quotas.take(SFAX, 160, 0).waitMillis()).isZero();
+		for (int second = 1; second < 16; second++) {
+			if (second == 4) {
+				this.quotas.giveBack("sfax", 160, 0, 4 * SECOND);
+			}
+			for (int i = 0; i < 100; i++) {
+				used[second] += (this.quotas.take(SFAX, 2, second * SECOND).waitMillis() == 0) ? 2 : 0;
+			}
+			double window = 0;
+			for (int i = Math.max(0, second - 7); i <= second; i++) {
+				window += used[i];
+			}
+			assertThat(window).isLessThanOrEqualTo(850);
+		}
+	}
+
+	@Test
+	void shouldNotGiveBackWhatHasLeftTheWindow() {
+		this.quotas.take(SFAX, 100, 0);
+		this.quotas.take(SFAX, 100, 9 * SECOND);
+		this.quotas.giveBack("sfax", 100, 0, 9 * SECOND);
+		assertThat(this.quotas.take(SFAX, 0, 9 * SECOND).used()).isEqualTo(100);
+	}
+
+	// Nine gateways share a quota of which 400 units are left. What one takes before the
+	// others confirm that they know is no more than its share in what all ask for.
+	@Test
+	void shouldTakeItsShareOfWhatIsLeftUntilOthersConfirm() {
+		this.quotas.sharing(new Sharing(9, 9, true, 0));
+		this.quotas.usedByOther("gateway-2", "sfax", new Use(450, 270, true), 7 * SECOND);
+		assertThat(takenOfTens(30, 8 * SECOND - MILLI)).isBetween(10, 100);
+		this.quotas.told(1, 8 * SECOND - MILLI);
+		this.quotas.sharing(new Sharing(9, 9, true, 1));
+		assertThat(this.quotas.take(SFAX, 10, 8 * SECOND - MILLI).unconfirmed()).isZero();
+	}
+
+	private int takenOfTens(int calls, long now) {
+		int taken = 0;
+		for (int i = 0; i < calls; i++) {
+			taken += (this.quotas.take(SFAX, 10, now).waitMillis() == 0) ? 10 : 0;
+		}
+		return taken;
+	}
+
+	// A gateway hears two others that do not hear each other. Were each of these to take
+	// the part of the two that it hears, the middle one's part would be used twice.
+	@Test
+	void shouldTakePartOfOneGatewayWhereGroupsOverlap() {
+		this.quotas.sharing(new Sharing(3, 2, false, Integer.MAX_VALUE));
+		double taken = 0;
+		for (long now = 0; now < 8 * SECOND; now += 10 * MILLI) {
+			taken += (this.quotas.take(SFAX, 1, now).waitMillis() == 0) ? 1 : 0;
+		}
+		assertThat(taken).isEqualTo(Math.floor(850 / 3.0));
+	}
+
 	@Test
 	void shouldBindLowerQuotaAtOnce() {
 		this.quotas.take(SFAX, 170, 0);
