--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/CallStory.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/CallStory.java
@@ -26,8 +26,6 @@
 
 	private String reason = "";
 
-	private double answerMillis;
-
 	/** The time to the first part of its answer; absent when it did not come in parts. */
 	private OptionalDouble firstMillis = OptionalDouble.empty();
 
@@ -77,7 +75,7 @@
 	}
 
 	private void answered(LogEvent event) {
-		this.answerMillis = event.number("millis", 0);
+		double millis = event.number("millis", 0);
 		double first = event.number("firstMillis", -1);
 		this.firstMillis = (first >= 0) ? OptionalDouble.of(first) : OptionalDouble.empty();
 		boolean good = event.number("status", 0) < 300;
@@ -86,8 +84,7 @@
 			this.ending = Ending.FAILED;
 		}
 		else {
-			this.ending = (this.firstMillis.orElse(this.answerMillis) <= this.targetMillis) ? Ending.IN_TIME
-					: Ending.LATE;
+			this.ending = (this.firstMillis.orElse(millis) <= this.targetMillis) ? Ending.IN_TIME : Ending.LATE;
 		}
 	}
 
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/LogEvent.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/LogEvent.java
@@ -27,6 +27,8 @@
 	private static final Pattern LINE = Pattern.compile(
 			"^(?:\\s*(-?\\d+(?:\\.\\d+)?)\\s+(\\S+)\\s+)?(\\d{4}-\\d\\d-\\d\\d \\d\\d:\\d\\d:\\d\\d\\.\\d{3})\\s+[A-Z]+\\s+E\\d{4} ([A-Z_]+)((?: .*)?)$");
 
+	private static final Pattern OURS = Pattern.compile(".*\\d\\d:\\d\\d\\.\\d{3}\\s+[A-Z]+\\s+E\\d{4}.*");
+
 	private static final Pattern FIELD = Pattern.compile("\\G ([A-Za-z]+)=(\"[^\"]*\"|[^\\s\"]+)");
 
 	/**
@@ -56,7 +58,7 @@
 	 * @return false for what other programs print
 	 */
 	static boolean isOurs(String line) {
-		return line.matches(".*\\d\\d:\\d\\d\\.\\d{3}\\s+[A-Z]+\\s+E\\d{4}.*");
+		return OURS.matcher(line).matches();
 	}
 
 	private static OptionalDouble second(String collected, String written) {
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Report.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Report.java
@@ -1,7 +1,6 @@
 package org.rosemaryfront.report;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -243,17 +242,14 @@
 	}
 
 	private String firstTokenLine() {
-		Deciles deciles = firstTokenDeciles(this.calls.values());
-		return (deciles.count() == 0) ? "nothing was expected"
-				: String.format(Locale.ROOT, "deciles %s, of %d calls", deciles, deciles.count());
-	}
-
-	static Deciles firstTokenDeciles(Collection<CallStory> calls) {
-		return Deciles.of(calls.stream()
+		Deciles deciles = Deciles.of(this.calls.values()
+			.stream()
 			.map(CallStory::firstAgainstExpected)
 			.filter(OptionalDouble::isPresent)
 			.mapToDouble(OptionalDouble::getAsDouble)
 			.toArray());
+		return (deciles.count() == 0) ? "nothing was expected"
+				: String.format(Locale.ROOT, "deciles %s, of %d calls", deciles, deciles.count());
 	}
 
 	private String sharedLine() {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -78,12 +78,11 @@
 	}
 
 	// Guards against a server that starts again under its id: it has none of the calls
-	// and
-	// cached prompts that were noted for it, and calls that are still counted there would
-	// keep others away, or end as its own and hide those that it really runs.
+	// and cached prompts that were noted for it, and calls that are still counted there
+	// would keep others away, or end as its own and hide those that it really runs.
 	private boolean put(BackendServer server, OptionalLong registeredNanos) {
 		BackendRow known = this.rows.get(server.id());
-		if (known == null || !known.server.start().equals(server.start())) {
+		if (known == null || isOtherStart(server)) {
 			this.rows.put(server.id(), new BackendRow(server, registeredNanos));
 			return true;
 		}
@@ -94,6 +93,15 @@
 		return changed;
 	}
 
+	/**
+	 * Whether another start of a server is known under its id.
+	 * @param server the server
+	 * @return true when it starts again with this registration
+	 */
+	public boolean isOtherStart(BackendServer server) {
+		return find(server.id()).filter((known) -> !known.start().equals(server.start())).isPresent();
+	}
+
 	/**
 	 * Takes a registration that cannot be read: the server gets no new calls until one
 	 * comes that can.
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/FirstTokenModel.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/FirstTokenModel.java
@@ -160,11 +160,6 @@
 		return solution;
 	}
 
-	@Override
-	public String toString() {
-		return Arrays.toString(this.rates);
-	}
-
 	/**
 	 * What a server does until the first token of a call.
 	 *
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizeOrders.java
@@ -54,15 +54,14 @@
 		List<Size> sizes = new ArrayList<>();
 		boolean shortOf = isShort(plan, present);
 		plan.zones().forEach((zone, planned) -> {
-			int here = present.getOrDefault(zone, ZoneSize.NONE).reclaimable();
+			int here = at(present, zone).reclaimable();
 			int wanted = shortOf ? Math.max(planned.reclaimable(), here) : planned.reclaimable();
 			order(service, new Size(service.name(), zone, wanted, true), here, nowNanos).ifPresent(sizes::add);
 		});
 		Fallback fallback = fallback(service, plan, present);
 		plan.zones().forEach((zone, planned) -> {
 			Size lasting = new Size(service.name(), zone, planned.lasting() + fallback.servers(zone), false);
-			order(service, lasting, present.getOrDefault(zone, ZoneSize.NONE).lasting(), nowNanos)
-				.ifPresent(sizes::add);
+			order(service, lasting, at(present, zone).lasting(), nowNanos).ifPresent(sizes::add);
 		});
 		return sizes;
 	}
@@ -74,8 +73,7 @@
 		return plan.zones()
 			.entrySet()
 			.stream()
-			.anyMatch((zone) -> present.getOrDefault(zone.getKey(), ZoneSize.NONE).reclaimable() < zone.getValue()
-				.reclaimable());
+			.anyMatch((zone) -> at(present, zone.getKey()).reclaimable() < zone.getValue().reclaimable());
 	}
 
 	// The on-demand servers beyond the plan: those that are there and cannot be spared
@@ -83,7 +81,7 @@
 	private Fallback fallback(ServiceSpec service, Plan plan, Map<String, ZoneSize> present) {
 		Fallback fallback = new Fallback();
 		plan.zones().forEach((zone, planned) -> {
-			ZoneSize here = present.getOrDefault(zone, ZoneSize.NONE);
+			ZoneSize here = at(present, zone);
 			int missing = Math.max(0, planned.reclaimable() - here.reclaimable());
 			int kept = Math.clamp(here.lasting() - planned.lasting(), 0, missing);
 			boolean refused = isRefused(reclaimable(service, zone, planned));
@@ -190,6 +188,10 @@
 		return Optional.ofNullable(this.orders.get(size.sort())).filter((order) -> order.size.equals(size));
 	}
 
+	private static ZoneSize at(Map<String, ZoneSize> present, String zone) {
+		return present.getOrDefault(zone, ZoneSize.NONE);
+	}
+
 	private static int all(Map<String, ZoneSize> present) {
 		return present.values().stream().mapToInt(ZoneSize::servers).sum();
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/SizePlan.java
@@ -181,10 +181,9 @@
 	 * @param serverTokensPerSecond the prompt tokens that one server reads in a second
 	 * beside its other work
 	 * @param running the calls running
-	 * @param present its servers
-	 * @param lasting those of them that cannot be reclaimed
+	 * @param lasting its servers that cannot be reclaimed
 	 */
-	public record Demand(double tokensPerSecond, double serverTokensPerSecond, int running, int present, int lasting) {
+	public record Demand(double tokensPerSecond, double serverTokensPerSecond, int running, int lasting) {
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -141,8 +141,8 @@
 	}
 
 	// All processes are killed and start again before servers that ran all the while.
-	// Took
-	// they them as new, with every prompt to be read anew, they refused what was due.
+	// Taken as new, with every prompt to be read anew, they refused what was
+	// due.
 	@Test
 	void shouldTakeServersFoundAtStartAsWarm() {
 		BackendTable restarted = new BackendTable();
@@ -212,10 +212,8 @@
 	}
 
 	// A server crashes two seconds into a stream that may go on elsewhere. Its first
-	// token
-	// was due long ago: refused for that, each such stream broke off in its caller's
-	// hands
-	// while other servers were idle.
+	// token was due long ago: refused for that, each such stream broke off in its
+	// caller's hands while other servers were idle.
 	@ParameterizedTest
 	@CsvSource({ "true, 2000", "false, 0" })
 	void shouldNotRefuseForItsAgeWhatHasRun(boolean ran, long millisLeft) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/FirstTokenModelTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/FirstTokenModelTests.java
@@ -49,11 +49,7 @@
 	// of the service seem slow.
 	@Test
 	void shouldBoundWhatOneOddCallCounts() {
-		Random random = new Random(3);
-		for (int i = 0; i < 200; i++) {
-			Work work = work(random);
-			this.model.learn(work, millis(work, 12, 66, 0.3, 0.28));
-		}
+		teach(200, new Random(3), 66);
 		Work usual = Work.of(0, 4_000, 8_000, 4);
 		double before = this.model.expectedMillis(usual);
 		this.model.learn(usual, 60_000);
@@ -78,21 +74,15 @@
 	@Test
 	void shouldFollowEnginesThatChange() {
 		Random random = new Random(5);
-		for (int i = 0; i < 4_000; i++) {
-			Work work = work(random);
-			this.model.learn(work, millis(work, 12, (i < 2_000) ? 66 : 33, 0.3, 0.28));
-		}
+		teach(2_000, random, 66);
+		teach(2_000, random, 33);
 		assertThat(this.model.tokensPerMilli()).isCloseTo(32, within(5.0));
 	}
 
 	// A process that was restarted hears from the others what they learned.
 	@Test
 	void shouldBeginWithWhatAnotherProcessLearned() {
-		Random random = new Random(1);
-		for (int i = 0; i < 200; i++) {
-			Work work = work(random);
-			this.model.learn(work, millis(work, 12, 20, 0.3, 0.28));
-		}
+		teach(200, new Random(1), 20);
 		FirstTokenModel fresh = new FirstTokenModel();
 		fresh.adopt(this.model.learned());
 		assertThat(fresh.tokensPerMilli()).isCloseTo(20, within(5.0));
@@ -107,6 +97,13 @@
 		assertThat(this.model.tokensPerMilli()).isEqualTo(before);
 	}
 
+	private void teach(int calls, Random random, double tokensPerMilli) {
+		for (int i = 0; i < calls; i++) {
+			Work work = work(random);
+			this.model.learn(work, millis(work, 12, tokensPerMilli, 0.3, 0.28));
+		}
+	}
+
 	private static Work work(Random random) {
 		int prompt = 200 + (int) Math.min(40_000, Math.exp(7.5 + 1.2 * random.nextGaussian()));
 		int unread = (int) (prompt * (0.2 + 0.8 * random.nextDouble()));
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/RetryAllowanceTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/RetryAllowanceTests.java
@@ -40,9 +40,9 @@
 	}
 
 	// Servers of a large deployment fail, and each of its gateways repeats its part of
-	// the
-	// fixed allowance. Cut into as many parts as a small deployment has gateways, the sum
-	// was five times what is allowed, and doubled the load of the servers that were left.
+	// the fixed allowance. Cut into as many parts as a small deployment has gateways,
+	// the sum was five times what is allowed, and doubled the load of the servers that
+	// were left.
 	@ParameterizedTest
 	@CsvSource({ "1", "9", "30", "87", "380" })
 	void shouldStayWithinFixedAllowanceHoweverManyProcesses(int processes) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/ReclaimWaveTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/ReclaimWaveTests.java
@@ -51,7 +51,7 @@
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16 })
 	void shouldFallBackInWaveAndReturnBehindIt(long seed) {
 		SplittableRandom random = new SplittableRandom(seed);
-		Demand demand = new Demand(150_000 + random.nextInt(250_000), SPEED, 0, 9, 3);
+		Demand demand = new Demand(150_000 + random.nextInt(250_000), SPEED, 0, 3);
 		int wave = 600;
 		int dryUntil = wave + 120 + random.nextInt(40);
 		Map<String, Integer> noticed = new HashMap<>();
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizeOrdersTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizeOrdersTests.java
@@ -109,8 +109,7 @@
 	}
 
 	// Reclaims go from zone to zone while nowhere another VM is to be had. Ordered with
-	// the
-	// notice of the last zone, fallback servers boot while nobody serves.
+	// the notice of the last zone, fallback servers boot while nobody serves.
 	@Test
 	void shouldNotCountOnTheNextZoneOnceOneIsRefused() {
 		Plan large = new Plan(4.2, 4.2, PLAN.zones());
@@ -122,8 +121,7 @@
 	}
 
 	// Two zones are reclaimed at once: each of them ordered all that the service was
-	// short
-	// of, twice as many servers at the full price as were needed.
+	// short of, twice as many servers at the full price as were needed.
 	@Test
 	void shouldShareFallbackServersAmongZones() {
 		Map<String, ZoneSize> left = Map.of("a", new ZoneSize(1, 0), "b", ZoneSize.NONE);
@@ -136,8 +134,7 @@
 	}
 
 	// A zone is reclaimed while the plan moves from reclaimable servers to lasting ones:
-	// a
-	// server that lived was given back in another zone, and none came for it.
+	// a server that lived was given back in another zone, and none came for it.
 	@Test
 	void shouldGiveNoServerBackWhileAnotherIsMissing() {
 		Plan smaller = new Plan(2.8, 2.8, new TreeMap<>(Map.of("a", new ZoneSize(1, 1), "b", new ZoneSize(1, 1))));
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizePlanTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/SizePlanTests.java
@@ -38,11 +38,10 @@
 
 	// Reclaims come in waves: all reclaimable servers of one zone after the other are
 	// taken within seconds, and no order is carried out meanwhile. What is not
-	// reclaimable
-	// is all that is left.
+	// reclaimable is all that is left.
 	@Test
 	void shouldKeepLastingServersForLargeNeed() {
-		Plan sizes = this.plan.plan(DEAR_SPARES, ZONES, new Demand(320_000, SPEED, 0, 9, 9), 0);
+		Plan sizes = this.plan.plan(DEAR_SPARES, ZONES, new Demand(320_000, SPEED, 0, 9), 0);
 		assertThat(sizes.zones().values().stream().mapToInt(ZoneSize::lasting).sum()).isEqualTo(5);
 		assertThat(sizes.zones().get("a").lasting()).isGreaterThanOrEqualTo(sizes.zones().get("c").lasting());
 	}
@@ -53,7 +52,7 @@
 	@ParameterizedTest
 	@ValueSource(doubles = { 120_000, 200_000, 320_000, 440_000 })
 	void shouldCarryPartOfNeedInAnySingleZoneWhenSparesAreCheap(double tokens) {
-		Plan sizes = this.plan.plan(LLM, ZONES, new Demand(tokens, SPEED, 0, 9, 9), 0);
+		Plan sizes = this.plan.plan(LLM, ZONES, new Demand(tokens, SPEED, 0, 9), 0);
 		int lasting = sizes.zones().values().stream().mapToInt(ZoneSize::lasting).sum();
 		assertThat(lasting).isEqualTo(1);
 		sizes.zones()
@@ -63,26 +62,25 @@
 	}
 
 	// A flood of seven seconds is over when a wave begins. Replaced one by one at the
-	// full
-	// price, what the flood had needed ran for half a minute beside it.
+	// full price, what the flood had needed ran for half a minute beside it.
 	@Test
 	void shouldForgetPeakSoonForWhatIsDear() {
-		this.plan.plan(LLM, ZONES, new Demand(430_000, SPEED, 0, 0, 0), 100 * SECOND);
-		Plan behind = this.plan.plan(LLM, ZONES, new Demand(120_000, SPEED, 0, 0, 0), 107 * SECOND);
+		this.plan.plan(LLM, ZONES, new Demand(430_000, SPEED, 0, 0), 100 * SECOND);
+		Plan behind = this.plan.plan(LLM, ZONES, new Demand(120_000, SPEED, 0, 0), 107 * SECOND);
 		assertThat(behind.needOfLate()).isLessThan(0.3 * behind.need());
-		assertThat(this.plan.plan(LLM, ZONES, new Demand(120_000, SPEED, 0, 0, 0), 108 * SECOND).needOfLate())
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(120_000, SPEED, 0, 0), 108 * SECOND).needOfLate())
 			.isEqualTo(behind.needOfLate());
 	}
 
 	@Test
 	void shouldKeepOneLastingServerHoweverSmallTheNeed() {
-		Plan sizes = this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 0, 0), 0);
+		Plan sizes = this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 0), 0);
 		assertThat(sizes.zones().values().stream().mapToInt(ZoneSize::lasting).sum()).isEqualTo(1);
 	}
 
 	@Test
 	void shouldCarryNeedWithoutOneZone() {
-		Plan sizes = this.plan.plan(LLM, ZONES, new Demand(320_000, SPEED, 0, 9, 9), 0);
+		Plan sizes = this.plan.plan(LLM, ZONES, new Demand(320_000, SPEED, 0, 9), 0);
 		for (String lost : ZONES) {
 			int left = sizes.zones()
 				.entrySet()
@@ -97,40 +95,36 @@
 	@ParameterizedTest
 	@CsvSource({ "0, 0, 0", "100000, 0, 3", "0, 100, 3", "10000000, 0, 3" })
 	void shouldStayWithinBounds(double tokens, int running, int present) {
-		this.plan.plan(LLM, ZONES, new Demand(tokens, SPEED, running, present, present), 0)
-			.zones()
-			.values()
-			.forEach((zone) -> {
-				assertThat(zone.lasting() + zone.reclaimable()).isBetween(1, 6);
-				assertThat(zone.lasting()).isNotNegative();
-			});
+		this.plan.plan(LLM, ZONES, new Demand(tokens, SPEED, running, present), 0).zones().values().forEach((zone) -> {
+			assertThat(zone.lasting() + zone.reclaimable()).isBetween(1, 6);
+			assertThat(zone.lasting()).isNotNegative();
+		});
 	}
 
 	// Traffic swings with a period of some tens of seconds: servers given back in the
 	// trough are missing at the next crest, four seconds of boot and cold caches away.
 	@Test
 	void shouldHoldPeakThroughTrough() {
-		double peak = this.plan.plan(LLM, ZONES, new Demand(300_000, SPEED, 0, 0, 0), 100 * SECOND).need();
-		assertThat(this.plan.plan(LLM, ZONES, new Demand(50_000, SPEED, 0, 0, 0), 120 * SECOND).need()).isEqualTo(peak);
-		assertThat(this.plan.plan(LLM, ZONES, new Demand(50_000, SPEED, 0, 0, 0), 130 * SECOND).need())
-			.isLessThan(peak);
+		double peak = this.plan.plan(LLM, ZONES, new Demand(300_000, SPEED, 0, 0), 100 * SECOND).need();
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(50_000, SPEED, 0, 0), 120 * SECOND).need()).isEqualTo(peak);
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(50_000, SPEED, 0, 0), 130 * SECOND).need()).isLessThan(peak);
 	}
 
 	// The first seconds of traffic meet too few servers: those that ran at the start
 	// register one after the other, and the first plan took the part seen for all.
 	@Test
 	void shouldRaiseFirstNeedWhileServersRegister() {
-		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 4, 4), 0).need()).isCloseTo(2.4, within(0.01));
-		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 10, 10), SECOND).need()).isEqualTo(6);
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 4), 0).need()).isCloseTo(2.4, within(0.01));
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 10), SECOND).need()).isEqualTo(6);
 	}
 
 	// The processes start before the traffic: a plan from no traffic gives all servers
 	// back that the first second of traffic needs.
 	@Test
 	void shouldTakeFirstSizeAsNeededUntilTrafficShows() {
-		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 10, 10), 0).need()).isEqualTo(6);
-		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 9, 9), 29 * SECOND).need()).isEqualTo(6);
-		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 9, 9), 60 * SECOND).need()).isZero();
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 10), 0).need()).isEqualTo(6);
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 9), 29 * SECOND).need()).isEqualTo(6);
+		assertThat(this.plan.plan(LLM, ZONES, new Demand(0, SPEED, 0, 9), 60 * SECOND).need()).isZero();
 	}
 
 	private static ServiceSpec service(double reclaimablePrice) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
@@ -250,9 +250,8 @@
 	}
 
 	// An organisation that was quiet begins to flood; 4.4 s later all processes are
-	// killed
-	// and forget. What was let through before the kill and what the new processes let
-	// through must stay within the quota together.
+	// killed and forget. What was let through before the kill and what the new processes
+	// let through must stay within the quota together.
 	@Test
 	void shouldStayWithinQuotaOverKillOfAllProcesses() {
 		double taken = flood(this.quotas, 0, 4_400);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -88,7 +88,7 @@
 
 	private final UsageLedger usage;
 
-	/** Calls under way with what was progress about them. */
+	/** Calls under way with what was decided about them. */
 	private final Map<Call, CallProgress> calls = new IdentityHashMap<>();
 
 	private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import reactor.core.publisher.Mono;
@@ -196,18 +197,20 @@
 		return 1 + this.tableAddresses.size();
 	}
 
-	// Whether a backend server is known; asks the control thread.
+	// Whether a backend server is known.
 	boolean knows(String server) {
-		CompletableFuture<Boolean> known = new CompletableFuture<>();
-		this.control.post((_) -> known.complete(this.servers.find(server).isPresent()));
-		return known.join();
+		return askControl(() -> this.servers.find(server).isPresent());
 	}
 
-	// What was learned of the servers of a service; asks the control thread.
+	// What was learned of the servers of a service.
 	List<Double> learned(String service) {
-		CompletableFuture<List<Double>> learned = new CompletableFuture<>();
-		this.control.post((_) -> learned.complete(this.decisions.dispatcher().model(service).learned()));
-		return learned.join();
+		return askControl(() -> this.decisions.dispatcher().model(service).learned());
+	}
+
+	private <T> T askControl(Supplier<T> question) {
+		CompletableFuture<T> answer = new CompletableFuture<>();
+		this.control.post((_) -> answer.complete(question.get()));
+		return answer.join();
 	}
 
 	private boolean isReady() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -92,9 +92,7 @@
 		}
 		try {
 			BackendServer server = this.records.server(row.key(), row.value().get());
-			boolean startedAgain = this.servers.find(server.id())
-				.filter((known) -> !known.start().equals(server.start()))
-				.isPresent();
+			boolean startedAgain = this.servers.isOtherStart(server);
 			boolean news = this.serversKnown ? this.servers.registered(server, now) : this.servers.foundAtStart(server);
 			if (news) {
 				EventLog.info(GatewayEvents.SERVER_REGISTERED, "server", server.id(), "started", server.startedMillis(),
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -159,12 +159,12 @@
 		}
 		Collection<ZoneSize> here = present(service).values();
 		// Reclaimable ones come of orders of ours and tell nothing of the others.
-		int lasting = here.stream().mapToInt(ZoneSize::lasting).sum();
+		int lasting = lasting(here);
 		boolean any = here.stream().anyMatch((zone) -> zone.servers() > 0);
-		boolean more = lasting > before.servers || (any && !before.any);
+		boolean more = lasting > before.lasting || (any && !before.any);
 		long since = more ? now : before.sinceNanos;
 		boolean settled = !more && any && now - since >= SETTLE_NANOS;
-		this.registered.put(service, new Registered(Math.max(lasting, before.servers), any, since, settled));
+		this.registered.put(service, new Registered(Math.max(lasting, before.lasting), any, since, settled));
 		return settled;
 	}
 
@@ -173,10 +173,8 @@
 		List<String> cheapestFirst = this.zones.stream()
 			.sorted(Comparator.comparingDouble((zone) -> prices.getOrDefault(zone, 1.0)))
 			.toList();
-		Collection<ZoneSize> here = present(service.name()).values();
 		Demand demand = new Demand(this.tokensPerSecond, 1_000 * this.tokensPerMilli.applyAsDouble(service.name()),
-				this.servers.callsOf(service.name()), here.stream().mapToInt(ZoneSize::servers).sum(),
-				here.stream().mapToInt(ZoneSize::lasting).sum());
+				this.servers.callsOf(service.name()), lasting(present(service.name()).values()));
 		return this.plans.computeIfAbsent(service.name(), (_) -> new SizePlan())
 			.plan(service, cheapestFirst, demand, now);
 	}
@@ -230,6 +228,10 @@
 		return present;
 	}
 
+	private static int lasting(Collection<ZoneSize> here) {
+		return here.stream().mapToInt(ZoneSize::lasting).sum();
+	}
+
 	private static ZoneSize with(ZoneSize here, BackendServer server) {
 		return server.reclaimable() ? new ZoneSize(here.lasting(), here.reclaimable() + 1)
 				: new ZoneSize(here.lasting() + 1, here.reclaimable());
@@ -238,12 +240,12 @@
 	/**
 	 * What is known of the servers of a service at the start.
 	 *
-	 * @param servers the most lasting ones that were there at once
+	 * @param lasting the most lasting ones that were there at once
 	 * @param any whether there was any server
 	 * @param sinceNanos since when there are so many
 	 * @param settled whether no more are to be waited for
 	 */
-	private record Registered(int servers, boolean any, long sinceNanos, boolean settled) {
+	private record Registered(int lasting, boolean any, long sinceNanos, boolean settled) {
 
 		private static final Registered NONE = new Registered(0, false, 0, false);
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -59,10 +59,8 @@
 	}
 
 	// The servers of a service register themselves within some three seconds of the
-	// start.
-	// A plan from the first of them gave the others back, and the traffic met four
-	// servers
-	// in place of seven.
+	// start. A plan from the first of them gave the others back, and the traffic met
+	// four servers in place of seven.
 	@Test
 	void shouldPlanOnceNoMoreServersRegisterThemselves() {
 		for (int second = 0; second < 4; second++) {
