Count on many gateways before it is known which there are

The same class of fault in two more places: connections to servers and the fixed part of the retries were divided by the gateways heard so far, which is one at a start. A gateway is ready once it knows the others. Tested in FleetTests.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
@@ -41,6 +41,13 @@
 	 */
 	private static final long DIFFER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+	/**
+	 * The gateways that are counted on before the table of gateways was read: more than
+	 * the deployments seen have, so that what is divided by it is not used many times
+	 * over.
+	 */
+	private static final int UNKNOWN = 128;
+
 	/** Own reports whose sending is remembered: those of four seconds. */
 	private static final int REMEMBERED = 16;
 
@@ -180,9 +187,12 @@
 	/**
 	 * The gateways that may serve callers, heard or not.
 	 * @param nowNanos the time
-	 * @return the count, this one included
+	 * @return the count, this one included; a cautious one before it is known
 	 */
 	public int serving(long nowNanos) {
+		if (!this.known) {
+			return UNKNOWN;
+		}
 		dropGone(nowNanos);
 		return 1 + (int) this.members.values().stream().filter(Member::mayServe).count();
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/FleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/FleetTests.java
@@ -37,6 +37,15 @@
 		assertThat(new Fleet(SELF).sharing(0).part()).isZero();
 	}
 
+	// Connections to servers and retries are divided by the gateways there are. Taken for
+	// one before any was known, each would make as many as all together may.
+	@Test
+	void shouldCountOnManyBeforeTableOfGatewaysWasRead() {
+		assertThat(this.fleet.serving(0)).isGreaterThan(100);
+		this.fleet.complete();
+		assertThat(this.fleet.serving(0)).isEqualTo(3);
+	}
+
 	@Test
 	void shouldHaveItsOwnPartBeforeAnyoneConfirms() {
 		this.fleet.complete();
@@ -133,6 +142,7 @@
 	@ParameterizedTest
 	@CsvSource({ "true, 2", "false, 3" })
 	void shouldTakeOverPartOfSilentGatewayOnlyAmongMost(boolean second, int serving) {
+		this.fleet.complete();
 		if (second) {
 			hear(2, 1, 29 * SECOND);
 		}
@@ -142,6 +152,7 @@
 
 	@Test
 	void shouldCountGatewayAgainThatWasTakenForDead() {
+		this.fleet.complete();
 		hear(2, 1, 29 * SECOND);
 		assertThat(this.fleet.serving(31 * SECOND)).isEqualTo(2);
 		hear(3, 1, 32 * SECOND);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -103,7 +103,7 @@
 
 	private long serversNanos = System.nanoTime();
 
-	private int gateways = 1;
+	private int gateways;
 
 	/** The prompt tokens that calls sent to servers were expected to make them read. */
 	private long readingTokens;
@@ -120,6 +120,7 @@
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed(),
 				bounds.retryWindowMillis(), System.nanoTime());
+		gateways(fleet.serving(System.nanoTime()));
 	}
 
 	// -- policy, on the traffic thread
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -112,6 +112,9 @@
 
 	private volatile boolean stopping;
 
+	/** Whether the table of gateways was read. */
+	private volatile boolean gatewaysKnown;
+
 	/** Whether all parts are there, so that the control thread may use them. */
 	private volatile boolean started;
 
@@ -214,7 +217,7 @@
 	}
 
 	private boolean isReady() {
-		return this.news.isComplete() && !this.stopping;
+		return this.news.isComplete() && this.gatewaysKnown && !this.stopping;
 	}
 
 	// -- news of the platform
@@ -426,6 +429,8 @@
 			GatewayProcess.this.control.post((now) -> {
 				rows.forEach((row) -> found(row, now));
 				GatewayProcess.this.fleet.complete();
+				GatewayProcess.this.decisions.gateways(GatewayProcess.this.fleet.serving(now));
+				GatewayProcess.this.gatewaysKnown = true;
 			});
 		}
 
