--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -88,7 +88,7 @@
 
 	private final UsageLedger usage;
 
-	/** Calls under way with what was progress about them. */
+	/** Calls under way with what was decided about them. */
 	private final Map<Call, CallProgress> calls = new IdentityHashMap<>();
 
 	private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
@@ -103,7 +103,7 @@
 
 	private long serversNanos = System.nanoTime();
 
-	private int gateways = 1;
+	private int gateways;
 
 	/** The prompt tokens that calls sent to servers were expected to make them read. */
 	private long readingTokens;
@@ -120,6 +120,7 @@
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed(),
 				bounds.retryWindowMillis(), System.nanoTime());
+		gateways(fleet.serving(System.nanoTime()));
 	}
 
 	// -- policy, on the traffic thread
@@ -274,7 +275,7 @@
 		BackendServer server = chosen.server();
 		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "route", call.route().name(), "organisation",
 				call.organisation().map(Organisation::name).orElse("none"), "units", Math.round(progress.units()),
-				"quota", progress.quota(), "unconfirmed", progress.sharing(), "parts",
+				"quota", progress.quota(), "gateways", progress.gateways(), "parts",
 				call.terms().prompt().map(Prompt::partList).orElse("none"), "targetMillis", call.route().targetMillis(),
 				"server", server.id(), "zone", server.zone(), "load", chosen.load(), "unreadTokens",
 				chosen.unreadTokens(), "fetchFrom", chosen.fetchFrom().map(BackendServer::id).orElse("none"),
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import reactor.core.publisher.Mono;
@@ -111,6 +112,9 @@
 
 	private volatile boolean stopping;
 
+	/** Whether the table of gateways was read. */
+	private volatile boolean gatewaysKnown;
+
 	/** Whether all parts are there, so that the control thread may use them. */
 	private volatile boolean started;
 
@@ -196,22 +200,24 @@
 		return 1 + this.tableAddresses.size();
 	}
 
-	// Whether a backend server is known; asks the control thread.
+	// Whether a backend server is known.
 	boolean knows(String server) {
-		CompletableFuture<Boolean> known = new CompletableFuture<>();
-		this.control.post((_) -> known.complete(this.servers.find(server).isPresent()));
-		return known.join();
+		return askControl(() -> this.servers.find(server).isPresent());
 	}
 
-	// What was learned of the servers of a service; asks the control thread.
+	// What was learned of the servers of a service.
 	List<Double> learned(String service) {
-		CompletableFuture<List<Double>> learned = new CompletableFuture<>();
-		this.control.post((_) -> learned.complete(this.decisions.dispatcher().model(service).learned()));
-		return learned.join();
+		return askControl(() -> this.decisions.dispatcher().model(service).learned());
+	}
+
+	private <T> T askControl(Supplier<T> question) {
+		CompletableFuture<T> answer = new CompletableFuture<>();
+		this.control.post((_) -> answer.complete(question.get()));
+		return answer.join();
 	}
 
 	private boolean isReady() {
-		return this.news.isComplete() && !this.stopping;
+		return this.news.isComplete() && this.gatewaysKnown && !this.stopping;
 	}
 
 	// -- news of the platform
@@ -423,6 +429,8 @@
 			GatewayProcess.this.control.post((now) -> {
 				rows.forEach((row) -> found(row, now));
 				GatewayProcess.this.fleet.complete();
+				GatewayProcess.this.decisions.gateways(GatewayProcess.this.fleet.serving(now));
+				GatewayProcess.this.gatewaysKnown = true;
 			});
 		}
 
