Let gateways that start confirm one another at once, and begin with a part of each quota

Each gateway had the part of one until its reports were confirmed, 0.6 s after the start, of a ramp that begins at nothing; and callers were told to come back after 8 to 12 s. Change: the first report of a start is answered within 50 ms; a process begins with 0.06 of a quota and ends its first window with 0.9; its callers are told when what it may give out has grown to what they ask.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
@@ -81,6 +81,9 @@
 	/** What may be used at once; below 0 after news of the use of other processes. */
 	private double level;
 
+	/** What the start added to that; more once more gateways share the quota. */
+	private double givenAtStart;
+
 	private double unitsPerNano;
 
 	private long filledNanos;
@@ -203,9 +206,12 @@
 	/**
 	 * Lets what may be used at once grow up to now.
 	 * @param window the units that a whole window allows
+	 * @param atStart the part of a window that may be used at the start, 0 later
 	 * @param nowNanos the time
 	 */
-	void fill(double window, long nowNanos) {
+	void fill(double window, double atStart, long nowNanos) {
+		this.level += Math.max(0, window * atStart - this.givenAtStart);
+		this.givenAtStart = Math.max(window * atStart, this.givenAtStart);
 		this.unitsPerNano = window / this.windowNanos;
 		this.level += this.unitsPerNano * (nowNanos - this.filledNanos);
 		this.level = Math.min(window * AT_ONCE, this.level);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
@@ -105,9 +105,12 @@
 	 * Takes a report of another gateway, newer than those before.
 	 * @param report what it says of the fleet
 	 * @param nowNanos the time
+	 * @return whether it is the first of its start: until that is confirmed, its sender
+	 * has no more of the quotas than the part of one gateway
 	 */
-	public void heard(Report report, long nowNanos) {
+	public boolean heard(Report report, long nowNanos) {
 		Member member = this.members.computeIfAbsent(report.gateway(), (_) -> new Member(nowNanos));
+		boolean first = !member.heard || member.start != report.start();
 		member.heard = true;
 		member.left = report.leaving();
 		member.gone = false;
@@ -121,6 +124,7 @@
 			.findFirst()
 			.orElse(0);
 		member.newsNanos = nowNanos;
+		return first;
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -38,12 +38,15 @@
 	private static final double KEPT_FOR_SMALL = 0.03;
 
 	/**
-	 * The part of what is due since its start that a process lets through in its first
-	 * window. What an organisation used at once right before a kill of all processes
-	 * comes on top of what is due evenly since: in a flood of 1.2 quotas a second one
-	 * such kill in a hundred let 1.17 quotas pass in a window without this, and 1.11 with
-	 * it.
+	 * The parts of a quota that a process lets through by its start and by the end of its
+	 * first window, evenly between them: it does not know what was used before. Callers
+	 * whose calls a kill of all processes cut off come back at once, so that it begins
+	 * with some. What an organisation used at once right before the kill comes on top, so
+	 * that it ends with less than all: with the whole, one such kill in a hundred let
+	 * 1.17 quotas pass in a window, in a flood of 1.2 quotas a second.
 	 */
+	private static final double AT_START = 0.06;
+
 	private static final double FRESH = 0.9;
 
 	/**
@@ -100,15 +103,15 @@
 	private long waitMillis(Account account, Organisation organisation, double units, boolean small, long nowNanos) {
 		double limit = limit(organisation, nowNanos);
 		double window = windowUnits(organisation);
-		account.fill(window, nowNanos);
+		account.fill(window, isFresh(nowNanos) ? AT_START : 0, nowNanos);
 		boolean keeps = !small && account.hadSmall(nowNanos);
 		double open = limit - units - (keeps ? window * KEPT_FOR_SMALL : 0);
-		long wait = Math.max(account.windowMillis(open, nowNanos), ownPartMillis(account, units, limit));
+		long wait = Math.max(windowMillis(account, open, window, nowNanos), ownPartMillis(account, units, limit));
 		if (!small) {
 			wait = Math.max(wait, account.evenlyMillis(units));
 			wait = Math.max(wait, shareMillis(account, units, limit, nowNanos));
 		}
-		return (wait > 0) ? promise(account, open, units, wait, nowNanos) : 0;
+		return (wait > 0) ? promise(account, open, window, units, wait, nowNanos) : 0;
 	}
 
 	// Guards against what others take at the same time. Of what is left, each process
@@ -137,9 +140,9 @@
 	// When a refused call finds units that nobody was told of before. Told the same time,
 	// all callers came back to the same units, and most were refused for good: they come
 	// back once.
-	private long promise(Account account, double open, double units, long leastMillis, long nowNanos) {
+	private long promise(Account account, double open, double window, double units, long leastMillis, long nowNanos) {
 		double told = account.promised(nowNanos) * this.sharing.group();
-		long wait = Math.max(leastMillis, account.windowMillis(open - told, nowNanos));
+		long wait = Math.max(leastMillis, windowMillis(account, open - told, window, nowNanos));
 		account.promise(units, nowNanos + TimeUnit.MILLISECONDS.toNanos(wait));
 		return wait;
 	}
@@ -214,10 +217,25 @@
 
 	// A process that has just started does not know what was used before: many
 	// processes killed at once would let every organisation use its whole window
-	// again. It takes the quota as used up to its start.
+	// again. It takes most of the quota as used up to its start.
 	private double limit(Organisation organisation, long nowNanos) {
 		double known = (nowNanos - this.startedNanos) / (double) this.windowNanos;
-		return ((known < 1) ? FRESH * known : 1) * windowUnits(organisation);
+		double part = (known < 1) ? AT_START + (FRESH - AT_START) * known : 1;
+		return part * windowUnits(organisation);
+	}
+
+	// The time until no more than what is open was used. In its first window a process
+	// counts what it may give out as it grows: told a whole window, as for a quota that
+	// is
+	// used up, callers gave up.
+	private long windowMillis(Account account, double open, double window, long nowNanos) {
+		long wait = account.windowMillis(open, nowNanos);
+		if (wait == 0 || !isFresh(nowNanos)) {
+			return wait;
+		}
+		double missing = account.sum() - open;
+		double growthPerNano = (FRESH - AT_START) * window / this.windowNanos;
+		return Math.clamp(TimeUnit.NANOSECONDS.toMillis((long) (missing / growthPerNano)), 1, wait);
 	}
 
 	private double windowUnits(Organisation organisation) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/FleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/FleetTests.java
@@ -130,6 +130,14 @@
 		assertThat(this.fleet.sharing(now).agreed()).isEqualTo(agreed);
 	}
 
+	@Test
+	void shouldSayWhoWaitsForItsFirstConfirmation() {
+		Report report = new Report("gateway-2", 2, 1, false, 0, List.of());
+		assertThat(this.fleet.heard(report, 0)).isTrue();
+		assertThat(this.fleet.heard(report, SECOND)).isFalse();
+		assertThat(this.fleet.heard(new Report("gateway-2", 22, 1, false, 0, List.of()), 2 * SECOND)).isTrue();
+	}
+
 	@Test
 	void shouldForgetGatewayThatLeft() {
 		this.fleet.complete();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -57,6 +57,14 @@
 	/** The time between two reports to the other gateways, in nanoseconds. */
 	private static final long TELL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+	/**
+	 * The time between two reports when another gateway waits for one, in nanoseconds.
+	 * After a kill of all processes each has the part of one gateway until it is
+	 * confirmed: with reports at their usual times that took 0.6 s, in which 59 of 122
+	 * calls were refused.
+	 */
+	private static final long TELL_SOON_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
 	/** The time between two looks at the duties, in nanoseconds. */
 	private static final long DUTIES_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -120,6 +128,8 @@
 
 	private long nextTellNanos = System.nanoTime();
 
+	private long toldNanos = System.nanoTime();
+
 	private long nextDutiesNanos = System.nanoTime();
 
 	private final PauseWatch pauses = new PauseWatch(System.nanoTime(), System.currentTimeMillis());
@@ -267,10 +277,19 @@
 
 	private void heard(PeerExchange.Heard heard) {
 		if (this.started) {
-			this.control.post((now) -> this.reports.heard(heard, now));
+			this.control.post((now) -> {
+				if (this.reports.heard(heard, now)) {
+					tellSoon(now);
+				}
+			});
 		}
 	}
 
+	private void tellSoon(long now) {
+		long soon = Math.max(now, this.toldNanos + TELL_SOON_NANOS);
+		this.nextTellNanos = Math.min(this.nextTellNanos, soon);
+	}
+
 	private void tick(long now) {
 		if (!this.started) {
 			return;
@@ -284,6 +303,7 @@
 		}
 		if (now - this.nextTellNanos >= 0) {
 			this.nextTellNanos = now + TELL_NANOS;
+			this.toldNanos = now;
 			this.reports.tell(false, now);
 		}
 		if (now - this.nextDutiesNanos >= 0) {
@@ -431,6 +451,7 @@
 				GatewayProcess.this.fleet.complete();
 				GatewayProcess.this.decisions.gateways(GatewayProcess.this.fleet.serving(now));
 				GatewayProcess.this.gatewaysKnown = true;
+				tellSoon(now);
 			});
 		}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -120,14 +120,15 @@
 	 * Takes the report of another gateway.
 	 * @param heard the report
 	 * @param now the time
+	 * @return whether its sender waits for a report of this gateway
 	 */
-	void heard(PeerExchange.Heard heard, long now) {
+	boolean heard(PeerExchange.Heard heard, long now) {
 		if (!this.peers.accept(heard, now)) {
-			return;
+			return false;
 		}
 		GatewayReport report = heard.report();
 		String process = UsageDuty.process(report.getGateway(), report.getStart());
-		this.fleet.heard(fleetReport(report), now);
+		boolean first = this.fleet.heard(fleetReport(report), now);
 		Map<String, Long> begun = new HashMap<>();
 		report.getOrganisationsList().forEach((use) -> {
 			this.quotas.usedByOther(process, use.getOrganisation(),
@@ -145,6 +146,7 @@
 		long before = this.othersReading.getOrDefault(process, report.getReadingTokens());
 		this.othersReadingTotal += Math.max(0, report.getReadingTokens() - before);
 		this.othersReading.put(process, report.getReadingTokens());
+		return first;
 	}
 
 	private static Fleet.Report fleetReport(GatewayReport report) {
