--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -116,9 +116,9 @@
 
 	// Guards against what others take at the same time. Of what is left, each process
 	// takes its share until all have confirmed that they know of it. A call that is
-	// larger
-	// than the share is let through as often as the share is a part of it: however many
-	// processes there are, together they take what is left, and not that many times over.
+	// larger than the share is let through as often as the share is a part of it: however
+	// many processes there are, together they take what is left, and not that many times
+	// over.
 	private long shareMillis(Account account, double units, double limit, long nowNanos) {
 		if (this.sharing.group() == 1 || units <= 0) {
 			return 0;
@@ -226,8 +226,7 @@
 
 	// The time until no more than what is open was used. In its first window a process
 	// counts what it may give out as it grows: told a whole window, as for a quota that
-	// is
-	// used up, callers gave up.
+	// is used up, callers gave up.
 	private long windowMillis(Account account, double open, double window, long nowNanos) {
 		long wait = account.windowMillis(open, nowNanos);
 		if (wait == 0 || !isFresh(nowNanos)) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
@@ -91,8 +91,8 @@
 	}
 
 	// All gateways are killed in the middle of a flood and forget what was used. What
-	// they
-	// let through before and what the new processes let through falls into one window.
+	// they let through before and what the new processes let through falls into one
+	// window.
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9 })
 	void shouldHoldQuotaOverKillOfAllProcesses(long seed) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
@@ -225,10 +225,9 @@
 		assertThat(taken).isBetween(388.0, 408.0);
 	}
 
-	// All processes are killed; callers come back at once to processes that know nothing.
-	// Each was told to come back after a whole window, as for a quota that is used up,
-	// and
-	// gave up, although its units were there a second later.
+	// All processes are killed; callers come back at once to processes that know
+	// nothing. Each was told to come back after a whole window, as for a quota that is
+	// used up, and gave up, although its units were there a second later.
 	@Test
 	void shouldTellCallersOfFreshProcessWhenUnitsAreDue() {
 		QuotaTable fresh = table(0);
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FollowedTableTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FollowedTableTests.java
@@ -15,9 +15,9 @@
 	private final FollowedTable table = new FollowedTable();
 
 	// The store turned this process away, and it asked another one for the table; the
-	// store
-	// came back and told that a server leaves, and only then the other process answered
-	// with the older table. Taken, it made the server one that takes calls again.
+	// store came back and told that a server leaves, and only then the other process
+	// answered with the older table. Taken, it made the server one that takes calls
+	// again.
 	@Test
 	void shouldNotGoBackToOlderTable() {
 		assertThat(this.table.all(List.of(row("ready", 10)), 10)).isTrue();
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/QuotaSharingTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/QuotaSharingTests.java
@@ -21,10 +21,9 @@
 	private static final int FLOOD_MILLIS = 4_000;
 
 	// All processes are killed while the store is away, and start before it is back.
-	// Their
-	// first reading of who else is there failed, and the next one was ten seconds off:
-	// each took itself for the only gateway, and an organisation that flooded right after
-	// the store's return got its quota from every one of them.
+	// Their first reading of who else is there failed, and the next one was ten seconds
+	// off: each took itself for the only gateway, and an organisation that flooded
+	// right after the store's return got its quota from every one of them.
 	@Test
 	void shouldHoldQuotaWhenStoreIsAwayAtTheStart() throws Exception {
 		MemoryRowStore store = new MemoryRowStore();
