--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
@@ -122,7 +122,7 @@
 
 	private double asked(long nowNanos) {
 		this.asked.removeIf((slot) -> nowNanos - slot.atNanos > ASKED_NANOS);
-		return this.asked.stream().mapToDouble((slot) -> slot.units).sum();
+		return units(this.asked);
 	}
 
 	private double askedOfOthers(long nowNanos) {
@@ -263,7 +263,7 @@
 
 	double promised(long nowNanos) {
 		this.promised.removeIf((slot) -> slot.atNanos - nowNanos <= 0);
-		return this.promised.stream().mapToDouble((slot) -> slot.units).sum();
+		return units(this.promised);
 	}
 
 	// -- what processes tell one another
@@ -347,6 +347,10 @@
 		return slots.getLast();
 	}
 
+	private static double units(Deque<Slot> slots) {
+		return slots.stream().mapToDouble((slot) -> slot.units).sum();
+	}
+
 	/** What another process told last. */
 	private record Told(Use use, long atNanos) {
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * The gateways that share quotas, as one of them knows them: who may serve callers, and
@@ -198,7 +199,7 @@
 			return UNKNOWN;
 		}
 		dropGone(nowNanos);
-		return 1 + (int) this.members.values().stream().filter(Member::mayServe).count();
+		return 1 + count(Member::mayServe);
 	}
 
 	private boolean isAgreed(boolean same, long nowNanos) {
@@ -215,14 +216,23 @@
 	// the quotas goes to the others only where most of them still are: never on both
 	// sides of a cut.
 	private void dropGone(long nowNanos) {
-		List<Member> serving = this.members.values().stream().filter(Member::mayServe).toList();
-		List<Member> silent = serving.stream().filter((member) -> nowNanos - member.newsNanos >= GONE_NANOS).toList();
-		boolean most = 2 * (1 + serving.size() - silent.size()) > 1 + serving.size();
-		if (most) {
-			silent.forEach((member) -> member.gone = true);
+		int silent = count((member) -> isSilent(member, nowNanos));
+		if (silent > 0 && 2 * silent < count(Member::mayServe) + 1) {
+			this.members.values()
+				.stream()
+				.filter((member) -> isSilent(member, nowNanos))
+				.forEach((member) -> member.gone = true);
 		}
 	}
 
+	private static boolean isSilent(Member member, long nowNanos) {
+		return member.mayServe() && nowNanos - member.newsNanos >= GONE_NANOS;
+	}
+
+	private int count(Predicate<Member> which) {
+		return (int) this.members.values().stream().filter(which).count();
+	}
+
 	private boolean isConfirming(Member member, long nowNanos) {
 		boolean remembered = member.confirmed > this.forgotten && this.number - member.confirmed < REMEMBERED;
 		return member.mayServe() && remembered
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -92,26 +92,25 @@
 		account.expire(nowNanos);
 		account.confirm(this.sharing.confirmed());
 		boolean small = account.ask(units, nowNanos);
-		double limit = limit(organisation, nowNanos);
-		long wait = (organisation.unitsPerSecond() > 0) ? waitMillis(account, organisation, units, small, nowNanos) : 0;
+		double window = windowUnits(organisation);
+		Wish wish = new Wish(units, small, window, limit(window, nowNanos));
+		long wait = (organisation.unitsPerSecond() > 0) ? waitMillis(account, wish, nowNanos) : 0;
 		if (wait == 0) {
 			account.take(units, nowNanos);
 		}
-		return new Taking(wait, account.sum(), limit, account.unconfirmed(), this.sharing);
+		return new Taking(wait, account.sum(), wish.limit(), account.unconfirmed(), this.sharing);
 	}
 
-	private long waitMillis(Account account, Organisation organisation, double units, boolean small, long nowNanos) {
-		double limit = limit(organisation, nowNanos);
-		double window = windowUnits(organisation);
-		account.fill(window, isFresh(nowNanos) ? AT_START : 0, nowNanos);
-		boolean keeps = !small && account.hadSmall(nowNanos);
-		double open = limit - units - (keeps ? window * KEPT_FOR_SMALL : 0);
-		long wait = Math.max(windowMillis(account, open, window, nowNanos), ownPartMillis(account, units, limit));
-		if (!small) {
-			wait = Math.max(wait, account.evenlyMillis(units));
-			wait = Math.max(wait, shareMillis(account, units, limit, nowNanos));
+	private long waitMillis(Account account, Wish wish, long nowNanos) {
+		account.fill(wish.window(), isFresh(nowNanos) ? AT_START : 0, nowNanos);
+		boolean keeps = !wish.small() && account.hadSmall(nowNanos);
+		double open = wish.limit() - wish.units() - (keeps ? wish.window() * KEPT_FOR_SMALL : 0);
+		long wait = Math.max(windowMillis(account, open, wish, nowNanos), ownPartMillis(account, wish));
+		if (!wish.small()) {
+			wait = Math.max(wait, account.evenlyMillis(wish.units()));
+			wait = Math.max(wait, shareMillis(account, wish, nowNanos));
 		}
-		return (wait > 0) ? promise(account, open, window, units, wait, nowNanos) : 0;
+		return (wait > 0) ? promise(account, open, wish, wait, nowNanos) : 0;
 	}
 
 	// Guards against what others take at the same time. Of what is left, each process
@@ -119,11 +118,12 @@
 	// larger than the share is let through as often as the share is a part of it: however
 	// many processes there are, together they take what is left, and not that many times
 	// over.
-	private long shareMillis(Account account, double units, double limit, long nowNanos) {
+	private long shareMillis(Account account, Wish wish, long nowNanos) {
+		double units = wish.units();
 		if (this.sharing.group() == 1 || units <= 0) {
 			return 0;
 		}
-		double share = account.share(units, limit, nowNanos);
+		double share = account.share(units, wish.limit(), nowNanos);
 		boolean taken = account.unconfirmed() + units <= share
 				|| (account.unconfirmed() == 0 && this.draw.getAsDouble() * units < share);
 		return taken ? 0 : CONFIRM_MILLIS;
@@ -132,18 +132,18 @@
 	// Guards against groups that overlap, as when one process hears two that do not hear
 	// each other: each of these would take its group's part, the common member's twice.
 	// Parts of single processes never overlap.
-	private long ownPartMillis(Account account, double units, double limit) {
-		boolean withinPart = (account.ownInWindow() + units) * this.sharing.group() <= limit;
+	private long ownPartMillis(Account account, Wish wish) {
+		boolean withinPart = (account.ownInWindow() + wish.units()) * this.sharing.group() <= wish.limit();
 		return (this.sharing.agreed() || withinPart) ? 0 : CONFIRM_MILLIS;
 	}
 
 	// When a refused call finds units that nobody was told of before. Told the same time,
 	// all callers came back to the same units, and most were refused for good: they come
 	// back once.
-	private long promise(Account account, double open, double window, double units, long leastMillis, long nowNanos) {
+	private long promise(Account account, double open, Wish wish, long leastMillis, long nowNanos) {
 		double told = account.promised(nowNanos) * this.sharing.group();
-		long wait = Math.max(leastMillis, windowMillis(account, open - told, window, nowNanos));
-		account.promise(units, nowNanos + TimeUnit.MILLISECONDS.toNanos(wait));
+		long wait = Math.max(leastMillis, windowMillis(account, open - told, wish, nowNanos));
+		account.promise(wish.units(), nowNanos + TimeUnit.MILLISECONDS.toNanos(wait));
 		return wait;
 	}
 
@@ -218,22 +218,22 @@
 	// A process that has just started does not know what was used before: many
 	// processes killed at once would let every organisation use its whole window
 	// again. It takes most of the quota as used up to its start.
-	private double limit(Organisation organisation, long nowNanos) {
+	private double limit(double window, long nowNanos) {
 		double known = (nowNanos - this.startedNanos) / (double) this.windowNanos;
 		double part = (known < 1) ? AT_START + (FRESH - AT_START) * known : 1;
-		return part * windowUnits(organisation);
+		return part * window;
 	}
 
 	// The time until no more than what is open was used. In its first window a process
 	// counts what it may give out as it grows: told a whole window, as for a quota that
 	// is used up, callers gave up.
-	private long windowMillis(Account account, double open, double window, long nowNanos) {
+	private long windowMillis(Account account, double open, Wish wish, long nowNanos) {
 		long wait = account.windowMillis(open, nowNanos);
 		if (wait == 0 || !isFresh(nowNanos)) {
 			return wait;
 		}
 		double missing = account.sum() - open;
-		double growthPerNano = (FRESH - AT_START) * window / this.windowNanos;
+		double growthPerNano = (FRESH - AT_START) * wish.window() / this.windowNanos;
 		return Math.clamp(TimeUnit.NANOSECONDS.toMillis((long) (missing / growthPerNano)), 1, wait);
 	}
 
@@ -241,6 +241,17 @@
 		return this.sharing.part() * (organisation.unitsPerSecond() * this.windowNanos / 1e9 + organisation.burst());
 	}
 
+	/**
+	 * A wish for units, with what decides it.
+	 *
+	 * @param units the units that the call counts
+	 * @param small whether it is small among the calls of late
+	 * @param window the units that a whole window allows
+	 * @param limit the units that may be used by now
+	 */
+	private record Wish(double units, boolean small, double window, double limit) {
+	}
+
 	/**
 	 * What came of a wish for units.
 	 *
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -194,7 +194,7 @@
 
 	private void admit(Call call, long now) {
 		CallProgress progress = CallProgress.of(call);
-		if (call.organisation().isPresent() && !takeUnits(call, current(call.organisation().get()), progress, now)) {
+		if (call.organisation().isPresent() && !takeQuota(call, current(call.organisation().get()), progress, now)) {
 			return;
 		}
 		this.calls.put(call, progress);
@@ -203,7 +203,7 @@
 	}
 
 	// Whether the call may go on; it is refused otherwise.
-	private boolean takeUnits(Call call, Organisation organisation, CallProgress progress, long now) {
+	private boolean takeQuota(Call call, Organisation organisation, CallProgress progress, long now) {
 		// Calls that came while this process stood still are decided before it has read
 		// what the others told meanwhile.
 		this.pauses.accept(now);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -127,9 +127,10 @@
 	/** Whether all parts are there, so that the control thread may use them. */
 	private volatile boolean started;
 
-	private long nextTellNanos = System.nanoTime();
+	private long toldNanos = System.nanoTime() - TELL_NANOS;
 
-	private long toldNanos = System.nanoTime();
+	/** Whether another gateway waits for a report of this one. */
+	private boolean awaited;
 
 	private long nextDutiesNanos = System.nanoTime();
 
@@ -279,18 +280,12 @@
 	private void heard(PeerExchange.Heard heard) {
 		if (this.started) {
 			this.control.post((now) -> {
-				if (this.reports.heard(heard, now)) {
-					tellSoon(now);
-				}
+				boolean first = this.reports.heard(heard, now);
+				this.awaited |= first;
 			});
 		}
 	}
 
-	private void tellSoon(long now) {
-		long soon = Math.max(now, this.toldNanos + TELL_SOON_NANOS);
-		this.nextTellNanos = Math.min(this.nextTellNanos, soon);
-	}
-
 	private void tick(long now) {
 		if (!this.started) {
 			return;
@@ -302,9 +297,9 @@
 					server.service()));
 			this.gateway.retainServers(this.decisions.knownServers());
 		}
-		if (now - this.nextTellNanos >= 0) {
-			this.nextTellNanos = now + TELL_NANOS;
+		if (now - this.toldNanos >= (this.awaited ? TELL_SOON_NANOS : TELL_NANOS)) {
 			this.toldNanos = now;
+			this.awaited = false;
 			this.reports.tell(false, now);
 		}
 		if (now - this.nextDutiesNanos >= 0) {
@@ -452,7 +447,7 @@
 				GatewayProcess.this.fleet.complete();
 				GatewayProcess.this.decisions.gateways(GatewayProcess.this.fleet.serving(now));
 				GatewayProcess.this.gatewaysKnown = true;
-				tellSoon(now);
+				GatewayProcess.this.awaited = true;
 			});
 		}
 
@@ -461,16 +456,6 @@
 			GatewayProcess.this.control.post((now) -> rows.forEach((row) -> found(row, now)));
 		}
 
-		@Override
-		public void lost() {
-			// The gateways known may go on serving.
-		}
-
-		@Override
-		public void regained() {
-			// What changed meanwhile follows as changes.
-		}
-
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -145,16 +145,6 @@
 			rows.forEach(PlatformNews.this::configurationRow);
 		}
 
-		@Override
-		public void lost() {
-			// The configuration known stays in force.
-		}
-
-		@Override
-		public void regained() {
-			// What changed meanwhile follows as changes.
-		}
-
 	}
 
 	/** Takes news of backend servers. */
@@ -173,11 +163,6 @@
 			});
 		}
 
-		@Override
-		public void lost() {
-			// The servers known stay; calls find out which are gone.
-		}
-
 		@Override
 		public void regained() {
 			PlatformNews.this.control.post((now) -> PlatformNews.this.storeBackNanos = OptionalLong.of(now));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -185,11 +185,13 @@
 		 */
 		void changed(List<Row> rows, long version);
 
-		/** The store does not answer. */
-		void lost();
+		/** The store does not answer. Unless overridden, what is known stays. */
+		default void lost() {
+		}
 
-		/** The store answers again. */
-		void regained();
+		/** The store answers again. What changed meanwhile follows as changes. */
+		default void regained() {
+		}
 
 	}
 
