--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -162,6 +162,16 @@
 		return this;
 	}
 
+	/**
+	 * Waits until callers may come and the gateway knows servers that others registered.
+	 * @param ids all servers that live
+	 */
+	void ready(List<String> ids) throws IOException {
+		this.registered.clear();
+		this.registered.addAll(ids);
+		ready();
+	}
+
 	/**
 	 * Declares the routes and starts the one server behind them.
 	 * @param script what the server does
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
@@ -39,6 +39,11 @@
 		notifyAll();
 	}
 
+	synchronized void remove(String table, String key) {
+		write(table, key, Optional.empty());
+		notifyAll();
+	}
+
 	synchronized void away(boolean now) {
 		this.away = now;
 		notifyAll();
