Name each request by a digest in the lines of its calls

Callers saw failures of calls that ran beside one request, sent again and again under new ids. The logs could not tell that it was the same: an id names one attempt, parts of a prompt were there for some calls, and nothing for bookings. No decision changes. Tested: the digest's own tests, the tests of passing through.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -11,6 +11,7 @@
 import java.util.function.LongConsumer;
 import java.util.stream.Collectors;
 
+import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.dispatch.Dispatcher;
@@ -273,7 +274,8 @@
 
 	private void send(Call call, CallProgress progress, Choice.Chosen chosen, long now) {
 		BackendServer server = chosen.server();
-		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "route", call.route().name(), "organisation",
+		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "digest",
+				call.digest().map(RequestDigest::toString).orElse("none"), "route", call.route().name(), "organisation",
 				call.organisation().map(Organisation::name).orElse("none"), "units", Math.round(progress.units()),
 				"quota", progress.quota(), "gateways", progress.gateways(), "parts",
 				call.terms().prompt().map(Prompt::partList).orElse("none"), "targetMillis", call.route().targetMillis(),
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.traffic;
 
+import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.Future;
 
+import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.model.Verdict;
@@ -80,6 +82,11 @@
 
 	private boolean bodyComplete;
 
+	private final RequestDigest.Builder digestSoFar;
+
+	/** Known once the body is complete; read by any thread. */
+	private volatile Optional<RequestDigest> digest = Optional.empty();
+
 	/** Whether parts of the body went out that are not kept. */
 	private boolean passingOn;
 
@@ -122,6 +129,8 @@
 		this.route = route;
 		this.organisation = organisation;
 		this.service = service;
+		this.digestSoFar = RequestDigest.begin(organisation.map(Organisation::name).orElse(""), head.method().name(),
+				RequestCheck.host(head), head.uri());
 		long millis = Math.min(route.timeoutMillis(), terms.remainingMillis().orElse(Long.MAX_VALUE));
 		this.deadlineNanos = this.arrivedNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, millis));
 		this.deadlineTimer = loop().schedule(this::deadline, this.deadlineNanos - System.nanoTime(),
@@ -138,6 +147,14 @@
 		return this.terms.requestId();
 	}
 
+	/**
+	 * Names the request whoever sends it again.
+	 * @return the digest, empty while its body is not complete
+	 */
+	public Optional<RequestDigest> digest() {
+		return this.digest;
+	}
+
 	/**
 	 * What the caller says of the call.
 	 * @return the terms
@@ -268,6 +285,9 @@
 	 */
 	void bodyBytes(ByteBuf bytes) {
 		this.bodyBytes += bytes.readableBytes();
+		for (ByteBuffer part : bytes.nioBuffers()) {
+			this.digestSoFar.body(part);
+		}
 		if (this.state == State.DONE) {
 			bytes.release();
 		}
@@ -288,6 +308,7 @@
 	/** The request is complete. */
 	void bodyComplete() {
 		this.bodyComplete = true;
+		this.digest = Optional.of(this.digestSoFar.end());
 		if (this.passingOn && this.state == State.SENT) {
 			this.channel.write(new DefaultLastHttpContent());
 		}
@@ -534,8 +555,9 @@
 		this.server = Optional.empty();
 		this.framer.ifPresent(EventFramer::dropHalf);
 		this.state = State.DECIDING;
-		EventLog.info(TrafficEvents.CALL_FAILED, "request", id(), "server", by.id(), "verdict", verdict.code(), "cause",
-				cause, "answering", this.answering, "millis", ageMillis());
+		EventLog.info(TrafficEvents.CALL_FAILED, "request", id(), "digest", digestText(), "server", by.id(), "started",
+				by.startedMillis(), "verdict", verdict.code(), "cause", cause, "answering", this.answering, "millis",
+				ageMillis());
 		if (verdict instanceof Verdict.MayHaveRun) {
 			// The server may have begun it: the use of its organisation is not lost.
 			markBegun();
@@ -557,10 +579,10 @@
 	}
 
 	private void noteRefused(int status, Refusal refusal, long retryAfterMillis) {
-		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "route", this.route.name(), "organisation",
-				organisationName(), "status", status, "reason", refusal.cause(), "detail", refusal.detail(),
-				"retryAfterMillis", retryAfterMillis, "state", this.state, "targetMillis", this.route.targetMillis(),
-				"millis", ageMillis());
+		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "digest", digestText(), "route", this.route.name(),
+				"organisation", organisationName(), "status", status, "reason", refusal.cause(), "detail",
+				refusal.detail(), "retryAfterMillis", retryAfterMillis, "state", this.state, "targetMillis",
+				this.route.targetMillis(), "millis", ageMillis());
 		this.gateway.metrics().refused(status);
 	}
 
@@ -639,6 +661,10 @@
 		return this.gateway.loop();
 	}
 
+	private String digestText() {
+		return this.digest.map(RequestDigest::toString).orElse("none");
+	}
+
 	private String organisationName() {
 		return this.organisation.map(Organisation::name).orElse("none");
 	}
