Hold back a request under which three servers crashed, at all gateways

Callers of other requests got 502, 503 and late answers while one request, sent again under new ids, took down 15 to 21 servers one after the other. Cause: nothing was remembered of a request beyond one attempt at one gateway.

A request is known by its digest. When a connection breaks off in the middle of a call, the gateway asks the server for a new one; if it gets none, a crash of a server that was not about to leave counts against each request that the server had. Three crashes hold a request back: 503 at once, also for copies that wait at a server, and looked at once more right before bytes leave. It holds because crashes go to the others at once and into the store, from where gateways that do not hear one another and processes that start read them; none sends anything before it has read them. A whole answer to the request, or a later answer of the server, clears a crash. Servers lost at one moment, as with an availability zone, allow one trial, written down before it is sent.

Servers that crashed get no calls until they lapse.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -67,6 +67,15 @@
 		return !this.unreadable && !this.server.leaving();
 	}
 
+	// Never shorter than before: calls that fail at a server that crashed say no more
+	// than
+	// that.
+	void avoidUntil(long nanos) {
+		if (this.avoidUntilNanos.isEmpty() || nanos - this.avoidUntilNanos.getAsLong() > 0) {
+			this.avoidUntilNanos = OptionalLong.of(nanos);
+		}
+	}
+
 	boolean avoided(long nowNanos) {
 		return this.avoidUntilNanos.isPresent() && nowNanos - this.avoidUntilNanos.getAsLong() < 0;
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -39,6 +39,13 @@
 
 	private static final int AVOID_DOUBLINGS = 4;
 
+	/**
+	 * How long a server that crashed gets no calls, unless no other is left.
+	 * Registrations lapse within three heartbeats, which was seen to take up to 3.6 s; a
+	 * server that was wrongly taken for crashed gets calls again after that.
+	 */
+	private static final long CRASHED_NANOS = TimeUnit.SECONDS.toNanos(4);
+
 	/** Failures in a row before a server is avoided: one may be the call's own fault. */
 	private static final int AVOID_AFTER = 2;
 
@@ -225,10 +232,29 @@
 		row.failures = failed ? row.failures + 1 : 0;
 		if (row.failures >= AVOID_AFTER) {
 			long nanos = AVOID_NANOS << Math.min(AVOID_DOUBLINGS, row.failures - AVOID_AFTER);
-			row.avoidUntilNanos = OptionalLong.of(nowNanos + nanos);
+			row.avoidUntil(nowNanos + nanos);
 		}
 	}
 
+	/**
+	 * Notes that a server crashed. Until its registration lapses it stands in the table
+	 * for some seconds, and each call sent there loses a round trip; calls that met three
+	 * such servers were refused.
+	 * @param server the start of the server
+	 * @param nowNanos the time
+	 */
+	public void crashed(Start server, long nowNanos) {
+		row(server).ifPresent((row) -> row.avoidUntil(nowNanos + CRASHED_NANOS));
+	}
+
+	/**
+	 * Notes that a server lives that was taken for crashed.
+	 * @param server the start of the server
+	 */
+	public void lives(Start server) {
+		row(server).ifPresent((row) -> row.avoidUntilNanos = OptionalLong.empty());
+	}
+
 	/**
 	 * Notes that a caller gave a call up, which says nothing of its server.
 	 * @param server the start of the server
@@ -279,6 +305,15 @@
 		return Optional.ofNullable(this.rows.get(id)).map((row) -> row.server);
 	}
 
+	/**
+	 * Whether a server is expected to go on.
+	 * @param server the start of the server
+	 * @return true while it is registered and does not leave
+	 */
+	public boolean isExpected(Start server) {
+		return row(server).filter((row) -> row.dropAtNanos.isEmpty() && !row.server.leaving()).isPresent();
+	}
+
 	/**
 	 * All servers that are registered or may still register again.
 	 * @return the servers
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/crashes/CrashTableTests.java
@@ -0,0 +1,204 @@
+package org.rosemaryfront.crashes;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rosemaryfront.crashes.Evidence.State;
+import org.rosemaryfront.dispatch.BackendServer.Start;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CrashTableTests {
+
+	private static final RequestDigest GUILTY = new RequestDigest(1, 1);
+
+	private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private final CrashTable table = new CrashTable();
+
+	// -- what speaks against a request
+
+	@ParameterizedTest
+	@CsvSource({ "0, Free", "1, Free", "2, Free", "3, Held", "4, Held" })
+	void shouldHoldBackRequestWhenThreeServersCrashedUnderIt(int crashes, String judgement) {
+		crash(GUILTY, crashes);
+		assertThat(this.table.judge(GUILTY).getClass().getSimpleName()).isEqualTo(judgement);
+		assertThat(this.table.isHeld(GUILTY)).isEqualTo(judgement.equals("Held"));
+	}
+
+	@Test
+	void shouldCountStartsOfOneServerApart() {
+		for (int start = 0; start < 3; start++) {
+			crash(GUILTY, new Start("s1", start), start * 1_000L);
+		}
+		assertThat(this.table.isHeld(GUILTY)).isTrue();
+	}
+
+	// Answers are cut by servers that live, and connections reset: a server that takes a
+	// connection right behind that has not crashed.
+	@Test
+	void shouldForgetBrokenConnectionsWhenServersLive() {
+		for (int i = 0; i < 5; i++) {
+			this.table.suspected(new Crash(GUILTY, server(i)), i * 1_000, i);
+			this.table.answers(server(i), i + 1, i + 1);
+		}
+		assertThat(this.table.judge(GUILTY).servers()).isEmpty();
+		assertThat(this.table.size()).isZero();
+	}
+
+	@Test
+	void shouldForgetBrokenConnectionWithoutAnySign() {
+		this.table.suspected(new Crash(GUILTY, server(1)), 0, 0);
+		this.table.expire(60 * SECOND);
+		assertThat(this.table.size()).isZero();
+	}
+
+	// -- what speaks for it
+
+	@Test
+	void shouldReleaseRequestWhenItIsAnsweredWhole() {
+		crash(GUILTY, 2);
+		this.table.cleared(GUILTY, SECOND);
+		crash(GUILTY, new Start("later", 0), 9_000);
+		assertThat(this.table.judge(GUILTY)).isInstanceOf(Judgement.Free.class);
+	}
+
+	// A call that was sent before the connections broke may be answered from what had
+	// come already.
+	@ParameterizedTest
+	@CsvSource({ "-1, 3", "1, 2" })
+	void shouldClearCrashOnlyByAnswerToLaterCall(long sentNanos, int left) {
+		crash(GUILTY, 3);
+		this.table.answers(server(0), sentNanos, SECOND);
+		assertThat(this.table.judge(GUILTY).servers()).hasSize(left);
+	}
+
+	// News come in any order and more than once: what was cleared stays so.
+	@Test
+	void shouldNotCountAgainWhatWasCleared() {
+		crash(GUILTY, 3);
+		this.table.cleared(GUILTY, SECOND);
+		for (int i = 0; i < 3; i++) {
+			this.table.heard(new Evidence(new Crash(GUILTY, server(i)), State.CONFIRMED, i * 1_000L), SECOND);
+			this.table.stored(new Evidence(new Crash(GUILTY, server(i)), State.CONFIRMED, i * 1_000L), SECOND);
+		}
+		assertThat(this.table.isHeld(GUILTY)).isFalse();
+		// A row that says otherwise was written late, and is written anew.
+		assertThat(this.table.unwritten(10, SECOND)).hasSize(3)
+			.allMatch((evidence) -> evidence.state() == State.CLEARED);
+	}
+
+	// -- the trial
+
+	@Test
+	void shouldTryRequestOnceWhenServersCrashedAtOneMoment() {
+		for (int i = 0; i < 3; i++) {
+			crash(GUILTY, server(i), 20L * i);
+		}
+		assertThat(this.table.judge(GUILTY)).isInstanceOf(Judgement.OnTrial.class);
+		assertThat(this.table.isHeld(GUILTY)).isTrue();
+		this.table.trial(GUILTY, true);
+		assertThat(this.table.judge(GUILTY)).isInstanceOf(Judgement.Held.class);
+	}
+
+	// -- the others
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void shouldHoldBackByWhatOthersSaw(boolean byStore) {
+		for (int i = 0; i < 3; i++) {
+			Evidence evidence = new Evidence(new Crash(GUILTY, server(i)), State.CONFIRMED, i * 1_000L);
+			boolean news = byStore ? this.table.stored(evidence, 0) : this.table.heard(evidence, 0);
+			assertThat(news).isTrue();
+		}
+		assertThat(this.table.isHeld(GUILTY)).isTrue();
+	}
+
+	@Test
+	void shouldTellOthersForAWhile() {
+		crash(GUILTY, 1);
+		assertThat(this.table.news(SECOND)).hasSize(1);
+		assertThat(this.table.news(5 * SECOND)).isEmpty();
+	}
+
+	// An innocent request is sent again and answered before its one crash is written.
+	@Test
+	void shouldWriteNoRowForRequestThatIsAnsweredAtOnce() {
+		crash(GUILTY, 1);
+		assertThat(this.table.unwritten(10, 0)).isEmpty();
+		this.table.cleared(GUILTY, SECOND / 10);
+		assertThat(this.table.unwritten(10, 10 * SECOND)).isEmpty();
+		this.table.expire(20 * SECOND);
+		assertThat(this.table.size()).isZero();
+	}
+
+	@Test
+	void shouldWriteAllCrashesAtOnceFromTheSecondOn() {
+		crash(GUILTY, 2);
+		assertThat(this.table.unwritten(10, 0)).hasSize(2);
+	}
+
+	// A gateway that saw a crash may not reach the store: whoever heard of it writes it.
+	@Test
+	void shouldWriteWhatAnotherSawWhenItDoesNotComeFromTheStore() {
+		Evidence evidence = new Evidence(new Crash(GUILTY, server(1)), State.CONFIRMED, 0);
+		this.table.heard(evidence, 0);
+		assertThat(this.table.unwritten(10, SECOND / 10)).isEmpty();
+		assertThat(this.table.unwritten(10, SECOND)).containsExactly(evidence);
+		this.table.notWritten(evidence, SECOND);
+		assertThat(this.table.unwritten(10, SECOND)).isEmpty();
+		assertThat(this.table.unwritten(10, 2 * SECOND)).containsExactly(evidence);
+		this.table.written(evidence);
+		assertThat(this.table.unwritten(10, 9 * SECOND)).isEmpty();
+	}
+
+	@Test
+	void shouldForgetWhenRowsAreRemoved() {
+		for (int i = 0; i < 3; i++) {
+			this.table.stored(new Evidence(new Crash(GUILTY, server(i)), State.CONFIRMED, i * 1_000L), 0);
+		}
+		IntStream.range(0, 3).forEach((i) -> this.table.removed(new Crash(GUILTY, server(i))));
+		assertThat(this.table.judge(GUILTY).servers()).isEmpty();
+	}
+
+	// -- bounds
+
+	// Thousands of requests lose one server each; those with the most crashes stay known.
+	@Test
+	void shouldForgetTheLeastSuspiciousFirst() {
+		crash(GUILTY, 3);
+		crash(new RequestDigest(2, 2), 2);
+		for (int i = 0; i < 20_000; i++) {
+			crash(new RequestDigest(3, i), new Start("other" + i, 0), i);
+		}
+		assertThat(this.table.size()).isLessThanOrEqualTo(4_096);
+		assertThat(this.table.isHeld(GUILTY)).isTrue();
+		assertThat(this.table.judge(new RequestDigest(2, 2)).servers()).hasSize(2);
+		assertThat(this.table.unwritten(50, SECOND)).hasSize(50)
+			.contains(new Evidence(new Crash(GUILTY, server(0)), State.CONFIRMED, 0));
+		assertThat(this.table.news(SECOND)).hasSize(16);
+	}
+
+	// -- helpers
+
+	private void crash(RequestDigest request, int servers) {
+		IntStream.range(0, servers).forEach((i) -> crash(request, server(i), i * 1_000L));
+	}
+
+	private void crash(RequestDigest request, Start server, long atMillis) {
+		this.table.suspected(new Crash(request, server), atMillis, 0);
+		List<Evidence> confirmed = this.table.crashed(server, 0);
+		assertThat(confirmed).extracting((evidence) -> evidence.crash().request()).contains(request);
+	}
+
+	private static Start server(int number) {
+		return new Start("s" + number, 0);
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
@@ -158,6 +158,10 @@
 		return this.units;
 	}
 
+	long sentNanos() {
+		return this.sentNanos;
+	}
+
 	long takenNanos() {
 		return this.takenNanos;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -77,6 +77,21 @@
 	/** Quotas are shared with other gateways than before. */
 	QUOTA_SHARING(2833),
 
+	/** A backend server crashed while it had a request. */
+	CRASHED_UNDER_REQUEST(2850),
+
+	/** A crash does not speak against a request any more. */
+	CRASH_CLEARED(2851),
+
+	/** A request is held back, since servers crashed under it. */
+	REQUEST_HELD_BACK(2852),
+
+	/** A request is no longer held back. */
+	REQUEST_RELEASED(2853),
+
+	/** A request that is held back was to be sent once, on trial. */
+	REQUEST_ON_TRIAL(2854),
+
 	/** This process was paused or its VM was suspended. */
 	PAUSED(2840);
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -11,12 +11,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import reactor.core.publisher.Mono;
 import reactor.netty.resources.LoopResources;
 
+import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.duties.UsageLedger;
@@ -101,6 +103,8 @@
 
 	private final ControlLoop control;
 
+	private final CrashRecords crashes;
+
 	private final GatewayControl decisions;
 
 	private final Gateway gateway;
@@ -142,6 +146,8 @@
 
 	private final FollowedTable gatewaysTable = new FollowedTable();
 
+	private final FollowedTable crashesTable = new FollowedTable();
+
 	private final PeerTables peerTables;
 
 	/** Where other gateways serve their tables; written by the control thread. */
@@ -153,6 +159,8 @@
 
 	private TableWatch gatewaysWatch;
 
+	private TableWatch crashesWatch;
+
 	private GatewayProcess(GatewaySettings settings, Platform platform, LoopResources loops) {
 		this.settings = settings;
 		this.platform = platform;
@@ -161,15 +169,18 @@
 				() -> ThreadLocalRandom.current().nextDouble());
 		this.usage = new UsageLedger(settings.bounds().usageWindowMillis());
 		this.control = ControlLoop.start("control", TICK, this::tick);
+		this.crashes = new CrashRecords(platform.rows(), this.servers, this.control,
+				UsageDuty.process(settings.name(), this.start), new CrashHooks());
 		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.fleet, this.usage,
-				this::notePause);
+				this.crashes, this::notePause);
 		// The thread of all sockets. With a second one every answer of the store woke
 		// another thread, and the process died at times in a system call that both made.
 		EventLoop io = loops.onServer(false).next();
 		this.gateway = Gateway.open(io, settings.callers(), platform.calls(), this.decisions, this.metrics);
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
 				Map.of(platform.records().configuration().table(), this.configurationTable,
-						platform.records().servers(), this.serversTable, GATEWAYS_TABLE, this.gatewaysTable));
+						platform.records().servers(), this.serversTable, GATEWAYS_TABLE, this.gatewaysTable,
+						CrashRows.TABLE, this.crashesTable));
 		this.peerTables = new PeerTables(loops, () -> this.tableAddresses);
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::heard);
 		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions,
@@ -178,11 +189,12 @@
 		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl,
 				this.lease::fenced);
 		this.reports = new GatewayReports(this.peers, this.fleet, this.servers, this.quotas, this.decisions, this.usage,
-				this.usageDuty, settings.metrics().getPort());
+				this.usageDuty, this.crashes, settings.metrics().getPort());
 		this.sizeDuty = new SizeDuty(this.servers,
 				(service) -> this.decisions.dispatcher().model(service).tokensPerMilli(), platform.duties(),
 				settings.zones(), this::onControl, this.lease::fenced);
 		this.metrics.gauge("log.dropped", EventLog::dropped);
+		this.metrics.gauge("requests.held", this.crashes::heldCount);
 	}
 
 	// -- factories
@@ -229,7 +241,7 @@
 	}
 
 	private boolean isReady() {
-		return this.news.isComplete() && this.gatewaysKnown && !this.stopping;
+		return this.news.isComplete() && this.gatewaysKnown && this.crashes.isKnown() && !this.stopping;
 	}
 
 	// -- news of the platform
@@ -242,6 +254,8 @@
 				this.peerTables, this.news.servers());
 		this.gatewaysWatch = TableWatch.start(this.platform.rows(), GATEWAYS_TABLE, this.gatewaysTable, this.peerTables,
 				new GatewayNews());
+		this.crashesWatch = TableWatch.start(this.platform.rows(), CrashRows.TABLE, this.crashesTable, this.peerTables,
+				this.crashes.listener());
 		announce();
 		this.started = true;
 	}
@@ -297,6 +311,8 @@
 					server.service()));
 			this.gateway.retainServers(this.decisions.knownServers());
 		}
+		this.crashes.tick(now);
+		this.awaited |= this.crashes.isUrgent();
 		if (now - this.toldNanos >= (this.awaited ? TELL_SOON_NANOS : TELL_NANOS)) {
 			this.toldNanos = now;
 			this.awaited = false;
@@ -357,6 +373,7 @@
 		if (this.lease.mayAct(now) && !this.stopping) {
 			Set<String> organisations = new HashSet<>();
 			known.get().organisations().stream().map(Organisation::name).forEach(organisations::add);
+			this.crashes.tidy(epochMillis);
 			this.usageDuty.act(this.lease.fence(), epochMillis, organisations);
 			this.sizeDuty.act(this.lease.fence(), known.get(), now);
 		}
@@ -404,6 +421,7 @@
 		this.configurationWatch.close();
 		this.serversWatch.close();
 		this.gatewaysWatch.close();
+		this.crashesWatch.close();
 		this.admin.close();
 		this.control.close();
 		this.peers.close();
@@ -458,6 +476,26 @@
 
 	}
 
+	/** Connects what is known of crashes with calls, connections and metrics. */
+	private final class CrashHooks implements CrashRecords.Hooks {
+
+		@Override
+		public void ask(BackendServer server, Consumer<Boolean> reply) {
+			GatewayProcess.this.decisions.ask(server, GatewayProcess.this.gateway, reply);
+		}
+
+		@Override
+		public void held(RequestDigest request) {
+			GatewayProcess.this.decisions.withdraw(request);
+		}
+
+		@Override
+		public void count(String name) {
+			GatewayProcess.this.metrics.count(name);
+		}
+
+	}
+
 	/**
 	 * What the platform offers.
 	 *
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -46,6 +46,8 @@
 
 	private final UsageDuty usageDuty;
 
+	private final CrashRecords crashes;
+
 	private final int adminPort;
 
 	/** The prompt tokens that each start of another gateway last told. */
@@ -54,7 +56,7 @@
 	private long othersReadingTotal;
 
 	GatewayReports(PeerExchange peers, Fleet fleet, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
-			UsageLedger usage, UsageDuty usageDuty, int adminPort) {
+			UsageLedger usage, UsageDuty usageDuty, CrashRecords crashes, int adminPort) {
 		this.peers = peers;
 		this.servers = servers;
 		this.fleet = fleet;
@@ -62,6 +64,7 @@
 		this.decisions = decisions;
 		this.usage = usage;
 		this.usageDuty = usageDuty;
+		this.crashes = crashes;
 		this.adminPort = adminPort;
 	}
 
@@ -89,6 +92,7 @@
 				.setRow(row.row())
 				.setCounts(ByteString.copyFrom(row.counts()))));
 		addServers(report);
+		report.addAllCrashes(this.crashes.news(now));
 		this.decisions.dispatcher()
 			.models()
 			.forEach((service, model) -> report
@@ -137,6 +141,7 @@
 		});
 		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
 		report.getServersList().forEach(this::heardParts);
+		this.crashes.heard(report.getGateway(), report.getCrashesList(), now);
 		report.getSpeedsList()
 			.forEach((speed) -> this.decisions.dispatcher().model(speed.getService()).adopt(speed.getRatesList()));
 		this.usageDuty.heardUnderWay(report.getWindow(), process, begun);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -264,6 +264,24 @@
 		loop().execute(() -> giveUpNow(refusal));
 	}
 
+	/**
+	 * Ends a call wherever it is, whose request is held back from now on: servers crash
+	 * under it.
+	 * @param ran whether a server before this one may have run it
+	 * @param retryAfterMillis when coming back can help, in milliseconds
+	 * @param refusal why
+	 */
+	public void withdraw(boolean ran, long retryAfterMillis, Refusal refusal) {
+		loop().execute(() -> {
+			if (ran || this.begun || this.state == State.SENT) {
+				giveUpNow(refusal);
+			}
+			else {
+				refuseNow(503, retryAfterMillis, refusal);
+			}
+		});
+	}
+
 	/**
 	 * The server that has the call lost it with all that it held.
 	 * @param lost the start of the server
@@ -310,13 +328,24 @@
 		this.bodyComplete = true;
 		this.digest = Optional.of(this.digestSoFar.end());
 		if (this.passingOn && this.state == State.SENT) {
-			this.channel.write(new DefaultLastHttpContent());
+			endPassingOn();
 		}
 		else if (this.state == State.GATHERING) {
 			admit();
 		}
 	}
 
+	// What the request is shows at its end only. Without its end no server begins to run
+	// it; one that answers before it has read all of it may have.
+	private void endPassingOn() {
+		if (this.gateway.policy().isHeldBack(this)) {
+			abortAnswer("held back");
+		}
+		else {
+			this.channel.write(new DefaultLastHttpContent());
+		}
+	}
+
 	long received() {
 		return this.bodyBytes;
 	}
@@ -371,13 +400,18 @@
 
 	private void connected(ServerChannel to) {
 		if (this.state == State.DONE) {
-			this.gateway.pool().rest(to);
+			to.rest();
 			return;
 		}
 		if (!to.isActive()) {
 			notConnected("closed before the call");
 			return;
 		}
+		if (this.gateway.policy().isHeldBack(this)) {
+			to.rest();
+			notConnected("held back");
+			return;
+		}
 		this.channel = to;
 		this.state = State.SENT;
 		this.sends++;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -32,6 +32,14 @@
 	 */
 	boolean accepting(Optional<Route> route);
 
+	/**
+	 * Whether a call must not be sent any more; asked right before its bytes leave, since
+	 * news of its request may have come while its connection was made.
+	 * @param call the call
+	 * @return true when it is to be given back as not sent
+	 */
+	boolean isHeldBack(Call call);
+
 	/**
 	 * A call came in and wants a backend server.
 	 * @param call the call
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -44,6 +44,9 @@
 	/** A dead connection is found within 4 s, before a call is sent into it. */
 	private static final KeepAliveProbes PROBES = new KeepAliveProbes(2, 1, 2);
 
+	/** A server that has too many connections closes new ones: it lives. */
+	private static final String CLOSED_AT_ONCE = "closed at once";
+
 	private static final int HEADER_BYTES = 65_536;
 
 	private static final long SWEEP_MILLIS = 250;
@@ -88,6 +91,25 @@
 		connect(server, connections, taker, failure);
 	}
 
+	/**
+	 * Finds out whether a server lives. Connections end for many reasons; a server that
+	 * crashed takes no new one. The new one is kept for the next call.
+	 * @param server the server
+	 * @param most the connections that this process may have to it
+	 * @param reply gets whether it lives
+	 */
+	void ask(BackendServer server, int most, Consumer<Boolean> reply) {
+		Connections connections = this.servers.computeIfAbsent(server.start(), (_) -> new Connections());
+		if (connections.open.size() + connections.connecting >= most) {
+			reply.accept(true);
+			return;
+		}
+		connect(server, connections, (channel) -> {
+			channel.rest();
+			reply.accept(true);
+		}, (cause) -> reply.accept(cause.equals(CLOSED_AT_ONCE)));
+	}
+
 	/**
 	 * Closes the resting connections to servers that are gone or started again.
 	 * @param known the starts of servers that are known
@@ -147,7 +169,7 @@
 				return;
 			}
 			if (!connecting.channel().isActive()) {
-				failure.accept("closed at once");
+				failure.accept(CLOSED_AT_ONCE);
 				return;
 			}
 			connections.open.add(handler);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -87,6 +88,16 @@
 		this.loop.execute(() -> this.pool.retain(starts));
 	}
 
+	/**
+	 * Finds out whether a server lives, by a new connection.
+	 * @param server the server
+	 * @param mostConnections the connections that this process may have to it
+	 * @param reply gets whether it lives, on the traffic thread
+	 */
+	public void ask(BackendServer server, int mostConnections, Consumer<Boolean> reply) {
+		this.loop.execute(() -> this.pool.ask(server, mostConnections, reply));
+	}
+
 	/** Closes callers' connections that carry no request; the others end with theirs. */
 	public void closeIdle() {
 		this.loop.execute(() -> List.copyOf(this.callers).forEach(CallerConnection::closeIfIdle));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
@@ -57,7 +57,13 @@
 		ATTEMPTS_USED,
 
 		/** Too many calls are sent again already. */
-		RETRIES_USED;
+		RETRIES_USED,
+
+		/** Servers crashed under the request. */
+		CRASHES_SERVERS,
+
+		/** It is not known yet under which requests servers crashed. */
+		CRASHES_UNKNOWN;
 
 		@Override
 		public String toString() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerChannel.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerChannel.java
@@ -215,7 +215,8 @@
 		done.answerComplete();
 	}
 
-	private void rest() {
+	/** Lets the connection wait for the next call. */
+	void rest() {
 		if (this.channel.isActive() && this.reusable) {
 			this.idleSinceNanos = System.nanoTime();
 			this.channel.config().setAutoRead(true);
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
@@ -18,7 +18,9 @@
 // was lost. One caller's request crashed each server that began to run it; the caller sent it
 // again, under a new id, through any gateway. Nothing but the id named a request, so that
 // each gateway took each copy for a first one and sent it to the next server: twenty
-// servers were lost to one request on nine gateways.
+// servers were lost to one request on nine gateways. Sixteen sendings of one request,
+// under as many ids, stood in the logs, each with a connection that broke off and a
+// server that took no new one; here nine of nine more copies were sent.
 class CrashingRequestTests {
 
 	private static final int GATEWAYS = 3;
