Give rows and trials of crashes files of their own; show operators what is held back, and let them release it

An operator had no way to see which requests are held back, nor to send one on once its servers are mended. GET and DELETE /held-requests on the port of the metrics; a release at one gateway reaches all through the store. No decision changes.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
@@ -1,12 +1,9 @@
 package org.rosemaryfront.gateway;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
+import java.util.Locale;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import com.google.protobuf.ByteString;
@@ -21,63 +18,29 @@
 import org.rosemaryfront.dispatch.BackendServer.Start;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.gateway.AdminServer.HeldCrash;
+import org.rosemaryfront.gateway.AdminServer.HeldRequest;
 import org.rosemaryfront.gateway.proto.CrashNews;
 import org.rosemaryfront.ports.RowStore;
-import org.rosemaryfront.ports.RowStore.Commit;
-import org.rosemaryfront.ports.RowStore.Condition;
-import org.rosemaryfront.ports.RowStore.Outcome;
-import org.rosemaryfront.ports.RowStore.Row;
-import org.rosemaryfront.ports.RowStore.Write;
 import org.rosemaryfront.program.ControlLoop;
 
 /**
- * Keeps what is known of requests under which backend servers crash: finds out whether a
- * server crashed, writes that into the store, where it lasts over a kill of all processes
- * and reaches gateways that do not hear this one, and tells the others at once. Used on
- * the control thread.
+ * Finds out whether servers crash under requests, tells the others at once, and says in
+ * the log what is believed of a request and why. Used on the control thread.
  */
 final class CrashRecords {
 
-	/**
-	 * The time between two looks at what is to be written, in nanoseconds: the control
-	 * thread comes by with each call.
-	 */
-	private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
-
-	/** Rows written at once; the store takes a hundred a call. */
-	private static final int MOST_WRITES = 50;
-
-	/** How long rows of what was cleared are kept, for news that come late. */
-	private static final long CLEARED_KEPT_MILLIS = 600_000;
-
-	/**
-	 * How long crashes of a request are kept that is not held back: a request that
-	 * crashes servers comes again within that time, and others are long forgotten by
-	 * then.
-	 */
-	private static final long KEPT_MILLIS = 86_400_000;
-
-	private final RowStore store;
-
 	private final BackendTable servers;
 
 	private final CrashTable table = new CrashTable();
 
 	private final ControlLoop control;
 
-	/** This start of this gateway. */
-	private final String process;
-
 	private final Hooks hooks;
 
-	/** Which crash a row is about, for rows that go. */
-	private final Map<String, Crash> rows = new HashMap<>();
-
-	/** Which start of a gateway has, or had, the trial of a request. */
-	private final Map<RequestDigest, String> trialHolders = new HashMap<>();
+	private final CrashTrials trials;
 
-	/** Trials that this process asked for and has not given back. */
-	private final Set<RequestDigest> ownTrials = new HashSet<>();
+	private final CrashStore store;
 
 	/** Servers that are asked whether they live. */
 	private final Set<Start> asked = new HashSet<>();
@@ -85,21 +48,16 @@
 	/** Requests of which the log says that they are held back. */
 	private final Set<RequestDigest> toldHeld = new HashSet<>();
 
-	private boolean writing;
-
-	private long lookedNanos = System.nanoTime();
-
-	private volatile boolean known;
-
 	/** Whether the others should hear of news soon. */
 	private boolean urgent;
 
-	CrashRecords(RowStore store, BackendTable servers, ControlLoop control, String process, Hooks hooks) {
-		this.store = store;
+	CrashRecords(RowStore rows, BackendTable servers, ControlLoop control, String process, Hooks hooks) {
 		this.servers = servers;
 		this.control = control;
-		this.process = process;
 		this.hooks = hooks;
+		this.trials = new CrashTrials(rows, this.table, control, process, this::review);
+		this.store = new CrashStore(rows, this.table, this.trials, control, process,
+				new CrashStore.News((evidence, now) -> took(evidence, "store", now), this::review));
 	}
 
 	// -- queries
@@ -110,7 +68,7 @@
 	 * @return true from then on; may be asked on any thread
 	 */
 	boolean isKnown() {
-		return this.known;
+		return this.store.isKnown();
 	}
 
 	/**
@@ -126,18 +84,33 @@
 		return this.table.judge(request);
 	}
 
-	Map<RequestDigest, List<Evidence>> all() {
-		return this.table.all();
+	/**
+	 * What is known, for an operator.
+	 * @return the requests, the oldest first
+	 */
+	List<HeldRequest> list() {
+		return this.table.all()
+			.entrySet()
+			.stream()
+			.map((entry) -> new HeldRequest(entry.getKey().toString(), isHeld(entry.getKey()),
+					entry.getValue().stream().map(CrashRecords::heldCrash).toList()))
+			.toList();
 	}
 
-	int suspectCount() {
-		return this.table.size();
+	private static HeldCrash heldCrash(Evidence evidence) {
+		Start server = evidence.crash().server();
+		return new HeldCrash(server.id(), server.startedMillis(), evidence.atMillis(),
+				evidence.state().name().toLowerCase(Locale.ROOT));
 	}
 
 	int heldCount() {
 		return this.table.heldCount();
 	}
 
+	CrashTrials trials() {
+		return this.trials;
+	}
+
 	// -- what calls show
 
 	/**
@@ -221,70 +194,12 @@
 	private boolean clear(RequestDigest request, String cause, long now) {
 		List<Evidence> cleared = this.table.cleared(request, now);
 		noteCleared(cleared, cause);
-		if (!cleared.isEmpty() && this.trialHolders.containsKey(request)) {
-			returnTrial(request);
+		if (!cleared.isEmpty() && this.trials.isGiven(request)) {
+			this.trials.giveBack(request);
 		}
 		return !cleared.isEmpty();
 	}
 
-	// -- the trial
-
-	/**
-	 * Asks for the one trial of a request. It is written down before the request is sent,
-	 * so that there is one for all gateways and all their starts.
-	 * @param request the request
-	 * @param reply whether this gateway has it
-	 */
-	void claimTrial(RequestDigest request, Consumer<Boolean> reply) {
-		if (!this.ownTrials.add(request)) {
-			reply.accept(false);
-			return;
-		}
-		String key = CrashRows.trialKey(request);
-		Commit commit = new Commit(CrashRows.TABLE, List.of(new Condition(key, 0)),
-				List.of(new Write(key, CrashRows.writeTrial(this.process))), List.of());
-		this.store.commit(commit).subscribe((outcome) -> this.control.post((_) -> {
-			boolean granted = outcome instanceof Outcome.Committed;
-			noteTrial(request, granted);
-			reply.accept(granted);
-		}), (failure) -> this.control.post((_) -> {
-			noteFailure(key, "write", failure);
-			noteTrial(request, false);
-			reply.accept(false);
-		}));
-	}
-
-	private void noteTrial(RequestDigest request, boolean granted) {
-		EventLog.info(GatewayEvents.REQUEST_ON_TRIAL, "digest", request, "granted", granted);
-		if (granted) {
-			this.table.trial(request, true);
-			review(request);
-		}
-		else {
-			this.ownTrials.remove(request);
-			returnUnused(request);
-		}
-	}
-
-	/**
-	 * Gives the trial of a request back that was not sent.
-	 * @param request the request
-	 */
-	void returnTrial(RequestDigest request) {
-		this.ownTrials.remove(request);
-		remove(List.of(CrashRows.trialKey(request)));
-	}
-
-	// The answer to a claim can be lost and the row come seconds later: the one trial of
-	// the request would be gone, with nothing sent.
-	private void returnUnused(RequestDigest request) {
-		boolean unused = this.trialHolders.getOrDefault(request, "").equals(this.process)
-				&& !this.ownTrials.contains(request);
-		if (unused) {
-			returnTrial(request);
-		}
-	}
-
 	// -- the other gateways
 
 	/**
@@ -342,7 +257,7 @@
 	// -- the store
 
 	TableWatch.Listener listener() {
-		return new Listener();
+		return this.store.listener();
 	}
 
 	/**
@@ -350,54 +265,7 @@
 	 * @param now the time
 	 */
 	void tick(long now) {
-		if (now - this.lookedNanos >= LOOK_NANOS) {
-			this.lookedNanos = now;
-			this.table.expire(now);
-			writeDue(now);
-		}
-	}
-
-	private void writeDue(long now) {
-		if (this.writing || !this.known) {
-			return;
-		}
-		List<Evidence> due = this.table.unwritten(MOST_WRITES, now);
-		if (!due.isEmpty()) {
-			write(due);
-		}
-	}
-
-	// New rows must not be there: a write whose answer was lost can take effect seconds
-	// later, and would make a crash count again that was cleared meanwhile.
-	private void write(List<Evidence> due) {
-		this.writing = true;
-		List<Condition> conditions = due.stream()
-			.filter((evidence) -> evidence.state() == State.CONFIRMED)
-			.map((evidence) -> new Condition(CrashRows.key(evidence.crash()), 0))
-			.toList();
-		List<Write> writes = due.stream()
-			.map((evidence) -> new Write(CrashRows.key(evidence.crash()), CrashRows.write(evidence, this.process)))
-			.toList();
-		this.store.commit(new Commit(CrashRows.TABLE, conditions, writes, List.of()))
-			.subscribe((outcome) -> this.control.post((now) -> written(due, outcome, now)),
-					(failure) -> this.control.post((now) -> notWritten(due, failure, now)));
-	}
-
-	private void written(List<Evidence> due, Outcome outcome, long now) {
-		this.writing = false;
-		switch (outcome) {
-			case Outcome.Committed _ -> due.forEach(this.table::written);
-			case Outcome.Conflict _ when due.size() == 1 -> this.table.written(due.getFirst());
-			// Another gateway wrote one of the rows: each for itself.
-			case Outcome.Conflict _ -> due.forEach((one) -> write(List.of(one)));
-		}
-		writeDue(now);
-	}
-
-	private void notWritten(List<Evidence> due, Throwable failure, long now) {
-		this.writing = false;
-		noteFailure(CrashRows.key(due.getFirst().crash()), "write", failure);
-		due.forEach((one) -> this.table.notWritten(one, now));
+		this.store.tick(now);
 	}
 
 	/**
@@ -405,89 +273,7 @@
 	 * @param epochMillis the time of day
 	 */
 	void tidy(long epochMillis) {
-		List<String> old = this.rows.entrySet()
-			.stream()
-			.filter((entry) -> isOld(entry.getValue(), epochMillis))
-			.map(Map.Entry::getKey)
-			.limit(MOST_WRITES)
-			.toList();
-		if (!old.isEmpty()) {
-			remove(old);
-		}
-	}
-
-	// What the table forgot for want of room goes from the store as well.
-	private boolean isOld(Crash crash, long epochMillis) {
-		if (isHeld(crash.request())) {
-			return false;
-		}
-		Optional<Evidence> evidence = this.table.evidence(crash);
-		return evidence.isEmpty() || epochMillis - evidence.get().atMillis() > keptMillis(evidence.get().state());
-	}
-
-	private static long keptMillis(State state) {
-		return (state == State.CLEARED) ? CLEARED_KEPT_MILLIS : KEPT_MILLIS;
-	}
-
-	private void remove(List<String> keys) {
-		this.store.commit(new Commit(CrashRows.TABLE, List.of(), List.of(), keys)).subscribe((_) -> {
-		}, (failure) -> noteFailure(keys.getFirst(), "delete", failure));
-	}
-
-	private void row(Row row, long now) {
-		if (row.value().isEmpty()) {
-			gone(row.key());
-			return;
-		}
-		try {
-			if (CrashRows.isTrial(row.key())) {
-				trialGiven(CrashRows.request(row.key()), CrashRows.readTrial(row.value().get()));
-				return;
-			}
-			Evidence evidence = CrashRows.read(row.key(), row.value().get());
-			this.rows.put(row.key(), evidence.crash());
-			if (this.table.stored(evidence, now)) {
-				took(evidence, "store", now);
-			}
-		}
-		catch (IllegalArgumentException | IllegalStateException ex) {
-			EventLog.warn(GatewayEvents.ROW_CALL_FAILED, "row", row.key(), "call", "read", "cause", ex.getMessage());
-		}
-	}
-
-	private void trialGiven(RequestDigest request, String holder) {
-		this.trialHolders.put(request, holder);
-		this.table.trial(request, true);
-		review(request);
-		returnUnused(request);
-	}
-
-	private void gone(String key) {
-		Optional.ofNullable(this.rows.remove(key)).ifPresent((crash) -> {
-			this.table.removed(crash);
-			review(crash.request());
-		});
-		if (CrashRows.isTrial(key)) {
-			trialGone(CrashRows.request(key));
-		}
-	}
-
-	private void trialGone(RequestDigest request) {
-		this.trialHolders.remove(request);
-		this.table.trial(request, false);
-		review(request);
-	}
-
-	private void all(List<Row> present, long now) {
-		Set<String> keys = new HashSet<>();
-		present.forEach((row) -> keys.add(row.key()));
-		List.copyOf(this.rows.keySet()).stream().filter((key) -> !keys.contains(key)).forEach(this::gone);
-		List.copyOf(this.trialHolders.keySet())
-			.stream()
-			.filter((request) -> !keys.contains(CrashRows.trialKey(request)))
-			.forEach(this::trialGone);
-		present.forEach((row) -> row(row, now));
-		this.known = true;
+		this.store.tidy(epochMillis);
 	}
 
 	// -- the log
@@ -526,10 +312,6 @@
 		}
 	}
 
-	private static void noteFailure(String key, String call, Throwable failure) {
-		EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", key, "call", call, "cause", failure.getMessage());
-	}
-
 	// Tells when a request is held back, or no longer is.
 	private void review(RequestDigest request) {
 		Judgement judgement = judge(request);
@@ -568,19 +350,4 @@
 
 	}
 
-	/** Takes news of the table. */
-	private final class Listener implements TableWatch.Listener {
-
-		@Override
-		public void all(List<Row> rows, long version) {
-			CrashRecords.this.control.post((now) -> CrashRecords.this.all(rows, now));
-		}
-
-		@Override
-		public void changed(List<Row> rows, long version) {
-			CrashRecords.this.control.post((now) -> rows.forEach((row) -> row(row, now)));
-		}
-
-	}
-
 }
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
@@ -0,0 +1,257 @@
+package org.rosemaryfront.gateway;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+import org.rosemaryfront.crashes.Crash;
+import org.rosemaryfront.crashes.CrashTable;
+import org.rosemaryfront.crashes.Evidence;
+import org.rosemaryfront.crashes.Evidence.State;
+import org.rosemaryfront.crashes.RequestDigest;
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.RowStore.Commit;
+import org.rosemaryfront.ports.RowStore.Condition;
+import org.rosemaryfront.ports.RowStore.Outcome;
+import org.rosemaryfront.ports.RowStore.Row;
+import org.rosemaryfront.ports.RowStore.Write;
+import org.rosemaryfront.program.ControlLoop;
+
+/**
+ * Keeps crashes under requests in the store, where they last over a kill of all processes
+ * and reach gateways that do not hear one another. What the store does not take is
+ * written once it does. Used on the control thread.
+ */
+final class CrashStore {
+
+	/**
+	 * The time between two looks at what is to be written, in nanoseconds: the control
+	 * thread comes by with each call.
+	 */
+	private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+	/** Rows written at once; the store takes a hundred a call. */
+	private static final int MOST_WRITES = 50;
+
+	/** How long rows of what was cleared are kept, for news that come late. */
+	private static final long CLEARED_KEPT_MILLIS = TimeUnit.MINUTES.toMillis(10);
+
+	/**
+	 * How long crashes of a request are kept that is not held back: a request that
+	 * crashes servers comes again within that time, and others are long forgotten by
+	 * then.
+	 */
+	private static final long KEPT_MILLIS = TimeUnit.DAYS.toMillis(1);
+
+	private final RowStore store;
+
+	private final CrashTable table;
+
+	private final CrashTrials trials;
+
+	private final ControlLoop control;
+
+	/** This start of this gateway. */
+	private final String process;
+
+	private final News news;
+
+	/** Which crash a row is about, for rows that go. */
+	private final Map<String, Crash> rows = new HashMap<>();
+
+	private int writing;
+
+	private long lookedNanos = System.nanoTime();
+
+	private volatile boolean known;
+
+	CrashStore(RowStore store, CrashTable table, CrashTrials trials, ControlLoop control, String process, News news) {
+		this.store = store;
+		this.table = table;
+		this.trials = trials;
+		this.control = control;
+		this.process = process;
+		this.news = news;
+	}
+
+	/**
+	 * Whether the table was read once.
+	 * @return true from then on; may be asked on any thread
+	 */
+	boolean isKnown() {
+		return this.known;
+	}
+
+	TableWatch.Listener listener() {
+		return new Listener();
+	}
+
+	// -- writing
+
+	/**
+	 * Lets time pass.
+	 * @param now the time
+	 */
+	void tick(long now) {
+		if (now - this.lookedNanos >= LOOK_NANOS) {
+			this.lookedNanos = now;
+			this.table.expire(now);
+			writeDue(now);
+		}
+	}
+
+	private void writeDue(long now) {
+		if (this.writing > 0 || !this.known) {
+			return;
+		}
+		List<Evidence> due = this.table.unwritten(MOST_WRITES, now);
+		if (!due.isEmpty()) {
+			write(due);
+		}
+	}
+
+	// New rows must not be there: a write whose answer was lost can take effect seconds
+	// later, and would make a crash count again that was cleared meanwhile.
+	private void write(List<Evidence> due) {
+		this.writing++;
+		List<Condition> conditions = due.stream()
+			.filter((evidence) -> evidence.state() == State.CONFIRMED)
+			.map((evidence) -> new Condition(CrashRows.key(evidence.crash()), 0))
+			.toList();
+		List<Write> writes = due.stream()
+			.map((evidence) -> new Write(CrashRows.key(evidence.crash()), CrashRows.write(evidence, this.process)))
+			.toList();
+		this.store.commit(new Commit(CrashRows.TABLE, conditions, writes, List.of()))
+			.subscribe((outcome) -> this.control.post((now) -> written(due, outcome, now)),
+					(failure) -> this.control.post((now) -> notWritten(due, failure, now)));
+	}
+
+	private void written(List<Evidence> due, Outcome outcome, long now) {
+		this.writing--;
+		switch (outcome) {
+			case Outcome.Committed _ -> due.forEach(this.table::written);
+			case Outcome.Conflict _ when due.size() == 1 -> this.table.written(due.getFirst());
+			// Another gateway wrote one of the rows: each for itself.
+			case Outcome.Conflict _ -> due.forEach((one) -> write(List.of(one)));
+		}
+		writeDue(now);
+	}
+
+	private void notWritten(List<Evidence> due, Throwable failure, long now) {
+		this.writing--;
+		noteFailure(CrashRows.key(due.getFirst().crash()), "write", failure);
+		due.forEach((one) -> this.table.notWritten(one, now));
+	}
+
+	/**
+	 * Removes rows that nothing needs any more, as the holder of the duties.
+	 * @param epochMillis the time of day
+	 */
+	void tidy(long epochMillis) {
+		List<String> old = this.rows.entrySet()
+			.stream()
+			.filter((entry) -> isOld(entry.getValue(), epochMillis))
+			.map(Map.Entry::getKey)
+			.limit(MOST_WRITES)
+			.toList();
+		if (!old.isEmpty()) {
+			this.store.commit(new Commit(CrashRows.TABLE, List.of(), List.of(), old)).subscribe((_) -> {
+			}, (failure) -> noteFailure(old.getFirst(), "delete", failure));
+		}
+	}
+
+	// What the table forgot for want of room goes from the store as well.
+	private boolean isOld(Crash crash, long epochMillis) {
+		if (this.table.isHeld(crash.request())) {
+			return false;
+		}
+		Optional<Evidence> evidence = this.table.evidence(crash);
+		return evidence.isEmpty() || epochMillis - evidence.get().atMillis() > keptMillis(evidence.get().state());
+	}
+
+	private static long keptMillis(State state) {
+		return (state == State.CLEARED) ? CLEARED_KEPT_MILLIS : KEPT_MILLIS;
+	}
+
+	static void noteFailure(String key, String call, Throwable failure) {
+		EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", key, "call", call, "cause", failure.getMessage());
+	}
+
+	// -- reading
+
+	private void all(List<Row> present, long now) {
+		Set<String> keys = new HashSet<>();
+		present.forEach((row) -> keys.add(row.key()));
+		List.copyOf(this.rows.keySet()).stream().filter((key) -> !keys.contains(key)).forEach(this::gone);
+		this.trials.retain(keys);
+		present.forEach((row) -> row(row, now));
+		this.known = true;
+	}
+
+	private void row(Row row, long now) {
+		try {
+			if (row.value().isEmpty()) {
+				gone(row.key());
+			}
+			else if (CrashRows.isTrial(row.key())) {
+				this.trials.given(CrashRows.request(row.key()), CrashRows.readTrial(row.value().get()));
+			}
+			else {
+				crash(row.key(), CrashRows.read(row.key(), row.value().get()), now);
+			}
+		}
+		catch (IllegalArgumentException | IllegalStateException ex) {
+			EventLog.warn(GatewayEvents.ROW_CALL_FAILED, "row", row.key(), "call", "read", "cause", ex.getMessage());
+		}
+	}
+
+	private void crash(String key, Evidence evidence, long now) {
+		this.rows.put(key, evidence.crash());
+		if (this.table.stored(evidence, now)) {
+			this.news.crash().accept(evidence, now);
+		}
+	}
+
+	private void gone(String key) {
+		if (CrashRows.isTrial(key)) {
+			this.trials.gone(CrashRows.request(key));
+		}
+		Crash crash = this.rows.remove(key);
+		if (crash != null) {
+			this.table.removed(crash);
+			this.news.removed().accept(crash.request());
+		}
+	}
+
+	/**
+	 * Who is told of rows.
+	 *
+	 * @param crash takes a crash that is news, and the time
+	 * @param removed takes a request of which a row was removed
+	 */
+	record News(BiConsumer<Evidence, Long> crash, Consumer<RequestDigest> removed) {
+	}
+
+	/** Takes news of the table. */
+	private final class Listener implements TableWatch.Listener {
+
+		@Override
+		public void all(List<Row> present, long version) {
+			CrashStore.this.control.post((now) -> CrashStore.this.all(present, now));
+		}
+
+		@Override
+		public void changed(List<Row> changed, long version) {
+			CrashStore.this.control.post((now) -> changed.forEach((row) -> row(row, now)));
+		}
+
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -241,7 +241,7 @@
 		switch (judge(call)) {
 			case Judgement.Free _ -> take(call, now);
 			case Judgement.OnTrial trial ->
-				this.crashes.claimTrial(call.digest().orElseThrow(), (granted) -> tried(call, trial, granted));
+				this.crashes.trials().claim(call.digest().orElseThrow(), (granted) -> tried(call, trial, granted));
 			case Judgement.Held held -> call.refuse(503, HELD_RETRY_MILLIS, crashRefusal(held));
 		}
 	}
@@ -259,7 +259,7 @@
 	// A trial that no server got is for the next copy.
 	private void trialOver(Call call) {
 		if (this.onTrial.remove(call) && call.sends() == 0) {
-			this.crashes.returnTrial(call.digest().orElseThrow());
+			this.crashes.trials().giveBack(call.digest().orElseThrow());
 		}
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
@@ -180,7 +181,8 @@
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
 				Map.of(platform.records().configuration().table(), this.configurationTable,
 						platform.records().servers(), this.serversTable, GATEWAYS_TABLE, this.gatewaysTable,
-						CrashRows.TABLE, this.crashesTable));
+						CrashRows.TABLE, this.crashesTable),
+				new OperatorsView());
 		this.peerTables = new PeerTables(loops, () -> this.tableAddresses);
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::heard);
 		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions,
@@ -235,9 +237,13 @@
 	}
 
 	private <T> T askControl(Supplier<T> question) {
+		return onControl((_) -> question.get()).join();
+	}
+
+	private <T> CompletableFuture<T> onControl(Function<Long, T> question) {
 		CompletableFuture<T> answer = new CompletableFuture<>();
-		this.control.post((_) -> answer.complete(question.get()));
-		return answer.join();
+		this.control.post((now) -> answer.complete(question.apply(now)));
+		return answer;
 	}
 
 	private boolean isReady() {
@@ -496,6 +502,21 @@
 
 	}
 
+	/** Shows an operator what is held back, and releases it. */
+	private final class OperatorsView implements AdminServer.HeldRequests {
+
+		@Override
+		public Mono<List<AdminServer.HeldRequest>> list() {
+			return Mono.fromFuture(() -> onControl((_) -> GatewayProcess.this.crashes.list()));
+		}
+
+		@Override
+		public Mono<Boolean> release(RequestDigest request) {
+			return Mono.fromFuture(() -> onControl((now) -> GatewayProcess.this.crashes.release(request, now)));
+		}
+
+	}
+
 	/**
 	 * What the platform offers.
 	 *
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
@@ -1,8 +1,11 @@
 package org.rosemaryfront.gateway;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -95,8 +98,41 @@
 		assertThat(sendingsOfRepeats("/drafts/")).isLessThanOrEqualTo(MORE);
 	}
 
+	// An operator who mended the servers releases the request at one gateway, with its
+	// digest from the list; it is served through each of them.
+	@Test
+	void shouldServeRequestAgainWhenOperatorReleasesIt() throws IOException {
+		loseServers("/drafts/");
+		this.servers.mend();
+		String list = operator("GET", "/held-requests").body();
+		Matcher digest = Pattern.compile("\"digest\":\"([0-9a-f]{32})\",\"held\":true").matcher(list);
+		assertThat(digest.find()).isTrue();
+		assertThat(operator("DELETE", "/held-requests/" + digest.group(1)).status()).isEqualTo(204);
+		assertThat(operator("DELETE", "/held-requests/no-digest").status()).isEqualTo(400);
+		assertThat(operator("DELETE", "/held-requests/" + "0".repeat(32)).status()).isEqualTo(404);
+		for (int i = 0; i < GATEWAYS; i++) {
+			int gateway = i;
+			GatewayHarness.await(() -> status(gateway) == 200);
+		}
+	}
+
 	// -- steps
 
+	private Answer operator(String method, String path) throws IOException {
+		try (RawCaller operator = new RawCaller(this.fleet.getFirst().settings.metrics())) {
+			return operator.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").read();
+		}
+	}
+
+	private int status(int gateway) {
+		try {
+			return ask(gateway, "/drafts/", CrashableServers.CRASHING).status();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	private void ready() throws IOException {
 		this.servers.fill();
 		for (GatewayHarness gateway : this.fleet) {
@@ -149,6 +185,8 @@
 		/** Lost, and registered until others take their places. */
 		private final List<String> lapsing = new ArrayList<>();
 
+		private volatile boolean crashing = true;
+
 		private int lost;
 
 		CrashableServers(MemoryRowStore store) {
@@ -163,7 +201,7 @@
 				String id = "s" + this.all.size();
 				ScriptedServer[] self = new ScriptedServer[1];
 				self[0] = ScriptedServer.start((request, exchange) -> {
-					if (request.body().equals(CRASHING)) {
+					if (this.crashing && request.body().equals(CRASHING)) {
 						crash(id, self[0]);
 					}
 					else {
@@ -176,6 +214,10 @@
 			}
 		}
 
+		void mend() {
+			this.crashing = false;
+		}
+
 		private synchronized void crash(String id, ScriptedServer server) {
 			this.living.remove(id);
 			this.lapsing.add(id);
