Fix at the signal until when a stopping gateway takes all calls

The times are fixed when the signal comes, and each call is held against them. The test of the times fails with a slack of 50 ms put back in.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -5,7 +5,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -70,11 +69,6 @@
 	/** Servers that may be tried in vain without anything sent, for one call. */
 	private static final int UNSENT_MOST = 3;
 
-	/**
-	 * What the answer of a call's timeout takes to reach its caller, in milliseconds.
-	 */
-	private static final long END_MARGIN_MILLIS = 200;
-
 	/**
 	 * When to come back with a request that is held back, in milliseconds. It stays so
 	 * until an operator releases it.
@@ -116,10 +110,8 @@
 
 	private volatile Optional<TrafficConfiguration> configuration = Optional.empty();
 
-	private volatile boolean stopping;
-
-	/** When the process ends, once a stop is far; calls must end before. */
-	private volatile OptionalLong endsNanos = OptionalLong.empty();
+	/** Which calls are taken once a stop was asked for. */
+	private volatile Optional<StopTimes> stop = Optional.empty();
 
 	/** The store's version and the time of the last news of servers. */
 	private long serversVersion;
@@ -156,17 +148,18 @@
 
 	@Override
 	public boolean stopping() {
-		return this.stopping;
+		return this.stop.isPresent();
 	}
 
 	@Override
 	public boolean accepting(Optional<Route> route) {
-		OptionalLong ends = this.endsNanos;
-		if (ends.isEmpty()) {
-			return true;
-		}
-		long leftMillis = (ends.getAsLong() - System.nanoTime()) / NANOS_PER_MILLI - END_MARGIN_MILLIS;
-		return route.filter((known) -> known.timeoutMillis() <= leftMillis).isPresent();
+		return this.stop.map((times) -> times.accepts(timeoutMillis(route), System.nanoTime())).orElse(true);
+	}
+
+	// A request without a route would be answered at once, but its connection is of no
+	// more use.
+	private static long timeoutMillis(Optional<Route> route) {
+		return route.map(Route::timeoutMillis).orElse(Long.MAX_VALUE);
 	}
 
 	@Override
@@ -562,16 +555,12 @@
 		this.retries.processes(count);
 	}
 
-	void stop() {
-		this.stopping = true;
-	}
-
 	/**
-	 * Takes only calls from now on that end in time whatever their servers do.
-	 * @param atNanos when the process ends
+	 * A stop was asked for.
+	 * @param times which calls are taken from now on
 	 */
-	void endsAt(long atNanos) {
-		this.endsNanos = OptionalLong.of(atNanos);
+	void stop(StopTimes times) {
+		this.stop = Optional.of(times);
 	}
 
 	// -- queries, on the control thread
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -391,18 +391,18 @@
 	public void close() {
 		long begun = System.nanoTime();
 		this.stopping = true;
-		this.decisions.stop();
+		long most = this.settings.bounds().drainMillis() - EXIT_MILLIS;
+		StopTimes times = StopTimes.of(begun, this.settings.bounds().balancerMillis(), most);
+		this.decisions.stop(times);
 		this.gateway.closeIdle();
 		// It does not act any more: a successor need not wait for the last calls.
 		this.control.post(this.lease::release);
-		long most = this.settings.bounds().drainMillis() - EXIT_MILLIS;
 		boolean left = false;
 		boolean counted = false;
 		while (passedMillis(begun) < most) {
 			if (passedMillis(begun) >= this.settings.bounds().balancerMillis()) {
 				if (!left) {
 					left = true;
-					this.decisions.endsAt(begun + TimeUnit.MILLISECONDS.toNanos(most));
 					leave();
 				}
 				this.gateway.closeIdle();
@@ -412,7 +412,7 @@
 				}
 				if (idle && !counted) {
 					// A call taken from now on would be cut by the end of the process.
-					this.decisions.endsAt(System.nanoTime());
+					this.decisions.stop(times.endingAt(System.nanoTime()));
 					counted = true;
 					writeCounts();
 				}
