Report windows of use behind one whose counts cannot be read

Windows of use were not reported any more, through one holder of the duties after the other: a row of counts that cannot be read threw on the control thread, which left the duty busy for good (shown by the test: E1005, then no report). The same class as requests that crash one server after the other: what one tried in vain, the next tried anew. Such a row now counts as none, with a line in the log; a sum that cannot be read gives up its one window, since it may have been reported before.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -182,7 +183,7 @@
 	 * @param counts its value
 	 */
 	void heardUnwritten(long window, String row, byte[] counts) {
-		this.heard.unwritten(window, row, decode(counts));
+		decode(key(window, row), counts).ifPresent((read) -> this.heard.unwritten(window, row, read));
 	}
 
 	// -- the duty
@@ -232,13 +233,14 @@
 		organisations.forEach((name) -> sum.put(name, 0L));
 		List<String> keys = new ArrayList<>();
 		for (Row row : rows) {
-			Map<String, Long> counts = decode(row.value().orElse(new byte[0]));
+			Optional<Map<String, Long>> counts = decode(row.key(), row.value().orElse(new byte[0]));
 			if (row.key().equals(key(window, SUM))) {
-				report(fence, window, counts, rows.size() - 1, List.of());
+				counts.ifPresentOrElse((known) -> report(fence, window, known, rows.size() - 1, List.of()),
+						() -> giveUp(window, "its sum cannot be read"));
 				return;
 			}
 			keys.add(row.key());
-			counts.forEach((name, count) -> sum.merge(name, count, Long::sum));
+			counts.ifPresent((known) -> known.forEach((name, count) -> sum.merge(name, count, Long::sum)));
 		}
 		addHeard(window, keys, sum);
 		Commit commit = new Commit(TABLE, List.of(new Condition(key(window, SUM), 0)),
@@ -282,17 +284,22 @@
 				failure.getMessage()));
 	}
 
+	// A sum that was reported before must not be added up anew.
+	private void giveUp(long window, String cause) {
+		EventLog.warn(GatewayEvents.USAGE_GIVEN_UP, "window", window, "cause", cause);
+		this.reported.add(window);
+		again(RETRY_MILLIS);
+	}
+
 	private void failed(long window, Throwable failure) {
 		if (failure instanceof StoreException ex && ex.reason() == StoreException.Reason.REJECTED) {
-			EventLog.warn(GatewayEvents.USAGE_GIVEN_UP, "window", window, "cause", failure.getMessage());
-			this.reported.add(window);
+			giveUp(window, failure.getMessage());
+			return;
 		}
-		else {
-			if (failure instanceof StoreException ex && ex.reason() == StoreException.Reason.FENCED) {
-				this.fenced.run();
-			}
-			EventLog.info(GatewayEvents.USAGE_NOT_REPORTED, "window", window, "cause", failure.getMessage());
+		if (failure instanceof StoreException ex && ex.reason() == StoreException.Reason.FENCED) {
+			this.fenced.run();
 		}
+		EventLog.info(GatewayEvents.USAGE_NOT_REPORTED, "window", window, "cause", failure.getMessage());
 		again(RETRY_MILLIS);
 	}
 
@@ -310,8 +317,18 @@
 		return String.format("%012d/%s", window, rest);
 	}
 
-	private static Map<String, Long> decode(byte[] value) {
-		return RowJson.read(value, COUNTS, "a row of use");
+	// Guards the duty against a row of another writer, or a spoiled one: taken as a
+	// failure,
+	// it ended the work of whoever held the duties, one holder after the other, and no
+	// window was reported any more. Its counts are missing from one window instead.
+	private static Optional<Map<String, Long>> decode(String key, byte[] value) {
+		try {
+			return Optional.of(RowJson.read(value, COUNTS, "a row of use"));
+		}
+		catch (IllegalStateException ex) {
+			EventLog.warn(GatewayEvents.ROW_CALL_FAILED, "row", key, "call", "read", "cause", ex.getMessage());
+			return Optional.empty();
+		}
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -12,6 +12,8 @@
 import java.util.regex.Pattern;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import reactor.netty.resources.LoopResources;
 
 import org.rosemaryfront.gateway.RawCaller.Answer;
@@ -249,6 +251,22 @@
 		}
 	}
 
+	// A row of counts cannot be read: another writer, or a fault of ours. Whoever held
+	// the
+	// duties stumbled over it, and reported nothing from then on: windows without a
+	// report,
+	// through one holder after the other.
+	@ParameterizedTest
+	@ValueSource(strings = { "gateway-9/0/1", "~sum" })
+	void shouldReportWindowsBehindOneWithUnreadableCounts(String row) throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.startWithUsageWindow(1_000)) {
+			long window = System.currentTimeMillis() / 1_000 + 1;
+			gateway.store.put("usage", String.format("%012d/%s", window, row), "no counts");
+			gateway.declare().ready();
+			GatewayHarness.await(() -> gateway.duties.usages().stream().anyMatch((usage) -> usage.window() > window));
+		}
+	}
+
 	// The store turns one gateway away and serves the others. Its row of counts comes
 	// too late for the report, which then lacks the calls that ran there.
 	@Test
