--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
@@ -0,0 +1,226 @@
+package org.rosemaryfront.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+import org.rosemaryfront.crashes.Crash;
+import org.rosemaryfront.crashes.Evidence;
+import org.rosemaryfront.crashes.Evidence.State;
+import org.rosemaryfront.crashes.Judgement;
+import org.rosemaryfront.crashes.RequestDigest;
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.BackendServer.Start;
+import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.StoreException;
+import org.rosemaryfront.ports.StoreException.Reason;
+import org.rosemaryfront.program.ControlLoop;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CrashRecordsTests {
+
+	private static final RequestDigest REQUEST = new RequestDigest(7, 7);
+
+	private final MemoryRowStore rows = new MemoryRowStore();
+
+	private final LoopResources loops = LoopResources.create("test", 1, true);
+
+	private volatile boolean losingAnswers;
+
+	private ControlLoop control;
+
+	private CrashRecords records;
+
+	@BeforeEach
+	void start() {
+		this.control = ControlLoop.start("control", Duration.ofMillis(5), (now) -> {
+			if (this.records != null) {
+				this.records.tick(now);
+			}
+		});
+	}
+
+	@AfterEach
+	void stop() {
+		this.rows.close();
+		this.control.close();
+		this.loops.dispose();
+	}
+
+	// -- the store
+
+	// A process that starts knows what others saw before it; rows that cannot be read
+	// are passed over.
+	@Test
+	void shouldHoldBackByTheRowsOfTheStore() {
+		this.rows.put(CrashRows.TABLE, "no digest", "{}");
+		this.rows.put(CrashRows.TABLE, REQUEST + "/0", "no crash");
+		this.rows.put(CrashRows.TABLE, REQUEST + "/trial", "no trial");
+		for (int i = 0; i < 3; i++) {
+			put(new Evidence(crash(i), State.CONFIRMED, i * 1_000L));
+		}
+		follow();
+		assertThat(this.records.isHeld(REQUEST)).isTrue();
+	}
+
+	// Servers crashed while the store was away: what it lacks is written once it is back,
+	// and a process that starts then knows it.
+	@Test
+	void shouldWriteWhatTheStoreLacksOnceItIsBack() {
+		follow();
+		this.rows.away(true);
+		for (int i = 0; i < 3; i++) {
+			broke(i);
+		}
+		GatewayHarness.await(() -> this.records.isHeld(REQUEST));
+		this.rows.away(false);
+		GatewayHarness.await(() -> this.rows.rows(CrashRows.TABLE).size() == 3);
+	}
+
+	// Two gateways write the same crash, among others.
+	@Test
+	void shouldWriteOtherRowsBesideOneThatIsThere() {
+		follow();
+		this.rows.away(true);
+		broke(0);
+		broke(1);
+		GatewayHarness.await(() -> judge().servers().size() == 2);
+		put(new Evidence(crash(0), State.CONFIRMED, 0));
+		this.rows.away(false);
+		GatewayHarness.await(() -> this.rows.rows(CrashRows.TABLE).size() == 2);
+	}
+
+	@Test
+	void shouldReleaseRequestWhenItsRowsAreDeleted() {
+		for (int i = 0; i < 3; i++) {
+			put(new Evidence(crash(i), State.CONFIRMED, i * 1_000L));
+		}
+		follow();
+		this.rows.remove(CrashRows.TABLE, CrashRows.key(crash(1)));
+		GatewayHarness.await(() -> !this.records.isHeld(REQUEST));
+	}
+
+	// -- the trial
+
+	// Two gateways ask for the one trial of a request at the same time.
+	@Test
+	void shouldGiveTrialToOneOnly() {
+		crashAtOneMoment();
+		follow();
+		Judgement judgement = judge();
+		assertThat(judgement).isInstanceOf(Judgement.OnTrial.class);
+		this.rows.put(CrashRows.TABLE, CrashRows.trialKey(REQUEST), "{\"gateway\":\"gateway-2/1\"}");
+		assertThat(claim()).isFalse();
+		GatewayHarness.await(() -> judge() instanceof Judgement.Held);
+	}
+
+	// The answer to a claim is lost, though its row is there: nothing was sent, and the
+	// one trial of the request would be gone.
+	@Test
+	void shouldGiveTrialBackWhenAnswerToClaimIsLost() {
+		crashAtOneMoment();
+		follow();
+		this.losingAnswers = true;
+		assertThat(claim()).isFalse();
+		this.losingAnswers = false;
+		GatewayHarness.await(() -> !this.rows.rows(CrashRows.TABLE).containsKey(CrashRows.trialKey(REQUEST)));
+		GatewayHarness.await(this::claim);
+	}
+
+	// -- helpers
+
+	private void crashAtOneMoment() {
+		for (int i = 0; i < 3; i++) {
+			put(new Evidence(crash(i), State.CONFIRMED, i));
+		}
+	}
+
+	private void follow() {
+		this.records = new CrashRecords(store(), new BackendTable(), this.control, "gateway-1/1", new DeadServers());
+		TableWatch.start(this.rows, CrashRows.TABLE, new FollowedTable(), new PeerTables(this.loops, List::of),
+				this.records.listener());
+		GatewayHarness.await(this.records::isKnown);
+	}
+
+	private boolean claim() {
+		CompletableFuture<Boolean> granted = new CompletableFuture<>();
+		this.control.post((_) -> this.records.trials().claim(REQUEST, granted::complete));
+		return granted.join();
+	}
+
+	private void broke(int number) {
+		BackendServer server = new BackendServer("s" + number, 0, "app", "127.0.0.1:9", "a", 8, false, false);
+		this.control.post((now) -> this.records.broke(REQUEST, server, now));
+	}
+
+	private Judgement judge() {
+		CompletableFuture<Judgement> answer = new CompletableFuture<>();
+		this.control.post((_) -> answer.complete(this.records.judge(REQUEST)));
+		return answer.join();
+	}
+
+	private void put(Evidence evidence) {
+		this.rows.put(CrashRows.TABLE, CrashRows.key(evidence.crash()),
+				new String(CrashRows.write(evidence, "gateway-9/1")));
+	}
+
+	private static Crash crash(int server) {
+		return new Crash(REQUEST, new Start("s" + server, 0));
+	}
+
+	// Does what it is asked, and may lose the answer.
+	private RowStore store() {
+		return new RowStore() {
+			@Override
+			public Mono<Outcome> commit(Commit commit) {
+				return CrashRecordsTests.this.rows.commit(commit).flatMap((outcome) -> answer(outcome));
+			}
+
+			@Override
+			public Mono<Page> read(Range range) {
+				return CrashRecordsTests.this.rows.read(range);
+			}
+
+			@Override
+			public Mono<Page> changes(String table, long since, Duration wait) {
+				return CrashRecordsTests.this.rows.changes(table, since, wait);
+			}
+		};
+	}
+
+	private <T> Mono<T> answer(T value) {
+		return this.losingAnswers ? Mono.error(StoreException.of(Reason.UNREACHABLE, Verdict.mayHaveRun(), "no answer"))
+				: Mono.just(value);
+	}
+
+	/** Servers that take no connection. */
+	private static final class DeadServers implements CrashRecords.Hooks {
+
+		@Override
+		public void ask(BackendServer server, Consumer<Boolean> reply) {
+			reply.accept(false);
+		}
+
+		@Override
+		public void held(RequestDigest request) {
+			// There are no calls.
+		}
+
+		@Override
+		public void count(String name) {
+			// Nobody reads it.
+		}
+
+	}
+
+}
