Take the guard of calls against crashes out of the control of calls, and the book on one request out of the table

A connection that broke while its server lives is told in the log and no longer leaves a stale belief that its request is held back. While there are many rows, those of requests with a single crash go after ten minutes.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/CrashTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/CrashTable.java
@@ -15,6 +15,7 @@
 import java.util.function.Predicate;
 
 import org.rosemaryfront.crashes.Evidence.State;
+import org.rosemaryfront.crashes.Suspect.Entry;
 import org.rosemaryfront.dispatch.BackendServer.Start;
 
 /**
@@ -53,30 +54,9 @@
 	 */
 	private static final long MOMENT_MILLIS = 250;
 
-	/**
-	 * How long it is waited for a sign that a server crashed: a registration lapses
-	 * within three heartbeats, some seconds.
-	 */
-	private static final long SUSPECTED_NANOS = TimeUnit.SECONDS.toNanos(10);
-
-	/**
-	 * How long the first crash of a request waits for its way to the store: innocent
-	 * requests that are sent again are answered by then, and need no row.
-	 */
-	private static final long FIRST_WRITE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-
-	/**
-	 * How long a crash that another process told of may take to come from the store,
-	 * before this one writes it: the other may not reach the store.
-	 */
-	private static final long HEARD_WRITE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
-
 	/** The pause behind a write that failed. */
 	private static final long WRITE_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-	/** How long news are told to the other processes: several reports, some get lost. */
-	private static final long NEWS_NANOS = TimeUnit.SECONDS.toNanos(2);
-
 	/** News told at once; a report stays well below the size of a datagram. */
 	private static final int MOST_NEWS = 16;
 
@@ -275,7 +255,7 @@
 			.stream()
 			.sorted(Comparator.comparingInt((Suspect suspect) -> -suspect.entries.size()))
 			.flatMap((suspect) -> suspect.entries.values().stream())
-			.filter((entry) -> nowNanos - entry.newsUntilNanos < 0)
+			.filter((entry) -> entry.isNews(nowNanos))
 			.limit(MOST_NEWS)
 			.map((entry) -> entry.evidence)
 			.toList();
@@ -287,8 +267,9 @@
 	 * Forgets connections that broke without any sign of a crash, and what was cleared
 	 * before the store had it.
 	 * @param nowNanos the time
+	 * @return the requests of which something was forgotten
 	 */
-	public void expire(long nowNanos) {
+	public List<RequestDigest> expire(long nowNanos) {
 		List<Crash> over = new ArrayList<>();
 		this.suspects.values()
 			.forEach((suspect) -> suspect.entries.values()
@@ -296,6 +277,7 @@
 				.filter((entry) -> entry.isOver(nowNanos))
 				.forEach((entry) -> over.add(entry.evidence.crash())));
 		over.forEach(this::remove);
+		return over.stream().map(Crash::request).toList();
 	}
 
 	// -- queries
@@ -401,12 +383,11 @@
 				continue;
 			}
 			boolean unknownElsewhere = entry.evidence.state() == State.SUSPECTED && state == State.CLEARED;
+			entry.change(state, nowNanos);
+			changed.add(entry.evidence);
 			if (unknownElsewhere) {
 				remove(entry.evidence.crash());
-				continue;
 			}
-			entry.change(state, nowNanos);
-			changed.add(entry.evidence);
 			review(entry.request());
 		}
 		return changed;
@@ -466,94 +447,4 @@
 		this.held.remove(crash.request());
 	}
 
-	/**
-	 * A request with the servers that crashed, or may have crashed, while they had it.
-	 */
-	private static final class Suspect {
-
-		private final Map<Start, Entry> entries = new LinkedHashMap<>();
-
-		private boolean trialGiven;
-
-		// What speaks against it, in the order of time.
-		private List<Evidence> against() {
-			return this.entries.values()
-				.stream()
-				.map((entry) -> entry.evidence)
-				.filter((evidence) -> evidence.state() != State.CLEARED)
-				.sorted(Comparator.comparingLong(Evidence::atMillis))
-				.toList();
-		}
-
-	}
-
-	/** Evidence with where it was told. */
-	private static final class Entry {
-
-		private Evidence evidence;
-
-		/** When this process knew of the crash. */
-		private final long sinceNanos;
-
-		/** Whether the store needs no row in this state any more. */
-		private boolean stored;
-
-		/** Whether the store has a row of it, in whichever state. */
-		private boolean hasRow;
-
-		/** When it is written at the earliest. */
-		private long writeNanos;
-
-		/** The same while it is the only crash of its request. */
-		private long writeSingleNanos;
-
-		/** Until when the other processes are told. */
-		private long newsUntilNanos;
-
-		private Entry(Evidence evidence, long nowNanos) {
-			this.evidence = evidence;
-			this.sinceNanos = nowNanos;
-			this.newsUntilNanos = nowNanos;
-			writeFrom(nowNanos);
-		}
-
-		private RequestDigest request() {
-			return this.evidence.crash().request();
-		}
-
-		private void writeFrom(long nanos) {
-			this.writeNanos = nanos;
-			this.writeSingleNanos = nanos;
-		}
-
-		private void change(State state, long nowNanos) {
-			this.evidence = this.evidence.in(state);
-			this.newsUntilNanos = nowNanos + NEWS_NANOS;
-			// What was cleared before it was written needs no row.
-			this.stored = state == State.CLEARED && !this.hasRow;
-			this.writeNanos = nowNanos;
-			this.writeSingleNanos = nowNanos + ((state == State.CONFIRMED) ? FIRST_WRITE_NANOS : 0);
-		}
-
-		private void heard(Evidence told, long nowNanos) {
-			this.evidence = told;
-			this.stored = told.state() == State.CLEARED && !this.hasRow;
-			writeFrom(nowNanos + HEARD_WRITE_NANOS);
-		}
-
-		private boolean isDue(boolean single, long nowNanos) {
-			boolean due = nowNanos - (single ? this.writeSingleNanos : this.writeNanos) >= 0;
-			return !this.stored && this.evidence.state() != State.SUSPECTED && due;
-		}
-
-		private boolean isOver(long nowNanos) {
-			return switch (this.evidence.state()) {
-				case SUSPECTED -> nowNanos - this.sinceNanos >= SUSPECTED_NANOS;
-				case CONFIRMED -> false;
-				case CLEARED -> !this.hasRow && nowNanos - this.newsUntilNanos >= NEWS_NANOS;
-			};
-		}
-
-	}
-
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
@@ -303,7 +303,8 @@
 	private void noteCleared(List<Evidence> cleared, String cause) {
 		for (Evidence evidence : cleared) {
 			RequestDigest request = evidence.crash().request();
-			this.urgent = true;
+			// Of a connection that only broke the others know nothing.
+			this.urgent |= this.table.evidence(evidence.crash()).isPresent();
 			this.hooks.count("crashes.cleared");
 			EventLog.info(GatewayEvents.CRASH_CLEARED, "digest", request, "server", evidence.crash().server().id(),
 					"started", evidence.crash().server().startedMillis(), "cause", cause, "crashes",
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
@@ -40,8 +40,14 @@
 	/** Rows written at once; the store takes a hundred a call. */
 	private static final int MOST_WRITES = 50;
 
-	/** How long rows of what was cleared are kept, for news that come late. */
-	private static final long CLEARED_KEPT_MILLIS = TimeUnit.MINUTES.toMillis(10);
+	/**
+	 * How long rows of what was cleared are kept, for news that come late, and while
+	 * there are many rows those of requests with a single crash.
+	 */
+	private static final long SHORT_KEPT_MILLIS = TimeUnit.MINUTES.toMillis(10);
+
+	/** From so many rows on single crashes are kept for a shorter time. */
+	private static final int CROWDED_ROWS = 512;
 
 	/**
 	 * How long crashes of a request are kept that is not held back: a request that
@@ -102,7 +108,7 @@
 	void tick(long now) {
 		if (now - this.lookedNanos >= LOOK_NANOS) {
 			this.lookedNanos = now;
-			this.table.expire(now);
+			this.table.expire(now).forEach(this.news.removed());
 			writeDue(now);
 		}
 	}
@@ -173,11 +179,13 @@
 			return false;
 		}
 		Optional<Evidence> evidence = this.table.evidence(crash);
-		return evidence.isEmpty() || epochMillis - evidence.get().atMillis() > keptMillis(evidence.get().state());
+		return evidence.isEmpty() || epochMillis - evidence.get().atMillis() > keptMillis(evidence.get());
 	}
 
-	private static long keptMillis(State state) {
-		return (state == State.CLEARED) ? CLEARED_KEPT_MILLIS : KEPT_MILLIS;
+	private long keptMillis(Evidence evidence) {
+		boolean isCrowded = this.rows.size() > CROWDED_ROWS;
+		boolean isSingle = this.table.judge(evidence.crash().request()).servers().size() <= 1;
+		return (evidence.state() == State.CLEARED || (isCrowded && isSingle)) ? SHORT_KEPT_MILLIS : KEPT_MILLIS;
 	}
 
 	static void noteFailure(String key, String call, Throwable failure) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -1,19 +1,16 @@
 package org.rosemaryfront.gateway;
 
 import java.util.IdentityHashMap;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.stream.Collectors;
 
-import org.rosemaryfront.crashes.Judgement;
 import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
@@ -69,18 +66,6 @@
 	/** Servers that may be tried in vain without anything sent, for one call. */
 	private static final int UNSENT_MOST = 3;
 
-	/**
-	 * When to come back with a request that is held back, in milliseconds. It stays so
-	 * until an operator releases it.
-	 */
-	private static final long HELD_RETRY_MILLIS = 60_000;
-
-	/**
-	 * When to come back with a request of which a copy is on trial, in milliseconds:
-	 * calls that crashed their servers did so within a second.
-	 */
-	private static final long TRIAL_RETRY_MILLIS = 1_000;
-
 	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
 	private final ControlLoop loop;
@@ -100,10 +85,7 @@
 
 	private final UsageLedger usage;
 
-	private final CrashRecords crashes;
-
-	/** Calls that are sent though their requests are held back. */
-	private final Set<Call> onTrial = ConcurrentHashMap.newKeySet();
+	private final CrashGuard guard;
 
 	/** Calls under way with what was decided about them. */
 	private final Map<Call, CallProgress> calls = new IdentityHashMap<>();
@@ -124,7 +106,7 @@
 	private long readingTokens;
 
 	GatewayControl(ControlLoop loop, BackendTable servers, GatewaySettings settings, QuotaTable quotas, Fleet fleet,
-			UsageLedger usage, CrashRecords crashes, LongConsumer pauses) {
+			UsageLedger usage, CrashGuard guard, LongConsumer pauses) {
 		this.loop = loop;
 		this.servers = servers;
 		this.dispatcher = new Dispatcher(servers, settings.zone());
@@ -132,7 +114,7 @@
 		this.fleet = fleet;
 		this.pauses = pauses;
 		this.usage = usage;
-		this.crashes = crashes;
+		this.guard = guard;
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed(),
 				bounds.retryWindowMillis(), System.nanoTime());
@@ -164,7 +146,7 @@
 
 	@Override
 	public boolean isHeldBack(Call call) {
-		return call.digest().filter(this.crashes::isHeld).isPresent() && !this.onTrial.contains(call);
+		return this.guard.isHeldBack(call);
 	}
 
 	@Override
@@ -194,13 +176,13 @@
 	@Override
 	public void ended(Call call, BackendServer server, Ending ending) {
 		this.loop.post((now) -> {
-			trialOver(call);
+			this.guard.over(call);
 			Optional<CallProgress> progress = Optional.ofNullable(this.calls.remove(call));
 			progress.ifPresent(this::promptRead);
 			switch (ending) {
 				case ANSWERED -> {
 					this.servers.ended(server.start(), false, now);
-					progress.ifPresent((known) -> answered(call, server, known, now));
+					progress.ifPresent((known) -> this.guard.answered(call, server, known.sentNanos(), now));
 				}
 				// A server that is dark takes calls on connections that it had and
 				// lets them wait: only its silence shows it.
@@ -213,7 +195,7 @@
 	@Override
 	public void dropped(Call call) {
 		this.loop.post((now) -> {
-			trialOver(call);
+			this.guard.over(call);
 			Optional.ofNullable(this.calls.remove(call))
 				.filter((progress) -> !progress.ran())
 				.ifPresent((progress) -> giveBack(call, progress, now));
@@ -222,47 +204,8 @@
 
 	// -- decisions, on the control thread
 
-	// Whether servers crash under a request is looked at first: one that is held back
-	// uses
-	// no quota.
 	private void admit(Call call, long now) {
-		if (!this.crashes.isKnown()) {
-			call.refuse(503, fullRetryMillis(),
-					Refusal.of(Cause.CRASHES_UNKNOWN, "the requests that are held back are not known yet"));
-			return;
-		}
-		switch (judge(call)) {
-			case Judgement.Free _ -> take(call, now);
-			case Judgement.OnTrial trial ->
-				this.crashes.trials().claim(call.digest().orElseThrow(), (granted) -> tried(call, trial, granted));
-			case Judgement.Held held -> call.refuse(503, HELD_RETRY_MILLIS, crashRefusal(held));
-		}
-	}
-
-	private void tried(Call call, Judgement judgement, boolean granted) {
-		if (granted) {
-			this.onTrial.add(call);
-			take(call, System.nanoTime());
-		}
-		else {
-			call.refuse(503, TRIAL_RETRY_MILLIS, crashRefusal(judgement));
-		}
-	}
-
-	// A trial that no server got is for the next copy.
-	private void trialOver(Call call) {
-		if (this.onTrial.remove(call) && call.sends() == 0) {
-			this.crashes.trials().giveBack(call.digest().orElseThrow());
-		}
-	}
-
-	private Judgement judge(Call call) {
-		return call.digest().map(this.crashes::judge).orElse(Judgement.none());
-	}
-
-	private static Refusal crashRefusal(Judgement judgement) {
-		return Refusal.of(Cause.CRASHES_SERVERS,
-				"crashed under it: " + judgement.servers().stream().map(BackendServer.Start::id).toList());
+		this.guard.admit(call, (at) -> take(call, at), now);
 	}
 
 	private void take(Call call, long now) {
@@ -365,21 +308,8 @@
 		call.send(server, mostConnections(call.service()), chosen.fetchFrom().map(BackendServer::address));
 	}
 
-	private void answered(Call call, BackendServer server, CallProgress progress, long now) {
-		this.crashes.answers(server.start(), progress.sentNanos(), now);
-		call.digest().ifPresent((request) -> this.crashes.answered(request, now));
-	}
-
-	// Servers that are about to leave end what they have when they go: that is no crash.
-	private void noteBroken(Call call, BackendServer server, Failure failure, long now) {
-		boolean broke = failure.sent() && !failure.answered() && !(failure.verdict() instanceof Verdict.NotRun);
-		if (broke && this.servers.isExpected(server.start())) {
-			call.digest().ifPresent((request) -> this.crashes.broke(request, server, now));
-		}
-	}
-
 	private void failed(Call call, BackendServer server, Failure failure, long now) {
-		noteBroken(call, server, failure, now);
+		this.guard.failed(call, server, failure, now);
 		boolean serverFault = !(failure.answered() && failure.verdict() instanceof Verdict.NotRun);
 		CallProgress progress = this.calls.get(call);
 		this.servers.ended(server.start(), serverFault, now);
@@ -387,16 +317,13 @@
 			return;
 		}
 		promptRead(progress);
-		if (failure.answered() && failure.verdict() instanceof Verdict.Ran) {
-			this.crashes.answers(server.start(), progress.sentNanos(), now);
-		}
 		boolean notRun = failure.verdict() instanceof Verdict.NotRun;
 		if (!notRun) {
 			progress.mayHaveRun();
 		}
-		Optional<Refusal> held = heldBack(call);
+		Optional<Refusal> held = this.guard.heldBack(call);
 		if (held.isPresent()) {
-			unserved(call, progress, HELD_RETRY_MILLIS, held.get());
+			unserved(call, progress, CrashGuard.RETRY_MILLIS, held.get());
 			return;
 		}
 		Optional<Cause> refusal = refusal(call, progress, failure, notRun, now);
@@ -411,17 +338,6 @@
 		}
 	}
 
-	// Why the request of a call that failed is not sent again, whoever sent the copies
-	// under
-	// which servers crashed.
-	private Optional<Refusal> heldBack(Call call) {
-		Judgement judgement = judge(call);
-		return switch (judgement) {
-			case Judgement.Free _ -> Optional.empty();
-			case Judgement.OnTrial _, Judgement.Held _ -> Optional.of(crashRefusal(judgement));
-		};
-	}
-
 	// Why the call is not sent again, empty when it may be. A call that may have run goes
 	// out again only if running twice does no harm.
 	private Optional<Cause> refusal(Call call, CallProgress progress, Failure failure, boolean notRun, long now) {
@@ -527,13 +443,8 @@
 	 * @param request the request
 	 */
 	void withdraw(RequestDigest request) {
-		Judgement judgement = this.crashes.judge(request);
-		List.copyOf(this.calls.entrySet())
-			.stream()
-			.filter((entry) -> entry.getKey().digest().equals(Optional.of(request)))
-			.filter((entry) -> !this.onTrial.contains(entry.getKey()))
-			.forEach((entry) -> entry.getKey()
-				.withdraw(entry.getValue().ran(), HELD_RETRY_MILLIS, crashRefusal(judgement)));
+		this.guard.copies(request, this.calls.keySet())
+			.forEach((call) -> this.guard.withdraw(call, this.calls.get(call).ran()));
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -173,7 +173,7 @@
 		this.crashes = new CrashRecords(platform.rows(), this.servers, this.control,
 				UsageDuty.process(settings.name(), this.start), new CrashHooks());
 		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.fleet, this.usage,
-				this.crashes, this::notePause);
+				new CrashGuard(this.crashes, this.servers), this::notePause);
 		// The thread of all sockets. With a second one every answer of the store woke
 		// another thread, and the process died at times in a system call that both made.
 		EventLoop io = loops.onServer(false).next();
