Give a trial back whenever its request is answered

A gateway that heard of the end of a trial before it heard of its success could try the request once more, and kept that trial: the request would have had none at the next lost availability zone. Found by a new test of three gateways whose servers all crash at one moment under a request that is innocent; its first trial finds no server, and is for the next copy. The test failed once for asking the third gateway before it could have heard: it waits for each now.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
@@ -194,7 +194,9 @@
 	private boolean clear(RequestDigest request, String cause, long now) {
 		List<Evidence> cleared = this.table.cleared(request, now);
 		noteCleared(cleared, cause);
-		if (!cleared.isEmpty() && this.trials.isGiven(request)) {
+		// A gateway that heard of the end of a trial before it heard of its success has
+		// tried the request once more: there is nothing left to clear then.
+		if (this.trials.isGiven(request)) {
 			this.trials.giveBack(request);
 		}
 		return !cleared.isEmpty();
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
@@ -116,8 +116,38 @@
 		}
 	}
 
+	// An availability zone loses power under a request that many ask for, at each of its
+	// servers. The one copy that is sent on trial finds no server at first, and counts
+	// only once a server got it.
+	@Test
+	void shouldServeInnocentRequestBehindItsTrial() throws IOException {
+		loseServersAtOnce("/drafts/");
+		this.servers.mend();
+		sleep(CONTACT_MILLIS);
+		assertThat(ask(0, "/drafts/", CrashableServers.CRASHING).status()).isEqualTo(503);
+		ready();
+		for (int i = 0; i < GATEWAYS; i++) {
+			int gateway = i;
+			GatewayHarness.await(() -> status(gateway) == 200);
+		}
+	}
+
 	// -- steps
 
+	private void loseServersAtOnce(String path) throws IOException {
+		this.servers.crashTogether();
+		List<RawCaller> callers = new ArrayList<>();
+		for (int i = 0; i < CrashableServers.COUNT; i++) {
+			RawCaller caller = this.fleet.getFirst().caller();
+			callers.add(caller.send(RawCaller.post("c" + i, path, CrashableServers.CRASHING)));
+		}
+		for (RawCaller caller : callers) {
+			caller.read();
+			caller.close();
+		}
+		this.servers.forgetLost();
+	}
+
 	private Answer operator(String method, String path) throws IOException {
 		try (RawCaller operator = new RawCaller(this.fleet.getFirst().settings.metrics())) {
 			return operator.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").read();
@@ -174,7 +204,7 @@
 
 		static final String CRASHING = "crashing";
 
-		private static final int COUNT = 4;
+		static final int COUNT = 4;
 
 		private final MemoryRowStore store;
 
@@ -187,6 +217,8 @@
 
 		private volatile boolean crashing = true;
 
+		private volatile boolean together;
+
 		private int lost;
 
 		CrashableServers(MemoryRowStore store) {
@@ -195,13 +227,15 @@
 
 		/** Starts servers until there are enough. */
 		synchronized void fill() {
-			this.lapsing.forEach((id) -> this.store.remove(GatewayHarness.SERVERS, id));
-			this.lapsing.clear();
+			forgetLost();
 			while (this.living.size() < COUNT) {
 				String id = "s" + this.all.size();
 				ScriptedServer[] self = new ScriptedServer[1];
 				self[0] = ScriptedServer.start((request, exchange) -> {
 					if (this.crashing && request.body().equals(CRASHING)) {
+						if (this.together) {
+							GatewayHarness.await(() -> sendings() >= COUNT);
+						}
 						crash(id, self[0]);
 					}
 					else {
@@ -214,6 +248,16 @@
 			}
 		}
 
+		/** From now on servers crash only once each of them has the request. */
+		void crashTogether() {
+			this.together = true;
+		}
+
+		synchronized void forgetLost() {
+			this.lapsing.forEach((id) -> this.store.remove(GatewayHarness.SERVERS, id));
+			this.lapsing.clear();
+		}
+
 		void mend() {
 			this.crashing = false;
 		}
