Wait in the operator's test until the gateway knows what it lists

The test failed once: it asked the first gateway for its list when the third server was lost, before that gateway had heard of it from another one, for which gateways have three seconds. It waits for the entry now, and asks for the same after it.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -104,10 +105,8 @@
 	void shouldServeRequestAgainWhenOperatorReleasesIt() throws IOException {
 		loseServers("/drafts/");
 		this.servers.mend();
-		String list = operator("GET", "/held-requests").body();
-		Matcher digest = Pattern.compile("\"digest\":\"([0-9a-f]{32})\",\"held\":true").matcher(list);
-		assertThat(digest.find()).isTrue();
-		assertThat(operator("DELETE", "/held-requests/" + digest.group(1)).status()).isEqualTo(204);
+		GatewayHarness.await(() -> heldDigest().isPresent());
+		assertThat(operator("DELETE", "/held-requests/" + heldDigest().orElseThrow()).status()).isEqualTo(204);
 		assertThat(operator("DELETE", "/held-requests/no-digest").status()).isEqualTo(400);
 		assertThat(operator("DELETE", "/held-requests/" + "0".repeat(32)).status()).isEqualTo(404);
 		for (int i = 0; i < GATEWAYS; i++) {
@@ -148,10 +147,19 @@
 		this.servers.forgetLost();
 	}
 
-	private Answer operator(String method, String path) throws IOException {
+	private Answer operator(String method, String path) {
 		try (RawCaller operator = new RawCaller(this.fleet.getFirst().settings.metrics())) {
 			return operator.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").read();
 		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private Optional<String> heldDigest() {
+		Matcher held = Pattern.compile("\"digest\":\"([0-9a-f]{32})\",\"held\":true")
+			.matcher(operator("GET", "/held-requests").body());
+		return held.find() ? Optional.of(held.group(1)) : Optional.empty();
 	}
 
 	private int status(int gateway) {
