Give an unused trial back once the store takes it, and wrap comments

The one trial of an innocent request that no server got stayed taken when the store was away at that moment: the request would be held back until an operator releases it. The row is deleted again after a second. The test fails without that.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -68,8 +68,7 @@
 	}
 
 	// Never shorter than before: calls that fail at a server that crashed say no more
-	// than
-	// that.
+	// than that.
 	void avoidUntil(long nanos) {
 		if (this.avoidUntilNanos.isEmpty() || nanos - this.avoidUntilNanos.getAsLong() > 0) {
 			this.avoidUntilNanos = OptionalLong.of(nanos);
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/crashes/CrashFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/crashes/CrashFleetTests.java
@@ -64,8 +64,7 @@
 	}
 
 	// An availability zone loses power under a request that many ask for: a copy of it
-	// was
-	// at each server. Counted by servers alone it would be refused for good.
+	// was at each server. Counted by servers alone it would be refused for good.
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 1, 2, 3, 4, 5, 6, 7 })
 	void shouldServePopularRequestOnceItsServersCrashedAtOneMoment(long seed) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashTrials.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashTrials.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.gateway;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -7,6 +8,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import reactor.core.publisher.Mono;
+
 import org.rosemaryfront.crashes.CrashTable;
 import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.events.EventLog;
@@ -24,6 +27,9 @@
  */
 final class CrashTrials {
 
+	/** The pause behind a row that could not be deleted. */
+	private static final Duration AGAIN = Duration.ofSeconds(1);
+
 	private final RowStore store;
 
 	private final CrashTable table;
@@ -94,7 +100,10 @@
 		this.own.remove(request);
 		String key = CrashRows.trialKey(request);
 		this.store.commit(new Commit(CrashRows.TABLE, List.of(), List.of(), List.of(key))).subscribe((_) -> {
-		}, (failure) -> CrashStore.noteFailure(key, "delete", failure));
+		}, (failure) -> {
+			CrashStore.noteFailure(key, "delete", failure);
+			Mono.delay(AGAIN).subscribe((_) -> this.control.post((_) -> giveBackUnused(request)));
+		});
 	}
 
 	// Guards the one trial of a request against the lost answer to a claim: its row can
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -318,9 +318,9 @@
 	}
 
 	// Guards the duty against a row of another writer, or a spoiled one: taken as a
-	// failure,
-	// it ended the work of whoever held the duties, one holder after the other, and no
-	// window was reported any more. Its counts are missing from one window instead.
+	// failure, it ended the work of whoever held the duties, one holder after the other,
+	// and no window was reported any more. Its counts are missing from one window
+	// instead.
 	private static Optional<Map<String, Long>> decode(String key, byte[] value) {
 		try {
 			return Optional.of(RowJson.read(value, COUNTS, "a row of use"));
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -252,10 +252,8 @@
 	}
 
 	// A row of counts cannot be read: another writer, or a fault of ours. Whoever held
-	// the
-	// duties stumbled over it, and reported nothing from then on: windows without a
-	// report,
-	// through one holder after the other.
+	// the duties stumbled over it, and reported nothing from then on: windows without a
+	// report, through one holder after the other.
 	@ParameterizedTest
 	@ValueSource(strings = { "gateway-9/0/1", "~sum" })
 	void shouldReportWindowsBehindOneWithUnreadableCounts(String row) throws IOException {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
@@ -137,6 +137,19 @@
 		GatewayHarness.await(this::claim);
 	}
 
+	// A trial is given back that no server got, while the store is away.
+	@Test
+	void shouldGiveTrialBackOnceTheStoreIsBack() {
+		crashAtOneMoment();
+		follow();
+		assertThat(claim()).isTrue();
+		this.rows.away(true);
+		this.control.post((_) -> this.records.trials().giveBack(REQUEST));
+		GatewayHarness.await(() -> this.rows.refusedCommits() > 0);
+		this.rows.away(false);
+		GatewayHarness.await(() -> !this.rows.rows(CrashRows.TABLE).containsKey(CrashRows.trialKey(REQUEST)));
+	}
+
 	// -- helpers
 
 	private void crashAtOneMoment() {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -265,8 +265,8 @@
 		return free((port) -> new DatagramSocket(port, InetAddress.getLoopbackAddress()));
 	}
 
-	// Not a port that the system chose: it gives the same ones to outgoing connections of
-	// all processes, and one that was free a moment ago is taken at times when it is
+	// Not a port that the system chose: it gives the same ones to outgoing connections
+	// of all processes, and one that was free a moment ago is taken at times when it is
 	// bound.
 	private static InetSocketAddress free(Binding binding) {
 		for (int i = 0; i < PORT_TRIES; i++) {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
@@ -30,6 +30,8 @@
 
 	private boolean away;
 
+	private int refusedCommits;
+
 	private boolean closed;
 
 	// -- the test's side
@@ -49,6 +51,14 @@
 		notifyAll();
 	}
 
+	/**
+	 * The commits that came while the store was away.
+	 * @return the count
+	 */
+	synchronized int refusedCommits() {
+		return this.refusedCommits;
+	}
+
 	/** Answers whoever still waits, so that no thread outlives its test. */
 	synchronized void close() {
 		this.closed = true;
@@ -82,6 +92,7 @@
 	}
 
 	private synchronized Outcome committed(Commit commit) {
+		this.refusedCommits += this.away ? 1 : 0;
 		check();
 		TreeMap<String, Row> rows = this.tables.computeIfAbsent(commit.table(), (_) -> new TreeMap<>());
 		for (Condition condition : commit.conditions()) {
