Look only at crashes that may still change, and tell failures of rows in one place

The table of crashes went through all that it knows with each tick of the control thread, though nearly all of it is settled; rows that nothing needs were looked for ten times a second, and deleted again and again while the store takes no deletion (now every ten seconds). Six places wrote the log line of a row that failed; one does now. The time to come back to a gateway that does not know what is held back is the one of any gateway without room. An order of digests that nobody used is gone.

No change of behaviour beyond that.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/CrashTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/CrashTable.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -77,6 +78,12 @@
 	/** The requests that a server had when it crashed, or may have crashed. */
 	private final Map<Start, List<RequestDigest>> byServer = new HashMap<>();
 
+	/**
+	 * What may still be written or forgotten. It is looked at many times a second, and
+	 * nearly all that is known is settled.
+	 */
+	private final Set<Entry> unsettled = new LinkedHashSet<>();
+
 	/** Requests to be held back; read on any thread. */
 	private final Set<RequestDigest> held = ConcurrentHashMap.newKeySet();
 
@@ -158,6 +165,7 @@
 			entry.hasRow = true;
 			// A row in an earlier state may come from a write that was late.
 			entry.stored = entry.evidence.state() == row.state();
+			this.unsettled.add(entry);
 		});
 		return news;
 	}
@@ -196,6 +204,7 @@
 			return Optional.empty();
 		}
 		known.get().heard(told, nowNanos);
+		this.unsettled.add(known.get());
 		review(told.crash().request());
 		return known;
 	}
@@ -209,22 +218,27 @@
 	 * @return the rows, to be confirmed by {@link #written} or {@link #notWritten}
 	 */
 	public List<Evidence> unwritten(int most, long nowNanos) {
-		List<Entry> due = new ArrayList<>();
-		int singleRows = 0;
-		for (Suspect suspect : this.suspects.values()) {
-			boolean single = suspect.entries.size() == 1;
-			singleRows += (single && suspect.entries.values().iterator().next().stored) ? 1 : 0;
-			if (!single || singleRows < MOST_SINGLE_ROWS) {
-				suspect.entries.values().stream().filter((entry) -> entry.isDue(single, nowNanos)).forEach(due::add);
-			}
+		List<Entry> due = this.unsettled.stream().filter((entry) -> entry.isDue(isSingle(entry), nowNanos)).toList();
+		if (due.isEmpty()) {
+			return List.of();
 		}
+		boolean isFull = this.suspects.values().stream().filter(Suspect::isSingleRow).count() >= MOST_SINGLE_ROWS;
 		return due.stream()
-			.sorted(Comparator.comparingInt((Entry entry) -> -this.suspects.get(entry.request()).entries.size()))
+			.filter((entry) -> !isFull || !isSingle(entry))
+			.sorted(Comparator.comparingInt((Entry entry) -> -suspect(entry).entries.size()))
 			.limit(most)
 			.map((entry) -> entry.evidence)
 			.toList();
 	}
 
+	private boolean isSingle(Entry entry) {
+		return suspect(entry).entries.size() == 1;
+	}
+
+	private Suspect suspect(Entry entry) {
+		return this.suspects.get(entry.request());
+	}
+
 	/**
 	 * The store has a row in this state or a later one.
 	 * @param row the row
@@ -270,12 +284,11 @@
 	 * @return the requests of which something was forgotten
 	 */
 	public List<RequestDigest> expire(long nowNanos) {
-		List<Crash> over = new ArrayList<>();
-		this.suspects.values()
-			.forEach((suspect) -> suspect.entries.values()
-				.stream()
-				.filter((entry) -> entry.isOver(nowNanos))
-				.forEach((entry) -> over.add(entry.evidence.crash())));
+		this.unsettled.removeIf(Entry::isSettled);
+		List<Crash> over = this.unsettled.stream()
+			.filter((entry) -> entry.isOver(nowNanos))
+			.map((entry) -> entry.evidence.crash())
+			.toList();
 		over.forEach(this::remove);
 		return over.stream().map(Crash::request).toList();
 	}
@@ -372,6 +385,7 @@
 		Crash crash = evidence.crash();
 		this.suspects.computeIfAbsent(crash.request(), (_) -> new Suspect()).entries.put(crash.server(), entry);
 		this.byServer.computeIfAbsent(crash.server(), (_) -> new ArrayList<>()).add(crash.request());
+		this.unsettled.add(entry);
 		review(crash.request());
 		return entry;
 	}
@@ -384,6 +398,7 @@
 			}
 			boolean unknownElsewhere = entry.evidence.state() == State.SUSPECTED && state == State.CLEARED;
 			entry.change(state, nowNanos);
+			this.unsettled.add(entry);
 			changed.add(entry.evidence);
 			if (unknownElsewhere) {
 				remove(entry.evidence.crash());
@@ -395,15 +410,10 @@
 
 	private void remove(Crash crash) {
 		Suspect suspect = this.suspects.get(crash.request());
-		suspect.entries.remove(crash.server());
+		forgetEntry(suspect.entries.remove(crash.server()));
 		if (suspect.entries.isEmpty() && !suspect.trialGiven) {
 			this.suspects.remove(crash.request());
 		}
-		List<RequestDigest> requests = this.byServer.get(crash.server());
-		requests.remove(crash.request());
-		if (requests.isEmpty()) {
-			this.byServer.remove(crash.server());
-		}
 		review(crash.request());
 	}
 
@@ -429,22 +439,24 @@
 		for (Iterator<Suspect> it = this.suspects.values().iterator(); it.hasNext();) {
 			Suspect suspect = it.next();
 			if (which.test(suspect)) {
-				List<Crash> crashes = suspect.entries.values().stream().map((entry) -> entry.evidence.crash()).toList();
-				suspect.trialGiven = false;
 				it.remove();
-				crashes.forEach(this::forgetServer);
+				suspect.entries.values().forEach((entry) -> {
+					forgetEntry(entry);
+					this.held.remove(entry.request());
+				});
 				return;
 			}
 		}
 	}
 
-	private void forgetServer(Crash crash) {
+	private void forgetEntry(Entry entry) {
+		this.unsettled.remove(entry);
+		Crash crash = entry.evidence.crash();
 		List<RequestDigest> requests = this.byServer.get(crash.server());
 		requests.remove(crash.request());
 		if (requests.isEmpty()) {
 			this.byServer.remove(crash.server());
 		}
-		this.held.remove(crash.request());
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/RequestDigest.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/RequestDigest.java
@@ -17,7 +17,7 @@
  * @param high its first eight bytes
  * @param low its last eight bytes
  */
-public record RequestDigest(long high, long low) implements Comparable<RequestDigest> {
+public record RequestDigest(long high, long low) {
 
 	/** How long a digest is, in bytes. */
 	public static final int BYTES = 16;
@@ -70,12 +70,6 @@
 		return ByteBuffer.allocate(BYTES).putLong(this.high).putLong(this.low).array();
 	}
 
-	@Override
-	public int compareTo(RequestDigest other) {
-		int order = Long.compareUnsigned(this.high, other.high);
-		return (order != 0) ? order : Long.compareUnsigned(this.low, other.low);
-	}
-
 	@Override
 	public String toString() {
 		return HexFormat.of().formatHex(bytes());
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/Suspect.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/Suspect.java
@@ -50,6 +50,11 @@
 			.toList();
 	}
 
+	// Whether all that the store has of it is one crash.
+	boolean isSingleRow() {
+		return this.entries.size() == 1 && this.entries.values().iterator().next().stored;
+	}
+
 	/** Evidence with where it was told. */
 	static final class Entry {
 
@@ -113,6 +118,11 @@
 			return nowNanos - this.newsUntilNanos < 0;
 		}
 
+		// Whether neither the store nor time changes anything of it.
+		boolean isSettled() {
+			return this.stored && (this.evidence.state() == State.CONFIRMED || this.hasRow);
+		}
+
 		boolean isOver(long nowNanos) {
 			return switch (this.evidence.state()) {
 				case SUSPECTED -> nowNanos - this.sinceNanos >= SUSPECTED_NANOS;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashGuard.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashGuard.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongConsumer;
 
 import org.rosemaryfront.crashes.Judgement;
@@ -37,15 +36,6 @@
 	 */
 	private static final long TRIAL_RETRY_MILLIS = 1_000;
 
-	/**
-	 * When to come back to a gateway that has not read yet what is held back, in
-	 * milliseconds, least and spread: a read of the store takes some milliseconds, and
-	 * not all callers should come at once.
-	 */
-	private static final long UNKNOWN_RETRY_MILLIS = 250;
-
-	private static final long UNKNOWN_RETRY_SPREAD_MILLIS = 500;
-
 	private final CrashRecords crashes;
 
 	private final BackendTable servers;
@@ -68,8 +58,7 @@
 	 */
 	void admit(Call call, LongConsumer go, long now) {
 		if (!this.crashes.isKnown()) {
-			long wait = UNKNOWN_RETRY_MILLIS + ThreadLocalRandom.current().nextLong(UNKNOWN_RETRY_SPREAD_MILLIS);
-			call.refuse(503, wait,
+			call.refuse(503, GatewayControl.fullRetryMillis(),
 					Refusal.of(Cause.CRASHES_UNKNOWN, "the requests that are held back are not known yet"));
 			return;
 		}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
@@ -15,7 +15,6 @@
 import org.rosemaryfront.crashes.Evidence;
 import org.rosemaryfront.crashes.Evidence.State;
 import org.rosemaryfront.crashes.RequestDigest;
-import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.ports.RowStore.Commit;
 import org.rosemaryfront.ports.RowStore.Condition;
@@ -46,6 +45,12 @@
 	 */
 	private static final long SHORT_KEPT_MILLIS = TimeUnit.MINUTES.toMillis(10);
 
+	/**
+	 * The time between two looks for such rows, which are kept for minutes at the least:
+	 * the duties come by ten times a second, also while the store takes no deletion.
+	 */
+	private static final long TIDY_MILLIS = TimeUnit.SECONDS.toMillis(10);
+
 	/** From so many rows on single crashes are kept for a shorter time. */
 	private static final int CROWDED_ROWS = 512;
 
@@ -76,6 +81,9 @@
 
 	private long lookedNanos = System.nanoTime();
 
+	/** The time of day of the last look for rows that nothing needs. */
+	private long tidiedMillis;
+
 	private volatile boolean known;
 
 	CrashStore(RowStore store, CrashTable table, CrashTrials trials, ControlLoop control, String process, News news) {
@@ -152,7 +160,7 @@
 
 	private void notWritten(List<Evidence> due, Throwable failure, long now) {
 		this.writing--;
-		noteFailure(CrashRows.key(due.getFirst().crash()), "write", failure);
+		RowLog.failed(CrashRows.key(due.getFirst().crash()), "write", failure);
 		due.forEach((one) -> this.table.notWritten(one, now));
 	}
 
@@ -161,6 +169,10 @@
 	 * @param epochMillis the time of day
 	 */
 	void tidy(long epochMillis) {
+		if (Math.abs(epochMillis - this.tidiedMillis) < TIDY_MILLIS) {
+			return;
+		}
+		this.tidiedMillis = epochMillis;
 		List<String> old = this.rows.entrySet()
 			.stream()
 			.filter((entry) -> isOld(entry.getValue(), epochMillis))
@@ -169,7 +181,7 @@
 			.toList();
 		if (!old.isEmpty()) {
 			this.store.commit(new Commit(CrashRows.TABLE, List.of(), List.of(), old)).subscribe((_) -> {
-			}, (failure) -> noteFailure(old.getFirst(), "delete", failure));
+			}, (failure) -> RowLog.failed(old.getFirst(), "delete", failure));
 		}
 	}
 
@@ -188,10 +200,6 @@
 		return (evidence.state() == State.CLEARED || (isCrowded && isSingle)) ? SHORT_KEPT_MILLIS : KEPT_MILLIS;
 	}
 
-	static void noteFailure(String key, String call, Throwable failure) {
-		EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", key, "call", call, "cause", failure.getMessage());
-	}
-
 	// -- reading
 
 	private void all(List<Row> present, long now) {
@@ -216,7 +224,7 @@
 			}
 		}
 		catch (IllegalArgumentException | IllegalStateException ex) {
-			EventLog.warn(GatewayEvents.ROW_CALL_FAILED, "row", row.key(), "call", "read", "cause", ex.getMessage());
+			RowLog.unreadable(row.key(), ex);
 		}
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashTrials.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashTrials.java
@@ -75,7 +75,7 @@
 					(outcome) -> this.control
 						.post((_) -> claimed(request, outcome instanceof Outcome.Committed, reply)),
 					(failure) -> this.control.post((_) -> {
-						CrashStore.noteFailure(key, "write", failure);
+						RowLog.failed(key, "write", failure);
 						claimed(request, false, reply);
 					}));
 	}
@@ -101,7 +101,7 @@
 		String key = CrashRows.trialKey(request);
 		this.store.commit(new Commit(CrashRows.TABLE, List.of(), List.of(), List.of(key))).subscribe((_) -> {
 		}, (failure) -> {
-			CrashStore.noteFailure(key, "delete", failure);
+			RowLog.failed(key, "delete", failure);
 			Mono.delay(AGAIN).subscribe((_) -> this.control.post((_) -> giveBackUnused(request)));
 		});
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -122,7 +122,7 @@
 			accept(new LeaseEvent.RowRead(read.number(), row.flatMap(Row::value).map(DutyLease::decode),
 					row.map(Row::version).orElse(0L)));
 		}, (failure) -> {
-			EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", KEY, "call", "read", "cause", failure.getMessage());
+			RowLog.failed(KEY, "read", failure);
 			accept(new LeaseEvent.ReadFailed(read.number()));
 		});
 	}
@@ -137,7 +137,7 @@
 				case Outcome.Conflict _ -> accept(new LeaseEvent.WriteRejected(token));
 			}
 		}, (failure) -> {
-			EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", KEY, "call", "write", "cause", failure.getMessage());
+			RowLog.failed(KEY, "write", failure);
 			boolean notRun = failure instanceof StoreException ex && ex.verdict() instanceof Verdict.NotRun;
 			accept(notRun ? new LeaseEvent.WriteRejected(token) : new LeaseEvent.WriteUnknown(token));
 		});
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -404,7 +404,11 @@
 		return Math.max(2, (int) (cap * CONNECTION_SHARE / this.gateways));
 	}
 
-	private static long fullRetryMillis() {
+	/**
+	 * When to come back to a gateway that cannot send a call now.
+	 * @return the time in milliseconds, spread
+	 */
+	static long fullRetryMillis() {
 		return FULL_RETRY_MILLIS + ThreadLocalRandom.current().nextLong(FULL_RETRY_SPREAD_MILLIS);
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -271,8 +271,7 @@
 		Commit row = Commit.put(GATEWAYS_TABLE, this.settings.name(), address.getBytes(StandardCharsets.UTF_8));
 		this.platform.rows().commit(row).subscribe((_) -> {
 		}, (failure) -> {
-			EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", this.settings.name(), "call", "write", "cause",
-					failure.getMessage());
+			RowLog.failed(this.settings.name(), "write", failure);
 			Mono.delay(Duration.ofSeconds(1)).subscribe((_) -> announce());
 		});
 	}
@@ -287,7 +286,7 @@
 			this.fleet.found(row.key(), now);
 		}
 		catch (IllegalArgumentException ex) {
-			EventLog.warn(GatewayEvents.ROW_CALL_FAILED, "row", row.key(), "call", "read", "cause", ex.getMessage());
+			RowLog.unreadable(row.key(), ex);
 		}
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -156,8 +156,7 @@
 					}), (failure) -> this.control.accept(() -> {
 						// The same row with the same value again does no harm.
 						this.writing.remove(key);
-						EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", key, "call", "write", "cause",
-								failure.getMessage());
+						RowLog.failed(key, "write", failure);
 					}));
 			}
 		});
@@ -280,8 +279,7 @@
 		List<String> deletes = new ArrayList<>(keys);
 		deletes.add(key(old, SUM));
 		this.store.commit(new Commit(TABLE, List.of(), List.of(), deletes)).subscribe((_) -> {
-		}, (failure) -> EventLog.info(GatewayEvents.ROW_CALL_FAILED, "row", key(window, ""), "call", "delete", "cause",
-				failure.getMessage()));
+		}, (failure) -> RowLog.failed(key(window, ""), "delete", failure));
 	}
 
 	// A sum that was reported before must not be added up anew.
@@ -326,7 +324,7 @@
 			return Optional.of(RowJson.read(value, COUNTS, "a row of use"));
 		}
 		catch (IllegalStateException ex) {
-			EventLog.warn(GatewayEvents.ROW_CALL_FAILED, "row", key, "call", "read", "cause", ex.getMessage());
+			RowLog.unreadable(key, ex);
 			return Optional.empty();
 		}
 	}
