Confirm reports to their receiver only, and take them with the tick

A report that arrived woke the control thread and ran its tick by itself; the first report of a start made its receiver tell all others at once, so that a start of all was a storm of reports.

Change: what is the same for all is encoded once; behind it stands what confirms the receiver's last report. Reports wait for the next tick, but for news of crashes, and are taken before a quota is decided on. A gateway that starts is answered alone, with the last report once more. Learned speeds go out once a second, numbers of units as integers, and gateways that do not live get one report in four. Who lives, which report was the last and which start it belongs to stands in one table (Fleet); the exchange keeps addresses only. A report of a start before the one heard last is dropped; it used to replace the later.

Measured: a report of a gateway with ten organisations and eight servers to 94 others, 980 bytes before and 391 after. QuotaFleetTests, QuotaSharingTests, FleetTests and BeliefsTests pass.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
@@ -1,21 +1,24 @@
 package org.rosemaryfront.quota;
 
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 /**
- * The gateways that share quotas, as one of them knows them: who may serve callers, and
- * with whom this one exchanges reports both ways.
+ * The gateways, as one of them knows them: who lives, who may serve callers, and with
+ * whom this one exchanges reports both ways.
  *
  * <p>
- * A report names the last report that its sender had from each other gateway. One that
- * confirms a report of this gateway sent a moment ago proves three things at once: the
- * other one is heard, hears this one, and what it tells is no older than that report.
+ * A report names the last report that its sender had from the gateway it goes to. One
+ * that confirms a report of this gateway sent a moment ago proves three things at once:
+ * the other one is heard, hears this one, and what it tells is no older than that report.
  * Reports that arrive say less: of a link cut one way, or of what waited in a socket
  * while this process stood still.
  */
@@ -30,9 +33,12 @@
 	/** After this time without a report none is confirmed any more, in nanoseconds. */
 	private static final long UNHEARD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+	/** After this time without a report a gateway does not live, in nanoseconds. */
+	private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
 	/**
 	 * After this time without a report a gateway counts as gone, in nanoseconds, as long
-	 * as most are still there; cuts of twelve seconds were seen.
+	 * as most are still there; longer than cuts usually last.
 	 */
 	private static final long GONE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
@@ -49,8 +55,11 @@
 	 */
 	private static final int UNKNOWN = 128;
 
-	/** Own reports whose sending is remembered: those of four seconds. */
-	private static final int REMEMBERED = 16;
+	/** Own reports whose sending is remembered: more than are confirmed late. */
+	private static final int REMEMBERED = 32;
+
+	/** Earlier starts of a gateway whose reports are known to be late. */
+	private static final int EARLIER_STARTS = 4;
 
 	private final int self;
 
@@ -103,29 +112,48 @@
 	}
 
 	/**
-	 * Takes a report of another gateway, newer than those before.
+	 * Takes a report of another gateway.
 	 * @param report what it says of the fleet
 	 * @param nowNanos the time
-	 * @return whether it is the first of its start: until that is confirmed, its sender
-	 * has no more of the quotas than the part of one gateway
+	 * @return what the report is
 	 */
-	public boolean heard(Report report, long nowNanos) {
+	public Hearing heard(Report report, long nowNanos) {
 		Member member = this.members.computeIfAbsent(report.gateway(), (_) -> new Member(nowNanos));
+		if (member.isLate(report)) {
+			return Hearing.LATE;
+		}
 		boolean first = !member.heard || member.start != report.start();
+		if (member.heard && first) {
+			member.startedAgain();
+		}
 		member.heard = true;
+		member.lives = !report.leaving();
 		member.left = report.leaving();
 		member.gone = false;
 		member.start = report.start();
 		member.number = report.number();
 		member.group = report.group();
 		member.confirmed = report.confirmed()
-			.stream()
 			.filter((confirmation) -> confirmation.start() == this.self)
-			.mapToInt(Confirmation::number)
-			.findFirst()
+			.map(Confirmation::number)
 			.orElse(0);
 		member.newsNanos = nowNanos;
-		return first;
+		return first ? Hearing.FIRST : Hearing.NEWS;
+	}
+
+	/**
+	 * Takes gateways that were not heard for a while as not living.
+	 * @param nowNanos the time
+	 * @return those that fell silent since the last call
+	 */
+	public List<String> fallenSilent(long nowNanos) {
+		List<String> silent = this.members.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().lives && nowNanos - entry.getValue().newsNanos >= SILENT_NANOS)
+			.map(Map.Entry::getKey)
+			.toList();
+		silent.forEach((gateway) -> this.members.get(gateway).lives = false);
+		return silent;
 	}
 
 	/**
@@ -139,18 +167,32 @@
 	// -- queries
 
 	/**
-	 * What the next report confirms.
+	 * What a report to another gateway confirms.
+	 * @param gateway the other gateway
 	 * @param nowNanos the time
-	 * @return the gateways heard of late, with the last report of each
+	 * @return its last report, empty when none came of late
 	 */
-	public List<Confirmation> confirmations(long nowNanos) {
-		List<Confirmation> confirmations = new ArrayList<>();
-		for (Member member : this.members.values()) {
-			if (member.heard && !member.left && nowNanos - member.newsNanos < UNHEARD_NANOS) {
-				confirmations.add(new Confirmation(member.start, member.number));
-			}
-		}
-		return confirmations;
+	public Optional<Confirmation> confirmation(String gateway, long nowNanos) {
+		return Optional.ofNullable(this.members.get(gateway))
+			.filter((member) -> member.heard && !member.left && nowNanos - member.newsNanos < UNHEARD_NANOS)
+			.map((member) -> new Confirmation(member.start, member.number));
+	}
+
+	/**
+	 * Whether a gateway was heard of late and has not left.
+	 * @param gateway the gateway
+	 * @return true until {@link #fallenSilent} names it
+	 */
+	public boolean isLiving(String gateway) {
+		return Optional.ofNullable(this.members.get(gateway)).filter((member) -> member.lives).isPresent();
+	}
+
+	/**
+	 * The gateways that live, as far as this one knows.
+	 * @return the count, this one included
+	 */
+	public int living() {
+		return 1 + count((member) -> member.lives);
 	}
 
 	/**
@@ -245,6 +287,22 @@
 		return (bits ^ (bits >>> 15)) * 0x85EBCA6B;
 	}
 
+	/** What a report is to the gateway that takes it. */
+	public enum Hearing {
+
+		/** A later one came before it, or a later start of its sender was heard. */
+		LATE,
+
+		/** The first of its start: its sender waits to be confirmed. */
+		FIRST,
+
+		/**
+		 * No older than those before; the same one may come again with a confirmation.
+		 */
+		NEWS
+
+	}
+
 	/**
 	 * What a report says of the fleet.
 	 *
@@ -253,13 +311,14 @@
 	 * @param number its number, from 1 up
 	 * @param leaving whether its sender will not be heard again
 	 * @param group the group that its sender is in
-	 * @param confirmed the reports that its sender had
+	 * @param confirmed the last report that its sender had from the one that takes it,
+	 * empty when none came of late
 	 */
 	public record Report(String gateway, int start, int number, boolean leaving, int group,
-			List<Confirmation> confirmed) {
+			Optional<Confirmation> confirmed) {
 
 		public Report {
-			confirmed = List.copyOf(confirmed);
+			Objects.requireNonNull(confirmed, "confirmed is null");
 		}
 
 	}
@@ -267,7 +326,7 @@
 	/**
 	 * The last report that was had from a gateway.
 	 *
-	 * @param start which start of which gateway
+	 * @param start which start of the gateway
 	 * @param number the number of the report
 	 */
 	public record Confirmation(int start, int number) {
@@ -331,9 +390,15 @@
 		/** The last report of this gateway that it had; 0 for none. */
 		private int confirmed;
 
+		/** Starts before the one heard last. */
+		private final Deque<Integer> earlier = new ArrayDeque<>();
+
 		/** Whether a report ever came. */
 		private boolean heard;
 
+		/** Whether it was heard of late and did not leave. */
+		private boolean lives;
+
 		/** Whether it said that it will not be heard again. */
 		private boolean left;
 
@@ -348,6 +413,20 @@
 			return !this.left && !this.gone;
 		}
 
+		// Guards against datagrams that wait somewhere: those of an earlier start would
+		// take the place of what the later one told.
+		private boolean isLate(Report report) {
+			boolean same = this.heard && this.start == report.start();
+			return this.earlier.contains(report.start()) || (same && report.number() - this.number < 0);
+		}
+
+		private void startedAgain() {
+			this.earlier.addFirst(this.start);
+			if (this.earlier.size() > EARLIER_STARTS) {
+				this.earlier.removeLast();
+			}
+		}
+
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -193,12 +193,17 @@
 	/**
 	 * What this process tells of its use.
 	 * @param nowNanos the time
-	 * @return the use by organisation
+	 * @return the use by organisation, without those that never asked for any here
 	 */
 	public Map<String, Use> used(long nowNanos) {
 		boolean fresh = isFresh(nowNanos);
 		Map<String, Use> used = new HashMap<>();
-		this.accounts.forEach((name, account) -> used.put(name, account.use(fresh, nowNanos)));
+		this.accounts.forEach((name, account) -> {
+			Use use = account.use(fresh, nowNanos);
+			if (use.units() > 0 || use.asked() > 0) {
+				used.put(name, use);
+			}
+		});
 		return used;
 	}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/FleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/FleetTests.java
@@ -1,6 +1,6 @@
 package org.rosemaryfront.quota;
 
-import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import org.rosemaryfront.quota.Fleet.Confirmation;
+import org.rosemaryfront.quota.Fleet.Hearing;
 import org.rosemaryfront.quota.Fleet.Report;
 import org.rosemaryfront.quota.Fleet.Sharing;
 
@@ -95,15 +96,16 @@
 	@Test
 	void shouldNotTakeConfirmationOfItsEarlierStart() {
 		this.fleet.complete();
-		this.fleet.heard(new Report("gateway-2", 2, 1, false, 0, List.of(new Confirmation(SELF + 1, 1))), 0);
+		this.fleet.heard(new Report("gateway-2", 2, 1, false, 0, Optional.of(new Confirmation(SELF + 1, 1))), 0);
 		assertThat(this.fleet.sharing(0).group()).isEqualTo(1);
 	}
 
 	@Test
 	void shouldConfirmWhatItHeardOfLateOnly() {
 		hear(2, 1, 0);
-		assertThat(this.fleet.confirmations(SECOND / 2)).containsExactly(new Confirmation(2, 1));
-		assertThat(this.fleet.confirmations(2 * SECOND)).isEmpty();
+		assertThat(this.fleet.confirmation("gateway-2", SECOND / 2)).contains(new Confirmation(2, 1));
+		assertThat(this.fleet.confirmation("gateway-2", 2 * SECOND)).isEmpty();
+		assertThat(this.fleet.confirmation("gateway-3", SECOND / 2)).isEmpty();
 	}
 
 	@Test
@@ -132,16 +134,57 @@
 
 	@Test
 	void shouldSayWhoWaitsForItsFirstConfirmation() {
-		Report report = new Report("gateway-2", 2, 1, false, 0, List.of());
-		assertThat(this.fleet.heard(report, 0)).isTrue();
-		assertThat(this.fleet.heard(report, SECOND)).isFalse();
-		assertThat(this.fleet.heard(new Report("gateway-2", 22, 1, false, 0, List.of()), 2 * SECOND)).isTrue();
+		assertThat(hear(report(2, 1), 0)).isEqualTo(Hearing.FIRST);
+		assertThat(hear(report(2, 2), SECOND)).isEqualTo(Hearing.NEWS);
+		assertThat(hear(report(22, 1), 2 * SECOND)).isEqualTo(Hearing.FIRST);
+	}
+
+	// A datagram waits on its way while later ones pass it.
+	@Test
+	void shouldDropReportThatALaterOneOvertook() {
+		hear(report(2, 5), 0);
+		assertThat(hear(report(2, 4), 0)).isEqualTo(Hearing.LATE);
+		assertThat(this.fleet.confirmation("gateway-2", 0)).contains(new Confirmation(2, 5));
+	}
+
+	// The answer to the first report of a start is the last report once more, with the
+	// confirmation that its sender waits for.
+	@Test
+	void shouldTakeConfirmationFromRepeatedReport() {
+		this.fleet.complete();
+		hear(report(2, 5), 0);
+		assertThat(this.fleet.sharing(0).group()).isEqualTo(1);
+		this.fleet.heard(new Report("gateway-2", 2, 5, false, 0, Optional.of(new Confirmation(SELF, 1))), 0);
+		assertThat(this.fleet.sharing(0).group()).isEqualTo(2);
+	}
+
+	// A gateway starts again; what its earlier start sent arrives behind that and took
+	// the
+	// place of what the later one told.
+	@Test
+	void shouldDropReportOfAnEarlierStart() {
+		hear(report(2, 900), 0);
+		hear(report(22, 1), 0);
+		assertThat(hear(report(2, 901), 0)).isEqualTo(Hearing.LATE);
+		assertThat(this.fleet.confirmation("gateway-2", 0)).contains(new Confirmation(22, 1));
+	}
+
+	@Test
+	void shouldNameSilentGatewayOnceUntilItIsHeardAgain() {
+		hear(report(2, 1), 0);
+		assertThat(this.fleet.living()).isEqualTo(2);
+		assertThat(this.fleet.fallenSilent(2 * SECOND)).isEmpty();
+		assertThat(this.fleet.fallenSilent(3 * SECOND)).containsExactly("gateway-2");
+		assertThat(this.fleet.fallenSilent(4 * SECOND)).isEmpty();
+		assertThat(this.fleet.isLiving("gateway-2")).isFalse();
+		hear(report(2, 2), 5 * SECOND);
+		assertThat(this.fleet.isLiving("gateway-2")).isTrue();
 	}
 
 	@Test
 	void shouldForgetGatewayThatLeft() {
 		this.fleet.complete();
-		this.fleet.heard(new Report("gateway-2", 2, 1, true, 0, List.of()), 0);
+		this.fleet.heard(new Report("gateway-2", 2, 1, true, 0, Optional.empty()), 0);
 		assertThat(this.fleet.serving(0)).isEqualTo(2);
 	}
 
@@ -168,8 +211,17 @@
 	}
 
 	private void hear(int start, int confirmed, long nowNanos) {
-		this.fleet.heard(new Report("gateway-" + start, start, 1, false, 0, List.of(new Confirmation(SELF, confirmed))),
+		this.fleet.heard(
+				new Report("gateway-" + start, start, 1, false, 0, Optional.of(new Confirmation(SELF, confirmed))),
 				nowNanos);
 	}
 
+	private Hearing hear(Report report, long nowNanos) {
+		return this.fleet.heard(report, nowNanos);
+	}
+
+	private static Report report(int start, int number) {
+		return new Report("gateway-2", start, number, false, 0, Optional.empty());
+	}
+
 }
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
@@ -6,10 +6,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
+import org.rosemaryfront.quota.Fleet.Hearing;
 import org.rosemaryfront.quota.Fleet.Report;
 import org.rosemaryfront.quota.QuotaTable.Use;
 import org.rosemaryfront.routes.Organisation;
@@ -232,12 +234,15 @@
 
 		private long nextTellMillis;
 
-		private long toldMillis;
-
 		private long nextTickMillis;
 
 		private int number;
 
+		/** What the last report said. */
+		private int group;
+
+		private Optional<Use> use = Optional.empty();
+
 		private Gateway(int index, long startedMillis) {
 			this.index = index;
 			this.process = index + "/" + startedMillis;
@@ -274,10 +279,14 @@
 		private void heard(Telling telling) {
 			if (!this.deafTo.getOrDefault(telling.from, false)) {
 				whenRunning(() -> {
-					if (this.fleet.heard(telling.report, nowNanos())) {
-						this.nextTellMillis = Math.min(this.nextTellMillis, this.toldMillis + TICK_MILLIS);
+					Hearing hearing = this.fleet.heard(telling.report, nowNanos());
+					if (hearing == Hearing.LATE) {
+						return;
+					}
+					telling.use.ifPresent((use) -> this.table.usedByOther(telling.process, "sfax", use, nowNanos()));
+					if (hearing == Hearing.FIRST) {
+						answer(telling.from);
 					}
-					this.table.usedByOther(telling.process, "sfax", telling.use, nowNanos());
 				});
 			}
 		}
@@ -298,26 +307,40 @@
 			this.nextTickMillis = QuotaFleet.this.nowMillis + TICK_MILLIS;
 			if (QuotaFleet.this.nowMillis >= this.nextTellMillis) {
 				this.nextTellMillis = QuotaFleet.this.nowMillis + TELL_MILLIS;
-				this.toldMillis = QuotaFleet.this.nowMillis;
 				this.number++;
 				tell();
 			}
 		}
 
 		private void tell() {
-			Report report = new Report("gateway-" + this.index, this.process.hashCode(), this.number, false,
-					this.fleet.group(nowNanos()), this.fleet.confirmations(nowNanos()));
-			Use use = this.table.used(nowNanos()).getOrDefault("sfax", new Use(0, 0, false));
+			this.group = this.fleet.group(nowNanos());
+			this.use = Optional.ofNullable(this.table.used(nowNanos()).get("sfax"));
 			this.table.told(this.number, nowNanos());
 			this.fleet.told(this.number, nowNanos());
 			for (int to = 0; to < QuotaFleet.this.gateways.size(); to++) {
 				if (to != this.index) {
-					QuotaFleet.this.underWay.addLast(new Telling(this.index, to, this.process, report, use,
-							QuotaFleet.this.nowMillis + DELAY_MILLIS));
+					send(to);
 				}
 			}
 		}
 
+		// The last report once more, for one that waits for its confirmation.
+		private void answer(int to) {
+			if (this.number == 0) {
+				this.nextTellMillis = QuotaFleet.this.nowMillis;
+			}
+			else {
+				send(to);
+			}
+		}
+
+		private void send(int to) {
+			Report report = new Report("gateway-" + this.index, this.process.hashCode(), this.number, false, this.group,
+					this.fleet.confirmation("gateway-" + to, nowNanos()));
+			QuotaFleet.this.underWay.addLast(new Telling(this.index, to, this.process, report, this.use,
+					QuotaFleet.this.nowMillis + DELAY_MILLIS));
+		}
+
 		private long nowNanos() {
 			return TimeUnit.MILLISECONDS.toNanos(QuotaFleet.this.nowMillis);
 		}
@@ -325,7 +348,7 @@
 	}
 
 	/** A report under way. */
-	private record Telling(int from, int to, String process, Report report, Use use, long arrives) {
+	private record Telling(int from, int to, String process, Report report, Optional<Use> use, long arrives) {
 	}
 
 	/** A call that was let through. */
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -80,8 +80,8 @@
 
 	private final Fleet fleet;
 
-	/** Notices that this process stood still, at the time given. */
-	private final LongConsumer pauses;
+	/** Notices a pause of this process and takes what was told, at the time given. */
+	private final LongConsumer catchUp;
 
 	private final UsageLedger usage;
 
@@ -106,13 +106,13 @@
 	private long readingTokens;
 
 	GatewayControl(ControlLoop loop, BackendTable servers, GatewaySettings settings, QuotaTable quotas, Fleet fleet,
-			UsageLedger usage, CrashGuard guard, LongConsumer pauses) {
+			UsageLedger usage, CrashGuard guard, LongConsumer catchUp) {
 		this.loop = loop;
 		this.servers = servers;
 		this.dispatcher = new Dispatcher(servers, settings.zone());
 		this.quotas = quotas;
 		this.fleet = fleet;
-		this.pauses = pauses;
+		this.catchUp = catchUp;
 		this.usage = usage;
 		this.guard = guard;
 		GatewaySettings.Bounds bounds = settings.bounds();
@@ -222,7 +222,7 @@
 	private boolean takeQuota(Call call, Organisation organisation, CallProgress progress, long now) {
 		// Calls that came while this process stood still are decided before it has read
 		// what the others told meanwhile.
-		this.pauses.accept(now);
+		this.catchUp.accept(now);
 		Sharing sharing = this.fleet.sharing(now);
 		if (organisation.unitsPerSecond() > 0 && !sharing.isKnown()) {
 			call.refuse(503, fullRetryMillis(),
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -71,6 +72,9 @@
 	/** The time between two looks at the duties, in nanoseconds. */
 	private static final long DUTIES_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+	/** Reports that may wait to be taken; more than a second's of a thousand gateways. */
+	private static final int MOST_WAITING = 4_096;
+
 	/** What is kept of the stop's time to close and exit, in milliseconds. */
 	private static final long EXIT_MILLIS = 400;
 
@@ -137,6 +141,9 @@
 	/** Whether another gateway waits for a report of this one. */
 	private boolean awaited;
 
+	/** Reports of other gateways that were not taken yet, in the order they came. */
+	private final LinkedBlockingQueue<PeerExchange.Heard> heard = new LinkedBlockingQueue<>();
+
 	private long nextDutiesNanos = System.nanoTime();
 
 	private final PauseWatch pauses = new PauseWatch(System.nanoTime(), System.currentTimeMillis());
@@ -173,7 +180,7 @@
 		this.crashes = new CrashRecords(platform.rows(), this.servers, this.control,
 				UsageDuty.process(settings.name(), this.start), new CrashHooks());
 		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.fleet, this.usage,
-				new CrashGuard(this.crashes, this.servers), this::notePause);
+				new CrashGuard(this.crashes, this.servers), this::catchUp);
 		// The thread of all sockets. With a second one every answer of the store woke
 		// another thread, and the process died at times in a system call that both made.
 		EventLoop io = loops.onServer(false).next();
@@ -191,7 +198,7 @@
 		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl,
 				this.lease::fenced);
 		this.reports = new GatewayReports(this.peers, this.fleet, this.servers, this.quotas, this.decisions, this.usage,
-				this.usageDuty, this.crashes, settings.metrics().getPort());
+				this.usageDuty, this.crashes, settings);
 		this.sizeDuty = new SizeDuty(this.servers,
 				(service) -> this.decisions.dispatcher().model(service).tokensPerMilli(), platform.duties(),
 				settings.zones(), this::onControl, this.lease::fenced);
@@ -296,20 +303,40 @@
 		this.control.post((_) -> task.run());
 	}
 
+	// Most reports wait for the next tick: with a hundred gateways each would wake the
+	// thread by itself.
 	private void heard(PeerExchange.Heard heard) {
-		if (this.started) {
-			this.control.post((now) -> {
-				boolean first = this.reports.heard(heard, now);
-				this.awaited |= first;
-			});
+		if (!this.started) {
+			return;
+		}
+		if (this.heard.size() < MOST_WAITING) {
+			this.heard.add(heard);
+		}
+		else {
+			this.metrics.count("reports.dropped");
+		}
+		if (heard.report().getCrashesCount() > 0) {
+			this.control.post(this::takeHeard);
 		}
 	}
 
+	private void takeHeard(long now) {
+		for (PeerExchange.Heard next = this.heard.poll(); next != null; next = this.heard.poll()) {
+			this.awaited |= this.reports.heard(next, now);
+		}
+	}
+
+	// What is decided now rests on what was told up to now.
+	private void catchUp(long now) {
+		notePause(now);
+		takeHeard(now);
+	}
+
 	private void tick(long now) {
 		if (!this.started) {
 			return;
 		}
-		notePause(now);
+		catchUp(now);
 		List<BackendServer> dropped = this.servers.expire(now);
 		if (!dropped.isEmpty()) {
 			dropped.forEach((server) -> EventLog.info(GatewayEvents.SERVER_DROPPED, "server", server.id(), "service",
@@ -361,11 +388,11 @@
 	}
 
 	private void duties(long now) {
-		this.peers.silent(now).forEach((gateway) -> this.servers.othersAt(gateway, Map.of()));
-		this.tableAddresses = this.peers.tableAddresses();
+		this.reports.noteSilent(now);
+		this.tableAddresses = this.peers.tableAddresses(this.fleet::isLiving);
 		this.decisions.gateways(this.fleet.serving(now));
 		noteSharing(now);
-		this.lease.gateways(this.peers.living());
+		this.lease.gateways(this.fleet.living());
 		this.lease.tick(now);
 		long epochMillis = System.currentTimeMillis();
 		this.usageDuty.closed(this.usage.close(epochMillis), this.start);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -5,8 +5,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
-import java.util.stream.IntStream;
 
 import com.google.protobuf.ByteString;
 
@@ -16,6 +16,7 @@
 import org.rosemaryfront.dispatch.SharedParts;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.duties.UsageLedger.Window;
+import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.gateway.proto.GatewayReport;
 import org.rosemaryfront.gateway.proto.OrganisationUse;
 import org.rosemaryfront.gateway.proto.ServerUse;
@@ -23,6 +24,7 @@
 import org.rosemaryfront.gateway.proto.UnwrittenUse;
 import org.rosemaryfront.quota.Fleet;
 import org.rosemaryfront.quota.Fleet.Confirmation;
+import org.rosemaryfront.quota.Fleet.Hearing;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.quota.QuotaTable.Use;
 
@@ -32,6 +34,9 @@
  */
 final class GatewayReports {
 
+	/** What changes slowly is in one report of so many. */
+	private static final int REPORTS_PER_SPEEDS = 4;
+
 	private final PeerExchange peers;
 
 	private final BackendTable servers;
@@ -48,6 +53,8 @@
 
 	private final CrashRecords crashes;
 
+	private final String self;
+
 	private final int adminPort;
 
 	/** The prompt tokens that each start of another gateway last told. */
@@ -56,7 +63,7 @@
 	private long othersReadingTotal;
 
 	GatewayReports(PeerExchange peers, Fleet fleet, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
-			UsageLedger usage, UsageDuty usageDuty, CrashRecords crashes, int adminPort) {
+			UsageLedger usage, UsageDuty usageDuty, CrashRecords crashes, GatewaySettings settings) {
 		this.peers = peers;
 		this.servers = servers;
 		this.fleet = fleet;
@@ -65,7 +72,8 @@
 		this.usage = usage;
 		this.usageDuty = usageDuty;
 		this.crashes = crashes;
-		this.adminPort = adminPort;
+		this.self = settings.name();
+		this.adminPort = settings.metrics().getPort();
 	}
 
 	/**
@@ -80,12 +88,10 @@
 			.forEach((name,
 					use) -> report.addOrganisations(OrganisationUse.newBuilder()
 						.setOrganisation(name)
-						.setUnits(use.units())
-						.setAsked(use.asked())
+						.setUnits(Math.round(use.units()))
+						.setAsked(Math.round(use.asked()))
 						.setBegun(window.counts().getOrDefault(name, 0L).intValue())));
 		report.setFresh(this.quotas.isFresh(now)).setGroup(this.fleet.group(now));
-		this.fleet.confirmations(now)
-			.forEach((heard) -> report.addHeardStarts(heard.start()).addHeardNumbers(heard.number()));
 		this.usageDuty.handover()
 			.forEach((row) -> report.addUnwritten(UnwrittenUse.newBuilder()
 				.setWindow(row.window())
@@ -93,16 +99,25 @@
 				.setCounts(ByteString.copyFrom(row.counts()))));
 		addServers(report);
 		report.addAllCrashes(this.crashes.news(now));
-		this.decisions.dispatcher()
-			.models()
-			.forEach((service, model) -> report
-				.addSpeeds(ServiceSpeed.newBuilder().setService(service).addAllRates(model.learned())));
+		int number = this.peers.nextNumber();
+		if (number % REPORTS_PER_SPEEDS == 1) {
+			addSpeeds(report);
+		}
 		report.setReadingTokens(this.decisions.readingTokens()).setLeaving(leaving).setAdminPort(this.adminPort);
-		int number = this.peers.tell(report);
+		this.peers.tell(report, this.fleet::isLiving, (gateway) -> this.fleet.confirmation(gateway, now));
 		this.fleet.told(number, now);
 		this.quotas.told(number, now);
 	}
 
+	private void addSpeeds(GatewayReport.Builder report) {
+		this.decisions.dispatcher().models().forEach((service, model) -> {
+			List<Double> rates = model.learned();
+			if (!rates.isEmpty()) {
+				report.addSpeeds(ServiceSpeed.newBuilder().setService(service).addAllRates(rates));
+			}
+		});
+	}
+
 	private void addServers(GatewayReport.Builder report) {
 		Map<BackendServer.Start, BackendUse> uses = this.servers.ownUse();
 		Map<BackendServer.Start, List<SharedParts.Part>> parts = this.servers.partsToTell();
@@ -124,15 +139,29 @@
 	 * Takes the report of another gateway.
 	 * @param heard the report
 	 * @param now the time
-	 * @return whether its sender waits for a report of this gateway
+	 * @return whether its sender waits for the next report of this gateway
 	 */
 	boolean heard(PeerExchange.Heard heard, long now) {
-		if (!this.peers.accept(heard, now)) {
+		GatewayReport report = heard.report();
+		String gateway = report.getGateway();
+		if (gateway.equals(this.self)) {
 			return false;
 		}
-		GatewayReport report = heard.report();
+		boolean known = this.fleet.isLiving(gateway);
+		Hearing hearing = this.fleet.heard(fleetReport(report), now);
+		if (hearing == Hearing.LATE) {
+			return false;
+		}
+		this.peers.heard(heard);
+		if (!known) {
+			EventLog.info(GatewayEvents.PEER_HEARD, "gateway", gateway, "from", heard.from());
+		}
+		take(report, now);
+		return hearing == Hearing.FIRST && !this.peers.repeat(gateway, this.fleet.confirmation(gateway, now));
+	}
+
+	private void take(GatewayReport report, long now) {
 		String process = UsageDuty.process(report.getGateway(), report.getStart());
-		boolean first = this.fleet.heard(fleetReport(report), now);
 		Map<String, Long> begun = new HashMap<>();
 		report.getOrganisationsList().forEach((use) -> {
 			this.quotas.usedByOther(process, use.getOrganisation(),
@@ -151,14 +180,22 @@
 		long before = this.othersReading.getOrDefault(process, report.getReadingTokens());
 		this.othersReadingTotal += Math.max(0, report.getReadingTokens() - before);
 		this.othersReading.put(process, report.getReadingTokens());
-		return first;
+	}
+
+	/**
+	 * Notes gateways that fell silent: what they had at servers is over.
+	 * @param now the time
+	 */
+	void noteSilent(long now) {
+		for (String gateway : this.fleet.fallenSilent(now)) {
+			EventLog.info(GatewayEvents.PEER_SILENT, "gateway", gateway);
+			this.servers.othersAt(gateway, Map.of());
+		}
 	}
 
 	private static Fleet.Report fleetReport(GatewayReport report) {
-		int count = Math.min(report.getHeardStartsCount(), report.getHeardNumbersCount());
-		List<Confirmation> confirmed = IntStream.range(0, count)
-			.mapToObj((i) -> new Confirmation(report.getHeardStarts(i), report.getHeardNumbers(i)))
-			.toList();
+		Optional<Confirmation> confirmed = (report.getHeardNumber() == 0) ? Optional.empty()
+				: Optional.of(new Confirmation(report.getHeardStart(), report.getHeardNumber()));
 		return new Fleet.Report(report.getGateway(), report.getStart(), report.getNumber(), report.getLeaving(),
 				report.getGroup(), confirmed);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -1,11 +1,14 @@
 package org.rosemaryfront.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
@@ -13,15 +16,17 @@
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.gateway.proto.GatewayReport;
 import org.rosemaryfront.peer.UdpSocket;
+import org.rosemaryfront.peer.UdpSocket.Datagram;
+import org.rosemaryfront.quota.Fleet.Confirmation;
 
 /**
- * Tells the other gateways what this one uses, and hears it of them. Used on the control
- * thread, but for the socket.
+ * Carries reports between this gateway and the others. Used on the control thread, but
+ * for the socket.
  */
 final class PeerExchange implements AutoCloseable {
 
-	/** After this time without a report a gateway counts as gone, in nanoseconds. */
-	private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(3);
+	/** Gateways that do not live get one report of so many: they may come back. */
+	private static final int REPORTS_PER_KNOCK = 4;
 
 	private final String self;
 
@@ -33,6 +38,9 @@
 
 	private int number;
 
+	/** The last report without what it confirms; empty before the first. */
+	private byte[] last = {};
+
 	private PeerExchange(String self, int start, UdpSocket socket) {
 		this.self = self;
 		this.start = start;
@@ -67,18 +75,59 @@
 		}
 	}
 
+	/**
+	 * The number of the report that goes out next.
+	 * @return from 1 up
+	 */
+	int nextNumber() {
+		return this.number + 1;
+	}
+
 	/**
 	 * Tells all gateways.
 	 * @param report what to tell, without the sender
-	 * @return the number of the report
+	 * @param living whether a gateway lives
+	 * @param confirmation what the report to a gateway confirms
 	 */
-	int tell(GatewayReport.Builder report) {
+	void tell(GatewayReport.Builder report, Predicate<String> living,
+			Function<String, Optional<Confirmation>> confirmation) {
 		this.number++;
-		byte[] bytes = report.setGateway(this.self).setStart(this.start).setNumber(this.number).build().toByteArray();
-		for (Peer peer : this.peers.values()) {
-			this.socket.send(peer.address, bytes);
+		this.last = report.setGateway(this.self).setStart(this.start).setNumber(this.number).build().toByteArray();
+		boolean knocks = this.number % REPORTS_PER_KNOCK == 1;
+		List<Datagram> datagrams = new ArrayList<>();
+		this.peers.forEach((gateway, peer) -> {
+			if (knocks || living.test(gateway)) {
+				datagrams.add(datagram(peer, confirmation.apply(gateway)));
+			}
+		});
+		this.socket.send(datagrams);
+	}
+
+	/**
+	 * Sends the last report once more to a gateway that waits for its confirmation.
+	 * @param gateway the gateway, heard before
+	 * @param confirmation what the report confirms
+	 * @return false when there was no report yet
+	 */
+	boolean repeat(String gateway, Optional<Confirmation> confirmation) {
+		if (this.last.length == 0) {
+			return false;
 		}
-		return this.number;
+		this.socket.send(List.of(datagram(this.peers.get(gateway), confirmation)));
+		return true;
+	}
+
+	// Two messages one behind the other are read as one: what is the same for all is
+	// encoded once, and no report carries what it confirms to the others.
+	private Datagram datagram(Peer peer, Optional<Confirmation> confirmation) {
+		byte[] own = confirmation
+			.map((last) -> GatewayReport.newBuilder()
+				.setHeardStart(last.start())
+				.setHeardNumber(last.number())
+				.build()
+				.toByteArray())
+			.orElse(new byte[0]);
+		return new Datagram(peer.address, this.last, own);
 	}
 
 	// -- hearing
@@ -93,69 +142,28 @@
 	}
 
 	/**
-	 * Takes a report.
+	 * Notes where a report came from.
 	 * @param heard the report
-	 * @param nowNanos the time
-	 * @return whether it is news
 	 */
-	boolean accept(Heard heard, long nowNanos) {
-		GatewayReport report = heard.report();
-		if (report.getGateway().equals(this.self)) {
-			return false;
-		}
-		Peer peer = this.peers.computeIfAbsent(report.getGateway(), (_) -> new Peer());
-		boolean late = peer.start == report.getStart() && report.getNumber() - peer.number <= 0;
-		if (late) {
-			return false;
-		}
-		if (!peer.heard) {
-			EventLog.info(GatewayEvents.PEER_HEARD, "gateway", report.getGateway(), "from", heard.from());
-		}
+	void heard(Heard heard) {
+		Peer peer = this.peers.computeIfAbsent(heard.report().getGateway(), (_) -> new Peer());
 		peer.address = heard.from();
-		peer.start = report.getStart();
-		peer.number = report.getNumber();
-		peer.heard = !report.getLeaving();
-		peer.heardNanos = nowNanos;
-		peer.adminPort = report.getAdminPort();
-		return true;
-	}
-
-	/**
-	 * Forgets gateways that fell silent.
-	 * @param nowNanos the time
-	 * @return the gateways that fell silent since the last call
-	 */
-	List<String> silent(long nowNanos) {
-		List<String> silent = this.peers.entrySet()
-			.stream()
-			.filter((entry) -> entry.getValue().heard && nowNanos - entry.getValue().heardNanos >= SILENT_NANOS)
-			.map(Map.Entry::getKey)
-			.toList();
-		for (String gateway : silent) {
-			this.peers.get(gateway).heard = false;
-			EventLog.info(GatewayEvents.PEER_SILENT, "gateway", gateway);
-		}
-		return silent;
+		peer.adminPort = heard.report().getAdminPort();
 	}
 
 	/**
-	 * The gateways that live as far as this one knows.
-	 * @return the count, itself included
+	 * Where gateways serve the tables that they follow.
+	 * @param living whether a gateway lives
+	 * @return the addresses of those that live
 	 */
-	int living() {
-		return 1 + (int) this.peers.values().stream().filter((peer) -> peer.heard).count();
-	}
-
-	/**
-	 * Where the gateways that live serve the tables that they follow.
-	 * @return the addresses
-	 */
-	List<InetSocketAddress> tableAddresses() {
-		return this.peers.values()
-			.stream()
-			.filter((peer) -> peer.heard && peer.adminPort > 0)
-			.map((peer) -> new InetSocketAddress(peer.address.getAddress(), peer.adminPort))
-			.toList();
+	List<InetSocketAddress> tableAddresses(Predicate<String> living) {
+		List<InetSocketAddress> addresses = new ArrayList<>();
+		this.peers.forEach((gateway, peer) -> {
+			if (peer.adminPort > 0 && living.test(gateway)) {
+				addresses.add(new InetSocketAddress(peer.address.getAddress(), peer.adminPort));
+			}
+		});
+		return addresses;
 	}
 
 	@Override
@@ -172,18 +180,12 @@
 	record Heard(InetSocketAddress from, GatewayReport report) {
 	}
 
+	/** Where another gateway is reached. */
 	private static final class Peer {
 
 		private InetSocketAddress address;
 
-		private int start;
-
-		private int number;
-
-		private boolean heard;
-
-		private long heardNanos;
-
+		/** Where it serves its tables; 0 before it was heard. */
 		private int adminPort;
 
 	}
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/UdpSocket.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/UdpSocket.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.peer;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.function.BiConsumer;
 
 import io.netty.bootstrap.Bootstrap;
@@ -50,11 +51,33 @@
 		this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
 	}
 
+	/**
+	 * Sends datagrams, all in one turn of the socket's thread.
+	 * @param datagrams what to send
+	 */
+	public void send(List<Datagram> datagrams) {
+		this.channel.eventLoop().execute(() -> {
+			datagrams.forEach((datagram) -> this.channel
+				.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram.head(), datagram.tail()), datagram.to())));
+			this.channel.flush();
+		});
+	}
+
 	@Override
 	public void close() {
 		this.channel.close().syncUninterruptibly();
 	}
 
+	/**
+	 * What is sent to one receiver; what all receivers get stands in memory once.
+	 *
+	 * @param to the receiver
+	 * @param head the first bytes
+	 * @param tail the bytes behind them
+	 */
+	public record Datagram(InetSocketAddress to, byte[] head, byte[] tail) {
+	}
+
 	private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
 		private final BiConsumer<InetSocketAddress, byte[]> receiver;
