Look once more whether the caller is there before a request goes to a server

Cause: a gateway that is short of processor time reads a request and, a turn later, the end of the connection that came right behind it; in between the request went to a server. Change: right before bytes leave, what has arrived from the caller is read. It holds since the end of a connection is there to be read when its close has reached the machine. PassingThroughTests#shouldNotSendRequestWhoseCallerLeftBeforeItWasRead failed before.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -412,6 +412,11 @@
 			notConnected("held back");
 			return;
 		}
+		if (this.caller.hasLeft()) {
+			to.rest();
+			callerLeft();
+			return;
+		}
 		this.channel = to;
 		this.state = State.SENT;
 		this.sends++;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -339,6 +340,18 @@
 		this.channel.config().setAutoRead(on);
 	}
 
+	/**
+	 * Whether the caller left, by all that has arrived from it. While this process is
+	 * busy a request is read before the end of the connection that came right behind it.
+	 * @return true when its connection has ended
+	 */
+	boolean hasLeft() {
+		if (this.channel.config().isAutoRead() && this.channel.unsafe() instanceof NioUnsafe arrived) {
+			arrived.read();
+		}
+		return !this.channel.isActive();
+	}
+
 	ByteBufAllocator allocator() {
 		return this.channel.alloc();
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
@@ -60,6 +61,8 @@
 
 	final GatewaySettings settings;
 
+	private final LoopResources loops;
+
 	private final GatewayProcess process;
 
 	private final List<String> registered = new ArrayList<>();
@@ -80,15 +83,27 @@
 		this.store = store;
 		this.access = new DeniableStore(store);
 		this.codecs = codecs;
-		this.settings = new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), freeDatagram(),
-				new GatewaySettings.Bounds(stopMillis, 100, 0.2, 64, RETRY_WINDOW_MILLIS, quotaWindowMillis,
-						usageWindowMillis));
+		this.settings = settings(name, new GatewaySettings.Bounds(stopMillis, 100, 0.2, 64, RETRY_WINDOW_MILLIS,
+				quotaWindowMillis, usageWindowMillis));
+		this.loops = LoopResources.create("test", 1, true);
 		this.process = GatewayProcess.start(this.settings,
-				new Platform(this.codecs, this.access, this.codecs, this.duties),
-				LoopResources.create("test", 1, true));
+				new Platform(this.codecs, this.access, this.codecs, this.duties), this.loops);
 		this.startedNanos = System.nanoTime();
 	}
 
+	private static GatewaySettings settings(String name, GatewaySettings.Bounds bounds) {
+		return new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), freeDatagram(), bounds);
+	}
+
+	/**
+	 * Settings of a gateway that is not started yet.
+	 * @return the settings, with ports that are free
+	 */
+	static GatewaySettings settings() {
+		return settings("gateway-1",
+				new GatewaySettings.Bounds(STOP_MILLIS, 100, 0.2, 64, RETRY_WINDOW_MILLIS, QUOTA_WINDOW_MILLIS, 5_000));
+	}
+
 	static GatewayHarness start() {
 		return new GatewayHarness("gateway-1", 5_000, new MemoryRowStore(), new PlainCodecs());
 	}
@@ -207,7 +222,16 @@
 	}
 
 	int readiness() {
-		try (RawCaller caller = new RawCaller(this.settings.readiness())) {
+		return readiness(this.settings);
+	}
+
+	/**
+	 * Asks whether callers may come.
+	 * @param settings those of the gateway
+	 * @return the status, 0 when nobody answers
+	 */
+	static int readiness(GatewaySettings settings) {
+		try (RawCaller caller = new RawCaller(settings.readiness())) {
 			return caller.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").read().status();
 		}
 		catch (IOException ex) {
@@ -247,6 +271,23 @@
 		return this.process.learned("app");
 	}
 
+	/**
+	 * Keeps the thread of all sockets from its work, as a VM without processor time does.
+	 * @param begun counted down when it stands still
+	 * @param until it goes on when this is counted down
+	 */
+	void stall(CountDownLatch begun, CountDownLatch until) {
+		this.loops.onServer(false).next().execute(() -> {
+			begun.countDown();
+			try {
+				until.await();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+	}
+
 	void stop() {
 		this.process.close();
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PassingThroughTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PassingThroughTests.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.gateway;
 
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
@@ -52,6 +53,25 @@
 		}
 	}
 
+	// A caller leaves while its request waits unread at a busy gateway; the request went
+	// to a server all the same.
+	@Test
+	void shouldNotSendRequestWhoseCallerLeftBeforeItWasRead() throws Exception {
+		try (ScriptedServer server = this.gateway.serving((request, exchange) -> exchange.ok(request, "x"));
+				RawCaller caller = this.gateway.caller()) {
+			assertThat(caller.send(RawCaller.get("c1", "/sheets/")).read().status()).isEqualTo(200);
+			CountDownLatch begun = new CountDownLatch(1);
+			CountDownLatch until = new CountDownLatch(1);
+			this.gateway.stall(begun, until);
+			begun.await();
+			caller.send(RawCaller.get("c2", "/sheets/"));
+			caller.close();
+			until.countDown();
+			assertThat(this.gateway.ask(RawCaller.get("c3", "/sheets/")).status()).isEqualTo(200);
+			assertThat(server.requests()).extracting((request) -> request.header("call")).containsExactly("c1", "c3");
+		}
+	}
+
 	@Test
 	void shouldNeverHandOnMoreTimeThanIsLeft() throws IOException {
 		try (ScriptedServer server = this.gateway.serving((request, exchange) -> exchange.ok(request, "x"))) {
