Answer questions for readiness only once all parts are there

Change: the address opens last. The time that building takes is no pause either; each start used to log one.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -185,11 +185,6 @@
 		// another thread, and the process died at times in a system call that both made.
 		EventLoop io = loops.onServer(false).next();
 		this.gateway = Gateway.open(io, settings.callers(), platform.calls(), this.decisions, this.metrics);
-		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
-				Map.of(platform.records().configuration().table(), this.configurationTable,
-						platform.records().servers(), this.serversTable, GATEWAYS_TABLE, this.gatewaysTable,
-						CrashRows.TABLE, this.crashesTable),
-				new OperatorsView());
 		this.peerTables = new PeerTables(loops, () -> this.tableAddresses);
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::heard);
 		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions,
@@ -204,6 +199,12 @@
 				settings.zones(), this::onControl, this.lease::fenced);
 		this.metrics.gauge("log.dropped", EventLog::dropped);
 		this.metrics.gauge("requests.held", this.crashes::heldCount);
+		// Last: from here on it is asked about all other parts.
+		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
+				Map.of(platform.records().configuration().table(), this.configurationTable,
+						platform.records().servers(), this.serversTable, GATEWAYS_TABLE, this.gatewaysTable,
+						CrashRows.TABLE, this.crashesTable),
+				new OperatorsView());
 	}
 
 	// -- factories
@@ -270,6 +271,8 @@
 		this.crashesWatch = TableWatch.start(this.platform.rows(), CrashRows.TABLE, this.crashesTable, this.peerTables,
 				this.crashes.listener());
 		announce();
+		// Building the parts was no pause of the process.
+		this.pauses.look(System.nanoTime(), System.currentTimeMillis());
 		this.started = true;
 	}
 
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/StartTests.java
@@ -0,0 +1,37 @@
+package org.rosemaryfront.gateway;
+
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.junit.jupiter.api.RepeatedTest;
+import reactor.netty.resources.LoopResources;
+
+import org.rosemaryfront.gateway.GatewayProcess.Platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StartTests {
+
+	// A balancer that asked while the parts were built got an internal error.
+	@RepeatedTest(5)
+	void shouldNotFailQuestionsForReadinessWhileItStarts() {
+		GatewaySettings settings = GatewayHarness.settings();
+		PlainCodecs codecs = new PlainCodecs();
+		AtomicBoolean started = new AtomicBoolean();
+		Set<Integer> seen = ConcurrentHashMap.newKeySet();
+		CompletableFuture<Void> balancer = CompletableFuture.runAsync(() -> {
+			while (!started.get() || seen.isEmpty()) {
+				seen.add(GatewayHarness.readiness(settings));
+			}
+		});
+		Platform platform = new Platform(codecs, new MemoryRowStore(), codecs, new RecordedDuties());
+		try (GatewayProcess _ = GatewayProcess.start(settings, platform, LoopResources.create("test", 1, true))) {
+			started.set(true);
+			balancer.join();
+		}
+		assertThat(seen).doesNotContain(500);
+	}
+
+}
