Let three gateways read the store's tables and tell the others; read no lease that is heard

Cause: each gateway followed the four tables for itself. Each also read the lease's row every 2.5 s.

Change: the first three gateways in a common order, of those that live, read the tables. Their reports carry the rows that changed, each twice, at once when something changed; the others rest. What does not fit a datagram, or was missed, is read from the store. Whoever hears no reader for 0.7 s asks for itself. Rows that are older than what is known of a table are passed over, whoever tells them. The holder of the duties says so in its reports; while it is heard nobody reads the lease or tries to take it.

Tests: SharedTablesTests (three of six ask; they are turned away, and the others ask), FleetTests, FollowedTableTests, LeaseMachineTests.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseMachine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseMachine.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -37,6 +38,9 @@
 	 */
 	private static final long READ_NANOS_PER_PROCESS = 25 * NANOS_PER_MILLI;
 
+	/** For how long the word of a holder counts. */
+	private static final long CLAIM_NANOS = 1_000 * NANOS_PER_MILLI;
+
 	private final String self;
 
 	private final LeaseTerms terms;
@@ -89,6 +93,9 @@
 
 	private int processes;
 
+	/** Until when another process is taken to hold the lease, by its own word. */
+	private OptionalLong claimedUntilNanos = OptionalLong.empty();
+
 	private LeaseMachine(String self, LeaseTerms terms, long seed) {
 		this.self = self;
 		this.terms = terms;
@@ -203,6 +210,18 @@
 		this.processes = count;
 	}
 
+	/**
+	 * Another process says that it holds the lease. While it does, the row need not be
+	 * read, and nobody takes over.
+	 * @param nowNanos the time
+	 */
+	public void heldElsewhere(long nowNanos) {
+		if (!this.holding) {
+			this.claimedUntilNanos = OptionalLong.of(nowNanos + CLAIM_NANOS);
+			this.nextReadNanos = afterPause(nowNanos);
+		}
+	}
+
 	/**
 	 * Gives the lease back early, so that a successor takes over at once. No order may go
 	 * out from now on.
@@ -248,7 +267,7 @@
 	private void start(long nowNanos) {
 		if (!this.started) {
 			this.started = true;
-			this.nextReadNanos = nowNanos;
+			this.nextReadNanos = this.claimedUntilNanos.isPresent() ? this.nextReadNanos : nowNanos;
 			this.nextWriteNanos = nowNanos;
 		}
 	}
@@ -259,11 +278,15 @@
 		this.readInFlight = true;
 		this.readAskedNanos = nowNanos;
 		this.readNumber++;
-		long pause = Math.max(this.terms.readNanos(), this.processes * READ_NANOS_PER_PROCESS);
-		this.nextReadNanos = nowNanos + pause / 2 + this.random.nextLong(pause + 1);
+		this.nextReadNanos = afterPause(nowNanos);
 		return new LeaseCommand.Read(this.readNumber);
 	}
 
+	private long afterPause(long nowNanos) {
+		long pause = Math.max(this.terms.readNanos(), this.processes * READ_NANOS_PER_PROCESS);
+		return nowNanos + pause / 2 + this.random.nextLong(pause + 1);
+	}
+
 	private void rowRead(LeaseEvent.RowRead read, long nowNanos) {
 		// A read that was given up may answer after a later one with an older row.
 		if (read.number() != this.readNumber || !this.readInFlight) {
@@ -323,6 +346,9 @@
 	}
 
 	private boolean mayTakeOver(long nowNanos) {
+		if (this.claimedUntilNanos.isPresent() && nowNanos - this.claimedUntilNanos.getAsLong() < 0) {
+			return false;
+		}
 		if (this.row.isEmpty() || this.row.get().isReleased()) {
 			return true;
 		}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
+import com.dynatrace.hash4j.hashing.Hashing;
+
 /**
  * The gateways, as one of them knows them: who lives, who may serve callers, and with
  * whom this one exchanges reports both ways.
@@ -55,6 +57,12 @@
 	 */
 	private static final int UNKNOWN = 128;
 
+	/** Gateways that read the store's tables for all; any one of them is enough. */
+	private static final int READERS = 3;
+
+	/** After this time without its report a gateway is not counted on to read tables. */
+	private static final long READER_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
 	/** Own reports whose sending is remembered: more than are confirmed late. */
 	private static final int REMEMBERED = 32;
 
@@ -93,7 +101,7 @@
 	 * @param nowNanos the time
 	 */
 	public void found(String gateway, long nowNanos) {
-		this.members.computeIfAbsent(gateway, (_) -> new Member(nowNanos));
+		this.members.computeIfAbsent(gateway, (name) -> new Member(rank(name), nowNanos));
 	}
 
 	/** The table of gateways was read: whoever may serve is known from now on. */
@@ -118,7 +126,7 @@
 	 * @return what the report is
 	 */
 	public Hearing heard(Report report, long nowNanos) {
-		Member member = this.members.computeIfAbsent(report.gateway(), (_) -> new Member(nowNanos));
+		Member member = this.members.computeIfAbsent(report.gateway(), (name) -> new Member(rank(name), nowNanos));
 		if (member.isLate(report)) {
 			return Hearing.LATE;
 		}
@@ -133,6 +141,7 @@
 		member.start = report.start();
 		member.number = report.number();
 		member.group = report.group();
+		member.reads = report.reads();
 		member.confirmed = report.confirmed()
 			.filter((confirmation) -> confirmation.start() == this.self)
 			.map(Confirmation::number)
@@ -287,6 +296,29 @@
 		return (bits ^ (bits >>> 15)) * 0x85EBCA6B;
 	}
 
+	/**
+	 * Whether other gateways tell of what changes in the store: the first few in an order
+	 * that all know read it, and the rest need not ask as long as one of these is heard.
+	 * @param self the name of this gateway
+	 * @param nowNanos the time
+	 * @return false when this gateway has to read for itself
+	 */
+	public boolean isToldOfTables(String self, long nowNanos) {
+		long own = rank(self);
+		int before = 0;
+		boolean told = false;
+		for (Member member : this.members.values()) {
+			before += (member.lives && Long.compareUnsigned(member.rank, own) < 0) ? 1 : 0;
+			told |= member.lives && member.reads && nowNanos - member.newsNanos < READER_NANOS;
+		}
+		return told && before >= READERS;
+	}
+
+	// Neither names nor zones that sort first make a gateway read for the others.
+	private static long rank(String gateway) {
+		return Hashing.wyhashFinal4().hashCharsToLong(gateway);
+	}
+
 	/** What a report is to the gateway that takes it. */
 	public enum Hearing {
 
@@ -311,10 +343,11 @@
 	 * @param number its number, from 1 up
 	 * @param leaving whether its sender will not be heard again
 	 * @param group the group that its sender is in
+	 * @param reads whether its sender reads the store's tables
 	 * @param confirmed the last report that its sender had from the one that takes it,
 	 * empty when none came of late
 	 */
-	public record Report(String gateway, int start, int number, boolean leaving, int group,
+	public record Report(String gateway, int start, int number, boolean leaving, int group, boolean reads,
 			Optional<Confirmation> confirmed) {
 
 		public Report {
@@ -387,6 +420,12 @@
 
 		private int group;
 
+		/** Whether it reads the store's tables. */
+		private boolean reads;
+
+		/** Its place in the order of gateways. */
+		private final long rank;
+
 		/** The last report of this gateway that it had; 0 for none. */
 		private int confirmed;
 
@@ -405,7 +444,8 @@
 		/** Whether it was silent for so long that it is taken for dead. */
 		private boolean gone;
 
-		private Member(long newsNanos) {
+		private Member(long rank, long newsNanos) {
+			this.rank = rank;
 			this.newsNanos = newsNanos;
 		}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseMachineTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseMachineTests.java
@@ -57,6 +57,26 @@
 		assertThat(writes(1)).hasSize(1);
 	}
 
+	// A hundred processes that wait for the lease each read its row again and again,
+	// while
+	// its holder could tell them.
+	@Test
+	void shouldNotReadWhileHolderSaysThatItHolds() {
+		read(0, Optional.of(new LeaseRow("vm-2", 7, 10_000, "x")), 3);
+		for (long millis = 0; millis < 60_000; millis += 250) {
+			this.lease.heldElsewhere(millis * MILLI);
+			assertThat(this.lease.tick(millis * MILLI)).isEmpty();
+		}
+	}
+
+	@Test
+	void shouldReadAndTakeOverOnceHolderIsNotHeardAnyMore() {
+		read(0, Optional.of(new LeaseRow("vm-2", 7, 10_000, "x")), 3);
+		this.lease.heldElsewhere(20_000 * MILLI);
+		assertThat(this.lease.tick(20_900 * MILLI)).isEmpty();
+		assertThat(this.lease.tick(26_000 * MILLI)).isNotEmpty();
+	}
+
 	// -- holding
 
 	// A holder was paused; its streams are gone and a successor acts. Its first act after
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/FleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/FleetTests.java
@@ -1,7 +1,9 @@
 package org.rosemaryfront.quota;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -96,7 +98,7 @@
 	@Test
 	void shouldNotTakeConfirmationOfItsEarlierStart() {
 		this.fleet.complete();
-		this.fleet.heard(new Report("gateway-2", 2, 1, false, 0, Optional.of(new Confirmation(SELF + 1, 1))), 0);
+		this.fleet.heard(new Report("gateway-2", 2, 1, false, 0, false, Optional.of(new Confirmation(SELF + 1, 1))), 0);
 		assertThat(this.fleet.sharing(0).group()).isEqualTo(1);
 	}
 
@@ -154,7 +156,7 @@
 		this.fleet.complete();
 		hear(report(2, 5), 0);
 		assertThat(this.fleet.sharing(0).group()).isEqualTo(1);
-		this.fleet.heard(new Report("gateway-2", 2, 5, false, 0, Optional.of(new Confirmation(SELF, 1))), 0);
+		this.fleet.heard(new Report("gateway-2", 2, 5, false, 0, false, Optional.of(new Confirmation(SELF, 1))), 0);
 		assertThat(this.fleet.sharing(0).group()).isEqualTo(2);
 	}
 
@@ -184,7 +186,7 @@
 	@Test
 	void shouldForgetGatewayThatLeft() {
 		this.fleet.complete();
-		this.fleet.heard(new Report("gateway-2", 2, 1, true, 0, Optional.empty()), 0);
+		this.fleet.heard(new Report("gateway-2", 2, 1, true, 0, false, Optional.empty()), 0);
 		assertThat(this.fleet.serving(0)).isEqualTo(2);
 	}
 
@@ -210,10 +212,37 @@
 		assertThat(this.fleet.serving(32 * SECOND)).isEqualTo(3);
 	}
 
+	// Three of ten gateways read the store's tables, the same ones in the eyes of all.
+	@Test
+	void shouldCountOnTheSameFewToReadTables() {
+		List<String> names = IntStream.range(0, 10).mapToObj((i) -> "gateway-" + i).toList();
+		long reading = names.stream().filter((self) -> !heardBy(self, names, true).isToldOfTables(self, 0)).count();
+		assertThat(reading).isEqualTo(3);
+		assertThat(names).noneMatch((self) -> heardBy(self, names, false).isToldOfTables(self, 0));
+	}
+
+	@Test
+	void shouldReadTablesItselfWhenReadersFallSilent() {
+		List<String> names = IntStream.range(0, 10).mapToObj((i) -> "gateway-" + i).toList();
+		String self = names.stream()
+			.filter((name) -> heardBy(name, names, true).isToldOfTables(name, 0))
+			.findFirst()
+			.orElseThrow();
+		assertThat(heardBy(self, names, true).isToldOfTables(self, SECOND / 2)).isTrue();
+		assertThat(heardBy(self, names, true).isToldOfTables(self, SECOND)).isFalse();
+	}
+
+	private static Fleet heardBy(String self, List<String> names, boolean reads) {
+		Fleet heard = new Fleet(SELF);
+		names.stream()
+			.filter((name) -> !name.equals(self))
+			.forEach((name) -> heard.heard(new Report(name, name.hashCode(), 1, false, 0, reads, Optional.empty()), 0));
+		return heard;
+	}
+
 	private void hear(int start, int confirmed, long nowNanos) {
-		this.fleet.heard(
-				new Report("gateway-" + start, start, 1, false, 0, Optional.of(new Confirmation(SELF, confirmed))),
-				nowNanos);
+		this.fleet.heard(new Report("gateway-" + start, start, 1, false, 0, false,
+				Optional.of(new Confirmation(SELF, confirmed))), nowNanos);
 	}
 
 	private Hearing hear(Report report, long nowNanos) {
@@ -221,7 +250,7 @@
 	}
 
 	private static Report report(int start, int number) {
-		return new Report("gateway-2", start, number, false, 0, Optional.empty());
+		return new Report("gateway-2", start, number, false, 0, false, Optional.empty());
 	}
 
 }
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
@@ -336,7 +336,7 @@
 
 		private void send(int to) {
 			Report report = new Report("gateway-" + this.index, this.process.hashCode(), this.number, false, this.group,
-					this.fleet.confirmation("gateway-" + to, nowNanos()));
+					false, this.fleet.confirmation("gateway-" + to, nowNanos()));
 			QuotaFleet.this.underWay.addLast(new Telling(this.index, to, this.process, report, this.use,
 					QuotaFleet.this.nowMillis + DELAY_MILLIS));
 		}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -102,6 +102,14 @@
 		this.machine.fenceSeen(this.machine.fence() + 1);
 	}
 
+	/**
+	 * Another gateway says that it holds the lease.
+	 * @param nowNanos the time
+	 */
+	void heldElsewhere(long nowNanos) {
+		this.machine.heldElsewhere(nowNanos);
+	}
+
 	void release(long nowNanos) {
 		this.machine.release(nowNanos);
 		tick(nowNanos);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/FollowedTable.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/FollowedTable.java
@@ -1,6 +1,8 @@
 package org.rosemaryfront.gateway;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -14,8 +16,17 @@
 /** The rows of a table as this gateway knows them; may be used on any thread. */
 final class FollowedTable {
 
+	/** Changes of late that are kept. */
+	private static final int RECENT = 64;
+
 	private final TreeMap<String, Row> rows = new TreeMap<>();
 
+	/** The last changes in order. */
+	private final Deque<Row> recent = new ArrayDeque<>();
+
+	/** The version behind which all changes are kept. */
+	private long recentSince;
+
 	private long version;
 
 	/**
@@ -31,24 +42,49 @@
 		this.rows.clear();
 		all.forEach((row) -> this.rows.put(row.key(), row));
 		this.version = tableVersion;
+		this.recent.clear();
+		this.recentSince = tableVersion;
 		return true;
 	}
 
 	/**
-	 * Takes changes.
+	 * Takes changes. Those known before are passed over: they come from the store and
+	 * from other gateways, and an older row must not take the place of a newer.
 	 * @param changed the changed rows in order
 	 * @param tableVersion the version of the store up to which changes are known
+	 * @return the rows that are news
 	 */
-	synchronized void changed(List<Row> changed, long tableVersion) {
-		for (Row row : changed) {
-			if (row.value().isPresent()) {
-				this.rows.put(row.key(), row);
-			}
-			else {
-				this.rows.remove(row.key());
-			}
-		}
+	synchronized List<Row> changed(List<Row> changed, long tableVersion) {
+		long known = this.version;
+		List<Row> news = changed.stream().filter((row) -> row.version() > known).toList();
+		news.forEach(this::put);
 		this.version = Math.max(this.version, tableVersion);
+		return news;
+	}
+
+	private void put(Row row) {
+		if (row.value().isPresent()) {
+			this.rows.put(row.key(), row);
+		}
+		else {
+			this.rows.remove(row.key());
+		}
+		this.recent.addLast(row);
+		if (this.recent.size() > RECENT) {
+			this.recentSince = this.recent.removeFirst().version();
+		}
+	}
+
+	/**
+	 * The changes of late.
+	 * @param since a version
+	 * @return the rows that changed behind it, empty when not all of them are kept
+	 */
+	synchronized Optional<List<Row>> changesSince(long since) {
+		if (since < this.recentSince) {
+			return Optional.empty();
+		}
+		return Optional.of(this.recent.stream().filter((row) -> row.version() > since).toList());
 	}
 
 	synchronized long version() {
@@ -66,23 +102,33 @@
 		}
 		TableRows.Builder message = TableRows.newBuilder().setVersion(this.version);
 		for (Row row : this.rows.values()) {
-			message.addRows(TableRow.newBuilder()
-				.setKey(row.key())
-				.setValue(ByteString.copyFrom(row.value().orElseThrow()))
-				.setVersion(row.version()));
+			message.addRows(message(row));
 		}
 		return Optional.of(message.build());
 	}
 
+	/**
+	 * Writes a row for another gateway.
+	 * @param row the row
+	 * @return the message
+	 */
+	static TableRow message(Row row) {
+		TableRow.Builder message = TableRow.newBuilder().setKey(row.key()).setVersion(row.version());
+		row.value()
+			.ifPresentOrElse((value) -> message.setValue(ByteString.copyFrom(value)), () -> message.setRemoved(true));
+		return message.build();
+	}
+
 	/**
 	 * Reads what another gateway sent.
-	 * @param message the table
-	 * @return its rows
+	 * @param messages rows
+	 * @return the rows
 	 */
-	static List<Row> rows(TableRows message) {
+	static List<Row> rows(List<TableRow> messages) {
 		List<Row> rows = new ArrayList<>();
-		for (TableRow row : message.getRowsList()) {
-			rows.add(new Row(row.getKey(), Optional.of(row.getValue().toByteArray()), row.getVersion()));
+		for (TableRow row : messages) {
+			Optional<byte[]> value = row.getRemoved() ? Optional.empty() : Optional.of(row.getValue().toByteArray());
+			rows.add(new Row(row.getKey(), value, row.getVersion()));
 		}
 		return rows;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -38,6 +38,9 @@
 	/** Another gateway did not answer the question for a table. */
 	PEER_CALL_FAILED(2815),
 
+	/** Who reads the tables of the store for this gateway changed. */
+	TABLES_SHARED(2816),
+
 	/** A row of our own could not be written or read; it is tried again. */
 	ROW_CALL_FAILED(2813),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -156,19 +156,11 @@
 
 	private final FollowedTable crashesTable = new FollowedTable();
 
-	private final PeerTables peerTables;
+	private final SharedTables tables;
 
 	/** Where other gateways serve their tables; written by the control thread. */
 	private volatile List<InetSocketAddress> tableAddresses = List.of();
 
-	private TableWatch configurationWatch;
-
-	private TableWatch serversWatch;
-
-	private TableWatch gatewaysWatch;
-
-	private TableWatch crashesWatch;
-
 	private GatewayProcess(GatewaySettings settings, Platform platform, LoopResources loops) {
 		this.settings = settings;
 		this.platform = platform;
@@ -185,7 +177,7 @@
 		// another thread, and the process died at times in a system call that both made.
 		EventLoop io = loops.onServer(false).next();
 		this.gateway = Gateway.open(io, settings.callers(), platform.calls(), this.decisions, this.metrics);
-		this.peerTables = new PeerTables(loops, () -> this.tableAddresses);
+		this.tables = new SharedTables(platform.rows(), new PeerTables(loops, () -> this.tableAddresses));
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::heard);
 		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions,
 				this::serverStartedAgain, () -> this.metrics.count("servers.unreadable"));
@@ -193,7 +185,7 @@
 		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl,
 				this.lease::fenced);
 		this.reports = new GatewayReports(this.peers, this.fleet, this.servers, this.quotas, this.decisions, this.usage,
-				this.usageDuty, this.crashes, settings);
+				this.usageDuty, this.crashes, this.lease, this.tables, settings);
 		this.sizeDuty = new SizeDuty(this.servers,
 				(service) -> this.decisions.dispatcher().model(service).tokensPerMilli(), platform.duties(),
 				settings.zones(), this::onControl, this.lease::fenced);
@@ -239,6 +231,11 @@
 		return askControl(() -> this.servers.find(server).isPresent());
 	}
 
+	// Whether it reads the tables of the store itself.
+	boolean readsTables() {
+		return askControl(this.tables::isReadingItself);
+	}
+
 	// What was learned of the servers of a service.
 	List<Double> learned(String service) {
 		return askControl(() -> this.decisions.dispatcher().model(service).learned());
@@ -261,15 +258,11 @@
 	// -- news of the platform
 
 	private void follow() {
-		this.configurationWatch = TableWatch.start(this.platform.rows(),
-				this.platform.records().configuration().table(), this.configurationTable, this.peerTables,
+		this.tables.follow(this.platform.records().configuration().table(), this.configurationTable,
 				this.news.configuration());
-		this.serversWatch = TableWatch.start(this.platform.rows(), this.platform.records().servers(), this.serversTable,
-				this.peerTables, this.news.servers());
-		this.gatewaysWatch = TableWatch.start(this.platform.rows(), GATEWAYS_TABLE, this.gatewaysTable, this.peerTables,
-				new GatewayNews());
-		this.crashesWatch = TableWatch.start(this.platform.rows(), CrashRows.TABLE, this.crashesTable, this.peerTables,
-				this.crashes.listener());
+		this.tables.follow(this.platform.records().servers(), this.serversTable, this.news.servers());
+		this.tables.follow(GATEWAYS_TABLE, this.gatewaysTable, new GatewayNews());
+		this.tables.follow(CrashRows.TABLE, this.crashesTable, this.crashes.listener());
 		announce();
 		// Building the parts was no pause of the process.
 		this.pauses.look(System.nanoTime(), System.currentTimeMillis());
@@ -347,7 +340,7 @@
 			this.gateway.retainServers(this.decisions.knownServers());
 		}
 		this.crashes.tick(now);
-		this.awaited |= this.crashes.isUrgent();
+		this.awaited |= this.crashes.isUrgent() || this.tables.isUrgent();
 		if (now - this.toldNanos >= (this.awaited ? TELL_SOON_NANOS : TELL_NANOS)) {
 			this.toldNanos = now;
 			this.awaited = false;
@@ -394,6 +387,7 @@
 		this.reports.noteSilent(now);
 		this.tableAddresses = this.peers.tableAddresses(this.fleet::isLiving);
 		this.decisions.gateways(this.fleet.serving(now));
+		this.tables.toldByOthers(this.fleet.isToldOfTables(this.settings.name(), now));
 		noteSharing(now);
 		this.lease.gateways(this.fleet.living());
 		this.lease.tick(now);
@@ -453,10 +447,7 @@
 			sleep(STOP_LOOK_MILLIS);
 		}
 		this.gateway.close();
-		this.configurationWatch.close();
-		this.serversWatch.close();
-		this.gatewaysWatch.close();
-		this.crashesWatch.close();
+		this.tables.close();
 		this.admin.close();
 		this.control.close();
 		this.peers.close();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -53,6 +53,10 @@
 
 	private final CrashRecords crashes;
 
+	private final DutyLease lease;
+
+	private final SharedTables tables;
+
 	private final String self;
 
 	private final int adminPort;
@@ -63,7 +67,10 @@
 	private long othersReadingTotal;
 
 	GatewayReports(PeerExchange peers, Fleet fleet, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
-			UsageLedger usage, UsageDuty usageDuty, CrashRecords crashes, GatewaySettings settings) {
+			UsageLedger usage, UsageDuty usageDuty, CrashRecords crashes, DutyLease lease, SharedTables tables,
+			GatewaySettings settings) {
+		this.lease = lease;
+		this.tables = tables;
 		this.peers = peers;
 		this.servers = servers;
 		this.fleet = fleet;
@@ -99,6 +106,9 @@
 				.setCounts(ByteString.copyFrom(row.counts()))));
 		addServers(report);
 		report.addAllCrashes(this.crashes.news(now));
+		report.setDutyFence(this.lease.mayAct(now) ? this.lease.fence() : 0)
+			.setReadsTables(this.tables.isReading())
+			.addAllTables(this.tables.news(now));
 		int number = this.peers.nextNumber();
 		if (number % REPORTS_PER_SPEEDS == 1) {
 			addSpeeds(report);
@@ -171,6 +181,10 @@
 		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
 		report.getServersList().forEach(this::heardParts);
 		this.crashes.heard(report.getGateway(), report.getCrashesList(), now);
+		this.tables.heard(report.getTablesList());
+		if (report.getDutyFence() > 0) {
+			this.lease.heldElsewhere(now);
+		}
 		report.getSpeedsList()
 			.forEach((speed) -> this.decisions.dispatcher().model(speed.getService()).adopt(speed.getRatesList()));
 		this.usageDuty.heardUnderWay(report.getWindow(), process, begun);
@@ -197,7 +211,7 @@
 		Optional<Confirmation> confirmed = (report.getHeardNumber() == 0) ? Optional.empty()
 				: Optional.of(new Confirmation(report.getHeardStart(), report.getHeardNumber()));
 		return new Fleet.Report(report.getGateway(), report.getStart(), report.getNumber(), report.getLeaving(),
-				report.getGroup(), confirmed);
+				report.getGroup(), report.getReadsTables(), confirmed);
 	}
 
 	private void heardParts(ServerUse use) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -164,8 +164,9 @@
 		}
 
 		@Override
-		public void regained() {
-			PlatformNews.this.control.post((now) -> PlatformNews.this.storeBackNanos = OptionalLong.of(now));
+		public void regained(long agoMillis) {
+			PlatformNews.this.control
+				.post((now) -> PlatformNews.this.storeBackNanos = OptionalLong.of(now - agoMillis * NANOS_PER_MILLI));
 		}
 
 	}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -0,0 +1,181 @@
+package org.rosemaryfront.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.gateway.proto.TableNews;
+import org.rosemaryfront.gateway.proto.TableRow;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.RowStore.Row;
+
+/**
+ * The tables of the store that gateways follow. A few gateways read them and tell the
+ * others what changes; with each reading for itself, the calls to the store grow with the
+ * gateways, and at a start of all with their square. Used on the control thread.
+ */
+final class SharedTables implements AutoCloseable {
+
+	/** Rows told at once, in bytes; a report stays within one packet. */
+	private static final int MOST_BYTES = 700;
+
+	private final RowStore store;
+
+	private final PeerTables peers;
+
+	private final Map<String, TableWatch> watches = new HashMap<>();
+
+	/** The version up to which each table was told in the two last reports. */
+	private final Map<String, Told> told = new HashMap<>();
+
+	private boolean toldByOthers;
+
+	/** Whether a table changed since the last report; set on any thread. */
+	private volatile boolean changed;
+
+	SharedTables(RowStore store, PeerTables peers) {
+		this.store = store;
+		this.peers = peers;
+	}
+
+	/**
+	 * Starts to follow a table.
+	 * @param table the table
+	 * @param known takes the rows, for other gateways
+	 * @param listener told of rows
+	 */
+	void follow(String table, FollowedTable known, TableWatch.Listener listener) {
+		this.watches.put(table, TableWatch.start(this.store, table, known, this.peers, new Noting(listener)));
+	}
+
+	// -- telling
+
+	/**
+	 * Whether others wait for news.
+	 * @return true from a change until it was told
+	 */
+	boolean isUrgent() {
+		return this.changed && isReading();
+	}
+
+	/**
+	 * Whether this gateway reads all tables from the store.
+	 * @return false while it counts on others, or the store does not answer
+	 */
+	boolean isReading() {
+		return this.watches.values().stream().allMatch(TableWatch::isReading);
+	}
+
+	/**
+	 * What is told to the other gateways.
+	 * @param nowNanos the time
+	 * @return what is known of each table, empty when this gateway does not read them
+	 */
+	List<TableNews> news(long nowNanos) {
+		this.changed = false;
+		return isReading() ? this.watches.values().stream().map((watch) -> news(watch, nowNanos)).toList() : List.of();
+	}
+
+	// Changes are told twice, since a datagram may be lost; whoever misses both reads
+	// them from the store.
+	private TableNews news(TableWatch watch, long nowNanos) {
+		long version = watch.known().version();
+		Told before = this.told.getOrDefault(watch.table(), new Told(version, version));
+		this.told.put(watch.table(), new Told(before.last, version));
+		TableNews.Builder news = TableNews.newBuilder()
+			.setTable(watch.table())
+			.setVersion(version)
+			.setSince(before.secondLast)
+			.setBackMillis(watch.backMillis(nowNanos));
+		Optional<List<Row>> rows = watch.known().changesSince(before.secondLast).filter(SharedTables::isSmall);
+		rows.ifPresentOrElse((small) -> small.stream()
+			.filter((row) -> row.version() <= version)
+			.map(FollowedTable::message)
+			.forEach(news::addRows), () -> news.setOmitted(true));
+		return news.build();
+	}
+
+	private static boolean isSmall(List<Row> rows) {
+		return rows.stream().map(FollowedTable::message).mapToInt(TableRow::getSerializedSize).sum() <= MOST_BYTES;
+	}
+
+	// -- hearing
+
+	/**
+	 * Takes what another gateway tells.
+	 * @param news what it tells
+	 */
+	void heard(List<TableNews> news) {
+		news.forEach(
+				(one) -> Optional.ofNullable(this.watches.get(one.getTable())).ifPresent((watch) -> watch.told(one)));
+	}
+
+	/**
+	 * Sets whether other gateways tell of changes.
+	 * @param now false when this one has to read for itself
+	 */
+	void toldByOthers(boolean now) {
+		if (now != this.toldByOthers) {
+			this.toldByOthers = now;
+			EventLog.info(GatewayEvents.TABLES_SHARED, "readBy", now ? "others" : "self");
+		}
+		this.watches.values().forEach((watch) -> watch.toldByOthers(now));
+	}
+
+	/**
+	 * Whether this gateway has to read for itself.
+	 * @return true unless others tell of changes
+	 */
+	boolean isReadingItself() {
+		return !this.toldByOthers;
+	}
+
+	@Override
+	public void close() {
+		this.watches.values().forEach(TableWatch::close);
+	}
+
+	/**
+	 * The versions of a table that were told.
+	 *
+	 * @param secondLast in the report before the last
+	 * @param last in the last report
+	 */
+	private record Told(long secondLast, long last) {
+	}
+
+	/** Notes that there are changes to be told. */
+	private final class Noting implements TableWatch.Listener {
+
+		private final TableWatch.Listener listener;
+
+		private Noting(TableWatch.Listener listener) {
+			this.listener = listener;
+		}
+
+		@Override
+		public void all(List<Row> rows, long version) {
+			this.listener.all(rows, version);
+		}
+
+		@Override
+		public void changed(List<Row> rows, long version) {
+			SharedTables.this.changed = true;
+			this.listener.changed(rows, version);
+		}
+
+		@Override
+		public void lost() {
+			this.listener.lost();
+		}
+
+		@Override
+		public void regained(long agoMillis) {
+			this.listener.regained(agoMillis);
+		}
+
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -3,12 +3,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import reactor.core.publisher.Mono;
 
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.gateway.proto.TableNews;
 import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.ports.RowStore.Page;
 import org.rosemaryfront.ports.RowStore.Range;
@@ -17,7 +20,8 @@
 
 /**
  * Follows one table: reads it whole, then waits for its changes, and begins anew when the
- * changes since its last look are no longer kept.
+ * changes since its last look are no longer kept. While other gateways tell of the
+ * changes it does not ask for them.
  */
 final class TableWatch implements AutoCloseable {
 
@@ -33,6 +37,9 @@
 	 */
 	private static final long BACKOFF_MOST_MILLIS = 800;
 
+	/** For how long others are told that the store came back, in milliseconds. */
+	private static final long BACK_MILLIS = 5_000;
+
 	private final RowStore store;
 
 	private final String table;
@@ -45,7 +52,16 @@
 
 	private volatile boolean closed;
 
-	private int failures;
+	private volatile int failures;
+
+	/** When the store answered again; empty when it was never away. */
+	private volatile OptionalLong backNanos = OptionalLong.empty();
+
+	/** Whether other gateways tell of changes. */
+	private boolean toldByOthers;
+
+	/** Whether no question is under way, since others tell of changes. */
+	private boolean resting;
 
 	private TableWatch(RowStore store, String table, FollowedTable known, PeerTables peers, Listener listener) {
 		this.store = store;
@@ -61,7 +77,7 @@
 	 * @param table the table
 	 * @param known takes the rows, for other gateways
 	 * @param peers other gateways, asked while the store does not answer
-	 * @param listener told of rows, on any thread, one call at a time
+	 * @param listener told of rows
 	 * @return the running watch
 	 */
 	static TableWatch start(RowStore store, String table, FollowedTable known, PeerTables peers, Listener listener) {
@@ -90,20 +106,109 @@
 		}, () -> readAll("", new ArrayList<>()));
 	}
 
+	// -- what other gateways tell
+
+	/**
+	 * Sets whether other gateways tell of changes.
+	 * @param now false when this one has to ask for them
+	 */
+	void toldByOthers(boolean now) {
+		boolean ask;
+		synchronized (this) {
+			this.toldByOthers = now;
+			ask = this.resting && !now;
+			this.resting &= now;
+		}
+		if (ask) {
+			ask(this.known.version(), WAIT);
+		}
+	}
+
+	/**
+	 * Takes what another gateway tells of the table.
+	 * @param news what it tells
+	 */
+	void told(TableNews news) {
+		if (news.getBackMillis() > 0 && isResting()) {
+			this.listener.regained(news.getBackMillis());
+		}
+		if (!news.getOmitted() && news.getSince() <= this.known.version()) {
+			changed(FollowedTable.rows(news.getRowsList()), news.getVersion());
+		}
+		else if (news.getVersion() > this.known.version() && goesOn()) {
+			ask(this.known.version(), Duration.ZERO);
+		}
+	}
+
+	/**
+	 * Whether it reads the table from the store, which answers.
+	 * @return false while other gateways are counted on, or nothing is known
+	 */
+	synchronized boolean isReading() {
+		return !this.resting && this.failures == 0 && this.known.version() > 0;
+	}
+
+	/**
+	 * How long ago the store answered again.
+	 * @param nowNanos the time
+	 * @return the time in milliseconds, 0 when it is long past
+	 */
+	int backMillis(long nowNanos) {
+		OptionalLong back = this.backNanos;
+		long millis = back.isPresent() ? TimeUnit.NANOSECONDS.toMillis(nowNanos - back.getAsLong()) : BACK_MILLIS;
+		return (millis < BACK_MILLIS) ? (int) Math.max(1, millis) : 0;
+	}
+
+	FollowedTable known() {
+		return this.known;
+	}
+
+	String table() {
+		return this.table;
+	}
+
+	// -- the store
+
+	private synchronized boolean isResting() {
+		return this.resting;
+	}
+
+	private synchronized boolean rests() {
+		this.resting = this.toldByOthers && this.failures == 0;
+		return this.resting;
+	}
+
+	private synchronized boolean goesOn() {
+		boolean rested = this.resting;
+		this.resting = false;
+		return rested;
+	}
+
 	private void follow(long since) {
-		// A question that waits is answered with the first change: the store's return
-		// would be noticed only then, and a server that leaves long after it be taken
-		// for one whose registration lapsed.
-		Duration wait = (this.failures > 0) ? Duration.ZERO : WAIT;
+		if (!rests()) {
+			// A question that waits is answered with the first change: the store's return
+			// would be noticed only then, and a server that leaves long after it be taken
+			// for one whose registration lapsed.
+			ask(since, (this.failures > 0) ? Duration.ZERO : WAIT);
+		}
+	}
+
+	private void ask(long since, Duration wait) {
 		run(this.store.changes(this.table, since, wait), (page) -> {
-			this.known.changed(page.rows(), page.version());
-			if (!page.rows().isEmpty()) {
-				this.listener.changed(page.rows(), page.version());
-			}
+			changed(page.rows(), page.version());
 			follow(Math.max(since, page.version()));
 		}, () -> follow(Math.max(since, this.known.version())));
 	}
 
+	// One thread after the other: what the store and other gateways tell must reach the
+	// listener in the order in which it was taken.
+	private synchronized void changed(List<Row> rows, long version) {
+		List<Row> news = this.known.changed(rows, version);
+		if (!news.isEmpty()) {
+			this.listener.changed(news, version);
+		}
+	}
+
 	private void run(Mono<Page> question, Consumer<Page> next, Runnable again) {
 		// The answer may come, and the next question go out, before subscribe returns:
 		// a handle kept to cancel this question could end up cancelling the next one,
@@ -124,7 +229,8 @@
 		if (this.failures > 0) {
 			EventLog.info(GatewayEvents.STORE_REGAINED, "table", this.table, "failures", this.failures);
 			this.failures = 0;
-			this.listener.regained();
+			this.backNanos = OptionalLong.of(System.nanoTime());
+			this.listener.regained(0);
 		}
 	}
 
@@ -148,7 +254,7 @@
 	// The store may turn this gateway away and serve the others.
 	private void askPeers() {
 		this.peers.newer(this.table, this.known.version()).subscribe((newer) -> {
-			List<Row> rows = FollowedTable.rows(newer);
+			List<Row> rows = FollowedTable.rows(newer.getRowsList());
 			EventLog.info(GatewayEvents.TABLE_FROM_PEER, "table", this.table, "version", newer.getVersion(), "before",
 					this.known.version(), "rows", rows.size());
 			take(rows, newer.getVersion());
@@ -158,7 +264,7 @@
 
 	// Another gateway may answer after the store told more: going back to its table would
 	// send calls to a server that has left.
-	private void take(List<Row> rows, long version) {
+	private synchronized void take(List<Row> rows, long version) {
 		if (this.known.all(rows, version)) {
 			this.listener.all(rows, version);
 		}
@@ -168,7 +274,7 @@
 		return Duration.ofMillis(millis / 2 + ThreadLocalRandom.current().nextLong(millis + 1));
 	}
 
-	/** Takes what a watch sees. */
+	/** Takes what a watch sees, on any thread, one call at a time. */
 	interface Listener {
 
 		/**
@@ -189,8 +295,11 @@
 		default void lost() {
 		}
 
-		/** The store answers again. What changed meanwhile follows as changes. */
-		default void regained() {
+		/**
+		 * The store answers again. What changed meanwhile follows as changes.
+		 * @param agoMillis since when, in milliseconds
+		 */
+		default void regained(long agoMillis) {
 		}
 
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -181,7 +181,7 @@
 					}
 
 					@Override
-					public void regained() {
+					public void regained(long agoMillis) {
 						back.set(true);
 					}
 				});
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FollowedTableTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FollowedTableTests.java
@@ -34,6 +34,28 @@
 		assertThat(this.table.newerThan(10)).isEmpty();
 	}
 
+	// A row comes from another gateway before the store's own, older answer.
+	@Test
+	void shouldPassOverChangesKnownBefore() {
+		this.table.all(List.of(row("ready", 10)), 10);
+		assertThat(this.table.changed(List.of(row("leaving", 20)), 20)).hasSize(1);
+		assertThat(this.table.changed(List.of(row("slow", 15)), 15)).isEmpty();
+		assertThat(this.table.newerThan(0).orElseThrow().getRows(0).getValue().toStringUtf8()).isEqualTo("leaving");
+		assertThat(this.table.version()).isEqualTo(20);
+	}
+
+	@Test
+	void shouldTellChangesOfLateAsLongAsAllAreKept() {
+		this.table.all(List.of(row("ready", 10)), 10);
+		assertThat(this.table.changesSince(9)).isEmpty();
+		for (int version = 11; version <= 100; version++) {
+			this.table.changed(List.of(row("v" + version, version)), version);
+		}
+		assertThat(this.table.changesSince(98).orElseThrow()).extracting(Row::version).containsExactly(99L, 100L);
+		assertThat(this.table.changesSince(100).orElseThrow()).isEmpty();
+		assertThat(this.table.changesSince(10)).isEmpty();
+	}
+
 	private static Row row(String value, long version) {
 		return new Row("s1", Optional.of(value.getBytes(StandardCharsets.UTF_8)), version);
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -263,6 +263,18 @@
 		return this.process.living();
 	}
 
+	boolean knows(String server) {
+		return this.process.knows(server);
+	}
+
+	/**
+	 * Whether the gateway reads the tables of the store itself.
+	 * @return false while others tell it what changes
+	 */
+	boolean reads() {
+		return this.process.readsTables();
+	}
+
 	/**
 	 * What the gateway has learned of how long the servers take to a first token.
 	 * @return the rates, empty as long as they rest on few calls
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
@@ -34,6 +34,9 @@
 
 	private boolean closed;
 
+	/** Questions for changes that wait, by table. */
+	private final Map<String, Integer> waiting = new HashMap<>();
+
 	// -- the test's side
 
 	synchronized void put(String table, String key, String value) {
@@ -59,6 +62,15 @@
 		return this.refusedCommits;
 	}
 
+	/**
+	 * The questions for changes that wait.
+	 * @param table the table
+	 * @return the count
+	 */
+	synchronized int waiting(String table) {
+		return this.waiting.getOrDefault(table, 0);
+	}
+
 	/** Answers whoever still waits, so that no thread outlives its test. */
 	synchronized void close() {
 		this.closed = true;
@@ -133,7 +145,9 @@
 			if (!rows.isEmpty() || left <= 0 || this.closed) {
 				return new Page(rows, false, this.version);
 			}
+			this.waiting.merge(table, 1, Integer::sum);
 			wait(Math.max(1, left / 1_000_000));
+			this.waiting.merge(table, -1, Integer::sum);
 		}
 	}
 
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SharedTablesTests.java
@@ -0,0 +1,79 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SharedTablesTests {
+
+	private static final int GATEWAYS = 6;
+
+	private static final int READERS = 3;
+
+	private final MemoryRowStore store = new MemoryRowStore();
+
+	private List<GatewayHarness> fleet;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.fleet = GatewayHarness.startFleet(this.store, GATEWAYS, 8_000);
+		this.fleet.getFirst().declare();
+		for (GatewayHarness gateway : this.fleet) {
+			gateway.ready();
+		}
+		awaitReaders(READERS);
+	}
+
+	@AfterEach
+	void stop() {
+		this.fleet.forEach(GatewayHarness::close);
+	}
+
+	// Each gateway asked the store for each change: the calls grew with the gateways, at
+	// a
+	// start of all with their square.
+	@Test
+	void shouldReadChangesAtFewGatewaysAndTellAll() {
+		for (int i = 0; i < 5; i++) {
+			String server = "s" + i;
+			this.store.put(GatewayHarness.SERVERS, server, "app 127.0.0.1:1 ready");
+			awaitKnown(this.fleet, server);
+			GatewayHarness.await(() -> this.store.waiting(GatewayHarness.SERVERS) == READERS);
+		}
+	}
+
+	// A row that does not fit a datagram is read from the store by those that were told
+	// of
+	// it, and they go on to count on others.
+	@Test
+	void shouldReadWhatIsTooLargeToBeTold() {
+		this.store.put(GatewayHarness.SERVERS, "x".repeat(900), "app 127.0.0.1:1 ready");
+		awaitKnown(this.fleet, "x".repeat(900));
+		GatewayHarness.await(() -> this.store.waiting(GatewayHarness.SERVERS) == READERS);
+	}
+
+	// The store turns away just those that read it for all.
+	@Test
+	void shouldReadForThemselvesWhenNoReaderIsLeft() {
+		List<GatewayHarness> readers = this.fleet.stream().filter(GatewayHarness::reads).toList();
+		List<GatewayHarness> others = this.fleet.stream().filter((gateway) -> !readers.contains(gateway)).toList();
+		readers.forEach((gateway) -> gateway.access.deny());
+		this.store.put(GatewayHarness.SERVERS, "s1", "app 127.0.0.1:1 ready");
+		awaitKnown(this.fleet, "s1");
+		assertThat(others).hasSize(GATEWAYS - READERS).allMatch(GatewayHarness::reads);
+	}
+
+	private void awaitReaders(int count) {
+		GatewayHarness.await(() -> this.fleet.stream().filter(GatewayHarness::reads).count() == count);
+	}
+
+	private static void awaitKnown(List<GatewayHarness> gateways, String server) {
+		GatewayHarness.await(() -> gateways.stream().allMatch((gateway) -> gateway.knows(server)));
+	}
+
+}
