Count the first use of an organisation at each gateway; give shares to calls larger than them

Cause: since reports leave out organisations that never asked at their sender, the first call of one at a gateway was taken by all others for use of long ago: it came in the first telling of that organisation, and only processes that had just started are counted from nothing. Change: a process that was heard before has used nothing of an organisation that it did not name.

And a call larger than what is left of a gateway's share passes as often as that rest is a part of it, also while other use of the gateway is not confirmed: refused outright, calls below the quota were lost where shares are smaller than calls.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
@@ -294,11 +294,13 @@
 	 * Takes what another process tells.
 	 * @param process the process
 	 * @param use what it tells
+	 * @param known whether the process was heard before, of this organisation or others
 	 * @param nowNanos the time
 	 */
-	void hear(String process, Use use, long nowNanos) {
+	void hear(String process, Use use, boolean known, long nowNanos) {
 		Told before = this.others.put(process, new Told(use, nowNanos));
-		double more = use.units() - ((before != null) ? before.use.units() : unheard(use));
+		double unheard = known ? 0 : unheard(use);
+		double more = use.units() - ((before != null) ? before.use.units() : unheard);
 		if (more >= 0) {
 			add(more, nowNanos);
 		}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -1,7 +1,9 @@
 package org.rosemaryfront.quota;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 
@@ -66,6 +68,9 @@
 
 	private final Map<String, Account> accounts = new HashMap<>();
 
+	/** The processes that told anything. */
+	private final Set<String> heard = new HashSet<>();
+
 	/**
 	 * Quotas of which nothing is used.
 	 * @param windowMillis the window, in milliseconds
@@ -125,7 +130,7 @@
 		}
 		double share = account.share(units, wish.limit(), nowNanos);
 		boolean taken = account.unconfirmed() + units <= share
-				|| (account.unconfirmed() == 0 && this.draw.getAsDouble() * units < share);
+				|| this.draw.getAsDouble() * units < share - account.unconfirmed();
 		return taken ? 0 : CONFIRM_MILLIS;
 	}
 
@@ -178,14 +183,14 @@
 	}
 
 	/**
-	 * Takes what another process tells of an organisation.
+	 * Takes what another process tells.
 	 * @param process the process
-	 * @param organisation the name of the organisation
-	 * @param use what it tells
+	 * @param uses what it tells, by organisation; those that are absent never asked there
 	 * @param nowNanos the time
 	 */
-	public void usedByOther(String process, String organisation, Use use, long nowNanos) {
-		account(organisation).hear(process, use, nowNanos);
+	public void usedByOther(String process, Map<String, Use> uses, long nowNanos) {
+		boolean known = !this.heard.add(process);
+		uses.forEach((organisation, use) -> account(organisation).hear(process, use, known, nowNanos));
 	}
 
 	// -- queries
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -173,11 +173,12 @@
 	private void take(GatewayReport report, long now) {
 		String process = UsageDuty.process(report.getGateway(), report.getStart());
 		Map<String, Long> begun = new HashMap<>();
+		Map<String, Use> used = new HashMap<>();
 		report.getOrganisationsList().forEach((use) -> {
-			this.quotas.usedByOther(process, use.getOrganisation(),
-					new Use(use.getUnits(), use.getAsked(), report.getFresh()), now);
+			used.put(use.getOrganisation(), new Use(use.getUnits(), use.getAsked(), report.getFresh()));
 			begun.put(use.getOrganisation(), (long) use.getBegun());
 		});
+		this.quotas.usedByOther(process, used, now);
 		this.servers.othersAt(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
 		report.getServersList().forEach(this::heardParts);
 		this.crashes.heard(report.getGateway(), report.getCrashesList(), now);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -1,5 +1,7 @@
 package org.rosemaryfront.gateway;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,14 +23,17 @@
 	/** Rows told at once, in bytes; a report stays within one packet. */
 	private static final int MOST_BYTES = 700;
 
+	/** A change is in so many reports. */
+	private static final int TIMES_TOLD = 3;
+
 	private final RowStore store;
 
 	private final PeerTables peers;
 
 	private final Map<String, TableWatch> watches = new HashMap<>();
 
-	/** The version up to which each table was told in the two last reports. */
-	private final Map<String, Told> told = new HashMap<>();
+	/** The versions up to which each table was told in the last reports. */
+	private final Map<String, Deque<Long>> told = new HashMap<>();
 
 	private boolean toldByOthers;
 
@@ -78,18 +83,17 @@
 		return isReading() ? this.watches.values().stream().map((watch) -> news(watch, nowNanos)).toList() : List.of();
 	}
 
-	// Changes are told twice, since a datagram may be lost; whoever misses both reads
-	// them from the store.
+	// Datagrams are lost, and not all reports go to all; whoever misses a change reads it
+	// from the store.
 	private TableNews news(TableWatch watch, long nowNanos) {
 		long version = watch.known().version();
-		Told before = this.told.getOrDefault(watch.table(), new Told(version, version));
-		this.told.put(watch.table(), new Told(before.last, version));
+		long since = told(watch.table(), version);
 		TableNews.Builder news = TableNews.newBuilder()
 			.setTable(watch.table())
 			.setVersion(version)
-			.setSince(before.secondLast)
+			.setSince(since)
 			.setBackMillis(watch.backMillis(nowNanos));
-		Optional<List<Row>> rows = watch.known().changesSince(before.secondLast).filter(SharedTables::isSmall);
+		Optional<List<Row>> rows = watch.known().changesSince(since).filter(SharedTables::isSmall);
 		rows.ifPresentOrElse((small) -> small.stream()
 			.filter((row) -> row.version() <= version)
 			.map(FollowedTable::message)
@@ -97,6 +101,15 @@
 		return news.build();
 	}
 
+	private long told(String table, long version) {
+		Deque<Long> versions = this.told.computeIfAbsent(table, (_) -> new ArrayDeque<>());
+		versions.addLast(version);
+		if (versions.size() > TIMES_TOLD + 1) {
+			versions.removeFirst();
+		}
+		return versions.getFirst();
+	}
+
 	private static boolean isSmall(List<Row> rows) {
 		return rows.stream().map(FollowedTable::message).mapToInt(TableRow::getSerializedSize).sum() <= MOST_BYTES;
 	}
@@ -137,15 +150,6 @@
 		this.watches.values().forEach(TableWatch::close);
 	}
 
-	/**
-	 * The versions of a table that were told.
-	 *
-	 * @param secondLast in the report before the last
-	 * @param last in the last report
-	 */
-	private record Told(long secondLast, long last) {
-	}
-
 	/** Notes that there are changes to be told. */
 	private final class Noting implements TableWatch.Listener {
 
