Write counts again after a pause only; build datagrams in the memory they are sent from

Cause: a row of counts that the store did not take was written again with the next look at the duties, ten times a second from each gateway that the store turns away or cannot serve; calls that it refuses are priced like others, and press it while it is short of time. Change: 0.8 s between two tries of a row. BeliefsTests#shouldNotPressStoreThatTakesNoCounts.

Both are written straight into the buffer that is sent.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -1,5 +1,7 @@
 package org.rosemaryfront.gateway;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,6 +12,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 
+import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 
@@ -28,6 +31,8 @@
 	/** Gateways that do not live get one report of so many: they may come back. */
 	private static final int REPORTS_PER_KNOCK = 4;
 
+	private static final byte[] NOTHING = {};
+
 	private final String self;
 
 	private final int start;
@@ -39,7 +44,7 @@
 	private int number;
 
 	/** The last report without what it confirms; empty before the first. */
-	private byte[] last = {};
+	private byte[] last = NOTHING;
 
 	private PeerExchange(String self, int start, UdpSocket socket) {
 		this.self = self;
@@ -120,14 +125,24 @@
 	// Two messages one behind the other are read as one: what is the same for all is
 	// encoded once, and no report carries what it confirms to the others.
 	private Datagram datagram(Peer peer, Optional<Confirmation> confirmation) {
-		byte[] own = confirmation
-			.map((last) -> GatewayReport.newBuilder()
-				.setHeardStart(last.start())
-				.setHeardNumber(last.number())
-				.build()
-				.toByteArray())
-			.orElse(new byte[0]);
-		return new Datagram(peer.address, this.last, own);
+		return new Datagram(peer.address, this.last, confirmation.map(PeerExchange::encoded).orElse(NOTHING));
+	}
+
+	private static byte[] encoded(Confirmation confirmation) {
+		try {
+			int size = CodedOutputStream.computeFixed32Size(GatewayReport.HEARD_START_FIELD_NUMBER,
+					confirmation.start())
+					+ CodedOutputStream.computeUInt32Size(GatewayReport.HEARD_NUMBER_FIELD_NUMBER,
+							confirmation.number());
+			byte[] bytes = new byte[size];
+			CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+			out.writeFixed32(GatewayReport.HEARD_START_FIELD_NUMBER, confirmation.start());
+			out.writeUInt32(GatewayReport.HEARD_NUMBER_FIELD_NUMBER, confirmation.number());
+			return bytes;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 	}
 
 	// -- hearing
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.gateway;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +13,7 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.core.type.TypeReference;
+import reactor.core.publisher.Mono;
 
 import org.rosemaryfront.duties.HeardUsage;
 import org.rosemaryfront.duties.UsageLedger.Window;
@@ -47,6 +49,9 @@
 	 */
 	private static final long DUE_MILLIS = 9_500;
 
+	/** The pause behind a row that the store did not take. */
+	private static final Duration WRITE_AGAIN = Duration.ofMillis(800);
+
 	/** The pause behind a failure, in milliseconds. */
 	private static final long RETRY_MILLIS = 400;
 
@@ -154,14 +159,19 @@
 						this.writing.remove(key);
 						this.unwritten.remove(key);
 					}), (failure) -> this.control.accept(() -> {
-						// The same row with the same value again does no harm.
-						this.writing.remove(key);
 						RowLog.failed(key, "write", failure);
+						writeAgainLater(key);
 					}));
 			}
 		});
 	}
 
+	// The same row with the same value again does no harm; at once again and again it is
+	// a burden to a store that is short of time.
+	private void writeAgainLater(String key) {
+		Mono.delay(WRITE_AGAIN).subscribe((_) -> this.control.accept(() -> this.writing.remove(key)));
+	}
+
 	// -- the counts of others
 
 	/**
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -205,6 +205,21 @@
 
 	// -- duties
 
+	// While the store takes nothing, each gateway tried to write its counts ten times a
+	// second.
+	@Test
+	void shouldNotPressStoreThatTakesNoCounts() throws Exception {
+		try (GatewayHarness gateway = GatewayHarness.startWithUsageWindow(1_000);
+				ScriptedServer _ = gateway.serving((request, exchange) -> exchange.ok(request, "x"))) {
+			assertThat(status(gateway, "key-1")).isEqualTo(200);
+			gateway.store.away(true);
+			GatewayHarness.await(() -> gateway.store.refusedCommits("usage") > 0);
+			Thread.sleep(2_000);
+			assertThat(gateway.store.refusedCommits("usage")).isLessThan(10);
+			gateway.store.away(false);
+		}
+	}
+
 	// The platform accepts one report for a window; a second with other counts is a fault
 	// that is counted against the operators. The answer to the first was lost.
 	@Test
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
@@ -145,7 +145,7 @@
 		assertThat(claim()).isTrue();
 		this.rows.away(true);
 		this.control.post((_) -> this.records.trials().giveBack(REQUEST));
-		GatewayHarness.await(() -> this.rows.refusedCommits() > 0);
+		GatewayHarness.await(() -> this.rows.refusedCommits(CrashRows.TABLE) > 0);
 		this.rows.away(false);
 		GatewayHarness.await(() -> !this.rows.rows(CrashRows.TABLE).containsKey(CrashRows.trialKey(REQUEST)));
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
@@ -30,7 +30,8 @@
 
 	private boolean away;
 
-	private int refusedCommits;
+	/** Commits that came while the store was away, by table. */
+	private final Map<String, Integer> refusedCommits = new HashMap<>();
 
 	private boolean closed;
 
@@ -56,10 +57,11 @@
 
 	/**
 	 * The commits that came while the store was away.
+	 * @param table the table
 	 * @return the count
 	 */
-	synchronized int refusedCommits() {
-		return this.refusedCommits;
+	synchronized int refusedCommits(String table) {
+		return this.refusedCommits.getOrDefault(table, 0);
 	}
 
 	/**
@@ -104,7 +106,9 @@
 	}
 
 	private synchronized Outcome committed(Commit commit) {
-		this.refusedCommits += this.away ? 1 : 0;
+		if (this.away) {
+			this.refusedCommits.merge(commit.table(), 1, Integer::sum);
+		}
 		check();
 		TreeMap<String, Row> rows = this.tables.computeIfAbsent(commit.table(), (_) -> new TreeMap<>());
 		for (Condition condition : commit.conditions()) {
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/UdpSocket.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/UdpSocket.java
@@ -5,6 +5,7 @@
 import java.util.function.BiConsumer;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -57,12 +58,17 @@
 	 */
 	public void send(List<Datagram> datagrams) {
 		this.channel.eventLoop().execute(() -> {
-			datagrams.forEach((datagram) -> this.channel
-				.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram.head(), datagram.tail()), datagram.to())));
+			datagrams.forEach((datagram) -> this.channel.write(packet(datagram)));
 			this.channel.flush();
 		});
 	}
 
+	// In the memory that goes to the system, so that nothing is copied twice.
+	private DatagramPacket packet(Datagram datagram) {
+		ByteBuf bytes = this.channel.alloc().directBuffer(datagram.head().length + datagram.tail().length);
+		return new DatagramPacket(bytes.writeBytes(datagram.head()).writeBytes(datagram.tail()), datagram.to());
+	}
+
 	@Override
 	public void close() {
 		this.channel.close().syncUninterruptibly();
