--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
@@ -20,10 +20,8 @@
 	private static final long SLOT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
 	/**
-	 * The part of a window's quota that may be used at once; the rest comes evenly. An
-	 * organisation that begins to flood would use the whole window in its first second;
-	 * when all processes are killed right then and forget it, they let a part of the next
-	 * window pass too: 1.2 of a quota was seen in one window, of 1.1 allowed.
+	 * The part of a window's quota that may be used at once; the rest comes evenly. It
+	 * bounds what a kill of all processes makes them forget.
 	 */
 	private static final double AT_ONCE = 0.2;
 
@@ -137,8 +135,7 @@
 	 * The part of what is left that is for this process, by what all ask for, as long as
 	 * the others do not know what it takes of it. What they ask for is as old as their
 	 * reports. Of the window's rest it is taken to have risen as it did here, since a
-	 * flood comes to all at once; without that, 1.17 quotas passed in a window, and 1.11
-	 * with it, when an organisation that already used its quota asked for ten times that.
+	 * flood comes to all at once.
 	 * @param units the units asked for
 	 * @param limit the units that the window allows
 	 * @param nowNanos the time
@@ -174,9 +171,8 @@
 		this.sum += units;
 	}
 
-	// The oldest first: what was not used after all was counted then or later. Taken off
-	// the newest, use that is real left the sum with it, and was let through a second
-	// time once the slot of what was given back had left the window.
+	// The oldest first: what was not used after all was counted then or later. Off the
+	// newest, use that is real would leave the window too early.
 	private void remove(double units) {
 		this.level += units;
 		double left = units;
@@ -310,8 +306,7 @@
 	}
 
 	// What was used before the first telling was used at an unknown time, unless the
-	// process is fresh. Guards quotas over a kill of all processes: what each admitted
-	// before the others heard of it was never counted, 3% over in one window.
+	// process is fresh.
 	private static double unheard(Use use) {
 		return use.fresh() ? 0 : use.units();
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -23,9 +23,7 @@
  * <p>
  * What others use reaches this process late, or not at all. Two bounds hold the sum
  * whatever is heard. Of what is left, each takes only its share before the others have
- * confirmed that they know: with an organisation that asks through nine processes for 1.2
- * quotas a second, all of them together let 1.25 quotas pass in a window without that
- * bound, and 1.02 with it. And a group of processes that exchange reports with just one
+ * confirmed that they know. And a group of processes that exchange reports with just one
  * another lets only its part of the quota pass. Both cost nothing while an organisation
  * keeps to half of its quota.
  */
@@ -33,9 +31,7 @@
 
 	/**
 	 * The part of a window's quota that only small calls may use, as long as there are
-	 * any. A booking counts a hundredth of what a summary does: in a flood of summaries
-	 * every tenth booking of the same organisation was refused, for units that all of
-	 * them together hardly need.
+	 * any: all of them together hardly need it, and a flood of large ones leaves nothing.
 	 */
 	private static final double KEPT_FOR_SMALL = 0.03;
 
@@ -43,9 +39,8 @@
 	 * The parts of a quota that a process lets through by its start and by the end of its
 	 * first window, evenly between them: it does not know what was used before. Callers
 	 * whose calls a kill of all processes cut off come back at once, so that it begins
-	 * with some. What an organisation used at once right before the kill comes on top, so
-	 * that it ends with less than all: with the whole, one such kill in a hundred let
-	 * 1.17 quotas pass in a window, in a flood of 1.2 quotas a second.
+	 * with some; what was used right before the kill comes on top, so that it ends with
+	 * less than all.
 	 */
 	private static final double AT_START = 0.06;
 
@@ -142,9 +137,8 @@
 		return (this.sharing.agreed() || withinPart) ? 0 : CONFIRM_MILLIS;
 	}
 
-	// When a refused call finds units that nobody was told of before. Told the same time,
-	// all callers came back to the same units, and most were refused for good: they come
-	// back once.
+	// When a refused call finds units that nobody was told of before. Callers come back
+	// once: told the same time, most would find the units taken.
 	private long promise(Account account, double open, Wish wish, long leastMillis, long nowNanos) {
 		double told = account.promised(nowNanos) * this.sharing.group();
 		long wait = Math.max(leastMillis, windowMillis(account, open - told, wish, nowNanos));
@@ -235,8 +229,7 @@
 	}
 
 	// The time until no more than what is open was used. In its first window a process
-	// counts what it may give out as it grows: told a whole window, as for a quota that
-	// is used up, callers gave up.
+	// counts what it may give out as it grows.
 	private long windowMillis(Account account, double open, Wish wish, long nowNanos) {
 		long wait = account.windowMillis(open, nowNanos);
 		if (wait == 0 || !isFresh(nowNanos)) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
@@ -28,9 +28,7 @@
 
 	private static final double GREAT_FLOOD = 1.2;
 
-	// An organisation floods through nine gateways and gets 1.25 of its quota, while
-	// nothing fails. Each gateway heard a quarter of a second ago what the others used:
-	// when a window is nearly full, all nine let through what is left of it, nine times.
+	// What is left of a window is let through by each gateway, since news is late.
 	@ParameterizedTest
 	@CsvSource({ "9, 0", "9, 1", "9, 2", "9, 3", "9, 4", "9, 5", "95, 0", "95, 1" })
 	void shouldHoldQuotaInFloodThoughNewsIsLate(int gateways, long seed) {
@@ -40,10 +38,8 @@
 		assertThat(fleet.worstWindow()).isLessThan(MOST);
 	}
 
-	// In a flood some gateways are cut off from the others, or hear nobody while they are
-	// still heard, or stand still and serve at their wake whoever waited, or start anew.
-	// Each let through what the others let through as well, the first second of a silence
-	// above all: 1.17 of the quota was seen in one window.
+	// Gateways that are cut off, deaf, stand still or start anew let through what the
+	// others let through as well.
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19 })
 	void shouldHoldQuotaWhateverIsHeard(long seed) {
@@ -90,9 +86,7 @@
 		IntStream.range(0, 9).filter((other) -> other != deaf).forEach((other) -> fleet.cut(other, deaf, cut));
 	}
 
-	// All gateways are killed in the middle of a flood and forget what was used. What
-	// they let through before and what the new processes let through falls into one
-	// window.
+	// All gateways are killed in a flood and forget what was used within the window.
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9 })
 	void shouldHoldQuotaOverKillOfAllProcesses(long seed) {
@@ -104,8 +98,7 @@
 		assertThat(fleet.worstWindow()).isLessThan(MOST);
 	}
 
-	// Whatever guards the quota must cost nothing while the organisation keeps to it,
-	// also through some gateways more than others, with prompts of very different sizes.
+	// Whatever guards the quota refuses calls of an organisation that keeps to it.
 	@ParameterizedTest
 	@CsvSource({ "9, 0", "9, 1", "9, 2", "30, 0", "78, 0", "78, 1" })
 	void shouldRefuseNothingOfUsualUse(int gateways, long seed) {
@@ -123,8 +116,7 @@
 		assertThat(fleet.usedSince(fleet.nowMillis() - 8_000)).isGreaterThan(0.85);
 	}
 
-	// A gateway dies. The others know nothing of that for a second, and must not refuse
-	// what is due meanwhile.
+	// A gateway dies, and the others refuse what is due until they know.
 	@Test
 	void shouldServeUsualUseBesideSilentGateway() {
 		QuotaFleet fleet = QuotaFleet.of(9, 3);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -61,12 +61,7 @@
 	/** The time between two reports to the other gateways, in nanoseconds. */
 	private static final long TELL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-	/**
-	 * The time between two reports when another gateway waits for one, in nanoseconds.
-	 * After a kill of all processes each has the part of one gateway until it is
-	 * confirmed. With reports at their usual times that took 0.6 s, in which 59 calls
-	 * were refused for quotas, half of those that came.
-	 */
+	/** The least time between two reports when others wait for one, in nanoseconds. */
 	private static final long TELL_SOON_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
 	/** The time between two looks at the duties, in nanoseconds. */
@@ -173,8 +168,7 @@
 				UsageDuty.process(settings.name(), this.start), new CrashHooks());
 		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.fleet, this.usage,
 				new CrashGuard(this.crashes, this.servers), this::catchUp);
-		// The thread of all sockets. With a second one every answer of the store woke
-		// another thread, and the process died at times in a system call that both made.
+		// The thread of all sockets.
 		EventLoop io = loops.onServer(false).next();
 		this.gateway = Gateway.open(io, settings.callers(), platform.calls(), this.decisions, this.metrics);
 		this.tables = new SharedTables(platform.rows(), new PeerTables(loops, () -> this.tableAddresses));
