--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -83,7 +83,8 @@
 		return isReading() ? this.watches.values().stream().map((watch) -> news(watch, nowNanos)).toList() : List.of();
 	}
 
-	// Datagrams are lost, and not all reports go to all; whoever misses a change reads it
+	// Changes are told several times, since datagrams are lost; whoever misses one reads
+	// it
 	// from the store.
 	private TableNews news(TableWatch watch, long nowNanos) {
 		long version = watch.known().version();
@@ -93,11 +94,11 @@
 			.setVersion(version)
 			.setSince(since)
 			.setBackMillis(watch.backMillis(nowNanos));
-		Optional<List<Row>> rows = watch.known().changesSince(since).filter(SharedTables::isSmall);
-		rows.ifPresentOrElse((small) -> small.stream()
-			.filter((row) -> row.version() <= version)
-			.map(FollowedTable::message)
-			.forEach(news::addRows), () -> news.setOmitted(true));
+		Optional<List<TableRow>> rows = watch.known()
+			.changesSince(since)
+			.map((changes) -> messages(changes, version))
+			.filter(SharedTables::isSmall);
+		rows.ifPresentOrElse(news::addAllRows, () -> news.setOmitted(true));
 		return news.build();
 	}
 
@@ -110,8 +111,12 @@
 		return versions.getFirst();
 	}
 
-	private static boolean isSmall(List<Row> rows) {
-		return rows.stream().map(FollowedTable::message).mapToInt(TableRow::getSerializedSize).sum() <= MOST_BYTES;
+	private static List<TableRow> messages(List<Row> changes, long version) {
+		return changes.stream().filter((row) -> row.version() <= version).map(FollowedTable::message).toList();
+	}
+
+	private static boolean isSmall(List<TableRow> rows) {
+		return rows.stream().mapToInt(TableRow::getSerializedSize).sum() <= MOST_BYTES;
 	}
 
 	// -- hearing
