--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -28,6 +29,9 @@
  */
 final class PeerExchange implements AutoCloseable {
 
+	/** The time between two readings of what the others told; no longer than a tick. */
+	private static final Duration READ_PAUSE = Duration.ofMillis(50);
+
 	/** Gateways that were heard and do not live get one report of so many. */
 	private static final int REPORTS_PER_KNOCK = 4;
 
@@ -63,7 +67,8 @@
 	 */
 	static PeerExchange open(EventLoop loop, InetSocketAddress address, String self, int start,
 			Consumer<Heard> receiver) {
-		UdpSocket socket = UdpSocket.open(loop, address, (from, bytes) -> received(from, bytes, receiver));
+		UdpSocket socket = UdpSocket.openPaced(loop, address, READ_PAUSE,
+				(from, bytes) -> received(from, bytes, receiver));
 		return new PeerExchange(self, start, socket);
 	}
 
