Move services to another version of their servers when the operator orders it

Until now no class knew of roll-outs: a new version's servers got calls as soon as they registered, so that a bad one got half of them, and the operator never heard how it went.

How: an order (op table) opens a trial. Each gateway sends 0.08 of its own calls (0.8 of the part that may go to a bad version), drawn at random, to a few of the new servers, so that all together send no more whoever is cut off, killed or started, and these servers have the load that all will have. Gateways tell one another by route what came of calls at both versions; each weighs them (cumulative log-likelihood ratio against the old version of the last seconds) and stops by itself when they speak against the new one, or when it has not heard the holder of the duties for 2 s. The holder keeps the phase in a row of its own, written under a condition before anyone hears of it, moves calls over in the last 4 s when the version is good, says succeeded once the old servers are idle, or rolled back: at once when it is bad, at the end of the time when too little is known. Sizes count the servers of the version that has the service only.

Tests on virtual time: good versions moved in time, bad ones (always, late, on one route) never in service, over kills of the holder and of all, part of the calls below the bound; the duty against a store in memory.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendServer.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendServer.java
@@ -7,14 +7,15 @@
  * @param startedMillis when it started, in milliseconds since 1970;
  * {@link #START_UNKNOWN} when it does not say
  * @param service the name of its service
+ * @param version the version of its software
  * @param address its address, {@code host:port}
  * @param zone its availability zone
  * @param slots the requests that it runs at once
  * @param leaving whether it takes no new calls
  * @param reclaimable whether its VM may be reclaimed
  */
-public record BackendServer(String id, long startedMillis, String service, String address, String zone, int slots,
-		boolean leaving, boolean reclaimable) {
+public record BackendServer(String id, long startedMillis, String service, String version, String address, String zone,
+		int slots, boolean leaving, boolean reclaimable) {
 
 	/** The start of a server that does not say when it started. */
 	public static final long START_UNKNOWN = 0;
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
@@ -74,7 +75,22 @@
 	 * @return the choice
 	 */
 	public Choice choose(Wish wish, Collection<String> tried, long nowNanos) {
-		List<BackendRow> takers = this.table.takers(wish.service(), tried);
+		return choose(wish, tried, (_) -> true, nowNanos);
+	}
+
+	/**
+	 * Chooses one of the servers that a call may go to.
+	 * @param wish what the call needs
+	 * @param tried servers that had the call before
+	 * @param allowed whether the call may go to a server
+	 * @param nowNanos the time
+	 * @return the choice
+	 */
+	public Choice choose(Wish wish, Collection<String> tried, Predicate<BackendServer> allowed, long nowNanos) {
+		List<BackendRow> takers = this.table.takers(wish.service(), tried)
+			.stream()
+			.filter((row) -> allowed.test(row.server))
+			.toList();
 		if (takers.isEmpty()) {
 			return new Choice.NoServer();
 		}
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/rollout/RolloutFleet.java
@@ -0,0 +1,262 @@
+package org.rosemaryfront.rollout;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.rosemaryfront.dispatch.BackendServer;
+
+/**
+ * Gateways before servers of two versions, on virtual time: each sends its calls where
+ * its own roll-out allows, tells the others what came of them, and one of them decides.
+ */
+final class RolloutFleet {
+
+	private static final long STEP_MILLIS = 50;
+
+	private static final long REPORT_MILLIS = 250;
+
+	private static final double REPORT_LOSS = 0.02;
+
+	private static final int SERVERS = 20;
+
+	private static final String[] ROUTES = { "quotes", "summaries", "chats" };
+
+	private static final double USUAL_BAD = 0.06;
+
+	private final Random random;
+
+	private final Badness badness;
+
+	private final RolloutOrder order;
+
+	private final Supplier<RolloutJudge> judge;
+
+	private final double exposureShare;
+
+	private final double callsPerSecond;
+
+	private final List<Gateway> gateways = new ArrayList<>();
+
+	private final List<BackendServer> servers = new ArrayList<>();
+
+	private int holder;
+
+	/** Nobody holds the duties before this time. */
+	private long holderFromMillis;
+
+	private long nowMillis;
+
+	private Phase phase = Phase.TRIAL;
+
+	private int starts;
+
+	// -- what came of it
+
+	long calls;
+
+	long fresh;
+
+	long freshBad;
+
+	/** Calls of the new version sent later than the bound behind its fiftieth bad one. */
+	long tooLate;
+
+	private long fiftiethMillis = Long.MAX_VALUE;
+
+	Optional<Long> decidedMillis = Optional.empty();
+
+	RolloutFleet(long seed, int gateways, double callsPerSecond, RolloutOrder order, double exposureShare,
+			Badness badness, Supplier<RolloutJudge> judge) {
+		this.random = new Random(seed);
+		this.callsPerSecond = callsPerSecond;
+		this.order = order;
+		this.exposureShare = exposureShare;
+		this.badness = badness;
+		this.judge = judge;
+		for (int i = 0; i < gateways; i++) {
+			this.gateways.add(new Gateway());
+		}
+		for (int i = 0; i < SERVERS; i++) {
+			this.servers.add(server("old-" + i, "v1"));
+			this.servers.add(server("new-" + i, this.order.to()));
+		}
+	}
+
+	private static BackendServer server(String id, String version) {
+		return new BackendServer(id, 1, "llm", version, "127.0.0.1:1", "a", 64, false, false);
+	}
+
+	Phase phase() {
+		return this.phase;
+	}
+
+	/** The part of all calls that the new version got, less what is allowed beside it. */
+	double exposure(long slack) {
+		return (this.fresh - slack) / (double) Math.max(1, this.calls);
+	}
+
+	/**
+	 * Plays the order's time.
+	 * @param killHolderMillis when the holder of the duties is killed, never when
+	 * negative
+	 * @param killAllMillis when all gateways are killed, never when negative
+	 */
+	void play(long killHolderMillis, long killAllMillis) {
+		while (this.nowMillis < this.order.durationMillis()) {
+			this.nowMillis += STEP_MILLIS;
+			if (this.nowMillis == killHolderMillis) {
+				kill(this.holder);
+				this.holder = (this.holder + 1) % this.gateways.size();
+				this.holderFromMillis = this.nowMillis + 3_000;
+			}
+			if (this.nowMillis == killAllMillis) {
+				for (int i = 0; i < this.gateways.size(); i++) {
+					kill(i);
+				}
+				this.holderFromMillis = this.nowMillis + 1_000;
+			}
+			decide();
+			call();
+			if (this.nowMillis % REPORT_MILLIS == 0) {
+				report();
+			}
+		}
+	}
+
+	private void kill(int gateway) {
+		this.gateways.set(gateway, new Gateway());
+	}
+
+	private void decide() {
+		if (this.nowMillis < this.holderFromMillis) {
+			return;
+		}
+		Gateway deciding = this.gateways.get(this.holder);
+		Optional<Phase> next = RolloutPlan.next(this.order, this.phase, deciding.rollout.verdict(), this.nowMillis,
+				new RolloutPlan.Servers(SERVERS, SERVERS, 0));
+		next.ifPresent((phase) -> {
+			this.phase = phase;
+			if (phase.isFinal()) {
+				this.decidedMillis = Optional.of(this.nowMillis);
+			}
+		});
+		deciding.rollout.said(this.phase, nanos());
+	}
+
+	private void call() {
+		double wanted = this.callsPerSecond * STEP_MILLIS / 1_000;
+		int count = (int) wanted + ((this.random.nextDouble() < wanted % 1) ? 1 : 0);
+		for (int i = 0; i < count; i++) {
+			Gateway gateway = this.gateways.get(this.random.nextInt(this.gateways.size()));
+			String route = ROUTES[this.random.nextInt(ROUTES.length)];
+			Versions rule = gateway.rollout.versions(this.servers, false, this.random.nextDouble(), nanos()).getFirst();
+			boolean isFresh = rule.allows(this.servers.get(1)) && !rule.allows(this.servers.get(0));
+			boolean bad = this.random
+				.nextDouble() < (isFresh ? this.badness.badShare(route, this.nowMillis) : USUAL_BAD);
+			gateway.rollout.ended(route, isFresh, bad);
+			count(isFresh, bad);
+		}
+	}
+
+	private void count(boolean isFresh, boolean bad) {
+		this.calls++;
+		if (!isFresh) {
+			return;
+		}
+		this.fresh++;
+		this.freshBad += bad ? 1 : 0;
+		if (this.freshBad == 50 && this.fiftiethMillis == Long.MAX_VALUE) {
+			this.fiftiethMillis = this.nowMillis;
+		}
+		boolean late = this.fiftiethMillis != Long.MAX_VALUE && this.nowMillis > this.fiftiethMillis + 5_000;
+		this.tooLate += late ? 1 : 0;
+	}
+
+	private void report() {
+		boolean held = this.nowMillis >= this.holderFromMillis;
+		for (Gateway from : this.gateways) {
+			Map<String, Tally> totals = from.rollout.own();
+			boolean speaks = held && from == this.gateways.get(this.holder);
+			for (Gateway to : this.gateways) {
+				if (to != from && this.random.nextDouble() < REPORT_LOSS) {
+					continue;
+				}
+				to.rollout.counted(from.name, totals, nanos());
+				if (speaks) {
+					to.rollout.said(this.phase, nanos());
+				}
+			}
+		}
+	}
+
+	private long nanos() {
+		return TimeUnit.MILLISECONDS.toNanos(this.nowMillis);
+	}
+
+	/** How often the new version fails calls or is slow. */
+	interface Badness {
+
+		Badness NONE = (_, _) -> USUAL_BAD;
+
+		double badShare(String route, long millis);
+
+		static Badness of(double share) {
+			return (_, _) -> USUAL_BAD + share;
+		}
+
+		static Badness from(long fromMillis, double share) {
+			return (_, millis) -> USUAL_BAD + ((millis >= fromMillis) ? share : 0);
+		}
+
+		static Badness onRoute(double share) {
+			return (route, _) -> USUAL_BAD + (route.equals(ROUTES[0]) ? share : 0);
+		}
+
+	}
+
+	/** A gateway with what it believes of the roll-out. */
+	private final class Gateway {
+
+		private final String name = "g" + ++RolloutFleet.this.starts;
+
+		private final Rollout rollout = Rollout.of(RolloutFleet.this.order, RolloutFleet.this.exposureShare,
+				RolloutFleet.this.judge);
+
+	}
+
+	/**
+	 * Plays many fleets.
+	 *
+	 * @param good those that ended with the new version in service
+	 * @param back those that ended without
+	 * @param worstExposure the largest part of the calls that the new version got,
+	 * without the calls that are allowed beside it
+	 * @param meanExposure its mean
+	 * @param tooLate calls of the new version later than allowed
+	 * @param decidedMillis the mean time to the decision
+	 */
+	record Summary(int good, int back, double worstExposure, double meanExposure, long tooLate, long decidedMillis) {
+
+		static Summary of(List<RolloutFleet> fleets, long slack) {
+			Map<Boolean, Integer> ends = new HashMap<>();
+			fleets.forEach((fleet) -> ends.merge(fleet.phase() == Phase.SUCCEEDED, 1, Integer::sum));
+			double worst = fleets.stream().mapToDouble((fleet) -> fleet.exposure(slack)).max().orElse(0);
+			double mean = fleets.stream().mapToDouble((fleet) -> fleet.exposure(slack)).average().orElse(0);
+			long late = fleets.stream().mapToLong((fleet) -> fleet.tooLate).sum();
+			double decided = fleets.stream()
+				.mapToLong((fleet) -> fleet.decidedMillis.orElse(fleet.order.durationMillis()))
+				.average()
+				.orElse(0);
+			return new Summary(ends.getOrDefault(true, 0), ends.getOrDefault(false, 0), worst, mean, late,
+					Math.round(decided));
+		}
+
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -124,6 +125,18 @@
 		return taken;
 	}
 
+	/**
+	 * Its first token came, or its answer.
+	 * @param nowNanos the time
+	 * @return how long it took, against what was expected where something was; empty when
+	 * it has no server
+	 */
+	OptionalDouble beganRatio(long nowNanos) {
+		long millis = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.sentNanos);
+		return this.server.isPresent() ? OptionalDouble.of((1.0 + millis) / (1 + this.expectedMillis))
+				: OptionalDouble.empty();
+	}
+
 	/**
 	 * Its first token came.
 	 * @param nowNanos the time
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -28,6 +28,7 @@
 import org.rosemaryfront.quota.Fleet.Sharing;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.quota.QuotaTable.Taking;
+import org.rosemaryfront.rollout.Versions;
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.routes.ServiceSpec;
@@ -87,6 +88,8 @@
 
 	private final CrashGuard guard;
 
+	private final Rollouts rollouts;
+
 	/** Calls under way with what was decided about them. */
 	private final Map<Call, CallProgress> calls = new IdentityHashMap<>();
 
@@ -106,7 +109,7 @@
 	private long readingTokens;
 
 	GatewayControl(ControlLoop loop, BackendTable servers, GatewaySettings settings, QuotaTable quotas, Fleet fleet,
-			UsageLedger usage, CrashGuard guard, LongConsumer catchUp) {
+			UsageLedger usage, CrashGuard guard, Rollouts rollouts, LongConsumer catchUp) {
 		this.loop = loop;
 		this.servers = servers;
 		this.dispatcher = new Dispatcher(servers, settings.zone());
@@ -115,6 +118,7 @@
 		this.catchUp = catchUp;
 		this.usage = usage;
 		this.guard = guard;
+		this.rollouts = rollouts;
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed(),
 				bounds.retryWindowMillis(), System.nanoTime());
@@ -162,6 +166,9 @@
 			call.organisation().ifPresent((organisation) -> this.usage.began(organisation.name(), epochMillis));
 			CallProgress progress = this.calls.get(call);
 			if (progress != null) {
+				progress.beganRatio(beganNanos)
+					.ifPresent((ratio) -> this.rollouts.began(call.service(), call.route().name(),
+							progress.server().orElseThrow(), ratio));
 				progress.firstToken(beganNanos).ifPresent((first) -> learn(call.service(), first));
 				promptRead(progress);
 			}
@@ -186,7 +193,10 @@
 				}
 				// A server that is dark takes calls on connections that it had and
 				// lets them wait: only its silence shows it.
-				case UNANSWERED -> this.servers.ended(server.start(), true, now);
+				case UNANSWERED -> {
+					this.servers.ended(server.start(), true, now);
+					this.rollouts.failed(call.service(), call.route().name(), server);
+				}
 				case ABANDONED -> this.servers.abandoned(server.start());
 			}
 		});
@@ -246,7 +256,7 @@
 	}
 
 	private void dispatch(Call call, CallProgress progress, long now) {
-		switch (this.dispatcher.choose(wish(call, progress, now), progress.tried(), now)) {
+		switch (choose(call, progress, now)) {
 			case Choice.Chosen chosen -> send(call, progress, chosen, now);
 			case Choice.Full full -> unserved(call, progress, fullRetryMillis(), Refusal.of(Cause.NO_ROOM,
 					full.servers() + " servers have no room, first token after " + full.expectedMillis() + " ms"));
@@ -255,6 +265,18 @@
 		}
 	}
 
+	private Choice choose(Call call, CallProgress progress, long now) {
+		Wish wish = wish(call, progress, now);
+		Choice choice = new Choice.NoServer();
+		for (Versions versions : this.rollouts.versions(call.service(), !progress.tried().isEmpty(), now)) {
+			choice = this.dispatcher.choose(wish, progress.tried(), versions::allows, now);
+			if (choice instanceof Choice.Chosen) {
+				return choice;
+			}
+		}
+		return choice;
+	}
+
 	// A refusal promises that the call did not run: a call that is sent again, and finds
 	// no server for that, may have run at the first one.
 	private static void unserved(Call call, CallProgress progress, long retryAfterMillis, Refusal refusal) {
@@ -297,8 +319,9 @@
 				call.terms().prompt().map(Prompt::partList).orElse("none"), "targetMillis", call.route().targetMillis(),
 				"server", server.id(), "zone", server.zone(), "load", chosen.load(), "unreadTokens",
 				chosen.unreadTokens(), "fetchFrom", chosen.fetchFrom().map(BackendServer::id).orElse("none"),
-				"expectedMillis", chosen.expectedMillis(), "candidates", chosen.candidates(), "serversVersion",
-				this.serversVersion, "serversAgeMillis", (now - this.serversNanos) / NANOS_PER_MILLI, "configuration",
+				"expectedMillis", chosen.expectedMillis(), "candidates", chosen.candidates(), "version",
+				server.version(), "serversVersion", this.serversVersion, "serversAgeMillis",
+				(now - this.serversNanos) / NANOS_PER_MILLI, "configuration",
 				this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
 				call.remainingMillis(now));
 		progress.sent(chosen, now);
@@ -320,6 +343,7 @@
 		boolean notRun = failure.verdict() instanceof Verdict.NotRun;
 		if (!notRun) {
 			progress.mayHaveRun();
+			this.rollouts.failed(call.service(), call.route().name(), server);
 		}
 		Optional<Refusal> held = this.guard.heldBack(call);
 		if (held.isPresent()) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -80,6 +80,21 @@
 	/** Quotas are shared with other gateways than before. */
 	QUOTA_SHARING(2833),
 
+	/** A service is to be moved to another version of its servers. */
+	ROLLOUT_ORDERED(2860),
+
+	/** A roll-out is in another phase. */
+	ROLLOUT_PHASE(2861),
+
+	/** An order for a roll-out cannot be read. */
+	ROLLOUT_UNREADABLE(2862),
+
+	/** An order for a roll-out is gone. */
+	ROLLOUT_WITHDRAWN(2863),
+
+	/** The state of a roll-out was written for the operator. */
+	ROLLOUT_STATE_WRITTEN(2864),
+
 	/** A backend server crashed while it had a request. */
 	CRASHED_UNDER_REQUEST(2850),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -38,6 +38,7 @@
 import org.rosemaryfront.quota.Fleet;
 import org.rosemaryfront.quota.Fleet.Sharing;
 import org.rosemaryfront.quota.QuotaTable;
+import org.rosemaryfront.rollout.RolloutTable;
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.TrafficConfiguration;
 import org.rosemaryfront.traffic.Gateway;
@@ -119,6 +120,10 @@
 
 	private final SizeDuty sizeDuty;
 
+	private final Rollouts rollouts;
+
+	private final RolloutDuty rolloutDuty;
+
 	private final GatewayReports reports;
 
 	private final PlatformNews news;
@@ -166,23 +171,27 @@
 		this.control = ControlLoop.start("control", TICK, this::tick);
 		this.crashes = new CrashRecords(platform.rows(), this.servers, this.control,
 				UsageDuty.process(settings.name(), this.start), new CrashHooks());
+		this.rollouts = new Rollouts(RolloutTable.empty(settings.bounds().exposureShare()), this.servers,
+				UsageDuty.process(settings.name(), this.start), () -> ThreadLocalRandom.current().nextDouble());
 		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.fleet, this.usage,
-				new CrashGuard(this.crashes, this.servers), this::catchUp);
+				new CrashGuard(this.crashes, this.servers), this.rollouts, this::catchUp);
 		// The thread of all sockets.
 		EventLoop io = loops.onServer(false).next();
 		this.gateway = Gateway.open(io, settings.callers(), platform.calls(), this.decisions, this.metrics);
 		this.tables = new SharedTables(platform.rows(), new PeerTables(loops, () -> this.tableAddresses));
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::heard);
-		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions,
+		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions, this.rollouts,
 				this::serverStartedAgain, () -> this.metrics.count("servers.unreadable"));
 		this.lease = new DutyLease(platform.rows(), settings.name(), this.start, this::onControl);
 		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl,
 				this.lease::fenced);
+		this.rolloutDuty = new RolloutDuty(platform.rows(), platform.records(), this.rollouts, this.servers,
+				this::onControl);
 		this.reports = new GatewayReports(this.peers, this.fleet, this.servers, this.quotas, this.decisions, this.usage,
-				this.usageDuty, this.crashes, this.lease, this.tables, settings);
+				this.usageDuty, this.crashes, this.lease, this.tables, this.rollouts, this.rolloutDuty, settings);
 		this.sizeDuty = new SizeDuty(this.servers,
-				(service) -> this.decisions.dispatcher().model(service).tokensPerMilli(), platform.duties(),
-				settings.zones(), this::onControl, this.lease::fenced);
+				(service) -> this.decisions.dispatcher().model(service).tokensPerMilli(), this.rollouts::counts,
+				platform.duties(), settings.zones(), this::onControl, this.lease::fenced);
 		this.metrics.gauge("log.dropped", EventLog::dropped);
 		this.metrics.gauge("requests.held", this.crashes::heldCount);
 		// Last: from here on it is asked about all other parts.
@@ -399,6 +408,10 @@
 			this.crashes.tidy(epochMillis);
 			this.usageDuty.act(this.lease.fence(), epochMillis, organisations);
 			this.sizeDuty.act(this.lease.fence(), known.get(), now);
+			this.rolloutDuty.act(epochMillis, now);
+		}
+		else {
+			this.rolloutDuty.pause();
 		}
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -57,6 +57,10 @@
 
 	private final SharedTables tables;
 
+	private final Rollouts rollouts;
+
+	private final RolloutDuty rolloutDuty;
+
 	private final String self;
 
 	private final int adminPort;
@@ -68,7 +72,9 @@
 
 	GatewayReports(PeerExchange peers, Fleet fleet, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
 			UsageLedger usage, UsageDuty usageDuty, CrashRecords crashes, DutyLease lease, SharedTables tables,
-			GatewaySettings settings) {
+			Rollouts rollouts, RolloutDuty rolloutDuty, GatewaySettings settings) {
+		this.rollouts = rollouts;
+		this.rolloutDuty = rolloutDuty;
 		this.lease = lease;
 		this.tables = tables;
 		this.peers = peers;
@@ -114,6 +120,8 @@
 			addSpeeds(report);
 		}
 		report.setReadingTokens(this.decisions.readingTokens()).setLeaving(leaving).setAdminPort(this.adminPort);
+		report.addAllRollouts(this.rollouts
+			.news((service) -> this.lease.mayAct(now) ? this.rolloutDuty.phase(service) : Optional.empty(), now));
 		this.peers.tell(report, this.fleet::isLiving, (gateway) -> this.fleet.confirmation(gateway, now));
 		this.fleet.told(number, now);
 		this.quotas.told(number, now);
@@ -183,6 +191,7 @@
 		report.getServersList().forEach(this::heardParts);
 		this.crashes.heard(report.getGateway(), report.getCrashesList(), now);
 		this.tables.heard(report.getTablesList());
+		this.rollouts.heard(process, report.getRolloutsList(), now);
 		if (report.getDutyFence() > 0) {
 			this.lease.heldElsewhere(now);
 		}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
@@ -38,9 +38,11 @@
 	 * @param retryWindowMillis that window, in milliseconds
 	 * @param quotaWindowMillis the window of quotas, in milliseconds
 	 * @param usageWindowMillis the window of usage reports, in milliseconds
+	 * @param exposureShare the part of a service's calls that a bad version of its
+	 * servers may get
 	 */
 	public record Bounds(long drainMillis, long balancerMillis, double retryShare, double retryFixed,
-			long retryWindowMillis, long quotaWindowMillis, long usageWindowMillis) {
+			long retryWindowMillis, long quotaWindowMillis, long usageWindowMillis, double exposureShare) {
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -40,11 +41,14 @@
 	/** Told when a server started again under its id. */
 	private final Runnable startedAgain;
 
-	/** Told of each registration that cannot be read. */
+	private final Rollouts rollouts;
+
+	/** Told of each row that cannot be read. */
 	private final Runnable unreadable;
 
 	PlatformNews(RecordCodec records, ControlLoop control, BackendTable servers, GatewayControl decisions,
-			Runnable startedAgain, Runnable unreadable) {
+			Rollouts rollouts, Runnable startedAgain, Runnable unreadable) {
+		this.rollouts = rollouts;
 		this.startedAgain = startedAgain;
 		this.unreadable = unreadable;
 		this.records = records;
@@ -70,6 +74,11 @@
 	}
 
 	private void configurationRow(Row row) {
+		Optional<String> rollout = this.records.rolloutOf(row.key());
+		if (rollout.isPresent()) {
+			this.control.post((now) -> rolloutRow(rollout.get(), row, now));
+			return;
+		}
 		if (!row.key().equals(this.records.configuration().key()) || row.value().isEmpty()) {
 			return;
 		}
@@ -85,6 +94,20 @@
 		}
 	}
 
+	private void rolloutRow(String service, Row row, long now) {
+		if (row.value().isEmpty()) {
+			this.rollouts.withdrawn(service, now);
+			return;
+		}
+		try {
+			this.rollouts.ordered(this.records.rollout(service, row.value().get(), row.version()));
+		}
+		catch (IllegalArgumentException ex) {
+			this.unreadable.run();
+			this.rollouts.unreadable(service, row.version(), ex);
+		}
+	}
+
 	private void serverRow(Row row, long now) {
 		if (row.value().isEmpty()) {
 			lapsed(row.key(), now);
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RolloutDuty.java
@@ -0,0 +1,265 @@
+package org.rosemaryfront.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.ports.RecordCodec;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.RowStore.Commit;
+import org.rosemaryfront.ports.RowStore.Condition;
+import org.rosemaryfront.ports.RowStore.Outcome;
+import org.rosemaryfront.ports.RowStore.Range;
+import org.rosemaryfront.ports.RowStore.Row;
+import org.rosemaryfront.ports.RowStore.Write;
+import org.rosemaryfront.rollout.Phase;
+import org.rosemaryfront.rollout.Rollout;
+import org.rosemaryfront.rollout.RolloutOrder;
+import org.rosemaryfront.rollout.RolloutPlan;
+
+/**
+ * Carries roll-outs on, as the holder of the duties. How far each is stands in a row of
+ * its own, written under a condition before any gateway hears of it, so that a successor
+ * goes on from there and two holders cannot differ. Used on the control thread.
+ */
+final class RolloutDuty {
+
+	private static final String TABLE = "rollouts";
+
+	private static final String TO = "to";
+
+	private static final String NUMBER = "number";
+
+	private static final String SINCE = "sinceMillis";
+
+	private static final String PHASE = "phase";
+
+	private final RowStore store;
+
+	private final RecordCodec records;
+
+	private final Rollouts rollouts;
+
+	private final BackendTable servers;
+
+	private final Consumer<Runnable> control;
+
+	/** What this process knows of the rows since it holds the duties, by service. */
+	private final Map<String, Work> works = new HashMap<>();
+
+	RolloutDuty(RowStore store, RecordCodec records, Rollouts rollouts, BackendTable servers,
+			Consumer<Runnable> control) {
+		this.store = store;
+		this.records = records;
+		this.rollouts = rollouts;
+		this.servers = servers;
+		this.control = control;
+	}
+
+	/** Another process may write the rows from now on. */
+	void pause() {
+		this.works.clear();
+	}
+
+	/**
+	 * Carries all roll-outs on by a step.
+	 * @param epochMillis the time of day, in milliseconds since 1970
+	 * @param now the time
+	 */
+	void act(long epochMillis, long now) {
+		this.rollouts.table().all().forEach((rollout) -> {
+			Work work = this.works.computeIfAbsent(rollout.order().service(), (_) -> new Work());
+			if (!work.busy) {
+				act(work, rollout, epochMillis, now);
+			}
+		});
+	}
+
+	/**
+	 * How far the roll-out of a service is.
+	 * @param service the service
+	 * @return the phase that is written, empty when this process does not know it
+	 */
+	Optional<Phase> phase(String service) {
+		return Optional.ofNullable(this.works.get(service)).flatMap((work) -> work.state).map(State::phase);
+	}
+
+	private void act(Work work, Rollout rollout, long epochMillis, long now) {
+		RolloutOrder order = rollout.order();
+		if (!work.loaded) {
+			load(work, order.service());
+			return;
+		}
+		if (work.state.filter((state) -> state.isOf(order)).isEmpty()) {
+			write(work, order.service(), new State(order.to(), order.number(), epochMillis, Phase.TRIAL));
+			return;
+		}
+		State state = work.state.orElseThrow();
+		Optional<Phase> next = next(rollout, state, epochMillis);
+		rollout.said(state.phase(), now);
+		if (next.isPresent()) {
+			write(work, order.service(), state.with(next.get()));
+		}
+		else {
+			tell(work, order.service(), state);
+		}
+	}
+
+	private Optional<Phase> next(Rollout rollout, State state, long epochMillis) {
+		boolean withdrawn = rollout.phase() == Phase.ROLLED_BACK && state.phase().leadsTo(Phase.ROLLED_BACK);
+		if (withdrawn) {
+			return Optional.of(Phase.ROLLED_BACK);
+		}
+		RolloutPlan.Servers present = present(rollout);
+		Optional<Phase> next = RolloutPlan.next(rollout.order(), state.phase(), rollout.verdict(),
+				epochMillis - state.sinceMillis(), present);
+		next.ifPresent((phase) -> EventLog.info(GatewayEvents.ROLLOUT_PHASE, "service", rollout.order().service(), "to",
+				rollout.order().to(), "number", state.number(), "before", state.phase(), "phase", phase, "verdict",
+				rollout.verdict(), "sinceMillis", epochMillis - state.sinceMillis(), "durationMillis",
+				rollout.order().durationMillis(), "freshServers", present.fresh(), "oldServers", present.old(),
+				"oldCalls", present.oldCalls()));
+		return next;
+	}
+
+	private RolloutPlan.Servers present(Rollout rollout) {
+		String service = rollout.order().service();
+		List<BackendServer> stay = this.servers.serversOf(service)
+			.stream()
+			.filter((server) -> !server.leaving())
+			.toList();
+		int fresh = (int) stay.stream().filter(rollout::isFresh).count();
+		int oldCalls = this.servers.callsAt((server) -> server.service().equals(service) && !rollout.isFresh(server));
+		return new RolloutPlan.Servers(fresh, stay.size() - fresh, oldCalls);
+	}
+
+	// -- the row of its own
+
+	private void load(Work work, String service) {
+		work.busy = true;
+		this.store.read(new Range(TABLE, service, service + '\0')).subscribe((page) -> this.control.accept(() -> {
+			Optional<Row> row = page.rows().stream().findFirst();
+			work.state = row.flatMap((known) -> State.read(known, service));
+			work.version = row.map(Row::version).orElse(0L);
+			work.loaded = true;
+			work.busy = false;
+		}), (failure) -> failed(work, service, "read", failure));
+	}
+
+	private void write(Work work, String service, State state) {
+		work.busy = true;
+		Commit commit = new Commit(TABLE, List.of(new Condition(service, work.version)),
+				List.of(new Write(service, state.bytes())), List.of());
+		this.store.commit(commit).subscribe((outcome) -> this.control.accept(() -> {
+			work.busy = false;
+			switch (outcome) {
+				case Outcome.Committed done -> {
+					work.state = Optional.of(state);
+					work.version = done.version();
+				}
+				case Outcome.Conflict _ -> work.loaded = false;
+			}
+		}), (failure) -> failed(work, service, "write", failure));
+	}
+
+	// It may have taken effect or do so later: it is read before anything else.
+	private void failed(Work work, String row, String call, Throwable failure) {
+		this.control.accept(() -> {
+			RowLog.failed(row, call, failure);
+			work.loaded = false;
+			work.told = Optional.empty();
+			work.busy = false;
+		});
+	}
+
+	// -- the operator's row
+
+	private void tell(Work work, String service, State state) {
+		byte[] value = this.records.rolloutState(state.to(), state.phase());
+		if (work.told.filter((told) -> Arrays.equals(told, value)).isPresent()) {
+			return;
+		}
+		work.busy = true;
+		RecordCodec.Place place = this.records.rolloutState(service);
+		this.store.read(new Range(place.table(), place.key(), place.key() + '\0')).flatMap((page) -> {
+			long version = page.rows().stream().findFirst().map(Row::version).orElse(0L);
+			return this.store.commit(new Commit(place.table(), List.of(new Condition(place.key(), version)),
+					List.of(new Write(place.key(), value)), List.of()));
+		})
+			.subscribe((outcome) -> this.control.accept(() -> told(work, place.key(), value, outcome)),
+					(failure) -> failed(work, place.key(), "write", failure));
+	}
+
+	private static void told(Work work, String row, byte[] value, Outcome outcome) {
+		work.busy = false;
+		if (outcome instanceof Outcome.Committed done) {
+			work.told = Optional.of(value);
+			EventLog.info(GatewayEvents.ROLLOUT_STATE_WRITTEN, "row", row, "state",
+					new String(value, StandardCharsets.UTF_8), "rowVersion", done.version());
+		}
+	}
+
+	/** What is known of the rows of a service. */
+	private static final class Work {
+
+		/** Whether a call to the store is under way. */
+		private boolean busy;
+
+		/** Whether the row was read. */
+		private boolean loaded;
+
+		private long version;
+
+		private Optional<State> state = Optional.empty();
+
+		/** What the operator's row holds, empty when that is not known. */
+		private Optional<byte[]> told = Optional.empty();
+
+	}
+
+	/**
+	 * How far a roll-out is, as it stands in the store.
+	 *
+	 * @param to the version that the service is moved to
+	 * @param number the number of the order
+	 * @param sinceMillis when the order was seen, in milliseconds since 1970
+	 * @param phase how far it is
+	 */
+	private record State(String to, long number, long sinceMillis, Phase phase) {
+
+		private boolean isOf(RolloutOrder order) {
+			return this.to.equals(order.to()) && (this.number == order.number() || !this.phase.isFinal());
+		}
+
+		private State with(Phase next) {
+			return new State(this.to, this.number, this.sinceMillis, next);
+		}
+
+		private byte[] bytes() {
+			return RowJson
+				.write(Map.of(TO, this.to, NUMBER, this.number, SINCE, this.sinceMillis, PHASE, this.phase.name()));
+		}
+
+		private static Optional<State> read(Row row, String service) {
+			try {
+				JsonNode node = RowJson.tree(row.value().orElseThrow(), "the roll-out of " + service);
+				return Optional.of(new State(node.path(TO).asText(), node.path(NUMBER).asLong(),
+						node.path(SINCE).asLong(), Phase.valueOf(node.path(PHASE).asText())));
+			}
+			catch (IllegalStateException | IllegalArgumentException ex) {
+				RowLog.unreadable(service, ex);
+				return Optional.empty();
+			}
+		}
+
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 import org.rosemaryfront.dispatch.BackendServer;
@@ -44,6 +45,9 @@
 	/** How fast a server of a service reads prompts, as learned from calls. */
 	private final ToDoubleFunction<String> tokensPerMilli;
 
+	/** Whether a server has a part in what its service can serve. */
+	private final Predicate<BackendServer> counted;
+
 	private final Duties duties;
 
 	private final List<String> zones;
@@ -78,9 +82,10 @@
 
 	private double tokensPerSecond;
 
-	SizeDuty(BackendTable servers, ToDoubleFunction<String> tokensPerMilli, Duties duties, List<String> zones,
-			Consumer<Runnable> control, Runnable fenced) {
+	SizeDuty(BackendTable servers, ToDoubleFunction<String> tokensPerMilli, Predicate<BackendServer> counted,
+			Duties duties, List<String> zones, Consumer<Runnable> control, Runnable fenced) {
 		this.tokensPerMilli = tokensPerMilli;
+		this.counted = counted;
 		this.fenced = fenced;
 		this.servers = servers;
 		this.duties = duties;
@@ -223,7 +228,7 @@
 		this.zones.forEach((zone) -> present.put(zone, ZoneSize.NONE));
 		this.servers.servers()
 			.stream()
-			.filter((server) -> server.service().equals(service) && !server.leaving())
+			.filter((server) -> server.service().equals(service) && !server.leaving() && this.counted.test(server))
 			.forEach((server) -> present.computeIfPresent(server.zone(), (_, here) -> with(here, server)));
 		return present;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/RecordCodec.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/RecordCodec.java
@@ -1,6 +1,10 @@
 package org.rosemaryfront.ports;
 
+import java.util.Optional;
+
 import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.rollout.Phase;
+import org.rosemaryfront.rollout.RolloutOrder;
 import org.rosemaryfront.routes.TrafficConfiguration;
 
 /**
@@ -37,6 +41,38 @@
 	 */
 	BackendServer server(String id, byte[] value);
 
+	/**
+	 * The service that a row beside the configuration orders a roll-out for.
+	 * @param key the row's key, in the table of the configuration
+	 * @return the service, empty when the row is none of these
+	 */
+	Optional<String> rolloutOf(String key);
+
+	/**
+	 * Reads an order for a roll-out.
+	 * @param service the service that the row is for
+	 * @param value the row's value
+	 * @param version the row's version
+	 * @return the order
+	 * @throws IllegalArgumentException when it cannot be read
+	 */
+	RolloutOrder rollout(String service, byte[] value, long version);
+
+	/**
+	 * Where the state of a roll-out is written for the operator.
+	 * @param service the service
+	 * @return where it stands
+	 */
+	Place rolloutState(String service);
+
+	/**
+	 * Writes the state of a roll-out.
+	 * @param to the version that the service is moved to
+	 * @param phase how far it is
+	 * @return the row's value
+	 */
+	byte[] rolloutState(String to, Phase phase);
+
 	/**
 	 * Where a row stands.
 	 *
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -44,6 +44,8 @@
 	 */
 	private static final long RETRY_WINDOW_MILLIS = 10;
 
+	private static final double EXPOSURE_SHARE = 0.5;
+
 	private static final int FIRST_PORT = 20_000;
 
 	/** Where the ports begin that the system gives to outgoing connections. */
@@ -84,7 +86,7 @@
 		this.access = new DeniableStore(store);
 		this.codecs = codecs;
 		this.settings = settings(name, new GatewaySettings.Bounds(stopMillis, 100, 0.2, 64, RETRY_WINDOW_MILLIS,
-				quotaWindowMillis, usageWindowMillis));
+				quotaWindowMillis, usageWindowMillis, EXPOSURE_SHARE));
 		this.loops = LoopResources.create("test", 1, true);
 		this.process = GatewayProcess.start(this.settings,
 				new Platform(this.codecs, this.access, this.codecs, this.duties), this.loops);
@@ -100,8 +102,8 @@
 	 * @return the settings, with ports that are free
 	 */
 	static GatewaySettings settings() {
-		return settings("gateway-1",
-				new GatewaySettings.Bounds(STOP_MILLIS, 100, 0.2, 64, RETRY_WINDOW_MILLIS, QUOTA_WINDOW_MILLIS, 5_000));
+		return settings("gateway-1", new GatewaySettings.Bounds(STOP_MILLIS, 100, 0.2, 64, RETRY_WINDOW_MILLIS,
+				QUOTA_WINDOW_MILLIS, 5_000, EXPOSURE_SHARE));
 	}
 
 	static GatewayHarness start() {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -18,11 +18,15 @@
 import org.rosemaryfront.ports.CallTerms.Prompt;
 import org.rosemaryfront.ports.Handover;
 import org.rosemaryfront.ports.RecordCodec;
+import org.rosemaryfront.rollout.Phase;
+import org.rosemaryfront.rollout.RolloutOrder;
 import org.rosemaryfront.routes.TrafficConfiguration;
 
 /** Headers and rows in plain words, for tests. */
 final class PlainCodecs implements CallCodec, RecordCodec {
 
+	private static final String ROLLOUT = "rollout/";
+
 	private final Map<String, TrafficConfiguration> configurations = new ConcurrentHashMap<>();
 
 	/**
@@ -88,6 +92,31 @@
 		return "servers";
 	}
 
+	@Override
+	public Optional<String> rolloutOf(String key) {
+		return key.startsWith(ROLLOUT) ? Optional.of(key.substring(ROLLOUT.length())) : Optional.empty();
+	}
+
+	// A row is "version millis".
+	@Override
+	public RolloutOrder rollout(String service, byte[] value, long version) {
+		String[] parts = new String(value, StandardCharsets.UTF_8).split(" ");
+		if (parts.length != 2) {
+			throw new IllegalArgumentException("no order");
+		}
+		return new RolloutOrder(service, parts[0], Long.parseLong(parts[1]), version);
+	}
+
+	@Override
+	public Place rolloutState(String service) {
+		return new Place("states", service);
+	}
+
+	@Override
+	public byte[] rolloutState(String to, Phase phase) {
+		return (to + " " + phase).getBytes(StandardCharsets.UTF_8);
+	}
+
 	@Override
 	public TrafficConfiguration configuration(byte[] value) {
 		String name = new String(value, StandardCharsets.UTF_8);
@@ -95,7 +124,7 @@
 			.orElseThrow(() -> new IllegalArgumentException("no configuration: " + name));
 	}
 
-	// A row is "service address state" or "service address state start".
+	// A row is "service address state", with its start or its start and version behind.
 	@Override
 	public BackendServer server(String id, byte[] value) {
 		String[] parts = new String(value, StandardCharsets.UTF_8).split(" ");
@@ -103,7 +132,8 @@
 			throw new IllegalArgumentException("no registration");
 		}
 		long started = (parts.length > 3) ? Long.parseLong(parts[3]) : BackendServer.START_UNKNOWN;
-		return new BackendServer(id, started, parts[0], parts[1], "a", 8, parts[2].equals("leaving"), false);
+		String version = (parts.length > 4) ? parts[4] : "v1";
+		return new BackendServer(id, started, parts[0], version, parts[1], "a", 8, parts[2].equals("leaving"), false);
 	}
 
 }
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RolloutDutyTests.java
@@ -0,0 +1,109 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import org.rosemaryfront.ports.RowStore;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RolloutDutyTests {
+
+	private static final String STATES = "states";
+
+	private static final long AWAIT_NANOS = 20_000_000_000L;
+
+	@Test
+	void shouldMoveCallsToGoodVersionAndSaySo() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer old = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"));
+				ScriptedServer fresh = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			begin(gateway, old, fresh);
+			gateway.store.put("declared", "rollout/app", "v2 4000");
+			callUntil(gateway, "v2 SUCCEEDED");
+			int before = old.requests().size();
+			for (int i = 0; i < 20; i++) {
+				assertThat(gateway.ask(RawCaller.get("c" + i, "/sheets/")).status()).isEqualTo(200);
+			}
+			assertThat(old.requests()).hasSize(before);
+		}
+	}
+
+	// A bad version would go on to fail its part of the calls, and all of them at the
+	// end.
+	@Test
+	void shouldTakeVersionBackThatFailsCalls() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer old = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"));
+				ScriptedServer fresh = ScriptedServer
+					.start((request, exchange) -> exchange.status(request, 500, "Signature: s\r\n"))) {
+			begin(gateway, old, fresh);
+			gateway.store.put("declared", "rollout/app", "v2 60000");
+			callUntil(gateway, "v2 ROLLED_BACK");
+			int before = fresh.requests().size();
+			for (int i = 0; i < 20; i++) {
+				assertThat(gateway.ask(RawCaller.get("c" + i, "/sheets/")).status()).isEqualTo(200);
+			}
+			assertThat(fresh.requests()).hasSize(before);
+		}
+	}
+
+	// Nobody has judged a version without an order in force: its servers get no calls
+	// once
+	// the order is withdrawn.
+	@Test
+	void shouldSendNothingToVersionWhoseOrderWasWithdrawn() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer old = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"));
+				ScriptedServer fresh = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			begin(gateway, old, fresh);
+			gateway.store.put("declared", "rollout/app", "v2 60000");
+			callUntil(gateway, "v2 TRIAL");
+			gateway.store.remove("declared", "rollout/app");
+			callUntil(gateway, "v2 ROLLED_BACK");
+			int before = fresh.requests().size();
+			for (int i = 0; i < 20; i++) {
+				gateway.ask(RawCaller.get("c" + i, "/sheets/"));
+			}
+			assertThat(fresh.requests()).hasSize(before);
+		}
+	}
+
+	@Test
+	void shouldPassOverOrderThatCannotBeRead() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.declare().register("s1", server).ready();
+			gateway.store.put("declared", "rollout/app", "rubbish");
+			gateway.store.put("declared", "rollout/other", "v2 4000");
+			GatewayHarness.await(() -> state(gateway, "other").isPresent());
+			assertThat(state(gateway, "app")).isEmpty();
+			assertThat(gateway.ask(RawCaller.get("c1", "/sheets/")).status()).isEqualTo(200);
+		}
+	}
+
+	private static void begin(GatewayHarness gateway, ScriptedServer old, ScriptedServer fresh) throws IOException {
+		gateway.declare().register("s1", old);
+		gateway.store.put(GatewayHarness.SERVERS, "s2", "app " + fresh.address() + " ready 1 v2");
+		gateway.ready();
+		GatewayHarness.await(() -> gateway.knows("s2"));
+	}
+
+	private static void callUntil(GatewayHarness gateway, String state) throws IOException {
+		long until = System.nanoTime() + AWAIT_NANOS;
+		while (!state(gateway, "app").equals(Optional.of(state))) {
+			assertThat(System.nanoTime()).as("waiting for " + state).isLessThan(until);
+			gateway.ask(RawCaller.get("c1", "/sheets/"));
+		}
+	}
+
+	private static Optional<String> state(GatewayHarness gateway, String service) {
+		return Optional.ofNullable(gateway.store.rows(STATES).get(service))
+			.flatMap(RowStore.Row::value)
+			.map((value) -> new String(value, StandardCharsets.UTF_8));
+	}
+
+}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -32,8 +32,8 @@
 
 	private final RecordedDuties duties = new RecordedDuties();
 
-	private final SizeDuty duty = new SizeDuty(this.servers, (_) -> 70, this.duties, List.of("a", "b"), Runnable::run,
-			() -> {
+	private final SizeDuty duty = new SizeDuty(this.servers, (_) -> 70, (_) -> true, this.duties, List.of("a", "b"),
+			Runnable::run, () -> {
 			});
 
 	@Test
@@ -131,7 +131,7 @@
 	}
 
 	private void register(String id, String zone, boolean reclaimable) {
-		this.servers.registered(new BackendServer(id, 0, "llm", "127.0.0.1:1", zone, 64, false, reclaimable), 0);
+		this.servers.registered(new BackendServer(id, 0, "llm", "v1", "127.0.0.1:1", zone, 64, false, reclaimable), 0);
 	}
 
 	private void act(int second) {
