--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -56,6 +56,8 @@
 
 	private final long startedNanos;
 
+	private final double slackUnits;
+
 	/** Draws who takes the rest of what is left, from 0 to 1. */
 	private final DoubleSupplier draw;
 
@@ -70,9 +72,12 @@
 	 * Quotas of which nothing is used.
 	 * @param windowMillis the window, in milliseconds
 	 * @param nowNanos the time
+	 * @param slackUnits what an organisation may use beside its quota in a window, in
+	 * units, since processes know late what the others give out
 	 * @param draw random numbers from 0 to 1
 	 */
-	public QuotaTable(long windowMillis, long nowNanos, DoubleSupplier draw) {
+	public QuotaTable(long windowMillis, long nowNanos, double slackUnits, DoubleSupplier draw) {
+		this.slackUnits = slackUnits;
 		this.startedNanos = nowNanos;
 		this.draw = draw;
 		this.windowNanos = TimeUnit.MILLISECONDS.toNanos(windowMillis);
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
@@ -23,11 +23,8 @@
  */
 final class QuotaFleet {
 
-	/** What the organisation may use in a window, in units. */
-	static final double QUOTA = 1_690_000;
-
-	/** What a call counts on average, in units: a long prompt. */
-	private static final double CALL_UNITS = 9_000;
+	/** A large organisation with long prompts, and nothing beside its quota. */
+	private static final Load LARGE = new Load(1_690_000, 9_000, 0);
 
 	private static final long WINDOW_MILLIS = 8_000;
 
@@ -39,8 +36,9 @@
 	/** Of the network between gateways; the rest waits for its turn on a thread. */
 	private static final int DELAY_MILLIS = 15;
 
-	private static final Organisation SFAX = new Organisation("sfax", List.of("k"), OptionalInt.empty(),
-			QUOTA / 10 / (WINDOW_MILLIS / 1_000.0), QUOTA * 0.9, Organisation.Counts.TOKENS, 1);
+	private final Load load;
+
+	private final Organisation organisation;
 
 	private final Random random;
 
@@ -57,7 +55,10 @@
 
 	private long nowMillis;
 
-	private QuotaFleet(int count, long seed) {
+	private QuotaFleet(int count, long seed, Load load) {
+		this.load = load;
+		this.organisation = new Organisation("sfax", List.of("k"), OptionalInt.empty(),
+				load.quota / 10 / (WINDOW_MILLIS / 1_000.0), load.quota * 0.9, Organisation.Counts.TOKENS, 1);
 		this.count = count;
 		this.random = new Random(seed);
 	}
@@ -69,7 +70,18 @@
 	 * @return the gateways
 	 */
 	static QuotaFleet of(int count, long seed) {
-		QuotaFleet fleet = new QuotaFleet(count, seed);
+		return of(count, seed, LARGE);
+	}
+
+	/**
+	 * Gateways that have known one another for longer than a window.
+	 * @param count how many
+	 * @param seed of all that is random
+	 * @param load what the organisation may use and asks for
+	 * @return the gateways
+	 */
+	static QuotaFleet of(int count, long seed, Load load) {
+		QuotaFleet fleet = new QuotaFleet(count, seed, load);
 		for (int i = 0; i < count; i++) {
 			fleet.gateways.add(fleet.new Gateway(i, -2 * WINDOW_MILLIS));
 		}
@@ -85,7 +97,7 @@
 	 * @param quotasPerSecond what it asks for, in quotas a second
 	 */
 	void run(long millis, double quotasPerSecond) {
-		double callsPerMilli = quotasPerSecond * QUOTA / CALL_UNITS / 1_000;
+		double callsPerMilli = quotasPerSecond * this.load.quota / this.load.callUnits / 1_000;
 		for (long until = this.nowMillis + millis; this.nowMillis < until; this.nowMillis++) {
 			deliver();
 			for (double calls = callsPerMilli; calls > 0; calls--) {
@@ -169,7 +181,7 @@
 			}
 			worst = Math.max(worst, sum);
 		}
-		return worst / QUOTA;
+		return worst / this.load.quota;
 	}
 
 	/**
@@ -179,7 +191,7 @@
 	 */
 	double usedSince(long sinceMillis) {
 		return this.passed.stream().filter((use) -> use.atMillis >= sinceMillis).mapToDouble(Passed::units).sum()
-				/ QUOTA;
+				/ this.load.quota;
 	}
 
 	/**
@@ -187,7 +199,7 @@
 	 * @return from 0 to 1
 	 */
 	double served() {
-		return usedSince(Long.MIN_VALUE) * QUOTA / this.askedUnits;
+		return usedSince(Long.MIN_VALUE) * this.load.quota / this.askedUnits;
 	}
 
 	long nowMillis() {
@@ -204,7 +216,7 @@
 	}
 
 	private double units() {
-		return Math.min(5 * CALL_UNITS, CALL_UNITS * -Math.log(1 - this.random.nextDouble()));
+		return Math.min(5 * this.load.callUnits, this.load.callUnits * -Math.log(1 - this.random.nextDouble()));
 	}
 
 	private void deliver() {
@@ -247,7 +259,7 @@
 			this.index = index;
 			this.process = index + "/" + startedMillis;
 			this.table = new QuotaTable(WINDOW_MILLIS, TimeUnit.MILLISECONDS.toNanos(startedMillis),
-					QuotaFleet.this.random::nextDouble);
+					QuotaFleet.this.load.slack, QuotaFleet.this.random::nextDouble);
 			this.fleet = new Fleet(this.process.hashCode());
 			for (int other = 0; other < QuotaFleet.this.count; other++) {
 				if (other != index) {
@@ -270,7 +282,7 @@
 			QuotaFleet.this.askedUnits += units;
 			whenRunning(() -> {
 				this.table.sharing(this.fleet.sharing(nowNanos()));
-				if (this.table.take(SFAX, units, nowNanos()).waitMillis() == 0) {
+				if (this.table.take(QuotaFleet.this.organisation, units, nowNanos()).waitMillis() == 0) {
 					QuotaFleet.this.passed.add(new Passed(QuotaFleet.this.nowMillis, units));
 				}
 			});
@@ -348,6 +360,16 @@
 
 	}
 
+	/**
+	 * What an organisation may use and what it asks for.
+	 *
+	 * @param quota what it may use in a window, in units
+	 * @param callUnits what a call counts on average, in units
+	 * @param slack what may be used beside the quota, in units
+	 */
+	record Load(double quota, double callUnits, double slack) {
+	}
+
 	/** A report under way. */
 	private record Telling(int from, int to, String process, Report report, Optional<Use> use, long arrives) {
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
@@ -28,6 +28,9 @@
 
 	private static final double GREAT_FLOOD = 1.2;
 
+	/** Few long prompts a second, each a good part of what the organisation may use. */
+	private static final QuotaFleet.Load SMALL = new QuotaFleet.Load(261_000, 12_000, 140_000);
+
 	// What is left of a window is let through by each gateway, since news is late.
 	@ParameterizedTest
 	@CsvSource({ "9, 0", "9, 1", "9, 2", "9, 3", "9, 4", "9, 5", "95, 0", "95, 1" })
@@ -116,6 +119,29 @@
 		assertThat(fleet.usedSince(fleet.nowMillis() - 8_000)).isGreaterThan(0.85);
 	}
 
+	// A small organisation's long prompts are refused while most of its quota is left: a
+	// few
+	// of them at one moment are more than what may be used at once.
+	@ParameterizedTest
+	@CsvSource({ "9, 0", "9, 1", "87, 0", "87, 1", "87, 2" })
+	void shouldServeLongPromptsOfSmallOrganisation(int gateways, long seed) {
+		QuotaFleet fleet = QuotaFleet.of(gateways, seed, SMALL);
+		fleet.run(30_000, USUAL);
+		assertThat(fleet.served()).isGreaterThan(0.98);
+	}
+
+	// What may be used beside the quota is given out once, and not by each gateway.
+	@ParameterizedTest
+	@CsvSource({ "9, 0", "9, 1", "9, 2", "30, 0", "87, 0", "87, 1" })
+	void shouldKeepSmallOrganisationWithinQuotaAndSlack(int gateways, long seed) {
+		QuotaFleet fleet = QuotaFleet.of(gateways, seed, SMALL);
+		fleet.run(8_000, USUAL);
+		fleet.run(3_000, GREAT_FLOOD);
+		fleet.killAll(700);
+		fleet.run(12_000, GREAT_FLOOD);
+		assertThat(fleet.worstWindow()).isLessThan(MOST + SMALL.slack() / SMALL.quota());
+	}
+
 	// A gateway dies, and the others refuse what is due until they know.
 	@Test
 	void shouldServeUsualUseBesideSilentGateway() {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
@@ -320,7 +320,7 @@
 	}
 
 	private static QuotaTable table(long startedNanos) {
-		return new QuotaTable(8_000, startedNanos, new Random(1)::nextDouble);
+		return new QuotaTable(8_000, startedNanos, 0, new Random(1)::nextDouble);
 	}
 
 	private static Organisation organisation(double perSecond) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -166,7 +166,7 @@
 		this.platform = platform;
 		this.loops = loops;
 		this.quotas = new QuotaTable(settings.bounds().quotaWindowMillis(), System.nanoTime(),
-				() -> ThreadLocalRandom.current().nextDouble());
+				settings.bounds().quotaSlack(), () -> ThreadLocalRandom.current().nextDouble());
 		this.usage = new UsageLedger(settings.bounds().usageWindowMillis());
 		this.control = ControlLoop.start("control", TICK, this::tick);
 		this.crashes = new CrashRecords(platform.rows(), this.servers, this.control,
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
@@ -37,12 +37,15 @@
 	 * by all processes together
 	 * @param retryWindowMillis that window, in milliseconds
 	 * @param quotaWindowMillis the window of quotas, in milliseconds
+	 * @param quotaSlack what an organisation may use beside its quota in a window, in
+	 * units
 	 * @param usageWindowMillis the window of usage reports, in milliseconds
 	 * @param exposureShare the part of a service's calls that a bad version of its
 	 * servers may get
 	 */
 	public record Bounds(long drainMillis, long balancerMillis, double retryShare, double retryFixed,
-			long retryWindowMillis, long quotaWindowMillis, long usageWindowMillis, double exposureShare) {
+			long retryWindowMillis, long quotaWindowMillis, double quotaSlack, long usageWindowMillis,
+			double exposureShare) {
 	}
 
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -86,7 +86,7 @@
 		this.access = new DeniableStore(store);
 		this.codecs = codecs;
 		this.settings = settings(name, new GatewaySettings.Bounds(stopMillis, 100, 0.2, 64, RETRY_WINDOW_MILLIS,
-				quotaWindowMillis, usageWindowMillis, EXPOSURE_SHARE));
+				quotaWindowMillis, 0, usageWindowMillis, EXPOSURE_SHARE));
 		this.loops = LoopResources.create("test", 1, true);
 		this.process = GatewayProcess.start(this.settings,
 				new Platform(this.codecs, this.access, this.codecs, this.duties), this.loops);
@@ -103,7 +103,7 @@
 	 */
 	static GatewaySettings settings() {
 		return settings("gateway-1", new GatewaySettings.Bounds(STOP_MILLIS, 100, 0.2, 64, RETRY_WINDOW_MILLIS,
-				QUOTA_WINDOW_MILLIS, 5_000, EXPOSURE_SHARE));
+				QUOTA_WINDOW_MILLIS, 0, 5_000, EXPOSURE_SHARE));
 	}
 
 	static GatewayHarness start() {
