Give out half of the slack beside a quota at once

What callers saw: an organisation that keeps to its quota is answered 429 for long prompts while most of its window is left. Cause: a fifth of a window may be used at once and the rest comes evenly; of a small organisation's 261,000 units that is 52,000, four of its prompts, and a call above it was refused for ever.

Change: of what may be used beside a quota (the slack of the settings, for late news between processes) half may be used at once, and is part of what processes share; a call that counts more than that goes when as much as possible is there. The window's limit stays, so that the sum of a window is no higher; what a kill of all makes them forget grows by the half, the other half is left for late news.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
@@ -79,6 +79,9 @@
 	/** What may be used at once; below 0 after news of the use of other processes. */
 	private double level;
 
+	/** What may be used at once at most. */
+	private double atOnce;
+
 	/** What the start added to that; more once more gateways share the quota. */
 	private double givenAtStart;
 
@@ -138,14 +141,15 @@
 	 * flood comes to all at once.
 	 * @param units the units asked for
 	 * @param limit the units that the window allows
+	 * @param slack the units that may be used beside the window's
 	 * @param nowNanos the time
 	 * @return the units, those not confirmed included
 	 */
-	double share(double units, double limit, long nowNanos) {
+	double share(double units, double limit, double slack, long nowNanos) {
 		double here = asked(nowNanos);
 		double elsewhere = askedOfOthers(nowNanos);
 		double rise = Math.max(1, here / Math.max(this.askedThen, FEW_CALLS * Math.max(units, this.usual)));
-		double ofWindow = (limit - this.sum + this.unconfirmed) * here / (here + rise * elsewhere);
+		double ofWindow = (limit - this.sum + this.unconfirmed + slack) * here / (here + rise * elsewhere);
 		double atOnce = (this.level + this.unconfirmed) * here / (here + elsewhere);
 		return Math.min(ofWindow, atOnce);
 	}
@@ -203,24 +207,27 @@
 	 * Lets what may be used at once grow up to now.
 	 * @param window the units that a whole window allows
 	 * @param atStart the part of a window that may be used at the start, 0 later
+	 * @param slack the units that may be used at once beside a part of the window
 	 * @param nowNanos the time
 	 */
-	void fill(double window, double atStart, long nowNanos) {
+	void fill(double window, double atStart, double slack, long nowNanos) {
+		this.atOnce = window * AT_ONCE + slack;
 		this.level += Math.max(0, window * atStart - this.givenAtStart);
 		this.givenAtStart = Math.max(window * atStart, this.givenAtStart);
 		this.unitsPerNano = window / this.windowNanos;
 		this.level += this.unitsPerNano * (nowNanos - this.filledNanos);
-		this.level = Math.min(window * AT_ONCE, this.level);
+		this.level = Math.min(this.atOnce, this.level);
 		this.filledNanos = nowNanos;
 	}
 
 	/**
-	 * The time until units may be used at once.
+	 * The time until units may be used at once. A call that counts more than may ever be
+	 * used at once goes when as much as possible is there.
 	 * @param units the units
 	 * @return the time in milliseconds, 0 for now
 	 */
 	long evenlyMillis(double units) {
-		double missing = units - this.level;
+		double missing = Math.min(units, this.atOnce) - this.level;
 		return (missing > 0) ? Math.max(1, TimeUnit.NANOSECONDS.toMillis((long) (missing / this.unitsPerNano))) : 0;
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -46,6 +46,12 @@
 
 	private static final double FRESH = 0.9;
 
+	/**
+	 * The part of the slack beside a quota that is given out; the rest is for what the
+	 * processes know late.
+	 */
+	private static final double SLACK_PART = 0.5;
+
 	/**
 	 * When to come back for units that others may be using, in milliseconds: by then they
 	 * have told, two reports later.
@@ -98,7 +104,7 @@
 		account.confirm(this.sharing.confirmed());
 		boolean small = account.ask(units, nowNanos);
 		double window = windowUnits(organisation);
-		Wish wish = new Wish(units, small, window, limit(window, nowNanos));
+		Wish wish = new Wish(units, small, window, limit(window, nowNanos), slack(organisation));
 		long wait = (organisation.unitsPerSecond() > 0) ? waitMillis(account, wish, nowNanos) : 0;
 		if (wait == 0) {
 			account.take(units, nowNanos);
@@ -107,7 +113,7 @@
 	}
 
 	private long waitMillis(Account account, Wish wish, long nowNanos) {
-		account.fill(wish.window(), isFresh(nowNanos) ? AT_START : 0, nowNanos);
+		account.fill(wish.window(), isFresh(nowNanos) ? AT_START : 0, wish.slack(), nowNanos);
 		boolean keeps = !wish.small() && account.hadSmall(nowNanos);
 		double open = wish.limit() - wish.units() - (keeps ? wish.window() * KEPT_FOR_SMALL : 0);
 		long wait = Math.max(windowMillis(account, open, wish, nowNanos), ownPartMillis(account, wish));
@@ -128,7 +134,7 @@
 		if (this.sharing.group() == 1 || units <= 0) {
 			return 0;
 		}
-		double share = account.share(units, wish.limit(), nowNanos);
+		double share = account.share(units, wish.limit(), wish.slack(), nowNanos);
 		boolean taken = account.unconfirmed() + units <= share
 				|| this.draw.getAsDouble() * units < share - account.unconfirmed();
 		return taken ? 0 : CONFIRM_MILLIS;
@@ -245,6 +251,12 @@
 		return Math.clamp(TimeUnit.NANOSECONDS.toMillis((long) (missing / growthPerNano)), 1, wait);
 	}
 
+	// The window's limit stays: what is used at once is used of it.
+	private double slack(Organisation organisation) {
+		boolean counted = organisation.counts() == Organisation.Counts.TOKENS;
+		return counted ? this.sharing.part() * this.slackUnits * SLACK_PART : 0;
+	}
+
 	private double windowUnits(Organisation organisation) {
 		return this.sharing.part() * (organisation.unitsPerSecond() * this.windowNanos / 1e9 + organisation.burst());
 	}
@@ -256,8 +268,9 @@
 	 * @param small whether it is small among the calls of late
 	 * @param window the units that a whole window allows
 	 * @param limit the units that may be used by now
+	 * @param slack the units beside the window's that may be used at once
 	 */
-	private record Wish(double units, boolean small, double window, double limit) {
+	private record Wish(double units, boolean small, double window, double limit, double slack) {
 	}
 
 	/**
