--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/rollout/SequentialJudge.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/rollout/SequentialJudge.java
@@ -16,7 +16,10 @@
 	private static final double WORSE = 0.2;
 
 	/** The sum, in nats, at which a version is bad. */
-	private static final double BAD_NATS = 10;
+	private static final double BAD_NATS = 12;
+
+	/** The sum, in nats, from which on a version is not good. */
+	private static final double DOUBT_NATS = 4;
 
 	/** The sum of all calls, in nats, below which a version is good. */
 	private static final double GOOD_NATS = -4;
@@ -75,8 +78,9 @@
 		}
 		boolean routesGood = this.routes.values()
 			.stream()
-			.allMatch((route) -> route.calls < LEAST_ROUTE_CALLS || route.nats < 0);
-		boolean good = this.all.calls >= LEAST_CALLS && this.all.nats <= GOOD_NATS && routesGood;
+			.allMatch((route) -> route.calls < LEAST_ROUTE_CALLS || (route.nats < 0 && route.sum < DOUBT_NATS));
+		boolean good = this.all.calls >= LEAST_CALLS && this.all.nats <= GOOD_NATS && this.all.sum < DOUBT_NATS
+				&& routesGood;
 		return good ? Verdict.GOOD : Verdict.OPEN;
 	}
 
