Ask for changes of a table with a pause behind each answer

The next question waits 200 ms now and is answered with all that came meanwhile. Bounds of changes are 2 s and more. The test failed before: questions one behind the other.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -28,6 +28,12 @@
 	/** How long one question for changes waits at the store. */
 	private static final Duration WAIT = Duration.ofSeconds(20);
 
+	/**
+	 * The pause behind an answer with changes: servers start and leave many at a time,
+	 * and the next question is answered with all that came meanwhile.
+	 */
+	private static final Duration MERGE = Duration.ofMillis(200);
+
 	/** The first pause after a failure, in milliseconds; it doubles with each. */
 	private static final long BACKOFF_MILLIS = 100;
 
@@ -203,7 +209,13 @@
 	private void ask(long since, Duration wait) {
 		run(this.store.changes(this.table, since, wait), (page) -> {
 			changed(page.rows(), page.version());
-			follow(Math.max(since, page.version()));
+			long next = Math.max(since, page.version());
+			if (page.rows().isEmpty()) {
+				follow(next);
+			}
+			else {
+				Mono.delay(MERGE).subscribe((_) -> follow(next));
+			}
 		}, () -> follow(Math.max(since, this.known.version())));
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableWatchTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableWatchTests.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
@@ -44,6 +46,36 @@
 		}
 	}
 
+	// Servers of a zone that start one after the other cost a call to the store each, at
+	// each gateway that reads.
+	@Test
+	void shouldAskFewTimesForChangesThatComeTogether() {
+		AtomicInteger asked = new AtomicInteger();
+		RowStore store = new RowStore() {
+			@Override
+			public Mono<Outcome> commit(Commit commit) {
+				return Mono.never();
+			}
+
+			@Override
+			public Mono<Page> read(Range range) {
+				return Mono.just(new Page(List.of(), false, 1));
+			}
+
+			@Override
+			public Mono<Page> changes(String table, long since, Duration wait) {
+				asked.incrementAndGet();
+				return Mono.delay(Duration.ofMillis(1)).map((_) -> new Page(List.of(row("a")), false, since + 1));
+			}
+		};
+		PeerTables peers = new PeerTables(LoopResources.create("test", 1, true), List::of);
+		long begun = System.nanoTime();
+		try (TableWatch _ = TableWatch.start(store, "servers", new FollowedTable(), peers, new Ignoring())) {
+			GatewayHarness.await(() -> asked.get() >= 4);
+		}
+		assertThat(System.nanoTime() - begun).isGreaterThan(TimeUnit.MILLISECONDS.toNanos(3 * 200));
+	}
+
 	private static RowStore.Row row(String key) {
 		return new RowStore.Row(key, Optional.of("x".getBytes(StandardCharsets.UTF_8)), 5);
 	}
