--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
@@ -29,9 +29,12 @@
 
 	private long unreadTokens;
 
-	/** When its first token was expected, behind its sending; 0 for not at all. */
+	/** When its first token was expected, behind its sending. */
 	private long expectedMillis;
 
+	/** Whether a first token is expected that did not come yet. */
+	private boolean awaited;
+
 	private long sentNanos;
 
 	/** What its server had to do until its first token, unless it fetched parts. */
@@ -64,7 +67,11 @@
 	 * @return its progress, with nothing decided
 	 */
 	static CallProgress of(Call call) {
-		return new CallProgress(call.terms().prompt().map(Prompt::shared).orElse(SharedParts.none()));
+		return of(call.terms().prompt().map(Prompt::shared).orElse(SharedParts.none()));
+	}
+
+	static CallProgress of(SharedParts shared) {
+		return new CallProgress(shared);
 	}
 
 	// -- changes
@@ -81,6 +88,7 @@
 		this.server = Optional.of(chosen.server().start());
 		this.unreadTokens = chosen.unreadTokens();
 		this.expectedMillis = chosen.expectedMillis();
+		this.awaited = chosen.work().isPresent();
 		// What is fetched takes time that the work does not speak of.
 		this.work = chosen.fetchFrom().isPresent() ? Optional.empty() : chosen.work();
 		this.sentNanos = nowNanos;
@@ -144,12 +152,12 @@
 	 * or it came before
 	 */
 	Optional<FirstToken> firstToken(long nowNanos) {
-		if (this.expectedMillis == 0 || this.server.isEmpty()) {
+		if (!this.awaited || this.server.isEmpty()) {
 			return Optional.empty();
 		}
 		long millis = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.sentNanos);
 		FirstToken first = new FirstToken(this.server.get(), this.expectedMillis, millis, this.work);
-		this.expectedMillis = 0;
+		this.awaited = false;
 		return Optional.of(first);
 	}
 
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CallProgressTests.java
@@ -0,0 +1,54 @@
+package org.rosemaryfront.gateway;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.Dispatcher.Choice;
+import org.rosemaryfront.dispatch.FirstTokenModel.Work;
+import org.rosemaryfront.dispatch.SharedParts;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CallProgressTests {
+
+	private static final BackendServer SERVER = new BackendServer("s1", 0, "llm", "v1", "127.0.0.1:1", "a", 4, false,
+			false);
+
+	private final CallProgress progress = CallProgress.of(SharedParts.none());
+
+	private void send(long expectedMillis, Optional<Work> work) {
+		this.progress.sent(new Choice.Chosen(SERVER, 0, 100, expectedMillis, 1, Optional.empty(), work), 0);
+	}
+
+	// A server that is fast enough to be expected within a millisecond is not learned
+	// from
+	// any more.
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 40 })
+	void shouldTellFirstTokenWhateverWasExpected(long expectedMillis) {
+		send(expectedMillis, Optional.of(Work.of(0, 100, 100, 1)));
+		assertThat(this.progress.firstToken(TimeUnit.MILLISECONDS.toNanos(7))).hasValueSatisfying((first) -> {
+			assertThat(first.millis()).isEqualTo(7);
+			assertThat(first.expectedMillis()).isEqualTo(expectedMillis);
+		});
+	}
+
+	@Test
+	void shouldTellFirstTokenOnce() {
+		send(40, Optional.of(Work.of(0, 100, 100, 1)));
+		this.progress.firstToken(1);
+		assertThat(this.progress.firstToken(2)).isEmpty();
+	}
+
+	@Test
+	void shouldTellNothingOfCallWithoutPrompt() {
+		send(0, Optional.empty());
+		assertThat(this.progress.firstToken(1)).isEmpty();
+	}
+
+}
