Give the fleet a package of its own

Who lives, who hears whom and who reads for all stood among the quotas. SharedTables asked isReading and isReadingItself for different things: the second is isToldByOthers now, the other way round. No behaviour changes.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Fleet.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/fleet/Fleet.java
@@ -1,4 +1,4 @@
-package org.rosemaryfront.quota;
+package org.rosemaryfront.fleet;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 
-import org.rosemaryfront.quota.Fleet.Sharing;
+import org.rosemaryfront.fleet.Fleet.Sharing;
 import org.rosemaryfront.routes.Organisation;
 
 /**
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/FleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/fleet/FleetTests.java
@@ -1,4 +1,4 @@
-package org.rosemaryfront.quota;
+package org.rosemaryfront.fleet;
 
 import java.util.List;
 import java.util.Optional;
@@ -10,10 +10,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import org.rosemaryfront.quota.Fleet.Confirmation;
-import org.rosemaryfront.quota.Fleet.Hearing;
-import org.rosemaryfront.quota.Fleet.Report;
-import org.rosemaryfront.quota.Fleet.Sharing;
+import org.rosemaryfront.fleet.Fleet.Confirmation;
+import org.rosemaryfront.fleet.Fleet.Hearing;
+import org.rosemaryfront.fleet.Fleet.Report;
+import org.rosemaryfront.fleet.Fleet.Sharing;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
@@ -11,8 +11,9 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
-import org.rosemaryfront.quota.Fleet.Hearing;
-import org.rosemaryfront.quota.Fleet.Report;
+import org.rosemaryfront.fleet.Fleet;
+import org.rosemaryfront.fleet.Fleet.Hearing;
+import org.rosemaryfront.fleet.Fleet.Report;
 import org.rosemaryfront.quota.QuotaTable.Use;
 import org.rosemaryfront.routes.Organisation;
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-import org.rosemaryfront.quota.Fleet.Sharing;
+import org.rosemaryfront.fleet.Fleet.Sharing;
 import org.rosemaryfront.quota.QuotaTable.Use;
 import org.rosemaryfront.routes.Organisation;
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -25,6 +25,8 @@
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.fleet.Fleet;
+import org.rosemaryfront.fleet.Fleet.Sharing;
 import org.rosemaryfront.gateway.PauseWatch.Finding;
 import org.rosemaryfront.peer.Addresses;
 import org.rosemaryfront.ports.CallCodec;
@@ -35,8 +37,6 @@
 import org.rosemaryfront.ports.RowStore.Row;
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.program.Program;
-import org.rosemaryfront.quota.Fleet;
-import org.rosemaryfront.quota.Fleet.Sharing;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.rollout.RolloutTable;
 import org.rosemaryfront.routes.Organisation;
@@ -233,7 +233,7 @@
 
 	// Whether it reads the tables of the store itself.
 	boolean readsTables() {
-		return askControl(this.tables::isReadingItself);
+		return askControl(() -> !this.tables.isToldByOthers());
 	}
 
 	// What was learned of the servers of a service.
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -17,14 +17,14 @@
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.duties.UsageLedger.Window;
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.fleet.Fleet;
+import org.rosemaryfront.fleet.Fleet.Confirmation;
+import org.rosemaryfront.fleet.Fleet.Hearing;
 import org.rosemaryfront.gateway.proto.GatewayReport;
 import org.rosemaryfront.gateway.proto.OrganisationUse;
 import org.rosemaryfront.gateway.proto.ServerUse;
 import org.rosemaryfront.gateway.proto.ServiceSpeed;
 import org.rosemaryfront.gateway.proto.UnwrittenUse;
-import org.rosemaryfront.quota.Fleet;
-import org.rosemaryfront.quota.Fleet.Confirmation;
-import org.rosemaryfront.quota.Fleet.Hearing;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.quota.QuotaTable.Use;
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -18,10 +18,10 @@
 import io.netty.channel.EventLoop;
 
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.fleet.Fleet.Confirmation;
 import org.rosemaryfront.gateway.proto.GatewayReport;
 import org.rosemaryfront.peer.UdpSocket;
 import org.rosemaryfront.peer.UdpSocket.Datagram;
-import org.rosemaryfront.quota.Fleet.Confirmation;
 
 /**
  * Carries reports between this gateway and the others. Used on the control thread, but
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -84,8 +84,7 @@
 	}
 
 	// Changes are told several times, since datagrams are lost; whoever misses one reads
-	// it
-	// from the store.
+	// it from the store.
 	private TableNews news(TableWatch watch, long nowNanos) {
 		long version = watch.known().version();
 		long since = told(watch.table(), version);
@@ -143,11 +142,11 @@
 	}
 
 	/**
-	 * Whether this gateway has to read for itself.
-	 * @return true unless others tell of changes
+	 * Whether other gateways tell of changes.
+	 * @return false while this one has to read for itself
 	 */
-	boolean isReadingItself() {
-		return !this.toldByOthers;
+	boolean isToldByOthers() {
+		return this.toldByOthers;
 	}
 
 	@Override
