Share quotas as agreed while nearly all gateways are in the group

Cause: for the first twenty seconds some of 87 gateways, cold and busy, confirm reports later than counted; each gateway then sees another group, and as long as groups differ a process takes no more than its own part of the quota, an 87th: less than one long prompt.

Change: a group of nine tenths of all gateways counts as agreed. Why it holds: who is in one group and not in another is a tenth at most, and each group has its part of the quota only.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/fleet/Fleet.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/fleet/Fleet.java
@@ -69,6 +69,12 @@
 	 */
 	private static final int UNKNOWN = 128;
 
+	/**
+	 * The part of all gateways from which on a group counts as agreed though its members
+	 * differ on who is in it: few are then in one group and not in another.
+	 */
+	private static final double NEARLY_ALL = 0.9;
+
 	/** Gateways that read the store's tables for all; any one of them is enough. */
 	private static final int READERS = 3;
 
@@ -257,7 +263,9 @@
 				same &= member.group == group;
 			}
 		}
-		return new Sharing(Math.max(confirming, serving(nowNanos)), confirming, isAgreed(same, nowNanos), confirmed);
+		int serving = Math.max(confirming, serving(nowNanos));
+		boolean agreed = isAgreed(same, nowNanos) || confirming >= NEARLY_ALL * serving;
+		return new Sharing(serving, confirming, agreed, confirmed);
 	}
 
 	/**
@@ -390,7 +398,8 @@
 	 *
 	 * @param members the gateways that may serve callers, 0 while they are not known
 	 * @param group those of them that exchange reports both ways, this one included
-	 * @param agreed whether all of the group see the same group
+	 * @param agreed whether all of the group see the same group, or it is nearly all of
+	 * the gateways
 	 * @param confirmed the last report of this gateway that all of the group had
 	 */
 	public record Sharing(int members, int group, boolean agreed, int confirmed) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
@@ -28,6 +28,9 @@
 
 	private static final double GREAT_FLOOD = 1.2;
 
+	/** Of all ways from one gateway to another; each takes a pair from the group. */
+	private static final double ONE_WAY_CUTS = 0.03;
+
 	/** Few long prompts a second, each a good part of what the organisation may use. */
 	private static final QuotaFleet.Load SMALL = new QuotaFleet.Load(261_000, 12_000, 140_000);
 
@@ -74,6 +77,43 @@
 		assertThat(fleet.worstWindow()).isLessThan(MOST);
 	}
 
+	// Busy gateways of a large fleet answer late: some pairs do not confirm one another,
+	// each
+	// gateway sees another group, and long prompts were refused at all of them.
+	@ParameterizedTest
+	@CsvSource({ "87, 0", "87, 1", "87, 2" })
+	void shouldServeLongPromptsWhileSomePairsDoNotHearEachOther(int gateways, long seed) {
+		QuotaFleet fleet = QuotaFleet.of(gateways, seed, SMALL);
+		fleet.run(8_000, USUAL);
+		cutPairs(fleet, new Random(seed), ONE_WAY_CUTS);
+		fleet.run(20_000, USUAL);
+		assertThat(fleet.servedOfDue()).isGreaterThan(1 - 2 * ONE_WAY_CUTS);
+	}
+
+	// What gateways that do not hear each other give out is given out twice.
+	@ParameterizedTest
+	@CsvSource({ "30, 0", "30, 1", "68, 0", "68, 1", "68, 2", "95, 0", "95, 1" })
+	void shouldHoldQuotaWhileSomePairsDoNotHearEachOther(int gateways, long seed) {
+		for (double part : new double[] { 0.03, 0.08, 0.15 }) {
+			QuotaFleet fleet = QuotaFleet.of(gateways, seed);
+			fleet.run(8_000, USUAL);
+			cutPairs(fleet, new Random(seed), part);
+			fleet.run(3_000, USUAL);
+			fleet.run(10_000, GREAT_FLOOD);
+			assertThat(fleet.worstWindow()).as("part " + part).isLessThan(MOST);
+		}
+	}
+
+	private static void cutPairs(QuotaFleet fleet, Random random, double part) {
+		for (int from = 0; from < fleet.gateways(); from++) {
+			for (int to = 0; to < fleet.gateways(); to++) {
+				if (random.nextDouble() < part) {
+					fleet.cut(from, to, true);
+				}
+			}
+		}
+	}
+
 	static void fault(QuotaFleet fleet, Random random, double asked) {
 		int gateways = fleet.gateways();
 		List<Integer> group = IntStream.range(0, gateways).filter((_) -> random.nextInt(3) == 0).boxed().toList();
