Let a closed server of the tests take no more connections

Cause, shown apart from it: a listener that is closed while a thread begins to accept still takes connections for a moment, and the one that it takes is read and closed by nobody.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ScriptedServer.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ScriptedServer.java
@@ -31,6 +31,8 @@
 
 	private final CountDownLatch left = new CountDownLatch(1);
 
+	private Thread accepting;
+
 	private ScriptedServer(ServerSocket listener, Script script) {
 		this.listener = listener;
 		this.script = script;
@@ -40,7 +42,7 @@
 		try {
 			ScriptedServer server = new ScriptedServer(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()),
 					script);
-			Thread.ofVirtual().start(server::acceptAll);
+			server.accepting = Thread.ofVirtual().start(server::acceptAll);
 			return server;
 		}
 		catch (IOException ex) {
@@ -76,6 +78,9 @@
 	public void close() {
 		try {
 			this.listener.close();
+			// Until its thread has ended, the listener takes connections that nobody
+			// reads.
+			this.accepting.join();
 			for (Socket socket : this.sockets) {
 				socket.close();
 			}
@@ -83,6 +88,9 @@
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	private void acceptAll() {
