Tell how old the knowledge of servers is that a call rests on

The logs could not tell apart why a request reached a server that had left: an unanswered question, a server kept after the end of its registration, or a choice that was old when it was sent. The metrics tell the ages and how far the control thread is behind. No decision changes.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -129,13 +129,15 @@
 	 * @param id the server
 	 * @param nowNanos the time
 	 * @param returnedNanos when the registry last came back, empty if it was never away
+	 * @return how long it is kept from now on, in nanoseconds
 	 */
-	public void lapsed(String id, long nowNanos, OptionalLong returnedNanos) {
+	public long lapsed(String id, long nowNanos, OptionalLong returnedNanos) {
 		BackendRow row = this.rows.get(id);
 		if (row != null && row.dropAtNanos.isEmpty()) {
 			long comesBack = returnedNanos.isPresent() ? returnedNanos.getAsLong() + RETURN_NANOS - nowNanos : 0;
 			row.dropAtNanos = OptionalLong.of(nowNanos + Math.clamp(comesBack, 0, KEPT_NANOS));
 		}
+		return (row != null) ? Math.max(0, row.dropAtNanos.getAsLong() - nowNanos) : 0;
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/FollowedTable.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/FollowedTable.java
@@ -12,6 +12,7 @@
 import org.rosemaryfront.gateway.proto.TableRow;
 import org.rosemaryfront.gateway.proto.TableRows;
 import org.rosemaryfront.ports.RowStore.Row;
+import org.rosemaryfront.tables.Freshness;
 
 /** The rows of a table as this gateway knows them; may be used on any thread. */
 final class FollowedTable {
@@ -29,6 +30,8 @@
 
 	private long version;
 
+	private final Freshness freshness = Freshness.unproven();
+
 	/**
 	 * Takes the whole table.
 	 * @param all its rows
@@ -91,6 +94,10 @@
 		return this.version;
 	}
 
+	Freshness freshness() {
+		return this.freshness;
+	}
+
 	/**
 	 * What another gateway gets that knows less.
 	 * @param known the version up to which it knows the table
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -3,6 +3,7 @@
 import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,7 @@
 import org.rosemaryfront.routes.ServiceSpec;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
 import org.rosemaryfront.routes.TrafficConfiguration;
+import org.rosemaryfront.tables.Freshness;
 import org.rosemaryfront.traffic.Call;
 import org.rosemaryfront.traffic.CallPolicy;
 import org.rosemaryfront.traffic.Gateway;
@@ -95,13 +97,16 @@
 
 	private long serversNanos = System.nanoTime();
 
+	/** How old the knowledge of servers is. */
+	private final Freshness serversFreshness;
+
 	private int gateways;
 
 	/** The prompt tokens that calls sent to servers were expected to make them read. */
 	private long readingTokens;
 
 	GatewayControl(ControlLoop loop, BackendTable servers, GatewaySettings settings, QuotaTable quotas, Fleet fleet,
-			UsageLedger usage, CrashGuard guard, Rollouts rollouts, LongConsumer catchUp) {
+			UsageLedger usage, CrashGuard guard, Rollouts rollouts, Freshness serversFreshness, LongConsumer catchUp) {
 		this.loop = loop;
 		this.servers = servers;
 		this.dispatcher = new Dispatcher(servers, settings.zone());
@@ -109,6 +114,7 @@
 		this.usage = usage;
 		this.guard = guard;
 		this.rollouts = rollouts;
+		this.serversFreshness = serversFreshness;
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryAllowance(bounds.retryShare() * RETRY_CAUTION, bounds.retryFixed(),
 				bounds.retryWindowMillis(), System.nanoTime());
@@ -284,7 +290,8 @@
 				chosen.unreadTokens(), "fetchFrom", chosen.fetchFrom().map(BackendServer::id).orElse("none"),
 				"expectedMillis", chosen.expectedMillis(), "candidates", chosen.candidates(), "version",
 				server.version(), "serversVersion", this.serversVersion, "serversAgeMillis",
-				(now - this.serversNanos) / NANOS_PER_MILLI, "configuration",
+				(now - this.serversNanos) / NANOS_PER_MILLI, "serversProvenMillis", serversProvenMillis(now),
+				"serversProvenBy", this.serversFreshness.source(), "configuration",
 				this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
 				call.remainingMillis(now));
 		progress.sent(chosen, now);
@@ -294,6 +301,11 @@
 		call.send(server, mostConnections(call.service()), chosen.fetchFrom().map(BackendServer::address));
 	}
 
+	private String serversProvenMillis(long now) {
+		OptionalLong age = this.serversFreshness.ageNanos(now);
+		return age.isPresent() ? String.valueOf(age.getAsLong() / NANOS_PER_MILLI) : "never";
+	}
+
 	private void failed(Call call, BackendServer server, Failure failure, long now) {
 		this.guard.failed(call, server, failure, now);
 		boolean serverFault = !(failure.answered() && failure.verdict() instanceof Verdict.NotRun);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -171,7 +172,8 @@
 		this.rollouts = new Rollouts(RolloutTable.empty(settings.bounds().exposureShare()), this.servers,
 				UsageDuty.process(settings.name(), this.start), () -> ThreadLocalRandom.current().nextDouble());
 		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.fleet, this.usage,
-				new CrashGuard(this.crashes, this.servers), this.rollouts, this::catchUp);
+				new CrashGuard(this.crashes, this.servers), this.rollouts, this.serversTable.freshness(),
+				this::catchUp);
 		// The thread of all sockets.
 		EventLoop io = loops.onServer(false).next();
 		this.gateway = Gateway.open(io, settings.callers(), platform.calls(), this.decisions, this.metrics);
@@ -190,6 +192,9 @@
 				(service) -> this.decisions.dispatcher().model(service).tokensPerMilli(), this.rollouts::counts,
 				platform.duties(), settings.zones(), this::onControl, this.lease::fenced);
 		this.metrics.gauge("log.dropped", EventLog::dropped);
+		this.metrics.gauge("control.lag.millis", () -> this.control.lagNanos() / NANOS_PER_MILLI);
+		this.metrics.gauge("servers.proven.millis", () -> provenMillis(this.serversTable));
+		this.metrics.gauge("configuration.proven.millis", () -> provenMillis(this.configurationTable));
 		this.metrics.gauge("requests.held", this.crashes::heldCount);
 		// Last: from here on it is asked about all other parts.
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
@@ -241,6 +246,11 @@
 		return askControl(() -> this.decisions.dispatcher().model(service).learned());
 	}
 
+	private static long provenMillis(FollowedTable table) {
+		OptionalLong age = table.freshness().ageNanos(System.nanoTime());
+		return age.isPresent() ? age.getAsLong() / NANOS_PER_MILLI : -1;
+	}
+
 	private <T> T askControl(Supplier<T> question) {
 		return onControl((_) -> question.get()).join();
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -137,9 +137,10 @@
 
 	// Registrations lapse while the store is away, also those of servers that live.
 	private void lapsed(String id, long now) {
+		long keptNanos = this.servers.lapsed(id, now, this.storeBackNanos);
 		EventLog.info(GatewayEvents.SERVER_LAPSED, "server", id, "storeBackMillis",
-				this.storeBackNanos.isPresent() ? (now - this.storeBackNanos.getAsLong()) / NANOS_PER_MILLI : "never");
-		this.servers.lapsed(id, now, this.storeBackNanos);
+				this.storeBackNanos.isPresent() ? (now - this.storeBackNanos.getAsLong()) / NANOS_PER_MILLI : "never",
+				"keptMillis", keptNanos / NANOS_PER_MILLI);
 	}
 
 	private void serversAll(List<Row> rows, long version, long now) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.gateway.proto.TableNews;
@@ -92,7 +94,8 @@
 			.setTable(watch.table())
 			.setVersion(version)
 			.setSince(since)
-			.setBackMillis(watch.backMillis(nowNanos));
+			.setBackMillis(watch.backMillis(nowNanos))
+			.setProvenMillis(provenMillis(watch, nowNanos));
 		Optional<List<TableRow>> rows = watch.known()
 			.changesSince(since)
 			.map((changes) -> messages(changes, version))
@@ -101,6 +104,12 @@
 		return news.build();
 	}
 
+	private static int provenMillis(TableWatch watch, long nowNanos) {
+		OptionalLong age = watch.known().freshness().ageNanos(nowNanos);
+		return age.isPresent() ? (int) Math.clamp(TimeUnit.NANOSECONDS.toMillis(age.getAsLong()), 1, Integer.MAX_VALUE)
+				: 0;
+	}
+
 	private long told(String table, long version) {
 		Deque<Long> versions = this.told.computeIfAbsent(table, (_) -> new ArrayDeque<>());
 		versions.addLast(version);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -17,6 +17,7 @@
 import org.rosemaryfront.ports.RowStore.Range;
 import org.rosemaryfront.ports.RowStore.Row;
 import org.rosemaryfront.ports.StoreException;
+import org.rosemaryfront.tables.Freshness.Source;
 
 /**
  * Follows one table: reads it whole, then waits for its changes, and begins anew when the
@@ -98,22 +99,23 @@
 	}
 
 	private void readAll() {
-		readOn("", new ArrayList<>(), OptionalLong.empty());
+		readOn("", new ArrayList<>(), OptionalLong.empty(), System.nanoTime());
 	}
 
 	// A row of the first page may change while the others are read: what is known is as
 	// old as that page.
-	private void readOn(String from, List<Row> before, OptionalLong firstVersion) {
+	private void readOn(String from, List<Row> before, OptionalLong firstVersion, long sentNanos) {
 		run(this.store.read(new Range(this.table, from, "")), (page) -> {
 			List<Row> rows = new ArrayList<>(before);
 			rows.addAll(page.rows());
 			long version = firstVersion.orElse(page.version());
 			if (page.more()) {
 				// The smallest key behind the last one.
-				readOn(page.rows().getLast().key() + '\0', rows, OptionalLong.of(version));
+				readOn(page.rows().getLast().key() + '\0', rows, OptionalLong.of(version), sentNanos);
 			}
 			else {
 				take(rows, version);
+				proven(sentNanos, Source.STORE);
 				follow(version);
 			}
 		}, this::readAll);
@@ -151,6 +153,9 @@
 		else if (news.getVersion() > this.known.version() && goesOn()) {
 			ask(this.known.version(), Duration.ZERO);
 		}
+		if (news.getProvenMillis() > 0 && this.known.version() >= news.getVersion()) {
+			proven(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(news.getProvenMillis()), Source.REPORT);
+		}
 	}
 
 	/**
@@ -207,8 +212,11 @@
 	}
 
 	private void ask(long since, Duration wait) {
+		long sentNanos = System.nanoTime();
 		run(this.store.changes(this.table, since, wait), (page) -> {
 			changed(page.rows(), page.version());
+			// What came sooner than the whole wait was told at an unknown moment of it.
+			proven(page.rows().isEmpty() ? sentNanos + wait.toNanos() : sentNanos, Source.STORE);
 			long next = Math.max(since, page.version());
 			if (page.rows().isEmpty()) {
 				follow(next);
@@ -228,6 +236,10 @@
 		}
 	}
 
+	private void proven(long atNanos, Source source) {
+		this.known.freshness().proven(Math.min(atNanos, System.nanoTime()), source);
+	}
+
 	private void run(Mono<Page> question, Consumer<Page> next, Runnable again) {
 		// The answer may come, and the next question go out, before subscribe returns:
 		// a handle kept to cancel this question could end up cancelling the next one,
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -102,6 +102,12 @@
 
 	private int sends;
 
+	/** When its server was chosen. */
+	private long chosenNanos;
+
+	/** How long it lay between the choice and its sending, the last time. */
+	private long sendMillis;
+
 	private Optional<HttpResponse> answer = Optional.empty();
 
 	private AnswerTerms answerTerms = new AnswerTerms("", false, false);
@@ -240,7 +246,9 @@
 	 * @param cacheOf the address of a server whose cache it may fetch from
 	 */
 	public void send(BackendServer to, int mostConnections, Optional<String> cacheOf) {
+		long chosen = System.nanoTime();
 		loop().execute(() -> {
+			this.chosenNanos = chosen;
 			this.fetchFrom = cacheOf;
 			connect(to, mostConnections);
 		});
@@ -420,6 +428,7 @@
 		this.channel = to;
 		this.state = State.SENT;
 		this.sends++;
+		this.sendMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.chosenNanos);
 		forgetFailure();
 		to.begin(id(), this);
 		to.write(outgoing());
@@ -565,8 +574,9 @@
 
 	private void answered(BackendServer from) {
 		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", statusCode(),
-				"server", from.id(), "sends", this.sends, "millis", ageMillis(), "firstMillis",
-				this.times.firstMillis(this.arrivedNanos), "longestPauseMillis", this.times.longestPauseMillis());
+				"server", from.id(), "sends", this.sends, "sendMillis", this.sendMillis, "millis", ageMillis(),
+				"firstMillis", this.times.firstMillis(this.arrivedNanos), "longestPauseMillis",
+				this.times.longestPauseMillis());
 		this.gateway.metrics().answered(this, statusCode());
 		this.server = Optional.empty();
 		this.gateway.policy().ended(this, from, Ending.ANSWERED);
@@ -595,8 +605,8 @@
 		this.framer.ifPresent(EventFramer::dropHalf);
 		this.state = State.DECIDING;
 		EventLog.info(TrafficEvents.CALL_FAILED, "request", id(), "digest", digestText(), "server", by.id(), "started",
-				by.startedMillis(), "verdict", verdict.code(), "cause", cause, "answering", this.answering, "millis",
-				ageMillis());
+				by.startedMillis(), "verdict", verdict.code(), "cause", cause, "answering", this.answering,
+				"sendMillis", this.sendMillis, "millis", ageMillis());
 		if (verdict instanceof Verdict.MayHaveRun) {
 			// The server may have begun it: the use of its organisation is not lost.
 			markBegun();
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
@@ -29,7 +29,7 @@
 
 	private static final int BATCH = 256;
 
-	private final LinkedBlockingQueue<Consumer<Long>> work = new LinkedBlockingQueue<>();
+	private final LinkedBlockingQueue<Work> work = new LinkedBlockingQueue<>();
 
 	private final AtomicReference<Thread> thread = new AtomicReference<>();
 
@@ -39,6 +39,9 @@
 
 	private volatile boolean closed;
 
+	/** How long the oldest work of the last batch had waited. */
+	private volatile long lagNanos;
+
 	private ControlLoop(long tickNanos, Consumer<Long> tick) {
 		this.tickNanos = tickNanos;
 		this.tick = tick;
@@ -69,7 +72,15 @@
 	 * @param task takes the time at which it runs, {@link System#nanoTime}
 	 */
 	public void post(Consumer<Long> task) {
-		this.work.add(Objects.requireNonNull(task, "task is null"));
+		this.work.add(new Work(Objects.requireNonNull(task, "task is null"), System.nanoTime()));
+	}
+
+	/**
+	 * How far the thread is behind what is posted.
+	 * @return how long the oldest work of the last batch had waited, in nanoseconds
+	 */
+	public long lagNanos() {
+		return this.lagNanos;
 	}
 
 	/**
@@ -104,17 +115,20 @@
 	}
 
 	private boolean runBatch(long waitNanos) {
-		Consumer<Long> task = take(waitNanos);
+		Work next = take(waitNanos);
+		if (next != null) {
+			this.lagNanos = System.nanoTime() - next.postedNanos;
+		}
 		int count = 0;
-		while (task != null) {
-			guarded(task, System.nanoTime());
+		while (next != null) {
+			guarded(next.task, System.nanoTime());
 			count++;
-			task = (count < BATCH) ? this.work.poll() : null;
+			next = (count < BATCH) ? this.work.poll() : null;
 		}
 		return count > 0;
 	}
 
-	private Consumer<Long> take(long waitNanos) {
+	private Work take(long waitNanos) {
 		try {
 			return this.work.poll(Math.max(0, waitNanos), TimeUnit.NANOSECONDS);
 		}
@@ -133,4 +147,13 @@
 		}
 	}
 
+	/**
+	 * Work that was posted.
+	 *
+	 * @param task the work
+	 * @param postedNanos when it was posted
+	 */
+	private record Work(Consumer<Long> task, long postedNanos) {
+	}
+
 }
