Show that calls go to leaving servers behind a silent or a failed question to the store

A gateway whose connections to the store stay open and carry nothing sent calls to a server that had said it leaves for 10 s, until the test gave up. A gateway that had one question broken off kept a server whose registration ended behind it. The relay of the proofs moves to the stand-ins, so that the platform's tests can use it.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -156,6 +156,38 @@
 		}
 	}
 
+	// Guards against taking silence for "nothing changed": calls went on to a server that
+	// had left.
+	@Test
+	void shouldLearnThatServerLeavesWhenItsQuestionIsNeverAnswered() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.declare().register("s1", server).ready();
+			GatewayHarness.await(() -> gateway.store.waiting(GatewayHarness.SERVERS) == 1);
+			gateway.access.silence();
+			gateway.store.put(GatewayHarness.SERVERS, "s1", "app " + server.address() + " leaving");
+			GatewayHarness.await(() -> status(gateway, "key-1") == 503);
+		}
+	}
+
+	// Guards against taking one failed question for an outage in which registrations
+	// lapse: a server that had left was kept, and got calls.
+	@Test
+	void shouldDropServerWhoseRegistrationEndsBehindOneFailedQuestion() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.declare().register("s1", server).ready();
+			GatewayHarness.await(() -> gateway.store.waiting(GatewayHarness.SERVERS) == 1);
+			gateway.access.breakOff();
+			gateway.store.put(GatewayHarness.SERVERS, "s2", "app " + server.address() + " ready");
+			GatewayHarness.await(() -> gateway.knows("s2"));
+			gateway.store.remove(GatewayHarness.SERVERS, "s1");
+			gateway.store.put(GatewayHarness.SERVERS, "s3", "app " + server.address() + " ready");
+			GatewayHarness.await(() -> gateway.knows("s3"));
+			assertThat(gateway.knows("s1")).isFalse();
+		}
+	}
+
 	// The store was away for this process; it comes back, and long after it a server
 	// leaves. Noticed only with that news, the return made the server's end look like
 	// a lapse, and calls went there for two seconds more.
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Cluster.java
@@ -25,6 +25,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 import org.rosemaryfront.keys.Sha256;
+import org.rosemaryfront.standin.net.Relay;
 
 /**
  * A deployment as real processes on loopback: stand-ins, entries and controllers.
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/SoakFaults.java
+++ b/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/SoakFaults.java
@@ -13,6 +13,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
+import org.rosemaryfront.standin.net.Relay;
+
 /**
  * The faults that a soak run draws. Each fault has a thread of its own from its beginning
  * to its end, so that any two can overlap.
--- a/rosemaryfront-proof/src/main/java/org/rosemaryfront/proof/Relay.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/net/Relay.java
@@ -1,4 +1,4 @@
-package org.rosemaryfront.proof;
+package org.rosemaryfront.standin.net;
 
 import java.io.IOException;
 import java.io.InputStream;
