Take the store for away only when nothing was proven for as long as a registration lasts

Callers' requests went on to a server for 1.6 s behind the end of its registration, on top of the time that the news took: with a bound of two seconds that is too late as soon as the news takes 0.4 s. Cause: one failed question counted as an outage of the store, in which registrations of servers that live lapse, and a reader that had one told all others of the store's return for five seconds.

A registration can lapse in an outage only if that lasts as long as the heartbeats that it survives. Whether the store was away is now read from the proofs that the table was complete: a gap of two heartbeats between them, whoever gave them. A gateway that one reader proves the table to had no outage, whatever failed elsewhere, and a process that stood still takes its own pause for none. Nobody tells others of a return any more.

What must stay is tested: a server whose registration ended in an outage of three seconds is kept for a while. The test of noticing the store's return before the next change is replaced by one on virtual time, as strict: noticed within 0.8 s of the return without any change.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/Freshness.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/Freshness.java
@@ -9,28 +9,36 @@
  * any thread.
  *
  * <pre>
- * Freshness freshness = Freshness.unproven();
+ * Freshness freshness = Freshness.unproven(TimeUnit.SECONDS.toNanos(3));
  * freshness.proven(sentNanos, Source.STORE);
  * long age = freshness.ageNanos(System.nanoTime()).orElse(Long.MAX_VALUE);
  * </pre>
  */
 public final class Freshness {
 
+	private final long outageNanos;
+
 	private OptionalLong provenNanos = OptionalLong.empty();
 
+	/** When the last outage ended. */
+	private OptionalLong returnedNanos = OptionalLong.empty();
+
 	private Source source = Source.NOBODY;
 
-	private Freshness() {
+	private Freshness(long outageNanos) {
+		this.outageNanos = outageNanos;
 	}
 
 	// -- factories
 
 	/**
 	 * A table of which nothing is known.
+	 * @param outageNanos the time between two proofs from which on the store counts as
+	 * having been away, in nanoseconds
 	 * @return its freshness
 	 */
-	public static Freshness unproven() {
-		return new Freshness();
+	public static Freshness unproven(long outageNanos) {
+		return new Freshness(outageNanos);
 	}
 
 	// -- changes
@@ -44,11 +52,26 @@
 	public synchronized void proven(long atNanos, Source by) {
 		Objects.requireNonNull(by, "by is null");
 		if (this.provenNanos.isEmpty() || atNanos - this.provenNanos.getAsLong() > 0) {
+			noteOutage(atNanos);
 			this.provenNanos = OptionalLong.of(atNanos);
 			this.source = by;
 		}
 	}
 
+	private void noteOutage(long atNanos) {
+		boolean away = this.provenNanos.isPresent() && atNanos - this.provenNanos.getAsLong() >= this.outageNanos;
+		this.returnedNanos = away ? OptionalLong.of(atNanos) : this.returnedNanos;
+	}
+
+	/**
+	 * Forgets the last proof. A process that stood still has none, and takes its own
+	 * pause for no outage.
+	 */
+	public synchronized void forget() {
+		this.provenNanos = OptionalLong.empty();
+		this.source = Source.NOBODY;
+	}
+
 	// -- queries
 
 	/**
@@ -71,6 +94,15 @@
 		return ageNanos(nowNanos).orElse(Long.MAX_VALUE) < limitNanos;
 	}
 
+	/**
+	 * When the store last came back: what ended while it was away may only have lapsed.
+	 * @return the end of the last outage, on the monotonic clock, empty when there was
+	 * none
+	 */
+	public synchronized OptionalLong returnedNanos() {
+		return this.returnedNanos;
+	}
+
 	/**
 	 * Who gave the last proof.
 	 * @return the source
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/TableFollower.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/TableFollower.java
@@ -79,7 +79,7 @@
 	private Role role = Role.STAND_BY;
 
 	/** What the store proved to this gateway itself. */
-	private final Freshness own = Freshness.unproven();
+	private final Freshness own = Freshness.unproven(Long.MAX_VALUE);
 
 	private long version;
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/FollowedTable.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/FollowedTable.java
@@ -30,7 +30,15 @@
 
 	private long version;
 
-	private final Freshness freshness = Freshness.unproven();
+	private final Freshness freshness;
+
+	/**
+	 * A table that is not known yet.
+	 * @param freshness takes how old the knowledge of it is
+	 */
+	FollowedTable(Freshness freshness) {
+		this.freshness = freshness;
+	}
 
 	/**
 	 * Takes the whole table.
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -42,6 +42,7 @@
 import org.rosemaryfront.rollout.RolloutTable;
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.TrafficConfiguration;
+import org.rosemaryfront.tables.Freshness;
 import org.rosemaryfront.tables.FreshnessLimits;
 import org.rosemaryfront.traffic.Gateway;
 import org.rosemaryfront.traffic.TrafficMetrics;
@@ -78,6 +79,9 @@
 
 	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
+	/** Heartbeats that a server misses until its registration lapses. */
+	private static final int REGISTRATION_HEARTBEATS = 3;
+
 	private static final String GATEWAYS_TABLE = "gateways";
 
 	/**
@@ -153,13 +157,13 @@
 
 	private final PauseWatch pauses = new PauseWatch(System.nanoTime(), System.currentTimeMillis());
 
-	private final FollowedTable configurationTable = new FollowedTable();
+	private final FollowedTable configurationTable;
 
-	private final FollowedTable serversTable = new FollowedTable();
+	private final FollowedTable serversTable;
 
-	private final FollowedTable gatewaysTable = new FollowedTable();
+	private final FollowedTable gatewaysTable;
 
-	private final FollowedTable crashesTable = new FollowedTable();
+	private final FollowedTable crashesTable;
 
 	private final SharedTables tables;
 
@@ -173,6 +177,10 @@
 		this.quotas = new QuotaTable(settings.bounds().quotaWindowMillis(), System.nanoTime(),
 				settings.bounds().quotaSlack(), () -> ThreadLocalRandom.current().nextDouble());
 		this.usage = new UsageLedger(settings.bounds().usageWindowMillis());
+		this.configurationTable = table(settings);
+		this.serversTable = table(settings);
+		this.gatewaysTable = table(settings);
+		this.crashesTable = table(settings);
 		this.control = ControlLoop.start("control", TICK, this::tick);
 		this.crashes = new CrashRecords(platform.rows(), this.servers, this.control,
 				UsageDuty.process(settings.name(), this.start), new CrashHooks());
@@ -187,7 +195,8 @@
 		this.tables = new SharedTables(platform.rows(), new PeerTables(loops, () -> this.tableAddresses));
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::heard);
 		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions, this.rollouts,
-				this::serverStartedAgain, () -> this.metrics.count("servers.unreadable"));
+				this.serversTable.freshness(), this::serverStartedAgain,
+				() -> this.metrics.count("servers.unreadable"));
 		this.lease = new DutyLease(platform.rows(), settings.name(), this.start, this::onControl);
 		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl,
 				this.lease::fenced);
@@ -211,6 +220,14 @@
 				new OperatorsView());
 	}
 
+	// A registration lapses with the third heartbeat that is missed, the first of which
+	// may
+	// have been due right behind the last proof.
+	private static FollowedTable table(GatewaySettings settings) {
+		long outageNanos = (REGISTRATION_HEARTBEATS - 1) * settings.bounds().heartbeatMillis() * NANOS_PER_MILLI;
+		return new FollowedTable(Freshness.unproven(outageNanos));
+	}
+
 	// -- factories
 
 	/**
@@ -381,8 +398,11 @@
 		switch (this.pauses.look(now, System.currentTimeMillis())) {
 			case Finding.Running _ -> {
 			}
-			case Finding.Paused paused -> EventLog.warn(GatewayEvents.PAUSED, "millis", paused.millis(),
-					"monotonicMillis", paused.monotonicMillis());
+			case Finding.Paused paused -> {
+				EventLog.warn(GatewayEvents.PAUSED, "millis", paused.millis(), "monotonicMillis",
+						paused.monotonicMillis());
+				this.tables.paused();
+			}
 			case Finding.Suspended suspended -> {
 				EventLog.warn(GatewayEvents.PAUSED, "millis", suspended.millis(), "monotonicMillis",
 						suspended.monotonicMillis());
@@ -390,6 +410,7 @@
 				// old.
 				this.lease.fenced();
 				this.fleet.forgetConfirmations();
+				this.tables.paused();
 			}
 		}
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
@@ -42,12 +42,14 @@
 	 * @param usageWindowMillis the window of usage reports, in milliseconds
 	 * @param changeMillis within which a server that leaves gets no more calls, and a new
 	 * configuration is in force, in milliseconds
+	 * @param heartbeatMillis the time between two heartbeats of a server's registration,
+	 * in milliseconds
 	 * @param exposureShare the part of a service's calls that a bad version of its
 	 * servers may get
 	 */
 	public record Bounds(long drainMillis, long balancerMillis, double retryShare, double retryFixed,
 			long retryWindowMillis, long quotaWindowMillis, double quotaSlack, long usageWindowMillis,
-			long changeMillis, double exposureShare) {
+			long changeMillis, long heartbeatMillis, double exposureShare) {
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -14,6 +14,7 @@
 import org.rosemaryfront.ports.RowStore.Row;
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.routes.TrafficConfiguration;
+import org.rosemaryfront.tables.Freshness;
 
 /**
  * Turns rows of the platform into what this gateway believes of the configuration and of
@@ -35,8 +36,8 @@
 
 	private volatile boolean serversKnown;
 
-	/** When the store last answered again after it did not. */
-	private OptionalLong storeBackNanos = OptionalLong.empty();
+	/** How old the knowledge of servers is, and when the store was away. */
+	private final Freshness freshness;
 
 	/** Told when a server started again under its id. */
 	private final Runnable startedAgain;
@@ -47,8 +48,9 @@
 	private final Runnable unreadable;
 
 	PlatformNews(RecordCodec records, ControlLoop control, BackendTable servers, GatewayControl decisions,
-			Rollouts rollouts, Runnable startedAgain, Runnable unreadable) {
+			Rollouts rollouts, Freshness freshness, Runnable startedAgain, Runnable unreadable) {
 		this.rollouts = rollouts;
+		this.freshness = freshness;
 		this.startedAgain = startedAgain;
 		this.unreadable = unreadable;
 		this.records = records;
@@ -137,10 +139,11 @@
 
 	// Registrations lapse while the store is away, also those of servers that live.
 	private void lapsed(String id, long now) {
-		long keptNanos = this.servers.lapsed(id, now, this.storeBackNanos);
+		OptionalLong returned = this.freshness.returnedNanos();
+		long keptNanos = this.servers.lapsed(id, now, returned);
 		EventLog.info(GatewayEvents.SERVER_LAPSED, "server", id, "storeBackMillis",
-				this.storeBackNanos.isPresent() ? (now - this.storeBackNanos.getAsLong()) / NANOS_PER_MILLI : "never",
-				"keptMillis", keptNanos / NANOS_PER_MILLI);
+				returned.isPresent() ? (now - returned.getAsLong()) / NANOS_PER_MILLI : "never", "keptMillis",
+				keptNanos / NANOS_PER_MILLI);
 	}
 
 	private void serversAll(List<Row> rows, long version, long now) {
@@ -187,12 +190,6 @@
 			});
 		}
 
-		@Override
-		public void regained(long agoMillis) {
-			PlatformNews.this.control
-				.post((now) -> PlatformNews.this.storeBackNanos = OptionalLong.of(now - agoMillis * NANOS_PER_MILLI));
-		}
-
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -111,7 +111,6 @@
 			.setTable(watch.table())
 			.setVersion(version)
 			.setSince(since)
-			.setBackMillis(watch.backMillis(nowNanos))
 			.setProvenMillis(provenMillis(watch, nowNanos));
 		Optional<List<TableRow>> rows = watch.known()
 			.changesSince(since)
@@ -146,6 +145,11 @@
 
 	// -- hearing
 
+	/** This process stood still: what it knows is older than it looks. */
+	void paused() {
+		this.watches.values().forEach((watch) -> watch.known().freshness().forget());
+	}
+
 	/**
 	 * Takes what another gateway tells.
 	 * @param news what it tells
@@ -201,16 +205,6 @@
 			this.listener.changed(rows, version);
 		}
 
-		@Override
-		public void lost() {
-			this.listener.lost();
-		}
-
-		@Override
-		public void regained(long agoMillis) {
-			this.listener.regained(agoMillis);
-		}
-
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -36,9 +36,6 @@
  */
 final class TableWatch implements AutoCloseable {
 
-	/** For how long others are told that the store came back, in milliseconds. */
-	private static final long BACK_MILLIS = 5_000;
-
 	/** For how long a change is told that this gateway found, in nanoseconds. */
 	private static final long FIRST_HAND_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -65,9 +62,6 @@
 	/** When a change was found that no other gateway told of; empty before the first. */
 	private OptionalLong firstHandNanos = OptionalLong.empty();
 
-	/** When the store answered again; empty when it was never away. */
-	private OptionalLong backNanos = OptionalLong.empty();
-
 	private TableWatch(RowStore store, String table, FollowedTable known, PeerTables peers, FreshnessLimits limits,
 			Listener listener) {
 		this.store = store;
@@ -121,18 +115,15 @@
 	 * @param nowNanos the time
 	 */
 	synchronized void told(TableNews news, InetSocketAddress tables, long nowNanos) {
-		if (news.getBackMillis() > 0 && !this.follower.isReading(nowNanos)) {
-			this.listener.regained(news.getBackMillis());
-		}
 		boolean follows = !news.getOmitted() && news.getSince() <= this.known.version();
-		if (follows) {
-			changed(FollowedTable.rows(news.getRowsList()), news.getVersion());
-		}
 		boolean whole = follows || news.getVersion() <= this.known.version();
 		this.knowsMore = whole ? this.knowsMore : Optional.of(tables);
 		Optional<Long> proven = (news.getProvenMillis() == 0) ? Optional.empty()
 				: Optional.of(nowNanos - TimeUnit.MILLISECONDS.toNanos(news.getProvenMillis()));
 		this.follower.told(news.getVersion(), whole, proven, nowNanos);
+		if (follows) {
+			changed(FollowedTable.rows(news.getRowsList()), news.getVersion());
+		}
 	}
 
 	/**
@@ -165,17 +156,6 @@
 		return found || this.follower.isReading(nowNanos);
 	}
 
-	/**
-	 * How long ago the store answered again.
-	 * @param nowNanos the time
-	 * @return the time in milliseconds, 0 when it is long past
-	 */
-	synchronized int backMillis(long nowNanos) {
-		long millis = this.backNanos.isPresent() ? TimeUnit.NANOSECONDS.toMillis(nowNanos - this.backNanos.getAsLong())
-				: BACK_MILLIS;
-		return (millis < BACK_MILLIS) ? (int) Math.max(1, millis) : 0;
-	}
-
 	FollowedTable known() {
 		return this.known;
 	}
@@ -246,8 +226,6 @@
 	private void noteRegained(int failures) {
 		if (failures > 0) {
 			EventLog.info(GatewayEvents.STORE_REGAINED, "table", this.table, "failures", failures);
-			this.backNanos = OptionalLong.of(System.nanoTime());
-			this.listener.regained(0);
 		}
 	}
 
@@ -268,7 +246,6 @@
 		}
 		else if (!failing && this.follower.isFailing()) {
 			EventLog.warn(GatewayEvents.STORE_LOST, "table", this.table, "cause", failure.getMessage());
-			this.listener.lost();
 		}
 		return next;
 	}
@@ -333,17 +310,6 @@
 		 */
 		void changed(List<Row> rows, long version);
 
-		/** The store does not answer. Unless overridden, what is known stays. */
-		default void lost() {
-		}
-
-		/**
-		 * The store answers again. What changed meanwhile follows as changes.
-		 * @param agoMillis since when, in milliseconds
-		 */
-		default void regained(long agoMillis) {
-		}
-
 	}
 
 }
