Look once more whether a server takes calls right before a call's bytes leave

A call is chosen a server on one thread and sent on another, up to half a second later where a connection has to be made, longer on a VM without processor time. A server that said meanwhile that it leaves got the call nevertheless. It is looked up once more before the bytes leave; the call is given back as not sent and goes to another server.

The test failed without the look: the leaving server answered.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.rosemaryfront.dispatch.BackendServer.Start;
 
@@ -353,6 +354,18 @@
 		return callsAt((server) -> server.service().equals(service));
 	}
 
+	/**
+	 * The servers that take new calls.
+	 * @return their starts
+	 */
+	public Set<Start> takers() {
+		return this.rows.values()
+			.stream()
+			.filter(BackendRow::takesCalls)
+			.map((row) -> row.server.start())
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	// Servers of a service that take new calls.
 	List<BackendRow> takers(String service, Collection<String> tried) {
 		List<BackendRow> takers = new ArrayList<>();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -92,6 +92,9 @@
 	/** Which calls are taken once a stop was asked for. */
 	private volatile Optional<StopTimes> stop = Optional.empty();
 
+	/** The servers that take calls; read by the traffic thread. */
+	private volatile Set<BackendServer.Start> takers = Set.of();
+
 	/** The store's version and the time of the last news of servers. */
 	private long serversVersion;
 
@@ -149,6 +152,11 @@
 		return this.guard.isHeldBack(call);
 	}
 
+	@Override
+	public boolean takesCalls(BackendServer server) {
+		return this.takers.contains(server.start());
+	}
+
 	@Override
 	public void admit(Call call) {
 		this.loop.post((now) -> admit(call, now));
@@ -399,6 +407,12 @@
 	void serversSeen(long version, long now) {
 		this.serversVersion = version;
 		this.serversNanos = now;
+		serversChanged();
+	}
+
+	/** Which servers take calls may be others than before. */
+	void serversChanged() {
+		this.takers = this.servers.takers();
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -373,6 +373,7 @@
 		if (!dropped.isEmpty()) {
 			dropped.forEach((server) -> EventLog.info(GatewayEvents.SERVER_DROPPED, "server", server.id(), "service",
 					server.service()));
+			this.decisions.serversChanged();
 			this.gateway.retainServers(this.decisions.knownServers());
 		}
 		this.crashes.tick(now);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -420,6 +420,11 @@
 			notConnected("held back");
 			return;
 		}
+		if (!this.gateway.policy().takesCalls(this.server.orElseThrow())) {
+			to.rest();
+			notConnected("the server leaves");
+			return;
+		}
 		if (this.caller.hasLeft()) {
 			to.rest();
 			callerLeft();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -40,6 +40,14 @@
 	 */
 	boolean isHeldBack(Call call);
 
+	/**
+	 * Whether a server still takes calls; asked right before the bytes of one leave,
+	 * since the server may have said that it leaves while the connection was made.
+	 * @param server the server
+	 * @return false when the call is to be given back as not sent
+	 */
+	boolean takesCalls(BackendServer server);
+
 	/**
 	 * A call came in and wants a backend server.
 	 * @param call the call
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendingTests.java
@@ -0,0 +1,134 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.junit.jupiter.api.Test;
+import reactor.netty.resources.LoopResources;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.routes.CallerLimits;
+import org.rosemaryfront.routes.Route;
+import org.rosemaryfront.routes.TrafficConfiguration;
+import org.rosemaryfront.traffic.Call;
+import org.rosemaryfront.traffic.CallPolicy;
+import org.rosemaryfront.traffic.Gateway;
+import org.rosemaryfront.traffic.Refusal;
+import org.rosemaryfront.traffic.Refusal.Cause;
+import org.rosemaryfront.traffic.TrafficMetrics;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SendingTests {
+
+	// Guards against sending to a server that said that it leaves between the choice and
+	// the sending.
+	@Test
+	void shouldSendNothingToServerThatLeavesWhileTheConnectionIsMade() throws IOException {
+		LoopResources loops = LoopResources.create("test", 1, true);
+		InetSocketAddress address = free();
+		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"));
+				ScriptedServer other = ScriptedServer.start((request, exchange) -> exchange.ok(request, "y"))) {
+			LeavingPolicy policy = new LeavingPolicy(backend("s1", server), backend("s2", other));
+			try (Gateway _ = Gateway.open(loops.onServer(false).next(), address, new PlainCodecs(), policy,
+					new TrafficMetrics()); RawCaller caller = new RawCaller(address)) {
+				assertThat(caller.send(RawCaller.get("c1", "/sheets/")).read().body()).isEqualTo("y");
+			}
+			assertThat(server.requests()).isEmpty();
+			assertThat(policy.failures).extracting(CallPolicy.Failure::sent).containsExactly(false);
+		}
+		finally {
+			loops.dispose();
+		}
+	}
+
+	private static BackendServer backend(String id, ScriptedServer server) {
+		return new BackendServer(id, 0, "app", "v1", server.address(), "a", 8, false, false);
+	}
+
+	private static InetSocketAddress free() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			return new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
+		}
+	}
+
+	/**
+	 * Sends each call to a server that leaves at that moment, and then to another one.
+	 */
+	private static final class LeavingPolicy implements CallPolicy {
+
+		private final TrafficConfiguration configuration = GatewayHarness.configuration(1, CallerLimits.INITIAL,
+				GatewayHarness.organisation(0));
+
+		private final BackendServer leaving;
+
+		private final BackendServer other;
+
+		private final List<Failure> failures = new CopyOnWriteArrayList<>();
+
+		private LeavingPolicy(BackendServer leaving, BackendServer other) {
+			this.leaving = leaving;
+			this.other = other;
+		}
+
+		@Override
+		public Optional<TrafficConfiguration> configuration() {
+			return Optional.of(this.configuration);
+		}
+
+		@Override
+		public boolean stopping() {
+			return false;
+		}
+
+		@Override
+		public boolean accepting(Optional<Route> route) {
+			return true;
+		}
+
+		@Override
+		public boolean isHeldBack(Call call) {
+			return false;
+		}
+
+		@Override
+		public boolean takesCalls(BackendServer server) {
+			return !server.equals(this.leaving);
+		}
+
+		@Override
+		public void admit(Call call) {
+			call.send(this.leaving, 2, Optional.empty());
+		}
+
+		@Override
+		public void began(Call call) {
+		}
+
+		@Override
+		public void failed(Call call, BackendServer server, Failure failure) {
+			this.failures.add(failure);
+			if (server.equals(this.leaving)) {
+				call.send(this.other, 2, Optional.empty());
+			}
+			else {
+				call.giveUp(Refusal.of(Cause.NO_SERVER, "none"));
+			}
+		}
+
+		@Override
+		public void ended(Call call, BackendServer server, Ending ending) {
+		}
+
+		@Override
+		public void dropped(Call call) {
+		}
+
+	}
+
+}
