Tell the other gateways what the reading of a whole table found

A reader that had to read a table anew, since its question broke off or the history was gone, told of it as of changes too many to tell: each of the other gateways asked the store by itself, and only with the next ordinary report. The changes are noted as if they had come one by one, and told at once; tombstones get the version of the reading. A reading that shows that something was missed before is still not told, since others would take it for old news.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/FollowedTable.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/FollowedTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -50,14 +51,41 @@
 		if (tableVersion < this.version) {
 			return false;
 		}
+		TreeMap<String, Row> before = new TreeMap<>(this.rows);
 		this.rows.clear();
 		all.forEach((row) -> this.rows.put(row.key(), row));
+		noteChanges(before, tableVersion);
 		this.version = tableVersion;
-		this.recent.clear();
-		this.recentSince = tableVersion;
 		return true;
 	}
 
+	// Others are told of what the reading found, where that is known in order: a row
+	// whose
+	// change should have been known before is none of these.
+	private void noteChanges(TreeMap<String, Row> before, long tableVersion) {
+		boolean missed = this.rows.values()
+			.stream()
+			.anyMatch((row) -> row.version() <= this.version && isNews(row, before));
+		if (this.version == 0 || missed) {
+			this.recent.clear();
+			this.recentSince = tableVersion;
+			return;
+		}
+		this.rows.values()
+			.stream()
+			.filter((row) -> row.version() > this.version)
+			.sorted(Comparator.comparingLong(Row::version))
+			.forEach(this::remember);
+		before.keySet()
+			.stream()
+			.filter((key) -> !this.rows.containsKey(key))
+			.forEach((key) -> remember(new Row(key, Optional.empty(), tableVersion)));
+	}
+
+	private static boolean isNews(Row row, TreeMap<String, Row> before) {
+		return !before.containsKey(row.key()) || before.get(row.key()).version() != row.version();
+	}
+
 	/**
 	 * Takes changes. Those known before are passed over: they come from the store and
 	 * from other gateways, and an older row must not take the place of a newer.
@@ -80,6 +108,10 @@
 		else {
 			this.rows.remove(row.key());
 		}
+		remember(row);
+	}
+
+	private void remember(Row row) {
 		this.recent.addLast(row);
 		if (this.recent.size() > RECENT) {
 			this.recentSince = this.recent.removeFirst().version();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -196,6 +196,7 @@
 
 		@Override
 		public void all(List<Row> rows, long version) {
+			SharedTables.this.changed = true;
 			this.listener.all(rows, version);
 		}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FollowedTableTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FollowedTableTests.java
@@ -56,6 +56,32 @@
 		assertThat(this.table.changesSince(10)).isEmpty();
 	}
 
+	// Guards against a table that one gateway reads anew and all others ask the store
+	// for.
+	@Test
+	void shouldTellWhatWasFoundWhenTheTableIsReadAnew() {
+		this.table.all(List.of(row("s1", "ready", 10), row("s2", "ready", 9)), 10);
+		this.table.all(List.of(row("s1", "leaving", 12), row("s3", "ready", 11)), 15);
+		List<Row> changes = this.table.changesSince(10).orElseThrow();
+		assertThat(changes).extracting(Row::key).containsExactly("s3", "s1", "s2");
+		assertThat(changes).extracting(Row::version).containsExactly(11L, 12L, 15L);
+		assertThat(changes.getLast().value()).isEmpty();
+	}
+
+	// Guards against passing over a change that should have been known: those who are
+	// told take no row for news that is older than what they know.
+	@Test
+	void shouldTellNothingOfItWhenChangesWereMissedBefore() {
+		this.table.all(List.of(row("s1", "ready", 10)), 10);
+		this.table.changed(List.of(), 14);
+		this.table.all(List.of(row("s1", "leaving", 12)), 15);
+		assertThat(this.table.changesSince(14)).isEmpty();
+	}
+
+	private static Row row(String key, String value, long version) {
+		return new Row(key, Optional.of(value.getBytes(StandardCharsets.UTF_8)), version);
+	}
+
 	private static Row row(String value, long version) {
 		return new Row("s1", Optional.of(value.getBytes(StandardCharsets.UTF_8)), version);
 	}
