Pass over a registration that is older than one already taken

Callers' requests can reach a server that said it leaves when a heartbeat that the server wrote before is written behind that word: the store loses no write that it accepted, but a call without an answer may be done seconds later, and two writes of a server may overtake one another. The row then says "ready" until the next heartbeat, 1.2 s later. A registration that came back so behind its end was even taken for a new server. Registrations carry a number that grows within a start of their server; it was checked for its type and not used.

The last registration of each server is remembered, beyond its end; one with a smaller number, of an earlier start, or with the same number and without the word that the server leaves is passed over, with E2807.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendServer.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendServer.java
@@ -13,9 +13,11 @@
  * @param slots the requests that it runs at once
  * @param leaving whether it takes no new calls
  * @param reclaimable whether its VM may be reclaimed
+ * @param sequence the number of the registration, which grows from one to the next of a
+ * start
  */
 public record BackendServer(String id, long startedMillis, String service, String version, String address, String zone,
-		int slots, boolean leaving, boolean reclaimable) {
+		int slots, boolean leaving, boolean reclaimable, long sequence) {
 
 	/** The start of a server that does not say when it started. */
 	public static final long START_UNKNOWN = 0;
@@ -28,6 +30,34 @@
 		return new Start(this.id, this.startedMillis);
 	}
 
+	/**
+	 * Whether another registration of the server came after this one. Of two with the
+	 * same number the one that says that it leaves did.
+	 * @param other the other one
+	 * @return true when this one says nothing any more
+	 */
+	boolean isBefore(BackendServer other) {
+		if (this.startedMillis != other.startedMillis) {
+			return this.startedMillis != START_UNKNOWN && this.startedMillis < other.startedMillis;
+		}
+		boolean undone = this.sequence == other.sequence && other.leaving && !this.leaving;
+		return this.sequence < other.sequence || undone;
+	}
+
+	/**
+	 * Whether another registration says the same.
+	 * @param other the other one
+	 * @return true when they differ in their numbers at most
+	 */
+	boolean saysTheSame(BackendServer other) {
+		return numbered(0).equals(other.numbered(0));
+	}
+
+	private BackendServer numbered(long number) {
+		return new BackendServer(this.id, this.startedMillis, this.service, this.version, this.address, this.zone,
+				this.slots, this.leaving, this.reclaimable, number);
+	}
+
 	/**
 	 * One start of a server. A server that starts again has nothing of before: no calls,
 	 * no connections, no cached prompts.
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -58,11 +58,19 @@
 	/** One first token counts at most as so much slower, or faster, than expected. */
 	private static final double SLOWNESS_MOST = 5;
 
+	/**
+	 * Servers of which the last registration is remembered; those dropped long ago go.
+	 */
+	private static final int LATEST_MOST = 8_192;
+
 	private final Map<String, BackendRow> rows = new LinkedHashMap<>();
 
 	/** The servers at which each other process last had something. */
 	private final Map<String, Set<Start>> usedBy = new HashMap<>();
 
+	/** The last registrations of servers, also of those that were dropped. */
+	private final Map<String, BackendServer> latest = new LinkedHashMap<>();
+
 	private final PartNews partNews = new PartNews();
 
 	/** Calls sent so far, to any server. */
@@ -94,18 +102,41 @@
 	// and cached prompts that were noted for it, and calls that are still counted there
 	// would keep others away, or end as its own and hide those that it really runs.
 	private boolean put(BackendServer server, OptionalLong registeredNanos) {
+		if (isOutdated(server)) {
+			return false;
+		}
+		noteLatest(server);
 		BackendRow known = this.rows.get(server.id());
 		if (known == null || isOtherStart(server)) {
 			this.rows.put(server.id(), new BackendRow(server, registeredNanos));
 			return true;
 		}
-		boolean changed = !known.server.equals(server) || known.dropAtNanos.isPresent() || known.unreadable;
+		boolean changed = !known.server.saysTheSame(server) || known.dropAtNanos.isPresent() || known.unreadable;
 		known.server = server;
 		known.dropAtNanos = OptionalLong.empty();
 		known.unreadable = false;
 		return changed;
 	}
 
+	private void noteLatest(BackendServer server) {
+		this.latest.remove(server.id());
+		this.latest.put(server.id(), server);
+		if (this.latest.size() > LATEST_MOST) {
+			this.latest.remove(this.latest.keySet().iterator().next());
+		}
+	}
+
+	/**
+	 * Whether a registration is older than one that was taken. Heartbeats may be written
+	 * late: behind the word that the server leaves, or behind the end of its
+	 * registration.
+	 * @param server the server as it registered itself
+	 * @return true when the registration is passed over
+	 */
+	public boolean isOutdated(BackendServer server) {
+		return Optional.ofNullable(this.latest.get(server.id())).filter(server::isBefore).isPresent();
+	}
+
 	/**
 	 * Whether another start of a server is known under its id.
 	 * @param server the server
--- /dev/null
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/BackendTableTests.java
@@ -0,0 +1,58 @@
+package org.rosemaryfront.dispatch;
+
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class BackendTableTests {
+
+	private static final long START = 5_000;
+
+	private final BackendTable table = new BackendTable();
+
+	// Guards against a heartbeat that is written late: behind the word that the server
+	// leaves, it made the server one that takes calls again.
+	@ParameterizedTest
+	@CsvSource({ "5000, 6", "5000, 7", "4000, 9" })
+	void shouldNotTakeOlderRegistrationBehindTheWordThatServerLeaves(long startedMillis, long sequence) {
+		this.table.registered(server(START, 7, true), 0);
+		assertThat(this.table.registered(server(startedMillis, sequence, false), 1)).isFalse();
+		assertThat(this.table.takers()).isEmpty();
+	}
+
+	// Guards against the same where the registration ended in between.
+	@Test
+	void shouldNotTakeOlderRegistrationOfServerThatWasDropped() {
+		this.table.registered(server(START, 7, true), 0);
+		this.table.lapsed("s1", 1, OptionalLong.empty());
+		this.table.expire(1);
+		assertThat(this.table.registered(server(START, 6, false), 2)).isFalse();
+		assertThat(this.table.servers()).isEmpty();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "5000, 8", "6000, 1" })
+	void shouldTakeServerThatRegistersLater(long startedMillis, long sequence) {
+		this.table.registered(server(START, 7, true), 0);
+		this.table.lapsed("s1", 1, OptionalLong.empty());
+		this.table.expire(1);
+		assertThat(this.table.registered(server(startedMillis, sequence, false), 2)).isTrue();
+		assertThat(this.table.takers()).hasSize(1);
+	}
+
+	@Test
+	void shouldSeeNoChangeInTheNumberAlone() {
+		this.table.registered(server(START, 7, false), 0);
+		assertThat(this.table.registered(server(START, 8, false), 1)).isFalse();
+		assertThat(this.table.registered(server(START, 7, true), 1)).isFalse();
+	}
+
+	private static BackendServer server(long startedMillis, long sequence, boolean leaving) {
+		return new BackendServer("s1", startedMillis, "llm", "v1", "127.0.0.1:1", "a", 4, leaving, false, sequence);
+	}
+
+}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -243,7 +243,7 @@
 
 	@Test
 	void shouldPreferOwnZoneAmongEquallyLoaded() {
-		this.table.registered(new BackendServer("s0", 0, "llm", "v1", "h:1", "b", 4, false, false), LONG_AGO);
+		this.table.registered(new BackendServer("s0", 0, "llm", "v1", "h:1", "b", 4, false, false, 0), LONG_AGO);
 		assertThat(chosen(plain()).zone()).isEqualTo("a");
 	}
 
@@ -405,7 +405,7 @@
 	}
 
 	private static BackendServer started(String id, long startedMillis, boolean leaving) {
-		return new BackendServer(id, startedMillis, "llm", "v1", "127.0.0.1:1", "a", 4, leaving, false);
+		return new BackendServer(id, startedMillis, "llm", "v1", "127.0.0.1:1", "a", 4, leaving, false, 0);
 	}
 
 	private static Start start(String id) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/rollout/RolloutFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/rollout/RolloutFleet.java
@@ -89,7 +89,7 @@
 	}
 
 	private static BackendServer server(String id, String version) {
-		return new BackendServer(id, 1, "llm", version, "127.0.0.1:1", "a", 64, false, false);
+		return new BackendServer(id, 1, "llm", version, "127.0.0.1:1", "a", 64, false, false, 0);
 	}
 
 	Phase phase() {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/rollout/RolloutTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/rollout/RolloutTests.java
@@ -31,7 +31,7 @@
 	private final Rollout rollout = Rollout.of(ORDER, 0.1);
 
 	private static BackendServer server(String id, String version) {
-		return new BackendServer(id, 1, "llm", version, "127.0.0.1:1", "a", 4, false, false);
+		return new BackendServer(id, 1, "llm", version, "127.0.0.1:1", "a", 4, false, false, 0);
 	}
 
 	private boolean uses(BackendServer server, double draw, long millis) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -23,6 +23,9 @@
 	/** The registration of a backend server cannot be read. */
 	SERVER_UNREADABLE(2806),
 
+	/** A registration that is older than the one known was passed over. */
+	SERVER_OUTDATED(2807),
+
 	/** The platform's table service does not answer. */
 	STORE_LOST(2810),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformNews.java
@@ -117,13 +117,18 @@
 		}
 		try {
 			BackendServer server = this.records.server(row.key(), row.value().get());
+			if (this.servers.isOutdated(server)) {
+				EventLog.info(GatewayEvents.SERVER_OUTDATED, "server", server.id(), "started", server.startedMillis(),
+						"leaving", server.leaving(), "sequence", server.sequence(), "rowVersion", row.version());
+				return;
+			}
 			boolean startedAgain = this.servers.isOtherStart(server);
 			boolean news = this.serversKnown ? this.servers.registered(server, now) : this.servers.foundAtStart(server);
 			if (news) {
 				EventLog.info(GatewayEvents.SERVER_REGISTERED, "server", server.id(), "started", server.startedMillis(),
 						"startedAgain", startedAgain, "service", server.service(), "address", server.address(), "zone",
-						server.zone(), "leaving", server.leaving(), "reclaimable", server.reclaimable(), "rowVersion",
-						row.version());
+						server.zone(), "leaving", server.leaving(), "reclaimable", server.reclaimable(), "sequence",
+						server.sequence(), "rowVersion", row.version());
 			}
 			if (startedAgain) {
 				this.startedAgain.run();
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -99,6 +99,20 @@
 		}
 	}
 
+	// Guards against a heartbeat of the server that is written late.
+	@Test
+	void shouldSendNothingToLeavingServerWhoseOlderRegistrationComesLate() throws IOException {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.declare().register("s1", server).ready();
+			gateway.store.put(GatewayHarness.SERVERS, "s1", "app " + server.address() + " leaving 1000 v1 7");
+			gateway.store.put(GatewayHarness.SERVERS, "s1", "app " + server.address() + " ready 1000 v1 6");
+			gateway.store.put(GatewayHarness.SERVERS, "s2", "app " + server.address() + " leaving");
+			GatewayHarness.await(() -> gateway.knows("s2"));
+			assertThat(status(gateway, "key-1")).isEqualTo(503);
+		}
+	}
+
 	// Another writer spoils the registration of a server; calls went on to the address of
 	// the good one before it.
 	@Test
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CallProgressTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CallProgressTests.java
@@ -17,7 +17,7 @@
 class CallProgressTests {
 
 	private static final BackendServer SERVER = new BackendServer("s1", 0, "llm", "v1", "127.0.0.1:1", "a", 4, false,
-			false);
+			false, 0);
 
 	private final CallProgress progress = CallProgress.of(SharedParts.none());
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
@@ -180,7 +180,7 @@
 	}
 
 	private void broke(int number) {
-		BackendServer server = new BackendServer("s" + number, 0, "app", "v1", "127.0.0.1:9", "a", 8, false, false);
+		BackendServer server = new BackendServer("s" + number, 0, "app", "v1", "127.0.0.1:9", "a", 8, false, false, 0);
 		this.control.post((now) -> this.records.broke(REQUEST, server, now));
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -124,7 +124,7 @@
 			.orElseThrow(() -> new IllegalArgumentException("no configuration: " + name));
 	}
 
-	// A row is "service address state", with its start or its start and version behind.
+	// A row is "service address state", with its start, version and number behind.
 	@Override
 	public BackendServer server(String id, byte[] value) {
 		String[] parts = new String(value, StandardCharsets.UTF_8).split(" ");
@@ -133,7 +133,9 @@
 		}
 		long started = (parts.length > 3) ? Long.parseLong(parts[3]) : BackendServer.START_UNKNOWN;
 		String version = (parts.length > 4) ? parts[4] : "v1";
-		return new BackendServer(id, started, parts[0], version, parts[1], "a", 8, parts[2].equals("leaving"), false);
+		long sequence = (parts.length > 5) ? Long.parseLong(parts[5]) : 0;
+		return new BackendServer(id, started, parts[0], version, parts[1], "a", 8, parts[2].equals("leaving"), false,
+				sequence);
 	}
 
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendingTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendingTests.java
@@ -48,7 +48,7 @@
 	}
 
 	private static BackendServer backend(String id, ScriptedServer server) {
-		return new BackendServer(id, 0, "app", "v1", server.address(), "a", 8, false, false);
+		return new BackendServer(id, 0, "app", "v1", server.address(), "a", 8, false, false, 0);
 	}
 
 	private static InetSocketAddress free() throws IOException {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -131,7 +131,8 @@
 	}
 
 	private void register(String id, String zone, boolean reclaimable) {
-		this.servers.registered(new BackendServer(id, 0, "llm", "v1", "127.0.0.1:1", zone, 64, false, reclaimable), 0);
+		this.servers.registered(new BackendServer(id, 0, "llm", "v1", "127.0.0.1:1", zone, 64, false, reclaimable, 0),
+				0);
 	}
 
 	private void act(int second) {
