Close a server's resting connections when a call stays unanswered and nothing is heard from it

Callers got 504 one after the other, as many as connections to a server were kept, when these stayed open and carried nothing any more: each took one call to its timeout.

When a call meets its time and no byte came from its server on any connection since it was sent, the resting ones are closed and the next call opens a new one. A server that is slow and answers others keeps its connections. FaultyServerTests #shouldLoseOneCallOnlyWhenConnectionsToServerFallSilent failed before (the second call had 504 too).

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -105,6 +105,9 @@
 	/** When its server was chosen. */
 	private long chosenNanos;
 
+	/** When it was sent, the last time. */
+	private long sentNanos;
+
 	/** How long it lay between the choice and its sending, the last time. */
 	private long sendMillis;
 
@@ -433,7 +436,8 @@
 		this.channel = to;
 		this.state = State.SENT;
 		this.sends++;
-		this.sendMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.chosenNanos);
+		this.sentNanos = System.nanoTime();
+		this.sendMillis = TimeUnit.NANOSECONDS.toMillis(this.sentNanos - this.chosenNanos);
 		forgetFailure();
 		to.begin(id(), this);
 		to.write(outgoing());
@@ -682,6 +686,9 @@
 		long retryAfterMillis = mayHaveRun ? 0 : UNSENT_RETRY_MILLIS;
 		noteRefused(status, Refusal.DEADLINE, retryAfterMillis);
 		this.caller.refuse(status, retryAfterMillis);
+		if (this.state == State.SENT) {
+			this.server.ifPresent((silent) -> this.gateway.pool().unanswered(silent.start(), this.sentNanos));
+		}
 		finish((this.state == State.SENT) ? Ending.UNANSWERED : Ending.ABANDONED);
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -125,6 +125,31 @@
 					&& entry.getValue().connecting == 0);
 	}
 
+	/**
+	 * Notes that bytes came from a server.
+	 * @param channel where they came
+	 */
+	void heard(ServerChannel channel) {
+		Connections connections = this.owners.get(channel);
+		if (connections != null) {
+			connections.heardNanos = System.nanoTime();
+		}
+	}
+
+	/**
+	 * Notes that a call was not answered in its time. Unless the server was heard since,
+	 * on any connection, the resting ones may be as silent as that of the call: they are
+	 * closed.
+	 * @param server the start of the server
+	 * @param sentNanos when the call was sent
+	 */
+	void unanswered(BackendServer.Start server, long sentNanos) {
+		Connections connections = this.servers.get(server);
+		if (connections != null && connections.heardNanos - sentNanos < 0) {
+			connections.idle.forEach(ServerChannel::close);
+		}
+	}
+
 	void rest(ServerChannel channel) {
 		Connections connections = this.owners.get(channel);
 		if (connections != null) {
@@ -219,6 +244,9 @@
 
 		private int connecting;
 
+		/** When bytes last came, on any of them. */
+		private long heardNanos = System.nanoTime();
+
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerChannel.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerChannel.java
@@ -143,6 +143,7 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
+		this.pool.heard(this);
 		try {
 			if (this.listener == null) {
 				stray("bytes while no call waits");
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
@@ -1,6 +1,10 @@
 package org.rosemaryfront.gateway;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.AfterEach;
@@ -11,6 +15,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rosemaryfront.gateway.RawCaller.Answer;
+import org.rosemaryfront.standin.net.Relay;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -28,6 +33,50 @@
 		this.gateway.close();
 	}
 
+	// -- connections
+
+	// Guards against connections that stay open and carry nothing: each of those that
+	// were
+	// kept took one call to its timeout.
+	@Test
+	void shouldLoseOneCallOnlyWhenConnectionsToServerFallSilent() throws Exception {
+		CountDownLatch both = new CountDownLatch(2);
+		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> {
+			both.countDown();
+			awaitZero(both);
+			exchange.ok(request, "x");
+		}); Relay relay = Relay.start(server.address())) {
+			this.gateway.declare();
+			this.gateway.store.put(GatewayHarness.SERVERS, "s1", "app " + relay.address() + " ready");
+			this.gateway.ready(List.of("s1"));
+			CompletableFuture<Integer> other = CompletableFuture.supplyAsync(() -> shortCall("c1"));
+			assertThat(shortCall("c2")).isEqualTo(200);
+			assertThat(other.get()).isEqualTo(200);
+			assertThat(server.connections()).isEqualTo(2);
+			relay.silence();
+			assertThat(shortCall("c3")).isEqualTo(504);
+			assertThat(shortCall("c4")).isEqualTo(200);
+		}
+	}
+
+	private int shortCall(String id) {
+		try {
+			return this.gateway.ask(RawCaller.get(id, "/short/")).status();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static void awaitZero(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	// -- what may run twice
 
 	// A booking was sent and its answer lost. Sent again, two crews turn up; answered
