Tell changes that a gateway found although it rests

A gateway that counts on others and finds a change by its own check did not tell it, though it was urgent to: the others heard of it only once they had asked too, or had taken over the reading. TableWatchTests#shouldTellChangeThatItFoundThoughItRests failed before.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -94,12 +94,15 @@
 	/**
 	 * What is told to the other gateways.
 	 * @param nowNanos the time
-	 * @return what is known of each table, empty when this gateway does not read them
+	 * @return what is known of each table that it reads, or in which it found changes
 	 */
 	List<TableNews> news(long nowNanos) {
 		this.changed = false;
-		return isReading(nowNanos) ? this.watches.values().stream().map((watch) -> news(watch, nowNanos)).toList()
-				: List.of();
+		return this.watches.values()
+			.stream()
+			.filter((watch) -> watch.tells(nowNanos))
+			.map((watch) -> news(watch, nowNanos))
+			.toList();
 	}
 
 	// Changes are told several times, since datagrams are lost; whoever misses one reads
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableWatchTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableWatchTests.java
@@ -9,12 +9,15 @@
 
 import org.junit.jupiter.api.Test;
 import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.netty.resources.LoopResources;
 
+import org.rosemaryfront.gateway.proto.TableNews;
 import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.tables.FreshnessLimits;
+import org.rosemaryfront.tables.Role;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -82,6 +85,31 @@
 		assertThat(System.nanoTime() - begun).isGreaterThan(TimeUnit.MILLISECONDS.toNanos(3 * 200));
 	}
 
+	// Guards against a change that a gateway finds for itself while those who read the
+	// table
+	// for all do not see it.
+	@Test
+	void shouldTellChangeThatItFoundThoughItRests() {
+		MemoryRowStore store = new MemoryRowStore();
+		FollowedTable known = GatewayHarness.table();
+		PeerTables peers = new PeerTables(LoopResources.create("test", 1, true), List::of);
+		try (SharedTables tables = new SharedTables(store, peers)) {
+			tables.role(Role.RESTING);
+			tables.follow("servers", known, FreshnessLimits.usual(), new Ignoring());
+			Disposable ticking = Flux.interval(Duration.ofMillis(10)).subscribe((_) -> tables.tick(System.nanoTime()));
+			store.put("servers", "s0", "x");
+			GatewayHarness.await(() -> known.version() == 1);
+			assertThat(tables.news(System.nanoTime() + TimeUnit.SECONDS.toNanos(2))).isEmpty();
+			store.put("servers", "s1", "x");
+			GatewayHarness.await(() -> known.version() == 2);
+			assertThat(tables.isReading(System.nanoTime())).isFalse();
+			assertThat(tables.isUrgent(System.nanoTime())).isTrue();
+			assertThat(tables.news(System.nanoTime())).extracting(TableNews::getVersion).containsExactly(2L);
+			ticking.dispose();
+		}
+		store.close();
+	}
+
 	private static TableWatch watch(RowStore store, PeerTables peers) {
 		return TableWatch.of(store, "servers", GatewayHarness.table(), peers, FreshnessLimits.usual(), new Ignoring());
 	}
