Take no proof from before a pause of the process

A VM that was suspended, or a process without processor time, took what it had asked and what reports had waited in its socket for news of now: it believed a table to be complete that was as old as the pause, and told others so, whose own checks then did not come.

Behind a pause nothing that was asked before it proves anything, reports do not for a second, and nothing is told to others until the store has answered again. An answer of the store that is older than what is known is logged as E2818.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/Freshness.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/Freshness.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 /**
  * How old the knowledge of a followed table is. An answer of the store proves that all
@@ -16,6 +17,12 @@
  */
 public final class Freshness {
 
+	/**
+	 * By then reports that waited while the process stood still were taken, in
+	 * nanoseconds.
+	 */
+	private static final long REPORT_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	private final long outageNanos;
 
 	private OptionalLong provenNanos = OptionalLong.empty();
@@ -23,6 +30,9 @@
 	/** When the last outage ended. */
 	private OptionalLong returnedNanos = OptionalLong.empty();
 
+	/** When the process last went on after it stood still. */
+	private OptionalLong forgotNanos = OptionalLong.empty();
+
 	private Source source = Source.NOBODY;
 
 	private Freshness(long outageNanos) {
@@ -51,25 +61,34 @@
 	 */
 	public synchronized void proven(long atNanos, Source by) {
 		Objects.requireNonNull(by, "by is null");
-		if (this.provenNanos.isEmpty() || atNanos - this.provenNanos.getAsLong() > 0) {
+		boolean newer = this.provenNanos.isEmpty() || atNanos - this.provenNanos.getAsLong() > 0;
+		if (newer && !isForgotten(atNanos, by)) {
 			noteOutage(atNanos);
 			this.provenNanos = OptionalLong.of(atNanos);
 			this.source = by;
 		}
 	}
 
+	private boolean isForgotten(long atNanos, Source by) {
+		long waitNanos = (by == Source.REPORT) ? REPORT_WAIT_NANOS : 0;
+		return this.forgotNanos.isPresent() && atNanos - this.forgotNanos.getAsLong() - waitNanos < 0;
+	}
+
 	private void noteOutage(long atNanos) {
 		boolean away = this.provenNanos.isPresent() && atNanos - this.provenNanos.getAsLong() >= this.outageNanos;
 		this.returnedNanos = away ? OptionalLong.of(atNanos) : this.returnedNanos;
 	}
 
 	/**
-	 * Forgets the last proof. A process that stood still has none, and takes its own
-	 * pause for no outage.
+	 * Forgets the last proof, since the process stood still. Its pause is no outage; what
+	 * was asked before it proves nothing about now, and reports may have waited in the
+	 * socket.
+	 * @param nowNanos the time at which it went on
 	 */
-	public synchronized void forget() {
+	public synchronized void forget(long nowNanos) {
 		this.provenNanos = OptionalLong.empty();
 		this.source = Source.NOBODY;
+		this.forgotNanos = OptionalLong.of(nowNanos);
 	}
 
 	// -- queries
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/TableFollower.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/TableFollower.java
@@ -41,15 +41,15 @@
 	/** An unanswered question is asked once more behind this time, in nanoseconds. */
 	private static final long AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+	/** The same for a whole table, which takes longer to send and to read. */
+	private static final long WHOLE_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
 	/**
 	 * What the store does not tell for so long is asked of another gateway, in
 	 * nanoseconds.
 	 */
 	private static final long GATEWAY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
-	/** The same for a whole table, which takes longer to send and to read. */
-	private static final long WHOLE_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
-
 	/**
 	 * A question for changes that waited so long when a check found changes is taken for
 	 * lost, in nanoseconds; its own answer may be on its way.
@@ -270,13 +270,26 @@
 			provenNanos.ifPresent((at) -> this.freshness.proven(at, Source.REPORT));
 		}
 		else if (newest > this.version) {
-			this.toldVersion = Math.max(this.toldVersion, newest);
-			// It may be that the answer to a question under way has it all.
-			this.nextGatewayNanos = this.waitingNanos.isPresent() ? this.nextGatewayNanos
-					: Optional.of(nowNanos + GATEWAY_NANOS);
+			noteMissing(newest, nowNanos);
 		}
 	}
 
+	private void noteMissing(long newest, long nowNanos) {
+		if (newest > this.toldVersion) {
+			this.toldVersion = newest;
+			this.nextGatewayNanos = Optional.of(nowNanos + GATEWAY_NANOS);
+		}
+	}
+
+	/**
+	 * The process stood still: what it knows is older than it looks.
+	 * @param nowNanos the time at which it went on
+	 */
+	public void paused(long nowNanos) {
+		this.own.forget(nowNanos);
+		this.freshness.forget(nowNanos);
+	}
+
 	// -- queries
 
 	/**
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/FreshnessTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/FreshnessTests.java
@@ -55,10 +55,23 @@
 	@Test
 	void shouldSeeNoOutageWhenTheProcessStoodStill() {
 		this.freshness.proven(100, Source.STORE);
-		this.freshness.forget();
+		this.freshness.forget(5_000);
 		assertThat(this.freshness.ageNanos(5_000)).isEmpty();
 		this.freshness.proven(5_000, Source.STORE);
 		assertThat(this.freshness.returnedNanos()).isEmpty();
 	}
 
+	// Guards against a VM that was suspended: what was asked or told before looks as
+	// young
+	// as it was then.
+	@Test
+	void shouldTakeNoProofOfBeforeThePause() {
+		this.freshness.forget(5_000);
+		this.freshness.proven(4_900, Source.STORE);
+		this.freshness.proven(5_100, Source.REPORT);
+		assertThat(this.freshness.ageNanos(5_200)).isEmpty();
+		this.freshness.proven(5_000, Source.STORE);
+		assertThat(this.freshness.ageNanos(5_200)).hasValue(200);
+	}
+
 }
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/TableFollowerTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/TableFollowerTests.java
@@ -171,6 +171,21 @@
 		assertThat(this.follower.tick(Role.RESTING, 200 * MILLI)).isEmpty();
 	}
 
+	// Guards against telling others of a proof that is older than the suspension of the
+	// VM.
+	@Test
+	void shouldProveNothingToOthersUntilStoreAnswersAgainBehindPause() {
+		Asked asked = only(Question.Check.class, this.follower.tick(Role.FIRST, 500 * MILLI));
+		this.follower.paused(600 * MILLI);
+		this.follower.answered(asked, 10, false, 610 * MILLI);
+		this.follower.told(10, true, Optional.of(605 * MILLI), 610 * MILLI);
+		assertThat(this.follower.isReading(610 * MILLI)).isFalse();
+		assertThat(this.follower.ownAgeNanos(610 * MILLI)).isEmpty();
+		Asked again = only(Question.Check.class, this.follower.tick(Role.FIRST, 610 * MILLI));
+		this.follower.answered(again, 11, true, 620 * MILLI);
+		assertThat(this.follower.ownAgeNanos(620 * MILLI)).hasValue(10 * MILLI);
+	}
+
 	private static Asked only(Class<? extends Question> kind, List<Asked> asked) {
 		assertThat(asked).hasSize(1);
 		assertThat(asked.getFirst().question()).isInstanceOf(kind);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -47,6 +47,9 @@
 	/** Changes came by another way than the question that waits for them at the store. */
 	FEED_LOST(2817),
 
+	/** An answer of the store was older than what is known, and proves nothing. */
+	ANSWER_OUTDATED(2818),
+
 	/** A row of our own could not be written or read; it is tried again. */
 	ROW_CALL_FAILED(2813),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -402,7 +402,7 @@
 			case Finding.Paused paused -> {
 				EventLog.warn(GatewayEvents.PAUSED, "millis", paused.millis(), "monotonicMillis",
 						paused.monotonicMillis());
-				this.tables.paused();
+				this.tables.paused(now);
 			}
 			case Finding.Suspended suspended -> {
 				EventLog.warn(GatewayEvents.PAUSED, "millis", suspended.millis(), "monotonicMillis",
@@ -411,7 +411,7 @@
 				// old.
 				this.lease.fenced();
 				this.fleet.forgetConfirmations();
-				this.tables.paused();
+				this.tables.paused(now);
 			}
 		}
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -71,6 +71,14 @@
 		this.watches.values().forEach((watch) -> watch.tick(this.role, nowNanos));
 	}
 
+	/**
+	 * The process stood still: what it knows is older than it looks.
+	 * @param nowNanos the time at which it went on
+	 */
+	void paused(long nowNanos) {
+		this.watches.values().forEach((watch) -> watch.paused(nowNanos));
+	}
+
 	// -- telling
 
 	/**
@@ -148,11 +156,6 @@
 
 	// -- hearing
 
-	/** This process stood still: what it knows is older than it looks. */
-	void paused() {
-		this.watches.values().forEach((watch) -> watch.known().freshness().forget());
-	}
-
 	/**
 	 * Takes what another gateway tells.
 	 * @param news what it tells
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -73,7 +73,7 @@
 	}
 
 	/**
-	 * Starts to follow a table; {@link #tick} asks for it.
+	 * A watch that has asked nothing yet; {@link #tick} asks.
 	 * @param store the store
 	 * @param table the table
 	 * @param known takes the rows, for other gateways
@@ -126,6 +126,14 @@
 		}
 	}
 
+	/**
+	 * The process stood still.
+	 * @param nowNanos the time at which it went on
+	 */
+	synchronized void paused(long nowNanos) {
+		this.follower.paused(nowNanos);
+	}
+
 	/**
 	 * Whether it reads the table from the store, which answers.
 	 * @param nowNanos the time
@@ -205,6 +213,7 @@
 		}
 		Answer answer = this.follower.answered(asked, page.version(), !page.rows().isEmpty(), System.nanoTime());
 		noteRegained(answer.failuresBefore());
+		noteOlder(answer.older(), page.version());
 		answer.lostFeed().ifPresent(this::giveUp);
 		if (answer.firstHand()) {
 			this.firstHandNanos = OptionalLong.of(System.nanoTime());
@@ -229,6 +238,13 @@
 		}
 	}
 
+	private void noteOlder(boolean older, long version) {
+		if (older) {
+			EventLog.warn(GatewayEvents.ANSWER_OUTDATED, "table", this.table, "version", version, "known",
+					this.known.version());
+		}
+	}
+
 	private void failed(Asked asked, Throwable failure) {
 		noteFailed(asked, failure).ifPresent(this::ask);
 	}
