Give the table of gateways a class of its own; tell failures that tests guard against in one line

GatewayProcess held how a gateway announces itself and finds the others beside all its wiring. Comments of constants and tests that told how they came about say what they guard against. No change of behaviour.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -43,9 +43,8 @@
 	private static final int AVOID_DOUBLINGS = 4;
 
 	/**
-	 * How long a server that crashed gets no calls, unless no other is left.
-	 * Registrations lapse within three heartbeats, which was seen to take up to 3.6 s; a
-	 * server that was wrongly taken for crashed gets calls again after that.
+	 * How long a server that crashed gets no calls, unless no other is left: longer than
+	 * its registration lasts without heartbeats.
 	 */
 	private static final long CRASHED_NANOS = TimeUnit.SECONDS.toNanos(4);
 
@@ -277,8 +276,7 @@
 
 	/**
 	 * Notes that a server crashed. Until its registration lapses it stands in the table
-	 * for some seconds, and each call sent there loses a round trip; calls that met three
-	 * such servers were refused.
+	 * for some seconds, and each call sent there loses a round trip.
 	 * @param server the start of the server
 	 * @param nowNanos the time
 	 */
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayDirectory.java
@@ -0,0 +1,109 @@
+package org.rosemaryfront.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.LongConsumer;
+
+import reactor.core.publisher.Mono;
+
+import org.rosemaryfront.fleet.Fleet;
+import org.rosemaryfront.peer.Addresses;
+import org.rosemaryfront.ports.RowStore;
+import org.rosemaryfront.ports.RowStore.Commit;
+import org.rosemaryfront.ports.RowStore.Row;
+import org.rosemaryfront.program.ControlLoop;
+
+/**
+ * The table of gateways: tells the others where this one is reached, and finds them.
+ * Until it was read once nobody knows who shares quotas and connections: a process that
+ * takes itself for the only gateway gives out the whole, and so does each of the others.
+ */
+final class GatewayDirectory implements TableWatch.Listener {
+
+	static final String TABLE = "gateways";
+
+	private static final Duration ANNOUNCE_AGAIN = Duration.ofSeconds(1);
+
+	private final RowStore rows;
+
+	private final GatewaySettings settings;
+
+	private final PeerExchange peers;
+
+	private final Fleet fleet;
+
+	private final ControlLoop control;
+
+	private final LongConsumer read;
+
+	private volatile boolean known;
+
+	/**
+	 * A directory that knows nobody yet.
+	 * @param rows the store
+	 * @param settings those of this gateway
+	 * @param peers told where others are reached
+	 * @param fleet told who may serve
+	 * @param control the thread of the two
+	 * @param read called there with the time once the whole table was read
+	 */
+	GatewayDirectory(RowStore rows, GatewaySettings settings, PeerExchange peers, Fleet fleet, ControlLoop control,
+			LongConsumer read) {
+		this.rows = rows;
+		this.settings = settings;
+		this.peers = peers;
+		this.fleet = fleet;
+		this.control = control;
+		this.read = read;
+	}
+
+	/** Writes where this gateway is reached, until the store has taken it. */
+	void announce() {
+		String address = Addresses.format(this.settings.peers());
+		Commit row = Commit.put(TABLE, this.settings.name(), address.getBytes(StandardCharsets.UTF_8));
+		this.rows.commit(row).subscribe((_) -> {
+		}, (failure) -> {
+			RowLog.failed(this.settings.name(), "write", failure);
+			Mono.delay(ANNOUNCE_AGAIN).subscribe((_) -> announce());
+		});
+	}
+
+	/**
+	 * Whether it is known which gateways there are.
+	 * @return true once the table was read
+	 */
+	boolean isKnown() {
+		return this.known;
+	}
+
+	@Override
+	public void all(List<Row> all, long version) {
+		this.control.post((now) -> {
+			all.forEach((row) -> found(row, now));
+			this.fleet.complete();
+			this.known = true;
+			this.read.accept(now);
+		});
+	}
+
+	@Override
+	public void changed(List<Row> changes, long version) {
+		this.control.post((now) -> changes.forEach((row) -> found(row, now)));
+	}
+
+	private void found(Row row, long now) {
+		if (row.value().isEmpty() || row.key().equals(this.settings.name())) {
+			return;
+		}
+		String address = new String(row.value().get(), StandardCharsets.UTF_8);
+		try {
+			this.peers.found(row.key(), Addresses.parse(address));
+			this.fleet.found(row.key(), now);
+		}
+		catch (IllegalArgumentException ex) {
+			RowLog.unreadable(row.key(), ex);
+		}
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -1,7 +1,6 @@
 package org.rosemaryfront.gateway;
 
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -29,13 +28,10 @@
 import org.rosemaryfront.fleet.Fleet;
 import org.rosemaryfront.fleet.Fleet.Sharing;
 import org.rosemaryfront.gateway.PauseWatch.Finding;
-import org.rosemaryfront.peer.Addresses;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.ports.Duties;
 import org.rosemaryfront.ports.RecordCodec;
 import org.rosemaryfront.ports.RowStore;
-import org.rosemaryfront.ports.RowStore.Commit;
-import org.rosemaryfront.ports.RowStore.Row;
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.program.Program;
 import org.rosemaryfront.quota.QuotaTable;
@@ -82,8 +78,6 @@
 	/** Heartbeats that a server misses until its registration lapses. */
 	private static final int REGISTRATION_HEARTBEATS = 3;
 
-	private static final String GATEWAYS_TABLE = "gateways";
-
 	/**
 	 * What gateways write of themselves they also tell in their reports: so many times
 	 * longer may pass until it is asked for.
@@ -139,8 +133,7 @@
 
 	private volatile boolean stopping;
 
-	/** Whether the table of gateways was read. */
-	private volatile boolean gatewaysKnown;
+	private final GatewayDirectory directory;
 
 	/** Whether all parts are there, so that the control thread may use them. */
 	private volatile boolean started;
@@ -194,6 +187,8 @@
 		this.gateway = Gateway.open(io, settings.callers(), platform.calls(), this.decisions, this.metrics);
 		this.tables = new SharedTables(platform.rows(), new PeerTables(loops, () -> this.tableAddresses));
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::heard);
+		this.directory = new GatewayDirectory(platform.rows(), settings, this.peers, this.fleet, this.control,
+				this::gatewaysRead);
 		this.news = new PlatformNews(platform.records(), this.control, this.servers, this.decisions, this.rollouts,
 				this.serversTable.freshness(), this::serverStartedAgain,
 				() -> this.metrics.count("servers.unreadable"));
@@ -215,7 +210,7 @@
 		// Last: from here on it is asked about all other parts.
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
 				Map.of(platform.records().configuration().table(), this.configurationTable,
-						platform.records().servers(), this.serversTable, GATEWAYS_TABLE, this.gatewaysTable,
+						platform.records().servers(), this.serversTable, GatewayDirectory.TABLE, this.gatewaysTable,
 						CrashRows.TABLE, this.crashesTable),
 				new OperatorsView());
 	}
@@ -286,7 +281,7 @@
 	}
 
 	private boolean isReady() {
-		return this.news.isComplete() && this.gatewaysKnown && this.crashes.isKnown() && !this.stopping;
+		return this.news.isComplete() && this.directory.isKnown() && this.crashes.isKnown() && !this.stopping;
 	}
 
 	// -- news of the platform
@@ -297,36 +292,17 @@
 		this.tables.follow(this.platform.records().configuration().table(), this.configurationTable, soon,
 				this.news.configuration());
 		this.tables.follow(this.platform.records().servers(), this.serversTable, soon, this.news.servers());
-		this.tables.follow(GATEWAYS_TABLE, this.gatewaysTable, later, new GatewayNews());
+		this.tables.follow(GatewayDirectory.TABLE, this.gatewaysTable, later, this.directory);
 		this.tables.follow(CrashRows.TABLE, this.crashesTable, later, this.crashes.listener());
-		announce();
+		this.directory.announce();
 		// Building the parts was no pause of the process.
 		this.pauses.look(System.nanoTime(), System.currentTimeMillis());
 		this.started = true;
 	}
 
-	private void announce() {
-		String address = Addresses.format(this.settings.peers());
-		Commit row = Commit.put(GATEWAYS_TABLE, this.settings.name(), address.getBytes(StandardCharsets.UTF_8));
-		this.platform.rows().commit(row).subscribe((_) -> {
-		}, (failure) -> {
-			RowLog.failed(this.settings.name(), "write", failure);
-			Mono.delay(Duration.ofSeconds(1)).subscribe((_) -> announce());
-		});
-	}
-
-	private void found(Row row, long now) {
-		if (row.value().isEmpty() || row.key().equals(this.settings.name())) {
-			return;
-		}
-		String address = new String(row.value().get(), StandardCharsets.UTF_8);
-		try {
-			this.peers.found(row.key(), Addresses.parse(address));
-			this.fleet.found(row.key(), now);
-		}
-		catch (IllegalArgumentException ex) {
-			RowLog.unreadable(row.key(), ex);
-		}
+	private void gatewaysRead(long now) {
+		this.decisions.gateways(this.fleet.serving(now));
+		this.awaited = true;
 	}
 
 	// -- the control thread
@@ -523,31 +499,6 @@
 		}
 	}
 
-	/**
-	 * Takes news of other gateways. Until the table was read once, no quota is given out:
-	 * a process that takes itself for the only gateway gives out the whole, and so does
-	 * each of the others.
-	 */
-	private final class GatewayNews implements TableWatch.Listener {
-
-		@Override
-		public void all(List<Row> rows, long version) {
-			GatewayProcess.this.control.post((now) -> {
-				rows.forEach((row) -> found(row, now));
-				GatewayProcess.this.fleet.complete();
-				GatewayProcess.this.decisions.gateways(GatewayProcess.this.fleet.serving(now));
-				GatewayProcess.this.gatewaysKnown = true;
-				GatewayProcess.this.awaited = true;
-			});
-		}
-
-		@Override
-		public void changed(List<Row> rows, long version) {
-			GatewayProcess.this.control.post((now) -> rows.forEach((row) -> found(row, now)));
-		}
-
-	}
-
 	/** Connects what is known of crashes with calls, connections and metrics. */
 	private final class CrashHooks implements CrashRecords.Hooks {
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BeliefsTests.java
@@ -39,8 +39,7 @@
 		}
 	}
 
-	// An operator's row cannot be read: whoever takes it as "no configuration" answers
-	// every caller with 404.
+	// Guards against taking a row that cannot be read for "no configuration".
 	@Test
 	void shouldKeepConfigurationWhenNewerCannotBeRead() throws IOException {
 		try (GatewayHarness gateway = GatewayHarness.start()) {
@@ -64,9 +63,7 @@
 		}
 	}
 
-	// The store turns one machine away and serves the others. A key is taken away
-	// meanwhile: at that machine it would open doors for as long as the store does so,
-	// and calls would go to servers that left.
+	// Guards against old keys and servers at a gateway that the store turns away.
 	@Test
 	void shouldLearnFromOtherGatewaysWhenStoreTurnsItAway() throws IOException {
 		try (GatewayHarness other = GatewayHarness.start();
@@ -113,8 +110,8 @@
 		}
 	}
 
-	// Another writer spoils the registration of a server; calls went on to the address of
-	// the good one before it.
+	// Guards against calling a server by the registration before the one that was
+	// spoiled.
 	@Test
 	void shouldSendNothingToServerWhoseRegistrationWasSpoiled() throws IOException {
 		try (GatewayHarness gateway = GatewayHarness.start();
@@ -129,9 +126,7 @@
 		}
 	}
 
-	// A server crashes without a word on its connections and starts again under its id.
-	// The caller of a call that it had waited until its time was over, for an answer
-	// that cannot come.
+	// Guards against waiting for answers of a server's earlier start.
 	@Test
 	void shouldEndCallsOfServerThatStartedAgain() throws IOException {
 		AtomicBoolean asked = new AtomicBoolean();
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FollowedTableTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FollowedTableTests.java
@@ -14,10 +14,7 @@
 
 	private final FollowedTable table = GatewayHarness.table();
 
-	// The store turned this process away, and it asked another one for the table; the
-	// store came back and told that a server leaves, and only then the other process
-	// answered with the older table. Taken, it made the server one that takes calls
-	// again.
+	// Guards against another gateway's older table that comes behind the store's news.
 	@Test
 	void shouldNotGoBackToOlderTable() {
 		assertThat(this.table.all(List.of(row("ready", 10)), 10)).isTrue();
@@ -34,7 +31,7 @@
 		assertThat(this.table.newerThan(10)).isEmpty();
 	}
 
-	// A row comes from another gateway before the store's own, older answer.
+	// Guards against a row of another gateway that comes before the store's older answer.
 	@Test
 	void shouldPassOverChangesKnownBefore() {
 		this.table.all(List.of(row("ready", 10)), 10);
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SharedTablesTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SharedTablesTests.java
@@ -34,9 +34,7 @@
 		this.fleet.forEach(GatewayHarness::close);
 	}
 
-	// Each gateway asked the store for each change: the calls grew with the gateways, at
-	// a
-	// start of all with their square.
+	// Guards against calls to the store that grow with the gateways.
 	@Test
 	void shouldReadChangesAtFewGatewaysAndTellAll() {
 		for (int i = 0; i < 5; i++) {
@@ -47,9 +45,7 @@
 		}
 	}
 
-	// A row that does not fit a datagram is read from the store by those that were told
-	// of
-	// it, and they go on to count on others.
+	// Guards against missing a row that does not fit a datagram.
 	@Test
 	void shouldReadWhatIsTooLargeToBeTold() {
 		this.store.put(GatewayHarness.SERVERS, "x".repeat(900), "app 127.0.0.1:1 ready");
@@ -57,7 +53,7 @@
 		GatewayHarness.await(() -> this.store.waiting(GatewayHarness.SERVERS) == READERS);
 	}
 
-	// The store turns away just those that read it for all.
+	// Guards against a store that turns away just those that read it for all.
 	@Test
 	void shouldReadForThemselvesWhenNoReaderIsLeft() {
 		List<GatewayHarness> readers = this.fleet.stream().filter(GatewayHarness::reads).toList();
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableWatchTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableWatchTests.java
@@ -23,7 +23,7 @@
 
 class TableWatchTests {
 
-	// A row of the first page changes while the second one is read, and stayed as it was.
+	// Guards against missing a row that changes while later pages are read.
 	@Test
 	void shouldAskForChangesSinceTheFirstOfSeveralPages() {
 		Sinks.One<Long> asked = Sinks.one();
@@ -53,8 +53,7 @@
 		}
 	}
 
-	// Servers of a zone that start one after the other cost a call to the store each, at
-	// each gateway that reads.
+	// Guards against a call for each of many changes that come together.
 	@Test
 	void shouldAskFewTimesForChangesThatComeTogether() {
 		AtomicInteger asked = new AtomicInteger();
