--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -1,20 +1,13 @@
 package org.rosemaryfront.gateway;
 
-import java.io.Closeable;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 
@@ -30,6 +23,7 @@
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.routes.ServiceSpec;
 import org.rosemaryfront.routes.TrafficConfiguration;
+import org.rosemaryfront.standin.net.FreePorts;
 import org.rosemaryfront.tables.Freshness;
 import org.rosemaryfront.tables.Role;
 
@@ -59,16 +53,6 @@
 
 	private static final Duration TICK = Duration.ofMillis(10);
 
-	private static final int FIRST_PORT = 20_000;
-
-	/** Where the ports begin that the system gives to outgoing connections. */
-	private static final int FIRST_SYSTEM_PORT = 32_768;
-
-	private static final int PORT_TRIES = 50;
-
-	/** A port that was found free is bound later, and must not be found free again. */
-	private static final Set<Integer> CHOSEN = ConcurrentHashMap.newKeySet();
-
 	final MemoryRowStore store;
 
 	final DeniableStore access;
@@ -110,7 +94,7 @@
 	}
 
 	private static GatewaySettings settings(String name, GatewaySettings.Bounds bounds) {
-		return new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), freeDatagram(), bounds);
+		return new GatewaySettings(name, "a", List.of("a"), free(), free(), "/ready", free(), free(), bounds);
 	}
 
 	/**
@@ -342,36 +326,7 @@
 	}
 
 	private static InetSocketAddress free() {
-		return free((port) -> new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
-	}
-
-	private static InetSocketAddress freeDatagram() {
-		return free((port) -> new DatagramSocket(port, InetAddress.getLoopbackAddress()));
-	}
-
-	// Not a port that the system chose: it gives the same ones to outgoing connections
-	// of all processes, and one that was free a moment ago is taken at times when it is
-	// bound.
-	private static InetSocketAddress free(Binding binding) {
-		for (int i = 0; i < PORT_TRIES; i++) {
-			int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, FIRST_SYSTEM_PORT);
-			if (!CHOSEN.add(port)) {
-				continue;
-			}
-			try (Closeable _ = binding.bind(port)) {
-				return new InetSocketAddress("127.0.0.1", port);
-			}
-			catch (IOException ex) {
-				// It is in use: the next one.
-			}
-		}
-		throw new AssertionError("no port is free");
-	}
-
-	private interface Binding {
-
-		Closeable bind(int port) throws IOException;
-
+		return new InetSocketAddress("127.0.0.1", FreePorts.one());
 	}
 
 }
