--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendingTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendingTests.java
@@ -1,9 +1,7 @@
 package org.rosemaryfront.gateway;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -15,6 +13,7 @@
 import org.rosemaryfront.routes.CallerLimits;
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.routes.TrafficConfiguration;
+import org.rosemaryfront.standin.net.FreePorts;
 import org.rosemaryfront.traffic.Call;
 import org.rosemaryfront.traffic.CallPolicy;
 import org.rosemaryfront.traffic.Gateway;
@@ -31,7 +30,7 @@
 	@Test
 	void shouldSendNothingToServerThatLeavesWhileTheConnectionIsMade() throws IOException {
 		LoopResources loops = LoopResources.create("test", 1, true);
-		InetSocketAddress address = free();
+		InetSocketAddress address = new InetSocketAddress("127.0.0.1", FreePorts.one());
 		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"));
 				ScriptedServer other = ScriptedServer.start((request, exchange) -> exchange.ok(request, "y"))) {
 			LeavingPolicy policy = new LeavingPolicy(backend("s1", server), backend("s2", other));
@@ -51,12 +50,6 @@
 		return new BackendServer(id, 0, "app", "v1", server.address(), "a", 8, false, false, 0);
 	}
 
-	private static InetSocketAddress free() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
-		}
-	}
-
 	/**
 	 * Sends each call to a server that leaves at that moment, and then to another one.
 	 */
