Log how long a server was silent when a call failed or ran out of time there

A failed call told its cause and no more, so that a slow server, a server that is gone and a path that is gone looked alike where a call ended by its time limit. E2703 and E2705 now tell for how long nothing was received from that server on any connection, and E2703 whether the connection had carried a call before. Three of the incident's hypotheses differ in them: no other way (refused at once, silent since the cut), false crashes (a server that others hear from), trusted silent connections (reused, silent as long as the call).

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -636,7 +636,8 @@
 		this.state = State.DECIDING;
 		EventLog.info(TrafficEvents.CALL_FAILED, "request", id(), "digest", digestText(), "server", failedServer.id(),
 				"started", failedServer.startedMillis(), "verdict", verdict.code(), "cause", cause, "answering",
-				this.responseStarted, "sendMillis", this.sendMillis, "millis", ageMillis());
+				this.responseStarted, "reused", sent && this.connection.isReused(), "serverSilentMillis",
+				silentMillis(failedServer), "sendMillis", this.sendMillis, "millis", ageMillis());
 		if (verdict instanceof Verdict.MayHaveRun) {
 			// The server may have started the call, so it is counted as usage of its
 			// organisation.
@@ -661,7 +662,8 @@
 	private void logRefusal(int status, Refusal refusal, long retryAfterMillis) {
 		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "digest", digestText(), "route", this.route.name(),
 				"organisation", organisationName(), "status", status, "reason", refusal.cause(), "detail",
-				refusal.detail(), "retryAfterMillis", retryAfterMillis, "state", this.state, "targetMillis",
+				refusal.detail(), "retryAfterMillis", retryAfterMillis, "state", this.state, "server", serverId(),
+				"serverSilentMillis", this.server.map(this::silentMillis).orElse("none"), "targetMillis",
 				this.route.targetMillis(), "millis", ageMillis());
 		this.gateway.metrics().refused(status);
 	}
@@ -757,6 +759,14 @@
 		return this.server.map(BackendServer::id).orElse("none");
 	}
 
+	// How long nothing was received from a server, which tells a slow response from a
+	// lost
+	// path.
+	private String silentMillis(BackendServer from) {
+		OptionalLong silent = this.gateway.pool().silentMillis(from.incarnation(), System.nanoTime());
+		return silent.isPresent() ? String.valueOf(silent.getAsLong()) : "none";
+	}
+
 	private int statusCode() {
 		return this.response.map((given) -> given.status().code()).orElse(0);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -158,6 +159,18 @@
 		}
 	}
 
+	/**
+	 * Returns how long nothing was received from a server, on any connection.
+	 * @param server the start of the server
+	 * @param nowNanos the current time
+	 * @return the time in milliseconds, empty if no connection to it was opened yet
+	 */
+	OptionalLong silentMillis(BackendServer.Incarnation server, long nowNanos) {
+		Connections connections = this.servers.get(server);
+		return (connections == null) ? OptionalLong.empty()
+				: OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(nowNanos - connections.lastReceivedNanos));
+	}
+
 	void release(ServerConnection channel) {
 		Connections connections = this.owners.get(channel);
 		if (connections != null) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -61,6 +61,9 @@
 
 	private boolean reusable = true;
 
+	/** The number of calls that were started on this connection. */
+	private int callCount;
+
 	private boolean failed;
 
 	private long idleSinceNanos;
@@ -85,6 +88,15 @@
 		this.skippingResponse = false;
 		this.headReceived = false;
 		this.requestWritten = false;
+		this.callCount++;
+	}
+
+	/**
+	 * Returns whether the current call is not the first one on this connection.
+	 * @return false for a connection that was opened for the call
+	 */
+	boolean isReused() {
+		return this.callCount > 1;
 	}
 
 	/**
