--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -149,6 +149,27 @@
 			.toList();
 	}
 
+	/**
+	 * Starts gateways that share a store, each with its own addresses of the servers.
+	 * @param store the store
+	 * @param codecs the codecs of each gateway
+	 * @return the gateways
+	 */
+	static List<GatewayHarness> startFleet(MemoryRowStore store, List<PlainCodecs> codecs) {
+		return IntStream.range(0, codecs.size()).mapToObj((i) -> startOne(store, i + 1, codecs.get(i))).toList();
+	}
+
+	/**
+	 * Starts one gateway of a fleet.
+	 * @param store the store
+	 * @param number the number of the gateway, from 1 on
+	 * @param codecs its codecs
+	 * @return the gateway
+	 */
+	static GatewayHarness startOne(MemoryRowStore store, int number, PlainCodecs codecs) {
+		return new GatewayHarness("gateway-" + number, 5_000, STOP_MILLIS, QUOTA_WINDOW_MILLIS, store, codecs);
+	}
+
 	// -- declared configuration
 
 	static TrafficConfiguration configuration(long version, CallerLimits limits, Organisation... organisations) {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -28,7 +29,28 @@
 
 	private static final String ROLLOUT = "rollout/";
 
-	private final Map<String, TrafficConfiguration> configurations = new ConcurrentHashMap<>();
+	private final Map<String, TrafficConfiguration> configurations;
+
+	private final UnaryOperator<String> addresses;
+
+	private PlainCodecs(Map<String, TrafficConfiguration> configurations, UnaryOperator<String> addresses) {
+		this.configurations = configurations;
+		this.addresses = addresses;
+	}
+
+	PlainCodecs() {
+		this(new ConcurrentHashMap<>(), UnaryOperator.identity());
+	}
+
+	/**
+	 * Returns codecs for a gateway that reaches the servers at other addresses than those
+	 * registered.
+	 * @param translation translates a registered address
+	 * @return the codecs
+	 */
+	PlainCodecs withServersAt(UnaryOperator<String> translation) {
+		return new PlainCodecs(this.configurations, translation);
+	}
 
 	/**
 	 * Registers a configuration so that its row can be decoded.
@@ -138,8 +160,8 @@
 		long started = (parts.length > 3) ? Long.parseLong(parts[3]) : BackendServer.START_UNKNOWN;
 		String version = (parts.length > 4) ? parts[4] : "v1";
 		long sequence = (parts.length > 5) ? Long.parseLong(parts[5]) : 0;
-		return new BackendServer(id, started, parts[0], version, parts[1], "a", 8, parts[2].equals("leaving"), false,
-				sequence);
+		return new BackendServer(id, started, parts[0], version, this.addresses.apply(parts[1]), "a", 8,
+				parts[2].equals("leaving"), false, sequence);
 	}
 
 }
