--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 
@@ -402,14 +401,10 @@
 
 	/**
 	 * Returns the servers that are eligible for new calls.
-	 * @return the runs of the servers
+	 * @return the servers
 	 */
-	public Set<Incarnation> eligibleServers() {
-		return this.rows.values()
-			.stream()
-			.filter(BackendRow::isEligible)
-			.map((row) -> row.server.incarnation())
-			.collect(Collectors.toUnmodifiableSet());
+	public List<BackendServer> eligibleServers() {
+		return this.rows.values().stream().filter(BackendRow::isEligible).map((row) -> row.server).toList();
 	}
 
 	// The servers of a service that are eligible for new calls, without those already
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
@@ -56,6 +56,9 @@
 
 	private boolean ran;
 
+	/** Whether the call does not count as load of its server any more. */
+	private boolean loadReleased;
+
 	private int unsentAttempts;
 
 	private CallProgress(PromptPrefix prefix) {
@@ -88,6 +91,7 @@
 
 	void sent(Choice.Chosen chosen, long nowNanos) {
 		this.tried.add(chosen.server().id());
+		this.loadReleased = false;
 		this.server = Optional.of(chosen.server().incarnation());
 		this.uncachedTokens = chosen.uncachedTokens();
 		this.expectedMillis = chosen.expectedMillis();
@@ -107,6 +111,20 @@
 		return taking.sharing().group() + "/" + taking.sharing().members();
 	}
 
+	/**
+	 * Records that the call does not count as load of its server any more.
+	 * @return false if this was recorded before
+	 */
+	boolean releaseLoad() {
+		boolean counted = !this.loadReleased;
+		this.loadReleased = true;
+		return counted;
+	}
+
+	boolean isLoadReleased() {
+		return this.loadReleased;
+	}
+
 	/** Records that the call did not reach the server chosen for it. */
 	void notSent() {
 		this.unsentAttempts++;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongConsumer;
 import java.util.stream.Collectors;
 
@@ -106,7 +107,7 @@
 	private volatile Optional<StopTimes> stop = Optional.empty();
 
 	/** The servers that accept calls; read on the traffic thread. */
-	private volatile Set<BackendServer.Incarnation> eligibleServers = Set.of();
+	private volatile Map<BackendServer.Incarnation, BackendServer> eligibleServers = Map.of();
 
 	/** The store version and the time of the last update of the server table. */
 	private long serversVersion;
@@ -172,7 +173,12 @@
 
 	@Override
 	public boolean acceptsCalls(BackendServer server) {
-		return this.eligibleServers.contains(server.incarnation());
+		return this.eligibleServers.containsKey(server.incarnation());
+	}
+
+	@Override
+	public Optional<BackendServer> eligibleServer(BackendServer.Incarnation server) {
+		return Optional.ofNullable(this.eligibleServers.get(server));
 	}
 
 	@Override
@@ -202,6 +208,11 @@
 		this.callLimits.stated(server, requestId, limit, sentNanos);
 	}
 
+	@Override
+	public void pathLost(Call call) {
+		this.loop.post((_) -> Optional.ofNullable(this.calls.get(call)).ifPresent(this::releaseLoad));
+	}
+
 	@Override
 	public void failed(Call call, BackendServer server, Failure failure) {
 		this.loop.post((nowNanos) -> failed(call, server, failure, nowNanos));
@@ -215,20 +226,48 @@
 			progress.ifPresent(this::promptPrefilled);
 			switch (ending) {
 				case RESPONDED -> {
-					this.servers.recordCallEnd(server.incarnation(), false, nowNanos);
+					recordCallEnd(progress, server, false, nowNanos);
 					progress.ifPresent((known) -> this.crashGuard.answered(call, server, known.sentNanos(), nowNanos));
 				}
 				// An unresponsive server still accepts calls on open connections and
 				// never responds, so only missing responses reveal it.
 				case TIMED_OUT -> {
-					this.servers.recordCallEnd(server.incarnation(), true, nowNanos);
-					this.rollouts.failed(call.service(), call.route().name(), server);
+					if (recordCallEnd(progress, server, true, nowNanos)) {
+						this.rollouts.failed(call.service(), call.route().name(), server);
+					}
+				}
+				case ABANDONED -> {
+					if (!isLoadReleased(progress)) {
+						this.servers.recordCallCancelled(server.incarnation());
+					}
 				}
-				case ABANDONED -> this.servers.recordCallCancelled(server.incarnation());
 			}
 		});
 	}
 
+	// What the server still does for a call behind a lost path is not known here, and
+	// would otherwise keep all gateways from sending it calls.
+	private void releaseLoad(CallProgress progress) {
+		if (progress.releaseLoad()) {
+			progress.server().ifPresent(this.servers::recordCallCancelled);
+			promptPrefilled(progress);
+		}
+	}
+
+	// Returns whether the end says something about the server.
+	private boolean recordCallEnd(Optional<CallProgress> progress, BackendServer server, boolean failed,
+			long nowNanos) {
+		if (isLoadReleased(progress)) {
+			return false;
+		}
+		this.servers.recordCallEnd(server.incarnation(), failed, nowNanos);
+		return true;
+	}
+
+	private static boolean isLoadReleased(Optional<CallProgress> progress) {
+		return progress.map(CallProgress::isLoadReleased).orElse(false);
+	}
+
 	@Override
 	public void endedWithoutServer(Call call) {
 		this.loop.post((nowNanos) -> {
@@ -393,10 +432,8 @@
 	}
 
 	private void failed(Call call, BackendServer server, Failure failure, long nowNanos) {
-		this.crashGuard.failed(call, server, failure, nowNanos);
-		boolean serverFault = !(failure.responded() && failure.verdict() instanceof Verdict.NotRun);
 		CallProgress progress = this.calls.get(call);
-		this.servers.recordCallEnd(server.incarnation(), serverFault, nowNanos);
+		recordFailure(call, Optional.ofNullable(progress), server, failure, nowNanos);
 		if (progress == null) {
 			return;
 		}
@@ -404,7 +441,6 @@
 		boolean notRun = failure.verdict() instanceof Verdict.NotRun;
 		if (!notRun) {
 			progress.mayHaveRun();
-			this.rollouts.failed(call.service(), call.route().name(), server);
 		}
 		Optional<Refusal> quarantine = this.crashGuard.quarantineRefusal(call);
 		if (quarantine.isPresent()) {
@@ -423,6 +459,20 @@
 		}
 	}
 
+	private void recordFailure(Call call, Optional<CallProgress> progress, BackendServer server, Failure failure,
+			long nowNanos) {
+		if (failure.pathLost()) {
+			this.servers.recordCallCancelled(server.incarnation());
+			return;
+		}
+		boolean notRun = failure.verdict() instanceof Verdict.NotRun;
+		this.crashGuard.failed(call, server, failure, nowNanos);
+		boolean counted = recordCallEnd(progress, server, !(failure.responded() && notRun), nowNanos);
+		if (counted && !notRun) {
+			this.rollouts.failed(call.service(), call.route().name(), server);
+		}
+	}
+
 	// Returns why a call must not be retried, empty if it may be. A call that may have
 	// run is retried only if its route is repeatable, that is, running it twice does no
 	// harm.
@@ -492,7 +542,9 @@
 
 	/** Refreshes the set of servers that accept calls. */
 	void serversChanged() {
-		this.eligibleServers = this.servers.eligibleServers();
+		this.eligibleServers = this.servers.eligibleServers()
+			.stream()
+			.collect(Collectors.toUnmodifiableMap(BackendServer::incarnation, Function.identity()));
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -205,7 +205,8 @@
 				this.serversTable.freshness(), this::catchUp);
 		// The thread of all sockets.
 		EventLoop io = loops.onServer(false).next();
-		this.gateway = Gateway.open(io, settings.callers(), platform.calls(), this.decisions, this.metrics);
+		this.gateway = Gateway.open(io, new Gateway.Addresses(settings.callers(), settings.tunnels()), settings.zone(),
+				platform.calls(), this.decisions, this.metrics);
 		this.tables = new SharedTables(platform.rows(), new PeerTables(loops, () -> this.tableAddresses));
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::enqueueReport);
 		this.directory = new GatewayDirectory(platform.rows(), settings, this.peers, this.fleet, this.control,
@@ -220,7 +221,7 @@
 				this::onControl);
 		this.reports = new GatewayReports(this.peers, this.fleet, this.servers, this.quotas, this.decisions, this.usage,
 				this.usageDuty, this.crashes, this.lease, this.tables, this.rollouts, this.rolloutDuty, this.callLimits,
-				settings);
+				this.gateway::serversOutOfReach, settings);
 		this.sizeDuty = new SizeDuty(this.servers,
 				(service) -> this.decisions.dispatcher().model(service).prefillTokensPerMilli(),
 				this.rollouts::countsTowardsCapacity, this.callLimits::hasLimit, platform.duties(), settings.zones(),
@@ -437,6 +438,7 @@
 	private void runDuties(long now) {
 		this.reports.handleTimeouts(now);
 		this.tableAddresses = this.peers.tableAddresses(this.fleet::isLive);
+		this.gateway.gateways(this.peers.carriers(this.fleet::isLive), this.peers.gatewayAddresses());
 		this.decisions.gateways(this.fleet.servingCount(now));
 		this.tables.role(this.fleet.role(this.settings.name(), now));
 		logSharing(now);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 import com.google.protobuf.ByteString;
 
@@ -67,8 +68,15 @@
 
 	private final String self;
 
+	private final String zone;
+
 	private final int adminPort;
 
+	private final int tunnelPort;
+
+	/** Returns the number of servers that this gateway does not reach itself. */
+	private final IntSupplier serversOutOfReach;
+
 	/** The prompt tokens last reported by each start of another gateway. */
 	private final Map<String, Long> reportedPrefillTokens = new HashMap<>();
 
@@ -76,8 +84,10 @@
 
 	GatewayReports(PeerExchange peers, Fleet fleet, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
 			UsageLedger usage, UsageDuty usageDuty, CrashRecords crashes, DutyLease lease, SharedTables tables,
-			Rollouts rollouts, RolloutDuty rolloutDuty, CallLimits limits, GatewaySettings settings) {
+			Rollouts rollouts, RolloutDuty rolloutDuty, CallLimits limits, IntSupplier serversOutOfReach,
+			GatewaySettings settings) {
 		this.limits = limits;
+		this.serversOutOfReach = serversOutOfReach;
 		this.rollouts = rollouts;
 		this.rolloutDuty = rolloutDuty;
 		this.lease = lease;
@@ -91,7 +101,9 @@
 		this.usageDuty = usageDuty;
 		this.crashes = crashes;
 		this.self = settings.name();
+		this.zone = settings.zone();
 		this.adminPort = settings.metrics().getPort();
+		this.tunnelPort = settings.tunnels().getPort();
 	}
 
 	/**
@@ -123,7 +135,9 @@
 		int number = this.peers.nextNumber();
 		if (number % SPEED_REPORT_INTERVAL == 1) {
 			addSpeeds(report);
+			report.setZone(this.zone);
 		}
+		report.setTunnelPort(this.tunnelPort).setServersOutOfReach(this.serversOutOfReach.getAsInt());
 		report.setReadingTokens(this.decisions.prefillTokens()).setLeaving(leaving).setAdminPort(this.adminPort);
 		report.addAllRollouts(this.rollouts
 			.updates((service) -> this.lease.mayAct(now) ? this.rolloutDuty.phase(service) : Optional.empty(), now));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
@@ -15,11 +15,12 @@
  * @param readinessPath the path of that probe
  * @param metrics the address that serves metrics
  * @param peers the address that receives datagrams of other gateways
+ * @param tunnels the address that accepts calls of other gateways
  * @param bounds the time limits and shares that users rely on
  */
 public record GatewaySettings(String name, String zone, List<String> zones, InetSocketAddress callers,
 		InetSocketAddress readiness, String readinessPath, InetSocketAddress metrics, InetSocketAddress peers,
-		Bounds bounds) {
+		InetSocketAddress tunnels, Bounds bounds) {
 
 	public GatewaySettings {
 		Objects.requireNonNull(name, "name is null");
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -10,9 +11,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -21,6 +24,8 @@
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet.Confirmation;
 import org.rosemaryfront.gateway.proto.GatewayReport;
+import org.rosemaryfront.paths.Carrier;
+import org.rosemaryfront.peer.Addresses;
 import org.rosemaryfront.peer.UdpSocket;
 import org.rosemaryfront.peer.UdpSocket.Datagram;
 
@@ -192,6 +197,9 @@
 		peer.hasReported = true;
 		peer.address = received.from();
 		peer.adminPort = received.report().getAdminPort();
+		peer.tunnelPort = received.report().getTunnelPort();
+		peer.serversOutOfReach = received.report().getServersOutOfReach();
+		peer.zone = received.report().getZone().isEmpty() ? peer.zone : received.report().getZone();
 	}
 
 	/**
@@ -209,6 +217,30 @@
 		return addresses;
 	}
 
+	/**
+	 * Returns the live gateways that can carry calls.
+	 * @param isLive tests whether a gateway is live
+	 * @return the gateways
+	 */
+	List<Carrier> carriers(Predicate<String> isLive) {
+		List<Carrier> carriers = new ArrayList<>();
+		this.peers.forEach((gateway, peer) -> {
+			if (peer.tunnelPort > 0 && isLive.test(gateway)) {
+				InetSocketAddress address = new InetSocketAddress(peer.address.getAddress(), peer.tunnelPort);
+				carriers.add(new Carrier(gateway, Addresses.format(address), peer.zone, peer.serversOutOfReach));
+			}
+		});
+		return carriers;
+	}
+
+	/**
+	 * Returns the IP addresses of the other gateways, live or not.
+	 * @return the addresses
+	 */
+	Set<InetAddress> gatewayAddresses() {
+		return this.peers.values().stream().map((peer) -> peer.address.getAddress()).collect(Collectors.toSet());
+	}
+
 	@Override
 	public void close() {
 		this.socket.close();
@@ -234,6 +266,14 @@
 		/** The port that serves its tables; 0 before its first report was received. */
 		private int adminPort;
 
+		/** The port that accepts calls; 0 while it is unknown or there is none. */
+		private int tunnelPort;
+
+		private int serversOutOfReach;
+
+		/** Its availability zone; empty while it is unknown. */
+		private String zone = "";
+
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -417,7 +417,7 @@
 		}
 		this.server = Optional.of(to);
 		this.state = State.CONNECTING;
-		this.gateway.pool().acquire(to, maxConnections, this::connected, this::connectFailed);
+		this.gateway.pool().acquire(to, id(), maxConnections, this::connected, this::connectFailed);
 	}
 
 	private void connectFailed(String cause) {
@@ -456,6 +456,7 @@
 		this.sendCount++;
 		this.sentNanos = System.nanoTime();
 		this.sendMillis = TimeUnit.NANOSECONDS.toMillis(this.sentNanos - this.chosenNanos);
+		to.carrier().ifPresent(this::tunnelled);
 		clearErrorResponse();
 		to.startCall(id(), this);
 		to.write(serverRequest());
@@ -471,6 +472,12 @@
 		}
 	}
 
+	private void tunnelled(String carrier) {
+		this.gateway.metrics().increment("calls.tunnelled");
+		EventLog.info(TrafficEvents.CALL_TUNNELLED, "request", id(), "server", serverId(), "gateway", carrier,
+				"sendMillis", this.sendMillis);
+	}
+
 	private void clearErrorResponse() {
 		this.errorResponseComplete = false;
 		this.responseBuffer.release();
@@ -580,6 +587,22 @@
 		}
 	}
 
+	// A call that can be sent again is, since its response is not to be expected. Any
+	// other one waits, because the path may come back before its deadline.
+	@Override
+	public void pathLost() {
+		if (this.state != State.SENT) {
+			return;
+		}
+		if (this.route.retryable() && canResend()) {
+			this.connection.abort();
+			attemptFailed(Verdict.mayHaveRun(), true, false, "the path to the server is lost", true);
+		}
+		else {
+			this.gateway.policy().pathLost(this);
+		}
+	}
+
 	@Override
 	public void requestWritable() {
 		this.caller.setReading(true);
@@ -630,6 +653,10 @@
 	// -- end of the call
 
 	private void attemptFailed(Verdict verdict, boolean sent, boolean responded, String cause) {
+		attemptFailed(verdict, sent, responded, cause, false);
+	}
+
+	private void attemptFailed(Verdict verdict, boolean sent, boolean responded, String cause, boolean pathLost) {
 		BackendServer failedServer = this.server.orElseThrow();
 		this.server = Optional.empty();
 		this.eventFramer.ifPresent(EventFramer::discardIncomplete);
@@ -637,13 +664,15 @@
 		EventLog.info(TrafficEvents.CALL_FAILED, "request", id(), "digest", digestText(), "server", failedServer.id(),
 				"started", failedServer.startedMillis(), "verdict", verdict.code(), "cause", cause, "answering",
 				this.responseStarted, "reused", sent && this.connection.isReused(), "serverSilentMillis",
-				silentMillis(failedServer), "sendMillis", this.sendMillis, "millis", ageMillis());
+				silentMillis(failedServer), "pathLost", pathLost, "carrier", sent ? carrierName() : "none",
+				"sendMillis", this.sendMillis, "millis", ageMillis());
 		if (verdict instanceof Verdict.MayHaveRun) {
 			// The server may have started the call, so it is counted as usage of its
 			// organisation.
 			markRunStarted();
 		}
-		this.gateway.policy().failed(this, failedServer, new CallPolicy.Failure(verdict, sent, responded, cause));
+		this.gateway.policy()
+			.failed(this, failedServer, new CallPolicy.Failure(verdict, sent, responded, cause, pathLost));
 	}
 
 	private void refuseNow(int status, long retryAfterMillis, Refusal refusal) {
@@ -663,8 +692,9 @@
 		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "digest", digestText(), "route", this.route.name(),
 				"organisation", organisationName(), "status", status, "reason", refusal.cause(), "detail",
 				refusal.detail(), "retryAfterMillis", retryAfterMillis, "state", this.state, "server", serverId(),
-				"serverSilentMillis", this.server.map(this::silentMillis).orElse("none"), "targetMillis",
-				this.route.targetMillis(), "millis", ageMillis());
+				"carrier", (this.state == State.SENT) ? carrierName() : "none", "serverSilentMillis",
+				this.server.map(this::silentMillis).orElse("none"), "targetMillis", this.route.targetMillis(), "millis",
+				ageMillis());
 		this.gateway.metrics().refused(status);
 	}
 
@@ -763,8 +793,11 @@
 	// lost
 	// path.
 	private String silentMillis(BackendServer from) {
-		OptionalLong silent = this.gateway.pool().silentMillis(from.incarnation(), System.nanoTime());
-		return silent.isPresent() ? String.valueOf(silent.getAsLong()) : "none";
+		return this.gateway.pool().silentText(from.incarnation());
+	}
+
+	private String carrierName() {
+		return this.connection.carrier().orElse("none");
 	}
 
 	private int statusCode() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -53,6 +53,14 @@
 	 */
 	boolean acceptsCalls(BackendServer server);
 
+	/**
+	 * Returns a server that another gateway names, so that calls of that gateway can be
+	 * carried to it.
+	 * @param server the start of the server
+	 * @return the server, empty if it does not accept calls or is not known
+	 */
+	Optional<BackendServer> eligibleServer(BackendServer.Incarnation server);
+
 	/**
 	 * Called when a call is ready to be sent to a backend server.
 	 * @param call the call
@@ -75,6 +83,13 @@
 	 */
 	void limitStated(BackendServer server, String requestId, StatedLimit limit, long sentNanos);
 
+	/**
+	 * Called when a call is not expected to get a response of its backend server any
+	 * more, but waits for it, since it must not be sent again.
+	 * @param call the call
+	 */
+	void pathLost(Call call);
+
 	/**
 	 * Called when an attempt at a backend server failed.
 	 * @param call the call
@@ -119,8 +134,9 @@
 	 * @param responded whether the server sent a complete error response, which the call
 	 * keeps
 	 * @param cause the cause, for the log
+	 * @param pathLost whether the path to the server failed and not the server
 	 */
-	record Failure(Verdict verdict, boolean sent, boolean responded, String cause) {
+	record Failure(Verdict verdict, boolean sent, boolean responded, String cause, boolean pathLost) {
 	}
 
 }
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
@@ -0,0 +1,226 @@
+package org.rosemaryfront.traffic;
+
+import java.io.IOException;
+import java.util.Optional;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.BackendServer.Incarnation;
+import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.gateway.proto.TunnelFrame;
+import org.rosemaryfront.gateway.proto.TunnelOpen;
+import org.rosemaryfront.peer.Addresses;
+
+/**
+ * The end of a tunnel at the gateway that carries the calls: passes bytes between the
+ * other gateway and one connection to a backend server. It never uses another gateway
+ * itself.
+ */
+final class CarriedConnection extends SimpleChannelInboundHandler<TunnelFrame> {
+
+	/** Less than the other gateway waits for the answer, in milliseconds. */
+	private static final int CONNECT_TIMEOUT_MILLIS = 200;
+
+	private final TunnelServer owner;
+
+	private final SocketChannel tunnel;
+
+	private Optional<BackendServer> server = Optional.empty();
+
+	private Optional<Channel> serverChannel = Optional.empty();
+
+	private boolean callActive;
+
+	CarriedConnection(TunnelServer owner, SocketChannel tunnel) {
+		this.owner = owner;
+		this.tunnel = tunnel;
+	}
+
+	boolean hasCall() {
+		return this.callActive;
+	}
+
+	void close() {
+		this.tunnel.close();
+	}
+
+	// -- frames of the other gateway
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, TunnelFrame frame) {
+		switch (frame.getContentCase()) {
+			case OPEN -> open(frame.getOpen());
+			case CALL -> beginCall(frame.getCall());
+			case DATA -> forward(frame);
+			case IDLE -> this.callActive = false;
+			case OPENED, REFUSED, CLOSED, FAILURE, CONTENT_NOT_SET ->
+				fail("unexpected frame " + frame.getContentCase());
+		}
+	}
+
+	private void open(TunnelOpen open) {
+		Optional<BackendServer> found = this.owner.policy()
+			.eligibleServer(new Incarnation(open.getServer(), open.getStartedMillis()));
+		if (this.server.isPresent()) {
+			fail("a second server for one tunnel");
+		}
+		else if (this.owner.policy().isStopping()) {
+			refuse("", "the gateway is stopping", false);
+		}
+		else if (found.isEmpty()) {
+			refuse("", "the server " + open.getServer() + " is not known or draining", false);
+		}
+		else if (!this.owner.add(this)) {
+			refuse("", "too many tunnels", false);
+		}
+		else {
+			this.server = found;
+			connect(found.get());
+		}
+	}
+
+	private void connect(BackendServer to) {
+		ChannelFuture connecting = new Bootstrap().group(this.owner.loop())
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.SO_KEEPALIVE, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+			.handler(new ServerSide())
+			.connect(Addresses.parse(to.address()));
+		connecting.addListener((_) -> connected(connecting));
+	}
+
+	private void connected(ChannelFuture connecting) {
+		if (!this.tunnel.isActive()) {
+			connecting.channel().close();
+		}
+		else if (!connecting.isSuccess()) {
+			refuse("", String.valueOf(connecting.cause().getMessage()), true);
+		}
+		else {
+			this.serverChannel = Optional.of(connecting.channel());
+			this.tunnel.writeAndFlush(TunnelPipeline.OPENED);
+		}
+	}
+
+	// The server may have started to drain since the tunnel was opened.
+	private void beginCall(String requestId) {
+		boolean connected = this.serverChannel.filter(Channel::isActive).isPresent();
+		if (this.owner.policy().isStopping()) {
+			refuse(requestId, "the gateway is stopping", false);
+		}
+		else if (!connected || !this.owner.policy().acceptsCalls(this.server.orElseThrow())) {
+			refuse(requestId, connected ? "the server is draining" : "the connection to the server was closed", false);
+		}
+		else {
+			this.callActive = true;
+			this.owner.metrics().increment("calls.carried");
+			EventLog.info(TrafficEvents.CALL_CARRIED, "request", requestId, "server", this.server.get().id(), "gateway",
+					this.tunnel.remoteAddress());
+			this.tunnel.writeAndFlush(TunnelPipeline.OPENED);
+		}
+	}
+
+	// Deferred, so that the end of the tunnel is noticed if it was received together with
+	// the bytes, as after a pause of this process: the call is then over.
+	private void forward(TunnelFrame frame) {
+		this.owner.loop().execute(() -> {
+			if (this.tunnel.isActive() && this.callActive && this.serverChannel.isPresent()) {
+				Channel to = this.serverChannel.get();
+				to.writeAndFlush(TunnelPipeline.bytes(frame));
+				this.tunnel.config().setAutoRead(to.isWritable());
+			}
+		});
+	}
+
+	private void refuse(String requestId, String cause, boolean unreachable) {
+		this.owner.metrics().increment("tunnels.refused");
+		EventLog.info(TrafficEvents.TUNNEL_REFUSED, "request", requestId, "server",
+				this.server.map(BackendServer::id).orElse("none"), "from", this.tunnel.remoteAddress(), "cause", cause,
+				"serverUnreachable", unreachable);
+		end(TunnelPipeline.refused(cause, unreachable));
+	}
+
+	private void end(TunnelFrame last) {
+		this.callActive = false;
+		this.tunnel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+	}
+
+	private void fail(String cause) {
+		EventLog.warn(TrafficEvents.TUNNEL_FAILED, "from", this.tunnel.remoteAddress(), "cause", cause);
+		this.tunnel.close();
+	}
+
+	// -- events of the tunnel
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		this.serverChannel.ifPresent((channel) -> channel.config().setAutoRead(this.tunnel.isWritable()));
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.callActive = false;
+		this.owner.remove(this);
+		this.serverChannel.ifPresent(Channel::close);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		// A gateway that is killed or paused resets its connections.
+		if (cause instanceof IOException) {
+			this.tunnel.close();
+		}
+		else {
+			fail(String.valueOf(cause.getMessage()));
+		}
+	}
+
+	/** The connection to the server. */
+	private final class ServerSide extends ChannelInboundHandlerAdapter {
+
+		private Optional<String> failure = Optional.empty();
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			CarriedConnection.this.tunnel.write(TunnelPipeline.data((ByteBuf) message));
+		}
+
+		@Override
+		public void channelReadComplete(ChannelHandlerContext context) {
+			CarriedConnection.this.tunnel.flush();
+			context.channel().config().setAutoRead(CarriedConnection.this.tunnel.isWritable());
+		}
+
+		@Override
+		public void channelWritabilityChanged(ChannelHandlerContext context) {
+			CarriedConnection.this.tunnel.config().setAutoRead(context.channel().isWritable());
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			if (CarriedConnection.this.tunnel.isActive()) {
+				end(this.failure.map(TunnelPipeline::failure).orElse(TunnelPipeline.CLOSED));
+			}
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			this.failure = Optional.of(String.valueOf(cause.getMessage()));
+			context.close();
+		}
+
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -4,26 +4,17 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 
 import org.rosemaryfront.dispatch.BackendServer;
-import org.rosemaryfront.peer.Addresses;
-import org.rosemaryfront.peer.KeepAliveProbes;
+import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.ports.CallCodec;
 
 /**
@@ -36,94 +27,141 @@
  */
 final class ConnectionPool {
 
-	/**
-	 * The connect timeout, in milliseconds. A round trip within a region takes a few
-	 * milliseconds, but a lost first packet is retransmitted only after a second.
-	 */
-	private static final int CONNECT_TIMEOUT_MILLIS = 500;
-
-	/** Detects a dead connection within 4 s, before a call is sent over it. */
-	private static final KeepAliveProbes KEEP_ALIVE_PROBES = new KeepAliveProbes(2, 1, 2);
+	private static final long SWEEP_INTERVAL_MILLIS = 250;
 
 	/**
-	 * The cause for a connection that the server closes immediately because it has too
-	 * many. Such a server is alive.
+	 * How long a server with calls may be silent before a new connection shows whether it
+	 * is reached, in nanoseconds. Most servers respond to some call within this time.
 	 */
-	private static final String CLOSED_IMMEDIATELY = "the server closed the connection immediately";
-
-	private static final int MAX_HEADER_BYTES = 65_536;
+	private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
-	private static final long SWEEP_INTERVAL_MILLIS = 250;
+	/** The time between two such checks of one server, in nanoseconds. */
+	private static final long CHECK_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-	private final EventLoop loop;
+	/** The number of such checks that run at once. */
+	private static final int MAX_CHECKS = 4;
 
-	private final CallCodec codec;
+	private final ServerConnector connector;
 
-	private final Map<BackendServer.Incarnation, Connections> servers = new HashMap<>();
+	private final Map<Incarnation, Connections> servers = new HashMap<>();
 
 	private final Map<ServerConnection, Connections> owners = new HashMap<>();
 
-	private long openedCount;
+	/** The number of tunnels through each gateway. */
+	private final Map<String, Integer> tunnels = new HashMap<>();
+
+	private int runningChecks;
 
-	ConnectionPool(EventLoop loop, CallCodec codec) {
-		this.loop = loop;
-		this.codec = codec;
-		loop.scheduleWithFixedDelay(this::closeStale, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS,
-				TimeUnit.MILLISECONDS);
+	ConnectionPool(EventLoop loop, CallCodec codec, String zone) {
+		this.connector = new ServerConnector(loop, this, codec, zone, this::pathSilent);
+		loop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	ServerConnector connector() {
+		return this.connector;
 	}
 
 	/**
 	 * Acquires an idle or a new connection.
 	 * @param server the server
+	 * @param requestId the request of the call
 	 * @param maxConnections the maximum number of connections of this gateway to the
 	 * server
 	 * @param onConnected receives the connection
 	 * @param onFailure receives the cause if there is no connection; nothing was sent
 	 */
-	void acquire(BackendServer server, int maxConnections, Consumer<ServerConnection> onConnected,
+	void acquire(BackendServer server, String requestId, int maxConnections, Consumer<ServerConnection> onConnected,
 			Consumer<String> onFailure) {
-		Connections connections = this.servers.computeIfAbsent(server.incarnation(), (_) -> new Connections());
-		while (!connections.idle.isEmpty()) {
-			ServerConnection idle = connections.idle.pollLast();
-			if (idle.isActive() && !idle.isStale(System.nanoTime())) {
-				onConnected.accept(idle);
-				return;
-			}
-			idle.close();
+		Connections connections = connections(server);
+		Optional<ServerConnection> idle = takeIdle(server.incarnation(), connections);
+		if (idle.isPresent()) {
+			begin(idle.get(), requestId, onConnected,
+					(_) -> acquire(server, requestId, maxConnections, onConnected, onFailure));
 		}
-		if (connections.open.size() + connections.connecting >= maxConnections) {
+		else if (connections.isFull(maxConnections)) {
 			onFailure.accept("all " + maxConnections + " connections to the server are in use");
+		}
+		else {
+			connect(server, connections, (connection) -> begin(connection, requestId, onConnected, onFailure),
+					onFailure);
+		}
+	}
+
+	// A call on a tunnel begins only once the other gateway has answered.
+	private void begin(ServerConnection connection, String requestId, Consumer<ServerConnection> onBegun,
+			Consumer<String> onFailure) {
+		if (connection.tunnel().isEmpty()) {
+			onBegun.accept(connection);
 			return;
 		}
-		connect(server, connections, onConnected, onFailure);
+		TunnelClient tunnel = connection.tunnel().get();
+		tunnel.begin(requestId, new TunnelClient.Answer() {
+			@Override
+			public void opened() {
+				onBegun.accept(connection);
+			}
+
+			@Override
+			public void refused(String cause, boolean unreachable) {
+				onFailure.accept(cause);
+			}
+
+			@Override
+			public void noAnswer(String cause) {
+				ConnectionPool.this.connector.carrierFailed(tunnel.carrier());
+				closeIdleTunnels(tunnel.carrier().gateway());
+				onFailure.accept(cause);
+			}
+		});
+	}
+
+	private Optional<ServerConnection> takeIdle(Incarnation server, Connections connections) {
+		boolean lost = this.connector.isLost(server);
+		boolean doubtful = !lost && this.connector.isDoubtful(server, connections.lastReceivedNanos);
+		while (!connections.idle.isEmpty()) {
+			ServerConnection idle = connections.idle.pollLast();
+			boolean usable = idle.isActive() && !idle.isStale(System.nanoTime());
+			boolean unneededTunnel = !lost && idle.tunnel().isPresent();
+			if (!usable || unneededTunnel) {
+				idle.close();
+			}
+			else if (doubtful) {
+				connections.idle.addLast(idle);
+				return Optional.empty();
+			}
+			else {
+				return Optional.of(idle);
+			}
+		}
+		return Optional.empty();
 	}
 
 	/**
 	 * Checks whether a server is alive by opening a new connection. Existing connections
-	 * end for many reasons, but a crashed server accepts no new one. The new connection
-	 * is kept for the next call.
+	 * end for many reasons, but a crashed server accepts no new one, over the own links
+	 * or through another gateway. The new connection is kept for the next call.
 	 * @param server the server
 	 * @param maxConnections the maximum number of connections of this gateway to the
 	 * server
 	 * @param result receives whether the server is alive
 	 */
 	void checkAlive(BackendServer server, int maxConnections, Consumer<Boolean> result) {
-		Connections connections = this.servers.computeIfAbsent(server.incarnation(), (_) -> new Connections());
-		if (connections.open.size() + connections.connecting >= maxConnections) {
+		Connections connections = connections(server);
+		if (connections.isFull(maxConnections)) {
 			result.accept(true);
 			return;
 		}
-		connect(server, connections, (channel) -> {
-			channel.release();
+		connect(server, connections, (connection) -> {
+			connection.release();
 			result.accept(true);
-		}, (cause) -> result.accept(cause.equals(CLOSED_IMMEDIATELY)));
+		}, (cause) -> result.accept(cause.equals(ServerConnector.CLOSED_IMMEDIATELY)));
 	}
 
 	/**
 	 * Closes the idle connections to servers that were removed or restarted.
 	 * @param current the starts of the current servers
 	 */
-	void retain(Set<BackendServer.Incarnation> current) {
+	void retain(Set<Incarnation> current) {
 		this.servers.forEach((server, connections) -> {
 			if (!current.contains(server)) {
 				connections.idle.forEach(ServerConnection::close);
@@ -132,6 +170,7 @@
 		this.servers.entrySet()
 			.removeIf((entry) -> !current.contains(entry.getKey()) && entry.getValue().open.isEmpty()
 					&& entry.getValue().connecting == 0);
+		this.connector.retain(current);
 	}
 
 	/**
@@ -145,6 +184,15 @@
 		}
 	}
 
+	/**
+	 * Records that a server has accepted a connection over the own links.
+	 * @param server the start of the server
+	 */
+	void heard(Incarnation server) {
+		Optional.ofNullable(this.servers.get(server))
+			.ifPresent((connections) -> connections.lastReceivedNanos = System.nanoTime());
+	}
+
 	/**
 	 * Records that a call got no response before its deadline. If nothing was received
 	 * from the server since the call was sent, on any connection, the idle connections
@@ -152,7 +200,7 @@
 	 * @param server the start of the server
 	 * @param sentNanos when the call was sent
 	 */
-	void deadlinePassed(BackendServer.Incarnation server, long sentNanos) {
+	void deadlinePassed(Incarnation server, long sentNanos) {
 		Connections connections = this.servers.get(server);
 		if (connections != null && connections.lastReceivedNanos - sentNanos < 0) {
 			connections.idle.forEach(ServerConnection::close);
@@ -160,15 +208,16 @@
 	}
 
 	/**
-	 * Returns how long nothing was received from a server, on any connection.
+	 * Returns how long nothing was received from a server, on any connection, for the
+	 * log.
 	 * @param server the start of the server
-	 * @param nowNanos the current time
-	 * @return the time in milliseconds, empty if no connection to it was opened yet
+	 * @return the time in milliseconds, or none if no connection to it was opened yet
 	 */
-	OptionalLong silentMillis(BackendServer.Incarnation server, long nowNanos) {
+	String silentText(Incarnation server) {
 		Connections connections = this.servers.get(server);
-		return (connections == null) ? OptionalLong.empty()
-				: OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(nowNanos - connections.lastReceivedNanos));
+		return (connections != null)
+				? String.valueOf(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - connections.lastReceivedNanos))
+				: "none";
 	}
 
 	void release(ServerConnection channel) {
@@ -178,80 +227,120 @@
 		}
 	}
 
+	/**
+	 * Adds a connection that was opened for no call.
+	 * @param server the start of the server
+	 * @param connection the connection
+	 */
+	void addIdle(Incarnation server, ServerConnection connection) {
+		Connections connections = this.servers.get(server);
+		if (connections == null) {
+			connection.close();
+			return;
+		}
+		add(connection, connections);
+		connection.release();
+	}
+
 	void connectionClosed(ServerConnection channel) {
 		Connections connections = this.owners.remove(channel);
 		if (connections != null) {
 			connections.open.remove(channel);
 			connections.idle.remove(channel);
+			channel.carrier().ifPresent((gateway) -> this.tunnels.merge(gateway, -1, Integer::sum));
 		}
 	}
 
 	/**
-	 * Returns the number of connections opened since the start of the gateway.
-	 * @return the count, which includes failed attempts
+	 * Returns the number of connections that are open.
+	 * @return the count
 	 */
-	long openedCount() {
-		return this.openedCount;
+	int openCount() {
+		return this.owners.size();
 	}
 
 	/**
-	 * Returns the number of connections that are open.
+	 * Returns the number of tunnels through another gateway.
+	 * @param gateway the name of the gateway
 	 * @return the count
 	 */
-	int openCount() {
-		return this.owners.size();
+	int tunnelCount(String gateway) {
+		return this.tunnels.getOrDefault(gateway, 0);
+	}
+
+	private Connections connections(BackendServer server) {
+		return this.servers.computeIfAbsent(server.incarnation(), (_) -> new Connections(server));
 	}
 
 	private void connect(BackendServer server, Connections connections, Consumer<ServerConnection> onConnected,
 			Consumer<String> onFailure) {
-		ServerConnection handler = new ServerConnection(this, this.codec);
 		connections.connecting++;
-		this.openedCount++;
-		ChannelFuture connecting = bootstrap(handler).connect(Addresses.parse(server.address()));
-		connecting.addListener((_) -> {
+		this.connector.connect(server, (connection) -> {
 			connections.connecting--;
-			if (!connecting.isSuccess()) {
-				onFailure.accept(String.valueOf(connecting.cause().getMessage()));
-				return;
-			}
-			if (!connecting.channel().isActive()) {
-				onFailure.accept(CLOSED_IMMEDIATELY);
-				return;
-			}
-			connections.open.add(handler);
-			this.owners.put(handler, connections);
-			onConnected.accept(handler);
+			add(connection, connections);
+			onConnected.accept(connection);
+		}, (cause) -> {
+			connections.connecting--;
+			onFailure.accept(cause);
 		});
 	}
 
-	private Bootstrap bootstrap(ServerConnection handler) {
-		Bootstrap bootstrap = new Bootstrap().group(this.loop)
-			.channel(NioSocketChannel.class)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.SO_KEEPALIVE, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-			.handler(new ChannelInitializer<SocketChannel>() {
-				@Override
-				protected void initChannel(SocketChannel channel) {
-					channel.pipeline()
-						.addLast(new HttpClientCodec(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES)
-							.setMaxInitialLineLength(MAX_HEADER_BYTES), false, false))
-						.addLast(handler);
-				}
-			});
-		KEEP_ALIVE_PROBES.options().forEach(bootstrap::option);
-		return bootstrap;
+	private void add(ServerConnection connection, Connections connections) {
+		connections.open.add(connection);
+		this.owners.put(connection, connections);
+		connection.carrier().ifPresent((gateway) -> this.tunnels.merge(gateway, 1, Integer::sum));
 	}
 
-	private void closeStale() {
-		long now = System.nanoTime();
+	private void closeIdleTunnels(String gateway) {
 		for (Connections connections : this.servers.values()) {
-			for (Iterator<ServerConnection> it = connections.idle.iterator(); it.hasNext();) {
-				ServerConnection idle = it.next();
-				if (idle.isStale(now)) {
-					it.remove();
-					idle.close();
-				}
+			List.copyOf(connections.idle)
+				.stream()
+				.filter((idle) -> idle.carrier().equals(Optional.of(gateway)))
+				.forEach(ServerConnection::close);
+		}
+	}
+
+	// -- silent servers and lost paths
+
+	private void sweep() {
+		long now = System.nanoTime();
+		for (Connections connections : List.copyOf(this.servers.values())) {
+			List.copyOf(connections.idle).stream().filter((idle) -> idle.isStale(now)).forEach(ServerConnection::close);
+			if (connections.isCheckDue(now) && this.runningChecks < MAX_CHECKS) {
+				check(connections, now);
+			}
+		}
+		this.connector.probe();
+	}
+
+	// A new connection shows whether a server is reached. A call that gets no response
+	// shows nothing: the server may be slow.
+	private void check(Connections connections, long now) {
+		connections.nextCheckNanos = now + CHECK_INTERVAL_NANOS;
+		this.runningChecks++;
+		connect(connections.server, connections, (connection) -> {
+			this.runningChecks--;
+			connection.release();
+		}, (_) -> this.runningChecks--);
+	}
+
+	// The open connections over the own links carry nothing either. Their calls do not
+	// count against the maximum of the connections that are needed now.
+	private void pathSilent(Incarnation server) {
+		Connections connections = this.servers.get(server);
+		if (connections == null) {
+			return;
+		}
+		List<ServerConnection> silent = connections.open.stream()
+			.filter((connection) -> connection.tunnel().isEmpty())
+			.toList();
+		silent.forEach(connections.open::remove);
+		for (ServerConnection connection : silent) {
+			if (connections.idle.contains(connection)) {
+				connection.close();
+			}
+			else {
+				connection.pathLost();
 			}
 		}
 	}
@@ -259,6 +348,8 @@
 	/** The connections to one server. */
 	private static final class Connections {
 
+		private final BackendServer server;
+
 		private final Set<ServerConnection> open = new HashSet<>();
 
 		private final Deque<ServerConnection> idle = new ArrayDeque<>();
@@ -268,6 +359,21 @@
 		/** When bytes were last received on any of the connections. */
 		private long lastReceivedNanos = System.nanoTime();
 
+		private long nextCheckNanos = System.nanoTime();
+
+		private Connections(BackendServer server) {
+			this.server = server;
+		}
+
+		private boolean isFull(int maxConnections) {
+			return this.open.size() + this.connecting >= maxConnections;
+		}
+
+		private boolean isCheckDue(long now) {
+			return now - this.nextCheckNanos >= 0 && now - this.lastReceivedNanos >= SILENCE_NANOS
+					&& this.open.stream().anyMatch((connection) -> connection.waitsLongerThan(SILENCE_NANOS, now));
+		}
+
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.traffic;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.paths.Carrier;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.routes.CallerLimits;
 import org.rosemaryfront.routes.TrafficConfiguration;
@@ -45,36 +47,43 @@
 
 	private final ConnectionPool pool;
 
+	private final TunnelServer tunnels;
+
 	private final Set<CallerConnection> callers = new HashSet<>();
 
-	private Gateway(EventLoop loop, CallCodec codec, CallPolicy policy, TrafficMetrics metrics) {
+	private Gateway(EventLoop loop, Addresses addresses, String zone, CallCodec codec, CallPolicy policy,
+			TrafficMetrics metrics) {
 		this.loop = loop;
 		this.codec = codec;
 		this.policy = policy;
 		this.metrics = metrics;
-		this.pool = new ConnectionPool(loop, codec);
+		this.pool = new ConnectionPool(loop, codec, zone);
+		this.tunnels = TunnelServer.open(loop, addresses.tunnels(), policy, metrics);
 	}
 
 	// -- factories
 
 	/**
-	 * Starts listening for callers.
+	 * Starts listening for callers and for calls of other gateways.
 	 * @param loop the traffic thread
-	 * @param address the address to listen on
+	 * @param addresses the addresses to listen on
+	 * @param zone the availability zone of this gateway
 	 * @param codec the codec for the headers of calls
 	 * @param policy the policy that decides about calls
 	 * @param metrics the metrics of calls
 	 * @return the running data path
 	 */
-	public static Gateway open(EventLoop loop, InetSocketAddress address, CallCodec codec, CallPolicy policy,
+	public static Gateway open(EventLoop loop, Addresses addresses, String zone, CallCodec codec, CallPolicy policy,
 			TrafficMetrics metrics) {
-		Gateway gateway = new Gateway(loop, codec, policy, metrics);
-		gateway.bind(address);
+		Gateway gateway = new Gateway(loop, addresses, zone, codec, policy, metrics);
+		gateway.bind(addresses.callers());
 		loop.scheduleWithFixedDelay(gateway::enforceCallerTimeouts, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
 		metrics.gauge("callers.connections", gateway.callers::size);
 		metrics.gauge("servers.connections", gateway.pool::openCount);
-		metrics.gauge("servers.connections.opened", gateway.pool::openedCount);
+		metrics.gauge("servers.connections.opened", gateway.pool.connector()::openedCount);
+		metrics.gauge("servers.out.of.reach", gateway.pool.connector()::lostCount);
+		metrics.gauge("tunnels.open", gateway.tunnels::openCount);
 		return gateway;
 	}
 
@@ -101,26 +110,54 @@
 	}
 
 	/**
-	 * Closes the connections of callers that have no request in progress; the others are
-	 * closed with their response.
+	 * Replaces the other gateways that can carry calls, and that may have calls carried.
+	 * @param carriers those that can carry calls
+	 * @param addresses the addresses of those that may have calls carried
+	 */
+	public void gateways(List<Carrier> carriers, Set<InetAddress> addresses) {
+		this.loop.execute(() -> {
+			this.pool.connector().carriers(carriers);
+			this.tunnels.gateways(addresses);
+		});
+	}
+
+	/**
+	 * Returns the number of servers that are not reached over the own links, although
+	 * other gateways reach them.
+	 * @return the number
+	 */
+	public int serversOutOfReach() {
+		return this.pool.connector().lostCount();
+	}
+
+	/**
+	 * Closes the connections of callers and of other gateways that have no request in
+	 * progress; those of callers are closed with their response otherwise.
 	 */
 	public void closeIdle() {
-		this.loop.execute(() -> List.copyOf(this.callers).forEach(CallerConnection::closeIfIdle));
+		this.loop.execute(() -> {
+			List.copyOf(this.callers).forEach(CallerConnection::closeIfIdle);
+			this.tunnels.closeIdle();
+		});
 	}
 
 	/**
 	 * Returns whether no call is in progress.
-	 * @return true if no connection has a request in progress
+	 * @return true if no connection of a caller or of another gateway has a request in
+	 * progress
 	 */
 	public boolean isIdle() {
-		return this.loop.submit(() -> this.callers.stream().allMatch(CallerConnection::isIdle))
+		return this.loop.submit(() -> this.callers.stream().allMatch(CallerConnection::isIdle) && this.tunnels.isIdle())
 			.syncUninterruptibly()
 			.getNow();
 	}
 
 	@Override
 	public void close() {
-		this.loop.submit(() -> new ArrayList<>(this.callers).forEach(CallerConnection::abort)).syncUninterruptibly();
+		this.loop.submit(() -> {
+			new ArrayList<>(this.callers).forEach(CallerConnection::abort);
+			this.tunnels.close();
+		}).syncUninterruptibly();
 	}
 
 	// -- accessors for this package
@@ -189,4 +226,13 @@
 		List.copyOf(this.callers).forEach((connection) -> connection.enforceTimeouts(now, limits));
 	}
 
+	/**
+	 * The addresses of a gateway.
+	 *
+	 * @param callers the address that accepts callers
+	 * @param tunnels the address that accepts calls of other gateways
+	 */
+	public record Addresses(InetSocketAddress callers, InetSocketAddress tunnels) {
+	}
+
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ResponseListener.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ResponseListener.java
@@ -36,6 +36,12 @@
 	 */
 	void responseFailed(String cause);
 
+	/**
+	 * Called when the connection is known to carry nothing any more, although it is still
+	 * open. The server is running and may have the request.
+	 */
+	void pathLost();
+
 	/** Called when the connection accepts more bytes of the request. */
 	void requestWritable();
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.traffic;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -44,6 +45,8 @@
 
 	private final CallCodec codec;
 
+	private final Optional<TunnelClient> tunnel;
+
 	private Channel channel;
 
 	private ResponseListener listener;
@@ -64,15 +67,40 @@
 	/** The number of calls that were started on this connection. */
 	private int callCount;
 
+	/** When the current call was started. */
+	private long startedNanos;
+
 	private boolean failed;
 
 	private long idleSinceNanos;
 
 	private long idleLimitNanos = TimeUnit.MILLISECONDS.toNanos(DEFAULT_IDLE_LIMIT_MILLIS);
 
-	ServerConnection(ConnectionPool pool, CallCodec codec) {
+	private ServerConnection(ConnectionPool pool, CallCodec codec, Optional<TunnelClient> tunnel) {
 		this.pool = pool;
 		this.codec = codec;
+		this.tunnel = tunnel;
+	}
+
+	/**
+	 * Creates the handler of a connection over the own links.
+	 * @param pool the pool that it belongs to
+	 * @param codec the codec of headers
+	 * @return the handler
+	 */
+	static ServerConnection direct(ConnectionPool pool, CallCodec codec) {
+		return new ServerConnection(pool, codec, Optional.empty());
+	}
+
+	/**
+	 * Creates the handler of a connection through another gateway.
+	 * @param pool the pool that it belongs to
+	 * @param codec the codec of headers
+	 * @param tunnel the tunnel
+	 * @return the handler
+	 */
+	static ServerConnection tunnelled(ConnectionPool pool, CallCodec codec, TunnelClient tunnel) {
+		return new ServerConnection(pool, codec, Optional.of(tunnel));
 	}
 
 	// -- call
@@ -89,6 +117,7 @@
 		this.headReceived = false;
 		this.requestWritten = false;
 		this.callCount++;
+		this.startedNanos = System.nanoTime();
 	}
 
 	/**
@@ -136,8 +165,37 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Returns whether a call has been in progress for some time.
+	 * @param nanos the time in nanoseconds
+	 * @param nowNanos the current time
+	 * @return false if no call is in progress or it started later
+	 */
+	boolean waitsLongerThan(long nanos, long nowNanos) {
+		return this.listener != null && nowNanos - this.startedNanos >= nanos;
+	}
+
+	/** Tells the current call that this connection carries nothing any more. */
+	void pathLost() {
+		if (this.listener != null) {
+			this.listener.pathLost();
+		}
+	}
+
 	// -- pool
 
+	Optional<TunnelClient> tunnel() {
+		return this.tunnel;
+	}
+
+	/**
+	 * Returns the gateway that carries the calls of this connection.
+	 * @return the name, empty for a connection over the own links
+	 */
+	Optional<String> carrier() {
+		return this.tunnel.map((client) -> client.carrier().gateway());
+	}
+
 	boolean isStale(long nowNanos) {
 		return nowNanos - this.idleSinceNanos >= this.idleLimitNanos;
 	}
@@ -237,6 +295,7 @@
 		if (this.channel.isActive() && this.reusable) {
 			this.idleSinceNanos = System.nanoTime();
 			this.channel.config().setAutoRead(true);
+			this.tunnel.ifPresent(TunnelClient::callEnded);
 			this.pool.release(this);
 		}
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
@@ -44,7 +44,31 @@
 	STREAM_RESUMED(2710),
 
 	/** A call waits for a server that has a limit, because all servers have one. */
-	CALL_WAITING(2711);
+	CALL_WAITING(2711),
+
+	/** A call was sent to a backend server through another gateway. */
+	CALL_TUNNELLED(2712),
+
+	/** A call of another gateway is carried to a backend server. */
+	CALL_CARRIED(2713),
+
+	/** A call of another gateway, or a server for its calls, was refused. */
+	TUNNEL_REFUSED(2714),
+
+	/** Another gateway did not carry calls to a backend server. */
+	CARRIER_FAILED(2715),
+
+	/**
+	 * A backend server is not reached over the own links, although another gateway
+	 * reaches it.
+	 */
+	PATH_LOST(2716),
+
+	/** A backend server is reached over the own links again. */
+	PATH_REGAINED(2717),
+
+	/** A connection of another gateway failed or sent what is no frame of a tunnel. */
+	TUNNEL_FAILED(2718);
 
 	private final int number;
 
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelPipeline.java
@@ -0,0 +1,75 @@
+package org.rosemaryfront.traffic;
+
+import com.google.protobuf.ByteString;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+
+import org.rosemaryfront.gateway.proto.TunnelFrame;
+import org.rosemaryfront.gateway.proto.TunnelRefusal;
+import org.rosemaryfront.peer.BoundedFrameDecoder;
+import org.rosemaryfront.peer.KeepAliveProbes;
+
+/** The codecs of both ends of a tunnel, and the frames that have no varying content. */
+final class TunnelPipeline {
+
+	/** Detects within 4 s that the other gateway is gone. */
+	static final KeepAliveProbes KEEP_ALIVE_PROBES = new KeepAliveProbes(2, 1, 2);
+
+	static final TunnelFrame OPENED = TunnelFrame.newBuilder().setOpened(true).build();
+
+	static final TunnelFrame CLOSED = TunnelFrame.newBuilder().setClosed(true).build();
+
+	static final TunnelFrame IDLE = TunnelFrame.newBuilder().setIdle(true).build();
+
+	/** Larger than what one read from a socket returns. */
+	private static final int MAX_FRAME_BYTES = 1_048_576;
+
+	private TunnelPipeline() {
+	}
+
+	static void addCodecs(ChannelPipeline pipeline) {
+		pipeline.addLast(new BoundedFrameDecoder(MAX_FRAME_BYTES));
+		pipeline.addLast(new ProtobufDecoder(TunnelFrame.getDefaultInstance()));
+		pipeline.addLast(new ProtobufVarint32LengthFieldPrepender());
+		pipeline.addLast(new ProtobufEncoder());
+	}
+
+	/**
+	 * Creates a frame with bytes to or from the server.
+	 * @param bytes the bytes; released by this method
+	 * @return the frame
+	 */
+	static TunnelFrame data(ByteBuf bytes) {
+		try {
+			return TunnelFrame.newBuilder().setData(ByteString.copyFrom(bytes.nioBuffer())).build();
+		}
+		finally {
+			bytes.release();
+		}
+	}
+
+	static ByteBuf bytes(TunnelFrame frame) {
+		return Unpooled.wrappedBuffer(frame.getData().toByteArray());
+	}
+
+	/**
+	 * Creates the frame that refuses a server or a call.
+	 * @param cause the cause, for the log
+	 * @param unreachable whether the server was tried and not reached
+	 * @return the frame
+	 */
+	static TunnelFrame refused(String cause, boolean unreachable) {
+		return TunnelFrame.newBuilder()
+			.setRefused(TunnelRefusal.newBuilder().setCause(cause).setUnreachable(unreachable))
+			.build();
+	}
+
+	static TunnelFrame failure(String cause) {
+		return TunnelFrame.newBuilder().setFailure(cause).build();
+	}
+
+}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -102,7 +102,7 @@
 
 	private static GatewaySettings settings(String name, GatewaySettings.Bounds bounds) {
 		return new GatewaySettings(name, "a", List.of("a"), freeAddress(), freeAddress(), "/ready", freeAddress(),
-				freeAddress(), bounds);
+				freeAddress(), freeAddress(), bounds);
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ReportFormsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ReportFormsTests.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.gateway;
 
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Optional;
 
 import com.google.protobuf.ByteString;
@@ -21,6 +22,9 @@
 import org.rosemaryfront.gateway.proto.TableNews;
 import org.rosemaryfront.gateway.proto.TableRow;
 import org.rosemaryfront.gateway.proto.TableRows;
+import org.rosemaryfront.gateway.proto.TunnelFrame;
+import org.rosemaryfront.gateway.proto.TunnelOpen;
+import org.rosemaryfront.gateway.proto.TunnelRefusal;
 import org.rosemaryfront.gateway.proto.UnwrittenUse;
 import org.rosemaryfront.rollout.Phase;
 import org.rosemaryfront.rollout.RolloutOrder;
@@ -105,6 +109,9 @@
 				.setIssuer(35)
 				.addPermits(ServerPermits.newBuilder().setOf(36).setIssued(37).setSettled(38))
 				.addSettlements(ServerPermits.newBuilder().setOf(39).setSettled(40).setUnused(41)))
+			.setTunnelPort(43)
+			.setServersOutOfReach(44)
+			.setZone("a")
 			.build();
 		assertThat(report.getAllFields()).hasSameSizeAs(GatewayReport.getDescriptor().getFields());
 		assertThat(hex(report.toByteArray())).isEqualTo("""
@@ -120,6 +127,7 @@
 				b2011c0a036170701202763218182019281a320b0a0178101b181c201d281e\
 				ba01360a027333101f1801200129000000000000f83f3020382140224d230000\
 				0052090d24000000102518265a090d2700000018282029602a\
+				c0012bc8012cd2010161\
 				""");
 	}
 
@@ -129,6 +137,23 @@
 			.isEqualTo("0834120a0a016b12017618332001");
 	}
 
+	@Test
+	void shouldKeepBytesOfTunnelWhenAnotherGatewayReadsIt() {
+		List<TunnelFrame> frames = List.of(
+				TunnelFrame.newBuilder().setOpen(TunnelOpen.newBuilder().setServer("s1").setStartedMillis(1)).build(),
+				TunnelFrame.newBuilder().setOpened(true).build(),
+				TunnelFrame.newBuilder()
+					.setRefused(TunnelRefusal.newBuilder().setCause("c").setUnreachable(true))
+					.build(),
+				TunnelFrame.newBuilder().setCall("r1").build(),
+				TunnelFrame.newBuilder().setData(ByteString.copyFromUtf8("d")).build(),
+				TunnelFrame.newBuilder().setClosed(true).build(), TunnelFrame.newBuilder().setFailure("f").build(),
+				TunnelFrame.newBuilder().setIdle(true).build());
+		assertThat(frames).hasSameSizeAs(TunnelFrame.getDescriptor().getFields());
+		assertThat(frames.stream().map((frame) -> hex(frame.toByteArray()))).containsExactly("0a060a0273311001", "1001",
+				"1a050a01631001", "22027231", "2a0164", "3001", "3a0166", "4001");
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "TRIAL, 1", "MOVING, 2", "SUCCEEDED, 3", "ROLLED_BACK, 4" })
 	void shouldKeepNumberOfPhaseWhenReported(Phase phase, int number) {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendToLeavingServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendToLeavingServerTests.java
@@ -35,7 +35,9 @@
 		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"));
 				ScriptedServer other = ScriptedServer.start((request, exchange) -> exchange.ok(request, "y"))) {
 			LeavingPolicy policy = new LeavingPolicy(backend("s1", server), backend("s2", other));
-			try (Gateway _ = Gateway.open(loops.onServer(false).next(), address, new PlainCodecs(), policy,
+			Gateway.Addresses addresses = new Gateway.Addresses(address,
+					new InetSocketAddress("127.0.0.1", FreePorts.one()));
+			try (Gateway _ = Gateway.open(loops.onServer(false).next(), addresses, "a", new PlainCodecs(), policy,
 					new TrafficMetrics()); RawCaller caller = new RawCaller(address)) {
 				assertThat(caller.send(RawCaller.get("c1", "/sheets/")).read().body()).isEqualTo("y");
 			}
@@ -96,6 +98,15 @@
 			return !server.equals(this.leaving);
 		}
 
+		@Override
+		public Optional<BackendServer> eligibleServer(BackendServer.Incarnation server) {
+			return Optional.empty();
+		}
+
+		@Override
+		public void pathLost(Call call) {
+		}
+
 		@Override
 		public void admit(Call call) {
 			call.send(this.leaving, 2, Optional.empty());
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/FramePipeline.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/FramePipeline.java
@@ -1,14 +1,8 @@
 package org.rosemaryfront.peer;
 
-import java.util.List;
-
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 
 import org.rosemaryfront.peer.proto.Frame;
@@ -28,26 +22,10 @@
 	}
 
 	static void addCodecs(ChannelPipeline pipeline) {
-		pipeline.addLast(new BoundedFrameDecoder());
+		pipeline.addLast(new BoundedFrameDecoder(MAX_FRAME_BYTES));
 		pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
 		pipeline.addLast(new ProtobufVarint32LengthFieldPrepender());
 		pipeline.addLast(new ProtobufEncoder());
 	}
 
-	/**
-	 * Refuses a frame that never seems to end, before it fills the memory.
-	 */
-	private static final class BoundedFrameDecoder extends ProtobufVarint32FrameDecoder {
-
-		@Override
-		protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
-			int before = out.size();
-			super.decode(context, in, out);
-			if (out.size() == before && in.readableBytes() > MAX_FRAME_BYTES) {
-				throw new TooLongFrameException("a frame exceeds " + MAX_FRAME_BYTES + " bytes");
-			}
-		}
-
-	}
-
 }
