--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PartitionedFleet.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PartitionedFleet.java
@@ -4,13 +4,16 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.rosemaryfront.standin.net.Relay;
@@ -29,9 +32,11 @@
 
 	private static final int ANSWERS_PER_CONNECTION = 20;
 
-	private static final String EVENT = "id: 1\n\n";
+	private static final int STREAM_EVENTS = 5;
 
-	private static final List<String> PATHS = List.of("/sheets/", "/visits/", "/summaries/");
+	private static final String STREAM_PATH = "/summaries/";
+
+	private static final List<String> PATHS = List.of("/sheets/", "/visits/", STREAM_PATH);
 
 	private final MemoryRowStore store = new MemoryRowStore();
 
@@ -42,7 +47,7 @@
 	/** The relays of each gateway, by the registered address of the server. */
 	private final List<Map<String, Relay>> links = new ArrayList<>();
 
-	private final List<GatewayHarness> gateways = new ArrayList<>();
+	private final List<GatewayHarness> gateways = new CopyOnWriteArrayList<>();
 
 	/** How often each call reached a server, by its identifier. */
 	private final Map<String, Integer> arrivals = new ConcurrentHashMap<>();
@@ -89,17 +94,52 @@
 		}
 	}
 
-	// Closes connections now and then, so that new ones are needed.
 	private void answer(ScriptedServer.Request request, ScriptedServer.Exchange exchange) throws IOException {
-		LockSupport.parkNanos(ANSWER_NANOS);
+		if (request.line().contains(STREAM_PATH)) {
+			stream(request, exchange);
+		}
+		else {
+			LockSupport.parkNanos(ANSWER_NANOS);
+			answerWhole(request, exchange);
+		}
+	}
+
+	// Closes connections now and then, so that new ones are needed.
+	private void answerWhole(ScriptedServer.Request request, ScriptedServer.Exchange exchange) throws IOException {
 		boolean last = this.answered.incrementAndGet() % ANSWERS_PER_CONNECTION == 0;
-		exchange.write("HTTP/1.1 200 OK\r\nCall: " + request.call() + "\r\nSignature: s\r\n"
-				+ (last ? "Connection: close\r\n" : "") + "Content-Length: " + EVENT.length() + "\r\n\r\n" + EVENT);
+		exchange.write(head(request) + (last ? "Connection: close\r\n" : "") + "Content-Length: "
+				+ request.call().length() + "\r\n\r\n" + request.call());
 		if (last) {
 			exchange.socket().close();
 		}
 	}
 
+	private static void stream(ScriptedServer.Request request, ScriptedServer.Exchange exchange) throws IOException {
+		String after = request.header("resume-after");
+		exchange.write(head(request) + "Transfer-Encoding: chunked\r\n\r\n");
+		for (int id = after.isEmpty() ? 1 : Integer.parseInt(after) + 1; id <= STREAM_EVENTS; id++) {
+			LockSupport.parkNanos(ANSWER_NANOS);
+			String event = event(id, request.call());
+			exchange.write(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+		}
+		exchange.write("0\r\n\r\n");
+	}
+
+	private static String head(ScriptedServer.Request request) {
+		return "HTTP/1.1 200 OK\r\nCall: " + request.call() + "\r\nSignature: s\r\n";
+	}
+
+	private static String event(int id, String call) {
+		return "id: " + id + "\ndata: " + call + "\n\n";
+	}
+
+	// What a caller must get with a success.
+	private static String expectedBody(String call, String path) {
+		return path.equals(STREAM_PATH) ? IntStream.rangeClosed(1, STREAM_EVENTS)
+			.mapToObj((id) -> event(id, call))
+			.collect(Collectors.joining()) : call;
+	}
+
 	private GatewayHarness startGateway(int index) {
 		Map<String, Relay> own = this.links.get(index);
 		return GatewayHarness.startOne(this.store, index + 1,
@@ -141,10 +181,62 @@
 		long started = System.nanoTime();
 		try {
 			RawCaller.Response response = this.gateways.get(gateway).send(RawCaller.get(call, path));
-			return new Outcome(gateway, call, path, started, response.complete() ? response.status() : 0);
+			return outcome(gateway, call, path, started, response);
 		}
 		catch (IOException ex) {
-			return new Outcome(gateway, call, path, started, 0);
+			return new Outcome(gateway, call, path, started, 0, true);
+		}
+	}
+
+	private static Outcome outcome(int gateway, String call, String path, long started, RawCaller.Response response) {
+		int status = response.complete() ? response.status() : 0;
+		boolean correct = status != 200 || response.body().equals(expectedBody(call, path));
+		return new Outcome(gateway, call, path, started, status, correct);
+	}
+
+	/**
+	 * Starts a caller at each gateway who calls over one connection until the gateway
+	 * closes it, then over another one, until the fleet is closed.
+	 */
+	void callOverOpenConnections() {
+		for (int gateway = 0; gateway < this.gateways.size(); gateway++) {
+			int at = gateway;
+			this.callers.submit(() -> {
+				while (!this.ended) {
+					callOverOneConnection(at);
+					Thread.sleep(CALL_INTERVAL_MILLIS);
+				}
+				return null;
+			});
+		}
+	}
+
+	private void callOverOneConnection(int gateway) throws InterruptedException {
+		try (RawCaller caller = this.gateways.get(gateway).caller()) {
+			boolean open = true;
+			while (!this.ended && open) {
+				open = callOn(caller, gateway);
+				Thread.sleep(CALL_INTERVAL_MILLIS);
+			}
+		}
+		catch (IOException ex) {
+			// The gateway is stopping; the next one is called.
+		}
+	}
+
+	private boolean callOn(RawCaller caller, int gateway) {
+		int number = this.lastCall.incrementAndGet();
+		String call = "c" + number;
+		String path = PATHS.get(number % PATHS.size());
+		long started = System.nanoTime();
+		try {
+			RawCaller.Response response = caller.send(RawCaller.get(call, path)).read();
+			this.outcomes.add(outcome(gateway, call, path, started, response));
+			return response.complete() && !response.head().toLowerCase(Locale.ROOT).contains("connection: close");
+		}
+		catch (IOException ex) {
+			this.outcomes.add(new Outcome(gateway, call, path, started, 0, true));
+			return false;
 		}
 	}
 
@@ -167,6 +259,24 @@
 		cut.forEach((gateway) -> this.links.get(gateway).values().forEach(Relay::heal));
 	}
 
+	/**
+	 * Pauses the traffic thread of a gateway.
+	 * @param gateway the gateway
+	 * @param until the pause ends when this reaches zero
+	 */
+	void pause(int gateway, CountDownLatch until) {
+		this.gateways.get(gateway).stall(new CountDownLatch(1), until);
+	}
+
+	/**
+	 * Stops a gateway as planned and starts another process in its place.
+	 * @param gateway the gateway
+	 */
+	void restart(int gateway) {
+		this.gateways.get(gateway).stop();
+		this.gateways.set(gateway, startGateway(gateway));
+	}
+
 	// -- queries
 
 	GatewayHarness gateway(int index) {
@@ -185,6 +295,14 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the calls that got a success with another body than theirs.
+	 * @return the identifiers
+	 */
+	List<String> wronglyAnswered() {
+		return this.outcomes.stream().filter((outcome) -> !outcome.correct).map(Outcome::call).toList();
+	}
+
 	/**
 	 * Returns the calls that must not run twice and reached servers more than once.
 	 * @return the identifiers
@@ -238,8 +356,9 @@
 	 * @param path its path
 	 * @param startedNanos when the caller connected
 	 * @param status the status of the response, 0 if there was no complete one
+	 * @param correct whether the body is that of the call, if the call succeeded
 	 */
-	record Outcome(int gateway, String call, String path, long startedNanos, int status) {
+	record Outcome(int gateway, String call, String path, long startedNanos, int status, boolean correct) {
 
 		boolean isServed() {
 			return this.status == 200;
