Bound what a tunnel may do before and between calls, and ask a server at most once for each slow call

Found by the tests of tunnels: a connection that never named a server stayed open for ever; it ends after 2 s now. Bytes outside a call end the tunnel with a line, instead of being dropped. A gateway that has itself lost the path says so at once instead of trying for 200 ms. A silent server was checked by a new connection once a second as long as one slow call waited; now once, until a later call waits, too.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -32,6 +33,9 @@
 	/** Less than the other gateway waits for the answer, in milliseconds. */
 	private static final int CONNECT_TIMEOUT_MILLIS = 200;
 
+	/** The time until the first frame, in milliseconds. */
+	private static final long OPEN_TIMEOUT_MILLIS = 2_000;
+
 	private final TunnelServer owner;
 
 	private final SocketChannel tunnel;
@@ -42,6 +46,9 @@
 
 	private boolean callActive;
 
+	/** Whether the last frame was written. */
+	private boolean ending;
+
 	CarriedConnection(TunnelServer owner, SocketChannel tunnel) {
 		this.owner = owner;
 		this.tunnel = tunnel;
@@ -55,6 +62,15 @@
 		this.tunnel.close();
 	}
 
+	@Override
+	public void handlerAdded(ChannelHandlerContext context) {
+		context.executor().schedule(() -> {
+			if (this.server.isEmpty() && this.tunnel.isActive()) {
+				fail("no server was named in " + OPEN_TIMEOUT_MILLIS + " ms");
+			}
+		}, OPEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	// -- frames of the other gateway
 
 	@Override
@@ -81,6 +97,9 @@
 		else if (found.isEmpty()) {
 			refuse("", "the server " + open.getServer() + " is not known or draining", false);
 		}
+		else if (this.owner.isOutOfReach(found.get())) {
+			refuse("", "the server " + open.getServer() + " is out of reach here, too", true);
+		}
 		else if (!this.owner.add(this)) {
 			refuse("", "too many tunnels", false);
 		}
@@ -136,11 +155,14 @@
 	// the bytes, as after a pause of this process: the call is then over.
 	private void forward(TunnelFrame frame) {
 		this.owner.loop().execute(() -> {
-			if (this.tunnel.isActive() && this.callActive && this.serverChannel.isPresent()) {
-				Channel to = this.serverChannel.get();
+			if (this.tunnel.isActive() && this.callActive) {
+				Channel to = this.serverChannel.orElseThrow();
 				to.writeAndFlush(TunnelPipeline.bytes(frame));
 				this.tunnel.config().setAutoRead(to.isWritable());
 			}
+			else if (this.tunnel.isActive() && !this.ending) {
+				fail("bytes outside a call");
+			}
 		});
 	}
 
@@ -154,6 +176,7 @@
 
 	private void end(TunnelFrame last) {
 		this.callActive = false;
+		this.ending = true;
 		this.tunnel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -35,9 +35,6 @@
 	 */
 	private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
-	/** The time between two such checks of one server, in nanoseconds. */
-	private static final long CHECK_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-
 	/** The number of such checks that run at once. */
 	private static final int MAX_CHECKS = 4;
 
@@ -306,7 +303,8 @@
 		long now = System.nanoTime();
 		for (Connections connections : List.copyOf(this.servers.values())) {
 			List.copyOf(connections.idle).stream().filter((idle) -> idle.isStale(now)).forEach(ServerConnection::close);
-			if (connections.isCheckDue(now) && this.runningChecks < MAX_CHECKS) {
+			boolean reached = !this.connector.isLost(connections.server.incarnation());
+			if (reached && connections.isCheckDue(now) && this.runningChecks < MAX_CHECKS) {
 				check(connections, now);
 			}
 		}
@@ -316,7 +314,7 @@
 	// A new connection shows whether a server is reached. A call that gets no response
 	// shows nothing: the server may be slow.
 	private void check(Connections connections, long now) {
-		connections.nextCheckNanos = now + CHECK_INTERVAL_NANOS;
+		connections.lastCheckNanos = now;
 		this.runningChecks++;
 		connect(connections.server, connections, (connection) -> {
 			this.runningChecks--;
@@ -359,7 +357,7 @@
 		/** When bytes were last received on any of the connections. */
 		private long lastReceivedNanos = System.nanoTime();
 
-		private long nextCheckNanos = System.nanoTime();
+		private long lastCheckNanos = System.nanoTime();
 
 		private Connections(BackendServer server) {
 			this.server = server;
@@ -369,9 +367,10 @@
 			return this.open.size() + this.connecting >= maxConnections;
 		}
 
+		// A call that still waits after a check shows nothing new.
 		private boolean isCheckDue(long now) {
-			return now - this.nextCheckNanos >= 0 && now - this.lastReceivedNanos >= SILENCE_NANOS
-					&& this.open.stream().anyMatch((connection) -> connection.waitsLongerThan(SILENCE_NANOS, now));
+			return now - this.lastReceivedNanos >= SILENCE_NANOS && this.open.stream()
+				.anyMatch((connection) -> connection.hasCallStartedWithin(this.lastCheckNanos, now - SILENCE_NANOS));
 		}
 
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -58,7 +58,7 @@
 		this.policy = policy;
 		this.metrics = metrics;
 		this.pool = new ConnectionPool(loop, codec, zone);
-		this.tunnels = TunnelServer.open(loop, addresses.tunnels(), policy, metrics);
+		this.tunnels = TunnelServer.open(loop, addresses.tunnels(), policy, this.pool.connector()::isLost, metrics);
 	}
 
 	// -- factories
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -166,13 +166,13 @@
 	}
 
 	/**
-	 * Returns whether a call has been in progress for some time.
-	 * @param nanos the time in nanoseconds
-	 * @param nowNanos the current time
-	 * @return false if no call is in progress or it started later
+	 * Returns whether a call is in progress that was started in a time.
+	 * @param fromNanos the start of the time
+	 * @param untilNanos its end
+	 * @return false if no call is in progress or it was started at another time
 	 */
-	boolean waitsLongerThan(long nanos, long nowNanos) {
-		return this.listener != null && nowNanos - this.startedNanos >= nanos;
+	boolean hasCallStartedWithin(long fromNanos, long untilNanos) {
+		return this.listener != null && this.startedNanos - fromNanos >= 0 && this.startedNanos - untilNanos <= 0;
 	}
 
 	/** Tells the current call that this connection carries nothing any more. */
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelServer.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelServer.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -14,6 +15,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 
+import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.events.EventLog;
 
 /**
@@ -29,6 +32,8 @@
 
 	private final CallPolicy policy;
 
+	private final Predicate<Incarnation> outOfReach;
+
 	private final TrafficMetrics metrics;
 
 	private final Set<CarriedConnection> connections = new HashSet<>();
@@ -40,9 +45,10 @@
 
 	private volatile int openCount;
 
-	private TunnelServer(EventLoop loop, CallPolicy policy, TrafficMetrics metrics) {
+	private TunnelServer(EventLoop loop, CallPolicy policy, Predicate<Incarnation> outOfReach, TrafficMetrics metrics) {
 		this.loop = loop;
 		this.policy = policy;
+		this.outOfReach = outOfReach;
 		this.metrics = metrics;
 	}
 
@@ -51,11 +57,13 @@
 	 * @param loop the traffic thread
 	 * @param address the address to listen on
 	 * @param policy knows the servers that accept calls
+	 * @param outOfReach tests whether this gateway does not reach a server itself
 	 * @param metrics the metrics
 	 * @return the running server
 	 */
-	static TunnelServer open(EventLoop loop, InetSocketAddress address, CallPolicy policy, TrafficMetrics metrics) {
-		TunnelServer server = new TunnelServer(loop, policy, metrics);
+	static TunnelServer open(EventLoop loop, InetSocketAddress address, CallPolicy policy,
+			Predicate<Incarnation> outOfReach, TrafficMetrics metrics) {
+		TunnelServer server = new TunnelServer(loop, policy, outOfReach, metrics);
 		server.listener = new ServerBootstrap().group(loop, loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -131,6 +139,10 @@
 		return this.policy;
 	}
 
+	boolean isOutOfReach(BackendServer server) {
+		return this.outOfReach.test(server.incarnation());
+	}
+
 	TrafficMetrics metrics() {
 		return this.metrics;
 	}
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TunnelServerTests.java
@@ -0,0 +1,155 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+
+import com.google.protobuf.ByteString;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.rosemaryfront.gateway.proto.TunnelFrame;
+import org.rosemaryfront.gateway.proto.TunnelFrame.ContentCase;
+import org.rosemaryfront.gateway.proto.TunnelOpen;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests a gateway that carries calls, with frames as another gateway sends them. */
+class TunnelServerTests {
+
+	private static final int READ_MILLIS = 5_000;
+
+	private static final String REQUEST = "GET /sheets/ HTTP/1.1\r\nHost: x\r\nCall: c1\r\n\r\n";
+
+	private final MemoryRowStore store = new MemoryRowStore();
+
+	private List<GatewayHarness> fleet = List.of();
+
+	private ScriptedServer server;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.server = ScriptedServer.start((request, exchange) -> {
+			if (request.call().equals("held")) {
+				exchange.hold();
+			}
+			else {
+				exchange.ok(request, "x");
+			}
+		});
+		this.fleet = GatewayHarness.startFleet(this.store, 2, 8_000);
+		this.fleet.getFirst().declare();
+		for (GatewayHarness gateway : this.fleet) {
+			gateway.register("s1", this.server).ready();
+			GatewayHarness.await(() -> gateway.liveGateways() == this.fleet.size());
+		}
+	}
+
+	@AfterEach
+	void stop() {
+		this.fleet.forEach(GatewayHarness::close);
+		this.server.close();
+	}
+
+	@Test
+	void shouldPassBytesBothWaysWhenCallBegan() throws Exception {
+		try (Socket tunnel = connect()) {
+			assertThat(ask(tunnel, open("s1")).getContentCase()).isEqualTo(ContentCase.OPENED);
+			assertThat(ask(tunnel, call("c1")).getContentCase()).isEqualTo(ContentCase.OPENED);
+			TunnelFrame answer = ask(tunnel, data(REQUEST));
+			assertThat(answer.getData().toStringUtf8()).startsWith("HTTP/1.1 200").endsWith("x");
+			assertThat(this.fleet.getFirst().metric("counters", "calls.carried")).isEqualTo(1);
+		}
+	}
+
+	// Guards against a call that reaches a server after its gateway learned that the
+	// server leaves.
+	@Test
+	void shouldRefuseCallWhenServerIsLeaving() throws Exception {
+		try (Socket tunnel = connect()) {
+			ask(tunnel, open("s1"));
+			this.store.put(GatewayHarness.SERVERS, "s1", "app " + this.server.address() + " leaving");
+			GatewayHarness.await(() -> refuses(open("s1")));
+			assertThat(ask(tunnel, call("c1")).getContentCase()).isEqualTo(ContentCase.REFUSED);
+			assertThat(this.server.requests()).isEmpty();
+		}
+	}
+
+	// Guards against work for a caller who has left the other gateway.
+	@Test
+	void shouldEndCallAtServerWhenTunnelIsClosed() throws Exception {
+		try (Socket tunnel = connect()) {
+			ask(tunnel, open("s1"));
+			ask(tunnel, call("held"));
+			data(REQUEST.replace("c1", "held")).writeDelimitedTo(tunnel.getOutputStream());
+			GatewayHarness.await(() -> this.server.requests().size() == 1);
+		}
+		assertThat(this.server.awaitDisconnect()).isTrue();
+	}
+
+	// Guards against use as an open proxy, and against bytes that are no frames.
+	@Test
+	void shouldRefuseWhatIsNoTunnelToKnownServer() throws Exception {
+		try (Socket tunnel = connect()) {
+			TunnelFrame answer = ask(tunnel, open("127.0.0.1:80"));
+			assertThat(answer.getContentCase()).isEqualTo(ContentCase.REFUSED);
+			assertThat(answer.getRefused().getUnreachable()).isFalse();
+		}
+		try (Socket tunnel = connect()) {
+			tunnel.getOutputStream().write(REQUEST.getBytes());
+			assertThat(tunnel.getInputStream().read()).isEqualTo(-1);
+		}
+		try (Socket tunnel = connect()) {
+			ask(tunnel, open("s1"));
+			data(REQUEST).writeDelimitedTo(tunnel.getOutputStream());
+			assertThat(tunnel.getInputStream().read()).isEqualTo(-1);
+		}
+		assertThat(this.server.requests()).isEmpty();
+	}
+
+	// Guards against strangers that use the servers without a key.
+	@Test
+	void shouldCloseConnectionWhenPeerIsNoGateway() throws Exception {
+		try (GatewayHarness alone = GatewayHarness.start();
+				Socket stranger = new Socket(alone.settings.tunnels().getAddress(),
+						alone.settings.tunnels().getPort())) {
+			stranger.setSoTimeout(READ_MILLIS);
+			assertThat(stranger.getInputStream().read()).isEqualTo(-1);
+		}
+	}
+
+	private Socket connect() throws IOException {
+		Socket tunnel = new Socket(this.fleet.getFirst().settings.tunnels().getAddress(),
+				this.fleet.getFirst().settings.tunnels().getPort());
+		tunnel.setSoTimeout(READ_MILLIS);
+		return tunnel;
+	}
+
+	private boolean refuses(TunnelFrame frame) {
+		try (Socket tunnel = connect()) {
+			return ask(tunnel, frame).getContentCase() == ContentCase.REFUSED;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	private static TunnelFrame ask(Socket tunnel, TunnelFrame frame) throws IOException {
+		frame.writeDelimitedTo(tunnel.getOutputStream());
+		return TunnelFrame.parseDelimitedFrom(tunnel.getInputStream());
+	}
+
+	private static TunnelFrame open(String server) {
+		return TunnelFrame.newBuilder().setOpen(TunnelOpen.newBuilder().setServer(server)).build();
+	}
+
+	private static TunnelFrame call(String id) {
+		return TunnelFrame.newBuilder().setCall(id).build();
+	}
+
+	private static TunnelFrame data(String text) {
+		return TunnelFrame.newBuilder().setData(ByteString.copyFromUtf8(text)).build();
+	}
+
+}
