Keep servers that fail beyond some rejections from having to reject more

What callers would see: a server that states how many rejections a second it withstands (at most five in the test) rejected 26 in a second and would have failed under all of its calls. Cause: nobody read the statement, and each gateway fills a server to its slots by a view of the others that is up to 300 ms old, so that several take the same free slot.

Now the statement is read from each response, for one start of a server. Such a server is filled to three quarters of its slots, of which each gateway uses its share; where there are more gateways than slots, each may have one call at a server that seems half empty, until that server rejects one: then the slots are divided in turns of a second by a hash that all gateways know. Rejections are told to all at once with the next report (totals, so that a lost one does no harm), and a server that rejected a quarter of what it withstands gets nothing for a second. A server that breaks down right after rejections is no evidence against the requests that it had.

Why it holds: the shares add up to less than the slots, whatever reports are late; the rest is for gateways that do not agree on who is there.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -48,6 +48,12 @@
 	/** The prompt segments that the server is assumed to have cached. */
 	final SegmentCache cachedSegments = new SegmentCache();
 
+	/** The rejections of the server, and what it withstands. */
+	final RejectionGuard rejections = new RejectionGuard();
+
+	/** The rejections that other processes reported last, by process. */
+	final Map<String, Integer> rejectionsByProcess = new HashMap<>();
+
 	/** Consecutive failed calls. */
 	int consecutiveFailures;
 
@@ -72,6 +78,10 @@
 		return sum;
 	}
 
+	boolean hasRoom(SlotShares shares, long nowNanos) {
+		return this.rejections.hasRoom(this, shares, nowNanos);
+	}
+
 	boolean isEligible() {
 		return !this.invalidRegistration && !this.server.leaving();
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -77,6 +78,8 @@
 
 	private final SegmentUpdates segmentUpdates = new SegmentUpdates();
 
+	private SlotShares slotShares = SlotShares.ALONE;
+
 	/** The number of calls sent so far, to all servers. */
 	private long sent;
 
@@ -344,6 +347,90 @@
 		return uses;
 	}
 
+	// -- rejections
+
+	/**
+	 * Replaces how slots of servers that must not reject requests are divided.
+	 * @param shares the shares
+	 */
+	public void slotShares(SlotShares shares) {
+		this.slotShares = shares;
+	}
+
+	SlotShares slotShares() {
+		return this.slotShares;
+	}
+
+	/**
+	 * Records how many rejections per second a server states to withstand.
+	 * @param server the run of the server
+	 * @param perSecond the number, empty if it withstands any
+	 * @return whether this was not known
+	 */
+	public boolean recordRejectionLimit(Incarnation server, OptionalDouble perSecond) {
+		Optional<BackendRow> stating = row(server).filter((row) -> !row.rejections.limit().equals(perSecond));
+		stating.ifPresent((row) -> row.rejections.stated(perSecond));
+		return stating.isPresent();
+	}
+
+	/**
+	 * Records that a server rejected a request of this process.
+	 * @param server the run of the server
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @return whether the server withstands only some rejections, so that other processes
+	 * should learn of it
+	 */
+	public boolean recordRejection(Incarnation server, long nowNanos) {
+		Optional<BackendRow> rejecting = row(server);
+		rejecting.ifPresent((row) -> row.rejections.recordOwn(nowNanos));
+		return rejecting.filter((row) -> row.rejections.limit().isPresent()).isPresent();
+	}
+
+	/**
+	 * Records the rejections that another process reports.
+	 * @param process the other process
+	 * @param server the run of the server
+	 * @param reported what it reports
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	public void recordPeerRejections(String process, Incarnation server, RejectionUse reported, long nowNanos) {
+		row(server).ifPresent((row) -> {
+			if (row.rejections.limit().isEmpty() && reported.limit() > 0) {
+				recordRejectionLimit(server, OptionalDouble.of(reported.limit()));
+			}
+			Integer before = row.rejectionsByProcess.put(process, reported.count());
+			row.rejections.record(Math.max(0, reported.count() - ((before != null) ? before : 0)), nowNanos);
+		});
+	}
+
+	/**
+	 * Returns the rejections of this process by servers that withstand only some.
+	 * @return what to report by run of a server
+	 */
+	public Map<Incarnation, RejectionUse> ownRejections() {
+		Map<Incarnation, RejectionUse> rejections = new HashMap<>();
+		for (BackendRow row : this.rows.values()) {
+			if (row.rejections.limit().isPresent() && row.rejections.ownCount() > 0) {
+				rejections.put(row.server.incarnation(),
+						new RejectionUse(row.rejections.limit().getAsDouble(), row.rejections.ownCount()));
+			}
+		}
+		return rejections;
+	}
+
+	/**
+	 * Returns whether a server may have failed because it had to reject too many
+	 * requests, and not under one of those that it ran.
+	 * @param server the run of the server
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @return true if it withstands only some rejections and rejected requests of late
+	 */
+	public boolean mayHaveFailedByRejections(Incarnation server, long nowNanos) {
+		return row(server).map((row) -> row.rejections)
+			.filter((rejections) -> rejections.limit().isPresent() && rejections.hasRejectedLately(nowNanos))
+			.isPresent();
+	}
+
 	// -- queries
 
 	/**
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -100,7 +100,9 @@
 		}
 		List<BackendRow> preferred = eligible.stream().filter((row) -> !row.isAvoided(nowNanos)).toList();
 		List<BackendRow> candidates = preferred.isEmpty() ? eligible : preferred;
-		List<BackendRow> available = candidates.stream().filter((row) -> row.load() < row.server.slots()).toList();
+		List<BackendRow> available = candidates.stream()
+			.filter((row) -> row.hasRoom(this.table.slotShares(), nowNanos))
+			.toList();
 		if (available.isEmpty()) {
 			return new Choice.Full(candidates.size(), 0);
 		}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/fleet/Fleet.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/fleet/Fleet.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.fleet;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -251,6 +252,21 @@
 				MAX_REPORT_INTERVAL_NANOS);
 	}
 
+	/**
+	 * Returns the names of the live gateways.
+	 * @param self the name of this gateway
+	 * @return the names, this gateway included
+	 */
+	public List<String> liveGateways(String self) {
+		List<String> names = new ArrayList<>(List.of(self));
+		this.members.forEach((name, member) -> {
+			if (member.live) {
+				names.add(name);
+			}
+		});
+		return names;
+	}
+
 	/**
 	 * Returns the number of live gateways that this one knows.
 	 * @return the number, this gateway included
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashGuard.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashGuard.java
@@ -145,7 +145,8 @@
 	/**
 	 * Records that a call failed at a server. Broken connections of servers that were
 	 * about to shut down are not counted as crashes: a server ends its remaining calls
-	 * when it shuts down.
+	 * when it shuts down. Nor are those of servers that fail when they reject too much,
+	 * whatever they ran.
 	 * @param call the call
 	 * @param server the server
 	 * @param failure the failure
@@ -153,7 +154,8 @@
 	 */
 	void failed(Call call, BackendServer server, Failure failure, long nowNanos) {
 		boolean broke = failure.sent() && !failure.responded() && !(failure.verdict() instanceof Verdict.NotRun);
-		if (broke && this.servers.isExpected(server.incarnation())) {
+		boolean overloaded = this.servers.mayHaveFailedByRejections(server.incarnation(), nowNanos);
+		if (broke && !overloaded && this.servers.isExpected(server.incarnation())) {
 			call.digest().ifPresent((request) -> this.crashes.connectionBroke(request, server, nowNanos));
 		}
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -95,6 +95,8 @@
 
 	private final CallLimits callLimits;
 
+	private final Rejections rejections;
+
 	/** Calls in progress with the decisions made about them. */
 	private final Map<Call, CallProgress> calls = new IdentityHashMap<>();
 
@@ -136,6 +138,7 @@
 		this.crashGuard = crashGuard;
 		this.rollouts = rollouts;
 		this.callLimits = callLimits;
+		this.rejections = new Rejections(loop, servers);
 		this.serversFreshness = serversFreshness;
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryBudget(bounds.retryShare() * RETRY_SHARE_FACTOR, bounds.retryFixed(),
@@ -208,6 +211,11 @@
 		this.callLimits.stated(server, requestId, limit, sentNanos);
 	}
 
+	@Override
+	public void rejectionLimitStated(BackendServer server, String requestId, StatedLimit limit) {
+		this.rejections.stated(server, requestId, limit);
+	}
+
 	@Override
 	public void pathLost(Call call) {
 		this.loop.post((_) -> Optional.ofNullable(this.calls.get(call)).ifPresent(this::releaseLoad));
@@ -467,7 +475,8 @@
 		}
 		boolean notRun = failure.verdict() instanceof Verdict.NotRun;
 		this.crashGuard.failed(call, server, failure, nowNanos);
-		boolean counted = recordCallEnd(progress, server, !(failure.responded() && notRun), nowNanos);
+		this.rejections.failed(call.id(), server, failure, nowNanos);
+		boolean counted = recordCallEnd(progress, server, !failure.isRejection(), nowNanos);
 		if (counted && !notRun) {
 			this.rollouts.failed(call.service(), call.route().name(), server);
 		}
@@ -599,6 +608,10 @@
 
 	// -- queries, on the control thread
 
+	Rejections rejections() {
+		return this.rejections;
+	}
+
 	Dispatcher dispatcher() {
 		return this.dispatcher;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -32,6 +32,15 @@
 	/** A backend server stated a rate limit that cannot be decoded. */
 	SERVER_LIMIT_UNREADABLE(2809),
 
+	/**
+	 * What is known of the rejections per second that a backend server withstands has
+	 * changed.
+	 */
+	REJECTION_LIMIT_CHANGED(2870),
+
+	/** A backend server that withstands only some rejections rejected a request. */
+	REQUEST_REJECTED(2871),
+
 	/** The platform's table service does not respond. */
 	STORE_LOST(2810),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -23,6 +23,7 @@
 import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.dispatch.SlotShares;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet;
@@ -68,6 +69,9 @@
 	/** The interval between runs of the duties, in nanoseconds. */
 	private static final long DUTIES_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+	/** How long a gateway has a slot that is used in turns, in milliseconds. */
+	private static final long SLOT_TURN_MILLIS = 1_000;
+
 	/**
 	 * The maximum number of queued reports; more than a thousand gateways send in a
 	 * second.
@@ -380,7 +384,8 @@
 		}
 		this.crashes.tick(now);
 		this.tables.tick(now);
-		this.reportAwaited |= this.crashes.isUrgent() || this.tables.isUrgent(now) || this.callLimits.isUrgent();
+		this.reportAwaited |= this.crashes.isUrgent() || this.tables.isUrgent(now) || this.callLimits.isUrgent()
+				|| this.decisions.rejections().takeUrgent();
 		if (now - this.lastReportNanos >= (this.reportAwaited ? MIN_REPORT_INTERVAL_NANOS
 				: this.fleet.reportIntervalNanos())) {
 			this.lastReportNanos = now;
@@ -440,6 +445,8 @@
 		this.tableAddresses = this.peers.tableAddresses(this.fleet::isLive);
 		this.gateway.gateways(this.peers.carriers(this.fleet::isLive), this.peers.gatewayAddresses());
 		this.decisions.gateways(this.fleet.servingCount(now));
+		this.servers.slotShares(new SlotShares(this.settings.name(), this.fleet.liveGateways(this.settings.name()),
+				System.currentTimeMillis() / SLOT_TURN_MILLIS));
 		this.tables.role(this.fleet.role(this.settings.name(), now));
 		logSharing(now);
 		this.lease.updateGatewayCount(this.fleet.liveCount());
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -17,6 +17,7 @@
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.dispatch.BackendUse;
 import org.rosemaryfront.dispatch.PromptPrefix;
+import org.rosemaryfront.dispatch.RejectionUse;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.duties.UsageLedger.Window;
 import org.rosemaryfront.events.EventLog;
@@ -161,6 +162,8 @@
 		Map<BackendServer.Incarnation, List<PromptPrefix.Segment>> segments = this.servers.takeSegmentUpdates();
 		Set<BackendServer.Incarnation> starts = new HashSet<>(uses.keySet());
 		starts.addAll(segments.keySet());
+		Map<BackendServer.Incarnation, RejectionUse> rejections = this.servers.ownRejections();
+		starts.addAll(rejections.keySet());
 		for (BackendServer.Incarnation server : starts) {
 			BackendUse use = uses.getOrDefault(server, BackendUse.NONE);
 			ServerUse.Builder serverUse = report.addServersBuilder()
@@ -168,6 +171,8 @@
 				.setStartedMillis(server.startedMillis())
 				.setCalls(use.calls())
 				.setUnreadTokens((int) use.uncachedTokens());
+			Optional.ofNullable(rejections.get(server))
+				.ifPresent((rejected) -> serverUse.setRejectionLimit(rejected.limit()).setRejections(rejected.count()));
 			segments.getOrDefault(server, List.of())
 				.forEach((segment) -> serverUse.addParts(segment.prefixHash()).addPartTokens(segment.tokens()));
 		}
@@ -212,6 +217,11 @@
 		this.quotas.reportReceived(process, used, now);
 		this.servers.recordPeerUse(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
 		report.getServersList().forEach(this::receiveSegments);
+		report.getServersList()
+			.stream()
+			.filter((use) -> use.getRejections() > 0)
+			.forEach((use) -> this.servers.recordPeerRejections(process, start(use),
+					new RejectionUse(use.getRejectionLimit(), use.getRejections()), now));
 		this.crashes.receive(report.getGateway(), report.getCrashesList(), now);
 		this.tables.receive(report.getTablesList(), new InetSocketAddress(from, report.getAdminPort()), now);
 		this.rollouts.receive(process, report.getRolloutsList(), now);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/ResponseMetadata.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/ResponseMetadata.java
@@ -11,6 +11,9 @@
  * success
  * @param notRun whether the server states that it did not execute the call
  * @param limit what the server states about the rate of requests that it takes
+ * @param rejectionLimit what the server states about the rate of rejections that it
+ * withstands
  */
-public record ResponseMetadata(String requestId, boolean signed, boolean notRun, StatedLimit limit) {
+public record ResponseMetadata(String requestId, boolean signed, boolean notRun, StatedLimit limit,
+		StatedLimit rejectionLimit) {
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -117,7 +117,8 @@
 
 	private Optional<HttpResponse> response = Optional.empty();
 
-	private ResponseMetadata responseMetadata = new ResponseMetadata("", false, false, StatedLimit.unknown());
+	private ResponseMetadata responseMetadata = new ResponseMetadata("", false, false, StatedLimit.unknown(),
+			StatedLimit.unknown());
 
 	private final BodyBuffer responseBuffer = new BodyBuffer();
 
@@ -500,6 +501,7 @@
 	@Override
 	public void responseHead(HttpResponse responseHead, ResponseMetadata from) {
 		this.gateway.policy().limitStated(this.server.orElseThrow(), id(), from.limit(), this.sentNanos);
+		this.gateway.policy().rejectionLimitStated(this.server.orElseThrow(), id(), from.rejectionLimit());
 		if (this.responseStarted) {
 			resumedResponseHead(responseHead, from);
 			return;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -83,6 +83,14 @@
 	 */
 	void limitStated(BackendServer server, String requestId, StatedLimit limit, long sentNanos);
 
+	/**
+	 * Called when the head of a response was received, whatever its status.
+	 * @param server the server
+	 * @param requestId the request that the server responds to
+	 * @param limit what the server states about the rate of rejections that it withstands
+	 */
+	void rejectionLimitStated(BackendServer server, String requestId, StatedLimit limit);
+
 	/**
 	 * Called when a call is not expected to get a response of its backend server any
 	 * more, but waits for it, since it must not be sent again.
@@ -137,6 +145,15 @@
 	 * @param pathLost whether the path to the server failed and not the server
 	 */
 	record Failure(Verdict verdict, boolean sent, boolean responded, String cause, boolean pathLost) {
+
+		/**
+		 * Returns whether the server responded that it did not run the call.
+		 * @return false if there was no response or the call may have run
+		 */
+		public boolean isRejection() {
+			return this.responded && this.verdict instanceof Verdict.NotRun;
+		}
+
 	}
 
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -97,7 +97,7 @@
 	@Override
 	public ResponseMetadata responseMetadata(int status, HttpHeaders headers) {
 		return new ResponseMetadata(headers.get("Call", ""), headers.contains("Signature"), headers.contains("Not-Run"),
-				StatedLimit.parse(headers.getAll("Limit")));
+				StatedLimit.parse(headers.getAll("Limit")), StatedLimit.parse(headers.getAll("Rejections")));
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ReportFormsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ReportFormsTests.java
@@ -58,7 +58,9 @@
 				.setUnreadTokens(5)
 				.setStartedMillis(6)
 				.addParts(9)
-				.addPartTokens(10))
+				.addPartTokens(10)
+				.setRejectionLimit(1.5)
+				.setRejections(46))
 			.setReadingTokens(11)
 			.setLeaving(true)
 			.setAdminPort(12)
@@ -116,7 +118,7 @@
 		assertThat(report.getAllFields()).hasSameSizeAs(GatewayReport.getDescriptor().getFields());
 		assertThat(hex(report.toByteArray())).isEqualTo("""
 				0a02673115070000001808220c0a0473666178180128023003\
-				2a170a0273311004180520062a08090000000000000032010a\
+				2a220a0273311004180520062a08090000000000000032010a39000000000000f83f402e\
 				300b3801400c480d\
 				5209080e1201721a027b7d\
 				5a0f0a036170701208000000000000e03f6001\
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendToLeavingServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendToLeavingServerTests.java
@@ -107,6 +107,10 @@
 		public void pathLost(Call call) {
 		}
 
+		@Override
+		public void rejectionLimitStated(BackendServer server, String requestId, StatedLimit limit) {
+		}
+
 		@Override
 		public void admit(Call call) {
 			call.send(this.leaving, 2, Optional.empty());
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/TunnelClientTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/TunnelClientTests.java
@@ -177,7 +177,7 @@
 
 		@Override
 		public ResponseMetadata responseMetadata(int status, HttpHeaders headers) {
-			return new ResponseMetadata("", true, false, StatedLimit.unknown());
+			return new ResponseMetadata("", true, false, StatedLimit.unknown(), StatedLimit.unknown());
 		}
 
 		@Override
