Take no server for crashed while the own links may have failed and nobody else could tell

Cause: the check of a server whose connection broke took every failure to connect for a crash, also where no other gateway had answered, or where the one that did had lost its own links a moment before.

Now a failed check is confirmed: if the own link to another server works, the server is down; otherwise the check is repeated after 0.6 s, when gateways know of one another's lost paths, and what nobody could tell is no evidence (E2855). Tried before: waiting for bytes of another server, which left five of eight tests of crashing requests red, since a quiet gateway hears nobody.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
@@ -23,6 +23,7 @@
 import org.rosemaryfront.gateway.proto.CrashNews;
 import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.program.ControlLoop;
+import org.rosemaryfront.traffic.Liveness;
 
 /**
  * Detects servers that crash under requests, sends the evidence to the other gateways
@@ -130,18 +131,18 @@
 			review(request);
 			if (this.livenessChecks.add(server.incarnation())) {
 				this.callbacks.checkAlive(server,
-						(alive) -> this.control.post((checkedNanos) -> livenessChecked(server, alive, checkedNanos)));
+						(found) -> this.control.post((checkedNanos) -> livenessChecked(server, found, checkedNanos)));
 			}
 		}
 	}
 
-	private void livenessChecked(BackendServer server, boolean alive, long nowNanos) {
+	private void livenessChecked(BackendServer server, Liveness found, long nowNanos) {
 		this.livenessChecks.remove(server.incarnation());
-		if (alive) {
-			serverAlive(server.incarnation(), nowNanos, "server accepts connections", nowNanos);
-		}
-		else {
-			serverCrashed(server.incarnation(), "connection attempt failed", nowNanos);
+		switch (found) {
+			case ALIVE -> serverAlive(server.incarnation(), nowNanos, "server accepts connections", nowNanos);
+			case DOWN -> serverCrashed(server.incarnation(), "connection attempt failed", nowNanos);
+			case UNKNOWN ->
+				EventLog.info(GatewayEvents.LIVENESS_UNKNOWN, "server", server.id(), "started", server.startedMillis());
 		}
 	}
 
@@ -344,10 +345,9 @@
 		/**
 		 * Checks whether a server is alive by opening a new connection to it.
 		 * @param server the server
-		 * @param reply receives whether the server accepted the connection; called on any
-		 * thread
+		 * @param reply receives what was found; called on any thread
 		 */
-		void checkAlive(BackendServer server, Consumer<Boolean> reply);
+		void checkAlive(BackendServer server, Consumer<Liveness> reply);
 
 		/**
 		 * Reports that a request was quarantined.
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -40,6 +40,7 @@
 import org.rosemaryfront.traffic.Call;
 import org.rosemaryfront.traffic.CallPolicy;
 import org.rosemaryfront.traffic.Gateway;
+import org.rosemaryfront.traffic.Liveness;
 import org.rosemaryfront.traffic.Refusal;
 import org.rosemaryfront.traffic.Refusal.Cause;
 import org.rosemaryfront.traffic.TrafficEvents;
@@ -582,9 +583,9 @@
 	 * Checks whether a server is alive by opening a new connection to it.
 	 * @param server the server
 	 * @param gateway opens the connection
-	 * @param reply receives whether the server is alive
+	 * @param reply receives what was found
 	 */
-	void checkAlive(BackendServer server, Gateway gateway, Consumer<Boolean> reply) {
+	void checkAlive(BackendServer server, Gateway gateway, Consumer<Liveness> reply) {
 		gateway.checkAlive(server, maxConnections(server.service()), reply);
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -155,6 +155,12 @@
 	/** A quarantined request was scheduled for a single probe execution. */
 	REQUEST_ON_TRIAL(2854),
 
+	/**
+	 * Whether a backend server crashed is not known: this gateway may have lost its
+	 * links, and no other one could be asked.
+	 */
+	LIVENESS_UNKNOWN(2855),
+
 	/** This process was paused or its VM was suspended. */
 	PAUSED(2840);
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -43,6 +43,7 @@
 import org.rosemaryfront.tables.Freshness;
 import org.rosemaryfront.tables.FreshnessLimits;
 import org.rosemaryfront.traffic.Gateway;
+import org.rosemaryfront.traffic.Liveness;
 import org.rosemaryfront.traffic.TrafficMetrics;
 
 /**
@@ -547,7 +548,7 @@
 	private final class CrashHooks implements CrashRecords.Callbacks {
 
 		@Override
-		public void checkAlive(BackendServer server, Consumer<Boolean> reply) {
+		public void checkAlive(BackendServer server, Consumer<Liveness> reply) {
 			GatewayProcess.this.decisions.checkAlive(server, GatewayProcess.this.gateway, reply);
 		}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -16,6 +16,7 @@
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.ports.CallCodec;
+import org.rosemaryfront.traffic.ServerConnector.ConnectFailure;
 
 /**
  * The pool of connections to the backend servers. Used on the traffic thread only.
@@ -38,6 +39,11 @@
 	/** The number of such checks that run at once. */
 	private static final int MAX_CHECKS = 4;
 
+	/** The time until gateways know of one another's lost paths, in milliseconds. */
+	private static final long REPEATED_CHECK_MILLIS = 600;
+
+	private final EventLoop loop;
+
 	private final ServerConnector connector;
 
 	private final Map<Incarnation, Connections> servers = new HashMap<>();
@@ -50,6 +56,7 @@
 	private int runningChecks;
 
 	ConnectionPool(EventLoop loop, CallCodec codec, String zone) {
+		this.loop = loop;
 		this.connector = new ServerConnector(loop, this, codec, zone, this::pathSilent);
 		loop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
@@ -80,7 +87,7 @@
 		}
 		else {
 			connect(server, connections, (connection) -> begin(connection, requestId, onConnected, onFailure),
-					onFailure);
+					(failure) -> onFailure.accept(failure.cause()));
 		}
 	}
 
@@ -137,21 +144,60 @@
 	 * Checks whether a server is alive by opening a new connection. Existing connections
 	 * end for many reasons, but a crashed server accepts no new one, over the own links
 	 * or through another gateway. The new connection is kept for the next call.
+	 *
+	 * <p>
+	 * Right after several gateways lost their links, those that are asked may have lost
+	 * theirs, too. Unless another server is reached, which shows that the own links work,
+	 * the check is therefore repeated when the gateways know of one another's lost paths.
 	 * @param server the server
 	 * @param maxConnections the maximum number of connections of this gateway to the
 	 * server
-	 * @param result receives whether the server is alive
+	 * @param result receives what was found
 	 */
-	void checkAlive(BackendServer server, int maxConnections, Consumer<Boolean> result) {
+	void checkAlive(BackendServer server, int maxConnections, Consumer<Liveness> result) {
 		Connections connections = connections(server);
 		if (connections.isFull(maxConnections)) {
-			result.accept(true);
+			result.accept(Liveness.ALIVE);
+			return;
+		}
+		checkAlive(connections, (shown) -> {
+			if (shown == Liveness.ALIVE) {
+				result.accept(shown);
+			}
+			else {
+				confirmDown(connections, shown, result);
+			}
+		});
+	}
+
+	private void confirmDown(Connections connections, Liveness shown, Consumer<Liveness> result) {
+		Optional<BackendServer> other = this.servers.values()
+			.stream()
+			.filter((known) -> known != connections && !known.open.isEmpty())
+			.map((known) -> known.server)
+			.findAny();
+		if (other.isEmpty()) {
+			result.accept(shown);
 			return;
 		}
-		connect(server, connections, (connection) -> {
+		this.connector.checkOwnLink(other.get(), (reached) -> {
+			if (reached) {
+				result.accept(Liveness.DOWN);
+			}
+			else {
+				this.loop.schedule(
+						() -> checkAlive(connections,
+								(repeated) -> result.accept((repeated != Liveness.UNKNOWN) ? repeated : shown)),
+						REPEATED_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		});
+	}
+
+	private void checkAlive(Connections connections, Consumer<Liveness> result) {
+		connect(connections.server, connections, (connection) -> {
 			connection.release();
-			result.accept(true);
-		}, (cause) -> result.accept(cause.equals(ServerConnector.CLOSED_IMMEDIATELY)));
+			result.accept(Liveness.ALIVE);
+		}, (failure) -> result.accept(failure.shown()));
 	}
 
 	/**
@@ -270,15 +316,15 @@
 	}
 
 	private void connect(BackendServer server, Connections connections, Consumer<ServerConnection> onConnected,
-			Consumer<String> onFailure) {
+			Consumer<ConnectFailure> onFailure) {
 		connections.connecting++;
 		this.connector.connect(server, (connection) -> {
 			connections.connecting--;
 			add(connection, connections);
 			onConnected.accept(connection);
-		}, (cause) -> {
+		}, (failure) -> {
 			connections.connecting--;
-			onFailure.accept(cause);
+			onFailure.accept(failure);
 		});
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -103,9 +103,9 @@
 	 * @param server the server
 	 * @param maxConnections the maximum number of connections of this gateway to the
 	 * server
-	 * @param result receives whether the server is alive, on the traffic thread
+	 * @param result receives what was found, on the traffic thread
 	 */
-	public void checkAlive(BackendServer server, int maxConnections, Consumer<Boolean> result) {
+	public void checkAlive(BackendServer server, int maxConnections, Consumer<Liveness> result) {
 		this.loop.execute(() -> this.pool.checkAlive(server, maxConnections, result));
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnector.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnector.java
@@ -44,9 +44,6 @@
  */
 final class ServerConnector {
 
-	/** The cause for a connection that the server closes as soon as it is open. */
-	static final String CLOSED_IMMEDIATELY = "the server closed the connection immediately";
-
 	/**
 	 * The connect timeout, in milliseconds. A round trip within a region takes a few
 	 * milliseconds, but a lost first packet is retransmitted only after a second.
@@ -145,13 +142,24 @@
 		this.paths.takeDueProbes(System.nanoTime())
 			.stream()
 			.map(this.lostServers::get)
-			.forEach((server) -> direct(server, (connection) -> {
-				reached(server);
-				this.pool.addIdle(server.incarnation(), connection);
-			}, (_) -> {
+			.forEach((server) -> checkOwnLink(server, (_) -> {
 			}));
 	}
 
+	/**
+	 * Checks whether a server is reached over the own links. The connection is kept for
+	 * the next call.
+	 * @param server the server
+	 * @param result receives whether it is reached
+	 */
+	void checkOwnLink(BackendServer server, Consumer<Boolean> result) {
+		direct(server, (connection) -> {
+			reached(server);
+			this.pool.addIdle(server.incarnation(), connection);
+			result.accept(true);
+		}, (_) -> result.accept(false));
+	}
+
 	/**
 	 * Records that a gateway did not answer on an open tunnel.
 	 * @param carrier the gateway
@@ -164,9 +172,9 @@
 	 * Opens a connection.
 	 * @param server the server
 	 * @param onConnected receives the connection
-	 * @param onFailure receives the cause if there is no connection; nothing was sent
+	 * @param onFailure receives the failure if there is no connection; nothing was sent
 	 */
-	void connect(BackendServer server, Consumer<ServerConnection> onConnected, Consumer<String> onFailure) {
+	void connect(BackendServer server, Consumer<ServerConnection> onConnected, Consumer<ConnectFailure> onFailure) {
 		new Attempt(server, onConnected, onFailure).start();
 	}
 
@@ -274,6 +282,15 @@
 			.addLast(connection);
 	}
 
+	/**
+	 * A failed attempt to connect.
+	 *
+	 * @param cause the cause, for the log
+	 * @param shown what it shows about the server
+	 */
+	record ConnectFailure(String cause, Liveness shown) {
+	}
+
 	/** Receives why a gateway does not carry calls to a server. */
 	private interface TunnelFailure {
 
@@ -287,7 +304,7 @@
 		private static final long serialVersionUID = 1L;
 
 		private ClosedImmediatelyException() {
-			super(CLOSED_IMMEDIATELY, null, false, false);
+			super("the server closed the connection immediately", null, false, false);
 		}
 
 	}
@@ -299,7 +316,10 @@
 
 		private final Consumer<ServerConnection> onConnected;
 
-		private final Consumer<String> onFailure;
+		private final Consumer<ConnectFailure> onFailure;
+
+		/** Whether another gateway tried the server and did not reach it either. */
+		private boolean unreachedByOther;
 
 		private final long startNanos = System.nanoTime();
 
@@ -317,7 +337,8 @@
 
 		private boolean done;
 
-		private Attempt(BackendServer server, Consumer<ServerConnection> onConnected, Consumer<String> onFailure) {
+		private Attempt(BackendServer server, Consumer<ServerConnection> onConnected,
+				Consumer<ConnectFailure> onFailure) {
 			this.server = server;
 			this.onConnected = onConnected;
 			this.onFailure = onFailure;
@@ -399,6 +420,7 @@
 			this.tunnelRunning = false;
 			EventLog.info(TrafficEvents.CARRIER_FAILED, "gateway", carrier.gateway(), "server", this.server.id(),
 					"cause", cause, "serverUnreachable", unreachable, "serversOutOfReach", carrier.serversOutOfReach());
+			this.unreachedByOther |= unreachable;
 			if (!unreachable) {
 				ServerConnector.this.carriers.recordFailure(carrier, System.nanoTime());
 			}
@@ -426,11 +448,19 @@
 			}
 		}
 
+		private Liveness shown() {
+			if (this.directFailure.filter(ClosedImmediatelyException.class::isInstance).isPresent()) {
+				return Liveness.ALIVE;
+			}
+			boolean confirmed = this.unreachedByOther || ServerConnector.this.carriers.isEmpty();
+			return confirmed ? Liveness.DOWN : Liveness.UNKNOWN;
+		}
+
 		private void fail() {
 			if (!this.done) {
 				this.done = true;
-				this.onFailure
-					.accept(this.directFailure.map(Throwable::getMessage).orElse("no gateway reaches the server"));
+				String cause = this.directFailure.map(Throwable::getMessage).orElse("no gateway reaches the server");
+				this.onFailure.accept(new ConnectFailure(cause, shown()));
 			}
 		}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
@@ -27,6 +27,7 @@
 import org.rosemaryfront.ports.StoreException.Reason;
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.tables.FreshnessLimits;
+import org.rosemaryfront.traffic.Liveness;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -230,8 +231,8 @@
 	private static final class UnreachableServers implements CrashRecords.Callbacks {
 
 		@Override
-		public void checkAlive(BackendServer server, Consumer<Boolean> reply) {
-			reply.accept(false);
+		public void checkAlive(BackendServer server, Consumer<Liveness> reply) {
+			reply.accept(Liveness.DOWN);
 		}
 
 		@Override
--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/net/Relay.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/net/Relay.java
@@ -51,6 +51,9 @@
 
 	private volatile ServerSocket listener;
 
+	/** Keeps the port while connections are refused. */
+	private Optional<Socket> reservation = Optional.empty();
+
 	/** The thread that accepts connections, unless none are accepted. */
 	private Optional<Thread> accepting = Optional.empty();
 
@@ -118,6 +121,9 @@
 		if (kind == Partition.HANG || kind == Partition.ONE_WAY) {
 			listenWithoutAccepting();
 		}
+		else {
+			reserve();
+		}
 		if (kind == Partition.RESET) {
 			this.pairs.forEach(Pair::reset);
 		}
@@ -166,8 +172,23 @@
 		}
 	}
 
+	// A bound socket that does not listen refuses connections.
+	private void reserve() {
+		Socket bound = new Socket();
+		try {
+			bound.setReuseAddress(true);
+			bound.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), this.port));
+			this.reservation = Optional.of(bound);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	private ServerSocket bind(int backlog) {
 		try {
+			this.reservation.ifPresent(Relay::closeQuietly);
+			this.reservation = Optional.empty();
 			this.listener = new ServerSocket(this.port, backlog, InetAddress.getLoopbackAddress());
 			return this.listener;
 		}
