--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnector.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnector.java
@@ -66,7 +66,7 @@
 	private static final int MAX_CARRIERS = 3;
 
 	/** Detects a dead connection within 4 s, before a call is sent over it. */
-	private static final KeepAliveProbes KEEP_ALIVE_PROBES = new KeepAliveProbes(2, 1, 2);
+	static final KeepAliveProbes KEEP_ALIVE_PROBES = new KeepAliveProbes(2, 1, 2);
 
 	private static final int MAX_HEADER_BYTES = 65_536;
 
@@ -80,10 +80,10 @@
 
 	private final Carriers carriers;
 
-	/** Called when the path to a server is found to be lost. */
+	/** Called when a path went silent, so that open connections carry nothing either. */
 	private final Consumer<Incarnation> onSilent;
 
-	/** The servers to which an attempt was made that failed, by their last address. */
+	/** The servers whose paths are lost, to be probed. */
 	private final Map<Incarnation, BackendServer> lostServers = new HashMap<>();
 
 	private volatile int lostCount;
@@ -208,8 +208,7 @@
 
 	private void direct(BackendServer server, Consumer<ServerConnection> onConnected, Consumer<Throwable> onFailure) {
 		ServerConnection connection = ServerConnection.direct(this.pool, this.codec);
-		ChannelFuture connecting = bootstrap(CONNECT_TIMEOUT_MILLIS, KEEP_ALIVE_PROBES,
-				(pipeline) -> addHttp(pipeline, connection))
+		ChannelFuture connecting = bootstrap(CONNECT_TIMEOUT_MILLIS, (pipeline) -> addHttp(pipeline, connection))
 			.connect(Addresses.parse(server.address()));
 		this.openedCount++;
 		connecting.addListener((_) -> {
@@ -245,13 +244,11 @@
 			}
 		});
 		opened[0] = ServerConnection.tunnelled(this.pool, this.codec, client);
-		ChannelFuture connecting = bootstrap(TunnelClient.ANSWER_TIMEOUT_MILLIS, TunnelPipeline.KEEP_ALIVE_PROBES,
-				(pipeline) -> {
-					TunnelPipeline.addCodecs(pipeline);
-					pipeline.addLast(client);
-					addHttp(pipeline, opened[0]);
-				})
-			.connect(Addresses.parse(carrier.address()));
+		ChannelFuture connecting = bootstrap(TunnelClient.ANSWER_TIMEOUT_MILLIS, (pipeline) -> {
+			TunnelPipeline.addCodecs(pipeline);
+			pipeline.addLast(client);
+			addHttp(pipeline, opened[0]);
+		}).connect(Addresses.parse(carrier.address()));
 		connecting.addListener((_) -> {
 			if (!connecting.isSuccess()) {
 				onFailure.failed(String.valueOf(connecting.cause().getMessage()), false);
@@ -259,7 +256,7 @@
 		});
 	}
 
-	private Bootstrap bootstrap(int timeoutMillis, KeepAliveProbes probes, Consumer<ChannelPipeline> handlers) {
+	private Bootstrap bootstrap(int timeoutMillis, Consumer<ChannelPipeline> handlers) {
 		Bootstrap bootstrap = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -271,7 +268,7 @@
 					handlers.accept(channel.pipeline());
 				}
 			});
-		probes.options().forEach(bootstrap::option);
+		KEEP_ALIVE_PROBES.options().forEach(bootstrap::option);
 		return bootstrap;
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelPipeline.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelPipeline.java
@@ -11,14 +11,10 @@
 import org.rosemaryfront.gateway.proto.TunnelFrame;
 import org.rosemaryfront.gateway.proto.TunnelRefusal;
 import org.rosemaryfront.peer.BoundedFrameDecoder;
-import org.rosemaryfront.peer.KeepAliveProbes;
 
 /** The codecs of both ends of a tunnel, and the frames that have no varying content. */
 final class TunnelPipeline {
 
-	/** Detects within 4 s that the other gateway is gone. */
-	static final KeepAliveProbes KEEP_ALIVE_PROBES = new KeepAliveProbes(2, 1, 2);
-
 	static final TunnelFrame OPENED = TunnelFrame.newBuilder().setOpened(true).build();
 
 	static final TunnelFrame CLOSED = TunnelFrame.newBuilder().setClosed(true).build();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelServer.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelServer.java
@@ -89,7 +89,7 @@
 			channel.close();
 			return;
 		}
-		TunnelPipeline.KEEP_ALIVE_PROBES.options().forEach(channel.config()::setOption);
+		ServerConnector.KEEP_ALIVE_PROBES.options().forEach(channel.config()::setOption);
 		TunnelPipeline.addCodecs(channel.pipeline());
 		channel.pipeline().addLast(new CarriedConnection(this, channel));
 	}
