Forget a rejection limit that came from another gateway when its server states none

What callers would see: once servers had withstood only some rejections, gateways that had learned it from a report would go on using three quarters of the slots for ever, and refuse calls for lack of room. Cause: the traffic thread knew only limits of its own responses, so that a response without one lifted no other; and counts that gateways repeat set the limit anew at each other, with no line in the log.

This also ends a map that was never emptied.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -387,20 +387,39 @@
 	}
 
 	/**
-	 * Records the rejections that another process reports.
+	 * Records the rejections that another process reports. Only a new rejection shows
+	 * that the server still withstands no more: processes repeat their counts after it
+	 * has stated the opposite.
 	 * @param process the other process
 	 * @param server the run of the server
 	 * @param reported what it reports
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @return whether the limit was not known
 	 */
-	public void recordPeerRejections(String process, Incarnation server, RejectionUse reported, long nowNanos) {
-		row(server).ifPresent((row) -> {
-			if (row.rejections.limit().isEmpty() && reported.limit() > 0) {
-				recordRejectionLimit(server, OptionalDouble.of(reported.limit()));
-			}
-			Integer before = row.rejectionsByProcess.put(process, reported.count());
-			row.rejections.record(Math.max(0, reported.count() - ((before != null) ? before : 0)), nowNanos);
-		});
+	public boolean recordPeerRejections(String process, Incarnation server, RejectionUse reported, long nowNanos) {
+		Optional<BackendRow> rejecting = row(server);
+		if (rejecting.isEmpty()) {
+			return false;
+		}
+		BackendRow row = rejecting.get();
+		Integer before = row.rejectionsByProcess.put(process, reported.count());
+		int newRejections = reported.count() - ((before != null) ? before : 0);
+		if (newRejections <= 0) {
+			return false;
+		}
+		row.rejections.record(newRejections, nowNanos);
+		return row.rejections.limit().isEmpty() && recordRejectionLimit(server, OptionalDouble.of(reported.limit()));
+	}
+
+	/**
+	 * Returns the rejections per second that servers withstand.
+	 * @return the number by run of a server, without servers that withstand any
+	 */
+	public Map<Incarnation, Double> rejectionLimits() {
+		Map<Incarnation, Double> limits = new HashMap<>();
+		this.rows.values()
+			.forEach((row) -> row.rejections.limit().ifPresent((limit) -> limits.put(row.server.incarnation(), limit)));
+		return limits;
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -220,8 +220,8 @@
 		report.getServersList()
 			.stream()
 			.filter((use) -> use.getRejections() > 0)
-			.forEach((use) -> this.servers.recordPeerRejections(process, start(use),
-					new RejectionUse(use.getRejectionLimit(), use.getRejections()), now));
+			.forEach((use) -> this.decisions.rejections()
+				.receive(process, start(use), new RejectionUse(use.getRejectionLimit(), use.getRejections()), now));
 		this.crashes.receive(report.getGateway(), report.getCrashesList(), now);
 		this.tables.receive(report.getTablesList(), new InetSocketAddress(from, report.getAdminPort()), now);
 		this.rollouts.receive(process, report.getRolloutsList(), now);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/Rejections.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/Rejections.java
@@ -1,12 +1,12 @@
 package org.rosemaryfront.gateway;
 
-import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.dispatch.RejectionUse;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.limits.StatedLimit;
 import org.rosemaryfront.program.ControlLoop;
@@ -22,8 +22,8 @@
 
 	private final BackendTable servers;
 
-	/** The limits that servers stated last; used on the traffic thread. */
-	private final Map<Incarnation, Double> stated = new HashMap<>();
+	/** The limits that are known; read on the traffic thread. */
+	private volatile Map<Incarnation, Double> limits = Map.of();
 
 	/**
 	 * Whether other gateways should learn of a rejection before the next report is due.
@@ -44,15 +44,13 @@
 	void stated(BackendServer server, String requestId, StatedLimit statement) {
 		switch (statement) {
 			case StatedLimit.PerSecond limit -> {
-				Double before = this.stated.put(server.incarnation(), limit.requests());
-				if (before == null || before != limit.requests()) {
-					this.loop
-						.post((_) -> changed(server.incarnation(), requestId, OptionalDouble.of(limit.requests())));
+				if (!Double.valueOf(limit.requests()).equals(this.limits.get(server.incarnation()))) {
+					this.loop.post((_) -> stated(server.incarnation(), requestId, OptionalDouble.of(limit.requests())));
 				}
 			}
 			case StatedLimit.None _ -> {
-				if (this.stated.remove(server.incarnation()) != null) {
-					this.loop.post((_) -> changed(server.incarnation(), requestId, OptionalDouble.empty()));
+				if (this.limits.containsKey(server.incarnation())) {
+					this.loop.post((_) -> stated(server.incarnation(), requestId, OptionalDouble.empty()));
 				}
 			}
 			case StatedLimit.Unreadable unreadable -> EventLog.warn(GatewayEvents.SERVER_LIMIT_UNREADABLE, "server",
@@ -62,15 +60,32 @@
 		}
 	}
 
-	private void changed(Incarnation server, String requestId, OptionalDouble perSecond) {
+	private void stated(Incarnation server, String requestId, OptionalDouble perSecond) {
 		if (this.servers.recordRejectionLimit(server, perSecond)) {
-			EventLog.info(GatewayEvents.REJECTION_LIMIT_CHANGED, "server", server.id(), "started",
-					server.startedMillis(), "perSecond",
-					perSecond.isPresent() ? String.valueOf(perSecond.getAsDouble()) : "none", "from",
+			changed(server, perSecond.isPresent() ? String.valueOf(perSecond.getAsDouble()) : "none",
 					"request " + requestId);
 		}
 	}
 
+	/**
+	 * Processes what another process reports.
+	 * @param process the other process
+	 * @param server the run of the server
+	 * @param reported what it reports
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	void receive(String process, Incarnation server, RejectionUse reported, long nowNanos) {
+		if (this.servers.recordPeerRejections(process, server, reported, nowNanos)) {
+			changed(server, String.valueOf(reported.limit()), "report of " + process);
+		}
+	}
+
+	private void changed(Incarnation server, String perSecond, String from) {
+		this.limits = this.servers.rejectionLimits();
+		EventLog.info(GatewayEvents.REJECTION_LIMIT_CHANGED, "server", server.id(), "started", server.startedMillis(),
+				"perSecond", perSecond, "from", from);
+	}
+
 	/**
 	 * Processes a failed attempt.
 	 * @param requestId the request, for the log
