Open all connections to servers in one way, and check what the users allow in one place

The load of a server is summed once for a choice, and the hashes of gateways end at the slots of a server. Both tests of partitions call one check of the users' rule; the soak's now also fails without calls.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/RejectionGuard.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/RejectionGuard.java
@@ -95,19 +95,20 @@
 	 */
 	boolean hasRoom(BackendRow row, SlotShares shares, long nowNanos) {
 		int slots = row.server.slots();
+		int load = row.load();
 		if (this.limit.isEmpty()) {
-			return row.load() < slots;
+			return load < slots;
 		}
 		int usable = Math.max(1, (int) (slots * USED_SHARE));
 		int gateways = shares.gateways().size();
 		// With one call of each, no more than these are rejected at once.
 		int rejectedAtMost = gateways - slots;
 		boolean oneEach = gateways > usable && rejectedAtMost <= this.limit.getAsDouble();
-		if (isClosed(nowNanos) || row.load() >= usable) {
+		if (isClosed(nowNanos) || load >= usable) {
 			return false;
 		}
 		if (oneEach && !hasRejectedWithin(TURNS_NANOS, nowNanos)) {
-			return row.ownCalls == 0 && row.load() < Math.max(1, slots / 2);
+			return row.ownCalls == 0 && load < Math.max(1, slots / 2);
 		}
 		return row.ownCalls < shares.slotsOf(row.server.id(), usable);
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/SlotShares.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/SlotShares.java
@@ -30,12 +30,12 @@
 	 */
 	int slotsOf(String server, int slots) {
 		int share = slots / Math.max(1, this.gateways.size());
-		return (share > 0) ? share : (rank(server) < slots) ? 1 : 0;
+		return (share > 0) ? share : isAmongFirst(slots, server) ? 1 : 0;
 	}
 
-	private long rank(String server) {
+	private boolean isAmongFirst(int count, String server) {
 		long own = hash(server, this.self);
-		return this.gateways.stream().filter((gateway) -> hash(server, gateway) < own).count();
+		return this.gateways.stream().filter((gateway) -> hash(server, gateway) < own).limit(count).count() < count;
 	}
 
 	private long hash(String server, String gateway) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -791,8 +791,7 @@
 		return this.server.map(BackendServer::id).orElse("none");
 	}
 
-	// How long nothing was received from a server, which tells a slow response from a
-	// lost
+	// How long nothing was received from a server: tells a slow response from a lost
 	// path.
 	private String silentMillis(BackendServer from) {
 		return this.gateway.pool().silentText(from.incarnation());
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
@@ -4,17 +4,14 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
@@ -110,12 +107,8 @@
 	}
 
 	private void connect(BackendServer to) {
-		ChannelFuture connecting = new Bootstrap().group(this.owner.loop())
-			.channel(NioSocketChannel.class)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.SO_KEEPALIVE, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-			.handler(new ServerSide())
+		ChannelFuture connecting = ServerConnector
+			.bootstrap(this.owner.loop(), CONNECT_TIMEOUT_MILLIS, new ServerSide())
 			.connect(Addresses.parse(to.address()));
 		connecting.addListener((_) -> connected(connecting));
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnector.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnector.java
@@ -12,6 +12,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
@@ -189,7 +190,6 @@
 	}
 
 	private void lost(BackendServer server, Sign sign, String cause, String carrier, long attemptNanos) {
-		boolean silent = sign == Sign.SILENT;
 		if (this.paths.recordLost(server.incarnation(), sign, attemptNanos, System.nanoTime())) {
 			this.lostServers.put(server.incarnation(), server);
 			this.lostCount = this.paths.lostCount();
@@ -199,7 +199,7 @@
 					TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - attemptNanos), "serversOutOfReach",
 					this.lostCount);
 		}
-		if (silent) {
+		if (sign == Sign.SILENT) {
 			this.onSilent.accept(server.incarnation());
 		}
 	}
@@ -257,17 +257,28 @@
 	}
 
 	private Bootstrap bootstrap(int timeoutMillis, Consumer<ChannelPipeline> handlers) {
-		Bootstrap bootstrap = new Bootstrap().group(this.loop)
+		return bootstrap(this.loop, timeoutMillis, new ChannelInitializer<SocketChannel>() {
+			@Override
+			protected void initChannel(SocketChannel channel) {
+				handlers.accept(channel.pipeline());
+			}
+		});
+	}
+
+	/**
+	 * Returns what opens connections to servers and other gateways.
+	 * @param loop the traffic thread
+	 * @param timeoutMillis the connect timeout, in milliseconds
+	 * @param handler the handler of the connections
+	 * @return the bootstrap
+	 */
+	static Bootstrap bootstrap(EventLoop loop, int timeoutMillis, ChannelHandler handler) {
+		Bootstrap bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
-			.handler(new ChannelInitializer<SocketChannel>() {
-				@Override
-				protected void initChannel(SocketChannel channel) {
-					handlers.accept(channel.pipeline());
-				}
-			});
+			.handler(handler);
 		KEEP_ALIVE_PROBES.options().forEach(bootstrap::option);
 		return bootstrap;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelClient.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelClient.java
@@ -39,7 +39,7 @@
 	private ChannelHandlerContext context;
 
 	/** Receives the next answer; empty while none is awaited. */
-	private Optional<Answer> awaited = Optional.empty();
+	private Optional<Answer> awaited;
 
 	private Future<?> timeout;
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PartitionedFleet.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PartitionedFleet.java
@@ -19,12 +19,20 @@
 import org.rosemaryfront.standin.net.Relay;
 import org.rosemaryfront.standin.net.Relay.Partition;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 /**
  * Gateways and backend servers with a relay on each link between them, and callers at
  * each gateway. The callers send each request once.
  */
 final class PartitionedFleet implements AutoCloseable {
 
+	/** The first tries that the users' rule lets fail in addition to a share of all. */
+	private static final int ALLOWED_FAILURES = 10;
+
+	/** One of this many first tries may fail. */
+	private static final int ALLOWED_FAILURE_INTERVAL = 50;
+
 	/** The time between two calls at a gateway, in milliseconds. */
 	private static final long CALL_INTERVAL_MILLIS = 20;
 
@@ -328,12 +336,19 @@
 	}
 
 	/**
-	 * Returns the number of outcomes by path and status, for the message of a failed
-	 * check.
-	 * @param outcomes the outcomes
-	 * @return the counts
+	 * Asserts that no more first tries failed than the users' rule allows.
+	 * @param outcomes the first tries
+	 * @param faults the faults meanwhile, for the message of a failed check
 	 */
-	static Map<String, Integer> summary(List<Outcome> outcomes) {
+	static void assertServed(List<Outcome> outcomes, Object faults) {
+		long failed = outcomes.stream().filter((outcome) -> !outcome.isServed()).count();
+		assertThat(outcomes).isNotEmpty();
+		assertThat(failed).as("failed of %s: %s, %s", outcomes.size(), summary(outcomes), faults)
+			.isLessThanOrEqualTo(ALLOWED_FAILURES + outcomes.size() / ALLOWED_FAILURE_INTERVAL);
+	}
+
+	// The number of outcomes by path and status.
+	private static Map<String, Integer> summary(List<Outcome> outcomes) {
 		Map<String, Integer> counts = new HashMap<>();
 		outcomes.forEach((outcome) -> counts.merge(outcome.path + " " + outcome.status, 1, Integer::sum));
 		return counts;
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ServerPartitionSoakTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ServerPartitionSoakTests.java
@@ -48,10 +48,6 @@
 	/** Longer than the time limit of any call, in milliseconds. */
 	private static final long CALL_MILLIS = 3_500;
 
-	private static final int ALLOWED_FAILURES = 10;
-
-	private static final int ALLOWED_FAILURE_INTERVAL = 50;
-
 	private final List<String> drawn = new ArrayList<>();
 
 	static LongStream seeds() {
@@ -128,10 +124,8 @@
 	}
 
 	private void assertServed(List<Outcome> outcomes, Set<Integer> hit) {
-		List<Outcome> counted = outcomes.stream().filter((outcome) -> !hit.contains(outcome.gateway())).toList();
-		long failed = counted.stream().filter((outcome) -> !outcome.isServed()).count();
-		assertThat(failed).as("failed of %s: %s, %s", counted.size(), PartitionedFleet.summary(counted), this.drawn)
-			.isLessThanOrEqualTo(ALLOWED_FAILURES + counted.size() / ALLOWED_FAILURE_INTERVAL);
+		PartitionedFleet.assertServed(outcomes.stream().filter((outcome) -> !hit.contains(outcome.gateway())).toList(),
+				this.drawn);
 	}
 
 	private String description(long seed) {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ServerPartitionTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ServerPartitionTests.java
@@ -33,12 +33,6 @@
 	/** How long calls are counted during the partition, in milliseconds. */
 	private static final long COUNTED_MILLIS = 4_000;
 
-	/** The first tries that may fail in addition to a share of all. */
-	private static final int ALLOWED_FAILURES = 10;
-
-	/** One of this many first tries may fail. */
-	private static final int ALLOWED_FAILURE_INTERVAL = 50;
-
 	// Guards against a gateway that has no way to the servers but its own links.
 	@ParameterizedTest
 	@EnumSource(Partition.class)
@@ -80,11 +74,8 @@
 	// As many of the first tries at cut gateways fail as the rule allows, whatever the
 	// others serve.
 	private static void assertServed(List<Outcome> outcomes) {
-		List<Outcome> atCut = outcomes.stream().filter((outcome) -> CUT.contains(outcome.gateway())).toList();
-		long failed = atCut.stream().filter((outcome) -> !outcome.isServed()).count();
-		assertThat(atCut).isNotEmpty();
-		assertThat(failed).as("failed of %s: %s", atCut.size(), PartitionedFleet.summary(atCut))
-			.isLessThanOrEqualTo(ALLOWED_FAILURES + atCut.size() / ALLOWED_FAILURE_INTERVAL);
+		PartitionedFleet.assertServed(outcomes.stream().filter((outcome) -> CUT.contains(outcome.gateway())).toList(),
+				CUT);
 	}
 
 }
