Log how a server's answer was framed and whether it ended inside an event

What callers saw could not be told from the logs: an answer that was broken off and a whole one both gave E2704 with 200. E2703 and E2704 now say the framing, the bytes received and how many of them lie behind the last whole event; two counters say how often answers end with their connection and inside an event. No logic changes: the scanner of events only counts.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -117,6 +117,9 @@
 
 	private Optional<HttpResponse> response = Optional.empty();
 
+	/** What the current attempt received, empty before the head of its response. */
+	private Optional<ReceivedBody> received = Optional.empty();
+
 	private ResponseMetadata responseMetadata = new ResponseMetadata("", false, false, StatedLimit.unknown(),
 			StatedLimit.unknown());
 
@@ -459,6 +462,7 @@
 		this.sendMillis = TimeUnit.NANOSECONDS.toMillis(this.sentNanos - this.chosenNanos);
 		to.carrier().ifPresent(this::tunnelled);
 		clearErrorResponse();
+		this.received = Optional.empty();
 		to.startCall(id(), this);
 		to.write(serverRequest());
 		this.requestBuffer.duplicates().forEach((chunk) -> to.write(new DefaultHttpContent(chunk)));
@@ -502,13 +506,15 @@
 	public void responseHead(HttpResponse responseHead, ResponseMetadata from) {
 		this.gateway.policy().limitStated(this.server.orElseThrow(), id(), from.limit(), this.sentNanos);
 		this.gateway.policy().rejectionLimitStated(this.server.orElseThrow(), id(), from.rejectionLimit());
+		boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
+		this.received = Optional.of(ReceivedBody.of(responseHead, success && this.route.kind() == CallKind.STREAMING));
+		this.received.ifPresent((body) -> this.gateway.metrics().responseReceived(body.framing()));
 		if (this.responseStarted) {
 			resumedResponseHead(responseHead, from);
 			return;
 		}
 		this.response = Optional.of(responseHead);
 		this.responseMetadata = from;
-		boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
 		if (success && !from.signed()) {
 			abortResponse("the server sent a success response without a signature");
 			return;
@@ -536,6 +542,7 @@
 
 	@Override
 	public void responseBytes(ByteBuf bytes) {
+		this.received.ifPresent((body) -> body.add(bytes));
 		if (this.state == State.DONE) {
 			bytes.release();
 		}
@@ -628,10 +635,12 @@
 	}
 
 	private void responded(BackendServer from) {
+		countOpenEvent();
 		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", statusCode(),
 				"server", from.id(), "sends", this.sendCount, "sendMillis", this.sendMillis, "millis", ageMillis(),
 				"firstMillis", this.responseTimes.firstMillis(this.receivedNanos), "longestPauseMillis",
-				this.responseTimes.longestPauseMillis());
+				this.responseTimes.longestPauseMillis(), "framing", framing(), "bodyBytes", responseBodyBytes(),
+				"openEventBytes", openEventBytes());
 		this.gateway.metrics().answered(this, statusCode());
 		this.server = Optional.empty();
 		this.gateway.policy().ended(this, from, Ending.RESPONDED);
@@ -663,11 +672,13 @@
 		this.server = Optional.empty();
 		this.eventFramer.ifPresent(EventFramer::discardIncomplete);
 		this.state = State.DECIDING;
+		countOpenEvent();
 		EventLog.info(TrafficEvents.CALL_FAILED, "request", id(), "digest", digestText(), "server", failedServer.id(),
 				"started", failedServer.startedMillis(), "verdict", verdict.code(), "cause", cause, "answering",
 				this.responseStarted, "reused", sent && this.connection.isReused(), "serverSilentMillis",
 				silentMillis(failedServer), "pathLost", pathLost, "carrier", sent ? carrierName() : "none",
-				"sendMillis", this.sendMillis, "millis", ageMillis());
+				"sendMillis", this.sendMillis, "framing", framing(), "bodyBytes", responseBodyBytes(), "openEventBytes",
+				openEventBytes(), "millis", ageMillis());
 		if (verdict instanceof Verdict.MayHaveRun) {
 			// The server may have started the call, so it is counted as usage of its
 			// organisation.
@@ -797,6 +808,25 @@
 		return this.gateway.pool().silentText(from.incarnation());
 	}
 
+	private void countOpenEvent() {
+		if (openEventBytes() > 0) {
+			this.gateway.metrics().increment("servers.responses.ended.inside.event");
+		}
+	}
+
+	private String framing() {
+		return this.received.map((body) -> body.framing().name()).orElse("none");
+	}
+
+	private long responseBodyBytes() {
+		return this.received.map(ReceivedBody::bytes).orElse(0L);
+	}
+
+	// More than 0 for a stream that ended inside an event.
+	private long openEventBytes() {
+		return this.received.map(ReceivedBody::openEventBytes).orElse(0L);
+	}
+
 	private String carrierName() {
 		return this.connection.carrier().orElse("none");
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficMetrics.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficMetrics.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.traffic;
 
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Gauge;
@@ -44,6 +45,10 @@
 		this.registry.histogram("calls.first.millis." + call.route().kind()).update(millis(call));
 	}
 
+	void responseReceived(ResponseFraming framing) {
+		increment("servers.responses.framed." + framing.name().toLowerCase(Locale.ROOT));
+	}
+
 	void broken() {
 		increment("calls.broken");
 	}
