--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
@@ -57,6 +57,27 @@
 		return new Response(head.toString(), new String(body, StandardCharsets.UTF_8), body.length == length);
 	}
 
+	/**
+	 * Reads one response whose body may end with the connection.
+	 * @return the response; {@code whole} is false if the connection was reset within it
+	 */
+	Response readToEnd() throws IOException {
+		InputStream in = this.socket.getInputStream();
+		StringBuilder received = new StringBuilder();
+		boolean reset = false;
+		try {
+			for (int next = in.read(); next >= 0; next = in.read()) {
+				received.append((char) next);
+			}
+		}
+		catch (IOException ex) {
+			reset = true;
+		}
+		int body = received.indexOf("\r\n\r\n") + 4;
+		return (body < 4) ? new Response(received.toString(), "", false)
+				: new Response(received.substring(0, body), received.substring(body), !reset);
+	}
+
 	private static Response chunks(String head, InputStream in) throws IOException {
 		StringBuilder body = new StringBuilder();
 		while (true) {
