Take no stream for complete that ends inside an event

Cause: whether a response is complete was decided by its framing alone, and a response without length or chunks is framed by the end of its connection, which a dying server closes like one that is done. The framer, which holds back the half event, even wrote it out as the rest of the stream.

Why this holds: every stream of events is scanned to its last byte, with any line end, and one that ends inside an event, or ends with its connection before any event, counts as broken off whatever framed it: it is resumed behind the last whole event or broken at the caller, and counts as a failed attempt for crashes, roll-outs and retries like one that was cut in its chunks. A cut between two events of a stream without frame cannot be told from a whole one.

The names of metrics have one more.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -506,22 +506,23 @@
 	public void responseHead(HttpResponse responseHead, ResponseMetadata from) {
 		this.gateway.policy().limitStated(this.server.orElseThrow(), id(), from.limit(), this.sentNanos);
 		this.gateway.policy().rejectionLimitStated(this.server.orElseThrow(), id(), from.rejectionLimit());
-		boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
-		this.received = Optional.of(ReceivedBody.of(responseHead, success && this.route.kind() == CallKind.STREAMING));
-		this.received.ifPresent((body) -> this.gateway.metrics().responseReceived(body.framing()));
+		ReceivedBody body = ReceivedBody.of(responseHead, this.route.kind() == CallKind.STREAMING, isEventExpected());
+		this.received = Optional.of(body);
+		this.gateway.metrics().responseReceived(body.framing());
 		if (this.responseStarted) {
-			resumedResponseHead(responseHead, from);
+			resumedResponseHead(responseHead, from, body);
 			return;
 		}
 		this.response = Optional.of(responseHead);
 		this.responseMetadata = from;
+		boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
 		if (success && !from.signed()) {
 			abortResponse("the server sent a success response without a signature");
 			return;
 		}
 		if (this.route.kind() == CallKind.STREAMING && success) {
 			startResponse();
-			if (this.route.resumable()) {
+			if (this.route.resumable() && body.isEventStream()) {
 				this.eventFramer = Optional.of(new EventFramer(this.caller.allocator()));
 			}
 		}
@@ -530,9 +531,13 @@
 		}
 	}
 
-	private void resumedResponseHead(HttpResponse responseHead, ResponseMetadata from) {
-		boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS && from.signed();
-		if (!success) {
+	private boolean isEventExpected() {
+		boolean hasBody = !this.head.method().equals(HttpMethod.HEAD);
+		return hasBody && this.eventFramer.map(EventFramer::isEventExpected).orElse(true);
+	}
+
+	private void resumedResponseHead(HttpResponse responseHead, ResponseMetadata from, ReceivedBody body) {
+		if (!body.isEventStream() || !from.signed()) {
 			abortResponse("a resumed stream failed with status " + responseHead.status().code());
 			return;
 		}
@@ -542,14 +547,14 @@
 
 	@Override
 	public void responseBytes(ByteBuf bytes) {
-		this.received.ifPresent((body) -> body.add(bytes));
+		int completeBytes = this.received.map((body) -> body.add(bytes)).orElse(0);
 		if (this.state == State.DONE) {
 			bytes.release();
 		}
 		else if (this.responseStarted) {
 			markRunStarted();
 			this.responseTimes.chunkReceived(System.nanoTime());
-			ByteBuf forwarded = this.eventFramer.map((framer) -> framer.add(bytes)).orElse(bytes);
+			ByteBuf forwarded = this.eventFramer.map((framer) -> framer.add(bytes, completeBytes)).orElse(bytes);
 			if (!this.caller.write(forwarded)) {
 				this.connection.setReading(false);
 			}
@@ -572,9 +577,12 @@
 
 	@Override
 	public void responseComplete() {
+		if (this.received.filter(ReceivedBody::isBrokenOff).isPresent()) {
+			abortResponse("ended inside an event");
+			return;
+		}
 		BackendServer from = this.server.orElseThrow();
 		if (this.responseStarted) {
-			this.eventFramer.ifPresent((framer) -> this.caller.write(framer.takeRemaining()));
 			responded(from);
 			return;
 		}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/EventFramer.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/EventFramer.java
@@ -2,13 +2,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 
 /**
- * Splits a stream of server-sent events into complete events and records the identifier
- * of the last one forwarded.
+ * Holds back the incomplete event at the end of a stream of server-sent events, and
+ * records the identifier of the last one forwarded.
  *
  * <p>
  * A server may fail in the middle of an event. If the first half were forwarded, the
@@ -16,12 +17,18 @@
  */
 final class EventFramer {
 
+	private static final Pattern LINE_END = Pattern.compile("\r\n|\r|\n");
+
 	private static final String ID_FIELD = "id:";
 
+	private static final String BYTE_ORDER_MARK = "\uFEFF";
+
 	private final ByteBuf buffer;
 
 	private Optional<String> lastId = Optional.empty();
 
+	private boolean eventExpected = true;
+
 	EventFramer(ByteBufAllocator allocator) {
 		this.buffer = allocator.buffer();
 	}
@@ -29,32 +36,36 @@
 	/**
 	 * Adds received bytes.
 	 * @param bytes the bytes; released by this method
+	 * @param completeBytes how many of them precede the end of the last event that is
+	 * complete now; 0 if none was completed
 	 * @return all events that are complete now, possibly none
 	 */
-	ByteBuf add(ByteBuf bytes) {
+	ByteBuf add(ByteBuf bytes, int completeBytes) {
+		int held = (completeBytes > 0) ? this.buffer.readableBytes() + completeBytes : 0;
 		this.buffer.writeBytes(bytes);
 		bytes.release();
-		int end = endOfLastEvent();
-		if (end <= this.buffer.readerIndex()) {
+		if (held == 0) {
 			return this.buffer.alloc().buffer(0);
 		}
-		ByteBuf events = this.buffer.readBytes(end - this.buffer.readerIndex());
+		ByteBuf events = this.buffer.readBytes(held);
 		this.buffer.discardSomeReadBytes();
 		recordLastId(events);
+		this.eventExpected = false;
 		return events;
 	}
 
 	/** Discards the incomplete event of a failed attempt. */
 	void discardIncomplete() {
+		this.eventExpected |= this.buffer.isReadable();
 		this.buffer.clear();
 	}
 
 	/**
-	 * Returns and removes the bytes after the last complete event.
-	 * @return the bytes, to be released by the caller
+	 * Returns whether a server that resumes the stream has at least one event to send.
+	 * @return false if the last event forwarded may be that of the whole stream
 	 */
-	ByteBuf takeRemaining() {
-		return this.buffer.readBytes(this.buffer.readableBytes());
+	boolean isEventExpected() {
+		return this.eventExpected;
 	}
 
 	Optional<String> lastId() {
@@ -65,22 +76,8 @@
 		this.buffer.release();
 	}
 
-	// Returns the index after the last blank line, or the reader index if there is none.
-	private int endOfLastEvent() {
-		int end = this.buffer.writerIndex();
-		for (int i = end - 1; i > this.buffer.readerIndex(); i--) {
-			if (this.buffer.getByte(i) == '\n') {
-				int before = (this.buffer.getByte(i - 1) == '\r') ? i - 2 : i - 1;
-				if (before >= this.buffer.readerIndex() && this.buffer.getByte(before) == '\n') {
-					return i + 1;
-				}
-			}
-		}
-		return this.buffer.readerIndex();
-	}
-
 	private void recordLastId(ByteBuf events) {
-		for (String line : events.toString(StandardCharsets.UTF_8).split("\n")) {
+		for (String line : LINE_END.split(events.toString(StandardCharsets.UTF_8).replace(BYTE_ORDER_MARK, ""))) {
 			if (line.startsWith(ID_FIELD)) {
 				this.lastId = Optional.of(line.substring(ID_FIELD.length()).trim());
 			}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/EventScanner.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/EventScanner.java
@@ -23,6 +23,8 @@
 
 	private long openBytes;
 
+	private long count;
+
 	/**
 	 * Takes the next byte.
 	 * @param next the byte
@@ -51,6 +53,7 @@
 
 	private void endLine(LineEnd end) {
 		if (this.lineEmpty) {
+			this.count += this.eventOpen ? 1 : 0;
 			this.eventOpen = false;
 		}
 		else if (!this.comment) {
@@ -75,6 +78,14 @@
 		return this.openBytes;
 	}
 
+	/**
+	 * Returns the number of complete events received.
+	 * @return the number
+	 */
+	long count() {
+		return this.count;
+	}
+
 	/** How a line ends. */
 	private enum LineEnd {
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MetricNamesTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MetricNamesTests.java
@@ -17,8 +17,8 @@
 			"gauges/requests.held", "gauges/servers.connections", "gauges/servers.connections.opened",
 			"gauges/servers.limited", "gauges/servers.out.of.reach", "gauges/servers.proven.millis",
 			"gauges/tunnels.open", "counters/calls.answered.200", "counters/calls.refused.404",
-			"counters/servers.unreadable", "histograms/calls.answer.millis.IDEMPOTENT",
-			"histograms/calls.first.millis.IDEMPOTENT");
+			"counters/servers.responses.framed.length", "counters/servers.unreadable",
+			"histograms/calls.answer.millis.IDEMPOTENT", "histograms/calls.first.millis.IDEMPOTENT");
 
 	@Test
 	void shouldKeepNamesOfMetricsWhenCallsAreAnsweredAndRefused() throws IOException {
