Frame streams that can be resumed by ourselves

Callers saw, where the first server of a stream had stated a length and broke off inside an event behind just that many bytes: a frame of that length around a stream that went on at another server, so that the rest stood where the next answer was due. Cause: the length in the head of one run was passed on for a stream that several runs may make. Why this holds: a stream that may be resumed goes out in chunks, whatever its first server stated; all other answers keep their length.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -521,10 +521,10 @@
 			return;
 		}
 		if (this.route.kind() == CallKind.STREAMING && success) {
-			startResponse();
 			if (this.route.resumable() && body.isEventStream()) {
 				this.eventFramer = Optional.of(new EventFramer(this.caller.allocator()));
 			}
+			startResponse();
 		}
 		else if (!from.notRun()) {
 			markRunStarted();
@@ -633,9 +633,11 @@
 		return !serverFault;
 	}
 
+	// A stream that is resumed need not have the length that its first server stated.
 	private void startResponse() {
 		this.responseStarted = true;
-		this.caller.startResponse(this.response.orElseThrow(), this.head.method().equals(HttpMethod.HEAD));
+		this.caller.startResponse(this.response.orElseThrow(), this.head.method().equals(HttpMethod.HEAD),
+				this.eventFramer.isEmpty());
 	}
 
 	private void forwardBufferedResponse() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -233,12 +233,16 @@
 	 * Sends the head of a response.
 	 * @param serverHead the server's response head
 	 * @param bodiless whether the response has no body regardless of its head
+	 * @param lengthKnown whether the body has the length that the head states, if any
 	 */
-	void startResponse(HttpResponse serverHead, boolean bodiless) {
+	void startResponse(HttpResponse serverHead, boolean bodiless, boolean lengthKnown) {
 		HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, serverHead.status(),
 				serverHead.headers().copy());
-		boolean hasLength = HttpUtil.isContentLengthSet(serverHead);
+		boolean hasLength = lengthKnown && HttpUtil.isContentLengthSet(serverHead);
 		HopByHopHeaders.remove(head.headers());
+		if (!hasLength) {
+			head.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+		}
 		this.gateway.codec().toCallerHeaders(head.headers());
 		this.bodilessResponse = bodiless || serverHead.status().code() == 204 || serverHead.status().code() == 304;
 		if (!hasLength && !this.bodilessResponse) {
