Reset the connections of callers to whom their end is the end of an answer that was broken off

Callers of HTTP/1.0 saw a regular end of their connection whether a stream was whole or not. Cause: they get an answer without length that ends with its connection, and a broken one was closed in the same way. Evidence: three of four cases of BrokenOffAnswerTests#shouldResetConnectionOfOldCallerWhenStreamIsBrokenOff failed, all pass now. Why this holds: while such an answer is incomplete the socket has a linger time of 0, so that any end of it is a reset, that of a killed process too; the last byte of a whole answer takes it back.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -248,6 +249,7 @@
 		if (!hasLength && !this.bodilessResponse) {
 			if (this.http10) {
 				this.closeAfterResponse = true;
+				resetWhenClosed(true);
 			}
 			else {
 				head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
@@ -328,9 +330,18 @@
 		this.idleSinceNanos = System.nanoTime();
 	}
 
+	// To such a caller, the end of the connection is the end of the response. While that
+	// is incomplete, any end is a reset, also that of this process.
+	private void resetWhenClosed(boolean enabled) {
+		if (this.channel.isActive()) {
+			this.channel.config().setOption(ChannelOption.SO_LINGER, enabled ? 0 : -1);
+		}
+	}
+
 	// Closing a socket with unread bytes sends a reset, which can discard the response
 	// before the caller has read it.
 	private void closeAfterLinger() {
+		resetWhenClosed(false);
 		((SocketChannel) this.channel).shutdownOutput();
 		this.channel.eventLoop().schedule(() -> this.channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
 	}
