Let stand-ins of streams send events

Two tests answered streams with a few letters, which is what a stream looks like that broke off in its first event; they failed since such streams count as broken off (CrashingRequestTests, four cases; GatewayProcessTests waited in vain for learned rates). They send an event now; what they check is the same.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
@@ -248,7 +248,7 @@
 						crash(id, self[0]);
 					}
 					else {
-						exchange.ok(request, "good");
+						exchange.ok(request, "data: good\n\n");
 					}
 				});
 				this.all.add(self[0]);
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayProcessTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayProcessTests.java
@@ -151,7 +151,8 @@
 	void shouldLearnRatesAndReachOtherGatewayWhenCallsComplete() throws IOException {
 		try (GatewayHarness gateway = GatewayHarness.start();
 				GatewayHarness other = GatewayHarness.startSecond(gateway);
-				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+				ScriptedServer server = ScriptedServer
+					.start((request, exchange) -> exchange.ok(request, "data: x\n\n"))) {
 			gateway.declare().register("s1", server).ready();
 			for (int i = 0; i < 80; i++) {
 				String prompt = "Prompt: a:300,own" + i + ":" + (20 + i) + "\r\nKey:";
