Complete responses without length only when their server closed the connection

Callers could see a part of a response as the whole one: whatever ended the connection of a response without length, the decoder completed it, and only what came as an exception counted as a failure. A write that fails, as while a body is still sent to a server that answered early and reset the connection, closes the connection without one; at a gateway that carries calls it even told the other one that the server had closed regularly.

Why this holds: what completes such a response is that the server's end of the connection was read, and nothing else; connections to servers stay open on our side when the server closes, so that the handlers are told, and tunnels pass on the same event.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 
 import org.rosemaryfront.dispatch.BackendServer;
@@ -107,8 +108,7 @@
 	}
 
 	private void connect(BackendServer to) {
-		ChannelFuture connecting = ServerConnector
-			.bootstrap(this.owner.loop(), CONNECT_TIMEOUT_MILLIS, new ServerSide())
+		ChannelFuture connecting = ServerConnector.toServer(this.owner.loop(), CONNECT_TIMEOUT_MILLIS, new ServerSide())
 			.connect(Addresses.parse(to.address()));
 		connecting.addListener((_) -> connected(connecting));
 	}
@@ -206,7 +206,8 @@
 	/** The connection to the server. */
 	private final class ServerSide extends ChannelInboundHandlerAdapter {
 
-		private Optional<String> failure = Optional.empty();
+		/** How the connection ended, if the server did not close it. */
+		private Optional<String> failure = Optional.of("closed by the gateway that carries");
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
@@ -231,6 +232,14 @@
 			}
 		}
 
+		@Override
+		public void userEventTriggered(ChannelHandlerContext context, Object event) {
+			if (event instanceof ChannelInputShutdownEvent) {
+				this.failure = Optional.empty();
+				context.close();
+			}
+		}
+
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 			this.failure = Optional.of(String.valueOf(cause.getMessage()));
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/InputEnd.java
@@ -0,0 +1,47 @@
+package org.rosemaryfront.traffic;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+
+/**
+ * Records how the input from a server ends, for the handlers behind it.
+ *
+ * <p>
+ * The decoder of responses completes a response without length at any end of the
+ * connection. Only that which the server sent shows that all bytes were received; a
+ * connection also ends with a reset, a failed write or a decision of this gateway.
+ */
+final class InputEnd extends ChannelInboundHandlerAdapter {
+
+	private boolean closedByServer;
+
+	private boolean failed;
+
+	/**
+	 * Returns whether the input ended before the server closed it.
+	 * @return false while the connection is open and after a regular end
+	 */
+	boolean isFailure() {
+		return this.failed;
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+		this.closedByServer |= event instanceof ChannelInputShutdownEvent;
+		super.userEventTriggered(context, event);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
+		this.failed |= !this.closedByServer;
+		super.exceptionCaught(context, cause);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) throws Exception {
+		this.failed |= !this.closedByServer;
+		super.channelInactive(context);
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -7,7 +7,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -41,12 +45,16 @@
 	/** The idle limit for servers that announce none, in milliseconds. */
 	private static final long DEFAULT_IDLE_LIMIT_MILLIS = 20_000;
 
+	private static final int MAX_HEADER_BYTES = 65_536;
+
 	private final ConnectionPool pool;
 
 	private final CallCodec codec;
 
 	private final Optional<TunnelClient> tunnel;
 
+	private final InputEnd inputEnd = new InputEnd();
+
 	private Channel channel;
 
 	private ResponseListener listener;
@@ -70,8 +78,6 @@
 	/** When the current call was started. */
 	private long startedNanos;
 
-	private boolean failed;
-
 	private long idleSinceNanos;
 
 	private long idleLimitNanos = TimeUnit.MILLISECONDS.toNanos(DEFAULT_IDLE_LIMIT_MILLIS);
@@ -103,6 +109,16 @@
 		return new ServerConnection(pool, codec, Optional.of(tunnel));
 	}
 
+	/**
+	 * Adds the handlers of this connection.
+	 * @param pipeline the pipeline, whose bytes are those to and from the server
+	 */
+	void addTo(ChannelPipeline pipeline) {
+		HttpDecoderConfig limits = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES)
+			.setMaxInitialLineLength(MAX_HEADER_BYTES);
+		pipeline.addLast(this.inputEnd, new HttpClientCodec(limits, false, false), this);
+	}
+
 	// -- call
 
 	/**
@@ -268,9 +284,7 @@
 			if (bytes.isReadable()) {
 				this.listener.responseBytes(bytes.retain());
 			}
-			// The decoder completes a response without length when the connection ends,
-			// both on a close and on a reset. After a reset, bytes may be missing.
-			if (content instanceof LastHttpContent && this.listener != null && !this.failed) {
+			if (content instanceof LastHttpContent && this.listener != null && !this.inputEnd.isFailure()) {
 				responseComplete();
 			}
 		}
@@ -329,15 +343,22 @@
 		}
 	}
 
+	// The decoder has completed a response without length by now.
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			fail("closed");
+		}
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.pool.connectionClosed(this);
-		fail(this.failed ? "reset" : "closed");
+		fail("closed here");
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		this.failed = true;
 		fail(String.valueOf(cause.getMessage()));
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnector.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnector.java
@@ -20,8 +20,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
@@ -69,8 +67,6 @@
 	/** Detects a dead connection within 4 s, before a call is sent over it. */
 	static final KeepAliveProbes KEEP_ALIVE_PROBES = new KeepAliveProbes(2, 1, 2);
 
-	private static final int MAX_HEADER_BYTES = 65_536;
-
 	private final EventLoop loop;
 
 	private final ConnectionPool pool;
@@ -208,7 +204,7 @@
 
 	private void direct(BackendServer server, Consumer<ServerConnection> onConnected, Consumer<Throwable> onFailure) {
 		ServerConnection connection = ServerConnection.direct(this.pool, this.codec);
-		ChannelFuture connecting = bootstrap(CONNECT_TIMEOUT_MILLIS, (pipeline) -> addHttp(pipeline, connection))
+		ChannelFuture connecting = toServer(this.loop, CONNECT_TIMEOUT_MILLIS, initializer(connection::addTo))
 			.connect(Addresses.parse(server.address()));
 		this.openedCount++;
 		connecting.addListener((_) -> {
@@ -244,11 +240,11 @@
 			}
 		});
 		opened[0] = ServerConnection.tunnelled(this.pool, this.codec, client);
-		ChannelFuture connecting = bootstrap(TunnelClient.ANSWER_TIMEOUT_MILLIS, (pipeline) -> {
+		ChannelFuture connecting = bootstrap(this.loop, TunnelClient.ANSWER_TIMEOUT_MILLIS, initializer((pipeline) -> {
 			TunnelPipeline.addCodecs(pipeline);
 			pipeline.addLast(client);
-			addHttp(pipeline, opened[0]);
-		}).connect(Addresses.parse(carrier.address()));
+			opened[0].addTo(pipeline);
+		})).connect(Addresses.parse(carrier.address()));
 		connecting.addListener((_) -> {
 			if (!connecting.isSuccess()) {
 				onFailure.failed(String.valueOf(connecting.cause().getMessage()), false);
@@ -256,23 +252,28 @@
 		});
 	}
 
-	private Bootstrap bootstrap(int timeoutMillis, Consumer<ChannelPipeline> handlers) {
-		return bootstrap(this.loop, timeoutMillis, new ChannelInitializer<SocketChannel>() {
+	private static ChannelInitializer<SocketChannel> initializer(Consumer<ChannelPipeline> handlers) {
+		return new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(SocketChannel channel) {
 				handlers.accept(channel.pipeline());
 			}
-		});
+		};
 	}
 
 	/**
-	 * Returns what opens connections to servers and other gateways.
+	 * Returns what opens connections to servers. Their handlers are told when the server
+	 * closes its side, and close the connection then.
 	 * @param loop the traffic thread
 	 * @param timeoutMillis the connect timeout, in milliseconds
 	 * @param handler the handler of the connections
 	 * @return the bootstrap
 	 */
-	static Bootstrap bootstrap(EventLoop loop, int timeoutMillis, ChannelHandler handler) {
+	static Bootstrap toServer(EventLoop loop, int timeoutMillis, ChannelHandler handler) {
+		return bootstrap(loop, timeoutMillis, handler).option(ChannelOption.ALLOW_HALF_CLOSURE, true);
+	}
+
+	private static Bootstrap bootstrap(EventLoop loop, int timeoutMillis, ChannelHandler handler) {
 		Bootstrap bootstrap = new Bootstrap().group(loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -283,13 +284,6 @@
 		return bootstrap;
 	}
 
-	private static void addHttp(ChannelPipeline pipeline, ServerConnection connection) {
-		pipeline
-			.addLast(new HttpClientCodec(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES)
-				.setMaxInitialLineLength(MAX_HEADER_BYTES), false, false))
-			.addLast(connection);
-	}
-
 	/**
 	 * A failed attempt to connect.
 	 *
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelClient.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelClient.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.concurrent.Future;
 
 import org.rosemaryfront.dispatch.BackendServer;
@@ -97,6 +98,7 @@
 			case DATA -> context.fireChannelRead(TunnelPipeline.bytes(frame));
 			case CLOSED -> {
 				this.ended = true;
+				context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
 				context.close();
 			}
 			case FAILURE -> fail(context, frame.getFailure());
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/NoHeaders.java
@@ -0,0 +1,35 @@
+package org.rosemaryfront.traffic;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+import org.rosemaryfront.limits.StatedLimit;
+import org.rosemaryfront.ports.CallCodec;
+import org.rosemaryfront.ports.CallMetadata;
+import org.rosemaryfront.ports.ForwardingMetadata;
+import org.rosemaryfront.ports.ResponseMetadata;
+
+/** Neither reads nor sets any header. */
+final class NoHeaders implements CallCodec {
+
+	@Override
+	public CallMetadata callMetadata(HttpHeaders headers) {
+		return new CallMetadata("", OptionalLong.empty(), Optional.empty(), Optional.empty());
+	}
+
+	@Override
+	public void toServerHeaders(HttpHeaders headers, ForwardingMetadata metadata) {
+	}
+
+	@Override
+	public ResponseMetadata responseMetadata(int status, HttpHeaders headers) {
+		return new ResponseMetadata("", true, false, StatedLimit.unknown(), StatedLimit.unknown());
+	}
+
+	@Override
+	public void toCallerHeaders(HttpHeaders headers) {
+	}
+
+}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/TunnelClientTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/TunnelClientTests.java
@@ -1,20 +1,13 @@
 package org.rosemaryfront.traffic;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.junit.jupiter.api.Test;
@@ -23,12 +16,7 @@
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.gateway.proto.TunnelFrame;
-import org.rosemaryfront.limits.StatedLimit;
 import org.rosemaryfront.paths.Carrier;
-import org.rosemaryfront.ports.CallCodec;
-import org.rosemaryfront.ports.CallMetadata;
-import org.rosemaryfront.ports.ForwardingMetadata;
-import org.rosemaryfront.ports.ResponseMetadata;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -49,7 +37,8 @@
 		.tunnelled(new ConnectionPool(this.channel.eventLoop(), new NoHeaders(), "a"), new NoHeaders(), this.client);
 
 	TunnelClientTests() {
-		this.channel.pipeline().addLast(this.client, new HttpClientCodec(), this.connection);
+		this.channel.pipeline().addLast(this.client);
+		this.connection.addTo(this.channel.pipeline());
 		this.channel.pipeline().fireChannelActive();
 		this.channel.writeInbound(TunnelPipeline.OPENED);
 	}
@@ -99,7 +88,7 @@
 	}
 
 	private void startCall() {
-		this.connection.startCall("c1", new RecordedResponse());
+		this.connection.startCall("c1", new RecordedResponse(this.events));
 		this.connection.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
 		this.connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
 	}
@@ -127,63 +116,4 @@
 
 	}
 
-	private final class RecordedResponse implements ResponseListener {
-
-		@Override
-		public void responseHead(HttpResponse head, ResponseMetadata terms) {
-		}
-
-		@Override
-		public void responseBytes(ByteBuf bytes) {
-			TunnelClientTests.this.events.add(bytes.toString(StandardCharsets.UTF_8));
-			bytes.release();
-		}
-
-		@Override
-		public void responseComplete() {
-			TunnelClientTests.this.events.add("complete");
-		}
-
-		@Override
-		public void responseReadComplete() {
-		}
-
-		@Override
-		public void responseFailed(String cause) {
-			TunnelClientTests.this.events.add("failed");
-		}
-
-		@Override
-		public void pathLost() {
-		}
-
-		@Override
-		public void requestWritable() {
-		}
-
-	}
-
-	/** Neither reads nor sets any header. */
-	private static final class NoHeaders implements CallCodec {
-
-		@Override
-		public CallMetadata callMetadata(HttpHeaders headers) {
-			return new CallMetadata("", OptionalLong.empty(), Optional.empty(), Optional.empty());
-		}
-
-		@Override
-		public void toServerHeaders(HttpHeaders headers, ForwardingMetadata metadata) {
-		}
-
-		@Override
-		public ResponseMetadata responseMetadata(int status, HttpHeaders headers) {
-			return new ResponseMetadata("", true, false, StatedLimit.unknown(), StatedLimit.unknown());
-		}
-
-		@Override
-		public void toCallerHeaders(HttpHeaders headers) {
-		}
-
-	}
-
 }
