Try answers cut at each byte in every framing, kind and version of the caller

24 kinds of answers, each cut behind each of its bytes, head and chunk sizes included: four kinds of routes, three framings, callers of HTTP/1.1 and 1.0. Replaces the test that cut streams without frame alone, and contains it.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenOffAnswerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenOffAnswerTests.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rosemaryfront.gateway.RawCaller.Response;
 import org.rosemaryfront.gateway.ScriptedServer.Exchange;
@@ -37,6 +36,9 @@
 
 	private static final long BEFORE_RESET_MILLIS = 50;
 
+	/** The gateway may retry four calls in 10 ms. */
+	private static final long BEFORE_NEXT_RETRY_MILLIS = 3;
+
 	private final AtomicInteger attempts = new AtomicInteger();
 
 	private GatewayHarness gateway;
@@ -73,24 +75,65 @@
 				.flatMap((framing) -> Stream.of(End.values()).map((end) -> Arguments.of(path, framing, end))));
 	}
 
-	// Guards against an end that is taken for that of a whole stream at some byte only:
-	// the
-	// connection that frames the stream is closed behind each of them.
+	// Guards against an end that is taken for that of a whole answer at some byte only,
+	// in
+	// any framing, kind of answer and version of the caller.
 	@ParameterizedTest
-	@ValueSource(strings = { RESUMABLE, NOT_RESUMABLE })
-	void shouldEndStreamAsCompleteOnlyBetweenEventsWhenCutAtAnyByte(String path) throws IOException {
+	@MethodSource("cutAnswers")
+	void shouldEndAnswerAsCompleteOnlyWhenItIsWhenCutAtAnyByte(String path, Framing framing, String version)
+			throws IOException {
 		AtomicInteger cut = new AtomicInteger();
-		register((request, exchange) -> answer(request, exchange, Framing.NONE, End.INSIDE_EVENT, cut.get()));
-		for (; cut.get() < STREAM.length(); cut.incrementAndGet()) {
+		register((request, exchange) -> {
+			if (this.attempts.getAndIncrement() == 0) {
+				exchange.write(framing.message(request, STREAM).substring(0, cut.get()));
+				exchange.socket().close();
+			}
+			else {
+				End.WHOLE.answer(request, exchange, framing, 0);
+			}
+		});
+		int length = framing.message(new Request("GET " + path + "\r\ncall: c0", ""), STREAM).length();
+		for (; cut.get() <= length; cut.incrementAndGet()) {
+			sleep(BEFORE_NEXT_RETRY_MILLIS);
 			this.attempts.set(0);
-			Response response = this.gateway.send(RawCaller.get("c" + cut, path + cut));
-			// A stream that was cut between two events cannot be told from a whole one.
-			boolean betweenEvents = cut.get() > 0 && STREAM.startsWith("\n\n", cut.get() - 2);
-			boolean resumed = path.equals(RESUMABLE) && !betweenEvents;
-			assertThat(response.complete()).as("complete when cut behind %s bytes", cut)
-				.isEqualTo(betweenEvents || resumed);
-			assertThat(response.body()).as("body when cut behind %s bytes", cut)
-				.isEqualTo(resumed ? STREAM : STREAM.substring(0, cut.get()));
+			Response response = sendAs(version, RawCaller.get("c0", path + cut));
+			Expected expected = expected(path, framing, length, cut.get());
+			assertThat(response.status()).as("status when cut behind %s bytes", cut).isEqualTo(expected.status);
+			assertThat(response.complete()).as("complete when cut behind %s bytes", cut).isEqualTo(expected.complete);
+			if (expected.complete) {
+				assertThat(response.body()).as("body when cut behind %s bytes", cut).isEqualTo(expected.body);
+			}
+			assertThat(STREAM).startsWith(response.body());
+		}
+	}
+
+	static Stream<Arguments> cutAnswers() {
+		return Stream.of(RESUMABLE, NOT_RESUMABLE, "/sheets/", "/visits/")
+			.flatMap((path) -> Stream.of(Framing.values())
+				.flatMap((framing) -> Stream.of("1.1", "1.0").map((version) -> Arguments.of(path, framing, version))));
+	}
+
+	private static Expected expected(String path, Framing framing, int length, int cut) {
+		int received = cut - (length - framing.body(STREAM).length() - framing.lastChunk().length());
+		boolean stream = path.equals(RESUMABLE) || path.equals(NOT_RESUMABLE);
+		// Such an answer cannot be told from a whole one.
+		boolean seemsWhole = framing == Framing.NONE && received >= 0
+				&& (!stream || received > 0 && STREAM.startsWith("\n\n", received - 2));
+		if (cut == length || seemsWhole) {
+			return new Expected(200, true, STREAM.substring(0, Math.min(received, STREAM.length())));
+		}
+		if (path.equals(RESUMABLE) || path.equals("/sheets/")) {
+			return new Expected(200, true, STREAM);
+		}
+		return (stream && received >= 0) ? new Expected(200, false, "") : new Expected(502, true, "");
+	}
+
+	private Response sendAs(String version, String request) throws IOException {
+		if (version.equals("1.1")) {
+			return this.gateway.send(request);
+		}
+		try (RawCaller caller = this.gateway.caller()) {
+			return caller.send(request.replace("HTTP/1.1", "HTTP/" + version)).readToEnd();
 		}
 	}
 
@@ -141,14 +184,34 @@
 		return EVENTS.stream().skip(after.isEmpty() ? 0 : Long.parseLong(after)).collect(Collectors.joining());
 	}
 
+	private static void sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * What a caller must see.
+	 *
+	 * @param status the status
+	 * @param complete whether the answer is framed as complete
+	 * @param body the body of a complete answer
+	 */
+	private record Expected(int status, boolean complete, String body) {
+	}
+
 	/** What tells where an answer ends. */
 	enum Framing {
 
 		LENGTH, CHUNKS, NONE;
 
 		private String head(Request request, int length) {
-			String head = "HTTP/1.1 200 OK\r\nCall: " + request.call()
-					+ "\r\nSignature: s\r\nContent-Type: text/event-stream\r\n";
+			boolean stream = request.head().contains(RESUMABLE) || request.head().contains(NOT_RESUMABLE);
+			String head = "HTTP/1.1 200 OK\r\nCall: " + request.call() + "\r\nSignature: s\r\nContent-Type: "
+					+ (stream ? "text/event-stream" : "text/plain") + "\r\n";
 			return switch (this) {
 				case LENGTH -> head + "Content-Length: " + length + "\r\n\r\n";
 				case CHUNKS -> head + "Transfer-Encoding: chunked\r\n\r\n";
@@ -161,11 +224,17 @@
 			return chunk ? Integer.toHexString(part.length()) + "\r\n" + part + "\r\n" : part;
 		}
 
+		private String lastChunk() {
+			return (this == CHUNKS) ? "0\r\n\r\n" : "";
+		}
+
+		private String message(Request request, String body) {
+			return head(request, body.length()) + body(body) + lastChunk();
+		}
+
 		private void end(Exchange exchange) throws IOException {
-			if (this == CHUNKS) {
-				exchange.write("0\r\n\r\n");
-			}
-			else if (this == NONE) {
+			exchange.write(lastChunk());
+			if (this == NONE) {
 				exchange.socket().close();
 			}
 		}
@@ -215,15 +284,6 @@
 
 		abstract void answer(Request request, Exchange exchange, Framing framing, int cut) throws IOException;
 
-		private static void sleep(long millis) {
-			try {
-				Thread.sleep(millis);
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-			}
-		}
-
 	}
 
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.OptionalInt;
 
 /** A caller that writes raw bytes to a gateway and reads its responses. */
 final class RawCaller implements AutoCloseable {
@@ -51,15 +52,15 @@
 		if (lower.contains("transfer-encoding: chunked")) {
 			return chunks(head.toString(), in);
 		}
-		int at = lower.indexOf("content-length:");
-		int length = (at < 0) ? 0 : Integer.parseInt(lower.substring(at + 15, lower.indexOf("\r\n", at)).trim());
+		int length = contentLength(head.toString()).orElse(0);
 		byte[] body = in.readNBytes(length);
 		return new Response(head.toString(), new String(body, StandardCharsets.UTF_8), body.length == length);
 	}
 
 	/**
-	 * Reads one response whose body may end with the connection.
-	 * @return the response; {@code whole} is false if the connection was reset within it
+	 * Reads one response up to the end of the connection.
+	 * @return the response; {@code complete} is false if the connection was reset or the
+	 * body is shorter than the head states
 	 */
 	Response readToEnd() throws IOException {
 		InputStream in = this.socket.getInputStream();
@@ -74,8 +75,19 @@
 			reset = true;
 		}
 		int body = received.indexOf("\r\n\r\n") + 4;
-		return (body < 4) ? new Response(received.toString(), "", false)
-				: new Response(received.substring(0, body), received.substring(body), !reset);
+		if (body < 4) {
+			return new Response(received.toString(), "", false);
+		}
+		String head = received.substring(0, body);
+		int length = contentLength(head).orElse(received.length() - body);
+		return new Response(head, received.substring(body), !reset && received.length() - body == length);
+	}
+
+	private static OptionalInt contentLength(String head) {
+		String lower = head.toLowerCase(Locale.ROOT);
+		int at = lower.indexOf("content-length:");
+		return (at < 0) ? OptionalInt.empty()
+				: OptionalInt.of(Integer.parseInt(lower.substring(at + 15, lower.indexOf("\r\n", at)).trim()));
 	}
 
 	private static Response chunks(String head, InputStream in) throws IOException {
