Read what servers state in responses in one place, and log that they leave or want rest

The logs could not tell whether a server had said anything: Server-Leaving and the Retry-After of its 503 were read nowhere. E2872 says what was stated, in response to which request. Nothing follows from it yet. A date in Retry-After is unreadable: the clocks of servers are not known. Of two, the longer rest is taken, at most ten minutes.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/limits/StatedLimit.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/limits/StatedLimit.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.OptionalDouble;
-import java.util.regex.Pattern;
 
 /**
  * What a backend server states in a response about the rate of requests that it takes
@@ -78,24 +77,4 @@
 	record Unreadable(String text) implements StatedLimit {
 	}
 
-	/** The format of a limit: digits with an optional fraction. */
-	final class Decimal {
-
-		private static final int MAX_LENGTH = 16;
-
-		private static final Pattern FORMAT = Pattern.compile("[0-9]+(\\.[0-9]+)?");
-
-		private Decimal() {
-		}
-
-		private static boolean isValid(String text) {
-			return text.length() <= MAX_LENGTH && FORMAT.matcher(text).matches();
-		}
-
-		private static String shortened(String text) {
-			return (text.length() <= MAX_LENGTH) ? text : text.substring(0, MAX_LENGTH) + "...";
-		}
-
-	}
-
 }
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/limits/StatedRest.java
@@ -0,0 +1,70 @@
+package org.rosemaryfront.limits;
+
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * How long a backend server states in a rejection that it wants no further requests from
+ * the machine that it rejected.
+ */
+public sealed interface StatedRest {
+
+	/**
+	 * The longest rest that is kept. After it, a request finds out whether the server
+	 * still wants more.
+	 */
+	long MAX_MILLIS = TimeUnit.MINUTES.toMillis(10);
+
+	/**
+	 * Creates the statement of a server that wants no rest.
+	 * @return no rest
+	 */
+	static StatedRest none() {
+		return new None();
+	}
+
+	/**
+	 * Parses the values of a header. A date, which the field's standard also allows, is
+	 * unreadable, since the clocks of servers are not known.
+	 * @param values the values, each a decimal number of seconds
+	 * @return the longest valid rest, none without values, unreadable if no value is
+	 * valid
+	 */
+	static StatedRest parse(List<String> values) {
+		if (values.isEmpty()) {
+			return none();
+		}
+		OptionalDouble longest = values.stream()
+			.map(String::trim)
+			.filter(Decimal::isValid)
+			.mapToDouble(Double::parseDouble)
+			.max();
+		if (longest.isEmpty()) {
+			return new Unreadable(Decimal.shortened(values.getFirst()));
+		}
+		long millis = (long) Math.min(MAX_MILLIS, Math.ceil(longest.getAsDouble() * 1_000));
+		return (millis > 0) ? new For(millis) : none();
+	}
+
+	/** The server wants no rest. */
+	record None() implements StatedRest {
+	}
+
+	/**
+	 * The server wants rest.
+	 *
+	 * @param millis the time in milliseconds, positive
+	 */
+	record For(long millis) implements StatedRest {
+	}
+
+	/**
+	 * The time cannot be parsed.
+	 *
+	 * @param text the beginning of the value
+	 */
+	record Unreadable(String text) implements StatedRest {
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -25,7 +25,7 @@
 import org.rosemaryfront.fleet.Fleet;
 import org.rosemaryfront.gateway.CallProgress.FirstToken;
 import org.rosemaryfront.limits.PermitQueue;
-import org.rosemaryfront.limits.StatedLimit;
+import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.ports.CallMetadata.Prompt;
 import org.rosemaryfront.program.ControlLoop;
@@ -98,6 +98,8 @@
 
 	private final Rejections rejections;
 
+	private final Notices notices;
+
 	/** Calls in progress with the decisions made about them. */
 	private final Map<Call, CallProgress> calls = new IdentityHashMap<>();
 
@@ -140,6 +142,7 @@
 		this.rollouts = rollouts;
 		this.callLimits = callLimits;
 		this.rejections = new Rejections(loop, servers);
+		this.notices = new Notices();
 		this.serversFreshness = serversFreshness;
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryBudget(bounds.retryShare() * RETRY_SHARE_FACTOR, bounds.retryFixed(),
@@ -208,13 +211,10 @@
 	}
 
 	@Override
-	public void limitStated(BackendServer server, String requestId, StatedLimit limit, long sentNanos) {
-		this.callLimits.stated(server, requestId, limit, sentNanos);
-	}
-
-	@Override
-	public void rejectionLimitStated(BackendServer server, String requestId, StatedLimit limit) {
-		this.rejections.stated(server, requestId, limit);
+	public void stated(BackendServer server, String requestId, ServerStatements statements, long sentNanos) {
+		this.callLimits.stated(server, requestId, statements.limit(), sentNanos);
+		this.rejections.stated(server, requestId, statements.rejectionLimit());
+		this.notices.stated(server, requestId, statements);
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -161,6 +161,12 @@
 	 */
 	LIVENESS_UNKNOWN(2855),
 
+	/**
+	 * A backend server stated that it is leaving, or that it wants no requests for a
+	 * while.
+	 */
+	SERVER_STATED(2872),
+
 	/** This process was paused or its VM was suspended. */
 	PAUSED(2840);
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/ResponseMetadata.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/ResponseMetadata.java
@@ -1,6 +1,6 @@
 package org.rosemaryfront.ports;
 
-import org.rosemaryfront.limits.StatedLimit;
+import org.rosemaryfront.limits.ServerStatements;
 
 /**
  * The metadata that a backend server sends in the headers of a response.
@@ -10,10 +10,7 @@
  * @param signed whether the response is signed; an unsigned response is not accepted as a
  * success
  * @param notRun whether the server states that it did not execute the call
- * @param limit what the server states about the rate of requests that it takes
- * @param rejectionLimit what the server states about the rate of rejections that it
- * withstands
+ * @param statements what the server states about itself
  */
-public record ResponseMetadata(String requestId, boolean signed, boolean notRun, StatedLimit limit,
-		StatedLimit rejectionLimit) {
+public record ResponseMetadata(String requestId, boolean signed, boolean notRun, ServerStatements statements) {
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -19,7 +19,7 @@
 import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.events.EventLog;
-import org.rosemaryfront.limits.StatedLimit;
+import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.ports.CallMetadata;
 import org.rosemaryfront.ports.ForwardingMetadata;
@@ -120,8 +120,7 @@
 	/** What the current attempt received, empty before the head of its response. */
 	private Optional<ReceivedBody> received = Optional.empty();
 
-	private ResponseMetadata responseMetadata = new ResponseMetadata("", false, false, StatedLimit.unknown(),
-			StatedLimit.unknown());
+	private ResponseMetadata responseMetadata = new ResponseMetadata("", false, false, ServerStatements.unknown());
 
 	private final BodyBuffer responseBuffer = new BodyBuffer();
 
@@ -504,8 +503,7 @@
 
 	@Override
 	public void responseHead(HttpResponse responseHead, ResponseMetadata from) {
-		this.gateway.policy().limitStated(this.server.orElseThrow(), id(), from.limit(), this.sentNanos);
-		this.gateway.policy().rejectionLimitStated(this.server.orElseThrow(), id(), from.rejectionLimit());
+		this.gateway.policy().stated(this.server.orElseThrow(), id(), from.statements(), this.sentNanos);
 		ReceivedBody body = ReceivedBody.of(responseHead, this.route.kind() == CallKind.STREAMING, isEventExpected());
 		this.received = Optional.of(body);
 		this.gateway.metrics().responseReceived(body.framing());
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 import org.rosemaryfront.dispatch.BackendServer;
-import org.rosemaryfront.limits.StatedLimit;
+import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.routes.TrafficConfiguration;
@@ -78,18 +78,10 @@
 	 * Called when the head of a response was received, whatever its status.
 	 * @param server the server
 	 * @param requestId the request that the server responds to
-	 * @param limit what the server states about the rate of requests that it takes
+	 * @param statements what the server states about itself
 	 * @param sentNanos when the request was sent, on the monotonic clock
 	 */
-	void limitStated(BackendServer server, String requestId, StatedLimit limit, long sentNanos);
-
-	/**
-	 * Called when the head of a response was received, whatever its status.
-	 * @param server the server
-	 * @param requestId the request that the server responds to
-	 * @param limit what the server states about the rate of rejections that it withstands
-	 */
-	void rejectionLimitStated(BackendServer server, String requestId, StatedLimit limit);
+	void stated(BackendServer server, String requestId, ServerStatements statements, long sentNanos);
 
 	/**
 	 * Called when a call is not expected to get a response of its backend server any
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -12,7 +12,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 
 import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.limits.ServerStatements;
+import org.rosemaryfront.limits.StatedLeaving;
 import org.rosemaryfront.limits.StatedLimit;
+import org.rosemaryfront.limits.StatedRest;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.ports.CallMetadata;
 import org.rosemaryfront.ports.CallMetadata.Prompt;
@@ -97,7 +100,9 @@
 	@Override
 	public ResponseMetadata responseMetadata(int status, HttpHeaders headers) {
 		return new ResponseMetadata(headers.get("Call", ""), headers.contains("Signature"), headers.contains("Not-Run"),
-				StatedLimit.parse(headers.getAll("Limit")), StatedLimit.parse(headers.getAll("Rejections")));
+				new ServerStatements(StatedLimit.parse(headers.getAll("Limit")),
+						StatedLimit.parse(headers.getAll("Rejections")), StatedLeaving.parse(headers.getAll("Leaving")),
+						(status == 503) ? StatedRest.parse(headers.getAll("Retry-After")) : StatedRest.none()));
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendToLeavingServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendToLeavingServerTests.java
@@ -10,7 +10,7 @@
 import reactor.netty.resources.LoopResources;
 
 import org.rosemaryfront.dispatch.BackendServer;
-import org.rosemaryfront.limits.StatedLimit;
+import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.routes.CallerLimits;
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.routes.TrafficConfiguration;
@@ -107,17 +107,13 @@
 		public void pathLost(Call call) {
 		}
 
-		@Override
-		public void rejectionLimitStated(BackendServer server, String requestId, StatedLimit limit) {
-		}
-
 		@Override
 		public void admit(Call call) {
 			call.send(this.leaving, 2, Optional.empty());
 		}
 
 		@Override
-		public void limitStated(BackendServer server, String requestId, StatedLimit limit, long sentNanos) {
+		public void stated(BackendServer server, String requestId, ServerStatements statements, long sentNanos) {
 		}
 
 		@Override
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/NoHeaders.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/NoHeaders.java
@@ -5,7 +5,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 
-import org.rosemaryfront.limits.StatedLimit;
+import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.ports.CallMetadata;
 import org.rosemaryfront.ports.ForwardingMetadata;
@@ -25,7 +25,7 @@
 
 	@Override
 	public ResponseMetadata responseMetadata(int status, HttpHeaders headers) {
-		return new ResponseMetadata("", true, false, StatedLimit.unknown(), StatedLimit.unknown());
+		return new ResponseMetadata("", true, false, ServerStatements.unknown());
 	}
 
 	@Override
