Send nothing to servers that said in a response that they leave

Callers saw no harm yet, but the server does: requests went on to it for as long as the store was silent, 2.4 to 3.3 s and more behind its own word. Cause: the store was the only source of that belief, and the response, which says the same with no store in between, went unread.

Why this holds: the statement is in force on the thread that sends, in the set that is asked right before the first byte leaves, so that calls chosen before, waiting, tried again, resumed or on trial pass it too; the table of servers takes it over for its rows, and with them choice, planner, crashes and roll-outs. It is final for a run of the server: no later registration takes it back, and the next run starts clean.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendServer.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendServer.java
@@ -54,6 +54,15 @@
 		return withSequence(0).equals(other.withSequence(0));
 	}
 
+	/**
+	 * Returns this registration of a server that accepts no new calls.
+	 * @return the registration with {@code leaving} set
+	 */
+	BackendServer withLeaving() {
+		return new BackendServer(this.id, this.startedMillis, this.service, this.version, this.address, this.zone,
+				this.slots, true, this.reclaimable, this.sequence);
+	}
+
 	private BackendServer withSequence(long sequence) {
 		return new BackendServer(this.id, this.startedMillis, this.service, this.version, this.address, this.zone,
 				this.slots, this.leaving, this.reclaimable, sequence);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -78,6 +78,8 @@
 
 	private final SegmentUpdates segmentUpdates = new SegmentUpdates();
 
+	private final ServerNotices notices = new ServerNotices();
+
 	private SlotShares slotShares = SlotShares.ALONE;
 
 	/** The number of calls sent so far, to all servers. */
@@ -108,11 +110,12 @@
 	// A server that restarts under its id has none of the calls and cached prompts
 	// recorded for it. Calls that were still counted would keep new calls away, or their
 	// ends would be counted against calls that the new run really executes.
-	private boolean put(BackendServer server, OptionalLong registeredNanos) {
-		if (isOutdated(server)) {
+	private boolean put(BackendServer registered, OptionalLong registeredNanos) {
+		if (isOutdated(registered)) {
 			return false;
 		}
-		recordLatest(server);
+		recordLatest(registered);
+		BackendServer server = this.notices.isLeaving(registered.incarnation()) ? registered.withLeaving() : registered;
 		BackendRow existing = this.rows.get(server.id());
 		if (existing == null || isRestart(server)) {
 			this.rows.put(server.id(), new BackendRow(server, registeredNanos));
@@ -347,6 +350,26 @@
 		return uses;
 	}
 
+	// -- notices
+
+	/**
+	 * Returns what servers have said about whether they want requests.
+	 * @return the notices, safe to use on any thread
+	 */
+	public ServerNotices notices() {
+		return this.notices;
+	}
+
+	/**
+	 * Records that a server has said that it is leaving, whatever its registration says
+	 * now or later.
+	 * @param server the run of the server
+	 */
+	public void recordLeaving(Incarnation server) {
+		this.notices.recordLeaving(server);
+		row(server).ifPresent((row) -> row.server = row.server.withLeaving());
+	}
+
 	// -- rejections
 
 	/**
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/BackendTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/BackendTableTests.java
@@ -51,6 +51,23 @@
 		assertThat(this.table.recordRegistration(server(START, 7, true), 1)).isFalse();
 	}
 
+	// Guards against a heartbeat, also one behind a lapse, that takes back what the
+	// server
+	// said itself. Another run of it is another server.
+	@ParameterizedTest
+	@CsvSource({ "false, 5000, 0", "true, 5000, 0", "false, 6000, 1" })
+	void shouldKeepThatServerSaidItLeavesForItsRun(boolean lapsed, long startedMillis, int eligible) {
+		this.table.recordRegistration(server(START, 7, false), 0);
+		this.table.recordLeaving(new BackendServer.Incarnation("s1", START));
+		assertThat(this.table.eligibleServers()).isEmpty();
+		if (lapsed) {
+			this.table.recordLapse("s1", 1, OptionalLong.empty());
+			this.table.removeExpired(1);
+		}
+		this.table.recordRegistration(server(startedMillis, 8, false), 2);
+		assertThat(this.table.eligibleServers()).hasSize(eligible);
+	}
+
 	private static BackendServer server(long startedMillis, long sequence, boolean leaving) {
 		return new BackendServer("s1", startedMillis, "llm", "v1", "127.0.0.1:1", "a", 4, leaving, false, sequence);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -142,7 +142,7 @@
 		this.rollouts = rollouts;
 		this.callLimits = callLimits;
 		this.rejections = new Rejections(loop, servers);
-		this.notices = new Notices();
+		this.notices = new Notices(loop, servers, this::serversChanged);
 		this.serversFreshness = serversFreshness;
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryBudget(bounds.retryShare() * RETRY_SHARE_FACTOR, bounds.retryFixed(),
@@ -180,12 +180,13 @@
 
 	@Override
 	public boolean acceptsCalls(BackendServer server) {
-		return this.eligibleServers.containsKey(server.incarnation());
+		return eligibleServer(server.incarnation()).isPresent();
 	}
 
 	@Override
 	public Optional<BackendServer> eligibleServer(BackendServer.Incarnation server) {
-		return Optional.ofNullable(this.eligibleServers.get(server));
+		return Optional.ofNullable(this.eligibleServers.get(server))
+			.filter((_) -> this.servers.notices().permits(server));
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ServerStatementTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ServerStatementTests.java
@@ -71,6 +71,35 @@
 		assertThat(requests("s1")).isEqualTo(before);
 	}
 
+	// Guards against a registration, written before the server said that it leaves, that
+	// brings it back.
+	@Test
+	void shouldSendNothingToLeavingServerWhenOlderRegistrationArrives() throws Exception {
+		startGateway();
+		this.statements.put("s1", LEAVING);
+		callUntilReached("s1");
+		int before = requests("s1");
+		this.store.put(GatewayHarness.SERVERS, "s1", "app " + this.servers.get("s1").address() + " ready 0 v1 7");
+		Thread.sleep(TOLD_MILLIS);
+		for (int i = 0; i < CALLS; i++) {
+			assertThat(call(0, "/sheets/").status()).isEqualTo(200);
+		}
+		assertThat(requests("s1")).isEqualTo(before);
+	}
+
+	// Guards against callers who are held, or told wrongly, when no server is left.
+	@Test
+	void shouldRefuseAtOnceWhenAllServersLeave() throws Exception {
+		startGateway();
+		this.statements.put("s1", LEAVING);
+		this.statements.put("s2", LEAVING);
+		callUntilReached("s1");
+		callUntilReached("s2");
+		Response response = call(0, "/visits/");
+		assertThat(response.status()).isEqualTo(503);
+		assertThat(response.hasHeader("retry-after")).isTrue();
+	}
+
 	// -- rest
 
 	// Guards against requests to a server that rejected one and asked for rest.
