Send nothing to servers that want none for a while

Callers saw 503 for over a tenth of their drafts and chats while four of six servers had room: two servers turned every request away with Retry-After, looked idle for it, and were chosen first again and again, 7 to 9 times in 3 s by one gateway. Cause: the statement went unread, and the load of a server that rejects is 0.

Why this holds: from the response on, whatever was chosen before, the set that is asked right before the first byte leaves says no, and the choice passes such servers over; the later end of two holds, and no other response ends it. Behind the end one request at a time finds out whether the server still wants none. Where all servers of a service say so, callers are told at once, with the least time that is left and a random part, so that they do not all come back together.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -98,10 +98,16 @@
 		if (eligible.isEmpty()) {
 			return new Choice.NoServer();
 		}
-		List<BackendRow> preferred = eligible.stream().filter((row) -> !row.isAvoided(nowNanos)).toList();
-		List<BackendRow> candidates = preferred.isEmpty() ? eligible : preferred;
+		List<BackendRow> open = eligible.stream()
+			.filter((row) -> this.table.notices().backoffNanos(row.server.incarnation(), nowNanos) == 0)
+			.toList();
+		if (open.isEmpty()) {
+			return new Choice.Backoff(eligible.size(), leastBackoffMillis(eligible, nowNanos));
+		}
+		List<BackendRow> preferred = open.stream().filter((row) -> !row.isAvoided(nowNanos)).toList();
+		List<BackendRow> candidates = preferred.isEmpty() ? open : preferred;
 		List<BackendRow> available = candidates.stream()
-			.filter((row) -> row.hasRoom(this.table.slotShares(), nowNanos))
+			.filter((row) -> row.hasRoom(this.table.slotShares(), nowNanos) && !isProbed(row, nowNanos))
 			.toList();
 		if (available.isEmpty()) {
 			return new Choice.Full(candidates.size(), 0);
@@ -110,6 +116,20 @@
 				: earliestFirstToken(requirements, available, nowNanos);
 	}
 
+	// A server that looks idle because it rejects requests would otherwise get most of
+	// them once its backoff is over.
+	private boolean isProbed(BackendRow row, long nowNanos) {
+		return row.ownCalls > 0 && this.table.notices().isTentative(row.server.incarnation(), nowNanos);
+	}
+
+	private long leastBackoffMillis(List<BackendRow> rows, long nowNanos) {
+		long nanos = rows.stream()
+			.mapToLong((row) -> this.table.notices().backoffNanos(row.server.incarnation(), nowNanos))
+			.min()
+			.orElse(0);
+		return TimeUnit.NANOSECONDS.toMillis(nanos) + 1;
+	}
+
 	/**
 	 * Chooses one of the servers to which a call may be sent, and takes a permit if the
 	 * server has a limit. Without a permit for the best server, the call goes to the best
@@ -134,7 +154,7 @@
 				yield other.withPassedOver(first.server());
 			}
 			case Choice.Full full -> full;
-			case Choice.NoServer _, Choice.NoPermit _ -> new Choice.NoPermit(first.candidates());
+			case Choice.NoServer _, Choice.NoPermit _, Choice.Backoff _ -> new Choice.NoPermit(first.candidates());
 		};
 	}
 
@@ -316,6 +336,15 @@
 		record NoServer() implements Choice {
 		}
 
+		/**
+		 * All eligible servers want no requests for a while.
+		 *
+		 * @param servers the number of servers
+		 * @param millis the time until the first of them wants requests, in milliseconds
+		 */
+		record Backoff(int servers, long millis) implements Choice {
+		}
+
 		/**
 		 * All eligible servers have a limit that is used up.
 		 *
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/ServerNotices.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/ServerNotices.java
@@ -1,13 +1,15 @@
 package org.rosemaryfront.dispatch;
 
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 
 /**
- * Which backend servers have said that they want no requests. Safe to use on any thread,
- * so that it can be asked right before a request is sent.
+ * Which backend servers have said that they want no requests of this process, for good or
+ * for a while. Safe to use on any thread, so that it can be asked right before a request
+ * is sent. Times are on the monotonic clock, in nanoseconds.
  */
 public final class ServerNotices {
 
@@ -16,6 +18,9 @@
 
 	private final Set<Incarnation> leaving = ConcurrentHashMap.newKeySet();
 
+	/** When the last backoff of a server ends, until it has accepted a request since. */
+	private final Map<Incarnation, Long> backoffEnds = new ConcurrentHashMap<>();
+
 	/**
 	 * Records that a server is leaving, which is final for this run of it.
 	 * @param server the run of the server
@@ -28,6 +33,36 @@
 		return this.leaving.add(server);
 	}
 
+	/**
+	 * Records that a server wants no requests of this process for a while. Of several
+	 * times, the latest end holds.
+	 * @param server the run of the server
+	 * @param endNanos the end of that time
+	 */
+	public void recordBackoff(Incarnation server, long endNanos) {
+		this.backoffEnds.merge(server, endNanos, (known, stated) -> (stated - known > 0) ? stated : known);
+	}
+
+	/**
+	 * Records that a server responded without wanting a backoff. This does not shorten a
+	 * backoff in progress.
+	 * @param server the run of the server
+	 * @param nowNanos the current time
+	 */
+	public void recordResponse(Incarnation server, long nowNanos) {
+		if (!this.backoffEnds.isEmpty()) {
+			this.backoffEnds.computeIfPresent(server, (_, end) -> (nowNanos - end >= 0) ? null : end);
+		}
+	}
+
+	/**
+	 * Forgets the backoffs of servers that are gone.
+	 * @param current the runs of the current servers
+	 */
+	public void retain(Set<Incarnation> current) {
+		this.backoffEnds.keySet().retainAll(current);
+	}
+
 	/**
 	 * Returns whether a server has said that it is leaving.
 	 * @param server the run of the server
@@ -37,13 +72,46 @@
 		return this.leaving.contains(server);
 	}
 
+	/**
+	 * Returns how much longer a server wants no requests of this process.
+	 * @param server the run of the server
+	 * @param nowNanos the current time
+	 * @return the time in nanoseconds, 0 if it wants requests
+	 */
+	public long backoffNanos(Incarnation server, long nowNanos) {
+		Long end = this.backoffEnds.get(server);
+		return (end != null) ? Math.max(0, end - nowNanos) : 0;
+	}
+
+	/**
+	 * Returns whether a server has responded to no request since a backoff that is over.
+	 * It may still be overloaded, so that a single request finds out.
+	 * @param server the run of the server
+	 * @param nowNanos the current time
+	 * @return true until its first response without a backoff
+	 */
+	public boolean isTentative(Incarnation server, long nowNanos) {
+		Long end = this.backoffEnds.get(server);
+		return end != null && nowNanos - end >= 0;
+	}
+
 	/**
 	 * Returns whether a request may be sent to a server.
 	 * @param server the run of the server
-	 * @return false once it is leaving
+	 * @param nowNanos the current time
+	 * @return false once it is leaving and during a backoff
+	 */
+	public boolean permits(Incarnation server, long nowNanos) {
+		return !isLeaving(server) && backoffNanos(server, nowNanos) == 0;
+	}
+
+	/**
+	 * Returns the number of servers that want no requests of this process for a while.
+	 * @param nowNanos the current time
+	 * @return the number
 	 */
-	public boolean permits(Incarnation server) {
-		return !isLeaving(server);
+	public long backoffCount(long nowNanos) {
+		return this.backoffEnds.values().stream().filter((end) -> nowNanos - end < 0).count();
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/limits/StatedRest.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/limits/StatedBackoff.java
@@ -8,19 +8,19 @@
  * How long a backend server states in a rejection that it wants no further requests from
  * the machine that it rejected.
  */
-public sealed interface StatedRest {
+public sealed interface StatedBackoff {
 
 	/**
-	 * The longest rest that is kept. After it, a request finds out whether the server
+	 * The longest backoff that is kept. After it, a request finds out whether the server
 	 * still wants more.
 	 */
 	long MAX_MILLIS = TimeUnit.MINUTES.toMillis(10);
 
 	/**
-	 * Creates the statement of a server that wants no rest.
-	 * @return no rest
+	 * Creates the statement of a server that wants no backoff.
+	 * @return no backoff
 	 */
-	static StatedRest none() {
+	static StatedBackoff none() {
 		return new None();
 	}
 
@@ -28,10 +28,10 @@
 	 * Parses the values of a header. A date, which the field's standard also allows, is
 	 * unreadable, since the clocks of servers are not known.
 	 * @param values the values, each a decimal number of seconds
-	 * @return the longest valid rest, none without values, unreadable if no value is
+	 * @return the longest valid backoff, none without values, unreadable if no value is
 	 * valid
 	 */
-	static StatedRest parse(List<String> values) {
+	static StatedBackoff parse(List<String> values) {
 		if (values.isEmpty()) {
 			return none();
 		}
@@ -47,16 +47,16 @@
 		return (millis > 0) ? new For(millis) : none();
 	}
 
-	/** The server wants no rest. */
-	record None() implements StatedRest {
+	/** The server wants no backoff. */
+	record None() implements StatedBackoff {
 	}
 
 	/**
-	 * The server wants rest.
+	 * The server wants a backoff.
 	 *
 	 * @param millis the time in milliseconds, positive
 	 */
-	record For(long millis) implements StatedRest {
+	record For(long millis) implements StatedBackoff {
 	}
 
 	/**
@@ -64,7 +64,7 @@
 	 *
 	 * @param text the beginning of the value
 	 */
-	record Unreadable(String text) implements StatedRest {
+	record Unreadable(String text) implements StatedBackoff {
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -186,7 +186,7 @@
 	@Override
 	public Optional<BackendServer> eligibleServer(BackendServer.Incarnation server) {
 		return Optional.ofNullable(this.eligibleServers.get(server))
-			.filter((_) -> this.servers.notices().permits(server));
+			.filter((_) -> this.servers.notices().permits(server, System.nanoTime()));
 	}
 
 	@Override
@@ -314,6 +314,9 @@
 			case Choice.Full full -> endUnserved(call, progress, fullRetryMillis(), Refusal.of(Cause.NO_ROOM,
 					full.servers() + " servers have no room, first token after " + full.expectedMillis() + " ms"));
 			case Choice.NoPermit noPermit -> awaitPermit(call, progress, noPermit, nowNanos);
+			case Choice.Backoff backoff ->
+				endUnserved(call, progress, backoff.millis() + retrySpreadMillis(), Refusal.of(Cause.SERVER_BACKOFF,
+						backoff.servers() + " servers want no requests for " + backoff.millis() + " ms"));
 			case Choice.NoServer _ ->
 				endUnserved(call, progress, fullRetryMillis(), Refusal.of(Cause.NO_SERVER, call.service()));
 		}
@@ -530,7 +533,11 @@
 	 * @return the time in milliseconds, randomised
 	 */
 	static long fullRetryMillis() {
-		return FULL_RETRY_MILLIS + ThreadLocalRandom.current().nextLong(FULL_RETRY_SPREAD_MILLIS);
+		return FULL_RETRY_MILLIS + retrySpreadMillis();
+	}
+
+	private static long retrySpreadMillis() {
+		return ThreadLocalRandom.current().nextLong(FULL_RETRY_SPREAD_MILLIS);
 	}
 
 	// -- updates, on the control thread
@@ -553,6 +560,7 @@
 
 	/** Refreshes the set of servers that accept calls. */
 	void serversChanged() {
+		this.servers.notices().retain(knownServers());
 		this.eligibleServers = this.servers.eligibleServers()
 			.stream()
 			.collect(Collectors.toUnmodifiableMap(BackendServer::incarnation, Function.identity()));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/Notices.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/Notices.java
@@ -1,10 +1,13 @@
 package org.rosemaryfront.gateway;
 
+import java.util.concurrent.TimeUnit;
+
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.dispatch.ServerNotices;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.limits.ServerStatements;
-import org.rosemaryfront.limits.StatedRest;
+import org.rosemaryfront.limits.StatedBackoff;
 import org.rosemaryfront.program.ControlLoop;
 
 /**
@@ -39,11 +42,15 @@
 			case LEAVING -> leaving(server, requestId);
 			case UNREADABLE -> log(server, requestId, "leaving", "unreadable");
 		}
-		switch (statements.rest()) {
-			case StatedRest.None _ -> {
+		ServerNotices notices = this.servers.notices();
+		switch (statements.backoff()) {
+			case StatedBackoff.None _ -> notices.recordResponse(server.incarnation(), System.nanoTime());
+			case StatedBackoff.For backoff -> {
+				notices.recordBackoff(server.incarnation(),
+						System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(backoff.millis()));
+				log(server, requestId, "backoffMillis", String.valueOf(backoff.millis()));
 			}
-			case StatedRest.For rest -> log(server, requestId, "restMillis", String.valueOf(rest.millis()));
-			case StatedRest.Unreadable unreadable -> log(server, requestId, "rest", unreadable.text());
+			case StatedBackoff.Unreadable unreadable -> log(server, requestId, "backoff", unreadable.text());
 		}
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
@@ -66,7 +66,10 @@
 		CRASHES_UNKNOWN,
 
 		/** All servers have limits that are used up. */
-		SERVER_LIMIT;
+		SERVER_LIMIT,
+
+		/** All servers want no requests for a while. */
+		SERVER_BACKOFF;
 
 		@Override
 		public String toString() {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -13,9 +13,9 @@
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.limits.ServerStatements;
+import org.rosemaryfront.limits.StatedBackoff;
 import org.rosemaryfront.limits.StatedLeaving;
 import org.rosemaryfront.limits.StatedLimit;
-import org.rosemaryfront.limits.StatedRest;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.ports.CallMetadata;
 import org.rosemaryfront.ports.CallMetadata.Prompt;
@@ -102,7 +102,7 @@
 		return new ResponseMetadata(headers.get("Call", ""), headers.contains("Signature"), headers.contains("Not-Run"),
 				new ServerStatements(StatedLimit.parse(headers.getAll("Limit")),
 						StatedLimit.parse(headers.getAll("Rejections")), StatedLeaving.parse(headers.getAll("Leaving")),
-						(status == 503) ? StatedRest.parse(headers.getAll("Retry-After")) : StatedRest.none()));
+						(status == 503) ? StatedBackoff.parse(headers.getAll("Retry-After")) : StatedBackoff.none()));
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ServerStatementTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ServerStatementTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -25,9 +26,9 @@
 
 	private static final String LEAVING = "Leaving: 1\r\n";
 
-	private static final String REST = "Not-Run: 1\r\nRetry-After: 1\r\n";
+	private static final String BACKOFF = "Not-Run: 1\r\nRetry-After: 1\r\n";
 
-	private static final long REST_MILLIS = 1_000;
+	private static final long BACKOFF_MILLIS = 1_000;
 
 	private static final List<String> PATHS = List.of("/sheets/", "/visits/", "/drafts/", "/summaries/");
 
@@ -100,15 +101,15 @@
 		assertThat(response.hasHeader("retry-after")).isTrue();
 	}
 
-	// -- rest
+	// -- backoff
 
-	// Guards against requests to a server that rejected one and asked for rest.
+	// Guards against requests to a server that rejected one and asked for a backoff.
 	@Test
-	void shouldSendNothingToServerWhenItWantsRest() throws Exception {
+	void shouldSendNothingToServerWhenItWantsBackoff() throws Exception {
 		startGateway();
-		wantRest("s1");
+		wantBackoff("s1");
 		callUntilReached("s1");
-		long until = System.nanoTime() + (REST_MILLIS - TOLD_MILLIS) * 1_000_000;
+		long until = System.nanoTime() + (BACKOFF_MILLIS - TOLD_MILLIS) * 1_000_000;
 		int before = requests("s1");
 		while (System.nanoTime() - until < 0) {
 			assertThat(call(0, PATHS.get(this.calls % PATHS.size())).status()).isEqualTo(200);
@@ -119,19 +120,36 @@
 		GatewayHarness.await(() -> reaches("s1"));
 	}
 
+	// Guards against callers who are held, or who all come back before a server wants
+	// them,
+	// when all servers want a backoff.
+	@Test
+	void shouldRefuseWithRemainingBackoffWhenAllServersWantIt() throws Exception {
+		startGateway();
+		wantBackoff("s1");
+		wantBackoff("s2");
+		callUntilReached("s1");
+		callUntilReached("s2");
+		int before = requests("s1") + requests("s2");
+		Response response = call(0, "/visits/");
+		assertThat(response.status()).isEqualTo(503);
+		assertThat(retryAfterSeconds(response)).isBetween(0.3, 2.0);
+		assertThat(requests("s1") + requests("s2")).isEqualTo(before);
+	}
+
 	// -- through other gateways
 
 	// Guards against a gateway that carries calls to a server, which knows nothing of
 	// what
 	// the server said to it, and sends on, and against a way round a statement.
 	@ParameterizedTest
-	@CsvSource({ "leaving, 200", "rest, 503" })
+	@CsvSource({ "leaving, 200", "backoff, 503" })
 	void shouldBindGatewayThatCarriesWhenServerStatesSomething(String kind, int status) throws Exception {
 		startServers();
 		try (Relay link = Relay.start(this.servers.get("s1").address())) {
 			startFleetWithLink(link);
 			link.partition(Partition.RESET);
-			this.statements.put("s1", kind.equals("rest") ? REST : LEAVING);
+			this.statements.put("s1", kind.equals("backoff") ? BACKOFF : LEAVING);
 			this.statuses.put("s1", status);
 			callUntilReached("s1");
 			assertThat(this.fleet.get(1).metric("counters", "calls.carried")).isPositive();
@@ -179,8 +197,8 @@
 		}
 	}
 
-	private void wantRest(String server) {
-		this.statements.put(server, REST);
+	private void wantBackoff(String server) {
+		this.statements.put(server, BACKOFF);
 		this.statuses.put(server, 503);
 	}
 
@@ -212,4 +230,13 @@
 		return this.servers.get(server).requests().size();
 	}
 
+	private static double retryAfterSeconds(Response response) {
+		for (String line : response.head().split("\r\n")) {
+			if (line.toLowerCase(Locale.ROOT).startsWith("retry-after:")) {
+				return Double.parseDouble(line.substring("retry-after:".length()).trim());
+			}
+		}
+		return 0;
+	}
+
 }
