Tell the gateway that carries a call what the server said to it

A server that says it leaves or wants nothing for a while means the machine that it has the connection with. Where a gateway carries calls of another, that is not the one that reads the response: it went on sending to the server for its own callers and for others.

A gateway that does not say that it takes such frames gets none, so that both versions can be in one fleet.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/limits/StatedBackoff.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/limits/StatedBackoff.java
@@ -24,6 +24,15 @@
 		return new None();
 	}
 
+	/**
+	 * Creates the statement of a time.
+	 * @param millis the time in milliseconds; 0 for no backoff
+	 * @return the statement, at most the longest backoff that is kept
+	 */
+	static StatedBackoff ofMillis(long millis) {
+		return (millis > 0) ? new For(Math.min(MAX_MILLIS, millis)) : none();
+	}
+
 	/**
 	 * Parses the values of a header. A date, which the field's standard also allows, is
 	 * unreadable, since the clocks of servers are not known.
@@ -43,8 +52,7 @@
 		if (longest.isEmpty()) {
 			return new Unreadable(Decimal.shortened(values.getFirst()));
 		}
-		long millis = (long) Math.min(MAX_MILLIS, Math.ceil(longest.getAsDouble() * 1_000));
-		return (millis > 0) ? new For(millis) : none();
+		return ofMillis((long) Math.ceil(longest.getAsDouble() * 1_000));
 	}
 
 	/** The server wants no backoff. */
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
@@ -19,6 +19,7 @@
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.gateway.proto.TunnelFrame;
 import org.rosemaryfront.gateway.proto.TunnelOpen;
+import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.peer.Addresses;
 
 /**
@@ -44,6 +45,9 @@
 
 	private boolean callActive;
 
+	/** The request of the last call. */
+	private String requestId = "";
+
 	/** Whether the last frame was written. */
 	private boolean ending;
 
@@ -78,6 +82,7 @@
 			case CALL -> beginCall(frame.getCall());
 			case DATA -> forward(frame);
 			case IDLE -> this.callActive = false;
+			case NOTICE -> stated(TunnelPipeline.statements(frame.getNotice()));
 			case OPENED, REFUSED, CLOSED, FAILURE, CONTENT_NOT_SET ->
 				fail("unexpected frame " + frame.getContentCase());
 		}
@@ -137,6 +142,7 @@
 		}
 		else {
 			this.callActive = true;
+			this.requestId = requestId;
 			this.owner.metrics().increment("calls.carried");
 			EventLog.info(TrafficEvents.CALL_CARRIED, "request", requestId, "server", this.server.get().id(), "gateway",
 					this.tunnel.remoteAddress());
@@ -144,6 +150,14 @@
 		}
 	}
 
+	private void stated(ServerStatements statements) {
+		if (this.server.isEmpty()) {
+			fail("a notice before a server was named");
+			return;
+		}
+		this.owner.policy().stated(this.server.get(), this.requestId, statements, System.nanoTime());
+	}
+
 	// Deferred, so that the end of the tunnel is noticed if it was received together with
 	// the bytes, as after a pause of this process: the call is then over.
 	private void forward(TunnelFrame frame) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -270,6 +270,7 @@
 		}
 		this.skippingResponse = false;
 		this.headReceived = true;
+		this.tunnel.ifPresent((client) -> client.stated(terms.statements()));
 		recordKeepAlive(head);
 		this.listener.responseHead(head, terms);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelClient.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelClient.java
@@ -15,6 +15,7 @@
 import org.rosemaryfront.gateway.proto.TunnelFrame;
 import org.rosemaryfront.gateway.proto.TunnelOpen;
 import org.rosemaryfront.gateway.proto.TunnelRefusal;
+import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.paths.Carrier;
 
 /**
@@ -44,6 +45,9 @@
 
 	private Future<?> timeout;
 
+	/** Whether the other gateway takes notices. */
+	private boolean noticesTaken;
+
 	private boolean ended;
 
 	TunnelClient(Carrier carrier, BackendServer server, Answer onOpened) {
@@ -73,6 +77,17 @@
 		this.context.writeAndFlush(TunnelPipeline.IDLE);
 	}
 
+	/**
+	 * Tells the other gateway what the server stated, since the server means the gateway
+	 * that it has a connection with.
+	 * @param statements the statements
+	 */
+	void stated(ServerStatements statements) {
+		if (this.noticesTaken) {
+			TunnelPipeline.notice(statements).ifPresent(this.context::writeAndFlush);
+		}
+	}
+
 	// -- channel events
 
 	@Override
@@ -93,7 +108,10 @@
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		TunnelFrame frame = (TunnelFrame) message;
 		switch (frame.getContentCase()) {
-			case OPENED -> takeAwaited().ifPresent(Answer::opened);
+			case OPENED -> {
+				this.noticesTaken |= frame.getTakesNotices();
+				takeAwaited().ifPresent(Answer::opened);
+			}
 			case REFUSED -> refused(frame.getRefused());
 			case DATA -> context.fireChannelRead(TunnelPipeline.bytes(frame));
 			case CLOSED -> {
@@ -102,7 +120,7 @@
 				context.close();
 			}
 			case FAILURE -> fail(context, frame.getFailure());
-			case OPEN, CALL, IDLE, CONTENT_NOT_SET ->
+			case OPEN, CALL, IDLE, NOTICE, CONTENT_NOT_SET ->
 				fail(context, "unexpected frame " + frame.getContentCase() + " of " + this.carrier.gateway());
 		}
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelPipeline.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelPipeline.java
@@ -1,5 +1,7 @@
 package org.rosemaryfront.traffic;
 
+import java.util.Optional;
+
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -8,14 +10,19 @@
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 
+import org.rosemaryfront.gateway.proto.ServerNotice;
 import org.rosemaryfront.gateway.proto.TunnelFrame;
 import org.rosemaryfront.gateway.proto.TunnelRefusal;
+import org.rosemaryfront.limits.ServerStatements;
+import org.rosemaryfront.limits.StatedBackoff;
+import org.rosemaryfront.limits.StatedLeaving;
+import org.rosemaryfront.limits.StatedLimit;
 import org.rosemaryfront.peer.BoundedFrameDecoder;
 
 /** The codecs of both ends of a tunnel, and the frames that have no varying content. */
 final class TunnelPipeline {
 
-	static final TunnelFrame OPENED = TunnelFrame.newBuilder().setOpened(true).build();
+	static final TunnelFrame OPENED = TunnelFrame.newBuilder().setOpened(true).setTakesNotices(true).build();
 
 	static final TunnelFrame CLOSED = TunnelFrame.newBuilder().setClosed(true).build();
 
@@ -64,6 +71,33 @@
 			.build();
 	}
 
+	/**
+	 * Creates the frame that tells what a server stated, empty if that concerns no other
+	 * gateway.
+	 * @param statements what it stated
+	 * @return the frame
+	 */
+	static Optional<TunnelFrame> notice(ServerStatements statements) {
+		boolean leaving = statements.leaving() == StatedLeaving.LEAVING;
+		int millis = (statements.backoff() instanceof StatedBackoff.For backoff) ? (int) backoff.millis() : 0;
+		if (!leaving && millis == 0) {
+			return Optional.empty();
+		}
+		ServerNotice notice = ServerNotice.newBuilder().setLeaving(leaving).setBackoffMillis(millis).build();
+		return Optional.of(TunnelFrame.newBuilder().setNotice(notice).build());
+	}
+
+	/**
+	 * Returns what a server stated according to another gateway.
+	 * @param notice the notice
+	 * @return the statements
+	 */
+	static ServerStatements statements(ServerNotice notice) {
+		return new ServerStatements(StatedLimit.unknown(), StatedLimit.unknown(),
+				notice.getLeaving() ? StatedLeaving.LEAVING : StatedLeaving.NOT_STATED,
+				StatedBackoff.ofMillis(notice.getBackoffMillis()));
+	}
+
 	static TunnelFrame failure(String cause) {
 		return TunnelFrame.newBuilder().setFailure(cause).build();
 	}
