Tell other gateways what servers say of themselves

Each gateway found out for itself, by a request that a server did not want: with 9 gateways before servers that reject everything for 3 s, nine callers are turned away each time at each server.

That a server leaves binds every gateway that hears it. A backoff binds the machine that the server spoke to; others only prefer servers with room, since a server may reject one machine and not another, and wait up to half longer, so that they do not come back together.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -106,12 +106,16 @@
 		}
 		List<BackendRow> preferred = open.stream().filter((row) -> !row.isAvoided(nowNanos)).toList();
 		List<BackendRow> candidates = preferred.isEmpty() ? open : preferred;
-		List<BackendRow> available = candidates.stream()
+		List<BackendRow> withRoom = candidates.stream()
 			.filter((row) -> row.hasRoom(this.table.slotShares(), nowNanos) && !isProbed(row, nowNanos))
 			.toList();
-		if (available.isEmpty()) {
+		if (withRoom.isEmpty()) {
 			return new Choice.Full(candidates.size(), 0);
 		}
+		List<BackendRow> notSpared = withRoom.stream()
+			.filter((row) -> !this.table.notices().isSpared(row.server.incarnation(), nowNanos))
+			.toList();
+		List<BackendRow> available = notSpared.isEmpty() ? withRoom : notSpared;
 		return (requirements.ownTokens() == 0) ? leastLoaded(available)
 				: earliestFirstToken(requirements, available, nowNanos);
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/ServerNotices.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/ServerNotices.java
@@ -16,8 +16,17 @@
 	/** Far more servers than are leaving at the same time. */
 	private static final int MAX_LEAVING = 8_192;
 
+	/**
+	 * The share of a backoff of another process by which a server is spared longer at
+	 * most.
+	 */
+	private static final double BACKOFF_SPREAD = 0.5;
+
 	private final Set<Incarnation> leaving = ConcurrentHashMap.newKeySet();
 
+	/** Until when servers have asked other processes for no requests. */
+	private final Map<Incarnation, Long> otherBackoffEnds = new ConcurrentHashMap<>();
+
 	/** When the last backoff of a server ends, until it has accepted a request since. */
 	private final Map<Incarnation, Long> backoffEnds = new ConcurrentHashMap<>();
 
@@ -43,6 +52,32 @@
 		this.backoffEnds.merge(server, endNanos, (known, stated) -> (stated - known > 0) ? stated : known);
 	}
 
+	/**
+	 * Records that a server wants no requests of another process for a while. It may be
+	 * overloaded for all, or reject only that one.
+	 * @param server the run of the server
+	 * @param nowNanos the current time
+	 * @param backoffNanos how much longer it wants none of the other process
+	 * @param draw a random number from 0 to 1, which keeps processes from coming back
+	 * together
+	 */
+	public void recordOtherBackoff(Incarnation server, long nowNanos, long backoffNanos, double draw) {
+		long endNanos = nowNanos + (long) (backoffNanos * (1 + BACKOFF_SPREAD * draw));
+		this.otherBackoffEnds.merge(server, endNanos, (known, told) -> (told - known > 0) ? told : known);
+	}
+
+	/**
+	 * Returns whether another server is preferred because this one wants no requests of
+	 * another process.
+	 * @param server the run of the server
+	 * @param nowNanos the current time
+	 * @return false once that time is over
+	 */
+	public boolean isSpared(Incarnation server, long nowNanos) {
+		Long end = this.otherBackoffEnds.get(server);
+		return end != null && nowNanos - end < 0;
+	}
+
 	/**
 	 * Records that a server responded without wanting a backoff. This does not shorten a
 	 * backoff in progress.
@@ -61,6 +96,7 @@
 	 */
 	public void retain(Set<Incarnation> current) {
 		this.backoffEnds.keySet().retainAll(current);
+		this.otherBackoffEnds.keySet().retainAll(current);
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -618,6 +618,10 @@
 
 	// -- queries, on the control thread
 
+	Notices notices() {
+		return this.notices;
+	}
+
 	Rejections rejections() {
 		return this.rejections;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 
 import com.google.protobuf.ByteString;
@@ -16,6 +17,7 @@
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.dispatch.BackendUse;
+import org.rosemaryfront.dispatch.NoticeReports.Notice;
 import org.rosemaryfront.dispatch.PromptPrefix;
 import org.rosemaryfront.dispatch.RejectionUse;
 import org.rosemaryfront.duties.UsageLedger;
@@ -26,8 +28,10 @@
 import org.rosemaryfront.fleet.Fleet.ReportStatus;
 import org.rosemaryfront.gateway.proto.GatewayReport;
 import org.rosemaryfront.gateway.proto.OrganisationUse;
+import org.rosemaryfront.gateway.proto.ServerNotice;
 import org.rosemaryfront.gateway.proto.ServerUse;
 import org.rosemaryfront.gateway.proto.ServiceSpeed;
+import org.rosemaryfront.gateway.proto.StatedNotice;
 import org.rosemaryfront.gateway.proto.UnwrittenUse;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.quota.QuotaTable.Use;
@@ -143,6 +147,7 @@
 		report.addAllRollouts(this.rollouts
 			.updates((service) -> this.lease.mayAct(now) ? this.rolloutDuty.phase(service) : Optional.empty(), now));
 		this.limits.toReport(now).forEach((limit) -> report.addLimits(LimitReports.encode(limit)));
+		this.decisions.notices().toReport(now).forEach((notice) -> report.addNotices(encode(notice)));
 		this.peers.broadcast(report, this.fleet::isLive, (gateway) -> this.fleet.confirmation(gateway, now));
 		this.fleet.reportSent(number, now);
 		this.quotas.reportSent(number, now);
@@ -222,6 +227,8 @@
 			.filter((use) -> use.getRejections() > 0)
 			.forEach((use) -> this.decisions.rejections()
 				.receive(process, start(use), new RejectionUse(use.getRejectionLimit(), use.getRejections()), now));
+		report.getNoticesList()
+			.forEach((notice) -> this.decisions.notices().receive(report.getGateway(), decode(notice), now));
 		this.crashes.receive(report.getGateway(), report.getCrashesList(), now);
 		this.tables.receive(report.getTablesList(), new InetSocketAddress(from, report.getAdminPort()), now);
 		this.rollouts.receive(process, report.getRolloutsList(), now);
@@ -275,6 +282,21 @@
 					this.decisions.kvCacheTokens(server.service())));
 	}
 
+	private static StatedNotice encode(Notice notice) {
+		return StatedNotice.newBuilder()
+			.setServer(notice.server().id())
+			.setStartedMillis(notice.server().startedMillis())
+			.setNotice(ServerNotice.newBuilder()
+				.setLeaving(notice.leaving())
+				.setBackoffMillis((int) TimeUnit.NANOSECONDS.toMillis(notice.backoffNanos())))
+			.build();
+	}
+
+	private static Notice decode(StatedNotice notice) {
+		return new Notice(new BackendServer.Incarnation(notice.getServer(), notice.getStartedMillis()),
+				notice.getNotice().getLeaving(), TimeUnit.MILLISECONDS.toNanos(notice.getNotice().getBackoffMillis()));
+	}
+
 	private static BackendServer.Incarnation start(ServerUse use) {
 		return new BackendServer.Incarnation(use.getServer(), use.getStartedMillis());
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ReportFormsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ReportFormsTests.java
@@ -16,9 +16,11 @@
 import org.rosemaryfront.gateway.proto.RolloutNews;
 import org.rosemaryfront.gateway.proto.RolloutTally;
 import org.rosemaryfront.gateway.proto.ServerLimit;
+import org.rosemaryfront.gateway.proto.ServerNotice;
 import org.rosemaryfront.gateway.proto.ServerPermits;
 import org.rosemaryfront.gateway.proto.ServerUse;
 import org.rosemaryfront.gateway.proto.ServiceSpeed;
+import org.rosemaryfront.gateway.proto.StatedNotice;
 import org.rosemaryfront.gateway.proto.TableNews;
 import org.rosemaryfront.gateway.proto.TableRow;
 import org.rosemaryfront.gateway.proto.TableRows;
@@ -114,6 +116,10 @@
 			.setTunnelPort(43)
 			.setServersOutOfReach(44)
 			.setZone("a")
+			.addNotices(StatedNotice.newBuilder()
+				.setServer("s4")
+				.setStartedMillis(45)
+				.setNotice(ServerNotice.newBuilder().setLeaving(true).setBackoffMillis(47)))
 			.build();
 		assertThat(report.getAllFields()).hasSameSizeAs(GatewayReport.getDescriptor().getFields());
 		assertThat(hex(report.toByteArray())).isEqualTo("""
@@ -130,6 +136,7 @@
 				ba01360a027333101f1801200129000000000000f83f3020382140224d230000\
 				0052090d24000000102518265a090d2700000018282029602a\
 				c0012bc8012cd2010161\
+				da010c0a027334102d1a040801102f\
 				""");
 	}
 
@@ -150,10 +157,14 @@
 				TunnelFrame.newBuilder().setCall("r1").build(),
 				TunnelFrame.newBuilder().setData(ByteString.copyFromUtf8("d")).build(),
 				TunnelFrame.newBuilder().setClosed(true).build(), TunnelFrame.newBuilder().setFailure("f").build(),
-				TunnelFrame.newBuilder().setIdle(true).build());
+				TunnelFrame.newBuilder().setIdle(true).build(),
+				TunnelFrame.newBuilder()
+					.setNotice(ServerNotice.newBuilder().setLeaving(true).setBackoffMillis(2))
+					.build(),
+				TunnelFrame.newBuilder().setOpened(true).setTakesNotices(true).build());
 		assertThat(frames).hasSameSizeAs(TunnelFrame.getDescriptor().getFields());
 		assertThat(frames.stream().map((frame) -> hex(frame.toByteArray()))).containsExactly("0a060a0273311001", "1001",
-				"1a050a01631001", "22027231", "2a0164", "3001", "3a0166", "4001");
+				"1a050a01631001", "22027231", "2a0164", "3001", "3a0166", "4001", "4a0408011002", "10015001");
 	}
 
 	@ParameterizedTest
