Try statements of servers in a seeded soak beside lost paths, pauses, stops and starts

Four gateways with a relay on each link, eight servers, callers over new and over open connections; three rounds a seed, in each of which one server leaves, another one rejects everything for 4 s, a gateway loses its paths, and the same or another one is paused or restarted. No gateway may send to a server that told it so, and the promises to callers hold as in the soak of lost paths.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PartitionedFleet.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PartitionedFleet.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -62,6 +63,16 @@
 
 	private final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
 
+	/** What each server states in its responses, as headers. */
+	private final Map<Integer, String> statements = new ConcurrentHashMap<>();
+
+	private final Set<Integer> rejecting = ConcurrentHashMap.newKeySet();
+
+	/** The requests that reached servers while these stated something. */
+	private final List<Arrival> stated = new CopyOnWriteArrayList<>();
+
+	private final AtomicInteger starts = new AtomicInteger();
+
 	private final AtomicInteger answered = new AtomicInteger();
 
 	private final AtomicInteger lastCall = new AtomicInteger();
@@ -93,38 +104,53 @@
 
 	private void startServers(int count) {
 		for (int i = 0; i < count; i++) {
-			ScriptedServer server = ScriptedServer.start((request, exchange) -> {
-				this.arrivals.merge(request.call(), 1, Integer::sum);
-				answer(request, exchange);
-			});
+			int index = i;
+			ScriptedServer server = ScriptedServer.start((request, exchange) -> arrived(index, request, exchange));
 			this.servers.add(server);
 			this.store.put(GatewayHarness.SERVERS, "s" + i, "app " + server.address() + " ready");
 		}
 	}
 
-	private void answer(ScriptedServer.Request request, ScriptedServer.Exchange exchange) throws IOException {
+	private void arrived(int server, ScriptedServer.Request request, ScriptedServer.Exchange exchange)
+			throws IOException {
+		if (this.statements.containsKey(server)) {
+			this.stated
+				.add(new Arrival(request.header("sender"), server, System.nanoTime(), this.rejecting.contains(server)));
+		}
+		if (this.rejecting.contains(server)) {
+			exchange.status(request, 503, "Not-Run: 1\r\n" + this.statements.get(server));
+			return;
+		}
+		this.arrivals.merge(request.call(), 1, Integer::sum);
+		answer(request, exchange, this.statements.getOrDefault(server, ""));
+	}
+
+	private void answer(ScriptedServer.Request request, ScriptedServer.Exchange exchange, String statement)
+			throws IOException {
 		if (request.line().contains(STREAM_PATH)) {
-			stream(request, exchange);
+			stream(request, exchange, statement);
 		}
 		else {
 			LockSupport.parkNanos(ANSWER_NANOS);
-			answerWhole(request, exchange);
+			answerWhole(request, exchange, statement);
 		}
 	}
 
 	// Closes connections now and then, so that new ones are needed.
-	private void answerWhole(ScriptedServer.Request request, ScriptedServer.Exchange exchange) throws IOException {
+	private void answerWhole(ScriptedServer.Request request, ScriptedServer.Exchange exchange, String statement)
+			throws IOException {
 		boolean last = this.answered.incrementAndGet() % ANSWERS_PER_CONNECTION == 0;
-		exchange.write(head(request) + (last ? "Connection: close\r\n" : "") + "Content-Length: "
+		exchange.write(head(request) + statement + (last ? "Connection: close\r\n" : "") + "Content-Length: "
 				+ request.call().length() + "\r\n\r\n" + request.call());
 		if (last) {
 			exchange.socket().close();
 		}
 	}
 
-	private static void stream(ScriptedServer.Request request, ScriptedServer.Exchange exchange) throws IOException {
+	private static void stream(ScriptedServer.Request request, ScriptedServer.Exchange exchange, String statement)
+			throws IOException {
 		String after = request.header("resume-after");
-		exchange.write(head(request) + "Transfer-Encoding: chunked\r\n\r\n");
+		exchange.write(head(request) + statement + "Transfer-Encoding: chunked\r\n\r\n");
 		for (int id = after.isEmpty() ? 1 : Integer.parseInt(after) + 1; id <= STREAM_EVENTS; id++) {
 			LockSupport.parkNanos(ANSWER_NANOS);
 			String event = event(id, request.call());
@@ -151,7 +177,8 @@
 	private GatewayHarness startGateway(int index) {
 		Map<String, Relay> own = this.links.get(index);
 		return GatewayHarness.startOne(this.store, index + 1,
-				this.codecs.withServersAt((address) -> own.computeIfAbsent(address, Relay::start).address()));
+				this.codecs.withServersAt((address) -> own.computeIfAbsent(address, Relay::start).address())
+					.withSender(index + "/" + this.starts.incrementAndGet()));
 	}
 
 	private void ready() throws IOException {
@@ -285,8 +312,41 @@
 		this.gateways.set(gateway, startGateway(gateway));
 	}
 
+	/**
+	 * Makes a server say in its responses that it leaves; it goes on serving.
+	 * @param server the number of the server
+	 */
+	void leave(int server) {
+		this.statements.put(server, "Leaving: 1\r\n");
+	}
+
+	/**
+	 * Makes a server reject all requests and ask for a backoff, or serve again.
+	 * @param server the number of the server
+	 * @param reject whether it rejects them
+	 * @param backoffSeconds the backoff that it asks for
+	 */
+	void reject(int server, boolean reject, int backoffSeconds) {
+		if (reject) {
+			this.statements.put(server, "Retry-After: " + backoffSeconds + "\r\n");
+			this.rejecting.add(server);
+		}
+		else {
+			this.rejecting.remove(server);
+			this.statements.remove(server);
+		}
+	}
+
 	// -- queries
 
+	/**
+	 * Returns the requests that reached servers while these stated something.
+	 * @return the arrivals in order
+	 */
+	List<Arrival> statedArrivals() {
+		return List.copyOf(this.stated);
+	}
+
 	GatewayHarness gateway(int index) {
 		return this.gateways.get(index);
 	}
@@ -363,6 +423,17 @@
 		this.servers.forEach(ScriptedServer::close);
 	}
 
+	/**
+	 * A request that reached a server which states something.
+	 *
+	 * @param sender the gateway of the call, and which start of it
+	 * @param server the number of the server
+	 * @param atNanos when it arrived
+	 * @param rejected whether the server rejected it
+	 */
+	record Arrival(String sender, int server, long atNanos, boolean rejected) {
+	}
+
 	/**
 	 * What became of a call.
 	 *
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -36,13 +36,27 @@
 
 	private final UnaryOperator<String> addresses;
 
-	private PlainCodecs(Map<String, TrafficConfiguration> configurations, UnaryOperator<String> addresses) {
+	/** What names the gateway to servers, empty for nothing. */
+	private final String sender;
+
+	private PlainCodecs(Map<String, TrafficConfiguration> configurations, UnaryOperator<String> addresses,
+			String sender) {
 		this.configurations = configurations;
 		this.addresses = addresses;
+		this.sender = sender;
 	}
 
 	PlainCodecs() {
-		this(new ConcurrentHashMap<>(), UnaryOperator.identity());
+		this(new ConcurrentHashMap<>(), UnaryOperator.identity(), "");
+	}
+
+	/**
+	 * Returns codecs for a gateway that names itself to servers.
+	 * @param name the name
+	 * @return the codecs
+	 */
+	PlainCodecs withSender(String name) {
+		return new PlainCodecs(this.configurations, this.addresses, name);
 	}
 
 	/**
@@ -52,7 +66,7 @@
 	 * @return the codecs
 	 */
 	PlainCodecs withServersAt(UnaryOperator<String> translation) {
-		return new PlainCodecs(this.configurations, translation);
+		return new PlainCodecs(this.configurations, translation, this.sender);
 	}
 
 	/**
@@ -92,6 +106,7 @@
 		headers.remove("Key");
 		headers.set("Remaining", handover.remainingMillis());
 		headers.set("Server", handover.serverId());
+		headers.set("Sender", this.sender);
 		headers.remove("Organisation");
 		handover.organisation().ifPresent((name) -> headers.set("Organisation", name));
 		handover.resumeAfter().ifPresent((event) -> headers.set("Resume-After", event));
