--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/ServerNotices.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/ServerNotices.java
@@ -141,6 +141,15 @@
 		return !isLeaving(server) && backoffNanos(server, nowNanos) == 0;
 	}
 
+	/**
+	 * Returns the number of servers that have said that they are leaving, including those
+	 * that are gone.
+	 * @return the number
+	 */
+	public int leavingCount() {
+		return this.leaving.size();
+	}
+
 	/**
 	 * Returns the number of servers that want no requests of this process for a while.
 	 * @param nowNanos the current time
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -237,6 +237,8 @@
 		this.metrics.gauge("configuration.proven.millis", () -> confirmationAgeMillis(this.configurationTable));
 		this.metrics.gauge("requests.held", this.crashes::quarantinedCount);
 		this.metrics.gauge("servers.limited", this.callLimits::limitedCount);
+		this.metrics.gauge("servers.backoff", () -> this.servers.notices().backoffCount(System.nanoTime()));
+		this.metrics.gauge("servers.stated.leaving", () -> this.servers.notices().leavingCount());
 		this.metrics.gauge("calls.waiting", this.callLimits::reportedWaiting);
 		// Opened last, because its requests use all other components.
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -446,7 +446,7 @@
 		}
 		if (!this.gateway.policy().acceptsCalls(this.server.orElseThrow())) {
 			to.release();
-			connectFailed("the server is draining");
+			connectFailed("the server wants no calls");
 			return;
 		}
 		if (this.caller.isDisconnected()) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallPolicy.java
@@ -46,7 +46,7 @@
 
 	/**
 	 * Returns whether a server accepts calls. This is checked immediately before the
-	 * first byte is sent, since the server may have started to drain while the connection
+	 * first byte is sent, since the server may have said otherwise while the connection
 	 * was made.
 	 * @param server the server
 	 * @return false if the call is to be returned to the policy as not sent
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
@@ -138,7 +138,8 @@
 			refuse(requestId, "the gateway is stopping", false);
 		}
 		else if (!connected || !this.owner.policy().acceptsCalls(this.server.orElseThrow())) {
-			refuse(requestId, connected ? "the server is draining" : "the connection to the server was closed", false);
+			refuse(requestId, connected ? "the server wants no calls" : "the connection to the server was closed",
+					false);
 		}
 		else {
 			this.callActive = true;
