Find out with one request behind a backoff, whatever runs there already

And a backoff outlives a registration that lapses meanwhile: forgetting it would let a gateway send again too early once the server was back. ServerBackoffTests has a case for each, written with the change; they were not run on the code before, whose methods are others. The count of streams that end inside an event is made in one place.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -123,7 +123,7 @@
 	// A server that looks idle because it rejects requests would otherwise get most of
 	// them once its backoff is over.
 	private boolean isProbed(BackendRow row, long nowNanos) {
-		return row.ownCalls > 0 && this.table.notices().isTentative(row.server.incarnation(), nowNanos);
+		return this.table.notices().isProbed(row.server.incarnation(), nowNanos);
 	}
 
 	private long leastBackoffMillis(List<BackendRow> rows, long nowNanos) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/ServerNotices.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/ServerNotices.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 
@@ -22,6 +23,9 @@
 	 */
 	private static final double BACKOFF_SPREAD = 0.5;
 
+	/** How long the first request behind a backoff keeps others away. */
+	private static final long PROBE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	private final Set<Incarnation> leaving = ConcurrentHashMap.newKeySet();
 
 	/** Until when servers have asked other processes for no requests. */
@@ -30,6 +34,9 @@
 	/** When the last backoff of a server ends, until it has accepted a request since. */
 	private final Map<Incarnation, Long> backoffEnds = new ConcurrentHashMap<>();
 
+	/** When the first request behind a backoff was sent, until the server responds. */
+	private final Map<Incarnation, Long> probedNanos = new ConcurrentHashMap<>();
+
 	/**
 	 * Records that a server is leaving, which is final for this run of it.
 	 * @param server the run of the server
@@ -50,6 +57,7 @@
 	 */
 	public void recordBackoff(Incarnation server, long endNanos) {
 		this.backoffEnds.merge(server, endNanos, (known, stated) -> (stated - known > 0) ? stated : known);
+		this.probedNanos.remove(server);
 	}
 
 	/**
@@ -87,16 +95,36 @@
 	public void recordResponse(Incarnation server, long nowNanos) {
 		if (!this.backoffEnds.isEmpty()) {
 			this.backoffEnds.computeIfPresent(server, (_, end) -> (nowNanos - end >= 0) ? null : end);
+			this.probedNanos.remove(server);
+		}
+	}
+
+	/**
+	 * Records that a request was sent to a server. Behind a backoff it is the one that
+	 * finds out whether the server still wants none.
+	 * @param server the run of the server
+	 * @param nowNanos the current time
+	 */
+	public void recordSent(Incarnation server, long nowNanos) {
+		if (isTentative(server, nowNanos)) {
+			this.probedNanos.put(server, nowNanos);
 		}
 	}
 
 	/**
-	 * Forgets the backoffs of servers that are gone.
+	 * Forgets the backoffs that are over of servers that are gone. A server whose
+	 * registration only lapsed comes back as the same run.
 	 * @param current the runs of the current servers
+	 * @param nowNanos the current time
 	 */
-	public void retain(Set<Incarnation> current) {
-		this.backoffEnds.keySet().retainAll(current);
-		this.otherBackoffEnds.keySet().retainAll(current);
+	public void retain(Set<Incarnation> current, long nowNanos) {
+		removeGone(this.backoffEnds, current, nowNanos);
+		removeGone(this.otherBackoffEnds, current, nowNanos);
+		this.probedNanos.keySet().retainAll(this.backoffEnds.keySet());
+	}
+
+	private static void removeGone(Map<Incarnation, Long> ends, Set<Incarnation> current, long nowNanos) {
+		ends.entrySet().removeIf((entry) -> !current.contains(entry.getKey()) && nowNanos - entry.getValue() >= 0);
 	}
 
 	/**
@@ -120,13 +148,18 @@
 	}
 
 	/**
-	 * Returns whether a server has responded to no request since a backoff that is over.
-	 * It may still be overloaded, so that a single request finds out.
+	 * Returns whether a request is finding out whether a server whose backoff is over
+	 * still wants none, so that no other one is sent there.
 	 * @param server the run of the server
 	 * @param nowNanos the current time
-	 * @return true until its first response without a backoff
+	 * @return false once the server has responded, or has not for a while
 	 */
-	public boolean isTentative(Incarnation server, long nowNanos) {
+	public boolean isProbed(Incarnation server, long nowNanos) {
+		Long probed = this.probedNanos.get(server);
+		return probed != null && isTentative(server, nowNanos) && nowNanos - probed < PROBE_NANOS;
+	}
+
+	private boolean isTentative(Incarnation server, long nowNanos) {
 		Long end = this.backoffEnds.get(server);
 		return end != null && nowNanos - end >= 0;
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/NoticeFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/NoticeFleet.java
@@ -179,6 +179,7 @@
 		}
 		int server = Integer.parseInt(chosen.server().id().substring(1));
 		node.table.recordCallSent(chosen.server().incarnation(), 0);
+		node.table.notices().recordSent(chosen.server().incarnation(), nanos());
 		boolean rejects = this.rejecting.contains(server);
 		this.arrivals.add(new Arrival(gateway, node.start, server, nowMillis(), rejects));
 		this.responses.add(new Response(nowMillis() + (rejects ? REJECTION_MILLIS : RUN_MILLIS), node, server, rejects,
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/ServerBackoffTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/ServerBackoffTests.java
@@ -50,6 +50,7 @@
 		this.table.notices().recordBackoff(server("s1"), SECOND);
 		assertThat(chosen(SECOND)).contains("s1");
 		this.table.recordCallSent(server("s1"), 0);
+		this.table.notices().recordSent(server("s1"), SECOND);
 		for (int i = 0; i < 4; i++) {
 			assertThat(chosen(SECOND)).contains("s2");
 			this.table.recordCallSent(server("s2"), 0);
@@ -58,6 +59,31 @@
 		assertThat(chosen(SECOND)).contains("s1");
 	}
 
+	// Guards against a server that gets nothing behind its backoff because it still runs
+	// calls from before.
+	@Test
+	void shouldSendRequestAfterBackoffWhenServerStillRunsCalls() {
+		this.table.recordCallSent(server("s1"), 0);
+		this.table.recordCallSent(server("s2"), 0);
+		this.table.recordCallSent(server("s2"), 0);
+		this.table.notices().recordBackoff(server("s1"), SECOND);
+		assertThat(chosen(SECOND)).contains("s1");
+		this.table.notices().recordSent(server("s1"), SECOND);
+		assertThat(chosen(SECOND)).contains("s2");
+		assertThat(chosen(2 * SECOND)).contains("s1");
+	}
+
+	// Guards against a backoff that is forgotten when the registration lapses meanwhile.
+	@Test
+	void shouldKeepBackoffWhenServerIsGoneForAWhile() {
+		ServerNotices notices = this.table.notices();
+		notices.recordBackoff(server("s1"), 3 * SECOND);
+		notices.retain(Set.of(server("s2")), SECOND);
+		assertThat(notices.permits(server("s1"), 2 * SECOND)).isFalse();
+		notices.retain(Set.of(server("s2")), 3 * SECOND);
+		assertThat(notices.isProbed(server("s1"), 3 * SECOND)).isFalse();
+	}
+
 	@Test
 	void shouldTellLeastTimeWhenAllServersWantBackoff() {
 		this.table.notices().recordBackoff(server("s1"), 3 * SECOND);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -434,6 +434,7 @@
 		chosen.passedOver().ifPresent((_) -> this.callLimits.passedOver());
 		progress.sent(chosen, nowNanos);
 		this.servers.recordCallSent(server.incarnation(), chosen.uncachedTokens());
+		this.servers.notices().recordSent(server.incarnation(), nowNanos);
 		this.servers.recordPrefillStart(server.incarnation(), progress.prefix(), kvCacheTokens(call.service()));
 		this.prefillTokens += chosen.uncachedTokens();
 		call.send(server, maxConnections(call.service()), chosen.transferSource().map(BackendServer::address));
@@ -560,7 +561,7 @@
 
 	/** Refreshes the set of servers that accept calls. */
 	void serversChanged() {
-		this.servers.notices().retain(knownServers());
+		this.servers.notices().retain(knownServers(), System.nanoTime());
 		this.eligibleServers = this.servers.eligibleServers()
 			.stream()
 			.collect(Collectors.toUnmodifiableMap(BackendServer::incarnation, Function.identity()));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -643,7 +643,6 @@
 	}
 
 	private void responded(BackendServer from) {
-		countOpenEvent();
 		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", statusCode(),
 				"server", from.id(), "sends", this.sendCount, "sendMillis", this.sendMillis, "millis", ageMillis(),
 				"firstMillis", this.responseTimes.firstMillis(this.receivedNanos), "longestPauseMillis",
