Say "not run" only about calls that no earlier server may have run

Cause: the refusal behind a rejection looked at the last attempt alone. FaultyServerTests, 503 in two of two cases before, 502 now. Why this holds: whether any attempt may have run decides, as where no server is left for a further one. Only calls that may be repeated were hit: others are not sent again once they may have run.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -465,11 +465,8 @@
 		if (refusal.isEmpty()) {
 			dispatch(call, progress, nowNanos);
 		}
-		else if (notRun) {
-			call.refuse(503, fullRetryMillis(), Refusal.of(refusal.get(), failure.cause()));
-		}
 		else {
-			call.giveUp(Refusal.of(refusal.get(), failure.cause()));
+			endUnserved(call, progress, fullRetryMillis(), Refusal.of(refusal.get(), failure.cause()));
 		}
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
@@ -163,6 +163,29 @@
 		}
 	}
 
+	// Guards against "not run" about a call that an earlier server may have run, because the
+	// last one rejected it.
+	@ParameterizedTest
+	@ValueSource(strings = { "/sheets/", "/summaries/" })
+	void shouldNotRespondNotRunWhenEarlierServerMayHaveRunCall(String path) throws IOException {
+		AtomicInteger attempts = new AtomicInteger();
+		ScriptedServer.Script script = (request, exchange) -> {
+			if (attempts.getAndIncrement() == 0) {
+				exchange.reset();
+			}
+			else {
+				exchange.status(request, 503, "Not-Run: 1\r\n");
+			}
+		};
+		try (ScriptedServer _ = this.gateway.startServer(script);
+				ScriptedServer second = ScriptedServer.start(script)) {
+			this.gateway.register("s2", second);
+			this.gateway.ready();
+			assertThat(this.gateway.send(RawCaller.post("c1", path, "x")).status()).isEqualTo(502);
+			assertThat(attempts.get()).isEqualTo(2);
+		}
+	}
+
 	@Test
 	void shouldTryNextServerWhenOneIsUnreachable() throws IOException {
 		try (ScriptedServer dead = ScriptedServer.start((_, _) -> {
