--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
@@ -163,7 +163,8 @@
 		}
 	}
 
-	// Guards against "not run" about a call that an earlier server may have run, because the
+	// Guards against "not run" about a call that an earlier server may have run, because
+	// the
 	// last one rejected it.
 	@ParameterizedTest
 	@ValueSource(strings = { "/sheets/", "/summaries/" })
