--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/net/Relay.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/net/Relay.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -13,6 +14,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * Stands between two processes of a test and damages their TCP connections.
@@ -37,6 +40,11 @@
 
 	private static final int CONNECT_MILLIS = 2_000;
 
+	/** How long a port that another process uses is awaited. */
+	private static final long BIND_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+	private static final long BIND_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
 	/** A connection attempt that takes longer found the accept queue full. */
 	private static final int FULL_QUEUE_MILLIS = 100;
 
@@ -186,14 +194,24 @@
 	}
 
 	private ServerSocket bind(int backlog) {
-		try {
-			this.reservation.ifPresent(Relay::closeQuietly);
-			this.reservation = Optional.empty();
-			this.listener = new ServerSocket(this.port, backlog, InetAddress.getLoopbackAddress());
-			return this.listener;
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
+		this.reservation.ifPresent(Relay::closeQuietly);
+		this.reservation = Optional.empty();
+		long until = System.nanoTime() + BIND_NANOS;
+		while (true) {
+			try {
+				this.listener = new ServerSocket(this.port, backlog, InetAddress.getLoopbackAddress());
+				return this.listener;
+			}
+			catch (BindException ex) {
+				// A connection of another process may have the port for a moment.
+				if (System.nanoTime() - until > 0) {
+					throw new UncheckedIOException(ex);
+				}
+				LockSupport.parkNanos(BIND_RETRY_NANOS);
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
 		}
 	}
 
