Log which stream a caller takes up, and the versions of servers that a stream goes on at

Cause: the logs could not tell the hypotheses apart: E2710 named no version, and a request that takes a stream up was a call like any other. No decision changes.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/CallMetadata.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/CallMetadata.java
@@ -14,9 +14,10 @@
  * @param remainingMillis how long the caller will wait for the response, in milliseconds
  * @param key the caller's API key
  * @param prompt the prompt of a call to a model
+ * @param resumption the stream that the caller takes up, empty for a call that begins one
  */
 public record CallMetadata(String requestId, OptionalLong remainingMillis, Optional<String> key,
-		Optional<Prompt> prompt) {
+		Optional<Prompt> prompt, Optional<Resumption> resumption) {
 
 	/**
 	 * The size and the segments of a prompt.
@@ -63,6 +64,17 @@
 
 	}
 
+	/**
+	 * A stream that its caller takes up in a new call.
+	 *
+	 * @param firstCall the identifier of the call that brought the first event; empty
+	 * when the caller names none or no valid one
+	 * @param lastEvent the identifier of the last event received, empty when the caller
+	 * names none
+	 */
+	public record Resumption(Optional<String> firstCall, Optional<String> lastEvent) {
+	}
+
 	/**
 	 * A segment of a prompt.
 	 *
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -22,6 +22,7 @@
 import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.ports.CallMetadata;
+import org.rosemaryfront.ports.CallMetadata.Resumption;
 import org.rosemaryfront.ports.ForwardingMetadata;
 import org.rosemaryfront.ports.ResponseMetadata;
 import org.rosemaryfront.routes.CallKind;
@@ -56,6 +57,8 @@
 	 */
 	private static final long UNSENT_RETRY_MILLIS = 200;
 
+	private static final int MAX_LOGGED_EVENT_ID_LENGTH = 64;
+
 	private final Gateway gateway;
 
 	private final CallerConnection caller;
@@ -137,6 +140,9 @@
 
 	private Optional<EventFramer> eventFramer = Optional.empty();
 
+	/** The version of the server whose event was the first one sent to the caller. */
+	private Optional<String> firstEventVersion = Optional.empty();
+
 	Call(Gateway gateway, CallerConnection caller, HttpRequest head, CallMetadata terms, Route route,
 			Optional<Organisation> organisation, String service, long arrivedNanos) {
 		this.receivedNanos = arrivedNanos;
@@ -408,9 +414,21 @@
 
 	private void admit() {
 		this.state = State.DECIDING;
+		this.metadata.resumption().ifPresent(this::logResumption);
 		this.gateway.policy().admit(this);
 	}
 
+	private void logResumption(Resumption resumption) {
+		this.gateway.metrics().increment("streams.taken.up");
+		EventLog.info(TrafficEvents.STREAM_TAKEN_UP, "request", id(), "route", this.route.name(), "service",
+				this.service, "firstCall", resumption.firstCall().orElse("none"), "after",
+				resumption.lastEvent().map(Call::shortened).orElse("none"));
+	}
+
+	private static String shortened(String text) {
+		return text.substring(0, Math.min(text.length(), MAX_LOGGED_EVENT_ID_LENGTH));
+	}
+
 	// -- server
 
 	private void connect(BackendServer to, int maxConnections) {
@@ -539,7 +557,11 @@
 			abortResponse("a resumed stream failed with status " + responseHead.status().code());
 			return;
 		}
-		EventLog.info(TrafficEvents.STREAM_RESUMED, "request", id(), "server", serverId(), "after",
+		String version = this.server.map(BackendServer::version).orElse("none");
+		boolean joined = this.firstEventVersion.filter((first) -> !first.equals(version)).isPresent();
+		this.gateway.metrics().increment(joined ? "streams.resumed.other.version" : "streams.resumed.same.version");
+		EventLog.info(TrafficEvents.STREAM_RESUMED, "request", id(), "server", serverId(), "version", version,
+				"firstEventVersion", this.firstEventVersion.orElse("none"), "after",
 				this.eventFramer.flatMap(EventFramer::lastId).orElse("none"));
 	}
 
@@ -553,6 +575,9 @@
 			markRunStarted();
 			this.responseTimes.chunkReceived(System.nanoTime());
 			ByteBuf forwarded = this.eventFramer.map((framer) -> framer.add(bytes, completeBytes)).orElse(bytes);
+			if (forwarded.isReadable() && this.firstEventVersion.isEmpty()) {
+				this.firstEventVersion = this.server.map(BackendServer::version);
+			}
 			if (!this.caller.write(forwarded)) {
 				this.connection.setReading(false);
 			}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
@@ -68,7 +68,10 @@
 	PATH_REGAINED(2717),
 
 	/** A connection of another gateway failed or sent what is no frame of a tunnel. */
-	TUNNEL_FAILED(2718);
+	TUNNEL_FAILED(2718),
+
+	/** A caller takes up a stream that an earlier call began. */
+	STREAM_TAKEN_UP(2719);
 
 	private final int number;
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -19,6 +19,7 @@
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.ports.CallMetadata;
 import org.rosemaryfront.ports.CallMetadata.Prompt;
+import org.rosemaryfront.ports.CallMetadata.Resumption;
 import org.rosemaryfront.ports.CallMetadata.Segment;
 import org.rosemaryfront.ports.ForwardingMetadata;
 import org.rosemaryfront.ports.RecordCodec;
@@ -88,7 +89,13 @@
 		return new CallMetadata(headers.get("Call", ""),
 				(millis != null) ? OptionalLong.of(Long.parseLong(millis)) : OptionalLong.empty(),
 				Optional.ofNullable(headers.get("Key")),
-				Optional.ofNullable(headers.get("Prompt")).map(PlainCodecs::prompt));
+				Optional.ofNullable(headers.get("Prompt")).map(PlainCodecs::prompt), resumption(headers));
+	}
+
+	private static Optional<Resumption> resumption(HttpHeaders headers) {
+		Optional<String> call = Optional.ofNullable(headers.get("First-Call"));
+		Optional<String> event = Optional.ofNullable(headers.get("Resume-After"));
+		return (call.isPresent() || event.isPresent()) ? Optional.of(new Resumption(call, event)) : Optional.empty();
 	}
 
 	// A prompt is a list of segments "name:tokens", the last of which belongs to the call
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/NoHeaders.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/NoHeaders.java
@@ -16,7 +16,7 @@
 
 	@Override
 	public CallMetadata callMetadata(HttpHeaders headers) {
-		return new CallMetadata("", OptionalLong.empty(), Optional.empty(), Optional.empty());
+		return new CallMetadata("", OptionalLong.empty(), Optional.empty(), Optional.empty(), Optional.empty());
 	}
 
 	@Override
