Make the response of a call a class of its own

What its servers sent and what its caller was sent of it is CallResponse now; Call keeps state, sending, decisions and the end. Bytes that arrive while no request is sent are released in any state, not only after the end of the call.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -10,25 +10,22 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.concurrent.Future;
 
 import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.events.EventLog;
-import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.ports.CallMetadata;
 import org.rosemaryfront.ports.CallMetadata.Resumption;
 import org.rosemaryfront.ports.ForwardingMetadata;
 import org.rosemaryfront.ports.ResponseMetadata;
-import org.rosemaryfront.routes.CallKind;
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.traffic.CallPolicy.Ending;
+import org.rosemaryfront.traffic.CallResponse.Head;
 
 /**
  * A request of a caller from its receipt until its response is complete. Its state is
@@ -43,13 +40,6 @@
 	 */
 	private static final int MAX_BUFFERED_REQUEST_BYTES = 262_144;
 
-	/**
-	 * The maximum number of bytes of a response that are buffered before it is sent to
-	 * the caller, unless it is a stream. If a buffered response fails, the call can be
-	 * sent again.
-	 */
-	private static final int MAX_BUFFERED_RESPONSE_BYTES = 262_144;
-
 	/**
 	 * The Retry-After of a call whose deadline passed before it was sent, in
 	 * milliseconds. It is short because by then the cause of the wait is over or the
@@ -118,31 +108,10 @@
 	/** The time between the choice of the server and the last send. */
 	private long sendMillis;
 
-	private Optional<HttpResponse> response = Optional.empty();
-
-	/** What the current attempt received, empty before the head of its response. */
-	private Optional<ReceivedBody> received = Optional.empty();
-
-	private ResponseMetadata responseMetadata = new ResponseMetadata("", false, false, ServerStatements.unknown());
-
-	private final BodyBuffer responseBuffer = new BodyBuffer();
-
-	/**
-	 * Whether an error response of the server is complete, so that it can be forwarded.
-	 */
-	private boolean errorResponseComplete;
-
-	private boolean responseStarted;
+	private final CallResponse response;
 
 	private boolean runStarted;
 
-	private final ResponseTimes responseTimes = new ResponseTimes();
-
-	private Optional<EventFramer> eventFramer = Optional.empty();
-
-	/** The version of the server whose event was the first one sent to the caller. */
-	private Optional<String> firstEventVersion = Optional.empty();
-
 	Call(Gateway gateway, CallerConnection caller, HttpRequest head, CallMetadata terms, Route route,
 			Optional<Organisation> organisation, String service, long arrivedNanos) {
 		this.receivedNanos = arrivedNanos;
@@ -153,6 +122,7 @@
 		this.route = route;
 		this.organisation = organisation;
 		this.service = service;
+		this.response = CallResponse.of(caller, head.method(), route);
 		this.digestBuilder = RequestDigest.begin(organisation.map(Organisation::name).orElse(""), head.method().name(),
 				RequestValidator.host(head), head.uri());
 		long millis = Math.min(route.timeoutMillis(), terms.remainingMillis().orElse(Long.MAX_VALUE));
@@ -246,7 +216,7 @@
 	 * resumed has started
 	 */
 	public boolean canResend() {
-		return !this.streamingRequest && (!this.responseStarted || this.eventFramer.isPresent());
+		return !this.streamingRequest && this.response.canGoOn();
 	}
 
 	/**
@@ -478,8 +448,7 @@
 		this.sentNanos = System.nanoTime();
 		this.sendMillis = TimeUnit.NANOSECONDS.toMillis(this.sentNanos - this.chosenNanos);
 		to.carrier().ifPresent(this::tunnelled);
-		clearErrorResponse();
-		this.received = Optional.empty();
+		this.response.attemptBegins();
 		to.startCall(id(), this);
 		to.write(serverRequest());
 		this.requestBuffer.duplicates().forEach((chunk) -> to.write(new DefaultHttpContent(chunk)));
@@ -500,19 +469,11 @@
 				"sendMillis", this.sendMillis);
 	}
 
-	private void clearErrorResponse() {
-		this.errorResponseComplete = false;
-		this.responseBuffer.release();
-		if (!this.responseStarted) {
-			this.response = Optional.empty();
-		}
-	}
-
 	private HttpRequest serverRequest() {
 		long remaining = Math.max(1, remainingMillis(System.nanoTime()));
 		ForwardingMetadata metadata = new ForwardingMetadata(remaining, serverId(),
-				this.organisation.map(Organisation::name), this.eventFramer.flatMap(EventFramer::lastId),
-				OptionalInt.of(priority()), this.kvCacheSource);
+				this.organisation.map(Organisation::name), this.response.lastEvent(), OptionalInt.of(priority()),
+				this.kvCacheSource);
 		OptionalLong length = this.bodyComplete ? OptionalLong.of(this.bodyBytes) : OptionalLong.empty();
 		return ServerRequest.of(this.head, length, this.gateway.codec(), metadata);
 	}
@@ -522,101 +483,67 @@
 	@Override
 	public void responseHead(HttpResponse responseHead, ResponseMetadata from) {
 		this.gateway.policy().stated(this.server.orElseThrow(), id(), from.statements(), this.sentNanos);
-		ReceivedBody body = ReceivedBody.of(responseHead, this.route.kind() == CallKind.STREAMING, isEventExpected());
-		this.received = Optional.of(body);
-		this.gateway.metrics().responseReceived(body.framing());
-		if (this.responseStarted) {
-			resumedResponseHead(responseHead, from, body);
-			return;
-		}
-		this.response = Optional.of(responseHead);
-		this.responseMetadata = from;
-		boolean success = responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
-		if (success && !from.signed()) {
-			abortResponse("the server sent a success response without a signature");
-			return;
-		}
-		if (this.route.kind() == CallKind.STREAMING && success) {
-			if (this.route.resumable() && body.isEventStream()) {
-				this.eventFramer = Optional.of(new EventFramer(this.caller.allocator()));
+		Head outcome = this.response.receiveHead(responseHead, from);
+		this.response.framing().ifPresent(this.gateway.metrics()::responseReceived);
+		switch (outcome) {
+			case Head.Accepted accepted -> {
+				if (accepted.running()) {
+					markRunStarted();
+				}
 			}
-			startResponse();
-		}
-		else if (!from.notRun()) {
-			markRunStarted();
+			case Head.Resumed _ -> logResumed();
+			case Head.Unusable unusable -> abortResponse(unusable.cause());
 		}
 	}
 
-	private boolean isEventExpected() {
-		boolean hasBody = !this.head.method().equals(HttpMethod.HEAD);
-		return hasBody && this.eventFramer.map(EventFramer::isEventExpected).orElse(true);
-	}
-
-	private void resumedResponseHead(HttpResponse responseHead, ResponseMetadata from, ReceivedBody body) {
-		if (!body.isEventStream() || !from.signed()) {
-			abortResponse("a resumed stream failed with status " + responseHead.status().code());
-			return;
-		}
+	private void logResumed() {
 		String version = this.server.map(BackendServer::version).orElse("none");
-		boolean joined = this.firstEventVersion.filter((first) -> !first.equals(version)).isPresent();
+		Optional<String> first = this.response.firstEventVersion();
+		boolean joined = first.filter((began) -> !began.equals(version)).isPresent();
 		this.gateway.metrics().increment(joined ? "streams.resumed.other.version" : "streams.resumed.same.version");
 		EventLog.info(TrafficEvents.STREAM_RESUMED, "request", id(), "server", serverId(), "version", version,
-				"firstEventVersion", this.firstEventVersion.orElse("none"), "after",
-				this.eventFramer.flatMap(EventFramer::lastId).orElse("none"));
+				"firstEventVersion", first.orElse("none"), "after", this.response.lastEvent().orElse("none"));
 	}
 
 	@Override
 	public void responseBytes(ByteBuf bytes) {
-		int completeBytes = this.received.map((body) -> body.add(bytes)).orElse(0);
-		if (this.state == State.DONE) {
+		if (this.state != State.SENT) {
 			bytes.release();
+			return;
 		}
-		else if (this.responseStarted) {
+		if (this.response.isStarted()) {
 			markRunStarted();
-			this.responseTimes.chunkReceived(System.nanoTime());
-			ByteBuf forwarded = this.eventFramer.map((framer) -> framer.add(bytes, completeBytes)).orElse(bytes);
-			if (forwarded.isReadable() && this.firstEventVersion.isEmpty()) {
-				this.firstEventVersion = this.server.map(BackendServer::version);
-			}
-			if (!this.caller.write(forwarded)) {
-				this.connection.setReading(false);
-			}
 		}
-		else {
-			this.responseBuffer.add(bytes);
-			if (this.responseBuffer.size() > MAX_BUFFERED_RESPONSE_BYTES && isFinalResponse()) {
-				startResponse();
-				forwardBufferedResponse();
-			}
+		if (!this.response.receive(bytes, this.server.orElseThrow().version())) {
+			this.connection.setReading(false);
 		}
 	}
 
 	@Override
 	public void responseReadComplete() {
-		if (this.responseStarted && this.state == State.SENT) {
+		if (this.response.isStarted() && this.state == State.SENT) {
 			this.caller.flush();
 		}
 	}
 
 	@Override
 	public void responseComplete() {
-		if (this.received.filter(ReceivedBody::isBrokenOff).isPresent()) {
+		if (this.response.isBrokenOff()) {
 			abortResponse("ended inside an event");
 			return;
 		}
 		BackendServer from = this.server.orElseThrow();
-		if (this.responseStarted) {
+		if (this.response.isStarted()) {
 			responded(from);
 			return;
 		}
-		if (!isFinalResponse()) {
-			this.errorResponseComplete = true;
-			attemptFailed(this.responseMetadata.notRun() ? Verdict.notRun() : Verdict.ran(), true, true,
-					"status " + statusCode());
+		if (!this.response.isFinal()) {
+			this.response.errorReceived();
+			attemptFailed(this.response.isNotRun() ? Verdict.notRun() : Verdict.ran(), true, true,
+					"status " + this.response.statusCode());
 			return;
 		}
-		startResponse();
-		forwardBufferedResponse();
+		this.response.startBuffered();
 		responded(from);
 	}
 
@@ -648,32 +575,13 @@
 		this.caller.setReading(true);
 	}
 
-	// Whether the response is forwarded without asking the policy: a success, or an error
-	// that any other server would return as well.
-	private boolean isFinalResponse() {
-		HttpStatusClass status = this.response.orElseThrow().status().codeClass();
-		boolean serverFault = status == HttpStatusClass.SERVER_ERROR || this.responseMetadata.notRun();
-		return !serverFault;
-	}
-
-	// A stream that is resumed need not have the length that its first server stated.
-	private void startResponse() {
-		this.responseStarted = true;
-		this.caller.startResponse(this.response.orElseThrow(), this.head.method().equals(HttpMethod.HEAD),
-				this.eventFramer.isEmpty());
-	}
-
-	private void forwardBufferedResponse() {
-		this.responseBuffer.takeAll().forEach(this.caller::write);
-	}
-
 	private void responded(BackendServer from) {
-		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", statusCode(),
-				"server", from.id(), "sends", this.sendCount, "sendMillis", this.sendMillis, "millis", ageMillis(),
-				"firstMillis", this.responseTimes.firstMillis(this.receivedNanos), "longestPauseMillis",
-				this.responseTimes.longestPauseMillis(), "framing", framing(), "bodyBytes", responseBodyBytes(),
-				"openEventBytes", openEventBytes());
-		this.gateway.metrics().answered(this, statusCode());
+		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status",
+				this.response.statusCode(), "server", from.id(), "sends", this.sendCount, "sendMillis", this.sendMillis,
+				"millis", ageMillis(), "firstMillis", this.response.times().firstMillis(this.receivedNanos),
+				"longestPauseMillis", this.response.times().longestPauseMillis(), "framing", framing(), "bodyBytes",
+				this.response.bodyBytes(), "openEventBytes", this.response.openEventBytes());
+		this.gateway.metrics().answered(this, this.response.statusCode());
 		this.server = Optional.empty();
 		this.gateway.policy().ended(this, from, Ending.RESPONDED);
 		this.caller.endResponse();
@@ -702,15 +610,15 @@
 	private void attemptFailed(Verdict verdict, boolean sent, boolean responded, String cause, boolean pathLost) {
 		BackendServer failedServer = this.server.orElseThrow();
 		this.server = Optional.empty();
-		this.eventFramer.ifPresent(EventFramer::discardIncomplete);
+		this.response.attemptFailed();
 		this.state = State.DECIDING;
 		countOpenEvent();
 		EventLog.info(TrafficEvents.CALL_FAILED, "request", id(), "digest", digestText(), "server", failedServer.id(),
 				"started", failedServer.startedMillis(), "verdict", verdict.code(), "cause", cause, "answering",
-				this.responseStarted, "reused", sent && this.connection.isReused(), "serverSilentMillis",
+				this.response.isStarted(), "reused", sent && this.connection.isReused(), "serverSilentMillis",
 				silentMillis(failedServer), "pathLost", pathLost, "carrier", sent ? carrierName() : "none",
-				"sendMillis", this.sendMillis, "framing", framing(), "bodyBytes", responseBodyBytes(), "openEventBytes",
-				openEventBytes(), "millis", ageMillis());
+				"sendMillis", this.sendMillis, "framing", framing(), "bodyBytes", this.response.bodyBytes(),
+				"openEventBytes", this.response.openEventBytes(), "millis", ageMillis());
 		if (verdict instanceof Verdict.MayHaveRun) {
 			// The server may have started the call, so it is counted as usage of its
 			// organisation.
@@ -724,7 +632,7 @@
 		if (this.state == State.DONE) {
 			return;
 		}
-		if (this.responseStarted) {
+		if (this.response.isStarted()) {
 			giveUpNow(refusal);
 			return;
 		}
@@ -747,16 +655,15 @@
 		if (this.state == State.DONE) {
 			return;
 		}
-		if (this.responseStarted) {
+		if (this.response.isStarted()) {
 			EventLog.warn(TrafficEvents.ANSWER_BROKEN, "request", id(), "reason", refusal.cause(), "detail",
 					refusal.detail(), "millis", ageMillis());
 			this.gateway.metrics().broken();
 			this.caller.abort();
 		}
-		else if (this.errorResponseComplete && !this.responseMetadata.notRun()) {
-			startResponse();
-			forwardBufferedResponse();
-			logGivenUp(statusCode(), refusal);
+		else if (this.response.hasError()) {
+			this.response.startBuffered();
+			logGivenUp(this.response.statusCode(), refusal);
 			this.caller.endResponse();
 		}
 		else {
@@ -776,7 +683,7 @@
 		if (this.state == State.DONE) {
 			return;
 		}
-		if (this.responseStarted) {
+		if (this.response.isStarted()) {
 			giveUpNow(Refusal.DEADLINE);
 			return;
 		}
@@ -812,9 +719,7 @@
 			this.gateway.policy().endedWithoutServer(this);
 		}
 		this.requestBuffer.release();
-		this.responseBuffer.release();
-		this.eventFramer.ifPresent(EventFramer::release);
-		this.eventFramer = Optional.empty();
+		this.response.release();
 		this.caller.callEnded(this);
 	}
 
@@ -841,32 +746,19 @@
 	}
 
 	private void countOpenEvent() {
-		if (openEventBytes() > 0) {
+		if (this.response.openEventBytes() > 0) {
 			this.gateway.metrics().increment("servers.responses.ended.inside.event");
 		}
 	}
 
 	private String framing() {
-		return this.received.map((body) -> body.framing().name()).orElse("none");
-	}
-
-	private long responseBodyBytes() {
-		return this.received.map(ReceivedBody::bytes).orElse(0L);
-	}
-
-	// More than 0 for a stream that ended inside an event.
-	private long openEventBytes() {
-		return this.received.map(ReceivedBody::openEventBytes).orElse(0L);
+		return this.response.framing().map(ResponseFraming::name).orElse("none");
 	}
 
 	private String carrierName() {
 		return this.connection.carrier().orElse("none");
 	}
 
-	private int statusCode() {
-		return this.response.map((given) -> given.status().code()).orElse(0);
-	}
-
 	private long ageMillis() {
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.receivedNanos);
 	}
--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
@@ -0,0 +1,282 @@
+package org.rosemaryfront.traffic;
+
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+
+import org.rosemaryfront.limits.ServerStatements;
+import org.rosemaryfront.ports.ResponseMetadata;
+import org.rosemaryfront.routes.CallKind;
+import org.rosemaryfront.routes.Route;
+
+/**
+ * The response of a call: what the servers of its attempts sent, and what of it the
+ * caller was sent. Confined to the traffic thread.
+ */
+final class CallResponse {
+
+	/**
+	 * The maximum number of bytes of a response that are buffered before it is sent to
+	 * the caller, unless it is a stream. If a buffered response fails, the call can be
+	 * sent again.
+	 */
+	private static final int MAX_BUFFERED_BYTES = 262_144;
+
+	private final CallerConnection caller;
+
+	private final HttpMethod method;
+
+	private final Route route;
+
+	private Optional<HttpResponse> head = Optional.empty();
+
+	/** What the current attempt received, empty before the head of its response. */
+	private Optional<ReceivedBody> received = Optional.empty();
+
+	private ResponseMetadata metadata = new ResponseMetadata("", false, false, ServerStatements.unknown());
+
+	private final BodyBuffer buffer = new BodyBuffer();
+
+	/**
+	 * Whether an error response of the server is complete, so that it can be forwarded.
+	 */
+	private boolean errorComplete;
+
+	private boolean started;
+
+	private final ResponseTimes times = new ResponseTimes();
+
+	/** Present once a stream has started that can be resumed. */
+	private Optional<EventFramer> framer = Optional.empty();
+
+	/** The version of the server whose event was the first one sent to the caller. */
+	private Optional<String> firstEventVersion = Optional.empty();
+
+	private CallResponse(CallerConnection caller, HttpMethod method, Route route) {
+		this.caller = caller;
+		this.method = method;
+		this.route = route;
+	}
+
+	/**
+	 * Creates the response of a call of which nothing was received.
+	 * @param caller the connection of the caller
+	 * @param method the method of the request
+	 * @param route the route of the call
+	 * @return the response
+	 */
+	static CallResponse of(CallerConnection caller, HttpMethod method, Route route) {
+		return new CallResponse(caller, method, route);
+	}
+
+	// -- an attempt
+
+	/** Called before the request is sent to a server. */
+	void attemptBegins() {
+		this.received = Optional.empty();
+		this.errorComplete = false;
+		this.buffer.release();
+		if (!this.started) {
+			this.head = Optional.empty();
+		}
+	}
+
+	/**
+	 * Receives the head of a server's response.
+	 * @param serverHead the head
+	 * @param from the metadata that the server sent with it
+	 * @return what follows from it
+	 */
+	Head receiveHead(HttpResponse serverHead, ResponseMetadata from) {
+		ReceivedBody body = ReceivedBody.of(serverHead, this.route.kind() == CallKind.STREAMING, isEventExpected());
+		this.received = Optional.of(body);
+		if (this.started) {
+			boolean goesOn = body.isEventStream() && from.signed();
+			return goesOn ? new Head.Resumed()
+					: new Head.Unusable("a resumed stream failed with status " + serverHead.status().code());
+		}
+		this.head = Optional.of(serverHead);
+		this.metadata = from;
+		boolean success = serverHead.status().codeClass() == HttpStatusClass.SUCCESS;
+		if (success && !from.signed()) {
+			return new Head.Unusable("the server sent a success response without a signature");
+		}
+		if (this.route.kind() == CallKind.STREAMING && success) {
+			if (this.route.resumable() && body.isEventStream()) {
+				this.framer = Optional.of(new EventFramer(this.caller.allocator()));
+			}
+			start();
+			return new Head.Accepted(false);
+		}
+		return new Head.Accepted(!from.notRun());
+	}
+
+	private boolean isEventExpected() {
+		boolean hasBody = !this.method.equals(HttpMethod.HEAD);
+		return hasBody && this.framer.map(EventFramer::isEventExpected).orElse(true);
+	}
+
+	/**
+	 * Receives bytes of the body and forwards what the caller may have of them.
+	 * @param bytes the bytes; released by this method
+	 * @param version the version of the server
+	 * @return whether the caller's connection accepts more bytes
+	 */
+	boolean receive(ByteBuf bytes, String version) {
+		int completeBytes = this.received.map((body) -> body.add(bytes)).orElse(0);
+		if (this.started) {
+			this.times.chunkReceived(System.nanoTime());
+			return forward(bytes, completeBytes, version);
+		}
+		this.buffer.add(bytes);
+		if (this.buffer.size() > MAX_BUFFERED_BYTES && isFinal()) {
+			startBuffered();
+		}
+		return true;
+	}
+
+	private boolean forward(ByteBuf bytes, int completeBytes, String version) {
+		ByteBuf forwarded = this.framer.map((events) -> events.add(bytes, completeBytes)).orElse(bytes);
+		if (forwarded.isReadable() && this.firstEventVersion.isEmpty()) {
+			this.firstEventVersion = Optional.of(version);
+		}
+		return this.caller.write(forwarded);
+	}
+
+	/** Called when the response of an attempt will not be completed. */
+	void attemptFailed() {
+		this.framer.ifPresent(EventFramer::discardIncomplete);
+	}
+
+	/** Called when an error response of the server is complete. */
+	void errorReceived() {
+		this.errorComplete = true;
+	}
+
+	// -- to the caller
+
+	// A stream that is resumed need not have the length that its first server stated.
+	private void start() {
+		this.started = true;
+		this.caller.startResponse(this.head.orElseThrow(), this.method.equals(HttpMethod.HEAD), this.framer.isEmpty());
+	}
+
+	/** Starts the response and forwards what was buffered of it. */
+	void startBuffered() {
+		start();
+		this.buffer.takeAll().forEach(this.caller::write);
+	}
+
+	/** Releases all buffers. */
+	void release() {
+		this.buffer.release();
+		this.framer.ifPresent(EventFramer::release);
+		this.framer = Optional.empty();
+	}
+
+	// -- queries
+
+	/**
+	 * Returns whether the response is forwarded without asking the policy: a success, or
+	 * an error that any other server would return as well.
+	 * @return false for a failure of the server and a call that it did not run
+	 */
+	boolean isFinal() {
+		HttpStatusClass status = this.head.orElseThrow().status().codeClass();
+		boolean serverFault = status == HttpStatusClass.SERVER_ERROR || this.metadata.notRun();
+		return !serverFault;
+	}
+
+	boolean isStarted() {
+		return this.started;
+	}
+
+	/**
+	 * Returns whether another server can go on with the call.
+	 * @return false once a response that cannot be resumed has started
+	 */
+	boolean canGoOn() {
+		return !this.started || this.framer.isPresent();
+	}
+
+	/**
+	 * Returns whether the server broke the body off although it seems complete.
+	 * @return true for a stream that ends inside an event or has none
+	 */
+	boolean isBrokenOff() {
+		return this.received.filter(ReceivedBody::isBrokenOff).isPresent();
+	}
+
+	boolean isNotRun() {
+		return this.metadata.notRun();
+	}
+
+	/**
+	 * Returns whether the caller can be given the server's error response.
+	 * @return true if it is complete and does not state that the call did not run
+	 */
+	boolean hasError() {
+		return this.errorComplete && !this.metadata.notRun();
+	}
+
+	Optional<String> lastEvent() {
+		return this.framer.flatMap(EventFramer::lastId);
+	}
+
+	Optional<String> firstEventVersion() {
+		return this.firstEventVersion;
+	}
+
+	int statusCode() {
+		return this.head.map((given) -> given.status().code()).orElse(0);
+	}
+
+	ResponseTimes times() {
+		return this.times;
+	}
+
+	Optional<ResponseFraming> framing() {
+		return this.received.map(ReceivedBody::framing);
+	}
+
+	long bodyBytes() {
+		return this.received.map(ReceivedBody::bytes).orElse(0L);
+	}
+
+	/**
+	 * Returns the number of bytes received of an incomplete event.
+	 * @return more than 0 for a stream that ended inside an event
+	 */
+	long openEventBytes() {
+		return this.received.map(ReceivedBody::openEventBytes).orElse(0L);
+	}
+
+	/** What follows from the head of a server's response. */
+	sealed interface Head {
+
+		/**
+		 * The response can be used.
+		 *
+		 * @param running whether the server is known to run the call already
+		 */
+		record Accepted(boolean running) implements Head {
+		}
+
+		/** The server goes on with a stream. */
+		record Resumed() implements Head {
+		}
+
+		/**
+		 * The response cannot be used.
+		 *
+		 * @param cause the cause, for the log
+		 */
+		record Unusable(String cause) implements Head {
+		}
+
+	}
+
+}
