Go on with a stream only at the version that began it, at any gateway

What callers saw: events of two software versions in one stream, within one answer or over their calls; and streams that went on at another version although no server of their own was left. Cause: servers of a service were taken for interchangeable. A call asked of a server its service, that it was not tried yet and what a roll-out allows; which version had made the events that the caller has was kept nowhere, and Resumes and Last-Event-Id were headers like others. Change: the response of a call is bound to the version of the server whose whole event is sent first, right before it is sent; the choice of a server takes that version only, whatever a roll-out says, and so does the check right before bytes leave. Before the first event any version will do, as before. The gateway tells three others of the origin, chosen by a hash of organisation, service and call id, on the thread that sends the event and before it does. A gateway that starts is told what it should keep by all that have it, one that stops hands over; origins last a minute behind the last event, 32,768 of them at most. Why it holds: the word has left before the event can arrive, so that whoever has an event can be answered by three gateways; only facts are told, and one that contradicts another makes the origin ambiguous.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/rollout/VersionRule.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/rollout/VersionRule.java
@@ -1,5 +1,7 @@
 package org.rosemaryfront.rollout;
 
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.rosemaryfront.dispatch.BackendServer;
@@ -43,6 +45,18 @@
 		return new Trial(servers);
 	}
 
+	/**
+	 * Returns the rules for a call that may go on with a stream. The version that began
+	 * the stream goes first, whatever a roll-out says of it: at any other one the stream
+	 * cannot go on.
+	 * @param rules the rules of the roll-out
+	 * @param streamVersion the version that began the stream, empty for any other call
+	 * @return the rules in the order in which they are tried
+	 */
+	static List<VersionRule> forStream(List<VersionRule> rules, Optional<String> streamVersion) {
+		return streamVersion.map(VersionRule::only).map(List::of).orElse(rules);
+	}
+
 	/**
 	 * Returns whether the call may be sent to a server.
 	 * @param server the server
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/Origin.java
@@ -0,0 +1,59 @@
+package org.rosemaryfront.streams;
+
+/** What is known of the version that began a stream. */
+public sealed interface Origin {
+
+	/**
+	 * Returns the origin of a stream that a version began.
+	 * @param version the version of the server that made the first event
+	 * @return the origin
+	 */
+	static Origin known(String version) {
+		return new Known(version);
+	}
+
+	/**
+	 * Returns the origin of a stream of which nothing is known.
+	 * @return the origin
+	 */
+	static Origin unknown() {
+		return new Unknown();
+	}
+
+	/**
+	 * Returns the origin of streams with the same key that different versions began.
+	 * @return the origin
+	 */
+	static Origin ambiguous() {
+		return new Ambiguous();
+	}
+
+	/**
+	 * Combines this origin with what somebody else knows.
+	 * @param other the other origin
+	 * @return the one that is known; ambiguous if both are and differ
+	 */
+	default Origin and(Origin other) {
+		if (this instanceof Unknown) {
+			return other;
+		}
+		return (other instanceof Unknown || equals(other)) ? this : ambiguous();
+	}
+
+	/**
+	 * One version began the stream.
+	 *
+	 * @param version the version
+	 */
+	record Known(String version) implements Origin {
+	}
+
+	/** Nothing is known. */
+	record Unknown() implements Origin {
+	}
+
+	/** Different versions began streams with the same key. */
+	record Ambiguous() implements Origin {
+	}
+
+}
--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginHolders.java
@@ -0,0 +1,91 @@
+package org.rosemaryfront.streams;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/**
+ * The gateways that keep the origin of a stream: those that come first in an order that
+ * differs from stream to stream and is the same at all gateways.
+ */
+public final class OriginHolders {
+
+	private final List<Gateway> gateways;
+
+	private OriginHolders(List<Gateway> gateways) {
+		this.gateways = gateways;
+	}
+
+	/**
+	 * Creates the holders among some gateways.
+	 * @param known the names of all gateways that may be running
+	 * @param live the names of those that were heard of late
+	 * @return the holders
+	 */
+	public static OriginHolders of(Collection<String> known, Set<String> live) {
+		return new OriginHolders(known.stream()
+			.map((name) -> new Gateway(name, Hashing.wyhashFinal4().hashCharsToLong(name), live.contains(name)))
+			.toList());
+	}
+
+	/**
+	 * Returns holders among the gateways that were heard of late.
+	 * @param stream the stream
+	 * @param count the maximum number of holders
+	 * @return the names, first holder first
+	 */
+	public List<String> live(StreamKey stream, int count) {
+		return first(stream, count, true);
+	}
+
+	/**
+	 * Returns holders among all gateways.
+	 * @param stream the stream
+	 * @param count the maximum number of holders
+	 * @return the names, first holder first
+	 */
+	public List<String> known(StreamKey stream, int count) {
+		return first(stream, count, false);
+	}
+
+	private List<String> first(StreamKey stream, int count, boolean liveOnly) {
+		List<Placed> first = new ArrayList<>(count + 1);
+		for (Gateway gateway : this.gateways) {
+			if (gateway.live || !liveOnly) {
+				insert(first, new Placed(gateway.name, place(stream, gateway)), count);
+			}
+		}
+		return first.stream().map(Placed::name).toList();
+	}
+
+	private static void insert(List<Placed> first, Placed next, int count) {
+		int index = first.size();
+		while (index > 0 && Long.compareUnsigned(next.place, first.get(index - 1).place) < 0) {
+			index--;
+		}
+		if (index < count) {
+			first.add(index, next);
+		}
+		if (first.size() > count) {
+			first.removeLast();
+		}
+	}
+
+	// Both halves of the key are spread evenly already.
+	private static long place(StreamKey stream, Gateway gateway) {
+		long bits = stream.low() ^ gateway.rank;
+		bits = (bits ^ (bits >>> 30)) * 0xBF58476D1CE4E5B9L;
+		bits = (bits ^ (bits >>> 27)) * 0x94D049BB133111EBL;
+		return bits ^ (bits >>> 31);
+	}
+
+	private record Gateway(String name, long rank, boolean live) {
+	}
+
+	private record Placed(String name, long place) {
+	}
+
+}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/fleet/VirtualFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/fleet/VirtualFleet.java
@@ -5,9 +5,11 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import org.rosemaryfront.fleet.Fleet.Report;
 import org.rosemaryfront.fleet.Fleet.ReportStatus;
@@ -39,6 +41,9 @@
 	/** The reports in transit, in the order of their arrival. */
 	private final Deque<ReportInTransit<R>> inTransit = new ArrayDeque<>();
 
+	/** Messages in transit between two gateways, by arrival. */
+	private final PriorityQueue<MessageInTransit<R>> messages = new PriorityQueue<>();
+
 	private double lossFraction;
 
 	private long nowMillis;
@@ -77,6 +82,28 @@
 			ReportInTransit<R> delivery = this.inTransit.removeFirst();
 			this.nodes.get(delivery.to).receive(delivery);
 		}
+		while (!this.messages.isEmpty() && this.messages.peek().arrivalMillis <= this.nowMillis) {
+			MessageInTransit<R> next = this.messages.remove();
+			this.nodes.get(next.to).receive(next);
+		}
+	}
+
+	/**
+	 * Sends a message beside the reports. It is lost where a report would be, and waits
+	 * for the next read of the receiver.
+	 * @param from the sender
+	 * @param to the receiver
+	 * @param delivery processes the message at the receiver
+	 */
+	public void send(int from, int to, Consumer<Process<R>> delivery) {
+		if (!isLost()) {
+			long arrival = this.nowMillis + DELAY_MILLIS + this.random.nextInt(TICK_MILLIS);
+			this.messages.add(new MessageInTransit<>(from, to, delivery, arrival));
+		}
+	}
+
+	private boolean isLost() {
+		return this.lossFraction > 0 && this.random.nextDouble() < this.lossFraction;
 	}
 
 	// -- faults
@@ -301,6 +328,14 @@
 		default void gatewayStarted(long nowNanos) {
 		}
 
+		/**
+		 * Called with the first report of another gateway.
+		 * @param gateway the other gateway
+		 * @param nowNanos the current time
+		 */
+		default void gatewayStarted(Identity gateway, long nowNanos) {
+		}
+
 		/**
 		 * Processes a report of another gateway.
 		 * @param sender the other gateway
@@ -396,12 +431,19 @@
 					this.process.reportReceived(delivery.from, delivery.content, nowNanos());
 					if (status == ReportStatus.FIRST) {
 						this.process.gatewayStarted(nowNanos());
+						this.process.gatewayStarted(delivery.from, nowNanos());
 						repeatReport(delivery.from.index);
 					}
 				});
 			}
 		}
 
+		private void receive(MessageInTransit<R> message) {
+			if (!this.cutLinks.contains(message.from)) {
+				whenRunning(() -> message.delivery.accept(this.process));
+			}
+		}
+
 		private void whenRunning(Runnable task) {
 			if (this.paused) {
 				this.waiting.addLast(task);
@@ -447,9 +489,7 @@
 		}
 
 		private void send(int to) {
-			boolean lost = VirtualFleet.this.lossFraction > 0
-					&& VirtualFleet.this.random.nextDouble() < VirtualFleet.this.lossFraction;
-			if (!lost) {
+			if (!isLost()) {
 				Report report = new Report(this.identity.name(), this.identity.start(), this.number, false, this.group,
 						false, this.fleet.confirmation("gateway-" + to, nowNanos()));
 				VirtualFleet.this.inTransit.addLast(new ReportInTransit<>(this.identity, to, report,
@@ -459,6 +499,17 @@
 
 	}
 
+	/** A message in transit. */
+	private record MessageInTransit<R>(int from, int to, Consumer<Process<R>> delivery,
+			long arrivalMillis) implements Comparable<MessageInTransit<R>> {
+
+		@Override
+		public int compareTo(MessageInTransit<R> other) {
+			return Long.compare(this.arrivalMillis, other.arrivalMillis);
+		}
+
+	}
+
 	/** A report in transit. */
 	private record ReportInTransit<R>(Identity from, int to, Report report, R content, long arrivalMillis) {
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -317,8 +317,8 @@
 			case Choice.Backoff backoff ->
 				endUnserved(call, progress, backoff.millis() + retrySpreadMillis(), Refusal.of(Cause.SERVER_BACKOFF,
 						backoff.servers() + " servers want no requests for " + backoff.millis() + " ms"));
-			case Choice.NoServer _ ->
-				endUnserved(call, progress, fullRetryMillis(), Refusal.of(Cause.NO_SERVER, call.service()));
+			case Choice.NoServer _ -> endUnserved(call, progress, fullRetryMillis(),
+					Refusal.of(Cause.NO_SERVER, call.service() + call.streamVersion().map(" "::concat).orElse("")));
 		}
 	}
 
@@ -371,7 +371,9 @@
 	private Choice choose(Call call, CallProgress progress, long nowNanos) {
 		CallRequirements requirements = requirements(call, progress, nowNanos);
 		Choice choice = new Choice.NoServer();
-		for (VersionRule versions : this.rollouts.versions(call.service(), !progress.tried().isEmpty(), nowNanos)) {
+		List<VersionRule> rules = VersionRule.forStream(
+				this.rollouts.versions(call.service(), !progress.tried().isEmpty(), nowNanos), call.streamVersion());
+		for (VersionRule versions : rules) {
 			choice = this.dispatcher.choosePermitted(requirements, progress.tried(), versions::allows,
 					this.callLimits.permits(), nowNanos);
 			if (choice instanceof Choice.Chosen) {
@@ -392,12 +394,14 @@
 		}
 	}
 
+	// The caller of a stream that is taken up has events of it already.
 	private CallRequirements requirements(Call call, CallProgress progress, long nowNanos) {
+		boolean begun = progress.ran() || call.streamVersion().isPresent();
 		long age = (nowNanos - call.receivedNanos()) / NANOS_PER_MILLI;
 		Optional<Prompt> prompt = call.metadata().prompt();
 		return new CallRequirements(call.service(), progress.prefix(), engine(call.service()),
-				prompt.map(Prompt::unsharedTokens).orElse(0), CallRequirements
-					.remainingMillis(call.route().targetMillis() - age, call.remainingMillis(nowNanos), progress.ran()),
+				prompt.map(Prompt::unsharedTokens).orElse(0), CallRequirements.remainingMillis(
+						call.route().targetMillis() - age, call.remainingMillis(nowNanos), begun),
 				call.priority());
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import reactor.core.publisher.Mono;
@@ -29,6 +30,7 @@
 import org.rosemaryfront.fleet.Fleet;
 import org.rosemaryfront.fleet.Fleet.Sharing;
 import org.rosemaryfront.gateway.PauseDetector.Observation;
+import org.rosemaryfront.gateway.proto.StreamMessages;
 import org.rosemaryfront.limits.ServerLimits;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.ports.Duties;
@@ -132,6 +134,8 @@
 
 	private final Gateway gateway;
 
+	private final StreamOrigins streams;
+
 	private final AdminServer admin;
 
 	private final PeerExchange peers;
@@ -210,10 +214,11 @@
 				this.serversTable.freshness(), this::catchUp);
 		// The thread of all sockets.
 		EventLoop io = loops.onServer(false).next();
+		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, new PeerReceiver());
+		this.streams = new StreamOrigins(io, settings.name(), this.peers::send, this.metrics);
 		this.gateway = Gateway.open(io, new Gateway.Addresses(settings.callers(), settings.tunnels()), settings.zone(),
-				platform.calls(), this.decisions, this.metrics);
+				platform.calls(), this.decisions, this.streams, this.metrics);
 		this.tables = new SharedTables(platform.rows(), new PeerTables(loops, () -> this.tableAddresses));
-		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, this::enqueueReport);
 		this.directory = new GatewayDirectory(platform.rows(), settings, this.peers, this.fleet, this.control,
 				this::gatewaysLoaded);
 		this.platformUpdates = new PlatformUpdates(platform.records(), this.control, this.servers, this.decisions,
@@ -226,7 +231,7 @@
 				this::onControl);
 		this.reports = new GatewayReports(this.peers, this.fleet, this.servers, this.quotas, this.decisions, this.usage,
 				this.usageDuty, this.crashes, this.lease, this.tables, this.rollouts, this.rolloutDuty, this.callLimits,
-				this.gateway::serversOutOfReach, settings);
+				this.gateway::serversOutOfReach, this.streams::gatewayStarted, settings);
 		this.sizeDuty = new SizeDuty(this.servers,
 				(service) -> this.decisions.dispatcher().model(service).prefillTokensPerMilli(),
 				this.rollouts::countsTowardsCapacity, this.callLimits::hasLimit, platform.duties(), settings.zones(),
@@ -447,6 +452,7 @@
 		this.reports.handleTimeouts(now);
 		this.tableAddresses = this.peers.tableAddresses(this.fleet::isLive);
 		this.gateway.gateways(this.peers.carriers(this.fleet::isLive), this.peers.gatewayAddresses());
+		updateStreamHolders();
 		this.decisions.gateways(this.fleet.servingCount(now));
 		this.servers.slotShares(new SlotShares(this.settings.name(), this.fleet.liveGateways(this.settings.name()),
 				System.currentTimeMillis() / SLOT_TURN_MILLIS));
@@ -475,6 +481,11 @@
 		}
 	}
 
+	private void updateStreamHolders() {
+		Map<String, InetSocketAddress> known = this.peers.addresses();
+		this.streams.gateways(known, known.keySet().stream().filter(this.fleet::isLive).collect(Collectors.toSet()));
+	}
+
 	// -- shutdown
 
 	@Override
@@ -526,6 +537,7 @@
 	// Hands over the counts so far while the last calls are still running.
 	private void handOver() {
 		writeCounts();
+		this.streams.handOver();
 		this.control.post((now) -> this.reports.send(true, now));
 	}
 
@@ -546,6 +558,23 @@
 		}
 	}
 
+	/** Passes on what other gateways send. */
+	private final class PeerReceiver implements PeerExchange.Receiver {
+
+		@Override
+		public void report(PeerExchange.ReceivedReport report) {
+			enqueueReport(report);
+		}
+
+		@Override
+		public void streamMessages(InetSocketAddress from, StreamMessages messages) {
+			if (GatewayProcess.this.started) {
+				GatewayProcess.this.streams.receive(from, messages);
+			}
+		}
+
+	}
+
 	/** Connects the crash records with calls, connections and metrics. */
 	private final class CrashHooks implements CrashRecords.Callbacks {
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 import com.google.protobuf.ByteString;
@@ -82,6 +83,9 @@
 	/** Returns the number of servers that this gateway does not reach itself. */
 	private final IntSupplier serversOutOfReach;
 
+	/** Receives the name of another gateway that has just started. */
+	private final Consumer<String> gatewayStarted;
+
 	/** The prompt tokens last reported by each start of another gateway. */
 	private final Map<String, Long> reportedPrefillTokens = new HashMap<>();
 
@@ -90,7 +94,8 @@
 	GatewayReports(PeerExchange peers, Fleet fleet, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
 			UsageLedger usage, UsageDuty usageDuty, CrashRecords crashes, DutyLease lease, SharedTables tables,
 			Rollouts rollouts, RolloutDuty rolloutDuty, CallLimits limits, IntSupplier serversOutOfReach,
-			GatewaySettings settings) {
+			Consumer<String> gatewayStarted, GatewaySettings settings) {
+		this.gatewayStarted = gatewayStarted;
 		this.limits = limits;
 		this.serversOutOfReach = serversOutOfReach;
 		this.rollouts = rollouts;
@@ -207,6 +212,7 @@
 		apply(report, received.from().getAddress(), now);
 		if (status == ReportStatus.FIRST) {
 			this.limits.gatewayStarted(now);
+			this.gatewayStarted.accept(gateway);
 		}
 		return status == ReportStatus.FIRST && !this.peers.resend(gateway, this.fleet.confirmation(gateway, now));
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -12,7 +13,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -24,6 +24,7 @@
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet.Confirmation;
 import org.rosemaryfront.gateway.proto.GatewayReport;
+import org.rosemaryfront.gateway.proto.StreamMessages;
 import org.rosemaryfront.paths.Carrier;
 import org.rosemaryfront.peer.Addresses;
 import org.rosemaryfront.peer.UdpSocket;
@@ -50,6 +51,12 @@
 	 */
 	private static final double GOLDEN_RATIO_CONJUGATE = 0.618_033_988_749_895;
 
+	/**
+	 * The first byte of a datagram with messages about streams. No report begins with it,
+	 * so that a gateway that does not know such messages drops them as unreadable.
+	 */
+	private static final byte STREAM_MESSAGES = 0x07;
+
 	private static final byte[] EMPTY = {};
 
 	private final String self;
@@ -77,11 +84,10 @@
 	 * @param address the address that receives reports
 	 * @param self the name of this gateway
 	 * @param start identifies this start of the gateway
-	 * @param receiver receives each report, on the event loop
+	 * @param receiver receives what other gateways send, on the event loop
 	 * @return the exchange
 	 */
-	static PeerExchange open(EventLoop loop, InetSocketAddress address, String self, int start,
-			Consumer<ReceivedReport> receiver) {
+	static PeerExchange open(EventLoop loop, InetSocketAddress address, String self, int start, Receiver receiver) {
 		UdpSocket socket = UdpSocket.openPaced(loop, address, READ_INTERVAL,
 				(from, bytes) -> receive(from, bytes, receiver));
 		return new PeerExchange(self, start, socket);
@@ -154,6 +160,25 @@
 		return true;
 	}
 
+	/**
+	 * Sends messages about streams, at once if called on the event loop.
+	 * @param to the address of another gateway
+	 * @param messages the messages
+	 */
+	void send(InetSocketAddress to, StreamMessages messages) {
+		byte[] bytes = new byte[1 + messages.getSerializedSize()];
+		bytes[0] = STREAM_MESSAGES;
+		try {
+			CodedOutputStream out = CodedOutputStream.newInstance(bytes, 1, bytes.length - 1);
+			messages.writeTo(out);
+			out.flush();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		this.socket.send(to, bytes);
+	}
+
 	// Concatenated Protobuf messages decode as one merged message: the common part is
 	// encoded once, and each report carries only the confirmation for its receiver.
 	private Datagram datagram(Peer peer, Optional<Confirmation> confirmation) {
@@ -179,9 +204,14 @@
 
 	// -- receiving
 
-	private static void receive(InetSocketAddress from, byte[] bytes, Consumer<ReceivedReport> receiver) {
+	private static void receive(InetSocketAddress from, byte[] bytes, Receiver receiver) {
 		try {
-			receiver.accept(new ReceivedReport(from, GatewayReport.parseFrom(bytes)));
+			if (bytes.length > 0 && bytes[0] == STREAM_MESSAGES) {
+				receiver.streamMessages(from, StreamMessages.parseFrom(ByteBuffer.wrap(bytes, 1, bytes.length - 1)));
+			}
+			else {
+				receiver.report(new ReceivedReport(from, GatewayReport.parseFrom(bytes)));
+			}
 		}
 		catch (InvalidProtocolBufferException ex) {
 			EventLog.warn(GatewayEvents.DATAGRAM_UNREADABLE, "from", from, "cause", ex.getMessage());
@@ -233,6 +263,16 @@
 		return carriers;
 	}
 
+	/**
+	 * Returns the addresses that receive the reports of the other gateways, live or not.
+	 * @return the addresses by name
+	 */
+	Map<String, InetSocketAddress> addresses() {
+		return this.peers.entrySet()
+			.stream()
+			.collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, (entry) -> entry.getValue().address));
+	}
+
 	/**
 	 * Returns the IP addresses of the other gateways, live or not.
 	 * @return the addresses
@@ -246,6 +286,25 @@
 		this.socket.close();
 	}
 
+	/** Receives what other gateways send. Called on the event loop of the socket. */
+	interface Receiver {
+
+		/**
+		 * Receives a report.
+		 * @param report the report
+		 */
+		void report(ReceivedReport report);
+
+		/**
+		 * Receives messages about streams.
+		 * @param from the address of the sender
+		 * @param messages the messages
+		 */
+		default void streamMessages(InetSocketAddress from, StreamMessages messages) {
+		}
+
+	}
+
 	/**
 	 * A report and the address of its sender.
 	 *
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -22,8 +22,11 @@
 import org.rosemaryfront.ports.CallMetadata.Resumption;
 import org.rosemaryfront.ports.ForwardingMetadata;
 import org.rosemaryfront.ports.ResponseMetadata;
+import org.rosemaryfront.routes.CallKind;
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.Route;
+import org.rosemaryfront.streams.Origin;
+import org.rosemaryfront.streams.StreamKey;
 import org.rosemaryfront.traffic.CallPolicy.Ending;
 import org.rosemaryfront.traffic.CallResponse.Head;
 
@@ -47,6 +50,12 @@
 	 */
 	private static final long UNSENT_RETRY_MILLIS = 200;
 
+	/**
+	 * The Retry-After of a call whose stream has an unknown origin, in milliseconds: by
+	 * then gateways that were cut off or have just started may have been told.
+	 */
+	private static final long ORIGIN_RETRY_MILLIS = 500;
+
 	private static final int MAX_LOGGED_EVENT_ID_LENGTH = 64;
 
 	private final Gateway gateway;
@@ -122,7 +131,7 @@
 		this.route = route;
 		this.organisation = organisation;
 		this.service = service;
-		this.response = CallResponse.of(caller, head.method(), route);
+		this.response = CallResponse.of(caller, head.method(), route, this::firstEvent);
 		this.digestBuilder = RequestDigest.begin(organisation.map(Organisation::name).orElse(""), head.method().name(),
 				RequestValidator.host(head), head.uri());
 		long millis = Math.min(route.timeoutMillis(), terms.remainingMillis().orElse(Long.MAX_VALUE));
@@ -219,6 +228,15 @@
 		return !this.streamingRequest && this.response.canGoOn();
 	}
 
+	/**
+	 * Returns the only version of its service that can serve the call.
+	 * @return the version that made the events that the caller has of the stream; empty
+	 * for a call without any
+	 */
+	public Optional<String> streamVersion() {
+		return this.response.streamVersion();
+	}
+
 	/**
 	 * Returns how often the call was sent to a server.
 	 * @return the count
@@ -384,8 +402,56 @@
 
 	private void admit() {
 		this.state = State.DECIDING;
-		this.metadata.resumption().ifPresent(this::logResumption);
-		this.gateway.policy().admit(this);
+		Optional<Resumption> takenUp = this.metadata.resumption()
+			.filter((_) -> this.route.kind() == CallKind.STREAMING);
+		if (takenUp.isPresent()) {
+			takeUp(takenUp.get());
+		}
+		else {
+			this.gateway.policy().admit(this);
+		}
+	}
+
+	private void takeUp(Resumption resumption) {
+		logResumption(resumption);
+		Optional<StreamKey> stream = resumption.firstCall().map(this::streamKey);
+		if (stream.isPresent()) {
+			this.gateway.streams().find(stream.get(), this::originFound);
+		}
+		else {
+			originFound(Origin.unknown());
+		}
+	}
+
+	private StreamKey streamKey(String firstCall) {
+		return StreamKey.of(this.organisation.map(Organisation::name).orElse(""), this.service, firstCall);
+	}
+
+	private void originFound(Origin origin) {
+		if (this.state == State.DONE) {
+			return;
+		}
+		EventLog.info(TrafficEvents.STREAM_ORIGIN, "request", id(), "service", this.service, "origin", origin, "millis",
+				ageMillis());
+		switch (origin) {
+			case Origin.Known known -> {
+				this.gateway.metrics().increment("streams.origin.known");
+				this.response.goOnWith(known.version());
+				this.gateway.policy().admit(this);
+			}
+			case Origin.Unknown _, Origin.Ambiguous _ -> {
+				this.gateway.metrics().increment("streams.origin.unknown");
+				refuseNow(503, ORIGIN_RETRY_MILLIS, Refusal.of(Refusal.Cause.ORIGIN_UNKNOWN, origin.toString()));
+			}
+		}
+	}
+
+	// A stream that was taken up keeps the key of the call that began it.
+	private void firstEvent(String version) {
+		Optional<String> firstCall = this.metadata.resumption()
+			.map(Resumption::firstCall)
+			.orElse(Optional.of(id()).filter((own) -> !own.isEmpty()));
+		firstCall.map(this::streamKey).ifPresent((stream) -> this.gateway.streams().began(stream, version));
 	}
 
 	private void logResumption(Resumption resumption) {
@@ -437,6 +503,11 @@
 			connectFailed("the server wants no calls");
 			return;
 		}
+		if (!this.response.canGoOnAt(this.server.orElseThrow().version())) {
+			to.release();
+			connectFailed("the stream began at another version");
+			return;
+		}
 		if (this.caller.isDisconnected()) {
 			to.release();
 			callerDisconnected();
@@ -498,11 +569,12 @@
 
 	private void logResumed() {
 		String version = this.server.map(BackendServer::version).orElse("none");
-		Optional<String> first = this.response.firstEventVersion();
-		boolean joined = first.filter((began) -> !began.equals(version)).isPresent();
-		this.gateway.metrics().increment(joined ? "streams.resumed.other.version" : "streams.resumed.same.version");
+		this.gateway.metrics()
+			.increment(this.response.canGoOnAt(version) ? "streams.resumed.same.version"
+					: "streams.resumed.other.version");
 		EventLog.info(TrafficEvents.STREAM_RESUMED, "request", id(), "server", serverId(), "version", version,
-				"firstEventVersion", first.orElse("none"), "after", this.response.lastEvent().orElse("none"));
+				"streamVersion", this.response.streamVersion().orElse("none"), "after",
+				this.response.lastEvent().orElse("none"));
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.traffic;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpMethod;
@@ -52,13 +53,22 @@
 	/** Present once a stream has started that can be resumed. */
 	private Optional<EventFramer> framer = Optional.empty();
 
-	/** The version of the server whose event was the first one sent to the caller. */
-	private Optional<String> firstEventVersion = Optional.empty();
+	/** Receives the version of the server whose event is sent first. */
+	private final Consumer<String> onFirstEvent;
 
-	private CallResponse(CallerConnection caller, HttpMethod method, Route route) {
+	private boolean eventSent;
+
+	/**
+	 * The version that made the events that the caller has of the stream; no other one
+	 * can go on with it. Read by any thread.
+	 */
+	private volatile Optional<String> streamVersion = Optional.empty();
+
+	private CallResponse(CallerConnection caller, HttpMethod method, Route route, Consumer<String> onFirstEvent) {
 		this.caller = caller;
 		this.method = method;
 		this.route = route;
+		this.onFirstEvent = onFirstEvent;
 	}
 
 	/**
@@ -66,10 +76,20 @@
 	 * @param caller the connection of the caller
 	 * @param method the method of the request
 	 * @param route the route of the call
+	 * @param onFirstEvent receives the version of the server whose event is sent first,
+	 * right before it is sent
 	 * @return the response
 	 */
-	static CallResponse of(CallerConnection caller, HttpMethod method, Route route) {
-		return new CallResponse(caller, method, route);
+	static CallResponse of(CallerConnection caller, HttpMethod method, Route route, Consumer<String> onFirstEvent) {
+		return new CallResponse(caller, method, route, onFirstEvent);
+	}
+
+	/**
+	 * Binds the response to the version that began the stream in an earlier call.
+	 * @param version the version
+	 */
+	void goOnWith(String version) {
+		this.streamVersion = Optional.of(version);
 	}
 
 	// -- an attempt
@@ -140,8 +160,10 @@
 
 	private boolean forward(ByteBuf bytes, int completeBytes, String version) {
 		ByteBuf forwarded = this.framer.map((events) -> events.add(bytes, completeBytes)).orElse(bytes);
-		if (forwarded.isReadable() && this.firstEventVersion.isEmpty()) {
-			this.firstEventVersion = Optional.of(version);
+		if (forwarded.isReadable() && this.framer.isPresent() && !this.eventSent) {
+			this.eventSent = true;
+			this.streamVersion = Optional.of(version);
+			this.onFirstEvent.accept(version);
 		}
 		return this.caller.write(forwarded);
 	}
@@ -226,8 +248,17 @@
 		return this.framer.flatMap(EventFramer::lastId);
 	}
 
-	Optional<String> firstEventVersion() {
-		return this.firstEventVersion;
+	Optional<String> streamVersion() {
+		return this.streamVersion;
+	}
+
+	/**
+	 * Returns whether a server of a version can go on with the stream.
+	 * @param version the version
+	 * @return false if another version made the events that the caller has
+	 */
+	boolean canGoOnAt(String version) {
+		return this.streamVersion.map(version::equals).orElse(true);
 	}
 
 	int statusCode() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -43,6 +43,8 @@
 
 	private final CallPolicy policy;
 
+	private final StreamDirectory streams;
+
 	private final TrafficMetrics metrics;
 
 	private final ConnectionPool pool;
@@ -52,10 +54,11 @@
 	private final Set<CallerConnection> callers = new HashSet<>();
 
 	private Gateway(EventLoop loop, Addresses addresses, String zone, CallCodec codec, CallPolicy policy,
-			TrafficMetrics metrics) {
+			StreamDirectory streams, TrafficMetrics metrics) {
 		this.loop = loop;
 		this.codec = codec;
 		this.policy = policy;
+		this.streams = streams;
 		this.metrics = metrics;
 		this.pool = new ConnectionPool(loop, codec, zone);
 		this.tunnels = TunnelServer.open(loop, addresses.tunnels(), policy, this.pool.connector()::isLost, metrics);
@@ -70,12 +73,13 @@
 	 * @param zone the availability zone of this gateway
 	 * @param codec the codec for the headers of calls
 	 * @param policy the policy that decides about calls
+	 * @param streams finds the versions that began streams
 	 * @param metrics the metrics of calls
 	 * @return the running data path
 	 */
 	public static Gateway open(EventLoop loop, Addresses addresses, String zone, CallCodec codec, CallPolicy policy,
-			TrafficMetrics metrics) {
-		Gateway gateway = new Gateway(loop, addresses, zone, codec, policy, metrics);
+			StreamDirectory streams, TrafficMetrics metrics) {
+		Gateway gateway = new Gateway(loop, addresses, zone, codec, policy, streams, metrics);
 		gateway.bind(addresses.callers());
 		loop.scheduleWithFixedDelay(gateway::enforceCallerTimeouts, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
@@ -174,6 +178,10 @@
 		return this.policy;
 	}
 
+	StreamDirectory streams() {
+		return this.streams;
+	}
+
 	TrafficMetrics metrics() {
 		return this.metrics;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
@@ -69,7 +69,10 @@
 		SERVER_LIMIT,
 
 		/** All servers want no requests for a while. */
-		SERVER_BACKOFF;
+		SERVER_BACKOFF,
+
+		/** It is not known which version began the stream that the caller takes up. */
+		ORIGIN_UNKNOWN;
 
 		@Override
 		public String toString() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
@@ -71,7 +71,13 @@
 	TUNNEL_FAILED(2718),
 
 	/** A caller takes up a stream that an earlier call began. */
-	STREAM_TAKEN_UP(2719);
+	STREAM_TAKEN_UP(2719),
+
+	/**
+	 * What was found of the version that began a stream that a caller takes up; it goes
+	 * on at that version only.
+	 */
+	STREAM_ORIGIN(2720);
 
 	private final int number;
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendToLeavingServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendToLeavingServerTests.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import io.netty.channel.EventLoop;
 import org.junit.jupiter.api.Test;
 import reactor.netty.resources.LoopResources;
 
@@ -37,8 +38,12 @@
 			LeavingPolicy policy = new LeavingPolicy(backend("s1", server), backend("s2", other));
 			Gateway.Addresses addresses = new Gateway.Addresses(address,
 					new InetSocketAddress("127.0.0.1", FreePorts.one()));
-			try (Gateway _ = Gateway.open(loops.onServer(false).next(), addresses, "a", new PlainCodecs(), policy,
-					new TrafficMetrics()); RawCaller caller = new RawCaller(address)) {
+			TrafficMetrics metrics = new TrafficMetrics();
+			EventLoop loop = loops.onServer(false).next();
+			StreamOrigins streams = new StreamOrigins(loop, "gateway-1", (_, _) -> {
+			}, metrics);
+			try (Gateway _ = Gateway.open(loop, addresses, "a", new PlainCodecs(), policy, streams, metrics);
+					RawCaller caller = new RawCaller(address)) {
 				assertThat(caller.send(RawCaller.get("c1", "/sheets/")).read().body()).isEqualTo("y");
 			}
 			assertThat(server.requests()).isEmpty();
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/StreamVersionTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/StreamVersionTests.java
@@ -16,10 +16,12 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.TestInstance.Lifecycle;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rosemaryfront.gateway.RawCaller.Response;
 import org.rosemaryfront.gateway.ScriptedServer.Exchange;
@@ -40,6 +42,14 @@
 	/** The gateways may retry four calls in 10 ms. */
 	private static final long BEFORE_RETRY_MILLIS = 12;
 
+	private static final int MAX_TRIAL_CALLS = 300;
+
+	private static final int TRIAL_STREAMS = 3;
+
+	private static final Case WHOLE = new Case(Where.WHOLE, How.CLOSED, Who.GATEWAY, Left.ONE);
+
+	private static final Case ONE_EVENT_EACH = new Case(Where.BEHIND_NEXT_EVENT, How.CLOSED, Who.CALLER_HERE, Left.ONE);
+
 	private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\S+)\n\n");
 
 	private final MemoryRowStore store = new MemoryRowStore();
@@ -94,11 +104,97 @@
 	static Stream<Case> cases() {
 		return Stream.of(Who.values())
 			.flatMap((who) -> Stream.of(Where.values())
-				.filter((where) -> who == Who.GATEWAY || where.events > 0)
+				.filter((where) -> where.breaks && (who == Who.GATEWAY || where.events > 0))
 				.flatMap((where) -> Stream.of(How.values())
 					.flatMap((how) -> Stream.of(Left.values()).map((left) -> new Case(where, how, who, left)))));
 	}
 
+	// Guards against a stream that goes on at a guessed version.
+	@ParameterizedTest
+	@ValueSource(strings = { "Resume-After: 1\r\n", "First-Call: nobody\r\nResume-After: 1\r\n",
+			"First-Call: nobody\r\n", "First-Call: own\r\nResume-After: 1\r\n" })
+	void shouldRefuseStreamWhenItsOriginIsUnknown(String headers) throws IOException {
+		String call = "u" + this.cases.incrementAndGet();
+		String server = call + "-s1";
+		startServer(server, "v1", WHOLE);
+		awaitServer(server);
+		Response response = send(0, call, "unknown", headers.replace("own", call));
+		assertThat(response.status()).isEqualTo(503);
+		assertThat(response.hasHeader("retry-after")).isTrue();
+		assertThat(this.servers.get(server).requests()).isEmpty();
+		assertThat(send(0, call, "unknown", "").status()).isEqualTo(200);
+	}
+
+	// Guards against a stream that goes on at either of two versions that began streams
+	// with the same id.
+	@Test
+	void shouldRefuseStreamWhenTwoVersionsBeganItsId() throws IOException {
+		startServer("d-s1", "v1", WHOLE);
+		awaitServer("d-s1");
+		assertThat(send(0, "twice", "twice", "").complete()).isTrue();
+		remove("d-s1");
+		startServer("d-s2", "v2", WHOLE);
+		awaitServer("d-s2");
+		assertThat(send(1, "twice", "twice", "").complete()).isTrue();
+		for (int gateway = 0; gateway < GATEWAYS; gateway++) {
+			assertThat(send(gateway, "again", "twice", "First-Call: twice\r\nResume-After: 1\r\n").status())
+				.isEqualTo(503);
+		}
+	}
+
+	// Guards against a stream that can be taken up only once, or from the gateway that
+	// went on with it last.
+	@Test
+	void shouldGoOnAtItsVersionWhenStreamIsTakenUpAgainAndAgain() throws IOException {
+		for (int i = 1; i <= GATEWAYS; i++) {
+			startServer("t-s" + i, (i % 2 == 0) ? "v2" : "v1", ONE_EVENT_EACH);
+			awaitServer("t-s" + i);
+		}
+		List<String> received = new ArrayList<>();
+		addEvents(send(0, "t", "t", "").body(), received);
+		for (int i = 1; i < GATEWAYS; i++) {
+			sleep(BEFORE_RETRY_MILLIS);
+			String last = received.getLast().split(" ")[0];
+			addEvents(send(i, "t-" + i, "t", "First-Call: t\r\nResume-After: " + last + "\r\n").body(), received);
+		}
+		assertThat(received).hasSizeGreaterThanOrEqualTo(GATEWAYS);
+		assertThat(received.stream().map((event) -> event.split(" ")[1]).distinct()).hasSize(1);
+	}
+
+	// Guards against a roll-out that sends a stream that its candidate began to another
+	// version.
+	@Test
+	void shouldGoOnAtCandidateWhenItBeganStream() throws IOException {
+		Case broken = new Case(Where.BEHIND_EVENT, How.CLOSED, Who.GATEWAY, Left.ONE);
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer baseline = scripted("v1", broken);
+				ScriptedServer otherBaseline = scripted("v1", broken);
+				ScriptedServer candidate = scripted("v2", broken);
+				ScriptedServer otherCandidate = scripted("v2", broken)) {
+			gateway.declare().register("a1", baseline).register("a2", otherBaseline);
+			gateway.store.put(GatewayHarness.SERVERS, "b1", "app " + candidate.address() + " ready 0 v2");
+			gateway.store.put(GatewayHarness.SERVERS, "b2", "app " + otherCandidate.address() + " ready 0 v2");
+			gateway.ready();
+			GatewayHarness.await(() -> gateway.knowsServer("b1") && gateway.knowsServer("b2"));
+			gateway.store.put("declared", "rollout/app", "v2 60000");
+			int begunAtCandidate = 0;
+			for (int i = 0; i < MAX_TRIAL_CALLS && begunAtCandidate < TRIAL_STREAMS; i++) {
+				sleep(BEFORE_RETRY_MILLIS);
+				List<String> received = new ArrayList<>();
+				addEvents(gateway.send(RawCaller.get("r" + i, "/summaries/r" + i)).body(), received);
+				List<String> versions = received.stream().map((event) -> event.split(" ")[1]).distinct().toList();
+				assertThat(received).hasSize(EVENTS);
+				assertThat(versions).as("%s", received).hasSize(1);
+				begunAtCandidate += versions.contains("v2") ? 1 : 0;
+			}
+			assertThat(begunAtCandidate).isEqualTo(TRIAL_STREAMS);
+		}
+	}
+
+	private void awaitServer(String id) {
+		GatewayHarness.await(() -> this.fleet.stream().allMatch((gateway) -> gateway.knowsServer(id)));
+	}
+
 	// The names alternate between the versions, so that the second choice of a call is a
 	// server of the other version.
 	private void startServers(String call, Case broken) throws IOException {
@@ -115,19 +211,26 @@
 	}
 
 	private void startServer(String id, String version, Case broken) {
-		ScriptedServer server = ScriptedServer.start((request, exchange) -> answer(request, exchange, version, broken));
+		ScriptedServer server = scripted(version, broken);
 		this.servers.put(id, server);
 		this.store.put(GatewayHarness.SERVERS, id, "app " + server.address() + " ready 0 " + version);
 	}
 
+	private static ScriptedServer scripted(String version, Case broken) {
+		return ScriptedServer.start((request, exchange) -> answer(request, exchange, version, broken));
+	}
+
 	private static void answer(Request request, Exchange exchange, String version, Case broken) throws IOException {
 		boolean resumed = !request.header("resume-after").isEmpty();
-		boolean completes = !request.header("first-call").isEmpty()
-				|| (broken.who == Who.GATEWAY && (resumed || request.header("server").matches(".*-s[234]")));
+		boolean completes = (!request.header("first-call").isEmpty() && broken.where.breaks)
+				|| (broken.who == Who.GATEWAY && broken.where.breaks
+						&& (resumed || request.header("server").matches(".*-s[234]")));
 		int after = resumed ? Integer.parseInt(request.header("resume-after")) : 0;
 		if (!completes) {
 			broken.where.write(request, exchange, version, after);
-			broken.how.end(exchange);
+			if (broken.where != Where.WHOLE) {
+				broken.how.end(exchange);
+			}
 			return;
 		}
 		exchange.write(head(request));
@@ -234,12 +337,34 @@
 			void write(Request request, Exchange exchange, String version, int after) throws IOException {
 				exchange.write(head(request) + chunk(((after == 0) ? event(1, version) : "") + "id: 2\nda"));
 			}
+		},
+
+		BEHIND_NEXT_EVENT(1, false) {
+			@Override
+			void write(Request request, Exchange exchange, String version, int after) throws IOException {
+				exchange.write(head(request) + chunk(event(after + 1, version)));
+			}
+		},
+
+		WHOLE(0, false) {
+			@Override
+			void write(Request request, Exchange exchange, String version, int after) throws IOException {
+				exchange.write(head(request) + chunk(event(1, version)) + "0\r\n\r\n");
+			}
 		};
 
 		private final int events;
 
+		/** Whether it breaks the stream off for good. */
+		private final boolean breaks;
+
 		Where(int events) {
+			this(events, true);
+		}
+
+		Where(int events, boolean breaks) {
 			this.events = events;
+			this.breaks = breaks;
 		}
 
 		abstract void write(Request request, Exchange exchange, String version, int after) throws IOException;
