Tell origins to gateways that were not heard of yet rather than to nobody

A gateway that had just started knew no live one and told the origins of its first streams to nobody. Gateways heard of late go first in the order of holders, the others follow. OriginDirectoryTests pass.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginHolders.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginHolders.java
@@ -32,7 +32,8 @@
 	}
 
 	/**
-	 * Returns holders among the gateways that were heard of late.
+	 * Returns holders among the gateways that were heard of late, and others only if
+	 * those are too few.
 	 * @param stream the stream
 	 * @param count the maximum number of holders
 	 * @return the names, first holder first
@@ -51,19 +52,17 @@
 		return first(stream, count, false);
 	}
 
-	private List<String> first(StreamKey stream, int count, boolean liveOnly) {
+	private List<String> first(StreamKey stream, int count, boolean liveFirst) {
 		List<Placed> first = new ArrayList<>(count + 1);
 		for (Gateway gateway : this.gateways) {
-			if (gateway.live || !liveOnly) {
-				insert(first, new Placed(gateway.name, place(stream, gateway)), count);
-			}
+			insert(first, new Placed(gateway.name, liveFirst && !gateway.live, place(stream, gateway)), count);
 		}
 		return first.stream().map(Placed::name).toList();
 	}
 
 	private static void insert(List<Placed> first, Placed next, int count) {
 		int index = first.size();
-		while (index > 0 && Long.compareUnsigned(next.place, first.get(index - 1).place) < 0) {
+		while (index > 0 && next.isBefore(first.get(index - 1))) {
 			index--;
 		}
 		if (index < count) {
@@ -85,7 +84,12 @@
 	private record Gateway(String name, long rank, boolean live) {
 	}
 
-	private record Placed(String name, long place) {
+	private record Placed(String name, boolean last, long place) {
+
+		private boolean isBefore(Placed other) {
+			return (this.last == other.last) ? Long.compareUnsigned(this.place, other.place) < 0 : other.last;
+		}
+
 	}
 
 }
