Transfer KV cache entries only between servers of one software version

Change: the server whose entries may be transferred is looked for among those of the chosen server's version. Evidence: DispatcherTests#shouldTransferSegmentsOnlyBetweenServersOfOneVersion, red before. Nothing changes where one version serves.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -177,9 +177,11 @@
 		if (this.firstPromptNanos.isEmpty()) {
 			this.firstPromptNanos = OptionalLong.of(nowNanos);
 		}
-		Optional<CachingServer> cachingServer = findCachingServer(requirements, nowNanos);
+		Map<String, Optional<CachingServer>> cachingServers = new HashMap<>();
 		CostEstimate chosen = available.stream()
-			.map((row) -> estimate(requirements, row, cachingServer))
+			.map((row) -> estimate(requirements, row,
+					cachingServers.computeIfAbsent(row.server.version(),
+							(version) -> findCachingServer(requirements, version, nowNanos))))
 			.min(Comparator.comparingDouble(CostEstimate::costMillis)
 				.thenComparingLong((estimate) -> rank(requirements, estimate.row)))
 			.orElseThrow();
@@ -192,12 +194,13 @@
 				chosen.transferSource.map((row) -> row.server), Optional.of(chosen.work), Optional.empty());
 	}
 
-	// The server with the most tokens of the prompt prefix cached. A leaving server
-	// keeps its cache until it is terminated.
-	private Optional<CachingServer> findCachingServer(CallRequirements requirements, long nowNanos) {
+	// The server of a version with the most tokens of the prompt prefix cached: what one
+	// version wrote does not fit another one. A leaving server keeps its cache until it
+	// is terminated.
+	private Optional<CachingServer> findCachingServer(CallRequirements requirements, String version, long nowNanos) {
 		List<BackendRow> rows = this.table.cacheCandidates(requirements.service())
 			.stream()
-			.filter((row) -> !row.isAvoided(nowNanos))
+			.filter((row) -> !row.isAvoided(nowNanos) && row.server.version().equals(version))
 			.toList();
 		Optional<CachingServer> best = rows.stream()
 			.map((row) -> new CachingServer(row, row.cachedSegments.cachedTokens(requirements.prefix())))
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -93,6 +93,19 @@
 		assertThat(choose(requirements(prefix("part"), 800)).transferSource()).map(BackendServer::id).contains("s1");
 	}
 
+	// Guards against KV cache entries that one version wrote and another one reads.
+	@Test
+	void shouldTransferSegmentsOnlyBetweenServersOfOneVersion() {
+		this.table.recordRegistration(serverOfVersion("s1", "v2"), LONG_AGO);
+		this.table.recordPrefillStart(start("s1"), prefix("part"), CACHE_TOKENS);
+		this.table.recordCallSent(start("s1"), 40_000);
+		assertThat(choose(requirements(prefix("part"), 800)).transferSource()).isEmpty();
+		this.table.recordRegistration(serverOfVersion("s2", "v2"), LONG_AGO);
+		Choice.Chosen chosen = choose(requirements(prefix("part"), 800));
+		assertThat(chosen.server().id()).isEqualTo("s2");
+		assertThat(chosen.transferSource()).map(BackendServer::id).contains("s1");
+	}
+
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 160_000 })
 	void shouldPrefillSegmentsWhenTransferIsNotFaster(long tokenBytes) {
@@ -414,6 +427,10 @@
 		return serverStartedAt(id, 0, leaving);
 	}
 
+	private static BackendServer serverOfVersion(String id, String version) {
+		return new BackendServer(id, 0, "llm", version, "127.0.0.1:1", "a", 4, false, false, 1);
+	}
+
 	private static BackendServer serverStartedAt(String id, long startedMillis, boolean leaving) {
 		return new BackendServer(id, startedMillis, "llm", "v1", "127.0.0.1:1", "a", 4, leaving, false, 0);
 	}
