--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/streams/OriginWays.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/streams/OriginWays.java
@@ -10,7 +10,7 @@
 	private OriginWays() {
 	}
 
-	public static void main(String[] arguments) {
+	static void main(String[] arguments) {
 		int gateways = Integer.parseInt(arguments[0]);
 		double rate = Double.parseDouble(arguments[1]);
 		for (long seed = Long.parseLong(arguments[2]); seed <= Long.parseLong(arguments[3]); seed++) {
