--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -431,21 +431,28 @@
 		if (this.state == State.DONE) {
 			return;
 		}
-		EventLog.info(TrafficEvents.STREAM_ORIGIN, "request", id(), "service", this.service, "origin", origin, "millis",
-				ageMillis());
 		switch (origin) {
 			case Origin.Known known -> {
-				this.gateway.metrics().increment("streams.origin.known");
+				logOrigin("known", known.version());
 				this.response.goOnWith(known.version());
 				this.gateway.policy().admit(this);
 			}
-			case Origin.Unknown _, Origin.Ambiguous _ -> {
-				this.gateway.metrics().increment("streams.origin.unknown");
-				refuseNow(503, ORIGIN_RETRY_MILLIS, Refusal.of(Refusal.Cause.ORIGIN_UNKNOWN, origin.toString()));
-			}
+			case Origin.Unknown _ -> refuseWithoutOrigin("unknown");
+			case Origin.Ambiguous _ -> refuseWithoutOrigin("ambiguous");
 		}
 	}
 
+	private void refuseWithoutOrigin(String origin) {
+		logOrigin(origin, "none");
+		refuseNow(503, ORIGIN_RETRY_MILLIS, Refusal.of(Refusal.Cause.ORIGIN_UNKNOWN, origin));
+	}
+
+	private void logOrigin(String origin, String version) {
+		this.gateway.metrics().increment("streams.origin." + origin);
+		EventLog.info(TrafficEvents.STREAM_ORIGIN, "request", id(), "service", this.service, "origin", origin,
+				"version", version, "millis", ageMillis());
+	}
+
 	// A stream that was taken up keeps the key of the call that began it.
 	private void firstEvent(String version) {
 		Optional<String> firstCall = this.metadata.resumption()
