--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginTable.java
@@ -17,8 +17,8 @@
 	static final long MAX_AGE_MILLIS = 60_000;
 
 	/**
-	 * The maximum number of origins: those of 1,200 streams a second at one of nine
-	 * gateways, in about 5 MB.
+	 * The maximum number of origins: those of half a minute with 1,200 streams a second
+	 * at one of nine gateways, in about 5 MB.
 	 */
 	static final int MAX_ORIGINS = 32_768;
 
