--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -31,8 +31,9 @@
 import org.rosemaryfront.peer.UdpSocket.Datagram;
 
 /**
- * Exchanges reports with the other gateways. Used on the control thread, except that
- * reports are received on the socket's event loop.
+ * Exchanges reports and messages about streams with the other gateways. Used on the
+ * control thread, except that the socket's event loop receives, and sends messages about
+ * streams.
  */
 final class PeerExchange implements AutoCloseable {
 
