--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginDirectory.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginDirectory.java
@@ -138,7 +138,7 @@
 	}
 
 	private void ask(StreamKey stream, OriginLookup lookup, long nowNanos) {
-		Set<String> gateways = lookup.nextRound(nowNanos);
+		List<String> gateways = lookup.nextRound(nowNanos);
 		if (gateways.isEmpty()) {
 			end(stream, Origin.unknown());
 			return;
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginLookup.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginLookup.java
@@ -1,7 +1,7 @@
 package org.rosemaryfront.streams;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -24,7 +24,8 @@
 
 	private final List<Consumer<Origin>> callers = new ArrayList<>();
 
-	private final Set<String> unanswered = new HashSet<>();
+	/** The gateways that were asked and did not answer, in the order of asking. */
+	private final Set<String> unanswered = new LinkedHashSet<>();
 
 	private int askedCount;
 
@@ -56,17 +57,17 @@
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 * @return the gateways to ask, empty if the origin stays unknown
 	 */
-	Set<String> nextRound(long nowNanos) {
+	List<String> nextRound(long nowNanos) {
 		boolean over = this.round == ROUNDS || (isAnswered() && this.askedCount == this.holders.size());
 		if (over) {
-			return Set.of();
+			return List.of();
 		}
 		int upTo = (this.round == 0) ? Math.min(this.firstCount, this.holders.size()) : this.holders.size();
 		this.unanswered.addAll(this.holders.subList(this.askedCount, upTo));
 		this.askedCount = upTo;
 		this.round++;
 		this.roundEndNanos = nowNanos + ROUND_NANOS;
-		return Set.copyOf(this.unanswered);
+		return List.copyOf(this.unanswered);
 	}
 
 	/**
