Log the segments of calls whose connections broke, and whether they count as evidence of a crash

What calls at crashed servers had in common was only found by joining E2703 and E2702 of nine gateways. E2856 names it in one line, and crashes.suspected counts them. No decision changes.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashGuard.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashGuard.java
@@ -11,7 +11,9 @@
 import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.ports.CallMetadata.Prompt;
 import org.rosemaryfront.traffic.Call;
 import org.rosemaryfront.traffic.CallPolicy.Failure;
 import org.rosemaryfront.traffic.Refusal;
@@ -154,12 +156,25 @@
 	 */
 	void failed(Call call, BackendServer server, Failure failure, long nowNanos) {
 		boolean broke = failure.sent() && !failure.responded() && !(failure.verdict() instanceof Verdict.NotRun);
+		if (!broke) {
+			return;
+		}
 		boolean overloaded = this.servers.mayHaveFailedByRejections(server.incarnation(), nowNanos);
-		if (broke && !overloaded && this.servers.isExpected(server.incarnation())) {
+		boolean expected = this.servers.isExpected(server.incarnation());
+		logCutOff(call, server, overloaded, expected);
+		if (!overloaded && expected) {
 			call.digest().ifPresent((request) -> this.crashes.connectionBroke(request, server, nowNanos));
 		}
 	}
 
+	private static void logCutOff(Call call, BackendServer server, boolean overloaded, boolean expected) {
+		EventLog.info(GatewayEvents.CALL_CUT_OFF, "request", call.id(), "digest",
+				call.digest().map(RequestDigest::toString).orElse("none"), "segments",
+				call.metadata().prompt().map(Prompt::segmentList).orElse("none"), "server", server.id(), "started",
+				server.startedMillis(), "version", server.version(), "serverOverloaded", overloaded, "serverExpected",
+				expected);
+	}
+
 	/**
 	 * Records that a call ended. A probe that was never sent to a server is given back
 	 * for the next copy.
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
@@ -128,6 +128,7 @@
 	void connectionBroke(RequestDigest request, BackendServer server, long nowNanos) {
 		Crash crash = new Crash(request, server.incarnation());
 		if (this.table.connectionLost(crash, System.currentTimeMillis(), nowNanos)) {
+			this.callbacks.count("crashes.suspected");
 			review(request);
 			if (this.livenessChecks.add(server.incarnation())) {
 				this.callbacks.checkAlive(server,
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -161,6 +161,12 @@
 	 */
 	LIVENESS_UNKNOWN(2855),
 
+	/**
+	 * The connection of a call broke while a server had it: the call, the segments of its
+	 * prompt, and whether this counts as evidence of a crash.
+	 */
+	CALL_CUT_OFF(2856),
+
 	/**
 	 * A backend server stated that it is leaving, or that it wants no requests for a
 	 * while.
