--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
@@ -27,6 +27,9 @@
 // repeated copies of this test are sent.
 class CrashingRequestTests {
 
+	/** The body of the request that crashes servers. */
+	private static final String CRASHING = "crashing";
+
 	private static final int GATEWAYS = 3;
 
 	/** Time within which gateways receive the updates of the others, in milliseconds. */
@@ -43,7 +46,8 @@
 
 	private final MemoryRowStore store = new MemoryRowStore();
 
-	private final CrashableServers servers = new CrashableServers(this.store);
+	private final CrashableServers servers = CrashableServers.of(this.store,
+			(request) -> request.body().equals(CRASHING));
 
 	private List<GatewayHarness> fleet = List.of();
 
@@ -68,7 +72,7 @@
 		crashServers(path);
 		sleep(PROPAGATION_MILLIS);
 		assertThat(copiesSentOfRepeats(path)).isLessThanOrEqualTo(MAX_FURTHER_COPIES);
-		Response response = ask(1, path, CrashableServers.CRASHING);
+		Response response = ask(1, path, CRASHING);
 		assertThat(response.status()).isEqualTo(503);
 		assertThat(response.hasHeader("retry-after")).isTrue();
 		assertThat(ask(0, path, "other").status()).isEqualTo(200);
@@ -124,7 +128,7 @@
 		crashServersSimultaneously("/drafts/");
 		this.servers.repair();
 		sleep(PROPAGATION_MILLIS);
-		assertThat(ask(0, "/drafts/", CrashableServers.CRASHING).status()).isEqualTo(503);
+		assertThat(ask(0, "/drafts/", CRASHING).status()).isEqualTo(503);
 		ready();
 		for (int i = 0; i < GATEWAYS; i++) {
 			int gateway = i;
@@ -139,7 +143,7 @@
 		List<RawCaller> callers = new ArrayList<>();
 		for (int i = 0; i < CrashableServers.COUNT; i++) {
 			RawCaller caller = this.fleet.getFirst().caller();
-			callers.add(caller.send(RawCaller.post("c" + i, path, CrashableServers.CRASHING)));
+			callers.add(caller.send(RawCaller.post("c" + i, path, CRASHING)));
 		}
 		for (RawCaller caller : callers) {
 			caller.read();
@@ -165,7 +169,7 @@
 
 	private int status(int gateway) {
 		try {
-			return ask(gateway, "/drafts/", CrashableServers.CRASHING).status();
+			return ask(gateway, "/drafts/", CRASHING).status();
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
@@ -181,7 +185,7 @@
 
 	private void crashServers(String path) throws IOException {
 		for (int i = 0; this.servers.crashes() < CRASHES; i++) {
-			ask(i, path, CrashableServers.CRASHING);
+			ask(i, path, CRASHING);
 			ready();
 		}
 	}
@@ -189,7 +193,7 @@
 	private int copiesSentOfRepeats(String path) throws IOException {
 		int before = this.servers.copiesSent();
 		for (int i = 0; i < REPEATS * GATEWAYS; i++) {
-			ask(i, path, CrashableServers.CRASHING);
+			ask(i, path, CRASHING);
 			ready();
 		}
 		return this.servers.copiesSent() - before;
@@ -208,95 +212,4 @@
 		}
 	}
 
-	/** Backend servers that crash under one request body and are replaced. */
-	private static final class CrashableServers {
-
-		static final String CRASHING = "crashing";
-
-		static final int COUNT = 4;
-
-		private final MemoryRowStore store;
-
-		private final List<ScriptedServer> all = new ArrayList<>();
-
-		private final List<String> running = new ArrayList<>();
-
-		/** Crashed servers that stay registered until they are replaced. */
-		private final List<String> crashed = new ArrayList<>();
-
-		private volatile boolean crashing = true;
-
-		private volatile boolean simultaneously;
-
-		private int crashes;
-
-		CrashableServers(MemoryRowStore store) {
-			this.store = store;
-		}
-
-		/** Starts servers until {@link #COUNT} are running. */
-		synchronized void fill() {
-			deregisterCrashed();
-			while (this.running.size() < COUNT) {
-				String id = "s" + this.all.size();
-				ScriptedServer[] self = new ScriptedServer[1];
-				self[0] = ScriptedServer.start((request, exchange) -> {
-					if (this.crashing && request.body().equals(CRASHING)) {
-						if (this.simultaneously) {
-							GatewayHarness.await(() -> copiesSent() >= COUNT);
-						}
-						crash(id, self[0]);
-					}
-					else {
-						exchange.ok(request, "data: good\n\n");
-					}
-				});
-				this.all.add(self[0]);
-				this.running.add(id);
-				this.store.put(GatewayHarness.SERVERS, id, "app " + self[0].address() + " ready");
-			}
-		}
-
-		/** Makes the servers crash only after each of them has received the request. */
-		void crashSimultaneously() {
-			this.simultaneously = true;
-		}
-
-		synchronized void deregisterCrashed() {
-			this.crashed.forEach((id) -> this.store.remove(GatewayHarness.SERVERS, id));
-			this.crashed.clear();
-		}
-
-		void repair() {
-			this.crashing = false;
-		}
-
-		private synchronized void crash(String id, ScriptedServer server) {
-			this.running.remove(id);
-			this.crashed.add(id);
-			this.crashes++;
-			server.close();
-		}
-
-		synchronized List<String> registered() {
-			return List.copyOf(this.running);
-		}
-
-		synchronized int crashes() {
-			return this.crashes;
-		}
-
-		synchronized int copiesSent() {
-			return (int) this.all.stream()
-				.flatMap((server) -> server.requests().stream())
-				.filter((request) -> request.body().equals(CRASHING))
-				.count();
-		}
-
-		synchronized void close() {
-			this.all.forEach(ScriptedServer::close);
-		}
-
-	}
-
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
@@ -29,6 +29,18 @@
 				+ body.length() + "\r\n\r\n" + body;
 	}
 
+	/**
+	 * Returns a request to a model.
+	 * @param call the id of the call
+	 * @param path the path
+	 * @param prompt the segments of the prompt, as in {@link PlainCodecs}
+	 * @return the bytes
+	 */
+	static String prompt(String call, String path, String prompt) {
+		return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nCall: " + call + "\r\nKey: key-1\r\nPrompt: " + prompt
+				+ "\r\nContent-Length: " + prompt.length() + "\r\n\r\n" + prompt;
+	}
+
 	RawCaller send(String bytes) throws IOException {
 		this.socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
 		return this;
