Divide half of a server's connections by the calls in progress

A load balancer may send most callers of an availability zone, or of a region, to one gateway. Connections to servers were divided evenly: with 87 gateways a gateway had 3 to each server, and refused what came beyond (no-connection) while the others used none. Half of them stay divided evenly, the other half follows the calls in progress; all together stay within the same four fifths of the limit.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -16,6 +16,7 @@
 import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
+import org.rosemaryfront.dispatch.ConnectionShares;
 import org.rosemaryfront.dispatch.Dispatcher;
 import org.rosemaryfront.dispatch.Dispatcher.CallRequirements;
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
@@ -51,12 +52,6 @@
  */
 final class GatewayControl implements CallPolicy {
 
-	/**
-	 * Fraction of a server's connection limit that all gateways together use, so that
-	 * gateways that have not learned of each other yet stay below the limit.
-	 */
-	private static final double CONNECTION_SHARE = 0.8;
-
 	/**
 	 * Minimum retry-after time of a refusal for lack of capacity, in milliseconds: about
 	 * the time until a slot becomes free. A random part below
@@ -525,10 +520,12 @@
 	}
 
 	private int maxConnections(String service) {
-		int cap = this.configuration.flatMap((known) -> known.service(service))
+		int limit = this.configuration.flatMap((known) -> known.service(service))
 			.map(ServiceSpec::maxConnections)
 			.orElse(0);
-		return Math.max(2, (int) (cap * CONNECTION_SHARE / this.gateways));
+		int ownCalls = (int) this.calls.keySet().stream().filter((call) -> call.service().equals(service)).count();
+		int allCalls = Math.max(ownCalls, this.servers.callsOf(service));
+		return ConnectionShares.connections(limit, this.gateways, ownCalls, allCalls);
 	}
 
 	/**
