Close new connections unread while the thread of all connections is overloaded

A gateway that most new connections come to read and served all of them, each late. It now measures how late a periodic task of its traffic thread runs; from three late runs in a row on (150 ms each) it closes new connections before anything is read, so that their callers come to another gateway. A single pause closes nothing. E2721 tells when it begins and ends, callers.turned.away counts.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -53,6 +53,8 @@
 
 	private final Set<CallerConnection> callers = new HashSet<>();
 
+	private final OverloadDetector overload = OverloadDetector.startingAt(System.nanoTime());
+
 	private Gateway(EventLoop loop, Addresses addresses, String zone, CallCodec codec, CallPolicy policy,
 			StreamDirectory streams, TrafficMetrics metrics) {
 		this.loop = loop;
@@ -83,7 +85,10 @@
 		gateway.bind(addresses.callers());
 		loop.scheduleWithFixedDelay(gateway::enforceCallerTimeouts, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
+		loop.scheduleWithFixedDelay(() -> gateway.overload.beat(System.nanoTime()),
+				OverloadDetector.BEAT_INTERVAL_MILLIS, OverloadDetector.BEAT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		metrics.gauge("callers.connections", gateway.callers::size);
+		metrics.gauge("callers.turned.away", gateway.overload::turnedAwayCount);
 		metrics.gauge("servers.connections", gateway.pool::openCount);
 		metrics.gauge("servers.connections.opened", gateway.pool.connector()::openedCount);
 		metrics.gauge("servers.out.of.reach", gateway.pool.connector()::lostCount);
@@ -215,6 +220,11 @@
 	}
 
 	private void accept(Channel channel) {
+		if (this.overload.isOverloaded()) {
+			this.overload.turnedAway();
+			channel.close();
+			return;
+		}
 		CallerConnection connection = new CallerConnection(this);
 		channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
 			@Override
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
@@ -77,7 +77,13 @@
 	 * What was found of the version that began a stream that a caller takes up; it goes
 	 * on at that version only.
 	 */
-	STREAM_ORIGIN(2720);
+	STREAM_ORIGIN(2720),
+
+	/**
+	 * The thread of all connections became overloaded, or is no longer; while it is, new
+	 * connections are closed before anything is read from them.
+	 */
+	OVERLOAD_CHANGED(2721);
 
 	private final int number;
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -12,11 +12,13 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoop;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.netty.resources.LoopResources;
@@ -401,6 +403,31 @@
 		});
 	}
 
+	/**
+	 * Gives the event loop of all sockets more work than it can do, as when most callers
+	 * come to this gateway.
+	 * @param millis how long each turn of the event loop takes, in milliseconds
+	 * @param until the work ends when this reaches zero
+	 */
+	void overload(long millis, CountDownLatch until) {
+		EventLoop loop = this.loops.onServer(false).next();
+		loop.execute(new Runnable() {
+			@Override
+			public void run() {
+				try {
+					if (!until.await(millis, TimeUnit.MILLISECONDS)) {
+						// Lets the event loop process its connections before the next
+						// turn.
+						loop.schedule(this, 1, TimeUnit.MILLISECONDS);
+					}
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+				}
+			}
+		});
+	}
+
 	void stop() {
 		this.process.close();
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MetricNamesTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MetricNamesTests.java
@@ -12,14 +12,15 @@
 /** Guards against renamed metrics, which dashboards no longer find. */
 class MetricNamesTests {
 
-	private static final List<String> NAMES = List.of("gauges/callers.connections", "gauges/calls.waiting",
-			"gauges/configuration.proven.millis", "gauges/control.lag.millis", "gauges/log.dropped",
-			"gauges/requests.held", "gauges/segments.held", "gauges/servers.backoff", "gauges/servers.connections",
-			"gauges/servers.connections.opened", "gauges/servers.limited", "gauges/servers.out.of.reach",
-			"gauges/servers.proven.millis", "gauges/servers.stated.leaving", "gauges/streams.origins",
-			"gauges/streams.origins.evicted", "gauges/tunnels.open", "counters/calls.answered.200",
-			"counters/calls.refused.404", "counters/servers.responses.framed.length", "counters/servers.unreadable",
-			"histograms/calls.answer.millis.IDEMPOTENT", "histograms/calls.first.millis.IDEMPOTENT");
+	private static final List<String> NAMES = List.of("gauges/callers.connections", "gauges/callers.turned.away",
+			"gauges/calls.waiting", "gauges/configuration.proven.millis", "gauges/control.lag.millis",
+			"gauges/log.dropped", "gauges/requests.held", "gauges/segments.held", "gauges/servers.backoff",
+			"gauges/servers.connections", "gauges/servers.connections.opened", "gauges/servers.limited",
+			"gauges/servers.out.of.reach", "gauges/servers.proven.millis", "gauges/servers.stated.leaving",
+			"gauges/streams.origins", "gauges/streams.origins.evicted", "gauges/tunnels.open",
+			"counters/calls.answered.200", "counters/calls.refused.404", "counters/servers.responses.framed.length",
+			"counters/servers.unreadable", "histograms/calls.answer.millis.IDEMPOTENT",
+			"histograms/calls.first.millis.IDEMPOTENT");
 
 	@Test
 	void shouldKeepNamesOfMetricsWhenCallsAreAnsweredAndRefused() throws IOException {
