--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
@@ -14,7 +14,6 @@
 import org.rosemaryfront.crashes.CrashTable;
 import org.rosemaryfront.crashes.Evidence;
 import org.rosemaryfront.crashes.Evidence.State;
-import org.rosemaryfront.crashes.PromptSegment;
 import org.rosemaryfront.crashes.QuarantineDecision;
 import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.crashes.SegmentQuarantine.Hold;
@@ -133,25 +132,11 @@
 		return this.table.allEvidence()
 			.entrySet()
 			.stream()
-			.map((entry) -> new Suspect(digest(entry.getKey()), this.table.isQuarantined(entry.getKey()),
-					entry.getValue().stream().map(CrashRecords::crashEntry).toList(), segmentName(entry.getKey())))
+			.map((entry) -> new Suspect(CrashLog.digest(entry.getKey()), this.table.isQuarantined(entry.getKey()),
+					entry.getValue().stream().map(CrashRecords::crashEntry).toList(), CrashLog.segment(entry.getKey())))
 			.toList();
 	}
 
-	private static String digest(CrashSuspect suspect) {
-		return switch (suspect) {
-			case RequestDigest request -> request.toString();
-			case SegmentSuspect segment -> segment.segment().digest().toString();
-		};
-	}
-
-	private static String segmentName(CrashSuspect suspect) {
-		return switch (suspect) {
-			case RequestDigest _ -> "none";
-			case SegmentSuspect segment -> segment.segment().id() + '@' + segment.version();
-		};
-	}
-
 	private static CrashEntry crashEntry(Evidence evidence) {
 		Incarnation server = evidence.crash().server();
 		return new CrashEntry(server.id(), server.startedMillis(), evidence.atMillis(),
@@ -407,12 +392,8 @@
 	}
 
 	private void logCrash(Evidence evidence, String from) {
-		CrashSuspect suspect = evidence.crash().suspect();
-		Incarnation server = evidence.crash().server();
 		this.callbacks.count("crashes.confirmed");
-		EventLog.info(GatewayEvents.CRASHED_UNDER_REQUEST, "digest", digest(suspect), "segment", segmentName(suspect),
-				"request", evidence.request(), "server", server.id(), "started", server.startedMillis(), "crashes",
-				crashes(suspect), "from", from, "ageMillis", System.currentTimeMillis() - evidence.atMillis());
+		CrashLog.confirmed(evidence, crashes(evidence.crash().suspect()), from);
 	}
 
 	private void logCleared(List<Evidence> cleared, String cause) {
@@ -422,9 +403,7 @@
 			// not urgent.
 			this.urgent |= this.table.evidence(evidence.crash()).isPresent();
 			this.callbacks.count("crashes.cleared");
-			EventLog.info(GatewayEvents.CRASH_CLEARED, "digest", digest(suspect), "segment", segmentName(suspect),
-					"server", evidence.crash().server().id(), "started", evidence.crash().server().startedMillis(),
-					"cause", cause, "crashes", crashes(suspect));
+			CrashLog.cleared(evidence, crashes(suspect), cause);
 			review(suspect);
 		}
 	}
@@ -459,26 +438,20 @@
 		}
 		this.loggedHolds.stream()
 			.filter((hold) -> !before.contains(hold))
-			.forEach((hold) -> logHold(GatewayEvents.SEGMENTS_HELD_BACK, hold));
+			.forEach((hold) -> CrashLog.hold(GatewayEvents.SEGMENTS_HELD_BACK, hold));
 		before.stream().filter((hold) -> !this.loggedHolds.contains(hold)).forEach(this::released);
 		this.callbacks.quarantineChanged();
 	}
 
 	// The probe of segments that were cleared is given back for a later quarantine.
 	private void released(Hold hold) {
-		logHold(GatewayEvents.SEGMENTS_RELEASED, hold);
+		CrashLog.hold(GatewayEvents.SEGMENTS_RELEASED, hold);
 		boolean cleared = this.loggedHolds.stream().noneMatch((other) -> other.segments().equals(hold.segments()));
 		if (cleared && this.probes.isGranted(hold.digest())) {
 			this.probes.giveBack(hold.digest());
 		}
 	}
 
-	private static void logHold(GatewayEvents event, Hold hold) {
-		EventLog.info(event, "segments", hold.segments().stream().map(PromptSegment::id).toList(), "digests",
-				hold.segments().stream().map(PromptSegment::digest).toList(), "servers",
-				hold.servers().stream().map(Incarnation::id).toList());
-	}
-
 	/** Callbacks into the rest of the process. */
 	interface Callbacks {
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
@@ -78,6 +78,18 @@
 		assertThat(ask(0, path, "other").status()).isEqualTo(200);
 	}
 
+	// A response that ends with its connection looks complete although its server
+	// crashed.
+	@ParameterizedTest
+	@ValueSource(strings = { "/sheets/", "/visits/" })
+	void shouldQuarantineRequestWhenServersCrashInMiddleOfResponse(String path) throws IOException {
+		this.servers.crashAfter("HTTP/1.1 200 OK\r\nCall: CALL\r\nSignature: s\r\n\r\nhalf");
+		crashServers(path);
+		sleep(PROPAGATION_MILLIS);
+		assertThat(copiesSentOfRepeats(path)).isLessThanOrEqualTo(MAX_FURTHER_COPIES);
+		assertThat(ask(0, path, "other").status()).isEqualTo(200);
+	}
+
 	// The gateways cannot exchange reports; each reaches the store.
 	@Test
 	void shouldQuarantineRequestWhenGatewaysReachOnlyTheStore() throws IOException {
