--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingRequestTests.java
@@ -123,9 +123,11 @@
 		crashServers("/drafts/");
 		this.servers.repair();
 		GatewayHarness.await(() -> heldDigest().isPresent());
-		assertThat(operator("DELETE", "/held-requests/" + heldDigest().orElseThrow()).status()).isEqualTo(204);
-		assertThat(operator("DELETE", "/held-requests/no-digest").status()).isEqualTo(400);
-		assertThat(operator("DELETE", "/held-requests/" + "0".repeat(32)).status()).isEqualTo(404);
+		assertThat(this.fleet.getFirst().operator("DELETE", "/held-requests/" + heldDigest().orElseThrow()).status())
+			.isEqualTo(204);
+		assertThat(this.fleet.getFirst().operator("DELETE", "/held-requests/no-digest").status()).isEqualTo(400);
+		assertThat(this.fleet.getFirst().operator("DELETE", "/held-requests/" + "0".repeat(32)).status())
+			.isEqualTo(404);
 		for (int i = 0; i < GATEWAYS; i++) {
 			int gateway = i;
 			GatewayHarness.await(() -> status(gateway) == 200);
@@ -164,18 +166,9 @@
 		this.servers.deregisterCrashed();
 	}
 
-	private Response operator(String method, String path) {
-		try (RawCaller operator = new RawCaller(this.fleet.getFirst().settings.metrics())) {
-			return operator.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").read();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
-	}
-
 	private Optional<String> heldDigest() {
 		Matcher held = Pattern.compile("\"digest\":\"([0-9a-f]{32})\",\"held\":true")
-			.matcher(operator("GET", "/held-requests").body());
+			.matcher(this.fleet.getFirst().operator("GET", "/held-requests").body());
 		return held.find() ? Optional.of(held.group(1)) : Optional.empty();
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingSegmentTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashingSegmentTests.java
@@ -1,8 +1,11 @@
 package org.rosemaryfront.gateway;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -42,6 +45,9 @@
 
 	private static final String HEAD = "HTTP/1.1 200 OK\r\nCall: CALL\r\nSignature: s\r\n";
 
+	private static final Pattern HELD_SEGMENT = Pattern
+		.compile("\"digest\":\"([0-9a-f]{32})\",\"held\":true,\"crashes\":\\[[^]]*],\"segment\":\"harmful@v1\"");
+
 	private final MemoryRowStore store = new MemoryRowStore();
 
 	private final CrashableServers servers = CrashableServers.of(this.store,
@@ -115,6 +121,18 @@
 		assertSoundRequestsServed("/drafts/");
 	}
 
+	@Test
+	void shouldServeRequestsAgainWhenOperatorReleasesSegment() throws IOException {
+		crashServers("/drafts/", HARMFUL_PROMPT);
+		this.servers.repair();
+		assertHeldBack("/drafts/", HARMFUL_PROMPT);
+		GatewayHarness gateway = this.fleet.getFirst();
+		Matcher held = HELD_SEGMENT.matcher(gateway.operator("GET", "/held-requests").body());
+		assertThat(held.find()).isTrue();
+		assertThat(gateway.operator("DELETE", "/held-requests/" + held.group(1)).status()).isEqualTo(204);
+		GatewayHarness.await(() -> isServedByAll("/drafts/", HARMFUL_PROMPT));
+	}
+
 	// -- steps
 
 	// Stops early once the requests are held back.
@@ -147,6 +165,20 @@
 		}
 	}
 
+	private boolean isServedByAll(String path, String prompt) {
+		try {
+			for (int i = 0; i < GATEWAYS; i++) {
+				if (ask(path, prompt).status() != 200) {
+					return false;
+				}
+			}
+			return true;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	// Sends a request that no other one is equal to, through each gateway in turn.
 	private Response ask(String path, String prompt) throws IOException {
 		this.requests++;
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.gateway;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -359,6 +360,21 @@
 		return this.process.learnedRates("app");
 	}
 
+	/**
+	 * Sends a request of an operator.
+	 * @param method the method
+	 * @param path the path at the address of the metrics
+	 * @return the response
+	 */
+	RawCaller.Response operator(String method, String path) {
+		try (RawCaller operator = new RawCaller(this.settings.metrics())) {
+			return operator.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").read();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	/**
 	 * Reads the metrics of the gateway.
 	 * @return the metrics by kind and name
