Show that a new holder of the duties releases servers at once; list it as known red

A holder that heard of little demand before it took the duties orders down to 0 and 1 reclaimable servers with its first order, where 3 are present.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -96,6 +96,22 @@
 		assertThat(this.duties.sizes()).noneMatch((size) -> size.reclaimable() && size.servers() < 3);
 	}
 
+	// Guards against a new holder of the duties that releases servers by the little demand
+	// that it has heard of so far.
+	@Test
+	void shouldNotReleaseServersWhenDutiesWereJustTakenOver() {
+		register("a1", "a", false);
+		for (String id : List.of("r1", "r2", "r3")) {
+			register(id + "a", "a", true);
+			register(id + "b", "b", true);
+		}
+		for (int second = 0; second < 12; second++) {
+			this.duty.updatePlans(CONFIGURATION, 10_000.0 * second, second * SECOND_NANOS);
+		}
+		this.duty.act(2, CONFIGURATION, 12 * SECOND_NANOS);
+		assertThat(this.duties.sizes()).noneMatch((size) -> size.reclaimable() && size.servers() < 3);
+	}
+
 	// A zone is reclaimed: until the next plan, each second passes without its servers.
 	@Test
 	void shouldOrderImmediatelyWhenServersAreRemoved() {
