--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.gateway;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -12,11 +13,13 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoop;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.netty.resources.LoopResources;
@@ -357,6 +360,21 @@
 		return this.process.learnedRates("app");
 	}
 
+	/**
+	 * Sends a request of an operator.
+	 * @param method the method
+	 * @param path the path at the address of the metrics
+	 * @return the response
+	 */
+	RawCaller.Response operator(String method, String path) {
+		try (RawCaller operator = new RawCaller(this.settings.metrics())) {
+			return operator.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").read();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	/**
 	 * Reads the metrics of the gateway.
 	 * @return the metrics by kind and name
@@ -401,6 +419,31 @@
 		});
 	}
 
+	/**
+	 * Gives the event loop of all sockets more work than it can do, as when most callers
+	 * come to this gateway.
+	 * @param millis how long each turn of the event loop takes, in milliseconds
+	 * @param until the work ends when this reaches zero
+	 */
+	void overload(long millis, CountDownLatch until) {
+		EventLoop loop = this.loops.onServer(false).next();
+		loop.execute(new Runnable() {
+			@Override
+			public void run() {
+				try {
+					if (!until.await(millis, TimeUnit.MILLISECONDS)) {
+						// Lets the event loop process its connections before the next
+						// turn.
+						loop.schedule(this, 1, TimeUnit.MILLISECONDS);
+					}
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+				}
+			}
+		});
+	}
+
 	void stop() {
 		this.process.close();
 	}
