--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -96,7 +96,8 @@
 		assertThat(this.duties.sizes()).noneMatch((size) -> size.reclaimable() && size.servers() < 3);
 	}
 
-	// Guards against a new holder of the duties that releases servers by the little demand
+	// Guards against a new holder of the duties that releases servers by the little
+	// demand
 	// that it has heard of so far.
 	@Test
 	void shouldNotReleaseServersWhenDutiesWereJustTakenOver() {
