Hold back only what occurs together also where other calls share a segment

All requests of a crash are kept beside the table now, also those of news that the table has already.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/CrashTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/CrashTable.java
@@ -94,6 +94,7 @@
 	 * @return whether the caller must check if the server crashed
 	 */
 	public boolean connectionLost(Evidence suspected, long nowNanos) {
+		this.segments.observe(suspected);
 		if (find(suspected.crash()).isPresent()) {
 			return false;
 		}
@@ -193,6 +194,7 @@
 
 	// The state of evidence only advances, so updates may be reordered and duplicated.
 	private Optional<Entry> merge(Evidence received, long nowNanos) {
+		this.segments.observe(received);
 		Optional<Entry> existing = find(received.crash());
 		if (existing.isEmpty()) {
 			Entry entry = add(received, nowNanos);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/SegmentQuarantine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/SegmentQuarantine.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.LongSummaryStatistics;
 import java.util.Map;
@@ -58,9 +57,19 @@
 	/** The time after the last crash before a probe is sent, in milliseconds. */
 	private static final long PROBE_DELAY_MILLIS = 30_000;
 
+	/** The maximum number of servers whose requests are kept. */
+	private static final int MAX_SERVERS = 512;
+
 	/** The uncleared evidence against each segment, oldest first. */
 	private final Map<SegmentSuspect, List<Evidence>> evidence = new LinkedHashMap<>();
 
+	/**
+	 * The suspected segments of each request that a server had when it crashed. The table
+	 * keeps one request for each segment and server; this keeps all, because it shows
+	 * which segments occur together.
+	 */
+	private final Map<Incarnation, Map<RequestDigest, Set<PromptSegment>>> requests = new LinkedHashMap<>();
+
 	private Set<Incarnation> explained = Set.of();
 
 	private volatile List<Hold> holds = List.of();
@@ -72,6 +81,22 @@
 		return new SegmentQuarantine();
 	}
 
+	/**
+	 * Records that a request had a segment when its server crashed, also if the table
+	 * already has evidence of the segment and the server.
+	 * @param observed the evidence
+	 */
+	void observe(Evidence observed) {
+		if (observed.crash().suspect() instanceof SegmentSuspect suspect) {
+			this.requests.computeIfAbsent(observed.crash().server(), (_) -> new HashMap<>())
+				.computeIfAbsent(observed.request(), (_) -> new HashSet<>())
+				.add(suspect.segment());
+			if (this.requests.size() > MAX_SERVERS) {
+				this.requests.remove(this.requests.keySet().iterator().next());
+			}
+		}
+	}
+
 	/**
 	 * Replaces the evidence against a segment.
 	 * @param suspect the segment
@@ -170,14 +195,15 @@
 		return crashes;
 	}
 
-	private static List<Hold> cover(Map<PromptSegment, Map<Incarnation, Evidence>> crashes) {
+	private List<Hold> cover(Map<PromptSegment, Map<Incarnation, Evidence>> crashes) {
 		Map<PromptSegment, Integer> counts = new HashMap<>();
 		crashes.forEach((segment, servers) -> counts.put(segment, servers.size()));
 		List<Hold> found = new ArrayList<>();
 		for (Optional<PromptSegment> worst = worst(crashes); worst.isPresent(); worst = worst(crashes)) {
 			Map<Incarnation, Evidence> explained = Map.copyOf(crashes.get(worst.get()));
+			Set<PromptSegment> together = together(worst.get(), explained.keySet(), crashes.keySet());
 			long last = explained.values().stream().mapToLong(Evidence::atMillis).max().orElseThrow();
-			found.add(new Hold(together(explained, crashes), explained.keySet(), counts.get(worst.get()), last));
+			found.add(new Hold(together, explained.keySet(), counts.get(worst.get()), last));
 			crashes.values().forEach((open) -> open.keySet().removeAll(explained.keySet()));
 		}
 		return found;
@@ -201,23 +227,20 @@
 		return at.getMax() - at.getMin() <= SuspectEvidence.SIMULTANEITY_WINDOW_MILLIS;
 	}
 
-	// The segments that the requests had under which the servers crashed.
-	private static Set<PromptSegment> together(Map<Incarnation, Evidence> explained,
-			Map<PromptSegment, Map<Incarnation, Evidence>> crashes) {
-		Set<PromptSegment> segments = new LinkedHashSet<>();
-		crashes.forEach((segment, open) -> {
-			long different = explained.entrySet().stream().filter((crash) -> !hasRequest(open, crash)).count();
-			if (different <= MAX_DIFFERENT_CRASHES) {
-				segments.add(segment);
-			}
-		});
-		return segments;
+	// The segments that occurred in the same requests as the worst one, but for a few
+	// crashes.
+	private Set<PromptSegment> together(PromptSegment worst, Set<Incarnation> servers, Set<PromptSegment> candidates) {
+		return candidates.stream().filter((segment) -> {
+			long different = servers.stream().filter((server) -> !isTogether(worst, segment, server)).count();
+			return different <= MAX_DIFFERENT_CRASHES;
+		}).collect(Collectors.toSet());
 	}
 
-	private static boolean hasRequest(Map<Incarnation, Evidence> open, Map.Entry<Incarnation, Evidence> crash) {
-		return Optional.ofNullable(open.get(crash.getKey()))
-			.filter((other) -> other.request().equals(crash.getValue().request()))
-			.isPresent();
+	private boolean isTogether(PromptSegment one, PromptSegment other, Incarnation server) {
+		return this.requests.getOrDefault(server, Map.of())
+			.values()
+			.stream()
+			.anyMatch((segments) -> segments.contains(one) && segments.contains(other));
 	}
 
 	/**
