Count a response that ended with its connection only by a check that began behind it

A check of a server that was under way already could find it alive right before it crashed, and the response that the crash cut off counted as complete: it cleared its request, and protected the segments of its prompt for a minute. Ends are now judged by the check that begins behind them. CrashRecordsTests#shouldCountCrashWhenCheckBeganBeforeResponseEnded failed before.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRecords.java
@@ -62,7 +62,9 @@
 
 	private final SoundSegments soundSegments = SoundSegments.empty();
 
-	/** Calls that ended with the connection of a server that is being checked. */
+	/**
+	 * Calls that ended with their connections and whose servers are yet to be checked.
+	 */
 	private final Map<Incarnation, List<UncertainEnd>> uncertainEnds = new HashMap<>();
 
 	/** Whether there are updates to send before the next report is due. */
@@ -186,10 +188,13 @@
 				&& this.soundSegments.contains(segment, nowNanos);
 	}
 
+	// A check says nothing about responses that ended after it began.
 	private void checkAlive(BackendServer server) {
 		if (this.livenessChecks.add(server.incarnation())) {
+			List<UncertainEnd> ends = Optional.ofNullable(this.uncertainEnds.remove(server.incarnation()))
+				.orElse(List.of());
 			this.callbacks.checkAlive(server,
-					(found) -> this.control.post((checkedNanos) -> livenessChecked(server, found, checkedNanos)));
+					(found) -> this.control.post((checkedNanos) -> livenessChecked(server, found, ends, checkedNanos)));
 		}
 	}
 
@@ -205,10 +210,8 @@
 		checkAlive(server);
 	}
 
-	private void livenessChecked(BackendServer server, Liveness found, long nowNanos) {
+	private void livenessChecked(BackendServer server, Liveness found, List<UncertainEnd> ends, long nowNanos) {
 		this.livenessChecks.remove(server.incarnation());
-		List<UncertainEnd> ends = Optional.ofNullable(this.uncertainEnds.remove(server.incarnation()))
-			.orElse(List.of());
 		switch (found) {
 			case ALIVE -> {
 				serverAlive(server.incarnation(), nowNanos, "server accepts connections", nowNanos);
@@ -222,6 +225,9 @@
 			case UNKNOWN ->
 				EventLog.info(GatewayEvents.LIVENESS_UNKNOWN, "server", server.id(), "started", server.startedMillis());
 		}
+		if (this.uncertainEnds.containsKey(server.incarnation())) {
+			checkAlive(server);
+		}
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.AfterEach;
@@ -121,6 +123,26 @@
 		GatewayHarness.await(() -> !this.records.isQuarantined(REQUEST));
 	}
 
+	// -- responses that end with their connections
+
+	// Guards against a crash that counts as a complete response, because a check that
+	// began before it found the server alive.
+	@Test
+	void shouldCountCrashWhenCheckBeganBeforeResponseEnded() {
+		List<Consumer<Liveness>> checks = new CopyOnWriteArrayList<>();
+		follow((_, reply) -> checks.add(reply));
+		BackendServer server = server(0);
+		this.control.post((_) -> this.records.endedWithConnection(CALL, server));
+		GatewayHarness.await(() -> checks.size() == 1);
+		CallSuspects later = new CallSuspects(Optional.of(new RequestDigest(8, 8)), "c2", Set.of());
+		this.control.post((_) -> this.records.endedWithConnection(later, server));
+		checks.getFirst().accept(Liveness.ALIVE);
+		GatewayHarness.await(() -> checks.size() == 2);
+		checks.getLast().accept(Liveness.DOWN);
+		GatewayHarness.await(() -> judge(later).servers().size() == 1);
+		assertThat(judge(CALL).servers()).isEmpty();
+	}
+
 	// -- the probe
 
 	// Two gateways claim the only probe of a request at the same time.
@@ -170,8 +192,11 @@
 	}
 
 	private void follow() {
-		this.records = new CrashRecords(store(), new BackendTable(), this.control, "gateway-1/1",
-				new UnreachableServers());
+		follow((_, reply) -> reply.accept(Liveness.DOWN));
+	}
+
+	private void follow(BiConsumer<BackendServer, Consumer<Liveness>> check) {
+		this.records = new CrashRecords(store(), new BackendTable(), this.control, "gateway-1/1", new Servers(check));
 		TableWatch watch = TableWatch.of(this.rows, CrashRows.TABLE, GatewayHarness.table(),
 				new PeerTables(this.loops, List::of), FreshnessLimits.defaults(), this.records.listener());
 		this.ticking.dispose();
@@ -186,13 +211,20 @@
 	}
 
 	private void breakConnection(int number) {
-		BackendServer server = new BackendServer("s" + number, 0, "app", "v1", "127.0.0.1:9", "a", 8, false, false, 0);
-		this.control.post((now) -> this.records.connectionBroke(CALL, server, now));
+		this.control.post((now) -> this.records.connectionBroke(CALL, server(number), now));
+	}
+
+	private static BackendServer server(int number) {
+		return new BackendServer("s" + number, 0, "app", "v1", "127.0.0.1:9", "a", 8, false, false, 0);
 	}
 
 	private QuarantineDecision judge() {
+		return judge(CALL);
+	}
+
+	private QuarantineDecision judge(CallSuspects call) {
 		CompletableFuture<QuarantineDecision> response = new CompletableFuture<>();
-		this.control.post((_) -> response.complete(this.records.judge(REQUEST)));
+		this.control.post((_) -> response.complete(this.records.judge(call)));
 		return response.join();
 	}
 
@@ -235,12 +267,16 @@
 				: Mono.just(value);
 	}
 
-	/** Servers that take no connection. */
-	private static final class UnreachableServers implements CrashRecords.Callbacks {
+	/**
+	 * Servers whose liveness a test determines.
+	 *
+	 * @param check receives each check and where to send what was found
+	 */
+	private record Servers(BiConsumer<BackendServer, Consumer<Liveness>> check) implements CrashRecords.Callbacks {
 
 		@Override
 		public void checkAlive(BackendServer server, Consumer<Liveness> reply) {
-			reply.accept(Liveness.DOWN);
+			this.check.accept(server, reply);
 		}
 
 		@Override
