Tell when the store came back from a copy, and where a reported sum comes from

The three hypotheses of the second report of a window could not be told apart: no line said that the store came back older, from where the counts of a report came, or on which version of its row the lease was taken. An answer of a restored store looked like one that is late (E2818).

E2822 tells whether the sum was stored or added up, E2820 and E2821 tell the version of the lease's row. No decision changes.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseStateMachine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseStateMachine.java
@@ -143,6 +143,14 @@
 		return this.row.map(LeaseRow::holder).orElse("");
 	}
 
+	/**
+	 * Returns the version of the last known row.
+	 * @return the version, 0 if there is no row
+	 */
+	public long rowVersion() {
+		return this.version;
+	}
+
 	/**
 	 * Returns whether an order may be sent now. After a process pause beyond the end of
 	 * the term the result is false, since the monotonic clock has advanced.
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -125,7 +125,7 @@
 		if (holds != this.held) {
 			this.held = holds;
 			EventLog.info(holds ? GatewayEvents.DUTIES_TAKEN : GatewayEvents.DUTIES_LOST, "fence", this.machine.fence(),
-					"holder", this.machine.holder());
+					"holder", this.machine.holder(), "rowVersion", this.machine.rowVersion());
 		}
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -83,6 +83,12 @@
 	 */
 	ROW_CALL_FAILED(2813),
 
+	/**
+	 * The platform's table service came back from a copy; what was written since that
+	 * copy is lost.
+	 */
+	STORE_RESTORED(2819),
+
 	/** This process holds the duties. */
 	DUTIES_TAKEN(2820),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -107,6 +106,8 @@
 
 	private final Platform platform;
 
+	private final StoreGenerations store;
+
 	private final int start = ThreadLocalRandom.current().nextInt();
 
 	private final BackendTable servers = new BackendTable();
@@ -194,6 +195,7 @@
 	private GatewayProcess(GatewaySettings settings, Platform platform, LoopResources loops) {
 		this.settings = settings;
 		this.platform = platform;
+		this.store = new StoreGenerations(platform.rows());
 		this.loops = loops;
 		this.quotas = new QuotaTable(settings.bounds().quotaWindowMillis(), System.nanoTime(),
 				settings.bounds().quotaSlack(), () -> ThreadLocalRandom.current().nextDouble());
@@ -203,7 +205,7 @@
 		this.gatewaysTable = table(settings);
 		this.crashesTable = table(settings);
 		this.control = ControlLoop.start("control", TICK_INTERVAL, this::tick);
-		this.crashes = new CrashRecords(platform.rows(), this.servers, this.control,
+		this.crashes = new CrashRecords(this.store, this.servers, this.control,
 				UsageDuty.processName(settings.name(), this.start), new CrashHooks());
 		this.rollouts = new Rollouts(RolloutTable.empty(settings.bounds().exposureShare()), this.servers,
 				UsageDuty.processName(settings.name(), this.start), () -> ThreadLocalRandom.current().nextDouble());
@@ -218,16 +220,15 @@
 		this.streams = new StreamOrigins(io, settings.name(), this.peers::send, this.metrics);
 		this.gateway = Gateway.open(io, new Gateway.Addresses(settings.callers(), settings.tunnels()), settings.zone(),
 				platform.calls(), this.decisions, this.streams, this.metrics);
-		this.tables = new SharedTables(platform.rows(), new PeerTables(loops, () -> this.tableAddresses));
-		this.directory = new GatewayDirectory(platform.rows(), settings, this.peers, this.fleet, this.control,
+		this.tables = new SharedTables(this.store, new PeerTables(loops, () -> this.tableAddresses));
+		this.directory = new GatewayDirectory(this.store, settings, this.peers, this.fleet, this.control,
 				this::gatewaysLoaded);
 		this.platformUpdates = new PlatformUpdates(platform.records(), this.control, this.servers, this.decisions,
 				this.rollouts, this.serversTable.freshness(), this::serverRestarted,
 				() -> this.metrics.increment("servers.unreadable"));
-		this.lease = new DutyLease(platform.rows(), settings.name(), this.start, this::onControl);
-		this.usageDuty = new UsageDuty(platform.rows(), platform.duties(), settings, this::onControl,
-				this.lease::giveUp);
-		this.rolloutDuty = new RolloutDuty(platform.rows(), platform.records(), this.rollouts, this.servers,
+		this.lease = new DutyLease(this.store, settings.name(), this.start, this::onControl);
+		this.usageDuty = new UsageDuty(this.store, platform.duties(), settings, this::onControl, this.lease::giveUp);
+		this.rolloutDuty = new RolloutDuty(this.store, platform.records(), this.rollouts, this.servers,
 				this::onControl);
 		this.reports = new GatewayReports(this.peers, this.fleet, this.servers, this.quotas, this.decisions, this.usage,
 				this.usageDuty, this.crashes, this.lease, this.tables, this.rollouts, this.rolloutDuty, this.callLimits,
@@ -236,16 +237,9 @@
 				(service) -> this.decisions.dispatcher().model(service).prefillTokensPerMilli(),
 				this.rollouts::countsTowardsCapacity, this.callLimits::hasLimit, platform.duties(), settings.zones(),
 				this::onControl, this.lease::giveUp);
-		this.metrics.gauge("log.dropped", EventLog::dropped);
-		this.metrics.gauge("control.lag.millis", () -> this.control.lagNanos() / NANOS_PER_MILLI);
-		this.metrics.gauge("servers.proven.millis", () -> confirmationAgeMillis(this.serversTable));
-		this.metrics.gauge("configuration.proven.millis", () -> confirmationAgeMillis(this.configurationTable));
-		this.metrics.gauge("requests.held", this.crashes::quarantinedCount);
-		this.metrics.gauge("segments.held", this.crashes::heldSegmentsCount);
-		this.metrics.gauge("servers.limited", this.callLimits::limitedCount);
-		this.metrics.gauge("servers.backoff", () -> this.servers.notices().backoffCount(System.nanoTime()));
-		this.metrics.gauge("servers.stated.leaving", () -> this.servers.notices().leavingCount());
-		this.metrics.gauge("calls.waiting", this.callLimits::reportedWaiting);
+		new GatewayGauges(this.control, this.servers, this.configurationTable, this.serversTable, this.crashes,
+				this.callLimits, this.store)
+			.register(this.metrics);
 		// Opened last, because its requests use all other components.
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
 				Map.of(platform.records().configuration().table(), this.configurationTable,
@@ -300,11 +294,6 @@
 		return callOnControl(() -> this.decisions.dispatcher().model(service).fittedCoefficients());
 	}
 
-	private static long confirmationAgeMillis(TableReplica table) {
-		OptionalLong age = table.freshness().ageNanos(System.nanoTime());
-		return age.isPresent() ? age.getAsLong() / NANOS_PER_MILLI : -1;
-	}
-
 	private <T> T callOnControl(Supplier<T> query) {
 		return onControl((_) -> query.get()).join();
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -203,7 +203,7 @@
 			collected.addAll(page.rows());
 			long version = firstVersion.orElse(page.version());
 			if (!page.hasMore()) {
-				return Mono.just(new Page(collected, false, version));
+				return Mono.just(new Page(collected, false, version, page.generation()));
 			}
 			// The smallest key after the last one.
 			return readPages(page.rows().getLast().key() + '\0', collected, OptionalLong.of(version));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -251,7 +251,8 @@
 		for (Row row : rows) {
 			Optional<Map<String, Long>> counts = decode(row.key(), row.value().orElse(new byte[0]));
 			if (row.key().equals(key(window, SUM_NAME))) {
-				counts.ifPresentOrElse((decoded) -> report(fence, window, decoded, rows.size() - 1, List.of()),
+				counts.ifPresentOrElse(
+						(decoded) -> report(fence, new Sum(window, decoded, rows.size() - 1, "stored"), List.of()),
 						() -> abandon(window, "stored sum cannot be decoded"));
 				return;
 			}
@@ -263,7 +264,7 @@
 				List.of(new Write(key(window, SUM_NAME), RowJson.write(sum))), List.of());
 		this.store.commit(commit).subscribe((outcome) -> this.control.accept(() -> {
 			switch (outcome) {
-				case Outcome.Committed _ -> report(fence, window, sum, keys.size(), keys);
+				case Outcome.Committed _ -> report(fence, new Sum(window, sum, keys.size(), "added up"), keys);
 				case Outcome.Conflict _ -> finishAttempt(0);
 			}
 		}), (failure) -> this.control.accept(() -> failed(window, failure)));
@@ -278,11 +279,12 @@
 		}
 	}
 
-	private void report(long fence, long window, Map<String, Long> counts, int gateways, List<String> keys) {
-		this.duties.reportUsage(fence, window, counts).subscribe((_) -> {
+	private void report(long fence, Sum sum, List<String> keys) {
+		long window = sum.window();
+		this.duties.reportUsage(fence, window, sum.counts()).subscribe((_) -> {
 		}, (failure) -> this.control.accept(() -> failed(window, failure)), () -> this.control.accept(() -> {
-			EventLog.info(GatewayEvents.USAGE_REPORTED, "window", window, "fence", fence, "gateways", gateways,
-					"counts", counts);
+			EventLog.info(GatewayEvents.USAGE_REPORTED, "window", window, "fence", fence, "gateways", sum.gateways(),
+					"sum", sum.origin(), "counts", sum.counts());
 			this.reported.add(window);
 			finishAttempt(0);
 			deleteRows(window, keys);
@@ -345,6 +347,17 @@
 		}
 	}
 
+	/**
+	 * The counts of a window.
+	 *
+	 * @param window the window
+	 * @param counts the calls of all gateways, by organisation
+	 * @param gateways the number of rows of gateways
+	 * @param origin where the counts come from, for the log
+	 */
+	private record Sum(long window, Map<String, Long> counts, int gateways, String origin) {
+	}
+
 	/**
 	 * A row that is not confirmed as written.
 	 *
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/RowStore.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/RowStore.java
@@ -13,6 +13,11 @@
  * The response to a commit can be lost after the commit took effect, and a commit can
  * take effect seconds later if its conditions still hold. The verdict of
  * {@link StoreException} states whether this is possible.
+ *
+ * <p>
+ * The service may come back from a copy that is some seconds old. It has lost the commits
+ * since then, and assigns their versions again. Each response names the generation of the
+ * service, which rises by one each time.
  */
 public interface RowStore {
 
@@ -69,8 +74,9 @@
 	 * @param rows the rows
 	 * @param hasMore whether the range contains further rows
 	 * @param version the newest version of the store when the page was read
+	 * @param generation the generation of the store
 	 */
-	record Page(List<Row> rows, boolean hasMore, long version) {
+	record Page(List<Row> rows, boolean hasMore, long version, long generation) {
 
 		public Page {
 			rows = List.copyOf(rows);
@@ -128,16 +134,27 @@
 	/** The outcome of a transaction. */
 	sealed interface Outcome {
 
+		/**
+		 * Returns the generation of the store that answered.
+		 * @return the generation
+		 */
+		long generation();
+
 		/**
 		 * The transaction took effect.
 		 *
 		 * @param version the version of the rows written
+		 * @param generation the generation of the store
 		 */
-		record Committed(long version) implements Outcome {
+		record Committed(long version, long generation) implements Outcome {
 		}
 
-		/** A condition did not hold; nothing was written. */
-		record Conflict() implements Outcome {
+		/**
+		 * A condition did not hold; nothing was written.
+		 *
+		 * @param generation the generation of the store
+		 */
+		record Conflict(long generation) implements Outcome {
 		}
 
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
@@ -28,6 +28,8 @@
 
 	private long historyStart;
 
+	private long generation;
+
 	private boolean unavailable;
 
 	/** Commits rejected during an outage, by table. */
@@ -84,6 +86,35 @@
 		this.historyStart = this.version;
 	}
 
+	/**
+	 * Returns a copy of the rows and their history.
+	 * @return the copy
+	 */
+	synchronized Copy copy() {
+		Map<String, TreeMap<String, Row>> rows = new HashMap<>();
+		this.tables.forEach((table, content) -> rows.put(table, new TreeMap<>(content)));
+		return new Copy(rows, List.copyOf(this.history), this.version);
+	}
+
+	/**
+	 * Replaces all rows by those of a copy, with the next generation. The waiting
+	 * requests fail.
+	 * @param copy the copy
+	 */
+	synchronized void restore(Copy copy) {
+		this.tables.clear();
+		copy.rows.forEach((table, content) -> this.tables.put(table, new TreeMap<>(content)));
+		this.history.clear();
+		this.history.addAll(copy.history);
+		this.version = copy.version;
+		this.generation++;
+		notifyAll();
+	}
+
+	synchronized long generation() {
+		return this.generation;
+	}
+
 	synchronized Map<String, Row> rows(String table) {
 		return Map.copyOf(this.tables.getOrDefault(table, new TreeMap<>()));
 	}
@@ -114,13 +145,13 @@
 		for (Condition condition : commit.conditions()) {
 			long found = Optional.ofNullable(rows.get(condition.key())).map(Row::version).orElse(0L);
 			if (found != condition.version()) {
-				return new Outcome.Conflict();
+				return new Outcome.Conflict(this.generation);
 			}
 		}
 		commit.writes().forEach((write) -> write(commit.table(), write.key(), Optional.of(write.value())));
 		commit.deletes().forEach((key) -> write(commit.table(), key, Optional.empty()));
 		notifyAll();
-		return new Outcome.Committed(this.version);
+		return new Outcome.Committed(this.version, this.generation);
 	}
 
 	private synchronized Page readPage(Range range) {
@@ -131,14 +162,18 @@
 			.filter((row) -> row.key().compareTo(range.from()) >= 0)
 			.filter((row) -> range.to().isEmpty() || row.key().compareTo(range.to()) < 0)
 			.toList();
-		return new Page(rows, false, this.version);
+		return new Page(rows, false, this.version, this.generation);
 	}
 
 	private synchronized Page awaitChanges(String table, long since, Duration wait) throws InterruptedException {
 		long until = System.nanoTime() + wait.toNanos();
+		long begun = this.generation;
 		while (true) {
 			checkAvailable();
-			if (since < this.historyStart) {
+			if (this.generation != begun) {
+				throw StoreException.of(Reason.UNREACHABLE, Verdict.notRun(), "connection closed");
+			}
+			if (since < this.historyStart || since > this.version) {
 				throw StoreException.of(Reason.HISTORY_LOST, Verdict.notRun(), "history lost");
 			}
 			List<Row> rows = this.history.stream()
@@ -147,7 +182,7 @@
 				.toList();
 			long left = until - System.nanoTime();
 			if (!rows.isEmpty() || left <= 0 || this.closed) {
-				return new Page(rows, false, this.version);
+				return new Page(rows, false, this.version, this.generation);
 			}
 			this.waitingRequests.merge(table, 1, Integer::sum);
 			wait(Math.max(1, left / 1_000_000));
@@ -174,7 +209,17 @@
 		this.history.add(new Change(table, row));
 	}
 
-	private record Change(String table, Row row) {
+	record Change(String table, Row row) {
+	}
+
+	/**
+	 * The rows at one moment.
+	 *
+	 * @param rows the rows by table and key
+	 * @param history the changes before it
+	 * @param version the version of the store
+	 */
+	record Copy(Map<String, TreeMap<String, Row>> rows, List<Change> history, long version) {
 	}
 
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableWatchTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableWatchTests.java
@@ -36,7 +36,7 @@
 			@Override
 			public Mono<Page> read(Range range) {
 				boolean first = range.from().isEmpty();
-				return Mono.just(new Page(List.of(row(first ? "a" : "b")), first, first ? 10 : 20));
+				return Mono.just(new Page(List.of(row(first ? "a" : "b")), first, first ? 10 : 20, 0));
 			}
 
 			@Override
@@ -65,13 +65,13 @@
 
 			@Override
 			public Mono<Page> read(Range range) {
-				return Mono.just(new Page(List.of(), false, 1));
+				return Mono.just(new Page(List.of(), false, 1, 0));
 			}
 
 			@Override
 			public Mono<Page> changes(String table, long since, Duration wait) {
 				asked.incrementAndGet();
-				return Mono.delay(Duration.ofMillis(1)).map((_) -> new Page(List.of(row("a")), false, since + 1));
+				return Mono.delay(Duration.ofMillis(1)).map((_) -> new Page(List.of(row("a")), false, since + 1, 0));
 			}
 		};
 		PeerTables peers = new PeerTables(LoopResources.create("test", 1, true), List::of);
