--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -284,6 +284,11 @@
 		return callOnControl(() -> this.servers.find(server).isPresent());
 	}
 
+	// Returns the version of the configuration in force, 0 before the first one.
+	long configurationVersion() {
+		return this.decisions.configuration().map(TrafficConfiguration::version).orElse(0L);
+	}
+
 	// Returns whether this gateway reads the tables from the store itself.
 	boolean readsTables() {
 		return callOnControl(() -> this.tables.role().reads());
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -344,6 +344,14 @@
 		return this.process.knowsServer(server);
 	}
 
+	/**
+	 * Returns the version of the configuration in force.
+	 * @return the version, 0 before the first one
+	 */
+	long configurationVersion() {
+		return this.process.configurationVersion();
+	}
+
 	/**
 	 * Returns whether the gateway reads the tables from the store itself.
 	 * @return false while it receives the changes from other gateways
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RestoredStoreTests.java
@@ -0,0 +1,103 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import org.rosemaryfront.gateway.RecordedDuties.Usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * The store comes back from a copy: what was written since then is lost, and its versions
+ * are assigned again.
+ */
+class RestoredStoreTests {
+
+	private static final long USAGE_WINDOW_MILLIS = 1_000;
+
+	/** The age of the copy that the store comes back from, in milliseconds. */
+	private static final long COPY_AGE_MILLIS = 4_500;
+
+	private static final int CALLS = 5;
+
+	// Guards against a second report of a window, with other counts, by a successor that
+	// finds neither the sum nor all rows of the window.
+	@Test
+	void shouldReportEachWindowOnceWhenHolderEndsBehindRestore() throws Exception {
+		try (GatewayHarness holder = GatewayHarness.startWithUsageWindow(USAGE_WINDOW_MILLIS);
+				ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			holder.declare().register("s1", server).ready();
+			GatewayHarness.await(() -> !holder.duties.usages().isEmpty());
+			try (GatewayHarness successor = GatewayHarness.startSecond(holder)) {
+				successor.ready(List.of("s1"));
+				GatewayHarness.await(() -> holder.liveGateways() == 2 && successor.liveGateways() == 2);
+				MemoryRowStore.Copy copy = holder.store.copy();
+				callFor(COPY_AGE_MILLIS, holder, successor);
+				holder.store.restore(copy);
+				holder.storeAccess.rejectAll();
+				holder.stop();
+				long last = holder.duties.usages().getLast().window();
+				GatewayHarness
+					.await(() -> successor.duties.usages().stream().anyMatch((usage) -> usage.window() > last + 2));
+				assertThat(reportedTwice(holder, successor)).isEmpty();
+			}
+		}
+	}
+
+	// Guards against two holders of the duties that act with the same fencing number,
+	// because the row with it is lost.
+	@Test
+	void shouldTakeHigherFenceWhenRowOfLeaseIsLost() throws Exception {
+		try (GatewayHarness first = GatewayHarness.startWithUsageWindow(USAGE_WINDOW_MILLIS).declare().ready()) {
+			GatewayHarness.await(() -> !first.duties.usages().isEmpty());
+			MemoryRowStore.Copy copy = first.store.copy();
+			first.stop();
+			try (GatewayHarness second = GatewayHarness.startSecond(first)) {
+				GatewayHarness.await(() -> !second.duties.usages().isEmpty());
+				second.storeAccess.rejectAll();
+				second.stop();
+				first.store.restore(copy);
+				try (GatewayHarness third = GatewayHarness.startSecond(first)) {
+					GatewayHarness.await(() -> !third.duties.usages().isEmpty());
+					assertThat(third.duties.usages()).extracting(Usage::fence)
+						.allMatch((fence) -> fence > highestFence(second));
+				}
+			}
+		}
+	}
+
+	private static long highestFence(GatewayHarness gateway) {
+		return gateway.duties.usages().stream().mapToLong(Usage::fence).max().orElseThrow();
+	}
+
+	private static void callFor(long millis, GatewayHarness... gateways) throws IOException {
+		long until = System.nanoTime() + millis * 1_000_000;
+		while (System.nanoTime() - until < 0) {
+			for (GatewayHarness gateway : gateways) {
+				for (int i = 0; i < CALLS; i++) {
+					gateway.send(RawCaller.get("c1", "/sheets/"));
+				}
+			}
+		}
+	}
+
+	private static Set<Long> reportedTwice(GatewayHarness... gateways) {
+		Map<Long, Map<String, Long>> reported = new HashMap<>();
+		Set<Long> twice = new HashSet<>();
+		Stream.of(gateways).flatMap((gateway) -> gateway.duties.usages().stream()).forEach((Usage usage) -> {
+			Map<String, Long> before = reported.putIfAbsent(usage.window(), usage.counts());
+			if (before != null && !before.equals(usage.counts())) {
+				twice.add(usage.window());
+			}
+		});
+		return twice;
+	}
+
+}
