Give each generation of the store its own row of the lease, and order fencing numbers by generation

Seen by operators: two holders of the duties acted with the same fencing number, since the row with it was lost; and a gateway could take the missing or older row for a free lease while the holder still acted.

Cause: the lease rested on the row alone, and conditions on versions that are assigned again.

A generation has its own row (duties in generation 0, duties/N in others), so that a write from before a restore that takes effect behind it changes nothing there. A fencing number is the generation in the upper bits and a count below; within a generation the store loses nothing, so that no number comes again. A holder stops when it learns of a newer generation, from the store or from another gateway's report, and acquires the row there at once: nobody else can have held the lease since. Any other process waits for a full term while there is no row, which a holder that has not learned of it does not outlast. Numbers stay exact as floating point up to generation 2^21.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseStateMachine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseStateMachine.java
@@ -23,6 +23,13 @@
  * be before the holder sent the write; it then writes on condition that the row is
  * unchanged.
  *
+ * <p>
+ * The table service may come back from a copy, and has then lost the row or an earlier
+ * state of it. Each of its generations therefore has its own row, and fencing numbers are
+ * ordered by generation first. A holder stops when it learns of a newer generation, and
+ * may acquire the lease there at once; any other process waits for a full term of a
+ * holder that has not learned of it.
+ *
  * <pre>
  * LeaseStateMachine lease = LeaseStateMachine.of("vm-1", terms, seed);
  * lease.tick(now).forEach(driver::execute);
@@ -39,6 +46,12 @@
 	 */
 	private static final long READ_INTERVAL_NANOS_PER_PROCESS = 25 * NANOS_PER_MILLI;
 
+	/**
+	 * The bits of a fencing number below the generation. Up to generation 2^21 fencing
+	 * numbers are exact where numbers are stored as floating point.
+	 */
+	private static final int FENCE_BITS = 32;
+
 	/** The time after which an announcement of the holder expires. */
 	private static final long ANNOUNCEMENT_TIMEOUT_NANOS = 1_000 * NANOS_PER_MILLI;
 
@@ -73,6 +86,24 @@
 
 	private long validUntilNanos;
 
+	/** The generation of the table service. */
+	private long generation;
+
+	/**
+	 * The time before which the lease is not acquired while it has no row in this
+	 * generation.
+	 */
+	private OptionalLong vacantUntilNanos = OptionalLong.empty();
+
+	/**
+	 * Whether this process held the lease when it learned of this generation, and no
+	 * other process can have held it since.
+	 */
+	private boolean resuming;
+
+	/** The number of times that this process acquired the lease from another holder. */
+	private long tenure;
+
 	private boolean releasing;
 
 	/**
@@ -151,6 +182,16 @@
 		return this.version;
 	}
 
+	/**
+	 * Returns how often this process acquired the lease without having held it
+	 * continuously since the time before. A restore of the table service does not
+	 * interrupt a tenure in which no other process could hold the lease.
+	 * @return the number of the current or last tenure, 0 before the first one
+	 */
+	public long tenure() {
+		return this.tenure;
+	}
+
 	/**
 	 * Returns whether an order may be sent now. After a process pause beyond the end of
 	 * the term the result is false, since the monotonic clock has advanced.
@@ -215,6 +256,38 @@
 		}
 	}
 
+	/**
+	 * Continues with the row of another generation of the table service.
+	 * @param newGeneration the generation
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	public void continueInGeneration(long newGeneration, long nowNanos) {
+		this.resuming = (this.holding || this.resuming) && !this.releasing && nowNanos - this.validUntilNanos < 0;
+		long termNanos = Math.max(this.terms.termNanos(),
+				this.row.map((known) -> known.termMillis() * NANOS_PER_MILLI).orElse(0L));
+		this.vacantUntilNanos = this.resuming ? OptionalLong.empty() : OptionalLong.of(nowNanos + termNanos);
+		this.generation = newGeneration;
+		this.highestFence = Math.max(this.highestFence, newGeneration << FENCE_BITS);
+		this.holding = false;
+		this.row = Optional.empty();
+		this.version = 0;
+		this.rowKnown = false;
+		this.pendingWrites.clear();
+		this.ownTokens.clear();
+		this.readInFlight = false;
+		this.writeInFlight = "";
+		this.nextReadNanos = nowNanos;
+		this.nextWriteNanos = nowNanos;
+	}
+
+	/**
+	 * Returns the generation whose row this process uses.
+	 * @return the generation, 0 unless it was set
+	 */
+	public long generation() {
+		return this.generation;
+	}
+
 	/**
 	 * Sets the number of processes that read the row, so that their total read rate is
 	 * limited.
@@ -329,6 +402,7 @@
 				&& !observedRow.map((observed) -> this.ownTokens.contains(observed.token())).orElse(false)) {
 			this.holding = false;
 		}
+		this.resuming &= observedRow.isEmpty() || ownWrite != null;
 		// Writes that are conditional on another version can no longer take effect.
 		this.pendingWrites.values().removeIf((write) -> write.version() != observedVersion);
 	}
@@ -342,6 +416,8 @@
 		// late, or lost and replaced by a read, while a successor's wait may have begun
 		// when the write took effect.
 		this.validUntilNanos = ownWrite.sentNanos() + this.terms.termNanos() - this.terms.marginNanos();
+		this.tenure += (this.holding || this.resuming) ? 0 : 1;
+		this.resuming = false;
 		this.holding = true;
 		this.heldFence = ownWrite.row().fence();
 		this.ownTokens.clear();
@@ -368,7 +444,10 @@
 		if (this.announcedUntilNanos.isPresent() && nowNanos - this.announcedUntilNanos.getAsLong() < 0) {
 			return false;
 		}
-		if (this.row.isEmpty() || this.row.get().isReleased()) {
+		if (this.row.isEmpty()) {
+			return this.vacantUntilNanos.isEmpty() || nowNanos - this.vacantUntilNanos.getAsLong() >= 0;
+		}
+		if (this.row.get().isReleased()) {
 			return true;
 		}
 		LeaseRow current = this.row.get();
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseStateMachineTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseStateMachineTests.java
@@ -171,6 +171,64 @@
 		assertThat(writes(20_000 * MILLI)).isEmpty();
 	}
 
+	// -- a table service that comes back from a copy
+
+	@Test
+	void shouldAcquireWithHigherFenceAtOnceWhenItHeldLeaseBeforeRestore() {
+		LeaseCommand.Write write = acquire(0);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), MILLI);
+		this.lease.continueInGeneration(1, 2_000 * MILLI);
+		assertThat(this.lease.maySendOrders(2_000 * MILLI)).isFalse();
+		LeaseCommand.Write again = acquire(2_000 * MILLI);
+		assertThat(again.row().fence()).isEqualTo((1L << 32) + 1);
+		this.lease.accept(new LeaseEvent.WriteCommitted(again.row().token(), 1), 2_010 * MILLI);
+		assertThat(this.lease.maySendOrders(2_010 * MILLI)).isTrue();
+		assertThat(this.lease.tenure()).isEqualTo(1);
+	}
+
+	// Guards against a successor that takes the missing row for a free lease while the
+	// holder has not learned of the restore.
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void shouldWaitForTermWhenRowIsMissingAfterRestore(boolean heldBefore) {
+		if (heldBefore) {
+			LeaseCommand.Write write = acquire(0);
+			this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), MILLI);
+		}
+		long restored = 9_500 * MILLI;
+		this.lease.continueInGeneration(1, restored);
+		read(restored, Optional.empty(), 0);
+		assertThat(writes(restored + 9_999 * MILLI)).isEmpty();
+		assertThat(writes(restored + 10_000 * MILLI)).hasSize(1);
+	}
+
+	@Test
+	void shouldAcquireImmediatelyWhenHolderOfThisGenerationReleased() {
+		this.lease.continueInGeneration(1, 0);
+		read(0, Optional.of(new LeaseRow("", (1L << 32) + 4, 10_000, "x")), 3);
+		assertThat(writes(1).getFirst().row().fence()).isEqualTo((1L << 32) + 5);
+	}
+
+	@Test
+	void shouldBeginNewTenureWhenAnotherHeldLeaseAfterRestore() {
+		LeaseCommand.Write write = acquire(0);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), MILLI);
+		this.lease.continueInGeneration(1, 2_000 * MILLI);
+		read(2_000 * MILLI, Optional.of(new LeaseRow("vm-2", (1L << 32) + 1, 10_000, "x")), 3);
+		List<LeaseCommand.Write> writes = writes(12_000 * MILLI);
+		this.lease.accept(new LeaseEvent.WriteCommitted(writes.getFirst().row().token(), 4), 12_001 * MILLI);
+		assertThat(this.lease.maySendOrders(12_001 * MILLI)).isTrue();
+		assertThat(this.lease.tenure()).isEqualTo(2);
+	}
+
+	@Test
+	void shouldIgnoreResponsesFromBeforeRestore() {
+		LeaseCommand.Write write = acquire(0);
+		this.lease.continueInGeneration(1, MILLI);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), 2 * MILLI);
+		assertThat(this.lease.maySendOrders(2 * MILLI)).isFalse();
+	}
+
 	// -- helpers
 
 	private LeaseCommand.Write acquire(long now) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -13,7 +13,6 @@
 import org.rosemaryfront.lease.LeaseStateMachine;
 import org.rosemaryfront.lease.LeaseTiming;
 import org.rosemaryfront.model.Verdict;
-import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.ports.RowStore.Commit;
 import org.rosemaryfront.ports.RowStore.Condition;
 import org.rosemaryfront.ports.RowStore.Outcome;
@@ -24,8 +23,8 @@
 import org.rosemaryfront.tables.StoreVersion;
 
 /**
- * Holds the lease on the singleton duties, stored in one row of the table service. Used
- * on the control thread.
+ * Holds the lease on the singleton duties, stored in one row of the table service for
+ * each of its generations. Used on the control thread.
  */
 final class DutyLease {
 
@@ -63,7 +62,7 @@
 
 	private static final String KEY = "duties";
 
-	private final RowStore store;
+	private final StoreGenerations store;
 
 	private final LeaseStateMachine machine;
 
@@ -71,13 +70,23 @@
 
 	private boolean held;
 
-	DutyLease(RowStore store, String self, long seed, Consumer<Runnable> control) {
+	DutyLease(StoreGenerations store, String self, long seed, Consumer<Runnable> control) {
 		this.store = store;
 		this.control = control;
 		this.machine = LeaseStateMachine.of(self, TERMS, seed);
 	}
 
+	/**
+	 * Sends the requests that are due, once the generation of the store is known.
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
 	void tick(long nowNanos) {
+		if (this.store.newest() < 0) {
+			return;
+		}
+		if (this.store.newest() != this.machine.generation()) {
+			this.machine.continueInGeneration(this.store.newest(), nowNanos);
+		}
 		for (LeaseCommand command : this.machine.tick(nowNanos)) {
 			switch (command) {
 				case LeaseCommand.Read read -> read(read);
@@ -88,7 +97,15 @@
 	}
 
 	boolean mayAct(long nowNanos) {
-		return this.machine.maySendOrders(nowNanos);
+		return this.machine.maySendOrders(nowNanos) && this.store.newest() == this.machine.generation();
+	}
+
+	/**
+	 * Returns the number of the current or last tenure of this process.
+	 * @return the number; while it stays the same, no other process held the lease
+	 */
+	long tenure() {
+		return this.machine.tenure();
 	}
 
 	long fence() {
@@ -122,7 +139,7 @@
 	}
 
 	private void logChange(long nowNanos) {
-		boolean holds = this.machine.maySendOrders(nowNanos);
+		boolean holds = mayAct(nowNanos);
 		if (holds != this.held) {
 			this.held = holds;
 			EventLog.info(holds ? GatewayEvents.DUTIES_TAKEN : GatewayEvents.DUTIES_LOST, "fence", this.machine.fence(),
@@ -131,19 +148,21 @@
 	}
 
 	private void read(LeaseCommand.Read read) {
-		this.store.read(new Range(TABLE, KEY, KEY + '\0')).subscribe((page) -> {
+		String key = key();
+		this.store.read(new Range(TABLE, key, key + '\0')).subscribe((page) -> {
 			Optional<Row> row = page.rows().stream().findFirst();
 			accept(new LeaseEvent.RowRead(read.number(), row.flatMap(Row::value).map(DutyLease::decode),
 					row.map(Row::version).orElse(0L)));
 		}, (failure) -> {
-			RowLog.failed(KEY, "read", failure);
+			RowLog.failed(key, "read", failure);
 			accept(new LeaseEvent.ReadFailed(read.number()));
 		});
 	}
 
 	private void write(LeaseCommand.Write write) {
-		Commit commit = new Commit(TABLE, List.of(new Condition(KEY, write.version())),
-				List.of(new Write(KEY, encode(write.row()))), List.of());
+		String key = key();
+		Commit commit = new Commit(TABLE, List.of(new Condition(key, write.version())),
+				List.of(new Write(key, encode(write.row()))), List.of());
 		String token = write.row().token();
 		this.store.commit(commit).subscribe((outcome) -> {
 			switch (outcome) {
@@ -151,12 +170,18 @@
 				case Outcome.Conflict _ -> accept(new LeaseEvent.WriteRejected(token));
 			}
 		}, (failure) -> {
-			RowLog.failed(KEY, "write", failure);
+			RowLog.failed(key, "write", failure);
 			boolean notRun = failure instanceof StoreException ex && ex.verdict() instanceof Verdict.NotRun;
 			accept(notRun ? new LeaseEvent.WriteRejected(token) : new LeaseEvent.WriteUnknown(token));
 		});
 	}
 
+	// A write from before a restore that takes effect after it leaves the row of the new
+	// generation unchanged.
+	private String key() {
+		return (this.machine.generation() == 0) ? KEY : KEY + '/' + this.machine.generation();
+	}
+
 	private void accept(LeaseEvent event) {
 		this.control.accept(() -> this.machine.accept(event, System.nanoTime()));
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -81,6 +81,8 @@
 
 	private final long startedNanos;
 
+	private boolean stopped;
+
 	private GatewayHarness(String name, long usageWindowMillis, MemoryRowStore store, PlainCodecs codecs) {
 		this(name, usageWindowMillis, STOP_MILLIS, store, codecs);
 	}
@@ -453,12 +455,15 @@
 	}
 
 	void stop() {
-		this.process.close();
+		if (!this.stopped) {
+			this.stopped = true;
+			this.process.close();
+		}
 	}
 
 	@Override
 	public void close() {
-		this.process.close();
+		stop();
 		this.store.close();
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RowFormsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RowFormsTests.java
@@ -92,7 +92,9 @@
 
 	@Test
 	void shouldKeepFormOfLeaseWhenGatewayTakesDuties() {
-		DutyLease lease = new DutyLease(this.rows, "gateway-1", 7, this.control);
+		StoreGenerations store = new StoreGenerations(this.rows);
+		store.observe(0);
+		DutyLease lease = new DutyLease(store, "gateway-1", 7, this.control);
 		awaitRow("leases", "duties", () -> lease.tick(System.nanoTime()));
 		assertRow("leases", "duties",
 				"{\"holder\":\"gateway-1\",\"fence\":1,\"termMillis\":5000,\"token\":\"gateway-1-7-1\"}");
