Never add up a window of usage whose sum may be lost

Seen by the users: usage of a window was sent twice with other counts, by successive holders of the duties, behind a store that came back from a copy ( and of their record).

Cause: the stored sum was the only memory of what had been reported, and its acknowledged write was taken to last. The successor found no sum, added up the rows it had and reported.

A window without a known sum is added up only if no sum of it can be lost (UsageSums): it ended behind the last restore that this process learned of, by the most advanced clock heard of, or within this process's own tenure. Else it is given up (E2824). A tenure goes on over a restore if nobody else can have held the lease. The sum goes to the other gateways in their reports before it is first reported, so that a successor repeats it. Sums of each generation have their own key, since a delayed write of an earlier one can take effect behind the restore. Rows of counts stay until their window is added up, and are written again behind a restore (E2829); the holder waits 1.5 s for them. E2828 tells where a sum comes from. UsageRows is split off UsageDuty.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -68,9 +68,12 @@
 
 	private final Consumer<Runnable> control;
 
+	private final ProcessClock clock;
+
 	private boolean held;
 
-	DutyLease(StoreGenerations store, String self, long seed, Consumer<Runnable> control) {
+	DutyLease(StoreGenerations store, String self, long seed, Consumer<Runnable> control, ProcessClock clock) {
+		this.clock = clock;
 		this.store = store;
 		this.control = control;
 		this.machine = LeaseStateMachine.of(self, TERMS, seed);
@@ -164,7 +167,7 @@
 		Commit commit = new Commit(TABLE, List.of(new Condition(key, write.version())),
 				List.of(new Write(key, encode(write.row()))), List.of());
 		String token = write.row().token();
-		this.store.commit(commit).subscribe((outcome) -> {
+		this.store.commitIn(this.machine.generation(), commit).subscribe((outcome) -> {
 			switch (outcome) {
 				case Outcome.Committed done -> accept(new LeaseEvent.WriteCommitted(token, done.version()));
 				case Outcome.Conflict _ -> accept(new LeaseEvent.WriteRejected(token));
@@ -183,7 +186,7 @@
 	}
 
 	private void accept(LeaseEvent event) {
-		this.control.accept(() -> this.machine.accept(event, System.nanoTime()));
+		this.control.accept(() -> this.machine.accept(event, this.clock.nanos()));
 	}
 
 	private static byte[] encode(LeaseRow row) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -116,6 +116,18 @@
 	 */
 	USAGE_FROM_PEERS(2827),
 
+	/**
+	 * The sum of a window's usage is in the store: this process added it up or found it
+	 * there.
+	 */
+	USAGE_SUM_STORED(2828),
+
+	/**
+	 * Rows that this process had written are written again, because the platform's table
+	 * service came back from a copy.
+	 */
+	ROWS_WRITTEN_AGAIN(2829),
+
 	/**
 	 * A report of another gateway was received for the first time, or again after a
 	 * timeout.
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -226,8 +226,9 @@
 		this.platformUpdates = new PlatformUpdates(platform.records(), this.control, this.servers, this.decisions,
 				this.rollouts, this.serversTable.freshness(), this::serverRestarted,
 				() -> this.metrics.increment("servers.unreadable"));
-		this.lease = new DutyLease(this.store, settings.name(), this.start, this::onControl);
-		this.usageDuty = new UsageDuty(this.store, platform.duties(), settings, this::onControl, this.lease::giveUp);
+		this.lease = new DutyLease(this.store, settings.name(), this.start, this::onControl, ProcessClock.system());
+		this.usageDuty = new UsageDuty(this.store, platform.duties(), settings, this::onControl, this.lease,
+				ProcessClock.system());
 		this.rolloutDuty = new RolloutDuty(this.store, platform.records(), this.rollouts, this.servers,
 				this::onControl);
 		this.reports = new GatewayReports(this.peers, this.fleet, this.servers, this.quotas, this.decisions, this.usage,
@@ -388,7 +389,7 @@
 		this.crashes.tick(now);
 		this.tables.tick(now);
 		this.reportAwaited |= this.crashes.isUrgent() || this.tables.isUrgent(now) || this.callLimits.isUrgent()
-				|| this.decisions.rejections().takeUrgent();
+				|| this.decisions.rejections().takeUrgent() || this.usageDuty.isUrgent();
 		if (now - this.lastReportNanos >= (this.reportAwaited ? MIN_REPORT_INTERVAL_NANOS
 				: this.fleet.reportIntervalNanos())) {
 			this.lastReportNanos = now;
@@ -467,7 +468,7 @@
 			Set<String> organisations = new HashSet<>();
 			configuration.get().organisations().stream().map(Organisation::name).forEach(organisations::add);
 			this.crashes.cleanUp(epochMillis);
-			this.usageDuty.act(this.lease.fence(), epochMillis, organisations);
+			this.usageDuty.act(epochMillis, organisations);
 			this.sizeDuty.act(this.lease.fence(), configuration.get(), now);
 			this.rolloutDuty.advance(epochMillis, now);
 		}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -23,6 +24,7 @@
 import org.rosemaryfront.dispatch.RejectionUse;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.duties.UsageLedger.Window;
+import org.rosemaryfront.duties.UsageSums;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet;
 import org.rosemaryfront.fleet.Fleet.Confirmation;
@@ -34,6 +36,7 @@
 import org.rosemaryfront.gateway.proto.ServiceSpeed;
 import org.rosemaryfront.gateway.proto.StatedNotice;
 import org.rosemaryfront.gateway.proto.UnwrittenUse;
+import org.rosemaryfront.gateway.proto.WindowSum;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.quota.QuotaTable.Use;
 
@@ -46,6 +49,12 @@
 	/** Slowly changing values are included in one of this many reports. */
 	private static final int SPEED_REPORT_INTERVAL = 4;
 
+	/**
+	 * The maximum size of a sum of usage in a report, in bytes, which keeps the report
+	 * within one packet.
+	 */
+	private static final int MAX_SUM_BYTES = 600;
+
 	private final PeerExchange peers;
 
 	private final BackendTable servers;
@@ -135,8 +144,9 @@
 		this.usageDuty.rowsToHandOver()
 			.forEach((row) -> report.addUnwritten(UnwrittenUse.newBuilder()
 				.setWindow(row.window())
-				.setRow(row.row())
+				.setRow(row.name())
 				.setCounts(ByteString.copyFrom(row.counts()))));
+		this.usageDuty.takeSumsToSend().forEach((sum) -> addSum(report, sum));
 		addServers(report);
 		report.addAllCrashes(this.crashes.updates(now));
 		report.setDutyFence(this.lease.mayAct(now) ? this.lease.fence() : 0)
@@ -158,6 +168,14 @@
 		this.quotas.reportSent(number, now);
 	}
 
+	// A sum that does not fit is only in the store.
+	private static void addSum(GatewayReport.Builder report, UsageSums.Sum sum) {
+		byte[] counts = RowJson.write(new TreeMap<>(sum.counts()));
+		if (counts.length <= MAX_SUM_BYTES) {
+			report.addSums(WindowSum.newBuilder().setWindow(sum.window()).setCounts(ByteString.copyFrom(counts)));
+		}
+	}
+
 	private void addSpeeds(GatewayReport.Builder report) {
 		this.decisions.dispatcher().models().forEach((service, model) -> {
 			List<Double> rates = model.fittedCoefficients();
@@ -251,6 +269,8 @@
 		report.getUnwrittenList()
 			.forEach((row) -> this.usageDuty.receiveUnwritten(row.getWindow(), row.getRow(),
 					row.getCounts().toByteArray()));
+		report.getSumsList()
+			.forEach((sum) -> this.usageDuty.receiveSum(sum.getWindow(), sum.getCounts().toByteArray()));
 		long before = this.reportedPrefillTokens.getOrDefault(process, report.getReadingTokens());
 		this.otherPrefillTokens += Math.max(0, report.getReadingTokens() - before);
 		this.reportedPrefillTokens.put(process, report.getReadingTokens());
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/StoreGenerations.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/StoreGenerations.java
@@ -73,12 +73,23 @@
 
 	@Override
 	public Mono<Outcome> commit(Commit commit) {
+		return Mono.defer(() -> commitIn(newest(), commit));
+	}
+
+	/**
+	 * Commits the writes if the store is in a generation and all conditions hold.
+	 * @param generation the generation; the commit fails in any other one
+	 * @param commit the conditions and writes
+	 * @return whether the commit took effect or was in conflict; fails with a
+	 * {@link StoreException}
+	 */
+	Mono<Outcome> commitIn(long generation, Commit commit) {
 		return Mono.defer(() -> {
-			long sent = newest();
-			boolean outdated = commit.conditions().stream().anyMatch((condition) -> isOutdated(condition, sent));
-			return outdated ? Mono.error(restored(Verdict.notRun(), sent))
+			boolean outdated = generation != newest()
+					|| commit.conditions().stream().anyMatch((condition) -> isOutdated(condition, generation));
+			return outdated ? Mono.error(restored(Verdict.notRun(), generation))
 					: this.store.commit(withNumbers(commit)).map((outcome) -> {
-						requireCurrent(sent, outcome.generation());
+						requireCurrent(generation, outcome.generation());
 						return withGeneration(outcome);
 					});
 		});
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -1,25 +1,23 @@
 package org.rosemaryfront.gateway;
 
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.core.type.TypeReference;
-import reactor.core.publisher.Mono;
 
 import org.rosemaryfront.duties.ReceivedUsage;
 import org.rosemaryfront.duties.UsageLedger.Window;
+import org.rosemaryfront.duties.UsageSums;
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.gateway.UsageRows.UsageRow;
 import org.rosemaryfront.ports.Duties;
-import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.ports.RowStore.Commit;
 import org.rosemaryfront.ports.RowStore.Condition;
 import org.rosemaryfront.ports.RowStore.Outcome;
@@ -34,13 +32,16 @@
  * included in its reports to the other gateways. Used on the control thread.
  *
  * <p>
- * The sum is stored before it is reported for the first time. A report whose response was
- * lost is repeated, possibly by a successor. If the sum were computed again, a row that
- * arrived late would turn the repetition into a second, different report of the same
- * window.
+ * The sum is stored, and sent to the other gateways, before it is reported for the first
+ * time. A report whose response was lost is repeated, possibly by a successor. If the sum
+ * were computed again, a row that arrived late would turn the repetition into a second,
+ * different report of the same window. A sum that may be lost, because the store came
+ * back from a copy, is not computed again: its window is given up.
  */
 final class UsageDuty {
 
+	static final String TABLE = "usage";
+
 	/**
 	 * The time from the end of a window until its rows are added up, in milliseconds.
 	 */
@@ -52,20 +53,20 @@
 	 */
 	private static final long REPORT_DEADLINE_MILLIS = 9_500;
 
-	/** The delay before a row that the store did not accept is written again. */
-	private static final Duration WRITE_RETRY_DELAY = Duration.ofMillis(800);
-
 	/** The delay after a failure, in milliseconds. */
 	private static final long RETRY_DELAY_MILLIS = 400;
 
 	/**
-	 * The time after which an unwritten row is sent to the other gateways, in
-	 * milliseconds: the store responds within a few milliseconds, and rows are added up
-	 * after {@link #SETTLE_DELAY_MILLIS}.
+	 * The time for the gateways to write their rows again after a restore of the store,
+	 * in milliseconds.
 	 */
-	private static final long HANDOVER_DELAY_MILLIS = 500;
+	private static final long RESTORE_SETTLE_MILLIS = 1_500;
 
-	private static final String TABLE = "usage";
+	/**
+	 * How far the clock of another gateway may be ahead beyond those heard, in
+	 * milliseconds.
+	 */
+	private static final long CLOCK_TOLERANCE_MILLIS = 2_000;
 
 	/**
 	 * Sorts after the names of gateways, so that one read returns the rows and the sum.
@@ -75,42 +76,48 @@
 	private static final TypeReference<TreeMap<String, Long>> COUNTS_TYPE = new TypeReference<>() {
 	};
 
-	private final RowStore store;
+	private final StoreGenerations store;
 
 	private final Duties duties;
 
-	private final String self;
+	private final DutyLease lease;
 
 	private final long windowMillis;
 
 	private final Consumer<Runnable> control;
 
-	private final Runnable onFenced;
+	private final ProcessClock clock;
 
-	/** Rows of this gateway that are not confirmed as written, by key. */
-	private final Map<String, UnwrittenRow> unwritten = new TreeMap<>();
+	/** The rows of this gateway. */
+	private final UsageRows rows;
 
 	private final ReceivedUsage receivedUsage = new ReceivedUsage();
 
-	private final Set<String> writing = new HashSet<>();
+	private final UsageSums sums = new UsageSums();
+
+	/** The keys of the rows that this process added up, by window. */
+	private final Map<Long, List<String>> addedUpRows = new HashMap<>();
 
 	private final TreeSet<Long> reported = new TreeSet<>();
 
 	private long firstWindow = Long.MIN_VALUE;
 
-	private int rowNumber;
+	/** The generation of the store that the sums belong to. */
+	private long generation;
 
 	private boolean reporting;
 
 	private long notBeforeMillis;
 
-	UsageDuty(RowStore store, Duties duties, GatewaySettings settings, Consumer<Runnable> control, Runnable onFenced) {
-		this.onFenced = onFenced;
+	UsageDuty(StoreGenerations store, Duties duties, GatewaySettings settings, Consumer<Runnable> control,
+			DutyLease lease, ProcessClock clock) {
 		this.store = store;
 		this.duties = duties;
-		this.self = settings.name();
+		this.lease = lease;
 		this.windowMillis = settings.bounds().usageWindowMillis();
 		this.control = control;
+		this.clock = clock;
+		this.rows = new UsageRows(store, settings.name(), control, clock);
 	}
 
 	// -- counts of this gateway
@@ -121,14 +128,8 @@
 	 * @param start identifies this start of the process
 	 */
 	void addClosedWindows(List<Window> windows, int start) {
-		for (Window window : windows) {
-			// A window can be closed twice: during the shutdown and at its end.
-			this.rowNumber++;
-			String row = processName(this.self, start) + '/' + this.rowNumber;
-			this.unwritten.put(key(window.index(), row),
-					new UnwrittenRow(window.index(), row, RowJson.write(window.counts()), System.nanoTime()));
-		}
-		writeRows();
+		this.rows.add(windows, start);
+		this.rows.write();
 	}
 
 	/**
@@ -145,40 +146,15 @@
 	 * Returns the rows of this gateway that the store has not accepted for some time.
 	 * @return the rows to send to the other gateways
 	 */
-	List<UnwrittenRow> rowsToHandOver() {
-		long now = System.nanoTime();
-		return this.unwritten.values()
-			.stream()
-			.filter((row) -> now - row.sinceNanos() >= TimeUnit.MILLISECONDS.toNanos(HANDOVER_DELAY_MILLIS))
-			.toList();
+	List<UsageRow> rowsToHandOver() {
+		return this.rows.rowsToHandOver();
 	}
 
 	boolean isWritten() {
-		return this.unwritten.isEmpty();
+		return this.rows.isWritten();
 	}
 
-	private void writeRows() {
-		List.copyOf(this.unwritten.keySet()).forEach((key) -> {
-			if (this.writing.add(key)) {
-				this.store.commit(Commit.put(TABLE, key, this.unwritten.get(key).counts()))
-					.subscribe((_) -> this.control.accept(() -> {
-						this.writing.remove(key);
-						this.unwritten.remove(key);
-					}), (failure) -> this.control.accept(() -> {
-						RowLog.failed(key, "write", failure);
-						retryWriteLater(key);
-					}));
-			}
-		});
-	}
-
-	// Writing the same row again is harmless, but immediate repeated retries would add
-	// load to an overloaded store.
-	private void retryWriteLater(String key) {
-		Mono.delay(WRITE_RETRY_DELAY).subscribe((_) -> this.control.accept(() -> this.writing.remove(key)));
-	}
-
-	// -- counts of other gateways
+	// -- other gateways
 
 	/**
 	 * Records the counts of another gateway in the current window.
@@ -189,6 +165,7 @@
 	void receiveCurrentCounts(long window, String process, Map<String, Long> counts) {
 		this.receivedUsage.recordCurrentCounts(window, process, counts);
 		this.receivedUsage.removeBefore(window - retainedWindows());
+		this.sums.windowBegan(window);
 	}
 
 	/**
@@ -201,6 +178,34 @@
 		decode(key(window, row), counts).ifPresent((read) -> this.receivedUsage.recordUnwrittenRow(window, row, read));
 	}
 
+	/**
+	 * Records a sum that another gateway stored.
+	 * @param window the window
+	 * @param counts the encoded counts
+	 */
+	void receiveSum(long window, byte[] counts) {
+		decode(key(window, SUM_NAME), counts).ifPresent((read) -> {
+			this.sums.received(window, read);
+			this.rows.addedUp(window);
+		});
+	}
+
+	/**
+	 * Returns the sums to include in the next report to the other gateways.
+	 * @return the sums
+	 */
+	List<UsageSums.Sum> takeSumsToSend() {
+		return this.sums.takeReportDue();
+	}
+
+	/**
+	 * Returns whether a usage report waits for a sum to be sent to the other gateways.
+	 * @return true until the next report to them
+	 */
+	boolean isUrgent() {
+		return this.sums.isAnyUnreported();
+	}
+
 	// -- reporting
 
 	/**
@@ -209,21 +214,45 @@
 	 * @param epochMillis the current time on the wall clock
 	 */
 	void tick(long epochMillis) {
+		if (this.store.newest() > this.generation) {
+			storeRestored(epochMillis);
+		}
 		if (epochMillis >= this.notBeforeMillis) {
-			writeRows();
+			this.rows.write();
 		}
 		if (this.firstWindow == Long.MIN_VALUE) {
 			this.firstWindow = epochMillis / this.windowMillis;
 		}
+		this.sums.windowBegan(epochMillis / this.windowMillis);
+		long expired = epochMillis / this.windowMillis - retainedWindows() - 1;
+		this.sums.removeBefore(expired);
+		this.rows.removeBefore(expired);
+		this.addedUpRows.keySet().removeIf((window) -> window < expired);
+	}
+
+	private void storeRestored(long epochMillis) {
+		this.generation = this.store.newest();
+		this.sums.storeRestored(latestWindow(epochMillis));
+		int rowsAgain = this.rows.storeRestored();
+		this.notBeforeMillis = epochMillis + RESTORE_SETTLE_MILLIS;
+		if (rowsAgain > 0) {
+			EventLog.info(GatewayEvents.ROWS_WRITTEN_AGAIN, "table", TABLE, "generation", this.generation, "rows",
+					rowsAgain);
+			this.rows.write();
+		}
+	}
+
+	private long latestWindow(long epochMillis) {
+		return (epochMillis + CLOCK_TOLERANCE_MILLIS) / this.windowMillis;
 	}
 
 	/**
 	 * Reports the oldest window that is due, while this process holds the duties.
-	 * @param fence the fencing number
 	 * @param epochMillis the current time on the wall clock
 	 * @param organisations the names of all organisations
 	 */
-	void act(long fence, long epochMillis, Set<String> organisations) {
+	void act(long epochMillis, Set<String> organisations) {
+		this.sums.holdsDuties(this.lease.tenure(), latestWindow(epochMillis));
 		if (this.reporting || epochMillis < this.notBeforeMillis) {
 			return;
 		}
@@ -231,40 +260,66 @@
 		long first = Math.max(this.firstWindow, (epochMillis - REPORT_DEADLINE_MILLIS) / this.windowMillis - 1);
 		for (long window = first; window <= last; window++) {
 			if (!this.reported.contains(window)) {
-				readRows(fence, window, organisations);
+				report(window, organisations);
 				return;
 			}
 		}
 	}
 
-	private void readRows(long fence, long window, Set<String> organisations) {
+	private void report(long window, Set<String> organisations) {
+		Optional<Map<String, Long>> sum = this.sums.find(window);
+		if (sum.isEmpty()) {
+			readRows(window, organisations);
+		}
+		else if (this.sums.isReported(window)) {
+			report(window, sum.get());
+		}
+	}
+
+	private void readRows(long window, Set<String> organisations) {
 		this.reporting = true;
 		this.store.read(new Range(TABLE, key(window, ""), key(window, "~~")))
-			.subscribe((page) -> this.control.accept(() -> addUp(fence, window, organisations, page.rows())),
+			.subscribe((page) -> this.control.accept(() -> readSum(window, organisations, page.rows())),
 					(failure) -> this.control.accept(() -> failed(window, failure)));
 	}
 
-	private void addUp(long fence, long window, Set<String> organisations, List<Row> rows) {
+	private void readSum(long window, Set<String> organisations, List<Row> found) {
+		// What this process knows of sums is complete only while it holds the duties.
+		if (!this.lease.mayAct(this.clock.nanos())) {
+			finishAttempt(0);
+			return;
+		}
+		Optional<Row> sum = found.stream().filter((row) -> row.key().equals(sumKey(window))).findFirst();
+		if (sum.isPresent()) {
+			decode(sum.get().key(), sum.get().value().orElse(new byte[0])).ifPresentOrElse(
+					(counts) -> sumStored(window, counts, List.of(), "stored"),
+					() -> abandon(window, "stored sum cannot be decoded"));
+		}
+		else if (this.sums.mayAddUp(window)) {
+			addUp(window, organisations, found);
+		}
+		else {
+			abandon(window, "may have been reported before the store was restored");
+		}
+	}
+
+	private void addUp(long window, Set<String> organisations, List<Row> found) {
 		Map<String, Long> sum = new TreeMap<>();
 		organisations.forEach((name) -> sum.put(name, 0L));
 		List<String> keys = new ArrayList<>();
-		for (Row row : rows) {
-			Optional<Map<String, Long>> counts = decode(row.key(), row.value().orElse(new byte[0]));
-			if (row.key().equals(key(window, SUM_NAME))) {
-				counts.ifPresentOrElse(
-						(decoded) -> report(fence, new Sum(window, decoded, rows.size() - 1, "stored"), List.of()),
-						() -> abandon(window, "stored sum cannot be decoded"));
-				return;
-			}
+		// A sum of an earlier generation may result from a delayed write and differ from
+		// the one that was reported.
+		found.stream().filter((row) -> !row.key().startsWith(key(window, SUM_NAME))).forEach((row) -> {
 			keys.add(row.key());
-			counts.ifPresent((decoded) -> decoded.forEach((name, count) -> sum.merge(name, count, Long::sum)));
-		}
+			decode(row.key(), row.value().orElse(new byte[0]))
+				.ifPresent((counts) -> counts.forEach((name, count) -> sum.merge(name, count, Long::sum)));
+		});
 		addReceived(window, keys, sum);
-		Commit commit = new Commit(TABLE, List.of(new Condition(key(window, SUM_NAME), 0)),
-				List.of(new Write(key(window, SUM_NAME), RowJson.write(sum))), List.of());
-		this.store.commit(commit).subscribe((outcome) -> this.control.accept(() -> {
+		Commit commit = new Commit(TABLE, List.of(new Condition(sumKey(window), 0)),
+				List.of(new Write(sumKey(window), RowJson.write(sum))), List.of());
+		this.store.commitIn(this.generation, commit).subscribe((outcome) -> this.control.accept(() -> {
 			switch (outcome) {
-				case Outcome.Committed _ -> report(fence, new Sum(window, sum, keys.size(), "added up"), keys);
+				case Outcome.Committed _ -> sumStored(window, sum, keys, "added up");
 				case Outcome.Conflict _ -> finishAttempt(0);
 			}
 		}), (failure) -> this.control.accept(() -> failed(window, failure)));
@@ -279,24 +334,34 @@
 		}
 	}
 
-	private void report(long fence, Sum sum, List<String> keys) {
-		long window = sum.window();
-		this.duties.reportUsage(fence, window, sum.counts()).subscribe((_) -> {
+	// The sum is reported once it was sent to the other gateways.
+	private void sumStored(long window, Map<String, Long> counts, List<String> keys, String origin) {
+		EventLog.info(GatewayEvents.USAGE_SUM_STORED, "window", window, "origin", origin, "gateways", keys.size(),
+				"generation", this.generation, "counts", counts);
+		this.sums.stored(window, counts);
+		this.rows.addedUp(window);
+		this.addedUpRows.put(window, keys);
+		finishAttempt(0);
+	}
+
+	private void report(long window, Map<String, Long> counts) {
+		long fence = this.lease.fence();
+		this.reporting = true;
+		this.duties.reportUsage(fence, window, counts).subscribe((_) -> {
 		}, (failure) -> this.control.accept(() -> failed(window, failure)), () -> this.control.accept(() -> {
-			EventLog.info(GatewayEvents.USAGE_REPORTED, "window", window, "fence", fence, "gateways", sum.gateways(),
-					"sum", sum.origin(), "counts", sum.counts());
+			EventLog.info(GatewayEvents.USAGE_REPORTED, "window", window, "fence", fence, "counts", counts);
 			this.reported.add(window);
 			finishAttempt(0);
-			deleteRows(window, keys);
+			deleteRows(window);
 		}));
 	}
 
 	// Deletes the rows that were added up, and the sum that no report can need any more.
-	private void deleteRows(long window, List<String> keys) {
+	private void deleteRows(long window) {
 		long expired = window - retainedWindows();
 		this.reported.headSet(expired).clear();
-		List<String> deletes = new ArrayList<>(keys);
-		deletes.add(key(expired, SUM_NAME));
+		List<String> deletes = new ArrayList<>(Optional.ofNullable(this.addedUpRows.remove(window)).orElse(List.of()));
+		deletes.add(sumKey(expired));
 		this.store.commit(new Commit(TABLE, List.of(), List.of(), deletes)).subscribe((_) -> {
 		}, (failure) -> RowLog.failed(key(window, ""), "delete", failure));
 	}
@@ -314,7 +379,7 @@
 			return;
 		}
 		if (failure instanceof StoreException ex && ex.reason() == StoreException.Reason.FENCED) {
-			this.onFenced.run();
+			this.lease.giveUp();
 		}
 		EventLog.info(GatewayEvents.USAGE_NOT_REPORTED, "window", window, "cause", failure.getMessage());
 		finishAttempt(RETRY_DELAY_MILLIS);
@@ -322,7 +387,7 @@
 
 	private void finishAttempt(long delayMillis) {
 		this.reporting = false;
-		this.notBeforeMillis = System.currentTimeMillis() + delayMillis;
+		this.notBeforeMillis = Math.max(this.notBeforeMillis, this.clock.epochMillis() + delayMillis);
 	}
 
 	// The number of windows before the newest one that a report may still need.
@@ -330,10 +395,14 @@
 		return 2 + REPORT_DEADLINE_MILLIS / this.windowMillis;
 	}
 
-	private static String key(long window, String rest) {
+	static String key(long window, String rest) {
 		return String.format("%012d/%s", window, rest);
 	}
 
+	private String sumKey(long window) {
+		return key(window, (this.generation == 0) ? SUM_NAME : SUM_NAME + '/' + this.generation);
+	}
+
 	// Ignores a row that was corrupted or written by another program; its counts are
 	// missing from one window. When this was treated as a failure, it stopped each holder
 	// of the duties in turn, and no window was reported any more.
@@ -347,26 +416,4 @@
 		}
 	}
 
-	/**
-	 * The counts of a window.
-	 *
-	 * @param window the window
-	 * @param counts the calls of all gateways, by organisation
-	 * @param gateways the number of rows of gateways
-	 * @param origin where the counts come from, for the log
-	 */
-	private record Sum(long window, Map<String, Long> counts, int gateways, String origin) {
-	}
-
-	/**
-	 * A row that is not confirmed as written.
-	 *
-	 * @param window the window
-	 * @param row the name of the row
-	 * @param counts the value of the row
-	 * @param sinceNanos when it was queued, on the monotonic clock
-	 */
-	record UnwrittenRow(long window, String row, byte[] counts, long sinceNanos) {
-	}
-
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ReportFormsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ReportFormsTests.java
@@ -28,6 +28,7 @@
 import org.rosemaryfront.gateway.proto.TunnelOpen;
 import org.rosemaryfront.gateway.proto.TunnelRefusal;
 import org.rosemaryfront.gateway.proto.UnwrittenUse;
+import org.rosemaryfront.gateway.proto.WindowSum;
 import org.rosemaryfront.rollout.Phase;
 import org.rosemaryfront.rollout.RolloutOrder;
 import org.rosemaryfront.rollout.RolloutTable;
@@ -120,6 +121,7 @@
 				.setServer("s4")
 				.setStartedMillis(45)
 				.setNotice(ServerNotice.newBuilder().setLeaving(true).setBackoffMillis(47)))
+			.addSums(WindowSum.newBuilder().setWindow(48).setCounts(ByteString.copyFromUtf8("{}")))
 			.build();
 		assertThat(report.getAllFields()).hasSameSizeAs(GatewayReport.getDescriptor().getFields());
 		assertThat(hex(report.toByteArray())).isEqualTo("""
@@ -137,6 +139,7 @@
 				0052090d24000000102518265a090d2700000018282029602a\
 				c0012bc8012cd2010161\
 				da010c0a027334102d1a040801102f\
+				e20106083012027b7d\
 				""");
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RowFormsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RowFormsTests.java
@@ -92,17 +92,31 @@
 
 	@Test
 	void shouldKeepFormOfLeaseWhenGatewayTakesDuties() {
-		StoreGenerations store = new StoreGenerations(this.rows);
-		store.observe(0);
-		DutyLease lease = new DutyLease(store, "gateway-1", 7, this.control);
+		DutyLease lease = lease(store());
 		awaitRow("leases", "duties", () -> lease.tick(System.nanoTime()));
 		assertRow("leases", "duties",
 				"{\"holder\":\"gateway-1\",\"fence\":1,\"termMillis\":5000,\"token\":\"gateway-1-7-1\"}");
 	}
 
+	private StoreGenerations store() {
+		StoreGenerations store = new StoreGenerations(this.rows);
+		store.observe(0);
+		return store;
+	}
+
+	private DutyLease lease(StoreGenerations store) {
+		return new DutyLease(store, "gateway-1", 7, this.control, ProcessClock.system());
+	}
+
 	@Test
 	void shouldKeepFormOfUseWhenWindowEnds() {
-		UsageDuty duty = new UsageDuty(this.rows, new RecordedDuties(), GatewayHarness.settings(), this.control, () -> {
+		StoreGenerations store = store();
+		DutyLease lease = lease(store);
+		UsageDuty duty = new UsageDuty(store, new RecordedDuties(), GatewayHarness.settings(), this.control, lease,
+				ProcessClock.system());
+		GatewayHarness.await(() -> {
+			this.control.accept(() -> lease.tick(System.nanoTime()));
+			return lease.mayAct(System.nanoTime());
 		});
 		duty.tick(WINDOW * WINDOW_MILLIS);
 		String key = "000358000000/gateway-1/1f/1";
@@ -111,7 +125,7 @@
 		});
 		assertRow("usage", key, "{\"sfax\":4}");
 		awaitRow("usage", "000358000000/~sum",
-				() -> duty.act(1, (WINDOW + 1) * WINDOW_MILLIS + 2_001, Set.of("sfax", "hule")));
+				() -> duty.act((WINDOW + 1) * WINDOW_MILLIS + 2_001, Set.of("sfax", "hule")));
 		assertRow("usage", "000358000000/~sum", "{\"hule\":0,\"sfax\":4}");
 	}
 
