Keep evidence of crashes and probes when the store loses their rows

Seen by callers: requests that crash servers are released behind a restore of the store, and get a second probe.

Cause: a row that is missing in a table read whole counted as deleted, which releases its request.

Behind a restore such a row was lost: the evidence stays, and each gateway writes it again, at a time of its own within 0.8 s and only if it is absent; probes likewise. Within a generation a missing row is a deleted one, as before.

RestoredStoreTests#shouldKeepRequestQuarantinedWhenItsRowsAreLost failed before (rows never came back), passes; Crash*Tests passed.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/CrashTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/CrashTable.java
@@ -178,6 +178,19 @@
 		find(crash).filter((entry) -> entry.hasRow).ifPresent((_) -> remove(crash));
 	}
 
+	/**
+	 * Records that the store has lost the row of a crash. The evidence stays, and is
+	 * written again.
+	 * @param crash the crash that the row described
+	 * @param writeNanos the time from which on it is written, unless another process did
+	 */
+	public void rowLost(Crash crash, long writeNanos) {
+		find(crash).ifPresent((entry) -> {
+			entry.rowLost(writeNanos);
+			this.unsettled.add(entry);
+		});
+	}
+
 	/**
 	 * Records whether the single probe of a request has been granted.
 	 * @param request the request
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/SuspectEvidence.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/crashes/SuspectEvidence.java
@@ -153,6 +153,12 @@
 			scheduleWrite(nowNanos + RECEIVED_CRASH_WRITE_DELAY_NANOS);
 		}
 
+		void rowLost(long writeNanos) {
+			this.hasRow = false;
+			this.stored = this.evidence.state() == State.CLEARED;
+			scheduleWrite(writeNanos);
+		}
+
 		boolean isWriteDue(boolean isOnlyCrash, long nowNanos) {
 			boolean due = nowNanos - (isOnlyCrash ? this.nextSingleWriteNanos : this.nextWriteNanos) >= 0;
 			return !this.stored && this.evidence.state() != State.SUSPECTED && due;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
@@ -17,6 +17,7 @@
 import org.rosemaryfront.crashes.Evidence.State;
 import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.crashes.SegmentSuspect;
+import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.ports.RowStore.Commit;
 import org.rosemaryfront.ports.RowStore.Condition;
@@ -24,6 +25,7 @@
 import org.rosemaryfront.ports.RowStore.Row;
 import org.rosemaryfront.ports.RowStore.Write;
 import org.rosemaryfront.program.ControlLoop;
+import org.rosemaryfront.tables.StoreVersion;
 
 /**
  * Persists crashes under requests in the store, so that they survive a kill of all
@@ -68,6 +70,12 @@
 	 */
 	private static final long RETENTION_MILLIS = TimeUnit.DAYS.toMillis(1);
 
+	/**
+	 * The range of the times at which gateways write rows that the store lost, in
+	 * nanoseconds.
+	 */
+	private static final long LOST_ROW_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
 	private final RowStore store;
 
 	private final CrashTable table;
@@ -93,6 +101,9 @@
 
 	private volatile boolean loaded;
 
+	/** The generation of the store in which the table was last read. */
+	private long generation;
+
 	CrashStore(RowStore store, CrashTable table, QuarantineProbes probes, ControlLoop control, String process,
 			Updates updates) {
 		this.store = store;
@@ -221,15 +232,37 @@
 
 	// -- reading
 
-	private void load(List<Row> presentRows, long nowNanos) {
+	private void load(List<Row> presentRows, long version, long nowNanos) {
 		Set<String> keys = new HashSet<>();
 		presentRows.forEach((row) -> keys.add(row.key()));
-		List.copyOf(this.rows.keySet()).stream().filter((key) -> !keys.contains(key)).forEach(this::rowRemoved);
-		this.probes.retain(keys);
+		List<String> missing = this.rows.keySet().stream().filter((key) -> !keys.contains(key)).toList();
+		boolean restored = this.loaded && StoreVersion.generation(version) > this.generation;
+		this.generation = StoreVersion.generation(version);
+		if (restored) {
+			writeLostRows(missing, nowNanos);
+			this.probes.writeLost(keys);
+		}
+		else {
+			missing.forEach(this::rowRemoved);
+			this.probes.retain(keys);
+		}
 		presentRows.forEach((row) -> row(row, nowNanos));
 		this.loaded = true;
 	}
 
+	// Rows that are missing after a restore of the store were lost, not deleted: taken
+	// for
+	// deleted, they would release requests that crash servers. All gateways know them, so
+	// each waits for a time of its own for another one to write them.
+	private void writeLostRows(List<String> missing, long nowNanos) {
+		long writeNanos = nowNanos + Math.floorMod(this.process.hashCode(), LOST_ROW_SPREAD_NANOS);
+		missing.forEach((key) -> this.table.rowLost(this.rows.remove(key), writeNanos));
+		if (!missing.isEmpty()) {
+			EventLog.info(GatewayEvents.ROWS_WRITTEN_AGAIN, "table", CrashRows.TABLE, "generation", this.generation,
+					"rows", missing.size());
+		}
+	}
+
 	private void row(Row row, long nowNanos) {
 		try {
 			if (row.value().isEmpty()) {
@@ -279,7 +312,7 @@
 
 		@Override
 		public void tableRead(List<Row> presentRows, long version) {
-			CrashStore.this.control.post((nowNanos) -> CrashStore.this.load(presentRows, nowNanos));
+			CrashStore.this.control.post((nowNanos) -> CrashStore.this.load(presentRows, version, nowNanos));
 		}
 
 		@Override
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/QuarantineProbes.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/QuarantineProbes.java
@@ -145,6 +145,34 @@
 		}
 	}
 
+	/**
+	 * Writes the probes again whose rows the store lost, so that no request gets a second
+	 * one.
+	 * @param keys the keys of all rows in the store
+	 */
+	void writeLost(Set<String> keys) {
+		this.holders.keySet()
+			.stream()
+			.filter((request) -> !keys.contains(CrashRows.probeKey(request)))
+			.forEach(this::writeAgain);
+	}
+
+	private void writeAgain(RequestDigest request) {
+		String holder = this.holders.get(request);
+		if (holder == null) {
+			return;
+		}
+		String key = CrashRows.probeKey(request);
+		this.store
+			.commit(new Commit(CrashRows.TABLE, List.of(new Condition(key, 0)),
+					List.of(new Write(key, CrashRows.writeProbe(holder))), List.of()))
+			.subscribe((_) -> {
+			}, (failure) -> {
+				RowLog.failed(key, "write", failure);
+				Mono.delay(RETRY_INTERVAL).subscribe((_) -> this.control.post((_) -> writeAgain(request)));
+			});
+	}
+
 	/**
 	 * Removes the probes whose rows are not in the store.
 	 * @param keys the keys of all rows in the store
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RestoredStoreTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RestoredStoreTests.java
@@ -17,6 +17,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.rosemaryfront.crashes.Evidence;
+import org.rosemaryfront.crashes.Evidence.State;
+import org.rosemaryfront.crashes.RequestDigest;
+import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.gateway.RecordedDuties.Usage;
 import org.rosemaryfront.routes.CallerLimits;
 
@@ -35,6 +39,9 @@
 
 	private static final int CALLS = 5;
 
+	/** More than a request may cause before it is quarantined. */
+	private static final int CRASHES = 3;
+
 	/** The number of writes after the copy. */
 	private static final int LOST_WRITES = 400;
 
@@ -143,6 +150,26 @@
 		}
 	}
 
+	// Guards against releasing a request that crashes servers because its rows are lost.
+	@Test
+	void shouldKeepRequestQuarantinedWhenItsRowsAreLost() throws Exception {
+		try (GatewayHarness gateway = GatewayHarness.start().declare().ready()) {
+			MemoryRowStore.Copy copy = gateway.store.copy();
+			RequestDigest request = new RequestDigest(7, 9);
+			for (int i = 0; i < CRASHES; i++) {
+				Evidence evidence = Evidence.against(request, new Incarnation("s" + i, 0), State.CONFIRMED, 1_000 * i);
+				gateway.store.put(CrashRows.TABLE, CrashRows.key(evidence.crash()),
+						new String(CrashRows.write(evidence, "gateway-9/1")));
+			}
+			gateway.store.put(CrashRows.TABLE, CrashRows.probeKey(request),
+					new String(CrashRows.writeProbe("gateway-9/1")));
+			GatewayHarness.await(() -> gateway.metric("gauges", "requests.held") == 1);
+			gateway.store.restore(copy);
+			GatewayHarness.await(() -> gateway.store.rows(CrashRows.TABLE).size() == CRASHES + 1);
+			assertThat(gateway.metric("gauges", "requests.held")).isEqualTo(1);
+		}
+	}
+
 	private static long highestFence(GatewayHarness gateway) {
 		return gateway.duties.usages().stream().mapToLong(Usage::fence).max().orElseThrow();
 	}
