Announce a gateway again when the store loses its row

Seen by operators: a gateway whose announcement was lost was unknown to those that started from then on, for quotas, shares of servers and roles. Each gateway wrote its row once, at its start. It writes it again when a table read whole lacks it.

RestoredStoreTests#shouldAnnounceItselfAgainWhenItsRowIsLost failed before (no row within 10 s), passes.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayDirectory.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayDirectory.java
@@ -7,12 +7,14 @@
 
 import reactor.core.publisher.Mono;
 
+import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet;
 import org.rosemaryfront.peer.Addresses;
 import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.ports.RowStore.Commit;
 import org.rosemaryfront.ports.RowStore.Row;
 import org.rosemaryfront.program.ControlLoop;
+import org.rosemaryfront.tables.StoreVersion;
 
 /**
  * Announces the address of this gateway in the table of gateways, and reads those of the
@@ -79,8 +81,15 @@
 		return this.loaded;
 	}
 
+	// Without its row, this gateway would not be known to those that start from now on.
 	@Override
 	public void tableRead(List<Row> all, long version) {
+		boolean announced = all.stream().anyMatch((row) -> row.key().equals(this.settings.name()));
+		if (this.loaded && !announced) {
+			EventLog.info(GatewayEvents.ROWS_WRITTEN_AGAIN, "table", TABLE, "generation",
+					StoreVersion.generation(version), "rows", 1);
+			announce();
+		}
 		this.control.post((now) -> {
 			all.forEach((row) -> addGateway(row, now));
 			this.fleet.gatewaysListed();
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/DutyFleetTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/DutyFleetTests.java
@@ -142,7 +142,8 @@
 				this.drawn.add("restore " + age + " away " + away);
 				this.fleet.run(random.nextInt(3_000));
 				fault(random);
-				// The windows that were due within the copy's age, with the delay until they
+				// The windows that were due within the copy's age, with the delay until
+				// they
 				// are added up and the tolerance for clocks.
 				this.allowedMisses += 1 + Math.ceilDiv(age + away + 4_000, (int) DutyFleet.WINDOW_MILLIS);
 			}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RestoredStoreTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RestoredStoreTests.java
@@ -170,6 +170,19 @@
 		}
 	}
 
+	// Guards against a gateway that those that start later do not know.
+	@Test
+	void shouldAnnounceItselfAgainWhenItsRowIsLost() throws Exception {
+		MemoryRowStore store = new MemoryRowStore();
+		MemoryRowStore.Copy empty = store.copy();
+		try (GatewayHarness gateway = GatewayHarness.startOne(store, 1, new PlainCodecs()).declare().ready()) {
+			GatewayHarness.await(() -> store.rows(GatewayDirectory.TABLE).size() == 1);
+			store.restore(empty);
+			GatewayHarness.await(() -> store.rows(GatewayDirectory.TABLE).size() == 1);
+			assertThat(gateway.readiness()).isEqualTo(200);
+		}
+	}
+
 	private static long highestFence(GatewayHarness gateway) {
 		return gateway.duties.usages().stream().mapToLong(Usage::fence).max().orElseThrow();
 	}
