Keep a version rolled back when the store loses the state of its roll-out

Seen by callers: a version that had been rolled back got calls again behind a restore of the store.

Cause: an order's number is the version of its row; behind a restore the same order has another number and counted as a new one, and the stored phase was taken for the newest although this gateway knew a later one.

An order with the same content and a number of another generation is the same order written again. The holder of the duties brings a stored phase up to the one that it knows. An operator who wants the same version tried once more behind a restore has to write another duration.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/rollout/RolloutTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/rollout/RolloutTable.java
@@ -28,8 +28,8 @@
 
 	/**
 	 * Adds an order, which replaces an older one of the service. Ignored are orders whose
-	 * number is not higher, and orders for the version to which the service is already
-	 * being moved.
+	 * number is not higher, orders for the version to which the service is already being
+	 * moved, and orders that were written again after a restore of the store.
 	 * @param order the order
 	 * @return whether the order was added
 	 */
@@ -46,7 +46,7 @@
 		boolean newer = order.number() > current.order().number();
 		boolean isDuplicate = order.targetVersion().equals(current.order().targetVersion())
 				&& !current.phase().isFinal();
-		return newer && !isDuplicate;
+		return newer && !isDuplicate && !order.isRewriteOf(current.order());
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RolloutDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RolloutDuty.java
@@ -117,9 +117,11 @@
 	}
 
 	private Optional<Phase> nextPhase(Rollout rollout, State state, long epochMillis) {
-		boolean withdrawn = rollout.phase() == Phase.ROLLED_BACK && state.phase().canAdvanceTo(Phase.ROLLED_BACK);
-		if (withdrawn) {
-			return Optional.of(Phase.ROLLED_BACK);
+		// The order was withdrawn, or the store came back from a copy of an earlier
+		// phase.
+		boolean behind = state.phase().canAdvanceTo(rollout.phase());
+		if (behind) {
+			return Optional.of(rollout.phase());
 		}
 		return RolloutPlan.next(rollout.order(), state.phase(), rollout.verdict(), epochMillis - state.sinceMillis(),
 				serverCounts(rollout));
@@ -244,7 +246,9 @@
 	private record State(String to, long number, long sinceMillis, Phase phase) {
 
 		private boolean belongsTo(RolloutOrder order) {
-			return this.to.equals(order.targetVersion()) && (this.number == order.number() || !this.phase.isFinal());
+			boolean rewritten = StoreVersion.generation(this.number) != StoreVersion.generation(order.number());
+			return this.to.equals(order.targetVersion())
+					&& (this.number == order.number() || rewritten || !this.phase.isFinal());
 		}
 
 		private State with(Phase next) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/Rollouts.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/Rollouts.java
@@ -188,12 +188,16 @@
 
 	// A gateway whose requests the store rejects also learns of the order this way.
 	private void receive(String process, RolloutNews update, long nowNanos) {
-		ordered(new RolloutOrder(update.getService(), update.getTo(), update.getDurationMillis(), update.getNumber()));
+		RolloutOrder order = new RolloutOrder(update.getService(), update.getTo(), update.getDurationMillis(),
+				update.getNumber());
+		ordered(order);
 		Rollout rollout = this.table.find(update.getService()).orElseThrow();
-		if (!rollout.order().targetVersion().equals(update.getTo()) || update.getNumber() < rollout.order().number()) {
+		boolean rewritten = order.isRewriteOf(rollout.order());
+		boolean older = update.getNumber() < rollout.order().number() && !rewritten;
+		if (!rollout.order().targetVersion().equals(update.getTo()) || older) {
 			return;
 		}
-		if (update.getNumber() == rollout.order().number()) {
+		if (update.getNumber() == rollout.order().number() || rewritten) {
 			rollout.recordReport(process, tallies(update), nowNanos);
 		}
 		int phase = update.getPhase() - 1;
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RolloutDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RolloutDutyTests.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rosemaryfront.ports.RowStore;
 
@@ -14,6 +16,8 @@
 
 	private static final String STATES = "states";
 
+	private static final int CALLS_AFTER_RESTORE = 400;
+
 	private static final long AWAIT_NANOS = 20_000_000_000L;
 
 	@Test
@@ -51,6 +55,53 @@
 		}
 	}
 
+	// Guards against trying a version again that was rolled back, because the store lost
+	// the state of its roll-out.
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void shouldKeepVersionRolledBackWhenStoreIsRestored(boolean orderLost) throws Exception {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer baseline = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"));
+				ScriptedServer candidate = ScriptedServer
+					.start((request, exchange) -> exchange.status(request, 500, "Signature: s\r\n"))) {
+			begin(gateway, baseline, candidate);
+			MemoryRowStore.Copy beforeOrder = gateway.store.copy();
+			gateway.store.put("declared", "rollout/app", "v2 60000");
+			callUntil(gateway, "v2 TRIAL");
+			MemoryRowStore.Copy copy = orderLost ? beforeOrder : gateway.store.copy();
+			callUntil(gateway, "v2 ROLLED_BACK");
+			gateway.store.restore(copy);
+			gateway.store.put("declared", "rollout/app", "v2 60000");
+			int before = candidate.requests().size();
+			callUntil(gateway, "v2 ROLLED_BACK");
+			for (int i = 0; i < CALLS_AFTER_RESTORE; i++) {
+				gateway.send(RawCaller.get("c" + i, "/sheets/"));
+			}
+			assertThat(candidate.requests()).hasSize(before);
+		}
+	}
+
+	// Guards against trying a version again that was rolled back, because its order has
+	// another number behind a restore and no gateway remembers it.
+	@Test
+	void shouldKeepVersionRolledBackWhenGatewaysStartAfterRestore() throws Exception {
+		try (GatewayHarness gateway = GatewayHarness.start();
+				ScriptedServer baseline = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"));
+				ScriptedServer candidate = ScriptedServer.start((request, exchange) -> exchange.ok(request, "x"))) {
+			gateway.store.put("rollouts", "app",
+					"{\"to\":\"v2\",\"number\":1,\"sinceMillis\":123,\"phase\":\"ROLLED_BACK\"}");
+			gateway.store.restore(gateway.store.copy());
+			begin(gateway, baseline, candidate);
+			gateway.store.put("declared", "rollout/app", "v2 60000");
+			callUntil(gateway, "v2 ROLLED_BACK");
+			int before = candidate.requests().size();
+			for (int i = 0; i < CALLS_AFTER_RESTORE; i++) {
+				gateway.send(RawCaller.get("c" + i, "/sheets/"));
+			}
+			assertThat(candidate.requests()).hasSize(before);
+		}
+	}
+
 	// A version without an order in force is not evaluated, so its servers must get no
 	// calls once the order is withdrawn.
 	@Test
