Take the lease at once where the whole system starts for the first time

A process that first sees a generation without a row of the lease waits for a full term, since a holder of an earlier one may still act; at the first start of the whole system there can be none, and the first orders of servers would come 5 s late. The platform's settings say so (bootstrap). Sums of such a start cannot be lost either.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseStateMachine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseStateMachine.java
@@ -256,6 +256,16 @@
 		}
 	}
 
+	/**
+	 * Begins with the row of a generation of the table service, in a system in which no
+	 * process can have held the lease before.
+	 * @param firstGeneration the generation
+	 */
+	public void beginInGeneration(long firstGeneration) {
+		this.generation = firstGeneration;
+		this.highestFence = firstGeneration << FENCE_BITS;
+	}
+
 	/**
 	 * Continues with the row of another generation of the table service.
 	 * @param newGeneration the generation
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseStateMachineTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseStateMachineTests.java
@@ -186,6 +186,12 @@
 		assertThat(this.lease.tenure()).isEqualTo(1);
 	}
 
+	@Test
+	void shouldAcquireImmediatelyWhenSystemStartsForFirstTime() {
+		this.lease.beginInGeneration(1);
+		assertThat(acquire(0).row().fence()).isEqualTo((1L << 32) + 1);
+	}
+
 	// Guards against a successor that takes the missing row for a free lease while the
 	// holder has not learned of the restore.
 	@ParameterizedTest
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -70,13 +70,19 @@
 
 	private final ProcessClock clock;
 
+	private final boolean firstStart;
+
+	private boolean begun;
+
 	private boolean held;
 
-	DutyLease(StoreGenerations store, String self, long seed, Consumer<Runnable> control, ProcessClock clock) {
+	DutyLease(StoreGenerations store, GatewaySettings settings, long seed, Consumer<Runnable> control,
+			ProcessClock clock) {
+		this.firstStart = settings.firstStart();
 		this.clock = clock;
 		this.store = store;
 		this.control = control;
-		this.machine = LeaseStateMachine.of(self, TERMS, seed);
+		this.machine = LeaseStateMachine.of(settings.name(), TERMS, seed);
 	}
 
 	/**
@@ -87,9 +93,13 @@
 		if (this.store.newest() < 0) {
 			return;
 		}
-		if (this.store.newest() != this.machine.generation()) {
+		if (!this.begun && this.firstStart) {
+			this.machine.beginInGeneration(this.store.newest());
+		}
+		else if (this.store.newest() != this.machine.generation()) {
 			this.machine.continueInGeneration(this.store.newest(), nowNanos);
 		}
+		this.begun = true;
 		for (LeaseCommand command : this.machine.tick(nowNanos)) {
 			switch (command) {
 				case LeaseCommand.Read read -> read(read);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -226,7 +226,7 @@
 		this.platformUpdates = new PlatformUpdates(platform.records(), this.control, this.servers, this.decisions,
 				this.rollouts, this.serversTable.freshness(), this::serverRestarted,
 				() -> this.metrics.increment("servers.unreadable"));
-		this.lease = new DutyLease(this.store, settings.name(), this.start, this::onControl, ProcessClock.system());
+		this.lease = new DutyLease(this.store, settings, this.start, this::onControl, ProcessClock.system());
 		this.usageDuty = new UsageDuty(this.store, platform.duties(), settings, this::onControl, this.lease,
 				ProcessClock.system());
 		this.rolloutDuty = new RolloutDuty(this.store, platform.records(), this.rollouts, this.servers,
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
@@ -16,11 +16,13 @@
  * @param metrics the address that serves metrics
  * @param peers the address that receives datagrams of other gateways
  * @param tunnels the address that accepts calls of other gateways
+ * @param firstStart whether the whole system starts for the first time, so that no
+ * process can have held the duties before
  * @param bounds the time limits and shares that users rely on
  */
 public record GatewaySettings(String name, String zone, List<String> zones, InetSocketAddress callers,
 		InetSocketAddress readiness, String readinessPath, InetSocketAddress metrics, InetSocketAddress peers,
-		InetSocketAddress tunnels, Bounds bounds) {
+		InetSocketAddress tunnels, boolean firstStart, Bounds bounds) {
 
 	public GatewaySettings {
 		Objects.requireNonNull(name, "name is null");
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -84,6 +84,8 @@
 
 	private final long windowMillis;
 
+	private final boolean firstStart;
+
 	private final Consumer<Runnable> control;
 
 	private final ProcessClock clock;
@@ -102,8 +104,8 @@
 
 	private long firstWindow = Long.MIN_VALUE;
 
-	/** The generation of the store that the sums belong to. */
-	private long generation;
+	/** The generation of the store that the sums belong to, -1 before it is known. */
+	private long generation = -1;
 
 	private boolean reporting;
 
@@ -115,6 +117,7 @@
 		this.duties = duties;
 		this.lease = lease;
 		this.windowMillis = settings.bounds().usageWindowMillis();
+		this.firstStart = settings.firstStart();
 		this.control = control;
 		this.clock = clock;
 		this.rows = new UsageRows(store, settings.name(), control, clock);
@@ -215,7 +218,11 @@
 	 */
 	void tick(long epochMillis) {
 		if (this.store.newest() > this.generation) {
-			storeRestored(epochMillis);
+			boolean nothingLost = this.generation < 0 && (this.firstStart || this.store.newest() == 0);
+			this.generation = this.store.newest();
+			if (!nothingLost) {
+				storeRestored(epochMillis);
+			}
 		}
 		if (epochMillis >= this.notBeforeMillis) {
 			this.rows.write();
@@ -231,7 +238,6 @@
 	}
 
 	private void storeRestored(long epochMillis) {
-		this.generation = this.store.newest();
 		this.sums.storeRestored(latestWindow(epochMillis));
 		int rowsAgain = this.rows.storeRestored();
 		this.notBeforeMillis = epochMillis + RESTORE_SETTLE_MILLIS;
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/DutyFleet.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/DutyFleet.java
@@ -116,7 +116,7 @@
 
 	private static GatewaySettings settings(String name) {
 		InetSocketAddress unused = new InetSocketAddress("127.0.0.1", 1);
-		return new GatewaySettings(name, "a", List.of("a"), unused, unused, "/ready", unused, unused, unused,
+		return new GatewaySettings(name, "a", List.of("a"), unused, unused, "/ready", unused, unused, unused, false,
 				new GatewaySettings.Bounds(3_000, 100, 0.2, 64, 10, 8_000, 0, WINDOW_MILLIS, 2_000, 1_200, 0.5));
 	}
 
@@ -205,7 +205,7 @@
 			this.node = node;
 			this.store = new StoreGenerations(DutyFleet.this.store.access(() -> !node.storeCut && !this.ended));
 			ProcessClock clock = new ProcessClock(this::nanos, this::epochMillis);
-			this.lease = new DutyLease(this.store, node.name(), this.start, this::control, clock);
+			this.lease = new DutyLease(this.store, settings(node.name()), this.start, this::control, clock);
 			this.usage = new UsageDuty(this.store, new Calls(node), settings(node.name()), this::control, this.lease,
 					clock);
 			every(TICK_MILLIS, this::tick);
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -107,7 +107,7 @@
 
 	private static GatewaySettings settings(String name, GatewaySettings.Bounds bounds) {
 		return new GatewaySettings(name, "a", List.of("a"), freeAddress(), freeAddress(), "/ready", freeAddress(),
-				freeAddress(), freeAddress(), bounds);
+				freeAddress(), freeAddress(), false, bounds);
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RowFormsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RowFormsTests.java
@@ -105,7 +105,7 @@
 	}
 
 	private DutyLease lease(StoreGenerations store) {
-		return new DutyLease(store, "gateway-1", 7, this.control, ProcessClock.system());
+		return new DutyLease(store, GatewayHarness.settings(), 7, this.control, ProcessClock.system());
 	}
 
 	@Test
