--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleet.java
@@ -135,6 +135,8 @@
 
 		private long version;
 
+		private long generation;
+
 		/**
 		 * The gateway that reported changes that are missing here; null if any gateway
 		 * may be queried.
@@ -223,7 +225,8 @@
 				at(this.pausedUntil - SimulatedFleet.this.now, () -> processResponse(sent, response));
 				return;
 			}
-			switch (response) {
+			SimulatedStore.Response current = current(response);
+			switch (current) {
 				case SimulatedStore.Response.Rows rows -> {
 					boolean unreported = this.follower
 						.responseReceived(sent, rows.version(), !rows.changes().isEmpty(), SimulatedFleet.this.now)
@@ -238,6 +241,24 @@
 			}
 		}
 
+		// A response of another generation than that of the query is not used.
+		private SimulatedStore.Response current(SimulatedStore.Response response) {
+			if (!(response instanceof SimulatedStore.Response.Rows rows)) {
+				return response;
+			}
+			long before = this.generation;
+			observe(rows.version());
+			boolean used = StoreVersion.generation(rows.version()) == this.generation && before == this.generation;
+			return used ? response : new SimulatedStore.Response.Failed(true);
+		}
+
+		private void observe(long otherVersion) {
+			if (StoreVersion.generation(otherVersion) > this.generation) {
+				this.generation = StoreVersion.generation(otherVersion);
+				this.follower.storeRestored(this.generation, SimulatedFleet.this.now);
+			}
+		}
+
 		private void queryGateway(long ownVersion) {
 			Gateway other = (this.reporter != null) ? this.reporter : SimulatedFleet.this.gateways
 				.get(SimulatedFleet.this.random.nextInt(SimulatedFleet.this.gateways.size()));
@@ -295,7 +316,7 @@
 			this.reportedVersions.add(this.version);
 			long since = this.reportedVersions.get(Math.max(0, this.reportedVersions.size() - 1 - REPORTS_PER_CHANGE));
 			List<Integer> changes = this.receivedChanges.stream()
-				.filter((change) -> SimulatedStore.version(change) > since)
+				.filter((change) -> SimulatedFleet.this.store.versionOf(change) > since)
 				.boxed()
 				.toList();
 			boolean omitted = changes.size() > MAX_CHANGES_PER_REPORT;
@@ -308,7 +329,10 @@
 				return;
 			}
 			received.update.ifPresent((update) -> {
-				boolean follows = !update.omitted && update.since <= this.version;
+				observe(update.version);
+				boolean sameGeneration = StoreVersion.generation(update.version) == StoreVersion
+					.generation(this.version);
+				boolean follows = !update.omitted && sameGeneration && update.since <= this.version;
 				if (follows) {
 					applyChanges(update.changes, update.version);
 				}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleetTests.java
@@ -36,6 +36,29 @@
 		assertInTime(385, 2_000, 1, EnumSet.of(Fault.PENDING_FEEDS_UNANSWERED, Fault.READERS_KILLED));
 	}
 
+	// Guards against gateways that do not know what is written right behind a restore of
+	// the store, whose versions are lower than those from before.
+	@ParameterizedTest
+	@CsvSource({ "9, 20", "87, 4", "385, 1" })
+	void shouldReceiveChangesWithinSecondWhenStoreIsRestored(int count, int seeds) {
+		long worst = 0;
+		int queries = 0;
+		for (int seed = 0; seed < seeds; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(count, 2_000, seed);
+			fleet.run(SETTLED_NANOS);
+			fleet.store.becomeUnavailable();
+			fleet.run(SETTLED_NANOS + SECOND + fleet.random.nextLong(SECOND));
+			int before = fleet.store.queries();
+			fleet.store.restore();
+			fleet.change();
+			fleet.run(fleet.now() + 3 * SECOND);
+			worst = Math.max(worst, fleet.gateways.stream().mapToLong(fleet::worstMillis).max().orElseThrow());
+			queries = Math.max(queries, fleet.store.queries() - before);
+		}
+		System.out.println(count + " gateways: known after " + worst + " ms, " + queries + " queries to the store");
+		assertThat(worst).as("worst milliseconds at %d gateways, %d queries", count, queries).isLessThan(1_000);
+	}
+
 	private static void assertInTime(int count, long boundMillis, int seeds, Set<Fault> faults) {
 		Map<Fault, Long> worst = new EnumMap<>(Fault.class);
 		for (Fault fault : faults) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedStore.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedStore.java
@@ -29,6 +29,11 @@
 	/** The first change that is kept in the history. */
 	private int historyStart;
 
+	/** Rises each time the store comes back from a copy. */
+	private long generation;
+
+	private boolean unavailable;
+
 	/** Whether pending queries for changes receive none. */
 	private boolean feedsMissChanges;
 
@@ -89,6 +94,21 @@
 		cut.forEach((feed) -> feed.receiver.accept(new Response.Failed(false)));
 	}
 
+	/**
+	 * Becomes unavailable for all gateways, and closes the pending queries for changes.
+	 */
+	void becomeUnavailable() {
+		this.unavailable = true;
+		dropHistory();
+	}
+
+	/** Comes back from a copy, in which all versions are assigned again. */
+	void restore() {
+		this.unavailable = false;
+		this.historyStart = 0;
+		this.generation++;
+	}
+
 	private static void set(Set<Integer> gateways, int gateway, boolean enabled) {
 		if (enabled) {
 			gateways.add(gateway);
@@ -105,7 +125,7 @@
 		if (this.unresponsiveTo.contains(gateway)) {
 			this.unanswered.add(sent);
 		}
-		else if (this.refused.contains(gateway)) {
+		else if (this.unavailable || this.refused.contains(gateway)) {
 			receiver.accept(new Response.Failed(false));
 		}
 		else {
@@ -118,7 +138,7 @@
 			case TableQuery.FullTable _ -> pending.receiver.accept(rows(0));
 			case TableQuery.Check check -> changesSince(check.since(), pending);
 			case TableQuery.Feed feed -> {
-				if (version(this.changedAt.size() - 1) > feed.since() && !this.feedsMissChanges) {
+				if (versionOf(this.changedAt.size() - 1) > feed.since() && !this.feedsMissChanges) {
 					changesSince(feed.since(), pending);
 				}
 				else {
@@ -136,16 +156,16 @@
 	}
 
 	private void changesSince(long since, PendingQuery pending) {
-		boolean lost = since < version(this.historyStart - 1);
+		boolean lost = since < versionOf(this.historyStart - 1);
 		pending.receiver.accept(lost ? new Response.Failed(true) : rows(since));
 	}
 
 	private Response.Rows rows(long since) {
 		List<Integer> changes = IntStream.range(0, this.changedAt.size())
-			.filter((change) -> version(change) > since)
+			.filter((change) -> versionOf(change) > since)
 			.boxed()
 			.toList();
-		return new Response.Rows(changes, version(this.changedAt.size() - 1));
+		return new Response.Rows(changes, versionOf(this.changedAt.size() - 1));
 	}
 
 	/**
@@ -164,10 +184,10 @@
 	/**
 	 * Returns the version of the store after a change.
 	 * @param change the number of the change, -1 for the time before the first one
-	 * @return the version
+	 * @return the version in the current generation
 	 */
-	static long version(int change) {
-		return change + 2;
+	long versionOf(int change) {
+		return StoreVersion.of(this.generation, change + 2);
 	}
 
 	/** The result of a query. */
