Begin a new tenure when a holder gives up while it resumes the lease

Seen in review: a holder whose VM was suspended right behind a restore of the store, before it had the lease in the new generation, went on with its old tenure and so with what it knew of sums. It gives up its tenure with the lease. UsageRows keeps the keys of writes without a response in a set of their own instead of a time far ahead.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseStateMachine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseStateMachine.java
@@ -339,6 +339,7 @@
 		this.highestFence = Math.max(this.highestFence, fence);
 		if (fence > this.heldFence) {
 			this.holding = false;
+			this.resuming = false;
 		}
 	}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseStateMachineTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/lease/LeaseStateMachineTests.java
@@ -227,6 +227,20 @@
 		assertThat(this.lease.tenure()).isEqualTo(2);
 	}
 
+	// Guards against a holder whose VM was suspended while it resumed the lease: it
+	// cannot
+	// know who held it meanwhile.
+	@Test
+	void shouldBeginNewTenureWhenHolderGaveUpAfterRestore() {
+		LeaseCommand.Write write = acquire(0);
+		this.lease.accept(new LeaseEvent.WriteCommitted(write.row().token(), 1), MILLI);
+		this.lease.continueInGeneration(1, 2_000 * MILLI);
+		this.lease.observeFence(this.lease.fence() + 1);
+		LeaseCommand.Write again = acquire(2_000 * MILLI);
+		this.lease.accept(new LeaseEvent.WriteCommitted(again.row().token(), 1), 2_010 * MILLI);
+		assertThat(this.lease.tenure()).isEqualTo(2);
+	}
+
 	@Test
 	void shouldIgnoreResponsesFromBeforeRestore() {
 		LeaseCommand.Write write = acquire(0);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageRows.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageRows.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -42,6 +44,9 @@
 	/** Rows that are confirmed as written and not added up yet, by key. */
 	private final TreeMap<String, UsageRow> written = new TreeMap<>();
 
+	/** The keys of the rows whose write has no response yet. */
+	private final Set<String> writing = new HashSet<>();
+
 	/** The time from which on an unwritten row may be written again, by key. */
 	private final Map<String, Long> nextWriteNanos = new HashMap<>();
 
@@ -73,8 +78,8 @@
 	void write() {
 		long now = this.clock.nanos();
 		List.copyOf(this.unwritten.entrySet()).forEach((entry) -> {
-			if (now - this.nextWriteNanos.getOrDefault(entry.getKey(), now) >= 0) {
-				this.nextWriteNanos.put(entry.getKey(), Long.MAX_VALUE / 2 + now);
+			boolean due = now - this.nextWriteNanos.getOrDefault(entry.getKey(), now) >= 0;
+			if (due && this.writing.add(entry.getKey())) {
 				write(entry.getKey(), entry.getValue());
 			}
 		});
@@ -82,12 +87,14 @@
 
 	private void write(String key, UsageRow row) {
 		this.store.commit(Commit.put(UsageDuty.TABLE, key, row.counts())).subscribe((_) -> this.control.accept(() -> {
+			this.writing.remove(key);
 			this.nextWriteNanos.remove(key);
 			if (this.unwritten.remove(key, row)) {
 				this.written.put(key, row);
 			}
 		}), (failure) -> this.control.accept(() -> {
 			RowLog.failed(key, "write", failure);
+			this.writing.remove(key);
 			// Writing the same row again is harmless, but immediate repeated retries
 			// would
 			// add load to an overloaded store.
@@ -104,6 +111,7 @@
 		int count = this.written.size();
 		this.written.forEach((key, row) -> this.unwritten.put(key, row.queuedAgain(now)));
 		this.written.clear();
+		this.writing.clear();
 		this.nextWriteNanos.clear();
 		return count;
 	}
