Compare generations of versions, and form keys of a generation, in one place each

The comparison of two versions' generations stood in five places, the key of a row that each generation has for itself in two (lease, sum). StoreVersion.sameGeneration and StoreGenerations.keyIn serve them. Two comments that the formatter had broken are set anew.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/rollout/RolloutOrder.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/rollout/RolloutOrder.java
@@ -31,7 +31,7 @@
 	public boolean isRewriteOf(RolloutOrder other) {
 		boolean sameContent = this.service.equals(other.service) && this.targetVersion.equals(other.targetVersion)
 				&& this.durationMillis == other.durationMillis;
-		return sameContent && StoreVersion.generation(this.number) != StoreVersion.generation(other.number);
+		return sameContent && !StoreVersion.sameGeneration(this.number, other.number);
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/StoreVersion.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/StoreVersion.java
@@ -47,6 +47,16 @@
 		return version >> NUMBER_BITS;
 	}
 
+	/**
+	 * Returns whether two versions were assigned by the same generation of the store.
+	 * @param version a version
+	 * @param other the other version
+	 * @return false if their numbers cannot be compared
+	 */
+	public static boolean sameGeneration(long version, long other) {
+		return generation(version) == generation(other);
+	}
+
 	/**
 	 * Returns a version as the store names it.
 	 * @param version the version
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleet.java
@@ -330,8 +330,7 @@
 			}
 			received.update.ifPresent((update) -> {
 				observe(update.version);
-				boolean sameGeneration = StoreVersion.generation(update.version) == StoreVersion
-					.generation(this.version);
+				boolean sameGeneration = StoreVersion.sameGeneration(update.version, this.version);
 				boolean follows = !update.omitted && sameGeneration && update.since <= this.version;
 				if (follows) {
 					applyChanges(update.changes, update.version);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
@@ -250,10 +250,9 @@
 		this.loaded = true;
 	}
 
-	// Rows that are missing after a restore of the store were lost, not deleted: taken
-	// for
-	// deleted, they would release requests that crash servers. All gateways know them, so
-	// each waits for a time of its own for another one to write them.
+	// Rows that are missing after a restore of the store were lost, not deleted. Taken
+	// for deleted, they would release requests that crash servers. All gateways know
+	// them, so each waits for a time of its own for another one to write them.
 	private void writeLostRows(List<String> missing, long nowNanos) {
 		long writeNanos = nowNanos + Math.floorMod(this.process.hashCode(), LOST_ROW_SPREAD_NANOS);
 		missing.forEach((key) -> this.table.rowLost(this.rows.remove(key), writeNanos));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -189,10 +189,8 @@
 		});
 	}
 
-	// A write from before a restore that takes effect after it leaves the row of the new
-	// generation unchanged.
 	private String key() {
-		return (this.machine.generation() == 0) ? KEY : KEY + '/' + this.machine.generation();
+		return StoreGenerations.keyIn(KEY, this.machine.generation());
 	}
 
 	private void accept(LeaseEvent event) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RolloutDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RolloutDuty.java
@@ -117,8 +117,7 @@
 	}
 
 	private Optional<Phase> nextPhase(Rollout rollout, State state, long epochMillis) {
-		// The order was withdrawn, or the store came back from a copy of an earlier
-		// phase.
+		// The order was withdrawn, or the store has lost a later phase.
 		boolean behind = state.phase().canAdvanceTo(rollout.phase());
 		if (behind) {
 			return Optional.of(rollout.phase());
@@ -246,7 +245,7 @@
 	private record State(String to, long number, long sinceMillis, Phase phase) {
 
 		private boolean belongsTo(RolloutOrder order) {
-			boolean rewritten = StoreVersion.generation(this.number) != StoreVersion.generation(order.number());
+			boolean rewritten = !StoreVersion.sameGeneration(this.number, order.number());
 			return this.to.equals(order.targetVersion())
 					&& (this.number == order.number() || rewritten || !this.phase.isFinal());
 		}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/StoreGenerations.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/StoreGenerations.java
@@ -69,6 +69,17 @@
 		return before;
 	}
 
+	/**
+	 * Returns the key of a row of which each generation has its own, so that a delayed
+	 * write of an earlier one leaves it unchanged.
+	 * @param key the key in generation 0
+	 * @param generation the generation
+	 * @return the key
+	 */
+	static String keyIn(String key, long generation) {
+		return (generation == 0) ? key : key + '/' + generation;
+	}
+
 	// -- calls
 
 	@Override
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableReplica.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableReplica.java
@@ -69,7 +69,7 @@
 		boolean missedChange = this.rows.values()
 			.stream()
 			.anyMatch((row) -> row.version() <= this.version && isChanged(row, previousRows));
-		boolean restored = StoreVersion.generation(tableVersion) != StoreVersion.generation(this.version);
+		boolean restored = !StoreVersion.sameGeneration(tableVersion, this.version);
 		if (this.version == 0 || missedChange || restored) {
 			this.recentChanges.clear();
 			this.retainedSince = tableVersion;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -126,8 +126,7 @@
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 */
 	synchronized void receive(TableNews update, InetSocketAddress tablesAddress, long nowNanos) {
-		boolean sameGeneration = StoreVersion.generation(update.getVersion()) == StoreVersion
-			.generation(this.replica.version());
+		boolean sameGeneration = StoreVersion.sameGeneration(update.getVersion(), this.replica.version());
 		boolean contiguous = !update.getOmitted() && sameGeneration && update.getSince() <= this.replica.version();
 		boolean complete = contiguous || update.getVersion() <= this.replica.version();
 		this.newerPeer = complete ? this.newerPeer : Optional.of(tablesAddress);
@@ -215,7 +214,7 @@
 		return this.store.read(new Range(this.table, from, "")).flatMap((page) -> {
 			collected.addAll(page.rows());
 			long version = firstVersion.orElse(page.version());
-			if (StoreVersion.generation(version) != page.generation()) {
+			if (!StoreVersion.sameGeneration(version, page.version())) {
 				return Mono.error(StoreException.of(StoreException.Reason.RESTORED, Verdict.notRun(),
 						"the store was restored between two pages"));
 			}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -406,7 +406,7 @@
 	}
 
 	private String sumKey(long window) {
-		return key(window, (this.generation == 0) ? SUM_NAME : SUM_NAME + '/' + this.generation);
+		return StoreGenerations.keyIn(key(window, SUM_NAME), this.generation);
 	}
 
 	// Ignores a row that was corrupted or written by another program; its counts are
