--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseStateMachine.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/lease/LeaseStateMachine.java
@@ -46,12 +46,6 @@
 	 */
 	private static final long READ_INTERVAL_NANOS_PER_PROCESS = 25 * NANOS_PER_MILLI;
 
-	/**
-	 * The bits of a fencing number below the generation. Up to generation 2^21 fencing
-	 * numbers are exact where numbers are stored as floating point.
-	 */
-	private static final int FENCE_BITS = 32;
-
 	/** The time after which an announcement of the holder expires. */
 	private static final long ANNOUNCEMENT_TIMEOUT_NANOS = 1_000 * NANOS_PER_MILLI;
 
@@ -86,23 +80,7 @@
 
 	private long validUntilNanos;
 
-	/** The generation of the table service. */
-	private long generation;
-
-	/**
-	 * The time before which the lease is not acquired while it has no row in this
-	 * generation.
-	 */
-	private OptionalLong vacantUntilNanos = OptionalLong.empty();
-
-	/**
-	 * Whether this process held the lease when it learned of this generation, and no
-	 * other process can have held it since.
-	 */
-	private boolean resuming;
-
-	/** The number of times that this process acquired the lease from another holder. */
-	private long tenure;
+	private final LeaseTenure tenure = new LeaseTenure();
 
 	private boolean releasing;
 
@@ -189,7 +167,7 @@
 	 * @return the number of the current or last tenure, 0 before the first one
 	 */
 	public long tenure() {
-		return this.tenure;
+		return this.tenure.number();
 	}
 
 	/**
@@ -262,8 +240,8 @@
 	 * @param firstGeneration the generation
 	 */
 	public void beginInGeneration(long firstGeneration) {
-		this.generation = firstGeneration;
-		this.highestFence = firstGeneration << FENCE_BITS;
+		this.tenure.beginIn(firstGeneration);
+		this.highestFence = this.tenure.fenceBase();
 	}
 
 	/**
@@ -272,12 +250,12 @@
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 */
 	public void continueInGeneration(long newGeneration, long nowNanos) {
-		this.resuming = (this.holding || this.resuming) && !this.releasing && nowNanos - this.validUntilNanos < 0;
+		boolean valid = (this.holding || this.tenure.isResuming()) && !this.releasing
+				&& nowNanos - this.validUntilNanos < 0;
 		long termNanos = Math.max(this.terms.termNanos(),
 				this.row.map((known) -> known.termMillis() * NANOS_PER_MILLI).orElse(0L));
-		this.vacantUntilNanos = this.resuming ? OptionalLong.empty() : OptionalLong.of(nowNanos + termNanos);
-		this.generation = newGeneration;
-		this.highestFence = Math.max(this.highestFence, newGeneration << FENCE_BITS);
+		this.tenure.continueIn(newGeneration, valid, nowNanos + termNanos);
+		this.highestFence = Math.max(this.highestFence, this.tenure.fenceBase());
 		this.holding = false;
 		this.row = Optional.empty();
 		this.version = 0;
@@ -295,7 +273,7 @@
 	 * @return the generation, 0 unless it was set
 	 */
 	public long generation() {
-		return this.generation;
+		return this.tenure.generation();
 	}
 
 	/**
@@ -339,7 +317,7 @@
 		this.highestFence = Math.max(this.highestFence, fence);
 		if (fence > this.heldFence) {
 			this.holding = false;
-			this.resuming = false;
+			this.tenure.interrupt();
 		}
 	}
 
@@ -413,7 +391,9 @@
 				&& !observedRow.map((observed) -> this.ownTokens.contains(observed.token())).orElse(false)) {
 			this.holding = false;
 		}
-		this.resuming &= observedRow.isEmpty() || ownWrite != null;
+		if (observedRow.isPresent() && ownWrite == null) {
+			this.tenure.interrupt();
+		}
 		// Writes that are conditional on another version can no longer take effect.
 		this.pendingWrites.values().removeIf((write) -> write.version() != observedVersion);
 	}
@@ -427,8 +407,7 @@
 		// late, or lost and replaced by a read, while a successor's wait may have begun
 		// when the write took effect.
 		this.validUntilNanos = ownWrite.sentNanos() + this.terms.termNanos() - this.terms.marginNanos();
-		this.tenure += (this.holding || this.resuming) ? 0 : 1;
-		this.resuming = false;
+		this.tenure.acquired(this.holding);
 		this.holding = true;
 		this.heldFence = ownWrite.row().fence();
 		this.ownTokens.clear();
@@ -456,7 +435,7 @@
 			return false;
 		}
 		if (this.row.isEmpty()) {
-			return this.vacantUntilNanos.isEmpty() || nowNanos - this.vacantUntilNanos.getAsLong() >= 0;
+			return this.tenure.mayAcquireVacant(nowNanos);
 		}
 		if (this.row.get().isReleased()) {
 			return true;
