Say of sums that they are sent to other gateways, not reported

A sum is reported to the platform and sent to other gateways; UsageSums called both a report (isReported, takeReportDue). The condition under which a table of a new generation from another gateway ends the reading is written as a branch. Behaviour stays: UsageSumsTests, TableFollowerTests, SimulatedFleetTests on restores, RowFormsTests, RestoredStoreTests and GatewayProcessTests passed.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/UsageSums.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/UsageSums.java
@@ -28,8 +28,8 @@
  */
 public final class UsageSums {
 
-	/** The number of reports that include a sum, since some are lost. */
-	private static final int REPORTS_PER_SUM = 3;
+	/** How often a sum is sent to the other processes, since messages may be lost. */
+	private static final int SENDS_PER_SUM = 3;
 
 	private final TreeMap<Long, KnownSum> sums = new TreeMap<>();
 
@@ -81,7 +81,7 @@
 	 * @param counts the number of calls by organisation
 	 */
 	public void stored(long window, Map<String, Long> counts) {
-		this.sums.putIfAbsent(window, new KnownSum(Map.copyOf(counts), REPORTS_PER_SUM));
+		this.sums.putIfAbsent(window, new KnownSum(Map.copyOf(counts), SENDS_PER_SUM));
 	}
 
 	/**
@@ -106,11 +106,11 @@
 	 * them as sent.
 	 * @return the sums, oldest first
 	 */
-	public List<Sum> takeReportDue() {
+	public List<Sum> takeDue() {
 		List<Sum> due = new ArrayList<>();
 		this.sums.forEach((window, sum) -> {
-			if (sum.reportsLeft > 0) {
-				sum.reportsLeft--;
+			if (sum.sendsLeft > 0) {
+				sum.sendsLeft--;
 				due.add(new Sum(window, sum.counts));
 			}
 		});
@@ -121,10 +121,10 @@
 
 	/**
 	 * Returns whether a sum was not sent to the other processes yet.
-	 * @return true until {@link #takeReportDue} has returned it once
+	 * @return true until {@link #takeDue} has returned it once
 	 */
-	public boolean isAnyUnreported() {
-		return this.sums.values().stream().anyMatch((sum) -> sum.reportsLeft == REPORTS_PER_SUM);
+	public boolean isAnyNeverSent() {
+		return this.sums.values().stream().anyMatch((sum) -> sum.sendsLeft == SENDS_PER_SUM);
 	}
 
 	/**
@@ -141,10 +141,8 @@
 	 * @param window the index of the window
 	 * @return false while a report with it is due for the first time
 	 */
-	public boolean isReported(long window) {
-		return Optional.ofNullable(this.sums.get(window))
-			.filter((sum) -> sum.reportsLeft < REPORTS_PER_SUM)
-			.isPresent();
+	public boolean wasSent(long window) {
+		return Optional.ofNullable(this.sums.get(window)).filter((sum) -> sum.sendsLeft < SENDS_PER_SUM).isPresent();
 	}
 
 	/**
@@ -170,11 +168,11 @@
 
 		private final Map<String, Long> counts;
 
-		private int reportsLeft;
+		private int sendsLeft;
 
-		private KnownSum(Map<String, Long> counts, int reportsLeft) {
+		private KnownSum(Map<String, Long> counts, int sendsLeft) {
 			this.counts = counts;
-			this.reportsLeft = reportsLeft;
+			this.sendsLeft = sendsLeft;
 		}
 
 	}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/TableFollower.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/TableFollower.java
@@ -306,7 +306,9 @@
 	public void reportReceived(long otherVersion, boolean complete, Optional<Long> confirmedNanos, long nowNanos) {
 		if (complete) {
 			boolean restored = StoreVersion.generation(otherVersion) > StoreVersion.generation(this.version);
-			this.wholeTableNeeded &= !restored || StoreVersion.generation(otherVersion) < this.generation;
+			if (restored && StoreVersion.generation(otherVersion) >= this.generation) {
+				this.wholeTableNeeded = false;
+			}
 			this.version = Math.max(this.version, otherVersion);
 			confirmedNanos.ifPresent((at) -> this.freshness.confirm(at, Source.REPORT));
 		}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/UsageSumsTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/UsageSumsTests.java
@@ -66,14 +66,14 @@
 	void shouldSendStoredSumInSeveralReports() {
 		this.sums.stored(7, Map.of("sfax", 4L));
 		this.sums.received(8, Map.of("sfax", 5L));
-		assertThat(this.sums.isReported(7)).isFalse();
-		assertThat(this.sums.isAnyUnreported()).isTrue();
+		assertThat(this.sums.wasSent(7)).isFalse();
+		assertThat(this.sums.isAnyNeverSent()).isTrue();
 		for (int report = 0; report < 3; report++) {
-			assertThat(this.sums.takeReportDue()).containsExactly(new Sum(7, Map.of("sfax", 4L)));
+			assertThat(this.sums.takeDue()).containsExactly(new Sum(7, Map.of("sfax", 4L)));
 		}
-		assertThat(this.sums.isReported(7)).isTrue();
-		assertThat(this.sums.isAnyUnreported()).isFalse();
-		assertThat(this.sums.takeReportDue()).isEmpty();
+		assertThat(this.sums.wasSent(7)).isTrue();
+		assertThat(this.sums.isAnyNeverSent()).isFalse();
+		assertThat(this.sums.takeDue()).isEmpty();
 	}
 
 	@Test
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -198,7 +198,7 @@
 	 * @return the sums
 	 */
 	List<UsageSums.Sum> takeSumsToSend() {
-		return this.sums.takeReportDue();
+		return this.sums.takeDue();
 	}
 
 	/**
@@ -206,7 +206,7 @@
 	 * @return true until the next report to them
 	 */
 	boolean isUrgent() {
-		return this.sums.isAnyUnreported();
+		return this.sums.isAnyNeverSent();
 	}
 
 	// -- reporting
@@ -277,7 +277,7 @@
 		if (sum.isEmpty()) {
 			readRows(window, organisations);
 		}
-		else if (this.sums.isReported(window)) {
+		else if (this.sums.wasSent(window)) {
 			report(window, sum.get());
 		}
 	}
