--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/StoreException.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/StoreException.java
@@ -61,12 +61,6 @@
 		/** The requested changes are no longer retained. */
 		HISTORY_LOST,
 
-		/**
-		 * The store came back from a copy since the call was sent or since its versions
-		 * were read.
-		 */
-		RESTORED,
-
 		/** A newer lease holder has already acted. */
 		FENCED,
 
@@ -74,7 +68,13 @@
 		NONE_AVAILABLE,
 
 		/** The platform rejected the call as invalid. */
-		REJECTED
+		REJECTED,
+
+		/**
+		 * The store came back from a copy since the call was sent or since its versions
+		 * were read.
+		 */
+		RESTORED
 
 	}
 
