Keep a predecessor's reclaimable servers until peaks of the demand are known

What callers saw: the holder of the duties was killed; the gateway that took over ordered 1 reclaimable server in each zone where 3 were present, in the same millisecond, and a reclaim of one zone met what was left. Cause: a plan rests on the demand measured so far, without its age. Peaks count for 25 s; a gateway that has measured for less knows only a part. Change: a plan says whether its peaks are known. Until they are, a holder keeps the reclaimable servers that it found, also those that register after it took over; what it ordered itself follows its plan as before, so that the first holder of a start orders what it ordered before. Why it holds: the demand of every gateway is heard as a running total from the start of the process on, so that after 25 s of plans no peak that still counts is missing.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/CapacityPlanner.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/CapacityPlanner.java
@@ -96,8 +96,8 @@
 	 */
 	private double initialRequired;
 
-	/** When the initial required capacity expires; empty before the first plan. */
-	private OptionalLong initialUntilNanos = OptionalLong.empty();
+	/** When the first plan was made; empty before it. */
+	private OptionalLong firstPlanNanos = OptionalLong.empty();
 
 	/**
 	 * Plans the size of a service.
@@ -108,6 +108,9 @@
 	 * @return the required capacity and the servers in each zone
 	 */
 	public Plan plan(ServiceSpec service, List<String> zones, Demand demand, long nowNanos) {
+		if (this.firstPlanNanos.isEmpty()) {
+			this.firstPlanNanos = OptionalLong.of(nowNanos);
+		}
 		ServiceSpec.ScalingSpec bounds = service.scaling().orElseThrow();
 		int slots = service.engine().map(ServiceSpec.EngineSpec::slots).orElse(1);
 		double prefillServers = demand.tokensPerSecond() / demand.serverTokensPerSecond() / PREFILL_UTILISATION;
@@ -126,7 +129,8 @@
 					bounds.max() - onDemandHere);
 			sizes.put(zones.get(i), new ZoneSize(onDemandHere, reclaimable));
 		}
-		return new Plan(requiredCapacity, recentCapacity, sizes);
+		boolean peaksKnown = nowNanos - this.firstPlanNanos.orElseThrow() >= PEAK_RETENTION_NANOS;
+		return new Plan(requiredCapacity, recentCapacity, sizes, peaksKnown);
 	}
 
 	// If a spare reclaimable server in every zone costs less than one on-demand server,
@@ -162,10 +166,7 @@
 	// estimate. The servers register one after the other, so that the first plan sees
 	// only some of them.
 	private double initialRequiredServers(Demand demand, long nowNanos) {
-		if (this.initialUntilNanos.isEmpty()) {
-			this.initialUntilNanos = OptionalLong.of(nowNanos + INITIAL_PERIOD_NANOS);
-		}
-		if (nowNanos - this.initialUntilNanos.getAsLong() >= 0) {
+		if (nowNanos - this.firstPlanNanos.orElseThrow() >= INITIAL_PERIOD_NANOS) {
 			return 0;
 		}
 		this.initialRequired = Math.max(this.initialRequired, demand.onDemand() * INITIAL_FRACTION);
@@ -191,8 +192,11 @@
 	 * @param recentRequiredServers the servers required in the last seconds
 	 * @param zones the planned servers of each zone, including those that replace a lost
 	 * zone
+	 * @param peaksKnown whether the demand was measured for as long as its peaks are
+	 * retained; until then more servers may be required
 	 */
-	public record Plan(double requiredServers, double recentRequiredServers, Map<String, ZoneSize> zones) {
+	public record Plan(double requiredServers, double recentRequiredServers, Map<String, ZoneSize> zones,
+			boolean peaksKnown) {
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/ScalingOrders.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/ScalingOrders.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.rosemaryfront.duties.CapacityPlanner.Plan;
@@ -44,8 +46,26 @@
 
 	private final Map<Pool, PlacedOrder> placedOrders = new HashMap<>();
 
+	/**
+	 * The most servers seen in each pool before its first order since this process took
+	 * the duties. A predecessor ordered them for a demand that this process may not have
+	 * measured.
+	 */
+	private final Map<Pool, Integer> inheritedServers = new HashMap<>();
+
+	/** The pools ordered since this process took the duties. */
+	private final Set<Pool> orderedPools = new HashSet<>();
+
 	// -- orders
 
+	/**
+	 * Records that this process took the duties.
+	 */
+	public void dutiesTaken() {
+		this.inheritedServers.clear();
+		this.orderedPools.clear();
+	}
+
 	/**
 	 * Returns the orders that bring a service to its planned size, and records them as
 	 * placed.
@@ -60,7 +80,10 @@
 		boolean shortage = isShortOfServers(plan, present);
 		plan.zones().forEach((zone, planned) -> {
 			int current = zoneSize(present, zone).reclaimable();
-			int requested = shortage ? Math.max(planned.reclaimable(), current) : planned.reclaimable();
+			int inherited = inheritedServers(new Pool(service.name(), zone, true), current);
+			int limit = service.scaling().orElseThrow().max() - planned.onDemand();
+			int retained = plan.peaksKnown() ? 0 : Math.min(limit, inherited);
+			int requested = Math.max(planned.reclaimable(), shortage ? current : retained);
 			nextOrder(service, new PoolSize(service.name(), zone, requested, true), current, nowNanos)
 				.ifPresent(sizes::add);
 		});
@@ -73,6 +96,14 @@
 		return sizes;
 	}
 
+	// Servers that a predecessor ordered may register after this process took the duties.
+	private int inheritedServers(Pool pool, int present) {
+		if (!this.orderedPools.contains(pool)) {
+			this.inheritedServers.merge(pool, present, Math::max);
+		}
+		return Math.min(present, this.inheritedServers.getOrDefault(pool, 0));
+	}
+
 	// During a correlated reclaim, a plan that moves servers between zones or kinds of
 	// VM must not release running servers: a live server was released while none of its
 	// replacements was available, and a third of the calls of two seconds were late.
@@ -157,6 +188,7 @@
 				return Optional.empty();
 			}
 		}
+		this.orderedPools.add(size.pool());
 		this.placedOrders.put(size.pool(), new PlacedOrder(size, nowNanos, isRefused(size)));
 		return Optional.of(size);
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/ScalingOrdersTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/duties/ScalingOrdersTests.java
@@ -28,7 +28,7 @@
 	 * zone.
 	 */
 	private static final Plan PLAN = new Plan(2.8, 2.8,
-			new TreeMap<>(Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 2))));
+			new TreeMap<>(Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 2))), true);
 
 	private static final Map<String, ZoneSize> COMPLETE = Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 2));
 
@@ -115,7 +115,7 @@
 	// that are ordered upon the notice of the last zone boot while no server is left.
 	@Test
 	void shouldNotCountOnLargestZoneWhenOneIsRefused() {
-		Plan large = new Plan(4.2, 4.2, PLAN.zones());
+		Plan large = new Plan(4.2, 4.2, PLAN.zones(), true);
 		this.orders.nextOrders(LLM, large, WITHOUT_B, 0);
 		this.orders.recordFailure(RECLAIMABLE_IN_B, true, 0);
 		// Three servers are present and three are required; two of them may be reclaimed
@@ -141,17 +141,59 @@
 	// live server in another zone was released without a replacement.
 	@Test
 	void shouldReleaseNoServerWhenAnotherIsMissing() {
-		Plan smaller = new Plan(2.8, 2.8, new TreeMap<>(Map.of("a", new ZoneSize(1, 1), "b", new ZoneSize(1, 1))));
+		Plan smaller = new Plan(2.8, 2.8, new TreeMap<>(Map.of("a", new ZoneSize(1, 1), "b", new ZoneSize(1, 1))),
+				true);
 		assertThat(this.orders.nextOrders(LLM, smaller, WITHOUT_B, 0)).noneMatch((size) -> size.zone().equals("a"));
 		assertThat(this.orders.nextOrders(LLM, smaller, COMPLETE, 9 * SECOND))
 			.contains(new PoolSize("llm", "a", 1, true), new PoolSize("llm", "b", 1, true));
 	}
 
+	// Guards against a new holder of the duties that releases its predecessor's servers
+	// before it has measured the demand for long enough.
+	@Test
+	void shouldReleaseInheritedServersOnlyWhenPeaksAreKnown() {
+		Map<String, ZoneSize> present = Map.of("a", new ZoneSize(1, 3), "b", new ZoneSize(0, 3));
+		assertThat(this.orders.nextOrders(LLM, beforePeaksAreKnown(), present, 0)).isEmpty();
+		assertThat(next(present, SECOND)).containsExactly(RECLAIMABLE_IN_A, RECLAIMABLE_IN_B);
+	}
+
+	@Test
+	void shouldKeepInheritedServersWhenTheyRegisterLate() {
+		this.orders.nextOrders(LLM, beforePeaksAreKnown(), COMPLETE, 0);
+		Map<String, ZoneSize> present = Map.of("a", new ZoneSize(1, 3), "b", new ZoneSize(0, 3));
+		assertThat(this.orders.nextOrders(LLM, beforePeaksAreKnown(), present, SECOND)).isEmpty();
+	}
+
+	// The servers that the first holder of a start orders before there is a plan follow
+	// its first plan.
+	@Test
+	void shouldReleaseOwnServersWhenPeaksAreUnknown() {
+		this.orders.nextOrder(LLM, new PoolSize("llm", "b", 3, true), 0, 0);
+		Map<String, ZoneSize> present = Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 3));
+		assertThat(this.orders.nextOrders(LLM, beforePeaksAreKnown(), present, SECOND)).contains(RECLAIMABLE_IN_B);
+	}
+
+	@Test
+	void shouldKeepServersOfAnotherHolderWhenDutiesAreTakenAgain() {
+		this.orders.nextOrder(LLM, new PoolSize("llm", "b", 2, true), 0, 0);
+		this.orders.dutiesTaken();
+		Map<String, ZoneSize> present = Map.of("a", new ZoneSize(1, 2), "b", new ZoneSize(0, 3));
+		assertThat(this.orders.nextOrders(LLM, beforePeaksAreKnown(), present, SECOND))
+			.noneMatch((size) -> size.servers() < 3);
+	}
+
+	@Test
+	void shouldKeepNoInheritedServersBeyondLimitOfService() {
+		Map<String, ZoneSize> present = Map.of("a", new ZoneSize(1, 8), "b", new ZoneSize(0, 8));
+		assertThat(this.orders.nextOrders(LLM, beforePeaksAreKnown(), present, 0))
+			.containsExactly(new PoolSize("llm", "a", 5, true), new PoolSize("llm", "b", 6, true));
+	}
+
 	// A traffic peak is over: fallback servers for it would cost five times as much as
 	// reclaimable ones and stay idle.
 	@Test
 	void shouldOrderNoFallbackServersWhenPeakIsOver() {
-		Plan afterPeak = new Plan(11, 1.4, PLAN.zones());
+		Plan afterPeak = new Plan(11, 1.4, PLAN.zones(), true);
 		this.orders.nextOrders(LLM, afterPeak, WITHOUT_B, 0);
 		this.orders.recordFailure(RECLAIMABLE_IN_B, true, 0);
 		assertThat(this.orders.nextOrders(LLM, afterPeak, WITHOUT_B, SECOND / 10)).isEmpty();
@@ -165,6 +207,10 @@
 		assertThat(next(WITHOUT_B, 2 * SECOND)).containsExactly(RECLAIMABLE_IN_B);
 	}
 
+	private static Plan beforePeaksAreKnown() {
+		return new Plan(PLAN.requiredServers(), PLAN.recentRequiredServers(), PLAN.zones(), false);
+	}
+
 	private List<PoolSize> next(Map<String, ZoneSize> present, long now) {
 		return this.orders.nextOrders(LLM, PLAN, present, now);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SizeDuty.java
@@ -86,6 +86,9 @@
 	 */
 	private boolean replacementPending;
 
+	/** The fencing number of the last orders, 0 before the first. */
+	private long lastFence;
+
 	private double lastTokens;
 
 	private double tokensPerSecond;
@@ -131,6 +134,10 @@
 	 * @param now the current time on the monotonic clock, in nanoseconds
 	 */
 	void act(long fence, TrafficConfiguration configuration, long now) {
+		if (fence != this.lastFence) {
+			this.lastFence = fence;
+			this.orders.dutiesTaken();
+		}
 		boolean due = this.plansPending || this.replacementPending;
 		this.plansPending = false;
 		this.replacementPending = false;
