Name what records inherited servers by what it does, and mend a broken comment

inheritedServers read like a query but records what it sees until the first order of a pool; it is recordInherited now. The comment of a test of sizes was broken over three lines.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/ScalingOrders.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/duties/ScalingOrders.java
@@ -80,7 +80,7 @@
 		boolean shortage = isShortOfServers(plan, present);
 		plan.zones().forEach((zone, planned) -> {
 			int current = zoneSize(present, zone).reclaimable();
-			int inherited = inheritedServers(new Pool(service.name(), zone, true), current);
+			int inherited = recordInherited(new Pool(service.name(), zone, true), current);
 			int limit = service.scaling().orElseThrow().max() - planned.onDemand();
 			int retained = plan.peaksKnown() ? 0 : Math.min(limit, inherited);
 			int requested = Math.max(planned.reclaimable(), shortage ? current : retained);
@@ -97,7 +97,8 @@
 	}
 
 	// Servers that a predecessor ordered may register after this process took the duties.
-	private int inheritedServers(Pool pool, int present) {
+	// Returns how many of those present it ordered, as far as is known.
+	private int recordInherited(Pool pool, int present) {
 		if (!this.orderedPools.contains(pool)) {
 			this.inheritedServers.merge(pool, present, Math::max);
 		}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SizeDutyTests.java
@@ -97,8 +97,7 @@
 	}
 
 	// Guards against a new holder of the duties that releases servers by the little
-	// demand
-	// that it has heard of so far.
+	// demand that it has heard of so far.
 	@Test
 	void shouldNotReleaseServersWhenDutiesWereJustTakenOver() {
 		register("a1", "a", false);
