--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/speeds/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How fast backend servers are, learned from the calls of all gateways.
+ */
+package org.rosemaryfront.speeds;
