Keep the sum of what other gateways use of a server

Cause: each choice of a server walked over the uses that all other gateways reported, for each server several times: with 66 servers and 72 gateways some ten thousand map entries a call, in code that a gateway of a large fleet runs too seldom to have compiled. Change: a server's row keeps the sum and corrects it by each report.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -18,7 +18,12 @@
 	long ownUncachedTokens;
 
 	/** The last reported use of the server by other processes, by process. */
-	final Map<String, BackendUse> usesByProcess = new HashMap<>();
+	private final Map<String, BackendUse> usesByProcess = new HashMap<>();
+
+	/**
+	 * The sum of these uses, kept because each choice of a server compares all servers.
+	 */
+	private BackendUse peerUse = BackendUse.NONE;
 
 	/**
 	 * When the server is removed unless it registers again; empty while it is registered.
@@ -62,20 +67,22 @@
 		this.registeredNanos = registeredNanos;
 	}
 
+	void recordPeerUse(String process, BackendUse use) {
+		BackendUse previous = this.usesByProcess.put(process, use);
+		this.peerUse = this.peerUse.plus(use).minus((previous != null) ? previous : BackendUse.NONE);
+	}
+
+	void removePeerUse(String process) {
+		BackendUse previous = this.usesByProcess.remove(process);
+		this.peerUse = this.peerUse.minus((previous != null) ? previous : BackendUse.NONE);
+	}
+
 	int load() {
-		int sum = this.ownCalls;
-		for (BackendUse other : this.usesByProcess.values()) {
-			sum += other.calls();
-		}
-		return sum;
+		return this.ownCalls + this.peerUse.calls();
 	}
 
 	long uncachedTokens() {
-		long sum = this.ownUncachedTokens;
-		for (BackendUse other : this.usesByProcess.values()) {
-			sum += other.uncachedTokens();
-		}
-		return sum;
+		return this.ownUncachedTokens + this.peerUse.uncachedTokens();
 	}
 
 	boolean hasRoom(SlotShares shares, long nowNanos) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -330,8 +330,8 @@
 		Set<Incarnation> previous = this.serversByProcess.getOrDefault(process, Set.of());
 		previous.stream()
 			.filter((server) -> !uses.containsKey(server))
-			.forEach((server) -> row(server).ifPresent((row) -> row.usesByProcess.remove(process)));
-		uses.forEach((server, use) -> row(server).ifPresent((row) -> row.usesByProcess.put(process, use)));
+			.forEach((server) -> row(server).ifPresent((row) -> row.removePeerUse(process)));
+		uses.forEach((server, use) -> row(server).ifPresent((row) -> row.recordPeerUse(process, use)));
 		this.serversByProcess.put(process, Set.copyOf(uses.keySet()));
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendUse.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendUse.java
@@ -11,4 +11,12 @@
 	/** No use. */
 	public static final BackendUse NONE = new BackendUse(0, 0);
 
+	BackendUse plus(BackendUse other) {
+		return new BackendUse(this.calls + other.calls, this.uncachedTokens + other.uncachedTokens);
+	}
+
+	BackendUse minus(BackendUse other) {
+		return new BackendUse(this.calls - other.calls, this.uncachedTokens - other.uncachedTokens);
+	}
+
 }
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/BackendTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/BackendTableTests.java
@@ -1,6 +1,10 @@
 package org.rosemaryfront.dispatch;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Random;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -51,6 +55,26 @@
 		assertThat(this.table.recordRegistration(server(START, 7, true), 1)).isFalse();
 	}
 
+	// Guards against a load that drifts from the reports that it sums up.
+	@Test
+	void shouldSumLatestUseOfEachProcessWhenReportsReplaceAndDropUses() {
+		this.table.recordRegistration(server(START, 7, false), 0);
+		BackendServer.Incarnation server = server(START, 7, false).incarnation();
+		Map<String, Integer> reported = new HashMap<>();
+		Random random = new Random(1);
+		for (int i = 0; i < 500; i++) {
+			String process = "p" + random.nextInt(20);
+			int calls = random.nextInt(4);
+			this.table.recordPeerUse(process,
+					(calls == 0) ? Map.of() : Map.of(server, new BackendUse(calls, 100L * calls)));
+			reported.put(process, calls);
+			int sum = reported.values().stream().mapToInt(Integer::intValue).sum();
+			BackendRow row = this.table.eligibleRows("llm", List.of()).getFirst();
+			assertThat(row.load()).isEqualTo(sum);
+			assertThat(row.uncachedTokens()).isEqualTo(100L * sum);
+		}
+	}
+
 	// Guards against a heartbeat, also one behind a lapse, that takes back what the
 	// server
 	// said itself. Another run of it is another server.
