Learn the speeds of servers from the calls of all gateways

Each gateway learned a factor from its own calls alone, against an expectation that held the factor already, so that it settled at its square root. Servers of calls without a prompt had none.

SpeedTable holds a lasting speed by run of a server, relative to the median of the service, and a slow phase that is believed while its measurements are young. Gateways report their measurements once. The model of the time to first token now describes a typical server. Calls without a prompt go by load over slots and speed.

DispatcherTests records a response time by its new name, with the same times and the same demand.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -39,9 +39,6 @@
 	 */
 	OptionalLong avoidUntilNanos = OptionalLong.empty();
 
-	/** Smoothed ratio of measured to expected time to first token. */
-	double slowness = 1;
-
 	/** The sequence number of the last call sent to the server. */
 	long lastCallNumber;
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -12,8 +12,12 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
+import org.rosemaryfront.speeds.SpeedSample;
+import org.rosemaryfront.speeds.SpeedTable;
+import org.rosemaryfront.speeds.SpeedTable.SpeedChange;
 
 /**
  * The backend servers that can receive calls, built from their registrations, and their
@@ -56,11 +60,11 @@
 	 */
 	private static final int AVOIDANCE_THRESHOLD = 2;
 
-	/** The weight of the newest sample in a server's smoothed slowness. */
-	private static final double SLOWNESS_SMOOTHING_FACTOR = 0.15;
-
-	/** The bound of a single slowness sample, as a factor in both directions. */
-	private static final double MAX_SLOWNESS_RATIO = 5;
+	/**
+	 * Added to measured and expected times before they are compared, in milliseconds: a
+	 * busy machine of this process delays any call by this much.
+	 */
+	private static final double JITTER_MILLIS = 10;
 
 	/**
 	 * The maximum number of servers whose last registration is retained; the oldest
@@ -80,6 +84,10 @@
 
 	private final ServerNotices notices = new ServerNotices();
 
+	private final SpeedTable speeds = SpeedTable.empty();
+
+	private long invalidSpeeds;
+
 	private SlotShares slotShares = SlotShares.ALONE;
 
 	/** The number of calls sent so far, to all servers. */
@@ -119,6 +127,7 @@
 		BackendRow existing = this.rows.get(server.id());
 		if (existing == null || isRestart(server)) {
 			this.rows.put(server.id(), new BackendRow(server, registeredNanos));
+			retainSpeeds();
 			return true;
 		}
 		boolean changed = !existing.server.hasSameContent(server) || existing.removeAtNanos.isPresent()
@@ -201,6 +210,9 @@
 			}
 			return expired;
 		});
+		if (!dropped.isEmpty()) {
+			retainSpeeds();
+		}
 		return dropped;
 	}
 
@@ -262,18 +274,6 @@
 		row(server).ifPresent((row) -> row.ownUncachedTokens = Math.max(0, row.ownUncachedTokens - uncachedTokens));
 	}
 
-	/**
-	 * Records the time to first token of a call.
-	 * @param server the run of the server
-	 * @param expectedMillis the expected time, in milliseconds
-	 * @param millis the measured time, in milliseconds
-	 */
-	public void recordFirstToken(Incarnation server, long expectedMillis, long millis) {
-		double ratio = Math.clamp((double) millis / Math.max(1, expectedMillis), 1 / MAX_SLOWNESS_RATIO,
-				MAX_SLOWNESS_RATIO);
-		row(server).ifPresent((row) -> row.slowness += SLOWNESS_SMOOTHING_FACTOR * (ratio - row.slowness));
-	}
-
 	/**
 	 * Records that a call ended.
 	 * @param server the run of the server
@@ -350,6 +350,69 @@
 		return uses;
 	}
 
+	// -- speeds
+
+	/**
+	 * Records the response time of a call.
+	 * @param server the run of the server
+	 * @param typicalMillis the time expected of a typical server of the service, in
+	 * milliseconds
+	 * @param millis the measured time, in milliseconds
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	public void recordResponseTime(Incarnation server, double typicalMillis, double millis, long nowNanos) {
+		row(server).ifPresent((row) -> this.speeds.record(server, row.server.service(),
+				(JITTER_MILLIS + millis) / (JITTER_MILLIS + typicalMillis), nowNanos));
+	}
+
+	/**
+	 * Returns the response times measured by this process since the last call of this
+	 * method.
+	 * @return the samples to report
+	 */
+	public List<SpeedSample> takeSpeedSamples() {
+		return this.speeds.takeSamples();
+	}
+
+	/**
+	 * Records response times that another process reports. Samples of runs that are not
+	 * in the table are ignored.
+	 * @param sample the response times
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	public void recordPeerSpeed(SpeedSample sample, long nowNanos) {
+		row(sample.server()).filter((row) -> !this.speeds.receive(sample, row.server.service(), nowNanos))
+			.ifPresent((_) -> this.invalidSpeeds++);
+	}
+
+	/**
+	 * Returns the number of invalid samples reported by other processes.
+	 * @return the number since this process started
+	 */
+	public long invalidSpeeds() {
+		return this.invalidSpeeds;
+	}
+
+	/**
+	 * Returns the servers whose lasting speed has changed considerably since the last
+	 * call of this method.
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @return the changes
+	 */
+	public List<SpeedChange> takeSpeedChanges(long nowNanos) {
+		return this.speeds.takeChanges(nowNanos);
+	}
+
+	// The time that a server takes, relative to a typical server of its service.
+	double timeFactor(BackendServer server, long nowNanos) {
+		return this.speeds.speed(server.incarnation(), server.service(), nowNanos).timeFactor();
+	}
+
+	private void retainSpeeds() {
+		this.speeds
+			.retain(this.rows.values().stream().map((row) -> row.server.incarnation()).collect(Collectors.toSet()));
+	}
+
 	// -- notices
 
 	/**
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -12,8 +12,10 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
+import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.dispatch.FirstTokenModel.Work;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
+import org.rosemaryfront.speeds.TypicalTimes;
 
 /**
  * Chooses the backend server of a call.
@@ -57,6 +59,8 @@
 
 	private final Map<String, FirstTokenModel> models = new HashMap<>();
 
+	private final TypicalTimes typicalTimes = new TypicalTimes();
+
 	/** When the first call with a prompt was dispatched. */
 	private OptionalLong firstPromptNanos = OptionalLong.empty();
 
@@ -116,7 +120,7 @@
 			.filter((row) -> !this.table.notices().isSpared(row.server.incarnation(), nowNanos))
 			.toList();
 		List<BackendRow> available = notSpared.isEmpty() ? withRoom : notSpared;
-		return (requirements.ownTokens() == 0) ? leastLoaded(available)
+		return (requirements.ownTokens() == 0) ? leastLoaded(available, nowNanos)
 				: earliestFirstToken(requirements, available, nowNanos);
 	}
 
@@ -162,17 +166,24 @@
 		};
 	}
 
-	private Choice leastLoaded(List<BackendRow> available) {
+	private Choice leastLoaded(List<BackendRow> available, long nowNanos) {
 		BackendRow chosen = available.stream()
-			.min(Comparator.comparingInt(BackendRow::load)
-				.thenComparing((row) -> !row.server.zone().equals(this.zone))
-				.thenComparingLong((row) -> row.lastCallNumber)
-				.thenComparing((row) -> row.server.id()))
-			.orElseThrow();
+			.map((row) -> new LoadEstimate(row, relativeTime(row, nowNanos)))
+			.min(Comparator.comparingDouble(LoadEstimate::relativeTime)
+				.thenComparing((estimate) -> !estimate.row.server.zone().equals(this.zone))
+				.thenComparingLong((estimate) -> estimate.row.lastCallNumber)
+				.thenComparing((estimate) -> estimate.row.server.id()))
+			.orElseThrow()
+			.row();
 		return new Choice.Chosen(chosen.server, chosen.load(), 0, 0, available.size(), Optional.empty(),
 				Optional.empty(), Optional.empty());
 	}
 
+	// The load with one more call, over the slots and the speed of the server.
+	private double relativeTime(BackendRow row, long nowNanos) {
+		return this.table.timeFactor(row.server, nowNanos) * (row.load() + 1) / Math.max(1, row.server.slots());
+	}
+
 	private Choice earliestFirstToken(CallRequirements requirements, List<BackendRow> available, long nowNanos) {
 		if (this.firstPromptNanos.isEmpty()) {
 			this.firstPromptNanos = OptionalLong.of(nowNanos);
@@ -181,7 +192,8 @@
 		CostEstimate chosen = available.stream()
 			.map((row) -> estimate(requirements, row,
 					cachingServers.computeIfAbsent(row.server.version(),
-							(version) -> findCachingServer(requirements, version, nowNanos))))
+							(version) -> findCachingServer(requirements, version, nowNanos)),
+					nowNanos))
 			.min(Comparator.comparingDouble(CostEstimate::costMillis)
 				.thenComparingLong((estimate) -> rank(requirements, estimate.row)))
 			.orElseThrow();
@@ -225,8 +237,8 @@
 			.map((row) -> new CachingServer(row, requirements.prefix().tokens()));
 	}
 
-	private CostEstimate estimate(CallRequirements requirements, BackendRow row,
-			Optional<CachingServer> cachingServer) {
+	private CostEstimate estimate(CallRequirements requirements, BackendRow row, Optional<CachingServer> cachingServer,
+			long nowNanos) {
 		FirstTokenModel model = model(requirements.service());
 		boolean isCachingServer = cachingServer.isPresent() && cachingServer.get().row == row;
 		int cachedTokens = isCachingServer ? cachingServer.get().cachedTokens
@@ -238,11 +250,46 @@
 		int promptTokens = requirements.ownTokens() + requirements.prefix().tokens();
 		long uncachedTokens = promptTokens - cachedTokens - (transfers ? transferableTokens : 0);
 		Work work = Work.of(row.uncachedTokens(), uncachedTokens, promptTokens, row.load());
-		double millis = row.slowness * model.expectedMillis(work) + (transfers ? transferMillis : 0);
+		double millis = this.table.timeFactor(row.server, nowNanos) * model.expectedMillis(work)
+				+ (transfers ? transferMillis : 0);
 		return new CostEstimate(row, uncachedTokens, work, millis,
 				transfers ? cachingServer.map(CachingServer::row) : Optional.empty());
 	}
 
+	/**
+	 * Records the time to first token of a call, from which the model of the service and
+	 * the speed of the server are learned. The model describes a typical server.
+	 * @param service the service
+	 * @param server the run of the server
+	 * @param work the work of the server until the first token
+	 * @param millis the measured time, in milliseconds
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	public void recordFirstToken(String service, Incarnation server, Work work, long millis, long nowNanos) {
+		FirstTokenModel model = model(service);
+		double timeFactor = timeFactor(server, nowNanos);
+		this.table.recordResponseTime(server, model.expectedMillis(work), millis, nowNanos);
+		model.update(work, millis / timeFactor);
+	}
+
+	/**
+	 * Records the time until a server responded to a call without a prompt.
+	 * @param service the service
+	 * @param server the run of the server
+	 * @param millis the measured time, in milliseconds
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	public void recordResponse(String service, Incarnation server, long millis, long nowNanos) {
+		double measured = Math.max(1, millis);
+		double timeFactor = timeFactor(server, nowNanos);
+		this.table.recordResponseTime(server, this.typicalTimes.millis(service, measured), measured, nowNanos);
+		this.typicalTimes.record(service, measured / timeFactor);
+	}
+
+	private double timeFactor(Incarnation server, long nowNanos) {
+		return this.table.find(server.id()).map((known) -> this.table.timeFactor(known, nowNanos)).orElse(1.0);
+	}
+
 	/**
 	 * Returns the model of the time to first token of a service.
 	 * @param service the service
@@ -384,6 +431,9 @@
 
 	}
 
+	private record LoadEstimate(BackendRow row, double relativeTime) {
+	}
+
 	private record CachingServer(BackendRow row, int cachedTokens) {
 	}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -205,7 +205,7 @@
 	void shouldUseAnotherServerWhenFirstTokensAreSlow() {
 		BackendServer first = chosen(promptRequirements("part", 2_000));
 		for (int i = 0; i < 30; i++) {
-			this.table.recordFirstToken(start(first.id()), 100, 900);
+			this.table.recordResponseTime(start(first.id()), 100, 900, 0);
 		}
 		assertThat(chosen(promptRequirements("part", 2_000)).id()).isNotEqualTo(first.id());
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
+import org.rosemaryfront.dispatch.Dispatcher;
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
 import org.rosemaryfront.dispatch.FirstTokenModel.Work;
 import org.rosemaryfront.dispatch.PromptPrefix;
@@ -42,6 +43,9 @@
 	/** Whether a first token is expected and has not arrived yet. */
 	private boolean firstTokenPending;
 
+	/** Whether the response to a call without a prompt has not arrived yet. */
+	private boolean responsePending;
+
 	private long sentNanos;
 
 	/**
@@ -102,6 +106,7 @@
 		this.uncachedTokens = chosen.uncachedTokens();
 		this.expectedMillis = chosen.expectedMillis();
 		this.firstTokenPending = chosen.work().isPresent();
+		this.responsePending = chosen.work().isEmpty();
 		// A transfer of KV cache entries takes time that the work does not include.
 		this.work = chosen.transferSource().isPresent() ? Optional.empty() : chosen.work();
 		this.sentNanos = nowNanos;
@@ -175,6 +180,22 @@
 				: OptionalDouble.empty();
 	}
 
+	/**
+	 * Records that the first token or the response arrived.
+	 * @param dispatcher learns from the time that it took
+	 * @param service the service
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	void recordResponse(Dispatcher dispatcher, String service, long nowNanos) {
+		firstToken(nowNanos).ifPresent((first) -> first.work()
+			.ifPresent((work) -> dispatcher.recordFirstToken(service, first.server(), work, first.millis(), nowNanos)));
+		if (this.responsePending && this.server.isPresent()) {
+			long millis = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.sentNanos);
+			dispatcher.recordResponse(service, this.server.get(), millis, nowNanos);
+			this.responsePending = false;
+		}
+	}
+
 	/**
 	 * Records that the first token arrived.
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -24,7 +24,6 @@
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet;
-import org.rosemaryfront.gateway.CallProgress.FirstToken;
 import org.rosemaryfront.limits.PermitQueue;
 import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.model.Verdict;
@@ -200,7 +199,7 @@
 				progress.latencyRatio(beganNanos)
 					.ifPresent((ratio) -> this.rollouts.began(call.service(), call.route().name(),
 							progress.server().orElseThrow(), ratio));
-				progress.firstToken(beganNanos).ifPresent((first) -> learn(call.service(), first));
+				progress.recordResponse(this.dispatcher, call.service(), beganNanos);
 				promptPrefilled(progress);
 			}
 		});
@@ -509,11 +508,6 @@
 		return Optional.empty();
 	}
 
-	private void learn(String service, FirstToken first) {
-		this.servers.recordFirstToken(first.server(), first.expectedMillis(), first.millis());
-		first.work().ifPresent((work) -> this.dispatcher.model(service).update(work, first.millis()));
-	}
-
 	private void promptPrefilled(CallProgress progress) {
 		long tokens = progress.takeUncachedTokens();
 		progress.server().ifPresent((server) -> this.servers.recordPrefillEnd(server, tokens));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -200,6 +200,12 @@
 	 */
 	SERVER_STATED(2872),
 
+	/** The lasting speed of a backend server was learned or changed by a quarter. */
+	SERVER_SPEED_CHANGED(2873),
+
+	/** A gateway reported response times that no server can have. */
+	SPEED_REPORT_INVALID(2874),
+
 	/** This process was paused or its VM was suspended. */
 	PAUSED(2840);
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayGauges.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayGauges.java
@@ -36,6 +36,7 @@
 		metrics.gauge("servers.limited", this.limits::limitedCount);
 		metrics.gauge("servers.backoff", () -> this.servers.notices().backoffCount(System.nanoTime()));
 		metrics.gauge("servers.stated.leaving", () -> this.servers.notices().leavingCount());
+		metrics.gauge("speeds.invalid", this.servers::invalidSpeeds);
 		metrics.gauge("calls.waiting", this.limits::reportedWaiting);
 		metrics.gauge("store.generation", this.store::newest);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -39,6 +40,7 @@
 import org.rosemaryfront.gateway.proto.WindowSum;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.quota.QuotaTable.Use;
+import org.rosemaryfront.speeds.SpeedSample;
 
 /**
  * Sends and processes the reports by which gateways inform one another of their use of
@@ -49,6 +51,9 @@
 	/** Slowly changing values are included in one of this many reports. */
 	private static final int SPEED_REPORT_INTERVAL = 4;
 
+	/** Reported units of a logarithm. */
+	private static final double LOG_RATIO_SCALE = 1_000;
+
 	/**
 	 * The maximum size of a sum of usage in a report, in bytes, which keeps the report
 	 * within one packet.
@@ -100,6 +105,8 @@
 
 	private long otherPrefillTokens;
 
+	private long loggedInvalidSpeeds;
+
 	GatewayReports(PeerExchange peers, Fleet fleet, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
 			UsageLedger usage, UsageDuty usageDuty, CrashRecords crashes, DutyLease lease, SharedTables tables,
 			Rollouts rollouts, RolloutDuty rolloutDuty, CallLimits limits, IntSupplier serversOutOfReach,
@@ -155,6 +162,8 @@
 		int number = this.peers.nextNumber();
 		if (number % SPEED_REPORT_INTERVAL == 1) {
 			addSpeeds(report);
+			logSpeedChanges(now);
+			logInvalidSpeeds();
 			report.setZone(this.zone);
 		}
 		report.setTunnelPort(this.tunnelPort).setServersOutOfReach(this.serversOutOfReach.getAsInt());
@@ -185,6 +194,23 @@
 		});
 	}
 
+	private void logSpeedChanges(long now) {
+		this.servers.takeSpeedChanges(now)
+			.forEach((change) -> EventLog.info(GatewayEvents.SERVER_SPEED_CHANGED, "server", change.server().id(),
+					"started", change.server().startedMillis(), "service", change.service(), "previousFactor",
+					String.format(Locale.ROOT, "%.2f", change.previousFactor()), "timeFactor",
+					String.format(Locale.ROOT, "%.2f", change.timeFactor()), "calls", change.calls()));
+	}
+
+	private void logInvalidSpeeds() {
+		long count = this.servers.invalidSpeeds();
+		if (count > this.loggedInvalidSpeeds) {
+			EventLog.warn(GatewayEvents.SPEED_REPORT_INVALID, "samples", count - this.loggedInvalidSpeeds, "total",
+					count);
+			this.loggedInvalidSpeeds = count;
+		}
+	}
+
 	private void addServers(GatewayReport.Builder report) {
 		Map<BackendServer.Incarnation, BackendUse> uses = this.servers.ownUse();
 		Map<BackendServer.Incarnation, List<PromptPrefix.Segment>> segments = this.servers.takeSegmentUpdates();
@@ -192,6 +218,9 @@
 		starts.addAll(segments.keySet());
 		Map<BackendServer.Incarnation, RejectionUse> rejections = this.servers.ownRejections();
 		starts.addAll(rejections.keySet());
+		Map<BackendServer.Incarnation, SpeedSample> speeds = new HashMap<>();
+		this.servers.takeSpeedSamples().forEach((sample) -> speeds.put(sample.server(), sample));
+		starts.addAll(speeds.keySet());
 		for (BackendServer.Incarnation server : starts) {
 			BackendUse use = uses.getOrDefault(server, BackendUse.NONE);
 			ServerUse.Builder serverUse = report.addServersBuilder()
@@ -201,6 +230,9 @@
 				.setUnreadTokens((int) use.uncachedTokens());
 			Optional.ofNullable(rejections.get(server))
 				.ifPresent((rejected) -> serverUse.setRejectionLimit(rejected.limit()).setRejections(rejected.count()));
+			Optional.ofNullable(speeds.get(server))
+				.ifPresent((sample) -> serverUse.setMeasuredCalls(sample.calls())
+					.setLogRatioMilli((int) Math.round(sample.logRatioSum() * LOG_RATIO_SCALE)));
 			segments.getOrDefault(server, List.of())
 				.forEach((segment) -> serverUse.addParts(segment.prefixHash()).addPartTokens(segment.tokens()));
 		}
@@ -246,6 +278,10 @@
 		this.quotas.reportReceived(process, used, now);
 		this.servers.recordPeerUse(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
 		report.getServersList().forEach(this::receiveSegments);
+		report.getServersList()
+			.stream()
+			.filter((use) -> use.getMeasuredCalls() != 0)
+			.forEach((use) -> receiveSpeed(use, now));
 		report.getServersList()
 			.stream()
 			.filter((use) -> use.getRejections() > 0)
@@ -308,6 +344,12 @@
 					this.decisions.kvCacheTokens(server.service())));
 	}
 
+	private void receiveSpeed(ServerUse use, long now) {
+		SpeedSample sample = new SpeedSample(start(use), use.getMeasuredCalls(),
+				use.getLogRatioMilli() / LOG_RATIO_SCALE);
+		this.servers.recordPeerSpeed(sample, now);
+	}
+
 	private static StatedNotice encode(Notice notice) {
 		return StatedNotice.newBuilder()
 			.setServer(notice.server().id())
