--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -13,12 +13,14 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
+import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.dispatch.FirstTokenModel.Work;
 import org.rosemaryfront.placement.LevelPlacement;
 import org.rosemaryfront.placement.LevelPlacement.Candidate;
 import org.rosemaryfront.placement.LevelPlacement.Placed;
 import org.rosemaryfront.placement.PeerWork;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
+import org.rosemaryfront.speeds.TypicalTimes;
 
 /**
  * Chooses the backend server of a call.
@@ -72,6 +74,8 @@
 
 	private final Map<String, FirstTokenModel> models = new HashMap<>();
 
+	private final TypicalTimes typicalTimes = new TypicalTimes();
+
 	/** When the first call with a prompt was dispatched. */
 	private OptionalLong firstPromptNanos = OptionalLong.empty();
 
@@ -133,7 +137,7 @@
 			.filter((row) -> !this.table.notices().isSpared(row.server.incarnation(), nowNanos))
 			.toList();
 		List<BackendRow> available = notSpared.isEmpty() ? withRoom : notSpared;
-		return (requirements.ownTokens() == 0) ? leastLoaded(available)
+		return (requirements.ownTokens() == 0) ? leastLoaded(available, nowNanos)
 				: earliestFirstToken(requirements, available, nowNanos);
 	}
 
@@ -179,17 +183,24 @@
 		};
 	}
 
-	private Choice leastLoaded(List<BackendRow> available) {
+	private Choice leastLoaded(List<BackendRow> available, long nowNanos) {
 		BackendRow chosen = available.stream()
-			.min(Comparator.comparingInt(BackendRow::load)
-				.thenComparing((row) -> !row.server.zone().equals(this.zone))
-				.thenComparingLong((row) -> row.lastCallNumber)
-				.thenComparing((row) -> row.server.id()))
-			.orElseThrow();
+			.map((row) -> new LoadEstimate(row, relativeTime(row, nowNanos)))
+			.min(Comparator.comparingDouble(LoadEstimate::relativeTime)
+				.thenComparing((estimate) -> !estimate.row.server.zone().equals(this.zone))
+				.thenComparingLong((estimate) -> estimate.row.lastCallNumber)
+				.thenComparing((estimate) -> estimate.row.server.id()))
+			.orElseThrow()
+			.row();
 		return new Choice.Chosen(chosen.server, chosen.load(), 0, 0, available.size(), Optional.empty(),
 				Optional.empty(), Optional.empty());
 	}
 
+	// The load with one more call, over the slots and the speed of the server.
+	private double relativeTime(BackendRow row, long nowNanos) {
+		return this.table.timeFactor(row.server, nowNanos) * (row.load() + 1) / Math.max(1, row.server.slots());
+	}
+
 	private Choice earliestFirstToken(CallRequirements requirements, List<BackendRow> available, long nowNanos) {
 		if (this.firstPromptNanos.isEmpty()) {
 			this.firstPromptNanos = OptionalLong.of(nowNanos);
@@ -199,7 +210,8 @@
 		List<Candidate<CostEstimate>> candidates = available.stream()
 			.map((row) -> estimate(requirements, row,
 					cachingServers.computeIfAbsent(row.server.version(),
-							(version) -> findCachingServer(requirements, version, nowNanos))))
+							(version) -> findCachingServer(requirements, version, nowNanos)),
+					nowNanos))
 			.map((estimate) -> new Candidate<>(estimate, estimate.waitMillis, estimate.ownMillis))
 			.toList();
 		double unreportedMillis = this.peerWork.unreportedTokens(REPORT_AGE_NANOS, nowNanos) * model.millisPerToken();
@@ -213,7 +225,7 @@
 		}
 		CostEstimate chosen = placed.server();
 		double unreported = placed.expectedMillis() - chosen.waitMillis - chosen.ownMillis;
-		Work work = chosen.work.plusTokens(unreported / (chosen.row.slowness * model.millisPerToken()));
+		Work work = chosen.work.plusTokens(unreported / (chosen.timeFactor * model.millisPerToken()));
 		return new Choice.Chosen(chosen.row.server, chosen.row.load(), chosen.uncachedTokens, millis, available.size(),
 				chosen.transferSource.map((row) -> row.server), Optional.of(work), Optional.empty());
 	}
@@ -249,8 +261,8 @@
 			.map((row) -> new CachingServer(row, requirements.prefix().tokens()));
 	}
 
-	private CostEstimate estimate(CallRequirements requirements, BackendRow row,
-			Optional<CachingServer> cachingServer) {
+	private CostEstimate estimate(CallRequirements requirements, BackendRow row, Optional<CachingServer> cachingServer,
+			long nowNanos) {
 		FirstTokenModel model = model(requirements.service());
 		boolean isCachingServer = cachingServer.isPresent() && cachingServer.get().row == row;
 		int cachedTokens = isCachingServer ? cachingServer.get().cachedTokens
@@ -262,12 +274,47 @@
 		int promptTokens = requirements.ownTokens() + requirements.prefix().tokens();
 		long uncachedTokens = promptTokens - cachedTokens - (transfers ? transferableTokens : 0);
 		Work work = Work.of(row.uncachedTokens(), uncachedTokens, promptTokens, row.load());
-		double waitMillis = row.slowness * row.uncachedTokens() * model.millisPerToken();
-		double ownMillis = row.slowness * model.expectedMillis(work) - waitMillis + (transfers ? transferMillis : 0);
-		return new CostEstimate(row, uncachedTokens, work, waitMillis, ownMillis,
+		double timeFactor = this.table.timeFactor(row.server, nowNanos);
+		double waitMillis = timeFactor * row.uncachedTokens() * model.millisPerToken();
+		double ownMillis = timeFactor * model.expectedMillis(work) - waitMillis + (transfers ? transferMillis : 0);
+		return new CostEstimate(row, uncachedTokens, work, timeFactor, waitMillis, ownMillis,
 				transfers ? cachingServer.map(CachingServer::row) : Optional.empty());
 	}
 
+	/**
+	 * Records the time to first token of a call, from which the model of the service and
+	 * the speed of the server are learned. The model describes a typical server.
+	 * @param service the service
+	 * @param server the run of the server
+	 * @param work the work of the server until the first token
+	 * @param millis the measured time, in milliseconds
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	public void recordFirstToken(String service, Incarnation server, Work work, long millis, long nowNanos) {
+		FirstTokenModel model = model(service);
+		double timeFactor = timeFactor(server, nowNanos);
+		this.table.recordResponseTime(server, model.expectedMillis(work), millis, nowNanos);
+		model.update(work, millis / timeFactor);
+	}
+
+	/**
+	 * Records the time until a server responded to a call without a prompt.
+	 * @param service the service
+	 * @param server the run of the server
+	 * @param millis the measured time, in milliseconds
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	public void recordResponse(String service, Incarnation server, long millis, long nowNanos) {
+		double measured = Math.max(1, millis);
+		double timeFactor = timeFactor(server, nowNanos);
+		this.table.recordResponseTime(server, this.typicalTimes.millis(service, measured), measured, nowNanos);
+		this.typicalTimes.record(service, measured / timeFactor);
+	}
+
+	private double timeFactor(Incarnation server, long nowNanos) {
+		return this.table.find(server.id()).map((known) -> this.table.timeFactor(known, nowNanos)).orElse(1.0);
+	}
+
 	/**
 	 * Returns the model of the time to first token of a service.
 	 * @param service the service
@@ -417,11 +464,14 @@
 
 	}
 
+	private record LoadEstimate(BackendRow row, double relativeTime) {
+	}
+
 	private record CachingServer(BackendRow row, int cachedTokens) {
 	}
 
-	private record CostEstimate(BackendRow row, long uncachedTokens, Work work, double waitMillis, double ownMillis,
-			Optional<BackendRow> transferSource) {
+	private record CostEstimate(BackendRow row, long uncachedTokens, Work work, double timeFactor, double waitMillis,
+			double ownMillis, Optional<BackendRow> transferSource) {
 	}
 
 }
