Repeat the check of a crashed server while nothing is shown

Cause: a gateway that suspects a crash asks another one over a tunnel. If that one had just dropped the server, it answers that it does not know it, which shows nothing; the own links were proved only by a server with open connections, and a gateway whose only connection was to the crashed server had none. UNKNOWN was final, so that the crash was never counted and its request was not held back.

Change: any other server that accepts calls proves the own links, those with open connections first. Without such proof the check is repeated every 600 ms, at most five times, until something is shown.

LivenessCheckTests failed before in two of three tests (UNKNOWN instead of DOWN, with neither the other servers known nor repeats).

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -42,12 +43,21 @@
 	/** The time until gateways know of one another's lost paths, in milliseconds. */
 	private static final long REPEATED_CHECK_MILLIS = 600;
 
+	/**
+	 * How often a check that shows nothing is repeated: until the gateways that do not
+	 * know the server, or whose own links fail, had the time to be told.
+	 */
+	private static final int MAX_REPEATED_CHECKS = 5;
+
 	private final EventLoop loop;
 
 	private final ServerConnector connector;
 
 	private final Map<Incarnation, Connections> servers = new HashMap<>();
 
+	/** The servers that accept calls, with or without connections. */
+	private List<BackendServer> eligible = List.of();
+
 	private final Map<ServerConnection, Connections> owners = new HashMap<>();
 
 	/** The number of tunnels through each gateway. */
@@ -147,8 +157,9 @@
 	 *
 	 * <p>
 	 * Right after several gateways lost their links, those that are asked may have lost
-	 * theirs, too. Unless another server is reached, which shows that the own links work,
-	 * the check is therefore repeated when the gateways know of one another's lost paths.
+	 * theirs, too, and a gateway may not know a server that has just crashed. Unless
+	 * another server is reached, which shows that the own links work, the check is
+	 * therefore repeated when the gateways know of one another's lost paths.
 	 * @param server the server
 	 * @param maxConnections the maximum number of connections of this gateway to the
 	 * server
@@ -165,32 +176,62 @@
 				result.accept(shown);
 			}
 			else {
-				confirmDown(connections, shown, result);
+				confirmDown(connections, shown, MAX_REPEATED_CHECKS, result);
 			}
 		});
 	}
 
-	private void confirmDown(Connections connections, Liveness shown, Consumer<Liveness> result) {
-		Optional<BackendServer> other = this.servers.values()
+	private void confirmDown(Connections connections, Liveness shown, int repeatsLeft, Consumer<Liveness> result) {
+		Optional<BackendServer> other = otherServer(connections);
+		if (other.isPresent()) {
+			this.connector.checkOwnLink(other.get(), (reached) -> {
+				if (reached) {
+					result.accept(Liveness.DOWN);
+				}
+				else {
+					repeatCheck(connections, shown, repeatsLeft, result);
+				}
+			});
+		}
+		else if (shown == Liveness.DOWN) {
+			result.accept(shown);
+		}
+		else {
+			repeatCheck(connections, shown, repeatsLeft, result);
+		}
+	}
+
+	// A server with open connections was reached before, so that it is chosen first.
+	private Optional<BackendServer> otherServer(Connections checked) {
+		return this.servers.values()
 			.stream()
-			.filter((known) -> known != connections && !known.open.isEmpty())
+			.filter((known) -> known != checked && !known.open.isEmpty())
 			.map((known) -> known.server)
-			.findAny();
-		if (other.isEmpty()) {
+			.findAny()
+			.or(() -> randomEligible(checked.server));
+	}
+
+	private Optional<BackendServer> randomEligible(BackendServer checked) {
+		List<BackendServer> others = this.eligible.stream()
+			.filter((server) -> !server.incarnation().equals(checked.incarnation()))
+			.toList();
+		return others.isEmpty() ? Optional.empty()
+				: Optional.of(others.get(ThreadLocalRandom.current().nextInt(others.size())));
+	}
+
+	private void repeatCheck(Connections connections, Liveness shown, int repeatsLeft, Consumer<Liveness> result) {
+		if (repeatsLeft == 0) {
 			result.accept(shown);
 			return;
 		}
-		this.connector.checkOwnLink(other.get(), (reached) -> {
-			if (reached) {
-				result.accept(Liveness.DOWN);
+		this.loop.schedule(() -> checkAlive(connections, (repeated) -> {
+			if (repeated == Liveness.UNKNOWN && shown == Liveness.UNKNOWN) {
+				confirmDown(connections, shown, repeatsLeft - 1, result);
 			}
 			else {
-				this.loop.schedule(
-						() -> checkAlive(connections,
-								(repeated) -> result.accept((repeated != Liveness.UNKNOWN) ? repeated : shown)),
-						REPEATED_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+				result.accept((repeated != Liveness.UNKNOWN) ? repeated : shown);
 			}
-		});
+		}), REPEATED_CHECK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void checkAlive(Connections connections, Consumer<Liveness> result) {
@@ -203,8 +244,10 @@
 	/**
 	 * Closes the idle connections to servers that were removed or restarted.
 	 * @param current the starts of the current servers
+	 * @param accepting those that accept calls
 	 */
-	void retain(Set<Incarnation> current) {
+	void retain(Set<Incarnation> current, List<BackendServer> accepting) {
+		this.eligible = List.copyOf(accepting);
 		this.servers.forEach((server, connections) -> {
 			if (!current.contains(server)) {
 				connections.idle.forEach(ServerConnection::close);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -104,7 +105,8 @@
 	 */
 	public void retainServers(Set<BackendServer.Incarnation> current) {
 		Set<BackendServer.Incarnation> starts = Set.copyOf(current);
-		this.loop.execute(() -> this.pool.retain(starts));
+		this.loop.execute(() -> this.pool.retain(starts,
+				starts.stream().map(this.policy::eligibleServer).flatMap(Optional::stream).toList()));
 	}
 
 	/**
