Bound the bytes that a server sends before its response

Cause: blank lines before the status line, interim responses and the body of a response to another call are skipped; a server that sent them without end was read until the deadline of the call, which ended with 504. The head, chunk extensions and trailers were bounded already by 64 KiB each.

Change: after 1 MiB without the head of the response the connection is closed, and the call fails as one that may have run. What the decoder still holds then is dropped without a log line for each piece.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/InputEnd.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/InputEnd.java
@@ -1,11 +1,13 @@
 package org.rosemaryfront.traffic;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 
 /**
- * Records how the input from a server ends, for the handlers behind it.
+ * Records how the input from a server ends and how long it is, for the handlers behind
+ * it.
  *
  * <p>
  * The decoder of responses completes a response without length at any end of the
@@ -18,6 +20,16 @@
 
 	private boolean failed;
 
+	private long bytes;
+
+	/**
+	 * Returns how many bytes were received on the connection.
+	 * @return the number
+	 */
+	long bytes() {
+		return this.bytes;
+	}
+
 	/**
 	 * Returns whether the input ended before the server closed it.
 	 * @return false while the connection is open and after a regular end
@@ -26,6 +38,12 @@
 		return this.failed;
 	}
 
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+		this.bytes += ((ByteBuf) message).readableBytes();
+		super.channelRead(context, message);
+	}
+
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
 		this.closedByServer |= event instanceof ChannelInputShutdownEvent;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -47,6 +47,12 @@
 
 	private static final int MAX_HEADER_BYTES = 65_536;
 
+	/**
+	 * The maximum number of bytes before the head of the response, such as interim
+	 * responses and a late one to an earlier call.
+	 */
+	private static final long MAX_SKIPPED_BYTES = 1_048_576;
+
 	private final ConnectionPool pool;
 
 	private final CallCodec codec;
@@ -68,6 +74,9 @@
 
 	private boolean headReceived;
 
+	/** The bytes received on this connection before the current call. */
+	private long bytesBefore;
+
 	private boolean requestWritten;
 
 	private boolean reusable = true;
@@ -131,6 +140,7 @@
 		this.requestId = callId;
 		this.skippingResponse = false;
 		this.headReceived = false;
+		this.bytesBefore = this.inputEnd.bytes();
 		this.requestWritten = false;
 		this.callCount++;
 		this.startedNanos = System.nanoTime();
@@ -235,6 +245,9 @@
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		this.pool.bytesReceived(this);
 		try {
+			if (!this.channel.isActive()) {
+				return;
+			}
 			if (this.listener == null) {
 				closeAfterStrayBytes("bytes received while no call is in progress");
 				return;
@@ -332,6 +345,10 @@
 
 	@Override
 	public void channelReadComplete(ChannelHandlerContext context) {
+		boolean skipsTooMuch = this.inputEnd.bytes() - this.bytesBefore > MAX_SKIPPED_BYTES;
+		if (this.listener != null && !this.headReceived && skipsTooMuch) {
+			fail("no response within " + MAX_SKIPPED_BYTES + " bytes");
+		}
 		if (this.listener != null) {
 			this.listener.responseReadComplete();
 		}
