Bound an error response that is held back to its end

Cause: a failure of a server, or its statement that a call was not run, is buffered to its end so that the call may be sent again. Without end it was buffered until the deadline, in memory without a bound.

Change: after 1 MiB the connection is closed and the call fails as one that may have run.

EndlessResponseTests failed before for ERROR_BODY and BODY_OF_REJECTION (504 instead of 502, after 3.3 s and 5.0 s).

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
@@ -28,6 +28,9 @@
 	 */
 	private static final int MAX_BUFFERED_BYTES = 262_144;
 
+	/** The maximum number of bytes of a response that is buffered to its end. */
+	private static final int MAX_ERROR_BYTES = 1_048_576;
+
 	private final CallerConnection caller;
 
 	private final HttpMethod method;
@@ -146,6 +149,7 @@
 	 * @param bytes the bytes; released by this method
 	 * @param version the version of the server
 	 * @return whether the caller's connection accepts more bytes
+	 * @throws ResponseTooLongException if the server sends more than may be buffered
 	 */
 	boolean receive(ByteBuf bytes, String version) {
 		int completeBytes = this.received.map((body) -> body.add(bytes)).orElse(0);
@@ -157,6 +161,10 @@
 		if (this.buffer.size() > MAX_BUFFERED_BYTES && isFinal()) {
 			startBuffered();
 		}
+		if (this.buffer.size() > MAX_ERROR_BYTES) {
+			this.buffer.release();
+			throw ResponseTooLongException.of("an error response", MAX_ERROR_BYTES);
+		}
 		return true;
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/EndlessResponseTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/EndlessResponseTests.java
@@ -83,6 +83,10 @@
 
 		TRAILERS(502, OK + CHUNKED + "0\r\n", "More: x\r\n"),
 
+		ERROR_BODY(502, "HTTP/1.1 500 X\r\nCall: c1\r\n" + CHUNKED, CHUNK),
+
+		BODY_OF_REJECTION(502, "HTTP/1.1 503 X\r\nCall: c1\r\nNot-Run: 1\r\n" + CHUNKED, CHUNK),
+
 		AFTER_BODY(200, OK + "Content-Length: 1\r\n\r\n", "x");
 
 		private final int status;
