Bound one event of a stream

Cause: the incomplete event at the end of a stream that may be resumed is held back. An event without end was buffered until the deadline, in memory without a bound; a stream that may not be resumed passed it on.

Change: after 1 MiB of one event the connection is closed and the attempt fails inside an event. The stream as a whole has no bound.

EndlessResponseTests#shouldBreakOffStreamWhenEventNeverEnds failed before for the stream that may be resumed (more than 16 MiB read).

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
@@ -31,6 +31,9 @@
 	/** The maximum number of bytes of a response that is buffered to its end. */
 	private static final int MAX_ERROR_BYTES = 1_048_576;
 
+	/** The maximum number of bytes of one event of a stream. */
+	private static final long MAX_EVENT_BYTES = 1_048_576;
+
 	private final CallerConnection caller;
 
 	private final HttpMethod method;
@@ -153,6 +156,10 @@
 	 */
 	boolean receive(ByteBuf bytes, String version) {
 		int completeBytes = this.received.map((body) -> body.add(bytes)).orElse(0);
+		if (openEventBytes() > MAX_EVENT_BYTES) {
+			bytes.release();
+			throw ResponseTooLongException.of("an event", MAX_EVENT_BYTES);
+		}
 		if (this.started) {
 			this.times.chunkReceived(System.nanoTime());
 			return forward(bytes, completeBytes, version);
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/EndlessResponseTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/EndlessResponseTests.java
@@ -5,8 +5,10 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.rosemaryfront.gateway.RawCaller.Response;
 import org.rosemaryfront.gateway.ScriptedServer.Exchange;
@@ -22,6 +24,8 @@
 
 	private static final int PIECES = 1_000;
 
+	private static final int LONG_STREAM_EVENTS = 40;
+
 	private static final String OK = "HTTP/1.1 200 OK\r\nCall: c1\r\nSignature: s\r\n";
 
 	private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
@@ -55,6 +59,35 @@
 		}
 	}
 
+	// The caller has the head by then and sees that the stream is broken off.
+	@ParameterizedTest
+	@ValueSource(strings = { "/summaries/", "/drafts/" })
+	void shouldBreakOffStreamWhenEventNeverEnds(String path) throws Exception {
+		try (ScriptedServer server = this.gateway.startServer((request, exchange) -> writeEndlessly(exchange,
+				OK + "Content-Type: text/event-stream\r\n" + CHUNKED, CHUNK));
+				RawCaller caller = this.gateway.caller()) {
+			caller.send(RawCaller.post("c1", path, "x")).readToEnd();
+			assertThat(server.awaitDisconnect()).isTrue();
+			assertThat(this.written.get()).isLessThan(MAX_READ_BYTES);
+		}
+	}
+
+	// Guards against a bound that counts the whole stream.
+	@Test
+	void shouldNotBreakOffStreamWhenItIsLong() throws IOException {
+		String event = "data: " + "x".repeat(100_000) + "\n\n";
+		try (ScriptedServer _ = this.gateway.startServer((request, exchange) -> {
+			exchange.write(OK + "Content-Type: text/event-stream\r\n\r\n");
+			for (int i = 0; i < LONG_STREAM_EVENTS; i++) {
+				exchange.write(event);
+			}
+			exchange.socket().close();
+		})) {
+			Response response = this.gateway.send(RawCaller.post("c1", "/summaries/", "x"));
+			assertThat(response.body()).hasSize(LONG_STREAM_EVENTS * event.length());
+		}
+	}
+
 	private void writeEndlessly(Exchange exchange, String beginning, String repeated) throws IOException {
 		String pieces = repeated.repeat(PIECES);
 		exchange.write(beginning);
