Promise "not run" only for what a server stated

Cause: the statuses 408, 421, 429 and 503 promise that a call has not run and never will. A server's own answer with one of them was forwarded also where it did not state that, so that the caller of a call that may run once only sent it again.

Change: such an answer counts as a failure of the server. A call that may not be repeated then gets 502, without the server's signature; for one that may be repeated the answer is forwarded as before.

FaultyServerTests#shouldNotPromiseNotRunWhenServerDoesNotStateIt failed before for all four statuses, which were forwarded.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.traffic;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -34,6 +35,9 @@
 	/** The maximum number of bytes of one event of a stream. */
 	private static final long MAX_EVENT_BYTES = 1_048_576;
 
+	/** Statuses that promise the caller that the call has not run and never will. */
+	private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
 	private final CallerConnection caller;
 
 	private final HttpMethod method;
@@ -225,10 +229,15 @@
 	 */
 	boolean isFinal() {
 		HttpStatusClass status = this.head.orElseThrow().status().codeClass();
-		boolean serverFault = status == HttpStatusClass.SERVER_ERROR || this.metadata.notRun();
+		boolean serverFault = status == HttpStatusClass.SERVER_ERROR || this.metadata.notRun() || isFalsePromise();
 		return !serverFault;
 	}
 
+	// A caller that trusts the status would repeat a call that may have run.
+	private boolean isFalsePromise() {
+		return !this.route.retryable() && !this.metadata.notRun() && NOT_RUN_STATUSES.contains(statusCode());
+	}
+
 	boolean isStarted() {
 		return this.started;
 	}
@@ -269,10 +278,11 @@
 
 	/**
 	 * Returns whether the caller can be given the server's error response.
-	 * @return true if it is complete and does not state that the call did not run
+	 * @return true if it is complete, does not state that the call did not run and does
+	 * not promise that without stating it
 	 */
 	boolean hasError() {
-		return this.errorComplete && !this.metadata.notRun();
+		return this.errorComplete && !this.metadata.notRun() && !isFalsePromise();
 	}
 
 	Optional<String> lastEvent() {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/FaultyServerTests.java
@@ -151,6 +151,33 @@
 		}
 	}
 
+	// Guards against a status that promises that a call has not run and never will, while
+	// its server did not say so.
+	@ParameterizedTest
+	@ValueSource(ints = { 408, 421, 429, 503 })
+	void shouldNotPromiseNotRunWhenServerDoesNotStateIt(int status) throws IOException {
+		try (ScriptedServer server = this.gateway
+			.startServer((request, exchange) -> exchange.status(request, status, "Signature: s\r\n"))) {
+			for (String path : List.of("/visits/", "/drafts/")) {
+				Response response = this.gateway.send(RawCaller.post("c1", path, "x"));
+				assertThat(response.status()).isEqualTo(502);
+				assertThat(response.hasHeader("signature")).isFalse();
+			}
+			assertThat(server.requests()).hasSize(2);
+		}
+	}
+
+	// A call that may run twice loses nothing by the promise.
+	@ParameterizedTest
+	@ValueSource(ints = { 408, 421, 429, 503 })
+	void shouldForwardStatusWhenCallMayBeRepeated(int status) throws IOException {
+		try (ScriptedServer _ = this.gateway
+			.startServer((request, exchange) -> exchange.status(request, status, "Signature: s\r\n"))) {
+			Response response = this.gateway.send(RawCaller.post("c1", "/sheets/", "x"));
+			assertThat(response.status()).isEqualTo(status);
+		}
+	}
+
 	// A repeatable call fails at the only server of its service, so there is no server
 	// for the retry. If the gateway responded "not run", the caller would wrongly assume
 	// that the call had no effect.
