--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.traffic;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -28,6 +29,15 @@
 	 */
 	private static final int MAX_BUFFERED_BYTES = 262_144;
 
+	/** The maximum number of bytes of a response that is buffered to its end. */
+	private static final int MAX_ERROR_BYTES = 1_048_576;
+
+	/** The maximum number of bytes of one event of a stream. */
+	private static final long MAX_EVENT_BYTES = 1_048_576;
+
+	/** Statuses that promise the caller that the call has not run and never will. */
+	private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
 	private final CallerConnection caller;
 
 	private final HttpMethod method;
@@ -146,9 +156,14 @@
 	 * @param bytes the bytes; released by this method
 	 * @param version the version of the server
 	 * @return whether the caller's connection accepts more bytes
+	 * @throws ResponseTooLongException if the server sends more than may be buffered
 	 */
 	boolean receive(ByteBuf bytes, String version) {
 		int completeBytes = this.received.map((body) -> body.add(bytes)).orElse(0);
+		if (openEventBytes() > MAX_EVENT_BYTES) {
+			bytes.release();
+			throw ResponseTooLongException.of("an event", MAX_EVENT_BYTES);
+		}
 		if (this.started) {
 			this.times.chunkReceived(System.nanoTime());
 			return forward(bytes, completeBytes, version);
@@ -157,6 +172,10 @@
 		if (this.buffer.size() > MAX_BUFFERED_BYTES && isFinal()) {
 			startBuffered();
 		}
+		if (this.buffer.size() > MAX_ERROR_BYTES) {
+			this.buffer.release();
+			throw ResponseTooLongException.of("an error response", MAX_ERROR_BYTES);
+		}
 		return true;
 	}
 
@@ -210,10 +229,15 @@
 	 */
 	boolean isFinal() {
 		HttpStatusClass status = this.head.orElseThrow().status().codeClass();
-		boolean serverFault = status == HttpStatusClass.SERVER_ERROR || this.metadata.notRun();
+		boolean serverFault = status == HttpStatusClass.SERVER_ERROR || this.metadata.notRun() || isFalsePromise();
 		return !serverFault;
 	}
 
+	// A caller that trusts the status would repeat a call that may have run.
+	private boolean isFalsePromise() {
+		return !this.route.retryable() && !this.metadata.notRun() && NOT_RUN_STATUSES.contains(statusCode());
+	}
+
 	boolean isStarted() {
 		return this.started;
 	}
@@ -254,10 +278,11 @@
 
 	/**
 	 * Returns whether the caller can be given the server's error response.
-	 * @return true if it is complete and does not state that the call did not run
+	 * @return true if it is complete, does not state that the call did not run and does
+	 * not promise that without stating it
 	 */
 	boolean hasError() {
-		return this.errorComplete && !this.metadata.notRun();
+		return this.errorComplete && !this.metadata.notRun() && !isFalsePromise();
 	}
 
 	Optional<String> lastEvent() {
