Admit the calls of organisations by a common limit to the wait

Each call was decided alone at a limit set by its priority. Beside it, each call now draws a place in the demand of its organisation; the longer the wait at the best server, the lower are the places that are admitted.

--- /dev/null
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
@@ -0,0 +1,198 @@
+package org.rosemaryfront.admission;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+
+import org.rosemaryfront.admission.AdmissionDecision.Admitted;
+import org.rosemaryfront.admission.AdmissionDecision.Reason;
+import org.rosemaryfront.admission.AdmissionDecision.Refused;
+
+/**
+ * Decides which calls of organisations are admitted while a service has less room than is
+ * asked for. Confined to one thread.
+ *
+ * <p>
+ * Each call draws a place in the demand of its organisation: a random part of what the
+ * organisation asks, relative to the average organisation, and several times that for
+ * less urgent calls. The longer the wait at the best server, the lower are the places
+ * that are admitted. The wait therefore settles where the admitted places fill the room.
+ * Organisations that ask for less than this level are not affected, all others get the
+ * same, and no gateway has to know the room.
+ */
+public final class Admission {
+
+	/** The expected time to first token, relative to the target, of the most urgent. */
+	private static final double LATENESS_FACTOR = 1.8;
+
+	private static final double LATENESS_FACTOR_STEP = 0.4;
+
+	private static final double MIN_LATENESS_FACTOR = 0.8;
+
+	/** The wait up to which no call yields, relative to the target of the most urgent. */
+	private static final double MIN_WAIT_FACTOR = 0.1;
+
+	/**
+	 * The longest wait of a call that yields to more urgent ones, relative to their
+	 * target. The rest of the target is left for the prompt before theirs and their own.
+	 */
+	private static final double MAX_WAIT_FACTOR = 0.5;
+
+	/** The factor between the places of one priority and those of the next. */
+	private static final double PRIORITY_FACTOR = 4;
+
+	/** The lowest places of each organisation and priority, which yield to no other. */
+	private static final double KEPT_FRACTION = 0.03;
+
+	/** The part of the time left within which a refused caller returns. */
+	private static final double RETRY_FRACTION = 1 / 3.0;
+
+	/** The time to come back without a wait to drain, in milliseconds. */
+	private static final double MIN_RETRY_MILLIS = 250;
+
+	private final DoubleSupplier random;
+
+	private final Map<String, UrgentTarget> urgentTargets = new HashMap<>();
+
+	private final Map<String, Double> demandRatios = new HashMap<>();
+
+	private final Map<Reason, Long> refusals = new HashMap<>();
+
+	private OptionalLong demandsNanos = OptionalLong.empty();
+
+	private long invalidDemands;
+
+	private Admission(DoubleSupplier random) {
+		this.random = random;
+	}
+
+	/**
+	 * Creates an admission that knows no demand and no targets.
+	 * @param random a source of random numbers from 0 (inclusive) to 1 (exclusive)
+	 * @return the admission
+	 */
+	public static Admission of(DoubleSupplier random) {
+		return new Admission(random);
+	}
+
+	/**
+	 * Sets the targets of the most urgent calls.
+	 * @param targets the targets by service
+	 */
+	public void urgentTargets(Map<String, UrgentTarget> targets) {
+		this.urgentTargets.clear();
+		this.urgentTargets.putAll(targets);
+	}
+
+	/**
+	 * Sets what the organisations ask at all gateways. Values out of range are counted
+	 * and ignored.
+	 * @param demands the demand by organisation
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	public void demands(Map<String, OrganisationDemand> demands, long nowNanos) {
+		Map<String, OrganisationDemand> valid = new HashMap<>(demands);
+		valid.values().removeIf((demand) -> !demand.isValid());
+		this.invalidDemands += demands.size() - valid.size();
+		double tokens = valid.values().stream().mapToDouble(OrganisationDemand::tokensPerSecond).sum();
+		double weights = valid.values().stream().mapToDouble(OrganisationDemand::weight).sum();
+		this.demandRatios.clear();
+		if (tokens > 0) {
+			valid.forEach((name, demand) -> this.demandRatios.put(name, demand.perWeight() * weights / tokens));
+		}
+		this.demandsNanos = OptionalLong.of(nowNanos);
+	}
+
+	/**
+	 * Decides on a call. A call without an organisation, or whose time to its first token
+	 * is all of its remaining time because it may have run, is refused only if it would
+	 * be late.
+	 * @param call the call
+	 * @param expected the expected times at the best server
+	 * @return the decision
+	 */
+	public AdmissionDecision decide(CallDemand call, ExpectedTime expected) {
+		double latest = call.targetMillis() * latenessFactor(call.priority());
+		Place place = place(call);
+		if (expected.firstTokenMillis() > latest) {
+			return refused(call, latest, expected.firstTokenMillis() - latest, place, Reason.LATE);
+		}
+		double limit = Math.min(latest, place.maxWaitMillis());
+		if (expected.waitMillis() > limit) {
+			Reason reason = (demandRatio(call) > 1) ? Reason.OVER_SHARE : Reason.LESS_URGENT;
+			return refused(call, limit, expected.waitMillis() - limit, place, reason);
+		}
+		return new Admitted(limit);
+	}
+
+	private static double latenessFactor(int priority) {
+		return Math.max(MIN_LATENESS_FACTOR, LATENESS_FACTOR - LATENESS_FACTOR_STEP * priority);
+	}
+
+	private Place place(CallDemand call) {
+		double draw = this.random.getAsDouble();
+		UrgentTarget urgent = this.urgentTargets.getOrDefault(call.service(),
+				new UrgentTarget(call.priority(), call.targetMillis()));
+		int rank = Math.max(0, call.priority() - urgent.priority());
+		double place = draw * demandRatio(call) * Math.pow(PRIORITY_FACTOR, rank - 1);
+		boolean yields = !call.organisation().isEmpty() && call.targetMillis() < call.remainingMillis()
+				&& draw >= KEPT_FRACTION;
+		return new Place(place, yields ? waitFactor(rank, place) * urgent.millis() : Double.POSITIVE_INFINITY);
+	}
+
+	// The most urgent calls yield to one another only beyond the wait at which all less
+	// urgent ones have yielded.
+	private static double waitFactor(int rank, double place) {
+		double least = (rank == 0) ? MAX_WAIT_FACTOR : MIN_WAIT_FACTOR;
+		double most = (rank == 0) ? LATENESS_FACTOR : MAX_WAIT_FACTOR;
+		return least + (most - least) / (1 + place);
+	}
+
+	private double demandRatio(CallDemand call) {
+		return this.demandRatios.getOrDefault(call.organisation(), 1.0);
+	}
+
+	// A caller returns when the wait has drained to its limit, the later the less urgent
+	// it is and the longer it can wait.
+	private Refused refused(CallDemand call, double limit, double drainMillis, Place place, Reason reason) {
+		double longest = Math.max(1, call.remainingMillis() * RETRY_FRACTION);
+		double earliest = Math.min(longest, Math.max(MIN_RETRY_MILLIS, drainMillis));
+		double spread = (longest - earliest) * place.position() / (1 + place.position());
+		this.refusals.merge(reason, 1L, Long::sum);
+		return new Refused(limit, (long) (earliest + spread), reason);
+	}
+
+	/**
+	 * Returns the age of the sums of what the organisations ask.
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @return the age in milliseconds, empty before the first
+	 */
+	public OptionalLong demandsAgeMillis(long nowNanos) {
+		return this.demandsNanos.isEmpty() ? OptionalLong.empty()
+				: OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(nowNanos - this.demandsNanos.getAsLong()));
+	}
+
+	/**
+	 * Returns the refused calls since the start.
+	 * @param reason the reason
+	 * @return the number of calls
+	 */
+	public long refusals(Reason reason) {
+		return this.refusals.getOrDefault(reason, 0L);
+	}
+
+	/**
+	 * Returns the demands that were out of range since the start.
+	 * @return the number of demands
+	 */
+	public long invalidDemands() {
+		return this.invalidDemands;
+	}
+
+	/** The place of a call in the demand of its organisation, with its longest wait. */
+	private record Place(double position, double maxWaitMillis) {
+	}
+
+}
