--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
@@ -32,13 +32,13 @@
 	private static final double MIN_LATENESS_FACTOR = 0.8;
 
 	/** The wait up to which no call yields, relative to the target of the most urgent. */
-	private static final double MIN_WAIT_FACTOR = 0.1;
+	private static final double MIN_WAIT_FACTOR = 0.3;
 
 	/**
 	 * The longest wait of a call that yields to more urgent ones, relative to their
 	 * target. The rest of the target is left for the prompt before theirs and their own.
 	 */
-	private static final double MAX_WAIT_FACTOR = 0.5;
+	private static final double MAX_WAIT_FACTOR = 0.6;
 
 	/** The factor between the places of one priority and those of the next. */
 	private static final double PRIORITY_FACTOR = 4;
@@ -121,8 +121,7 @@
 		}
 		double limit = Math.min(latest, place.maxWaitMillis());
 		if (expected.waitMillis() > limit) {
-			Reason reason = (demandRatio(call) > 1) ? Reason.OVER_SHARE : Reason.LESS_URGENT;
-			return refused(call, limit, expected.waitMillis() - limit, place, reason);
+			return refused(call, limit, expected.waitMillis() - limit, place, place.reason());
 		}
 		return new Admitted(limit);
 	}
@@ -136,10 +135,18 @@
 		UrgentTarget urgent = this.urgentTargets.getOrDefault(call.service(),
 				new UrgentTarget(call.priority(), call.targetMillis()));
 		int rank = Math.max(0, call.priority() - urgent.priority());
-		double place = draw * demandRatio(call) * Math.pow(PRIORITY_FACTOR, rank - 1);
+		double place = draw * demandRatio(call.organisation()) * Math.pow(PRIORITY_FACTOR, rank - 1);
 		boolean yields = !call.organisation().isEmpty() && call.targetMillis() < call.remainingMillis()
 				&& draw >= KEPT_FRACTION;
-		return new Place(place, yields ? waitFactor(rank, place) * urgent.millis() : Double.POSITIVE_INFINITY);
+		double maxWait = yields ? waitFactor(rank, place) * urgent.millis() : Double.POSITIVE_INFINITY;
+		return new Place(place, maxWait, reason(call, rank));
+	}
+
+	private Reason reason(CallDemand call, int rank) {
+		if (demandRatio(call.organisation()) > 1) {
+			return Reason.OVER_SHARE;
+		}
+		return (rank > 0) ? Reason.LESS_URGENT : Reason.LATE;
 	}
 
 	// The most urgent calls yield to one another only beyond the wait at which all less
@@ -150,8 +157,14 @@
 		return least + (most - least) / (1 + place);
 	}
 
-	private double demandRatio(CallDemand call) {
-		return this.demandRatios.getOrDefault(call.organisation(), 1.0);
+	/**
+	 * Returns what an organisation asks for, relative to the average organisation of its
+	 * weight.
+	 * @param organisation the name of the organisation
+	 * @return the ratio, 1 if it is not known
+	 */
+	public double demandRatio(String organisation) {
+		return this.demandRatios.getOrDefault(organisation, 1.0);
 	}
 
 	// A caller returns when the wait has drained to its limit, the later the less urgent
@@ -191,8 +204,11 @@
 		return this.invalidDemands;
 	}
 
-	/** The place of a call in the demand of its organisation, with its longest wait. */
-	private record Place(double position, double maxWaitMillis) {
+	/**
+	 * The place of a call in the demand of its organisation, with its longest wait and
+	 * why it yields beyond it.
+	 */
+	private record Place(double position, double maxWaitMillis, Reason reason) {
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/ExpectedTime.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/ExpectedTime.java
@@ -1,10 +1,11 @@
 package org.rosemaryfront.admission;
 
 /**
- * The expected times of a call at the best server.
+ * The expected times of a call.
  *
- * @param waitMillis the time until the server begins with its prompt, in milliseconds
- * @param firstTokenMillis the time to first token, in milliseconds
+ * @param waitMillis the mean time that the servers of the service still need for the
+ * prompts sent to them, in milliseconds
+ * @param firstTokenMillis the time to first token at the best server, in milliseconds
  */
 public record ExpectedTime(double waitMillis, double firstTokenMillis) {
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
@@ -138,6 +138,10 @@
 		return units(this.requested);
 	}
 
+	double requestedAnywhere(long nowNanos) {
+		return requested(nowNanos) + requestedAtOthers(nowNanos);
+	}
+
 	private double requestedAtOthers(long nowNanos) {
 		return this.remoteUses.values()
 			.stream()
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -222,6 +222,18 @@
 		return used;
 	}
 
+	/**
+	 * Returns what all organisations requested within the last second at all processes,
+	 * as far as it is known here.
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @return the units by organisation, including refused ones
+	 */
+	public Map<String, Double> requestedUnits(long nowNanos) {
+		Map<String, Double> requested = new HashMap<>();
+		this.accounts.forEach((name, account) -> requested.put(name, account.requestedAnywhere(nowNanos)));
+		return requested;
+	}
+
 	/**
 	 * Returns whether this process started less than a window ago.
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoad.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoad.java
@@ -148,12 +148,11 @@
 		long age = this.now - request.at;
 		gateway.asked(request.organisation, request.tokens);
 		int best = gateway.best();
-		double wait = (best < 0) ? 0 : gateway.backlog(best) / TOKENS_PER_MILLI;
-		double first = wait + request.tokens / TOKENS_PER_MILLI;
+		double first = (best < 0) ? 0 : (gateway.backlog(best) + request.tokens) / TOKENS_PER_MILLI;
 		CallDemand demand = new CallDemand(SERVICE, name(request.organisation), request.kind, request.tokens,
 				Math.max(0, kind.targetMillis - age), kind.timeoutMillis - age);
-		AdmissionDecision decision = (best < 0) ? new Refused(0, 250, AdmissionDecision.Reason.LATE)
-				: this.rule.decide(gateway.admission, demand, new ExpectedTime(wait, first), this.random);
+		AdmissionDecision decision = (best < 0) ? new Refused(0, 250, AdmissionDecision.Reason.LATE) : this.rule
+			.decide(gateway.admission, demand, new ExpectedTime(gateway.meanWaitMillis(), first), this.random);
 		switch (decision) {
 			case Admitted _ -> {
 				gateway.own[best] += request.tokens;
@@ -211,6 +210,10 @@
 				(request) -> request.server >= 0);
 	}
 
+	double refused(Predicate<Request> which) {
+		return part(which, (request) -> request.refusals > 0);
+	}
+
 	private double part(Predicate<Request> which, Predicate<Request> counted) {
 		List<Request> chosen = this.requests.stream().filter(which).toList();
 		return chosen.stream().filter(counted).count() / (double) Math.max(1, chosen.size());
@@ -417,17 +420,27 @@
 			return this.own[server] + this.others[server];
 		}
 
-		private int best() {
-			int best = -1;
-			int first = AdmissionLoad.this.random.nextInt(SERVERS);
+		private double meanWaitMillis() {
+			double tokens = 0;
 			for (int i = 0; i < SERVERS; i++) {
-				int server = (first + i) % SERVERS;
-				boolean room = this.ownCalls[server] + this.otherCalls[server] < SLOTS;
-				if (room && (best < 0 || backlog(server) < backlog(best))) {
-					best = server;
-				}
+				tokens += backlog(i);
+			}
+			return tokens / SERVERS / TOKENS_PER_MILLI;
+		}
+
+		// Two random servers of all: with the best of all, gateways that know the same
+		// sums would all choose the same servers.
+		private int best() {
+			int one = AdmissionLoad.this.random.nextInt(SERVERS);
+			int other = AdmissionLoad.this.random.nextInt(SERVERS);
+			if (!hasRoom(one) || !hasRoom(other)) {
+				return hasRoom(one) ? one : hasRoom(other) ? other : -1;
 			}
-			return best;
+			return (backlog(one) <= backlog(other)) ? one : other;
+		}
+
+		private boolean hasRoom(int server) {
+			return this.ownCalls[server] + this.otherCalls[server] < SLOTS;
 		}
 
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
@@ -37,6 +37,16 @@
 		assertThat(taken).isEqualTo(850);
 	}
 
+	@Test
+	void shouldSumUpRequestedUnitsOfLastSecondWhenOthersReport() {
+		this.quotas.take(SFAX, 170, 0);
+		this.quotas.take(SFAX, 400, 900 * MILLI);
+		this.quotas.reportReceived("other", Map.of("sfax", new Use(10, 25, false)), 900 * MILLI);
+		assertThat(this.quotas.requestedUnits(900 * MILLI)).containsEntry("sfax", 595.0);
+		assertThat(this.quotas.requestedUnits(1_500 * MILLI)).containsEntry("sfax", 425.0);
+		assertThat(this.quotas.requestedUnits(3 * SECOND)).containsEntry("sfax", 0.0);
+	}
+
 	@Test
 	void shouldAllowFifthOfWindowInOneBurst() {
 		assertThat(this.quotas.take(SFAX, 170, 0).waitMillis()).isZero();
