--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
@@ -38,10 +38,13 @@
 	 * The longest wait of a call that yields to more urgent ones, relative to their
 	 * target. The rest of the target is left for the prompt before theirs and their own.
 	 */
-	private static final double MAX_WAIT_FACTOR = 0.6;
+	private static final double MAX_WAIT_FACTOR = 0.65;
 
 	/** The factor between the places of one priority and those of the next. */
-	private static final double PRIORITY_FACTOR = 4;
+	private static final double PRIORITY_FACTOR = 3;
+
+	/** Sets how far the waits of low places and those of high places are apart. */
+	private static final double PLACE_EXPONENT = 1.5;
 
 	/** The lowest places of each organisation and priority, which yield to no other. */
 	private static final double KEPT_FRACTION = 0.03;
@@ -154,7 +157,7 @@
 	private static double waitFactor(int rank, double place) {
 		double least = (rank == 0) ? MAX_WAIT_FACTOR : MIN_WAIT_FACTOR;
 		double most = (rank == 0) ? LATENESS_FACTOR : MAX_WAIT_FACTOR;
-		return least + (most - least) / (1 + place);
+		return least + (most - least) / (1 + Math.pow(place, PLACE_EXPONENT));
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoad.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoad.java
@@ -43,6 +43,9 @@
 
 	private static final int EXCHANGE_MILLIS = 320;
 
+	/** After that, a gateway that is not heard counts as gone, in milliseconds. */
+	private static final int GONE_MILLIS = 3_000;
+
 	/** The usual load, as a part of the room. */
 	private static final double USUAL = 0.8;
 
@@ -274,6 +277,9 @@
 	}
 
 	private record Told(double[] tokens, int[] calls, double[] asked) {
+
+		static final Told NOTHING = new Told(new double[SERVERS], new int[SERVERS], new double[ORGANISATIONS]);
+
 	}
 
 	/** A call with what became of it. */
@@ -375,12 +381,15 @@
 
 		private final Told[] heard;
 
+		private final int[] heardAt;
+
 		private final Deque<double[]> ownAsked = new ArrayDeque<>();
 
 		private Gateway(int index, int count) {
 			this.index = index;
 			this.phase = AdmissionLoad.this.random.nextInt(EXCHANGE_MILLIS);
 			this.heard = new Told[count];
+			this.heardAt = new int[count];
 			this.admission.urgentTargets(Map.of(SERVICE, new UrgentTarget(0, KINDS.get(0).targetMillis)));
 		}
 
@@ -398,6 +407,7 @@
 		private void hear(int from, Told told) {
 			Told before = this.heard[from];
 			this.heard[from] = told;
+			this.heardAt[from] = AdmissionLoad.this.now;
 			boolean itself = from == this.index;
 			for (int i = 0; i < SERVERS && !itself; i++) {
 				this.others[i] += told.tokens[i] - ((before != null) ? before.tokens[i] : 0);
@@ -408,7 +418,17 @@
 			}
 		}
 
+		private void forgetGone() {
+			for (int i = 0; i < this.heard.length; i++) {
+				if (this.heard[i] != null && AdmissionLoad.this.now - this.heardAt[i] > GONE_MILLIS) {
+					hear(i, Told.NOTHING);
+					this.heard[i] = null;
+				}
+			}
+		}
+
 		private void updateDemands() {
+			forgetGone();
 			Map<String, OrganisationDemand> demands = new HashMap<>();
 			for (int i = 0; i < ORGANISATIONS; i++) {
 				demands.put(name(i), new OrganisationDemand(Math.max(0, this.asked[i]), 1));
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoadTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoadTests.java
@@ -57,6 +57,7 @@
 	void shouldRefuseNobodyWhenThereIsRoom(int gateways, long seed) {
 		AdmissionLoad unloaded = AdmissionLoad.run(gateways, seed, COMMON_LIMITS, Faults.NONE, false);
 		assertThat(unloaded.refused((_) -> true)).isLessThan(0.01);
+		assertThat(unloaded.inTime((_) -> true)).isGreaterThan(0.99);
 	}
 
 	@ParameterizedTest
