--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
@@ -32,7 +32,7 @@
 	private static final double MIN_LATENESS_FACTOR = 0.8;
 
 	/** The wait up to which no call yields, relative to the target of the most urgent. */
-	private static final double MIN_WAIT_FACTOR = 0.3;
+	private static final double MIN_WAIT_FACTOR = 0.32;
 
 	/**
 	 * The longest wait of a call that yields to more urgent ones, relative to their
@@ -113,7 +113,7 @@
 	 * is all of its remaining time because it may have run, is refused only if it would
 	 * be late.
 	 * @param call the call
-	 * @param expected the expected times at the best server
+	 * @param expected the expected times
 	 * @return the decision
 	 */
 	public AdmissionDecision decide(CallDemand call, ExpectedTime expected) {
@@ -175,7 +175,8 @@
 	private Refused refused(CallDemand call, double limit, double drainMillis, Place place, Reason reason) {
 		double longest = Math.max(1, call.remainingMillis() * RETRY_FRACTION);
 		double earliest = Math.min(longest, Math.max(MIN_RETRY_MILLIS, drainMillis));
-		double spread = (longest - earliest) * place.position() / (1 + place.position());
+		double square = place.position() * place.position();
+		double spread = (longest - earliest) * square / (1 + square);
 		this.refusals.merge(reason, 1L, Long::sum);
 		return new Refused(limit, (long) (earliest + spread), reason);
 	}
