--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
@@ -24,7 +24,12 @@
  */
 public final class Admission {
 
-	/** The expected time to first token, relative to the target, of the most urgent. */
+	/**
+	 * The factor by which the expected time to first token may exceed the target for the
+	 * most urgent calls: beyond it the call would be late and delay the calls queued
+	 * after it. The factor is lower for less urgent calls, so that a server short of
+	 * capacity never rejects an urgent call in favour of a less urgent one.
+	 */
 	private static final double LATENESS_FACTOR = 1.8;
 
 	private static final double LATENESS_FACTOR_STEP = 0.4;
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/routes/TrafficConfiguration.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/routes/TrafficConfiguration.java
@@ -98,6 +98,14 @@
 		return Optional.ofNullable(this.organisationsByKey.get(key));
 	}
 
+	/**
+	 * Returns all routes.
+	 * @return the routes, in no particular order
+	 */
+	public List<Route> routes() {
+		return this.routesByHost.values().stream().flatMap(List::stream).toList();
+	}
+
 	/**
 	 * Returns all organisations.
 	 * @return the organisations, empty if callers need no keys
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/routes/TrafficConfigurationTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/routes/TrafficConfigurationTests.java
@@ -36,6 +36,14 @@
 		assertThat(this.configuration.route(host, path)).isEmpty();
 	}
 
+	@Test
+	void shouldReturnRoutesOfAllHosts() {
+		List<Route> routes = List.of(route("r1", "a.example", "/"), route("r2", "a.example", "/b/"),
+				route("r3", "b.example", "/"));
+		assertThat(TrafficConfiguration.of(8, routes, List.of(BOOKING), List.of(), CallerLimits.INITIAL).routes())
+			.containsExactlyInAnyOrderElementsOf(routes);
+	}
+
 	@Test
 	void shouldFindOrganisationWhenKeyIsOneOfItsKeys() {
 		assertThat(this.configuration.organisation("key-2")).contains(SFAX);
