Let the dispatcher ask for admission

A call with a prompt was refused by its own expected first token alone. The dispatcher now passes the mean wait at the available servers too.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -7,11 +7,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
+import org.rosemaryfront.admission.Admission;
+import org.rosemaryfront.admission.AdmissionDecision.Refused;
+import org.rosemaryfront.admission.CallDemand;
+import org.rosemaryfront.admission.ExpectedTime;
 import org.rosemaryfront.dispatch.FirstTokenModel.Work;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
 
@@ -39,35 +44,36 @@
 	 */
 	private static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-	/**
-	 * The factor by which the expected time to first token may exceed the target for the
-	 * most urgent calls: beyond it the call would be late and delay the calls queued
-	 * after it. The factor is lower for less urgent calls, so that a server short of
-	 * capacity never rejects an urgent call in favour of a less urgent one.
-	 */
-	private static final double LATENESS_FACTOR = 1.8;
-
-	private static final double LATENESS_FACTOR_STEP = 0.4;
-
-	private static final double MIN_LATENESS_FACTOR = 0.8;
-
 	private final BackendTable table;
 
 	private final String zone;
 
+	private final Admission admission;
+
 	private final Map<String, FirstTokenModel> models = new HashMap<>();
 
 	/** When the first call with a prompt was dispatched. */
 	private OptionalLong firstPromptNanos = OptionalLong.empty();
 
 	/**
-	 * Creates a dispatcher.
+	 * Creates a dispatcher that does not know the demand of organisations.
 	 * @param table the backend servers
 	 * @param zone the availability zone of this process
 	 */
 	public Dispatcher(BackendTable table, String zone) {
+		this(table, zone, Admission.of(ThreadLocalRandom.current()::nextDouble));
+	}
+
+	/**
+	 * Creates a dispatcher.
+	 * @param table the backend servers
+	 * @param zone the availability zone of this process
+	 * @param admission decides which calls with a prompt are sent
+	 */
+	public Dispatcher(BackendTable table, String zone, Admission admission) {
 		this.table = table;
 		this.zone = zone;
+		this.admission = admission;
 	}
 
 	/**
@@ -186,14 +192,19 @@
 				.thenComparingLong((estimate) -> rank(requirements, estimate.row)))
 			.orElseThrow();
 		long millis = (long) chosen.costMillis;
-		double factor = Math.max(MIN_LATENESS_FACTOR, LATENESS_FACTOR - LATENESS_FACTOR_STEP * requirements.priority());
-		if (millis > requirements.targetMillis() * factor) {
-			return new Choice.Full(available.size(), millis);
+		ExpectedTime expected = new ExpectedTime(meanWaitMillis(requirements.service(), available), millis);
+		if (this.admission.decide(requirements.demand(), expected) instanceof Refused refused) {
+			return new Choice.Full(available.size(), millis, Optional.of(refused));
 		}
 		return new Choice.Chosen(chosen.row.server, chosen.row.load(), chosen.uncachedTokens, millis, available.size(),
 				chosen.transferSource.map((row) -> row.server), Optional.of(chosen.work), Optional.empty());
 	}
 
+	private double meanWaitMillis(String service, List<BackendRow> rows) {
+		double tokens = rows.stream().mapToDouble((row) -> row.slowness * row.uncachedTokens()).sum();
+		return tokens / rows.size() / model(service).prefillTokensPerMilli();
+	}
+
 	// The server of a version with the most tokens of the prompt prefix cached: what one
 	// version wrote does not fit another one. A leaving server keeps its cache until it
 	// is terminated.
@@ -275,9 +286,25 @@
 	 * without a prompt
 	 * @param targetMillis the time left until the first token is due, in milliseconds
 	 * @param priority its priority, 0 for the most urgent
+	 * @param organisation the organisation of the caller, empty if callers need no key
+	 * @param remainingMillis the time left until the call times out, in milliseconds
 	 */
 	public record CallRequirements(String service, PromptPrefix prefix, Optional<EngineSpec> engine, int ownTokens,
-			long targetMillis, int priority) {
+			long targetMillis, int priority, String organisation, long remainingMillis) {
+
+		/**
+		 * Creates the requirements of a call without an organisation.
+		 * @param service the service
+		 * @param prefix the prompt prefix that it shares with other calls
+		 * @param engine the engine parameters of the service, empty if it has none
+		 * @param ownTokens the prompt tokens that no other call has in common
+		 * @param targetMillis the time left until the first token is due, in milliseconds
+		 * @param priority its priority, 0 for the most urgent
+		 */
+		public CallRequirements(String service, PromptPrefix prefix, Optional<EngineSpec> engine, int ownTokens,
+				long targetMillis, int priority) {
+			this(service, prefix, engine, ownTokens, targetMillis, priority, "", targetMillis);
+		}
 
 		/**
 		 * Returns the time left until the first token of a call is due. A call that may
@@ -294,6 +321,11 @@
 			return Math.max(0, ran ? remainingMillis : targetMillis);
 		}
 
+		private CallDemand demand() {
+			return new CallDemand(this.service, this.organisation, this.priority,
+					(long) this.ownTokens + this.prefix.tokens(), this.targetMillis, this.remainingMillis);
+		}
+
 		private double transferMillis(int tokens) {
 			return this.engine.map((spec) -> spec.transferMillis(tokens)).orElse(Double.POSITIVE_INFINITY);
 		}
@@ -335,8 +367,21 @@
 		 * @param servers the number of servers that accept calls but have no capacity
 		 * @param expectedMillis the expected time to first token at the best of them in
 		 * milliseconds, 0 if none has a free slot
+		 * @param refused why the call is refused before others, empty if none has a free
+		 * slot
 		 */
-		record Full(int servers, long expectedMillis) implements Choice {
+		record Full(int servers, long expectedMillis, Optional<Refused> refused) implements Choice {
+
+			/**
+			 * Creates the choice for servers without a free slot.
+			 * @param servers the number of servers that accept calls but have no capacity
+			 * @param expectedMillis the expected time to first token at the best of them
+			 * in milliseconds, 0 if none has a free slot
+			 */
+			public Full(int servers, long expectedMillis) {
+				this(servers, expectedMillis, Optional.empty());
+			}
+
 		}
 
 		/** No server is eligible. */
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.rosemaryfront.admission.Admission;
+import org.rosemaryfront.admission.UrgentTarget;
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.dispatch.Dispatcher.CallRequirements;
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
@@ -232,6 +234,29 @@
 		assertThat(accepted.contains(priority)).isEqualTo(priority == 0);
 	}
 
+	// Guards against long prompts of less urgent calls ahead of urgent ones: with a
+	// target
+	// that is far off, they were sent however long the urgent ones behind them waited.
+	@Test
+	void shouldRejectLessUrgentCallsOfOrganisationsWhenUrgentOnesWouldWait() {
+		Admission admission = Admission.of(() -> 0.5);
+		admission.urgentTargets(Map.of("llm", new UrgentTarget(0, 500)));
+		Dispatcher limited = new Dispatcher(this.table, "a", admission);
+		for (String id : List.of("s1", "s2", "s3")) {
+			this.table.recordCallSent(start(id), 24_000);
+		}
+		Choice urgent = limited.choose(organisationRequirements(500, 0), Set.of(), 0);
+		Choice lessUrgent = limited.choose(organisationRequirements(10_000, 1), Set.of(), 0);
+		assertThat(urgent).isInstanceOf(Choice.Chosen.class);
+		assertThat(lessUrgent).isInstanceOfSatisfying(Choice.Full.class,
+				(full) -> assertThat(full.refused()).isPresent());
+	}
+
+	private static CallRequirements organisationRequirements(long targetMillis, int priority) {
+		return new CallRequirements("llm", PromptPrefix.none(), Optional.empty(), 1_000, targetMillis, priority, "sfax",
+				20_000);
+	}
+
 	// A server crashes two seconds into a stream that can be resumed at another server.
 	// The first token was due long before: when the call was rejected for that, the
 	// stream was broken off although other servers were idle.
