--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -13,6 +13,10 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
+import org.rosemaryfront.admission.Admission;
+import org.rosemaryfront.admission.AdmissionDecision.Refused;
+import org.rosemaryfront.admission.CallDemand;
+import org.rosemaryfront.admission.ExpectedTime;
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.dispatch.FirstTokenModel.Work;
 import org.rosemaryfront.placement.LevelPlacement;
@@ -46,18 +50,6 @@
 	 */
 	private static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-	/**
-	 * The factor by which the expected time to first token may exceed the target for the
-	 * most urgent calls: beyond it the call would be late and delay the calls queued
-	 * after it. The factor is lower for less urgent calls, so that a server short of
-	 * capacity never rejects an urgent call in favour of a less urgent one.
-	 */
-	private static final double LATENESS_FACTOR = 1.8;
-
-	private static final double LATENESS_FACTOR_STEP = 0.4;
-
-	private static final double MIN_LATENESS_FACTOR = 0.8;
-
 	/**
 	 * The average age of what reports of other gateways say: half of the interval between
 	 * two, the time until they are read, and until the next tick.
@@ -72,6 +64,8 @@
 
 	private final PeerWork peerWork = PeerWork.none();
 
+	private final Admission admission;
+
 	private final Map<String, FirstTokenModel> models = new HashMap<>();
 
 	private final TypicalTimes typicalTimes = new TypicalTimes();
@@ -80,14 +74,26 @@
 	private OptionalLong firstPromptNanos = OptionalLong.empty();
 
 	/**
-	 * Creates a dispatcher.
+	 * Creates a dispatcher that does not know the demand of organisations.
 	 * @param table the backend servers
 	 * @param zone the availability zone of this process
 	 * @param random a source of random numbers from 0 to 1
 	 */
 	public Dispatcher(BackendTable table, String zone, DoubleSupplier random) {
+		this(table, zone, Admission.of(random), random);
+	}
+
+	/**
+	 * Creates a dispatcher.
+	 * @param table the backend servers
+	 * @param zone the availability zone of this process
+	 * @param admission decides which calls with a prompt are sent
+	 * @param random a source of random numbers from 0 to 1
+	 */
+	public Dispatcher(BackendTable table, String zone, Admission admission, DoubleSupplier random) {
 		this.table = table;
 		this.zone = zone;
+		this.admission = admission;
 		this.placement = LevelPlacement.of(random);
 	}
 
@@ -219,9 +225,9 @@
 			.choose(candidates, unreportedMillis, (estimate) -> rank(requirements, estimate.row))
 			.orElseThrow();
 		long millis = (long) placed.expectedMillis();
-		double factor = Math.max(MIN_LATENESS_FACTOR, LATENESS_FACTOR - LATENESS_FACTOR_STEP * requirements.priority());
-		if (millis > requirements.targetMillis() * factor) {
-			return new Choice.Full(available.size(), millis);
+		ExpectedTime expected = new ExpectedTime(meanWaitMillis(candidates, unreportedMillis), millis);
+		if (this.admission.decide(requirements.demand(), expected) instanceof Refused refused) {
+			return new Choice.Full(available.size(), millis, Optional.of(refused));
 		}
 		CostEstimate chosen = placed.server();
 		double unreported = placed.expectedMillis() - chosen.waitMillis - chosen.ownMillis;
@@ -230,6 +236,11 @@
 				chosen.transferSource.map((row) -> row.server), Optional.of(work), Optional.empty());
 	}
 
+	private static double meanWaitMillis(List<Candidate<CostEstimate>> servers, double unreportedMillis) {
+		double millis = servers.stream().mapToDouble(Candidate::waitMillis).sum() + unreportedMillis;
+		return millis / servers.size();
+	}
+
 	// The server of a version with the most tokens of the prompt prefix cached: what one
 	// version wrote does not fit another one. A leaving server keeps its cache until it
 	// is terminated.
@@ -324,6 +335,14 @@
 		return this.models.computeIfAbsent(service, (_) -> new FirstTokenModel());
 	}
 
+	/**
+	 * Returns what decides on calls while there is less room than is asked for.
+	 * @return the admission, to be told what organisations ask
+	 */
+	public Admission admission() {
+		return this.admission;
+	}
+
 	/**
 	 * Returns the estimate of what other gateways have sent since their last reports.
 	 * @return the estimate, to be told of what they report
@@ -355,9 +374,25 @@
 	 * without a prompt
 	 * @param targetMillis the time left until the first token is due, in milliseconds
 	 * @param priority its priority, 0 for the most urgent
+	 * @param organisation the organisation of the caller, empty if callers need no key
+	 * @param remainingMillis the time left until the call times out, in milliseconds
 	 */
 	public record CallRequirements(String service, PromptPrefix prefix, Optional<EngineSpec> engine, int ownTokens,
-			long targetMillis, int priority) {
+			long targetMillis, int priority, String organisation, long remainingMillis) {
+
+		/**
+		 * Creates the requirements of a call without an organisation.
+		 * @param service the service
+		 * @param prefix the prompt prefix that it shares with other calls
+		 * @param engine the engine parameters of the service, empty if it has none
+		 * @param ownTokens the prompt tokens that no other call has in common
+		 * @param targetMillis the time left until the first token is due, in milliseconds
+		 * @param priority its priority, 0 for the most urgent
+		 */
+		public CallRequirements(String service, PromptPrefix prefix, Optional<EngineSpec> engine, int ownTokens,
+				long targetMillis, int priority) {
+			this(service, prefix, engine, ownTokens, targetMillis, priority, "", targetMillis);
+		}
 
 		/**
 		 * Returns the time left until the first token of a call is due. A call that may
@@ -374,6 +409,11 @@
 			return Math.max(0, ran ? remainingMillis : targetMillis);
 		}
 
+		private CallDemand demand() {
+			return new CallDemand(this.service, this.organisation, this.priority,
+					(long) this.ownTokens + this.prefix.tokens(), this.targetMillis, this.remainingMillis);
+		}
+
 		private double transferMillis(int tokens) {
 			return this.engine.map((spec) -> spec.transferMillis(tokens)).orElse(Double.POSITIVE_INFINITY);
 		}
@@ -415,8 +455,21 @@
 		 * @param servers the number of servers that accept calls but have no capacity
 		 * @param expectedMillis the expected time to first token at the best of them in
 		 * milliseconds, 0 if none has a free slot
+		 * @param refused why the call is refused before others, empty if none has a free
+		 * slot
 		 */
-		record Full(int servers, long expectedMillis) implements Choice {
+		record Full(int servers, long expectedMillis, Optional<Refused> refused) implements Choice {
+
+			/**
+			 * Creates the choice for servers without a free slot.
+			 * @param servers the number of servers that accept calls but have no capacity
+			 * @param expectedMillis the expected time to first token at the best of them
+			 * in milliseconds, 0 if none has a free slot
+			 */
+			public Full(int servers, long expectedMillis) {
+				this(servers, expectedMillis, Optional.empty());
+			}
+
 		}
 
 		/** No server is eligible. */
