Let the gateway ask for admission and tell callers when there is room

The demand of organisations at all gateways is given to the admission with each report, the targets of the most urgent calls with each configuration. A call that is refused before others is told when the wait has drained to its limit; the log names limit and reason, gauges count refusals by reason.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 
@@ -66,7 +67,8 @@
 
 	private final Map<String, Double> demandRatios = new HashMap<>();
 
-	private final Map<Reason, Long> refusals = new HashMap<>();
+	/** Read on any thread. */
+	private final Map<Reason, Long> refusals = new ConcurrentHashMap<>();
 
 	private OptionalLong demandsNanos = OptionalLong.empty();
 
@@ -197,7 +199,7 @@
 	}
 
 	/**
-	 * Returns the refused calls since the start.
+	 * Returns the refused calls since the start, on any thread.
 	 * @param reason the reason
 	 * @return the number of calls
 	 */
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -470,6 +470,27 @@
 				this(servers, expectedMillis, Optional.empty());
 			}
 
+			/**
+			 * Returns when there is likely to be room.
+			 * @return the time from now in milliseconds, empty if it is not known
+			 */
+			public OptionalLong retryMillis() {
+				return this.refused.isPresent() ? OptionalLong.of(this.refused.get().retryAfterMillis())
+						: OptionalLong.empty();
+			}
+
+			/**
+			 * Describes the choice, for the log.
+			 * @return the servers, the expected time and, if a call was refused before
+			 * others, the limit and the reason
+			 */
+			public String describe() {
+				return this.servers + " servers have no room, first token after " + this.expectedMillis + " ms"
+						+ this.refused
+							.map((decision) -> ", limit " + (long) decision.limitMillis() + " ms, " + decision.reason())
+							.orElse("");
+			}
+
 		}
 
 		/** No server is eligible. */
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -13,6 +13,7 @@
 import java.util.function.LongConsumer;
 import java.util.stream.Collectors;
 
+import org.rosemaryfront.admission.UrgentTarget;
 import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
@@ -306,8 +307,9 @@
 	private void dispatch(Call call, CallProgress progress, Choice choice, long nowNanos) {
 		switch (choice) {
 			case Choice.Chosen chosen -> send(call, progress, chosen, nowNanos);
-			case Choice.Full full -> endUnserved(call, progress, fullRetryMillis(), Refusal.of(Cause.NO_ROOM,
-					full.servers() + " servers have no room, first token after " + full.expectedMillis() + " ms"));
+			case Choice.Full full ->
+				endUnserved(call, progress, full.retryMillis().orElseGet(GatewayControl::fullRetryMillis),
+						Refusal.of(Cause.NO_ROOM, full.describe()));
 			case Choice.NoPermit noPermit -> awaitPermit(call, progress, noPermit, nowNanos);
 			case Choice.Backoff backoff ->
 				endUnserved(call, progress, backoff.millis() + retrySpreadMillis(), Refusal.of(Cause.SERVER_BACKOFF,
@@ -395,9 +397,11 @@
 		long age = (nowNanos - call.receivedNanos()) / NANOS_PER_MILLI;
 		Optional<Prompt> prompt = call.metadata().prompt();
 		return new CallRequirements(call.service(), progress.prefix(), engine(call.service()),
-				prompt.map(Prompt::unsharedTokens).orElse(0), CallRequirements.remainingMillis(
-						call.route().targetMillis() - age, call.remainingMillis(nowNanos), begun),
-				call.priority());
+				prompt.map(Prompt::unsharedTokens).orElse(0),
+				CallRequirements.remainingMillis(call.route().targetMillis() - age, call.remainingMillis(nowNanos),
+						begun),
+				call.priority(), call.organisation().map(Organisation::name).orElse(""),
+				call.remainingMillis(nowNanos));
 	}
 
 	private Optional<EngineSpec> engine(String service) {
@@ -542,6 +546,7 @@
 			return;
 		}
 		this.configuration = Optional.of(newer);
+		this.dispatcher.admission().urgentTargets(UrgentTarget.byService(newer.routes(), newer.organisations()));
 		EventLog.info(GatewayEvents.CONFIGURATION_IN_FORCE, "version", newer.version(), "before",
 				(known == Long.MIN_VALUE) ? "none" : known);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayGauges.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayGauges.java
@@ -3,6 +3,8 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
+import org.rosemaryfront.admission.Admission;
+import org.rosemaryfront.admission.AdmissionDecision.Reason;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.program.ControlLoop;
@@ -13,13 +15,14 @@
  *
  * @param control the control thread
  * @param servers the backend servers
+ * @param admission decides on calls while there is less room than is asked for
  * @param configurationTable the local copy of the configuration's table
  * @param serversTable the local copy of the servers' table
  * @param crashes the requests and segments under which servers crashed
  * @param limits the rate limits of servers
  * @param store the generations of the store
  */
-record GatewayGauges(ControlLoop control, BackendTable servers, TableReplica configurationTable,
+record GatewayGauges(ControlLoop control, BackendTable servers, Admission admission, TableReplica configurationTable,
 		TableReplica serversTable, CrashRecords crashes, CallLimits limits, StoreGenerations store) {
 
 	/**
@@ -37,6 +40,9 @@
 		metrics.gauge("servers.backoff", () -> this.servers.notices().backoffCount(System.nanoTime()));
 		metrics.gauge("servers.stated.leaving", () -> this.servers.notices().leavingCount());
 		metrics.gauge("speeds.invalid", this.servers::invalidSpeeds);
+		for (Reason reason : Reason.values()) {
+			metrics.gauge("admission.refused." + reason, () -> this.admission.refusals(reason));
+		}
 		metrics.gauge("calls.waiting", this.limits::reportedWaiting);
 		metrics.gauge("store.generation", this.store::newest);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -238,8 +238,8 @@
 				(service) -> this.decisions.dispatcher().model(service).prefillTokensPerMilli(),
 				this.rollouts::countsTowardsCapacity, this.callLimits::hasLimit, platform.duties(), settings.zones(),
 				this::onControl, this.lease::giveUp);
-		new GatewayGauges(this.control, this.servers, this.configurationTable, this.serversTable, this.crashes,
-				this.callLimits, this.store)
+		new GatewayGauges(this.control, this.servers, this.decisions.dispatcher().admission(), this.configurationTable,
+				this.serversTable, this.crashes, this.callLimits, this.store)
 			.register(this.metrics);
 		// Opened last, because its requests use all other components.
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -17,6 +17,7 @@
 
 import com.google.protobuf.ByteString;
 
+import org.rosemaryfront.admission.OrganisationDemand;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.dispatch.BackendUse;
@@ -138,6 +139,10 @@
 	 * @param now the current time on the monotonic clock, in nanoseconds
 	 */
 	void send(boolean leaving, long now) {
+		this.decisions.configuration()
+			.ifPresent((known) -> this.decisions.dispatcher()
+				.admission()
+				.demands(OrganisationDemand.of(known.organisations(), this.quotas.requestedUnits(now)), now));
 		Window window = this.usage.current(System.currentTimeMillis());
 		GatewayReport.Builder report = GatewayReport.newBuilder().setWindow(window.index());
 		this.quotas.useToReport(now)
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MetricNamesTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MetricNamesTests.java
@@ -17,10 +17,12 @@
 			"gauges/log.dropped", "gauges/requests.held", "gauges/segments.held", "gauges/servers.backoff",
 			"gauges/servers.connections", "gauges/servers.connections.opened", "gauges/servers.limited",
 			"gauges/servers.out.of.reach", "gauges/servers.proven.millis", "gauges/servers.stated.leaving",
-			"gauges/store.generation", "gauges/streams.origins", "gauges/streams.origins.evicted",
-			"gauges/tunnels.open", "counters/calls.answered.200", "counters/calls.refused.404",
-			"counters/servers.responses.framed.length", "counters/servers.unreadable",
-			"histograms/calls.answer.millis.IDEMPOTENT", "histograms/calls.first.millis.IDEMPOTENT");
+			"gauges/admission.refused.LATE", "gauges/admission.refused.LESS_URGENT",
+			"gauges/admission.refused.OVER_SHARE", "gauges/speeds.invalid", "gauges/store.generation",
+			"gauges/streams.origins", "gauges/streams.origins.evicted", "gauges/tunnels.open",
+			"counters/calls.answered.200", "counters/calls.refused.404", "counters/servers.responses.framed.length",
+			"counters/servers.unreadable", "histograms/calls.answer.millis.IDEMPOTENT",
+			"histograms/calls.first.millis.IDEMPOTENT");
 
 	@Test
 	void shouldKeepNamesOfMetricsWhenCallsAreAnsweredAndRefused() throws IOException {
