--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DutyLease.java
@@ -58,7 +58,7 @@
 	private static final LeaseTiming TERMS = new LeaseTiming(TERM.toNanos(), MARGIN.toNanos(),
 			RENEWAL_INTERVAL.toNanos(), READ_INTERVAL.toNanos(), RETRY_DELAY.toNanos(), RESPONSE_TIMEOUT.toNanos());
 
-	private static final String TABLE = "leases";
+	static final String TABLE = "leases";
 
 	private static final String KEY = "duties";
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -89,6 +89,12 @@
 	 */
 	STORE_RESTORED(2819),
 
+	/**
+	 * The calls of this gateway to the platform since the last such event, by kind and
+	 * outcome.
+	 */
+	PLATFORM_CALLS(2834),
+
 	/** This process holds the duties. */
 	DUTIES_TAKEN(2820),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RolloutDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RolloutDuty.java
@@ -35,7 +35,7 @@
  */
 final class RolloutDuty {
 
-	private static final String TABLE = "rollouts";
+	static final String TABLE = "rollouts";
 
 	private static final String TO = "to";
 
