Let only the next gateways take over when a reader of tables is late

The reports of one reader were more than 0.7 s late at a busy gateway, and that gateway became a reader itself: it opened a long poll for each of four tables and checked each at once. All gateways counted only those that already read, so all of them took over together, for 0.2 s each.

While one gateway still reads, only the first three that report take over, and twice as many after each 0.7 s, which a store that rejects those needs. If none reads, all take over at once as before. The 0.7 s is chosen: a check and a report at the longest interval.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/fleet/Fleet.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/fleet/Fleet.java
@@ -101,6 +101,14 @@
 	 */
 	private static final long READER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+	/**
+	 * The time within which a gateway that takes over as a reader shows it to the others,
+	 * in nanoseconds: a check of its tables, and a report at the longest interval.
+	 */
+	private static final long TAKEOVER_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+	private static final int MAX_DOUBLINGS = 16;
+
 	/**
 	 * The number of own reports whose sending times are kept: more than can be confirmed
 	 * late.
@@ -129,6 +137,9 @@
 	 */
 	private OptionalLong groupsDifferSinceNanos = OptionalLong.empty();
 
+	/** Since when some readers are missing, empty while none or all are. */
+	private OptionalLong readersMissingSinceNanos = OptionalLong.empty();
+
 	/**
 	 * Creates a fleet of which only this gateway is known.
 	 * @param self a number that identifies this start of this gateway
@@ -426,10 +437,24 @@
 	public Role role(String self, long nowNanos) {
 		long ownRank = rank(self);
 		int readersBefore = count((member) -> member.reads(nowNanos) && Long.compareUnsigned(member.rank, ownRank) < 0);
-		if (readersBefore == 0) {
-			return Role.FIRST;
+		if (readersBefore == 0 || readersBefore >= READER_COUNT) {
+			this.readersMissingSinceNanos = OptionalLong.empty();
+			return (readersBefore == 0) ? Role.FIRST : Role.RESTING;
 		}
-		return (readersBefore < READER_COUNT) ? Role.STAND_BY : Role.RESTING;
+		int reportingBefore = count(
+				(member) -> member.isReporting(nowNanos) && Long.compareUnsigned(member.rank, ownRank) < 0);
+		return (reportingBefore < readersTakingOver(nowNanos)) ? Role.STAND_BY : Role.RESTING;
+	}
+
+	// While one gateway still reads, only the next ones in the order take over. If all
+	// did, each would call the store for every table because one reader was late once.
+	// The store may reject those that take over, so after a while twice as many do.
+	private int readersTakingOver(long nowNanos) {
+		if (this.readersMissingSinceNanos.isEmpty()) {
+			this.readersMissingSinceNanos = OptionalLong.of(nowNanos);
+		}
+		long doublings = (nowNanos - this.readersMissingSinceNanos.getAsLong()) / TAKEOVER_NANOS;
+		return READER_COUNT << Math.min(MAX_DOUBLINGS, doublings);
 	}
 
 	// Orders gateways by hash, so that a name or zone that sorts first does not make a
@@ -576,7 +601,11 @@
 		}
 
 		private boolean reads(long nowNanos) {
-			return this.live && this.reads && nowNanos - this.lastReportNanos < READER_TIMEOUT_NANOS;
+			return this.reads && isReporting(nowNanos);
+		}
+
+		private boolean isReporting(long nowNanos) {
+			return this.live && nowNanos - this.lastReportNanos < READER_TIMEOUT_NANOS;
 		}
 
 		// Detects datagrams that were delayed. A delayed report of an earlier start
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/fleet/FleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/fleet/FleetTests.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -219,6 +220,36 @@
 		assertThat(this.fleet.servingCount(32 * SECOND)).isEqualTo(3);
 	}
 
+	// Guards against a takeover by all gateways when one of three readers was late once.
+	@Test
+	void shouldLetMoreGatewaysTakeOverTheLongerReaderIsMissing() {
+		List<String> names = IntStream.range(0, 20).mapToObj((i) -> "gateway-" + i).toList();
+		String reader = names.stream()
+			.filter((self) -> fleetWithReports(self, names, true).role(self, 0) == Role.FIRST)
+			.findFirst()
+			.orElseThrow();
+		Map<String, Fleet> others = names.stream()
+			.filter((self) -> !self.equals(reader))
+			.collect(Collectors.toMap((self) -> self, (_) -> new Fleet(SELF)));
+		assertThat(readersTakingOver(others, reader, 1, 0)).isEqualTo(2);
+		assertThat(readersTakingOver(others, reader, 2, SECOND / 2)).isEqualTo(2);
+		assertThat(readersTakingOver(others, reader, 3, SECOND)).isEqualTo(5);
+		assertThat(readersTakingOver(others, reader, 4, 2 * SECOND)).isEqualTo(11);
+	}
+
+	private static long readersTakingOver(Map<String, Fleet> fleets, String reader, int number, long nowNanos) {
+		return fleets.entrySet().stream().filter((entry) -> {
+			Set<String> senders = new HashSet<>(fleets.keySet());
+			senders.add(reader);
+			senders.remove(entry.getKey());
+			senders.forEach((name) -> entry.getValue()
+				.reportReceived(
+						new Report(name, name.hashCode(), number, false, 0, name.equals(reader), Optional.empty()),
+						nowNanos));
+			return entry.getValue().role(entry.getKey(), nowNanos).reads();
+		}).count();
+	}
+
 	// Three of ten gateways read the store's tables, and all gateways choose the same
 	// three.
 	@Test
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleetTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import org.rosemaryfront.tables.SimulatedFleet.Gateway;
 
@@ -59,6 +60,40 @@
 		assertThat(worst).as("worst milliseconds at %d gateways, %d queries", count, queries).isLessThan(1_000);
 	}
 
+	// Guards against calls to the store by all gateways because one reader was late once.
+	@ParameterizedTest
+	@CsvSource({ "21, 1", "72, 1", "72, 2" })
+	void shouldQueryStoreFromFewGatewaysWhenReadersAreLate(int count, int lateReaders) {
+		SimulatedFleet fleet = new SimulatedFleet(count, 2_000, 1);
+		fleet.run(SETTLED_NANOS);
+		List<Gateway> late = fleet.gateways.stream()
+			.filter((gateway) -> gateway.role == Role.STAND_BY)
+			.limit(lateReaders)
+			.toList();
+		int before = fleet.store.queries();
+		for (int pause = 0; pause < 5; pause++) {
+			late.forEach((gateway) -> gateway.pausedUntil = fleet.now() + 1_200 * SimulatedFleet.MILLI);
+			fleet.change();
+			fleet.run(fleet.now() + 2 * SECOND);
+		}
+		int queries = fleet.store.queries() - before;
+		System.out.println(count + " gateways, " + lateReaders + " readers late: " + queries + " queries in 10 s");
+		assertThat(queries).isLessThan(100);
+	}
+
+	// Guards against calls by all gateways while the store rejects some of them.
+	@ParameterizedTest
+	@EnumSource(value = Fault.class, names = { "THIRD_UNANSWERED", "THIRD_REFUSED" })
+	void shouldQueryStoreSeldomWhenItRejectsSomeGateways(Fault fault) {
+		SimulatedFleet fleet = new SimulatedFleet(72, 2_000, 1);
+		fleet.run(SETTLED_NANOS);
+		int before = fleet.store.queries();
+		runWithFault(fleet, fault);
+		int queries = fleet.store.queries() - before;
+		System.out.println("72 gateways, " + fault + ": " + queries + " queries in 15 s");
+		assertThat(queries).isLessThan(180);
+	}
+
 	private static void assertInTime(int count, long boundMillis, int seeds, Set<Fault> faults) {
 		Map<Fault, Long> worst = new EnumMap<>(Fault.class);
 		for (Fault fault : faults) {
