Share a quota evenly until a second after the start

When all gateways are killed, their first reports after the start tell no requests. Each new gateway took itself for the only one that was asked, and so the whole of what remained, while callers whose calls were cut off or refused came back all at once.

Each other process now counts as asked for as much as this one, until this one has run for the second over which requests are summed up.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
@@ -47,6 +47,8 @@
 
 	private final long windowNanos;
 
+	private final long startedNanos;
+
 	/** The use of all processes within the window, as far as it is known here. */
 	private final Deque<Slot> slots = new ArrayDeque<>();
 
@@ -109,6 +111,7 @@
 	 */
 	Account(long windowNanos, long startedNanos) {
 		this.windowNanos = windowNanos;
+		this.startedNanos = startedNanos;
 		this.refilledNanos = startedNanos;
 	}
 
@@ -138,6 +141,15 @@
 		return units(this.requested);
 	}
 
+	// When all processes have just started, their first reports say that nothing was
+	// requested. Until they tell the requests of a whole second, each other process is
+	// assumed to receive as much as this one.
+	private double requestedAtOthers(double requestedHere, int others, long nowNanos) {
+		double reported = requestedAtOthers(nowNanos);
+		boolean justStarted = nowNanos - this.startedNanos < REQUEST_PERIOD_NANOS;
+		return justStarted ? Math.max(reported, requestedHere * others) : reported;
+	}
+
 	private double requestedAtOthers(long nowNanos) {
 		return this.remoteUses.values()
 			.stream()
@@ -155,12 +167,13 @@
 	 * @param units the units requested
 	 * @param limit the units that the window allows
 	 * @param slack the units that may be used in addition to those of the window
+	 * @param others the number of other processes that share the remaining units
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 * @return the share in units, unconfirmed use included
 	 */
-	double share(double units, double limit, double slack, long nowNanos) {
+	double share(double units, double limit, double slack, int others, long nowNanos) {
 		double requestedHere = requested(nowNanos);
-		double requestedElsewhere = requestedAtOthers(nowNanos);
+		double requestedElsewhere = requestedAtOthers(requestedHere, others, nowNanos);
 		double rise = Math.max(1, requestedHere
 				/ Math.max(this.requestedAtLastReport, MIN_CALLS_FOR_RISE * Math.max(units, this.averageUnits)));
 		double windowShare = (limit - this.usedInWindow + this.unconfirmed + slack) * requestedHere
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -137,7 +137,7 @@
 		if (this.sharing.group() == 1 || units <= 0) {
 			return 0;
 		}
-		double share = account.share(units, request.limit(), request.slack(), nowNanos);
+		double share = account.share(units, request.limit(), request.slack(), this.sharing.group() - 1, nowNanos);
 		boolean taken = account.unconfirmed() + units <= share
 				|| this.random.getAsDouble() * units < share - account.unconfirmed();
 		return taken ? 0 : CONFIRMATION_WAIT_MILLIS;
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
@@ -40,6 +42,17 @@
 
 	private final List<RecordedCall> requested = new ArrayList<>();
 
+	/** The calls that were refused and not sent again. */
+	private final List<RecordedCall> refused = new ArrayList<>();
+
+	/**
+	 * The calls of callers that wait as long as they were told, by their next attempt.
+	 */
+	private final PriorityQueue<Attempt> retries = new PriorityQueue<>(Comparator.comparing(Attempt::atMillis));
+
+	/** The time that a caller has for its call; 0 for callers that do not retry. */
+	private long patienceMillis;
+
 	private QuotaFleet(int count, long seed, Load load) {
 		this.load = load;
 		this.organisation = new Organisation("sfax", List.of("k"), OptionalInt.empty(),
@@ -81,19 +94,44 @@
 	void run(long millis, double quotasPerSecond) {
 		double callsPerMilli = quotasPerSecond * this.load.quota / this.load.callUnits / 1_000;
 		this.gateways.run(millis, () -> {
+			while (!this.retries.isEmpty() && this.retries.peek().atMillis <= nowMillis()) {
+				send(this.retries.remove());
+			}
 			for (double calls = callsPerMilli; calls > 0; calls--) {
 				if (this.random.nextDouble() < calls) {
 					int gateway = randomGateway();
-					processCall(gateway, units());
+					double units = units();
+					this.requested.add(new RecordedCall(nowMillis(), units));
+					send(new Attempt(gateway, units, nowMillis(), nowMillis() + this.patienceMillis));
 				}
 			}
 		});
 	}
 
-	private void processCall(int index, double units) {
-		this.requested.add(new RecordedCall(nowMillis(), units));
-		Gateway gateway = (Gateway) this.gateways.process(index);
-		this.gateways.at(index, () -> gateway.processCall(units));
+	private void send(Attempt attempt) {
+		Gateway gateway = (Gateway) this.gateways.process(attempt.gateway);
+		this.gateways.at(attempt.gateway, () -> gateway.processCall(attempt));
+	}
+
+	// Callers wait for at most a third of the time that they have left, and retry on a
+	// new channel, to any gateway.
+	private void refuse(Attempt attempt, long waitMillis) {
+		if (3 * waitMillis <= attempt.untilMillis - nowMillis()) {
+			this.retries
+				.add(new Attempt(randomGateway(), attempt.units, nowMillis() + waitMillis, attempt.untilMillis));
+		}
+		else {
+			this.refused.add(new RecordedCall(nowMillis(), attempt.units));
+		}
+	}
+
+	/**
+	 * Sets how long callers have for a call: they retry when told, if that is soon
+	 * enough.
+	 * @param patienceMillis the time in milliseconds
+	 */
+	void retryFor(long patienceMillis) {
+		this.patienceMillis = patienceMillis;
 	}
 
 	/**
@@ -128,6 +166,26 @@
 		return worst / this.load.quota;
 	}
 
+	/**
+	 * Returns the units of calls that were refused for good although the window had room
+	 * for them, relative to all requested units.
+	 * @return the fraction, from 0 to 1
+	 */
+	double refusedBelowQuota() {
+		double below = this.refused.stream()
+			.filter((call) -> usedBefore(call.atMillis) + call.units <= this.load.quota)
+			.mapToDouble(RecordedCall::units)
+			.sum();
+		return below / this.requested.stream().mapToDouble(RecordedCall::units).sum();
+	}
+
+	private double usedBefore(long atMillis) {
+		return this.admitted.stream()
+			.filter((use) -> use.atMillis > atMillis - WINDOW_MILLIS && use.atMillis <= atMillis)
+			.mapToDouble(RecordedCall::units)
+			.sum();
+	}
+
 	/**
 	 * Returns the use that was admitted since a time.
 	 * @param sinceMillis the time
@@ -199,11 +257,15 @@
 					QuotaFleet.this.load.slack, QuotaFleet.this.random::nextDouble);
 		}
 
-		private void processCall(double units) {
+		private void processCall(Attempt attempt) {
 			long nowNanos = TimeUnit.MILLISECONDS.toNanos(nowMillis());
 			this.table.sharing(this.fleet.sharing(nowNanos));
-			if (this.table.take(QuotaFleet.this.organisation, units, nowNanos).waitMillis() == 0) {
-				QuotaFleet.this.admitted.add(new RecordedCall(nowMillis(), units));
+			long wait = this.table.take(QuotaFleet.this.organisation, attempt.units, nowNanos).waitMillis();
+			if (wait == 0) {
+				QuotaFleet.this.admitted.add(new RecordedCall(nowMillis(), attempt.units));
+			}
+			else {
+				refuse(attempt, wait);
 			}
 		}
 
@@ -232,7 +294,11 @@
 	record Load(double quota, double callUnits, double slack) {
 	}
 
-	/** A call that was requested or admitted. */
+	/** One attempt of a call, and the time until which its caller waits. */
+	private record Attempt(int gateway, double units, long atMillis, long untilMillis) {
+	}
+
+	/** A call that was requested, admitted or refused. */
 	private record RecordedCall(long atMillis, double units) {
 	}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
@@ -36,12 +36,18 @@
 	 */
 	private static final double CUT_LINKS_FRACTION = 0.03;
 
+	/** The time that a caller has for its call, in milliseconds. */
+	private static final long CALLER_PATIENCE_MILLIS = 3_000;
+
 	private static final List<Fault> FAULTS = List.of(Fault.PARTITION, Fault.NOTHING_RECEIVED, Fault.PAUSE,
 			Fault.RESTART);
 
 	/** Few long prompts a second, each a considerable fraction of the quota. */
 	private static final QuotaFleet.Load SMALL_ORGANISATION = new QuotaFleet.Load(261_000, 12_000, 140_000);
 
+	/** An organisation of many callers and long prompts. */
+	private static final QuotaFleet.Load FLOODING_ORGANISATION = new QuotaFleet.Load(4_247_910, 4_500, 110_000);
+
 	// Guards against each gateway admitting the units that remain of a window, since
 	// reports arrive late.
 	@ParameterizedTest
@@ -136,6 +142,21 @@
 		assertThat(fleet.worstWindow()).isLessThan(MAX_USE);
 	}
 
+	// Guards against the start of all gateways of a large fleet while callers retry: the
+	// first reports tell no requests, so that each gateway took what remained for all.
+	@ParameterizedTest
+	@CsvSource({ "72, 0", "72, 1", "72, 2", "72, 3", "72, 4", "72, 5", "72, 6", "72, 7" })
+	void shouldHoldQuotaWhenCallersRetryAtStartOfAllProcesses(int gateways, long seed) {
+		QuotaFleet fleet = QuotaFleet.of(gateways, seed, FLOODING_ORGANISATION);
+		fleet.retryFor(CALLER_PATIENCE_MILLIS);
+		fleet.run(8_000, USUAL_LOAD);
+		fleet.run(300 + 800 * seed, HEAVY_OVERLOAD);
+		fleet.faults().killAll(700);
+		fleet.run(9_000, HEAVY_OVERLOAD);
+		assertThat(fleet.worstWindow())
+			.isLessThan(MAX_USE + FLOODING_ORGANISATION.slack() / FLOODING_ORGANISATION.quota());
+	}
+
 	// Guards against rules that enforce the quota and refuse calls of an organisation
 	// that stays within it.
 	@ParameterizedTest
