--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -41,7 +41,6 @@
 import org.rosemaryfront.rollout.RolloutTable;
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.TrafficConfiguration;
-import org.rosemaryfront.tables.Freshness;
 import org.rosemaryfront.tables.FreshnessLimits;
 import org.rosemaryfront.traffic.Gateway;
 import org.rosemaryfront.traffic.Liveness;
@@ -93,9 +92,6 @@
 
 	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
-	/** The number of missed heartbeats after which a server's registration expires. */
-	private static final int MAX_MISSED_HEARTBEATS = 3;
-
 	/**
 	 * The factor by which the freshness limits are relaxed for tables that gateways write
 	 * themselves, since their content is also part of the reports between gateways.
@@ -106,6 +102,8 @@
 
 	private final Platform platform;
 
+	private final PlatformCalls platformCalls;
+
 	private final StoreGenerations store;
 
 	private final int start = ThreadLocalRandom.current().nextInt();
@@ -195,15 +193,17 @@
 	private GatewayProcess(GatewaySettings settings, Platform platform, LoopResources loops) {
 		this.settings = settings;
 		this.platform = platform;
-		this.store = new StoreGenerations(platform.rows());
+		this.platformCalls = new PlatformCalls(this.metrics, System.nanoTime());
+		this.store = new StoreGenerations(this.platformCalls.counting(platform.rows()));
+		Duties duties = this.platformCalls.counting(platform.duties());
 		this.loops = loops;
 		this.quotas = new QuotaTable(settings.bounds().quotaWindowMillis(), System.nanoTime(),
 				settings.bounds().quotaSlack(), () -> ThreadLocalRandom.current().nextDouble());
 		this.usage = new UsageLedger(settings.bounds().usageWindowMillis());
-		this.configurationTable = table(settings);
-		this.serversTable = table(settings);
-		this.gatewaysTable = table(settings);
-		this.crashesTable = table(settings);
+		this.configurationTable = TableReplica.of(settings.bounds());
+		this.serversTable = TableReplica.of(settings.bounds());
+		this.gatewaysTable = TableReplica.of(settings.bounds());
+		this.crashesTable = TableReplica.of(settings.bounds());
 		this.control = ControlLoop.start("control", TICK_INTERVAL, this::tick);
 		this.crashes = new CrashRecords(this.store, this.servers, this.control,
 				UsageDuty.processName(settings.name(), this.start), new CrashHooks());
@@ -227,7 +227,7 @@
 				this.rollouts, this.serversTable.freshness(), this::serverRestarted,
 				() -> this.metrics.increment("servers.unreadable"));
 		this.lease = new DutyLease(this.store, settings, this.start, this::onControl, ProcessClock.system());
-		this.usageDuty = new UsageDuty(this.store, platform.duties(), settings, this::onControl, this.lease,
+		this.usageDuty = new UsageDuty(this.store, duties, settings, this::onControl, this.lease,
 				ProcessClock.system());
 		this.rolloutDuty = new RolloutDuty(this.store, platform.records(), this.rollouts, this.servers,
 				this::onControl);
@@ -236,7 +236,7 @@
 				this.gateway::serversOutOfReach, this.streams::gatewayStarted, settings);
 		this.sizeDuty = new SizeDuty(this.servers,
 				(service) -> this.decisions.dispatcher().model(service).prefillTokensPerMilli(),
-				this.rollouts::countsTowardsCapacity, this.callLimits::hasLimit, platform.duties(), settings.zones(),
+				this.rollouts::countsTowardsCapacity, this.callLimits::hasLimit, duties, settings.zones(),
 				this::onControl, this.lease::giveUp);
 		new GatewayGauges(this.control, this.servers, this.decisions.dispatcher().admission(), this.configurationTable,
 				this.serversTable, this.crashes, this.callLimits, this.store)
@@ -249,13 +249,6 @@
 				new QuarantineOperations());
 	}
 
-	// A registration expires with the third missed heartbeat, the first of which may have
-	// been due immediately after the last freshness confirmation.
-	private static TableReplica table(GatewaySettings settings) {
-		long outageNanos = (MAX_MISSED_HEARTBEATS - 1) * settings.bounds().heartbeatMillis() * NANOS_PER_MILLI;
-		return new TableReplica(Freshness.unconfirmed(outageNanos));
-	}
-
 	/**
 	 * Starts a gateway.
 	 * @param settings the settings of this process
@@ -445,6 +438,7 @@
 	}
 
 	private void runDuties(long now) {
+		this.platformCalls.tick(now);
 		this.reports.handleTimeouts(now);
 		this.tableAddresses = this.peers.tableAddresses(this.fleet::isLive);
 		this.gateway.gateways(this.peers.carriers(this.fleet::isLive), this.peers.gatewayAddresses());
@@ -526,6 +520,7 @@
 		this.tables.close();
 		this.admin.close();
 		this.control.close();
+		this.platformCalls.close();
 		this.peers.close();
 		this.loops.dispose();
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableReplica.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableReplica.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 
@@ -19,6 +20,12 @@
 /** The local copy of a table's rows. Thread-safe. */
 final class TableReplica {
 
+	/**
+	 * The number of missed heartbeats after which a server's registration expires; the
+	 * first may have been due right behind the last confirmation of a replica.
+	 */
+	private static final int MAX_MISSED_HEARTBEATS = 3;
+
 	/** The number of recent changes that are retained. */
 	private static final int MAX_RECENT_CHANGES = 64;
 
@@ -34,6 +41,16 @@
 
 	private final Freshness freshness;
 
+	/**
+	 * Creates an empty replica.
+	 * @param bounds the bounds of the deployment
+	 * @return the replica, which becomes outdated before a registration can expire
+	 */
+	static TableReplica of(GatewaySettings.Bounds bounds) {
+		long outageMillis = (MAX_MISSED_HEARTBEATS - 1) * bounds.heartbeatMillis();
+		return new TableReplica(Freshness.unconfirmed(TimeUnit.MILLISECONDS.toNanos(outageMillis)));
+	}
+
 	/**
 	 * Creates an empty copy, at version 0.
 	 * @param freshness records how old the copy is
