--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -20,9 +20,12 @@
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.dispatch.Dispatcher.CallRequirements;
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
+import org.rosemaryfront.dispatch.FirstTokenModel.Work;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
+import org.rosemaryfront.speeds.SpeedSample;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 class DispatcherTests {
 
@@ -212,6 +215,68 @@
 		assertThat(chosen(promptRequirements("part", 2_000)).id()).isNotEqualTo(first.id());
 	}
 
+	// Guards against servers of calls without a prompt that get the same share of them
+	// although some are much slower.
+	@Test
+	void shouldSendCallsWithoutPromptToFasterServersWhenLoadIsEqual() {
+		for (int i = 0; i < 30; i++) {
+			long now = i * SECOND / 10;
+			this.dispatcher.recordResponse("llm", start("s1"), 250, now);
+			this.dispatcher.recordResponse("llm", start("s2"), 100, now);
+			this.dispatcher.recordResponse("llm", start("s3"), 100, now);
+		}
+		Set<String> used = new HashSet<>();
+		for (int i = 0; i < 4; i++) {
+			Choice choice = this.dispatcher.choose(withoutPrompt(), Set.of(), 3 * SECOND);
+			String id = ((Choice.Chosen) choice).server().id();
+			this.table.recordCallSent(start(id), 0);
+			used.add(id);
+		}
+		assertThat(used).containsExactlyInAnyOrder("s2", "s3");
+	}
+
+	// Guards against a factor that includes itself: it settled at the square root.
+	@Test
+	void shouldExpectMeasuredTimeWhenServerIsHalfAsFast() {
+		Work work = Work.of(0, 2_000, 2_000, 0);
+		double typicalMillis = this.dispatcher.model("llm").expectedMillis(work);
+		for (int i = 0; i < 60; i++) {
+			for (String id : List.of("s1", "s2", "s3")) {
+				double factor = id.equals("s3") ? 2 : 1;
+				this.dispatcher.recordFirstToken("llm", start(id), work, (long) (factor * typicalMillis), i * SECOND);
+			}
+		}
+		CallRequirements requirements = new CallRequirements("llm", PromptPrefix.none(), Optional.empty(), 2_000,
+				10_000, 0);
+		Choice choice = this.dispatcher.choose(requirements, Set.of("s1", "s2"), 60 * SECOND);
+		assertThat((double) ((Choice.Chosen) choice).expectedMillis()).isCloseTo(2 * typicalMillis,
+				within(0.2 * typicalMillis));
+	}
+
+	@Test
+	void shouldKnowSpeedWhenOnlyOtherProcessesMeasuredIt() {
+		this.table.recordPeerSpeed(new SpeedSample(start("s1"), 30, 30 * Math.log(2.5)), 0);
+		assertThat(this.table.timeFactor(server("s1", false), 0)).isGreaterThan(2);
+		assertThat(this.table.takeSpeedSamples()).isEmpty();
+	}
+
+	// Guards against reports of a broken gateway, and against those about an earlier run.
+	@Test
+	void shouldIgnoreSpeedWhenSampleIsInvalidOrOfAnotherRun() {
+		this.table.recordPeerSpeed(new SpeedSample(start("s1"), 1, 99), 0);
+		this.table.recordPeerSpeed(new SpeedSample(new Incarnation("s1", 77), 30, 30), 0);
+		assertThat(this.table.timeFactor(server("s1", false), 0)).isEqualTo(1);
+		assertThat(this.table.invalidSpeeds()).isEqualTo(1);
+	}
+
+	@Test
+	void shouldForgetSpeedWhenServerRestarts() {
+		this.table.recordPeerSpeed(new SpeedSample(start("s1"), 30, 30), 0);
+		this.table.recordRegistration(serverStartedAt("s1", 77, false), SECOND);
+		assertThat(this.table.timeFactor(serverStartedAt("s1", 77, false), SECOND)).isEqualTo(1);
+		assertThat(this.table.timeFactor(server("s1", false), SECOND)).isEqualTo(1);
+	}
+
 	// -- rejection of calls
 
 	// Under overload, calls were sent to servers that could only respond late and
