Let nobody yield while the speed of the servers is a guess

Cause: the first token of a service without measured calls is expected by conservative coefficients. Change: the wait counts for the limits of admission only from 20 measured calls on, or when others told theirs.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -225,7 +225,8 @@
 			.choose(candidates, unreportedMillis, (estimate) -> rank(requirements, estimate.row))
 			.orElseThrow();
 		long millis = (long) placed.expectedMillis();
-		ExpectedTime expected = new ExpectedTime(meanWaitMillis(candidates, unreportedMillis), millis);
+		double meanWaitMillis = model.isKnown() ? meanWaitMillis(candidates, unreportedMillis) : 0;
+		ExpectedTime expected = new ExpectedTime(meanWaitMillis, millis);
 		if (this.admission.decide(requirements.demand(), expected) instanceof Refused refused) {
 			return new Choice.Full(available.size(), millis, Optional.of(refused));
 		}
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/FirstTokenModel.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/FirstTokenModel.java
@@ -48,6 +48,11 @@
 	 */
 	private static final int MIN_CALLS = 60;
 
+	/**
+	 * The number of calls from which an expected time is more than a conservative guess.
+	 */
+	private static final int MIN_CALLS_TO_BE_KNOWN = 20;
+
 	/**
 	 * The exclusive upper bound of a valid coefficient, in milliseconds per unit of its
 	 * feature.
@@ -66,6 +71,8 @@
 
 	private long measuredCalls;
 
+	private boolean adopted;
+
 	/**
 	 * Updates the model with a measured call.
 	 * @param work the work of the server until its first token
@@ -102,6 +109,14 @@
 		return millis;
 	}
 
+	/**
+	 * Returns whether the expected times rest on calls of this or another process.
+	 * @return false while the initial coefficients prevail
+	 */
+	public boolean isKnown() {
+		return this.adopted || this.measuredCalls >= MIN_CALLS_TO_BE_KNOWN;
+	}
+
 	/**
 	 * Returns how much longer a call waits for each token that is queued before it.
 	 * @return the time in milliseconds
@@ -145,6 +160,7 @@
 		if (valid && this.measuredCalls < MIN_CALLS) {
 			this.initialCoefficients = peerCoefficients.stream().mapToDouble(Double::doubleValue).toArray();
 			this.coefficients = solve();
+			this.adopted = true;
 		}
 	}
 
