Draw servers by weighted rendezvous hashing of the prompt

Cause: a random draw among servers with room puts the same prompt prefix at ever more servers. Change: the draw follows from the common order of servers for a prompt, in proportion to their room; calls without a prefix draw at random.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -60,7 +60,7 @@
 
 	private final String zone;
 
-	private final LevelPlacement placement;
+	private final DoubleSupplier random;
 
 	private final PeerWork peerWork = PeerWork.none();
 
@@ -94,7 +94,7 @@
 		this.table = table;
 		this.zone = zone;
 		this.admission = admission;
-		this.placement = LevelPlacement.of(random);
+		this.random = random;
 	}
 
 	/**
@@ -221,8 +221,9 @@
 			.map((estimate) -> new Candidate<>(estimate, estimate.waitMillis, estimate.ownMillis))
 			.toList();
 		double unreportedMillis = this.peerWork.unreportedTokens(REPORT_AGE_NANOS, nowNanos) * model.millisPerToken();
-		Placed<CostEstimate> placed = this.placement
-			.choose(candidates, unreportedMillis, (estimate) -> rank(requirements, estimate.row))
+		long prompt = promptHash(requirements);
+		Placed<CostEstimate> placed = LevelPlacement
+			.choose(candidates, unreportedMillis, (estimate) -> rank(prompt, estimate.row))
 			.orElseThrow();
 		long millis = (long) placed.expectedMillis();
 		double meanWaitMillis = model.isKnown() ? meanWaitMillis(candidates, unreportedMillis) : 0;
@@ -255,7 +256,7 @@
 			.filter((cachingServer) -> cachingServer.cachedTokens > 0)
 			.max(Comparator.comparingInt(CachingServer::cachedTokens)
 				.thenComparing((cachingServer) -> cachingServer.row.server.zone().equals(this.zone))
-				.thenComparingLong((cachingServer) -> rank(requirements, cachingServer.row)));
+				.thenComparingLong((cachingServer) -> rank(requirements.prefix().hash(), cachingServer.row)));
 		return best.isPresent() ? best : assumedCachingServer(requirements, rows, nowNanos);
 	}
 
@@ -269,7 +270,7 @@
 		boolean warmingUp = nowNanos - this.firstPromptNanos.getAsLong() < WARM_UP_NANOS;
 		return rows.stream()
 			.filter((row) -> warmingUp && row.registeredNanos.isEmpty())
-			.min(Comparator.comparingLong((row) -> rank(requirements, row)))
+			.min(Comparator.comparingLong((row) -> rank(requirements.prefix().hash(), row)))
 			.map((row) -> new CachingServer(row, requirements.prefix().tokens()));
 	}
 
@@ -360,9 +361,14 @@
 		return Map.copyOf(this.models);
 	}
 
-	private static long rank(CallRequirements requirements, BackendRow row) {
-		return Hashing.wyhashFinal4()
-			.hashCharsToLong(Long.toHexString(requirements.prefix().hash()) + '@' + row.server.id());
+	// Calls without a prefix have nothing in common for which they should meet.
+	private long promptHash(CallRequirements requirements) {
+		long hash = requirements.prefix().hash();
+		return (hash != 0) ? hash : Double.doubleToLongBits(this.random.getAsDouble());
+	}
+
+	private static long rank(long promptHash, BackendRow row) {
+		return Hashing.wyhashFinal4().hashCharsToLong(Long.toHexString(promptHash) + '@' + row.server.id());
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/placement/LevelPlacement.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/placement/LevelPlacement.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.DoubleSupplier;
 import java.util.function.ToLongFunction;
 
 /**
@@ -16,22 +15,16 @@
  * server at which the call itself takes longer, for lack of a cached prompt, has less
  * room for it. Without unreported work the server with the lowest expected time is
  * chosen.
+ *
+ * <p>
+ * What is drawn follows from the common order of the servers for a prompt, so that calls
+ * with the same prompt prefix meet while the room stays about the same.
  */
 public final class LevelPlacement {
 
-	private final DoubleSupplier random;
-
-	private LevelPlacement(DoubleSupplier random) {
-		this.random = random;
-	}
+	private static final double UNIFORM_SCALE = 0x1.0p-53;
 
-	/**
-	 * Creates a placement.
-	 * @param random a source of random numbers from 0 to 1
-	 * @return the placement
-	 */
-	public static LevelPlacement of(DoubleSupplier random) {
-		return new LevelPlacement(random);
+	private LevelPlacement() {
 	}
 
 	/**
@@ -39,40 +32,46 @@
 	 * @param servers the servers that may get the call
 	 * @param unreportedMillis the work that no report names, as the time that a single
 	 * server takes for it, in milliseconds
-	 * @param rank the position of a server in the common order of the servers for the
-	 * prompt of the call; the lowest is preferred where times are equal
+	 * @param rank a hash of a server and the prompt of the call, from which the common
+	 * order of the servers for the prompt follows
 	 * @param <T> the servers
 	 * @return the server with the time expected there, empty if there is none
 	 */
-	public <T> Optional<Placed<T>> choose(List<Candidate<T>> servers, double unreportedMillis, ToLongFunction<T> rank) {
+	public static <T> Optional<Placed<T>> choose(List<Candidate<T>> servers, double unreportedMillis,
+			ToLongFunction<T> rank) {
 		if (servers.isEmpty()) {
 			return Optional.empty();
 		}
 		double level = FillLevel.of(servers.stream().mapToDouble(Candidate::waitMillis).toArray(), unreportedMillis);
-		Placed<T> best = Placed.at(servers.getFirst(), level);
 		List<Placed<T>> placed = new ArrayList<>(servers.size());
+		Placed<T> best = Placed.at(servers.getFirst(), level);
 		for (Candidate<T> server : servers) {
 			Placed<T> here = Placed.at(server, level);
 			placed.add(here);
 			best = here.isBetterThan(best, rank) ? here : best;
 		}
-		return Optional.of(draw(placed, best, level));
+		return Optional.of(draw(placed, best, level, rank));
 	}
 
-	private <T> Placed<T> draw(List<Placed<T>> placed, Placed<T> best, double level) {
-		double bound = best.expectedMillis();
-		double total = 0;
-		for (Placed<T> server : placed) {
-			total += server.room(level, bound);
-		}
-		double left = (total > 0) ? this.random.getAsDouble() * total : 0;
+	// Weighted rendezvous hashing: the lowest of exponentially distributed numbers, each
+	// over the room of its server, belongs to a server in proportion to its room.
+	private static <T> Placed<T> draw(List<Placed<T>> placed, Placed<T> best, double level, ToLongFunction<T> rank) {
+		double lowest = Double.POSITIVE_INFINITY;
+		Placed<T> drawn = best;
 		for (Placed<T> server : placed) {
-			left -= server.room(level, bound);
-			if (left < 0) {
-				return server;
+			double room = server.room(level, best.expectedMillis());
+			double number = (room > 0) ? -Math.log(uniform(rank.applyAsLong(server.server()))) / room : lowest;
+			if (number < lowest) {
+				lowest = number;
+				drawn = server;
 			}
 		}
-		return best;
+		return drawn;
+	}
+
+	// A number above 0 and at most 1.
+	private static double uniform(long hash) {
+		return ((hash >>> 11) + 1) * UNIFORM_SCALE;
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/placement/LevelPlacementTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/placement/LevelPlacementTests.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.SplittableRandom;
 import java.util.stream.DoubleStream;
 
 import org.junit.jupiter.api.Test;
@@ -29,15 +30,13 @@
 	void shouldChooseLowestExpectedTimeWhenNothingIsUnreported() {
 		List<Candidate<String>> servers = List.of(new Candidate<>("busy", 50, 10), new Candidate<>("cached", 20, 5),
 				new Candidate<>("idle", 0, 40));
-		assertThat(LevelPlacement.of(() -> 0.9).choose(servers, 0, String::length).orElseThrow().server())
-			.isEqualTo("cached");
+		assertThat(LevelPlacement.choose(servers, 0, String::length).orElseThrow().server()).isEqualTo("cached");
 	}
 
 	@Test
 	void shouldPreferFirstOfCommonOrderWhenTimesAreEqual() {
 		List<Candidate<String>> servers = List.of(new Candidate<>("longer", 5, 5), new Candidate<>("short", 5, 5));
-		assertThat(LevelPlacement.of(() -> 0.9).choose(servers, 0, String::length).orElseThrow().server())
-			.isEqualTo("short");
+		assertThat(LevelPlacement.choose(servers, 0, String::length).orElseThrow().server()).isEqualTo("short");
 	}
 
 	// A server that lacks the prompt is not worth the time that the call takes longer
@@ -46,9 +45,9 @@
 	void shouldStayWithCachedPromptWhenOtherServersCostMoreThanTheyHaveRoom() {
 		List<Candidate<String>> servers = List.of(new Candidate<>("cached", 0, 5), new Candidate<>("a", 0, 100),
 				new Candidate<>("b", 0, 100));
-		for (int i = 0; i < 10; i++) {
-			double draw = i / 10.0;
-			assertThat(LevelPlacement.of(() -> draw).choose(servers, 90, String::length).orElseThrow().server())
+		Random random = new Random(1);
+		for (int i = 0; i < 100; i++) {
+			assertThat(LevelPlacement.choose(servers, 90, (_) -> random.nextLong()).orElseThrow().server())
 				.isEqualTo("cached");
 		}
 	}
@@ -68,6 +67,37 @@
 		assertThat(herd + Load.WORK_MILLIS).isGreaterThan(URGENT_TARGET_MILLIS);
 	}
 
+	// Guards against prompts that are cached at ever more servers.
+	@Test
+	void shouldChooseSameServerForPromptWhenRoomChangesLittle() {
+		int same = 0;
+		for (int prompt = 0; prompt < 200; prompt++) {
+			same += (chosen(prompt, 0) == chosen(prompt, 5)) ? 1 : 0;
+		}
+		assertThat(same).isGreaterThan(180);
+	}
+
+	@Test
+	void shouldSpreadPromptsInProportionToRoom() {
+		int[] counts = new int[8];
+		for (int prompt = 0; prompt < 8_000; prompt++) {
+			counts[chosen(prompt, 50)]++;
+		}
+		assertThat(counts[0]).isBetween(450, 650);
+		assertThat(counts[1]).isBetween(950, 1_200);
+	}
+
+	// Eight servers, of which the first one has some work; the level is at 100.
+	private static int chosen(int prompt, double firstWait) {
+		List<Candidate<Integer>> servers = new ArrayList<>();
+		for (int i = 0; i < 8; i++) {
+			servers.add(new Candidate<>(i, (i == 0) ? firstWait : 0, 20));
+		}
+		return LevelPlacement.choose(servers, 800 - firstWait, (server) -> new SplittableRandom(prompt * 8L + server).nextLong())
+			.orElseThrow()
+			.server();
+	}
+
 	private enum Knowledge {
 
 		CURRENT, AGED_ALONE, AGED_WITH_LEVEL
@@ -137,8 +167,7 @@
 			}
 			double unreported = (knowledge == Knowledge.AGED_WITH_LEVEL)
 					? Math.max(0, unreportedMillis - DoubleStream.of(sent).sum()) : 0;
-			int chosen = LevelPlacement.of(this.random::nextDouble)
-				.choose(candidates, unreported, Integer::longValue)
+			int chosen = LevelPlacement.choose(candidates, unreported, (_) -> this.random.nextLong())
 				.orElseThrow()
 				.server();
 			double wait = this.waits[chosen];
