--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/placement/LevelPlacementTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/placement/LevelPlacementTests.java
@@ -93,7 +93,8 @@
 		for (int i = 0; i < 8; i++) {
 			servers.add(new Candidate<>(i, (i == 0) ? firstWait : 0, 20));
 		}
-		return LevelPlacement.choose(servers, 800 - firstWait, (server) -> new SplittableRandom(prompt * 8L + server).nextLong())
+		return LevelPlacement
+			.choose(servers, 800 - firstWait, (server) -> new SplittableRandom(prompt * 8L + server).nextLong())
 			.orElseThrow()
 			.server();
 	}
