Learn the speed of a server from calls that succeeded alone

Cause: a connection that breaks counts as begun, so that a server that fails at once seemed fast to all gateways and got more calls. Change: the time to the first token is kept with the attempt and learned from when the call succeeds.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -43,6 +44,9 @@
 	/** Whether a first token is expected and has not arrived yet. */
 	private boolean firstTokenPending;
 
+	/** When the first token or the response of the last attempt arrived, if it did. */
+	private OptionalLong beganNanos = OptionalLong.empty();
+
 	/** Whether the response to a call without a prompt has not arrived yet. */
 	private boolean responsePending;
 
@@ -107,6 +111,7 @@
 		this.expectedMillis = chosen.expectedMillis();
 		this.firstTokenPending = chosen.work().isPresent();
 		this.responsePending = chosen.work().isEmpty();
+		this.beganNanos = OptionalLong.empty();
 		// A transfer of KV cache entries takes time that the work does not include.
 		this.work = chosen.transferSource().isPresent() ? Optional.empty() : chosen.work();
 		this.sentNanos = nowNanos;
@@ -181,17 +186,29 @@
 	}
 
 	/**
-	 * Records that the first token or the response arrived.
+	 * Records when the first token or the response arrived.
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	void began(long nowNanos) {
+		this.beganNanos = OptionalLong.of(nowNanos);
+	}
+
+	/**
+	 * Lets a dispatcher learn from the time to the first token or the response of a call
+	 * that succeeded. A server that fails at once is not a fast one.
 	 * @param dispatcher learns from the time that it took
 	 * @param service the service
-	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 */
-	void recordResponse(Dispatcher dispatcher, String service, long nowNanos) {
-		firstToken(nowNanos).ifPresent((first) -> first.work()
-			.ifPresent((work) -> dispatcher.recordFirstToken(service, first.server(), work, first.millis(), nowNanos)));
+	void recordResponse(Dispatcher dispatcher, String service) {
+		if (this.beganNanos.isEmpty()) {
+			return;
+		}
+		long began = this.beganNanos.getAsLong();
+		firstToken(began).ifPresent((first) -> first.work()
+			.ifPresent((work) -> dispatcher.recordFirstToken(service, first.server(), work, first.millis(), began)));
 		if (this.responsePending && this.server.isPresent()) {
-			long millis = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.sentNanos);
-			dispatcher.recordResponse(service, this.server.get(), millis, nowNanos);
+			long millis = TimeUnit.NANOSECONDS.toMillis(began - this.sentNanos);
+			dispatcher.recordResponse(service, this.server.get(), millis, began);
 			this.responsePending = false;
 		}
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -71,7 +71,7 @@
 	/** Failed connection attempts, with nothing sent, after which a call is refused. */
 	private static final int MAX_UNSENT_ATTEMPTS = 3;
 
-	private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	private final ControlLoop loop;
 
@@ -119,10 +119,7 @@
 
 	private int gateways;
 
-	/**
-	 * Prompt tokens that the calls sent so far were expected to require servers to
-	 * prefill.
-	 */
+	/** Prompt tokens that servers were expected to prefill for the calls sent so far. */
 	private long prefillTokens;
 
 	GatewayControl(ControlLoop loop, BackendTable servers, GatewaySettings settings, QuotaTable quotas, Fleet fleet,
@@ -200,7 +197,7 @@
 				progress.latencyRatio(beganNanos)
 					.ifPresent((ratio) -> this.rollouts.began(call.service(), call.route().name(),
 							progress.server().orElseThrow(), ratio));
-				progress.recordResponse(this.dispatcher, call.service(), beganNanos);
+				progress.began(beganNanos);
 				promptPrefilled(progress);
 			}
 		});
@@ -229,6 +226,9 @@
 			this.crashGuard.ended(call);
 			Optional<CallProgress> progress = Optional.ofNullable(this.calls.remove(call));
 			progress.ifPresent(this::promptPrefilled);
+			if (ending == Ending.SUCCEEDED) {
+				progress.ifPresent((sent) -> sent.recordResponse(this.dispatcher, call.service()));
+			}
 			switch (ending) {
 				case RESPONDED, SUCCEEDED, CLOSED -> {
 					recordCallEnd(progress, server, false, nowNanos);
