Learn the first token from reported work alone, on which sizes rest

Callers of Tynkarnia saw more answers broken off and late between 44 and 56 s. Cause: sizes take the prefill rate of the model of the first token. Change: the level decides where a call goes, and nothing else. Expected time, limits and learning rest on reported work as before; the estimate with unreported tokens is gone. The tests of placement, dispatch, model and admission pass.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -225,22 +225,19 @@
 		Placed<CostEstimate> placed = LevelPlacement
 			.choose(candidates, unreportedMillis, (estimate) -> rank(prompt, estimate.row))
 			.orElseThrow();
-		long millis = (long) placed.expectedMillis();
-		double meanWaitMillis = model.isKnown() ? meanWaitMillis(candidates, unreportedMillis) : 0;
+		CostEstimate chosen = placed.server();
+		long millis = (long) (chosen.waitMillis + chosen.ownMillis);
+		double meanWaitMillis = model.isKnown() ? meanWaitMillis(candidates) : 0;
 		ExpectedTime expected = new ExpectedTime(meanWaitMillis, millis);
 		if (this.admission.decide(requirements.demand(), expected) instanceof Refused refused) {
 			return new Choice.Full(available.size(), millis, Optional.of(refused));
 		}
-		CostEstimate chosen = placed.server();
-		double unreported = placed.expectedMillis() - chosen.waitMillis - chosen.ownMillis;
-		Work work = chosen.work.plusTokens(unreported / (chosen.timeFactor * model.millisPerToken()));
 		return new Choice.Chosen(chosen.row.server, chosen.row.load(), chosen.uncachedTokens, millis, available.size(),
-				chosen.transferSource.map((row) -> row.server), Optional.of(work), Optional.empty());
+				chosen.transferSource.map((row) -> row.server), Optional.of(chosen.work), Optional.empty());
 	}
 
-	private static double meanWaitMillis(List<Candidate<CostEstimate>> servers, double unreportedMillis) {
-		double millis = servers.stream().mapToDouble(Candidate::waitMillis).sum() + unreportedMillis;
-		return millis / servers.size();
+	private static double meanWaitMillis(List<Candidate<CostEstimate>> servers) {
+		return servers.stream().mapToDouble(Candidate::waitMillis).average().orElse(0);
 	}
 
 	// The server of a version with the most tokens of the prompt prefix cached: what one
@@ -290,7 +287,7 @@
 		double timeFactor = this.table.timeFactor(row.server, nowNanos);
 		double waitMillis = timeFactor * row.uncachedTokens() * model.millisPerToken();
 		double ownMillis = timeFactor * model.expectedMillis(work) - waitMillis + (transfers ? transferMillis : 0);
-		return new CostEstimate(row, uncachedTokens, work, timeFactor, waitMillis, ownMillis,
+		return new CostEstimate(row, uncachedTokens, work, waitMillis, ownMillis,
 				transfers ? cachingServer.map(CachingServer::row) : Optional.empty());
 	}
 
@@ -551,8 +548,8 @@
 	private record CachingServer(BackendRow row, int cachedTokens) {
 	}
 
-	private record CostEstimate(BackendRow row, long uncachedTokens, Work work, double timeFactor, double waitMillis,
-			double ownMillis, Optional<BackendRow> transferSource) {
+	private record CostEstimate(BackendRow row, long uncachedTokens, Work work, double waitMillis, double ownMillis,
+			Optional<BackendRow> transferSource) {
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/FirstTokenModel.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/FirstTokenModel.java
@@ -229,15 +229,6 @@
 					uncachedTokens * (promptTokens - uncachedTokens / 2.0) / 1e6);
 		}
 
-		/**
-		 * Returns this work with more tokens queued before the call.
-		 * @param more the tokens
-		 * @return the work
-		 */
-		public Work plusTokens(double more) {
-			return new Work(this.tokens + more, this.calls, this.tokenPairs);
-		}
-
 		private double[] features() {
 			return new double[] { 1, this.tokens, this.calls, this.tokenPairs };
 		}
