List which calls were not served in time, by organisation, route and hour

Cause: the report tells how calls ended by second; who asks for a club or a school which of its calls were late, and why, had to read logs. A response that was aborted counts as broken in all tables; it stood among the open ones.

--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/ReportCommand.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/ReportCommand.java
@@ -21,9 +21,16 @@
 	@Option(name = "--output", metaVar = "FILE", usage = "where the page goes; report.html if not said")
 	private Path output = Path.of("report.html");
 
+	@Option(name = "--late", usage = "only list which calls were not served in time, and why")
+	private boolean late;
+
 	@Override
 	public ExitCode run(Console console) {
 		try {
+			if (this.late) {
+				LogReport.lateCalls(this.logs).forEach(console.out()::println);
+				return ExitCode.DONE;
+			}
 			List<String> summary = LogReport.write(this.logs, this.output);
 			summary.forEach(console.out()::println);
 			console.out().println("the page is " + this.output);
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/CallHistory.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/CallHistory.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 /**
@@ -24,12 +25,23 @@
 
 	private double targetMillis = Double.POSITIVE_INFINITY;
 
+	private double gapTargetMillis = Double.POSITIVE_INFINITY;
+
 	private final List<LogEvent> dispatches = new ArrayList<>();
 
+	/** Whether its stream went on at another server. */
+	private boolean resumed;
+
 	private Ending ending = Ending.OPEN;
 
 	private String reason = "";
 
+	/** Why the call failed, the status if the log has no reason. */
+	private String failure = "";
+
+	/** Why the call was late; empty if it was not. */
+	private Optional<LatePart> latePart = Optional.empty();
+
 	/** The time to the first chunk of the response; empty if it was not streamed. */
 	private OptionalDouble firstTokenMillis = OptionalDouble.empty();
 
@@ -48,13 +60,17 @@
 		Map<String, CallHistory> calls = new LinkedHashMap<>();
 		for (LogEvent event : events) {
 			String request = event.text("request");
-			if (!request.isEmpty() && event.name().startsWith("CALL")) {
+			if (!request.isEmpty() && isAboutCall(event.name())) {
 				calls.computeIfAbsent(request, (_) -> new CallHistory(event.second())).apply(event);
 			}
 		}
 		return calls;
 	}
 
+	private static boolean isAboutCall(String event) {
+		return event.startsWith("CALL") || event.equals("ANSWER_BROKEN") || event.equals("STREAM_RESUMED");
+	}
+
 	private void apply(LogEvent event) {
 		if (!event.text("route").isEmpty()) {
 			this.route = event.text("route");
@@ -63,6 +79,7 @@
 			this.organisation = event.text("organisation");
 		}
 		this.targetMillis = event.number("targetMillis", this.targetMillis);
+		this.gapTargetMillis = event.number("gapTargetMillis", this.gapTargetMillis);
 		this.arrivalSecond = Math.min(this.arrivalSecond, event.second() - event.number("millis", 0) / 1_000);
 		switch (event.name()) {
 			case "CALL_DISPATCHED" -> this.dispatches.add(event);
@@ -72,6 +89,11 @@
 				this.reason = event.text("reason");
 			}
 			case "CALLER_LEFT" -> this.ending = Ending.LEFT;
+			case "ANSWER_BROKEN" -> {
+				this.ending = Ending.BROKEN;
+				this.reason = event.text("reason");
+			}
+			case "STREAM_RESUMED" -> this.resumed = true;
 			default -> {
 				// The call is still in progress; a later line records its ending.
 			}
@@ -86,12 +108,33 @@
 		this.reason = event.text("reason");
 		if (!success) {
 			this.ending = Ending.FAILED;
+			this.failure = this.reason.isEmpty() ? event.text("status") : this.reason;
+		}
+		else if (this.firstTokenMillis.orElse(millis) > this.targetMillis) {
+			this.ending = Ending.LATE;
+			this.latePart = Optional.of(LatePart.ofFirstToken(times(event)));
+		}
+		else if (event.number("longestPauseMillis", 0) > this.gapTargetMillis) {
+			this.ending = Ending.LATE;
+			this.latePart = Optional.of(this.resumed ? LatePart.MOVED : LatePart.PAUSE);
 		}
 		else {
-			this.ending = (this.firstTokenMillis.orElse(millis) <= this.targetMillis) ? Ending.IN_TIME : Ending.LATE;
+			this.ending = Ending.IN_TIME;
 		}
 	}
 
+	private LatePart.Times times(LogEvent answer) {
+		double millis = this.firstTokenMillis.orElse(answer.number("millis", 0));
+		if (this.dispatches.isEmpty()) {
+			return new LatePart.Times(millis, 0, 0, millis, 0);
+		}
+		LogEvent first = this.dispatches.getFirst();
+		LogEvent last = this.dispatches.getLast();
+		return new LatePart.Times((first.second() - this.arrivalSecond) * 1_000,
+				(last.second() - first.second()) * 1_000, answer.number("sendMillis", 0), millis,
+				last.number("expectedMillis", 0));
+	}
+
 	// -- queries
 
 	double arrivalSecond() {
@@ -110,6 +153,22 @@
 		return this.ending;
 	}
 
+	/**
+	 * Returns what became of the call, with the reason.
+	 * @return the outcome
+	 */
+	CallOutcome outcome() {
+		return switch (this.ending) {
+			case IN_TIME -> new CallOutcome.InTime();
+			case LATE -> new CallOutcome.Late(this.latePart.orElseThrow());
+			case REFUSED -> new CallOutcome.Refused(this.reason);
+			case BROKEN -> new CallOutcome.BrokenOff(this.reason);
+			case FAILED -> new CallOutcome.Failed(this.failure);
+			case LEFT -> new CallOutcome.CallerLeft();
+			case OPEN -> new CallOutcome.Unfinished();
+		};
+	}
+
 	// The reason for a refusal or failure, otherwise empty.
 	String reason() {
 		return this.reason;
@@ -143,7 +202,7 @@
 		/** Answered within its target. */
 		IN_TIME,
 
-		/** Answered after its target. */
+		/** Answered after its target, or with a pause beyond the one of its route. */
 		LATE,
 
 		/** Refused, or its deadline passed. */
@@ -152,6 +211,9 @@
 		/** Failed on its server and on any server that it was sent to afterwards. */
 		FAILED,
 
+		/** Its response was aborted after it had started. */
+		BROKEN,
+
 		/** The caller disconnected before the call ended. */
 		LEFT,
 
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/LogReport.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/LogReport.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -38,4 +39,17 @@
 		return summary;
 	}
 
+	/**
+	 * Lists the calls that were not served in time.
+	 * @param logs the folder of logs, or one file
+	 * @return the calls by organisation, route and hour, with the reasons, as text
+	 * @throws ReportException when the logs cannot be read or contain no event
+	 */
+	public static List<String> lateCalls(Path logs) {
+		LogFolder folder = LogFolder.read(logs);
+		List<String> lines = new ArrayList<>(LateCalls.of(CallHistory.of(folder.events()).values()).lines());
+		lines.add(folder.damaged() + " damaged and " + folder.foreign() + " foreign lines passed over");
+		return lines;
+	}
+
 }
--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Report.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/Report.java
@@ -197,8 +197,8 @@
 
 	private List<String> table(String title, Map<String, CallTally> tallies) {
 		List<String> lines = new ArrayList<>();
-		lines.add(String.format("%-20s %7s %7s %7s %7s %7s %7s %7s  %s", title, "calls", "in time", "late", "refused",
-				"failed", "left", "open", "refused and failed, by reason"));
+		lines.add(String.format("%-20s %7s %7s %7s %7s %7s %7s %7s %7s  %s", title, "calls", "in time", "late",
+				"refused", "failed", "broken", "left", "open", "refused, failed and broken, by reason"));
 		tallies.entrySet()
 			.stream()
 			.sorted(Comparator.comparingInt((entry) -> -entry.getValue().total()))
@@ -216,9 +216,10 @@
 			.sorted(Map.Entry.<String, Integer>comparingByValue().reversed())
 			.limit(MAX_REASONS)
 			.forEach((reason) -> reasons.append(' ').append(reason.getKey()).append(' ').append(reason.getValue()));
-		return String.format("%-20s %7d %7d %7d %7d %7d %7d %7d %s", name, tally.total(), tally.count(Ending.IN_TIME),
-				tally.count(Ending.LATE), tally.count(Ending.REFUSED), tally.count(Ending.FAILED),
-				tally.count(Ending.LEFT), tally.count(Ending.OPEN), reasons);
+		return String.format("%-20s %7d %7d %7d %7d %7d %7d %7d %7d %s", name, tally.total(),
+				tally.count(Ending.IN_TIME), tally.count(Ending.LATE), tally.count(Ending.REFUSED),
+				tally.count(Ending.FAILED), tally.count(Ending.BROKEN), tally.count(Ending.LEFT),
+				tally.count(Ending.OPEN), reasons);
 	}
 
 	// The two-second windows with the smallest share of calls in time, among those with
