--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -734,7 +734,7 @@
 				"carrier", (this.state == State.SENT) ? carrierName() : "none", "serverSilentMillis",
 				this.server.map(this::silentMillis).orElse("none"), "targetMillis", this.route.targetMillis(), "millis",
 				ageMillis());
-		this.gateway.metrics().refused(status);
+		this.gateway.metrics().refused(this, status);
 	}
 
 	private void giveUpNow(Refusal refusal) {
@@ -744,7 +744,7 @@
 		if (this.response.isStarted()) {
 			EventLog.warn(TrafficEvents.ANSWER_BROKEN, "request", id(), "reason", refusal.cause(), "detail",
 					refusal.detail(), "millis", ageMillis());
-			this.gateway.metrics().broken();
+			this.gateway.metrics().broken(this);
 			this.caller.abort();
 		}
 		else if (this.response.hasError()) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficMetrics.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficMetrics.java
@@ -9,6 +9,8 @@
 /** The metrics of calls. Times are in milliseconds. */
 public final class TrafficMetrics {
 
+	private static final int FIRST_SERVER_ERROR = 500;
+
 	private final MetricRegistry registry = new MetricRegistry();
 
 	/**
@@ -39,24 +41,47 @@
 	void answered(Call call, int status) {
 		increment("calls.answered." + status);
 		this.registry.histogram("calls.answer.millis." + call.route().kind()).update(millis(call));
+		if (status >= FIRST_SERVER_ERROR) {
+			count(call, "failed");
+		}
 	}
 
 	void began(Call call) {
-		this.registry.histogram("calls.first.millis." + call.route().kind()).update(millis(call));
+		long millis = millis(call);
+		this.registry.histogram("calls.first.millis." + call.route().kind()).update(millis);
+		if (millis > call.route().targetMillis()) {
+			count(call, "late");
+		}
 	}
 
 	void responseReceived(ResponseFraming framing) {
 		increment("servers.responses.framed." + framing.name().toLowerCase(Locale.ROOT));
 	}
 
-	void broken() {
+	void broken(Call call) {
 		increment("calls.broken");
+		count(call, "broken");
+	}
+
+	void refused(Call call, int status) {
+		refused(status);
+		count(call, "refused");
 	}
 
+	/**
+	 * Counts a request that was refused before its organisation and route were known.
+	 * @param status the HTTP status
+	 */
 	void refused(int status) {
 		increment("calls.refused." + status);
 	}
 
+	// Organisations are those of the configuration, so that their counters are bounded.
+	private void count(Call call, String outcome) {
+		call.organisation()
+			.ifPresent((organisation) -> increment("organisations." + outcome + '.' + organisation.name()));
+	}
+
 	private static long millis(Call call) {
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - call.receivedNanos());
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ForwardingTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ForwardingTests.java
@@ -180,6 +180,20 @@
 		}
 	}
 
+	@Test
+	void shouldCountOutcomesByOrganisationWhenCallsAreNotServedInTime() throws IOException {
+		this.gateway.declare();
+		try (ScriptedServer server = ScriptedServer.start((request, exchange) -> exchange.write(
+				"HTTP/1.1 500 Failed\r\nCall: " + request.call() + "\r\nSignature: s\r\nContent-Length: 1\r\n\r\nx"))) {
+			this.gateway.ready();
+			assertThat(this.gateway.send(RawCaller.get("c1", "/sheets/")).status()).isEqualTo(503);
+			this.gateway.register("s1", server).ready();
+			assertThat(this.gateway.send(RawCaller.get("c2", "/sheets/")).status()).isEqualTo(500);
+			assertThat(this.gateway.metric("counters", "organisations.refused.sfax")).isOne();
+			assertThat(this.gateway.metric("counters", "organisations.failed.sfax")).isOne();
+		}
+	}
+
 	// Guards against request smuggling: the gateway reads one request, the server two,
 	// and the second runs without a check of its key.
 	@ParameterizedTest
