--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendServer.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendServer.java
@@ -1,5 +1,7 @@
 package org.rosemaryfront.dispatch;
 
+import java.util.OptionalLong;
+
 /**
  * A backend server as described by its registration.
  *
@@ -15,13 +17,34 @@
  * @param reclaimable whether its VM may be reclaimed
  * @param sequence the sequence number of the registration, which increases until the
  * server restarts
+ * @param leavesInMillis how long it runs on after the registration was written, in
+ * milliseconds; empty if it does not state when it leaves
  */
 public record BackendServer(String id, long startedMillis, String service, String version, String address, String zone,
-		int slots, boolean leaving, boolean reclaimable, long sequence) {
+		int slots, boolean leaving, boolean reclaimable, long sequence, OptionalLong leavesInMillis) {
 
 	/** The start time of a server that does not report one. */
 	public static final long START_UNKNOWN = 0;
 
+	/**
+	 * Creates the registration of a server that does not state when it leaves.
+	 * @param id its name, which may stay the same after a restart
+	 * @param startedMillis when it started, in milliseconds since 1970
+	 * @param service the name of its service
+	 * @param version the version of its software
+	 * @param address its address, {@code host:port}
+	 * @param zone its availability zone
+	 * @param slots the maximum number of requests that it runs concurrently
+	 * @param leaving whether it accepts no new calls
+	 * @param reclaimable whether its VM may be reclaimed
+	 * @param sequence the sequence number of the registration
+	 */
+	public BackendServer(String id, long startedMillis, String service, String version, String address, String zone,
+			int slots, boolean leaving, boolean reclaimable, long sequence) {
+		this(id, startedMillis, service, version, address, zone, slots, leaving, reclaimable, sequence,
+				OptionalLong.empty());
+	}
+
 	/**
 	 * Returns the identity of this run of the server.
 	 * @return the name and the start time
@@ -48,10 +71,10 @@
 	/**
 	 * Returns whether another registration has the same content.
 	 * @param other the other registration
-	 * @return true if they differ at most in their sequence numbers
+	 * @return true if they differ at most in their sequence numbers and in the time left
 	 */
 	boolean hasSameContent(BackendServer other) {
-		return withSequence(0).equals(other.withSequence(0));
+		return withoutProgress().equals(other.withoutProgress());
 	}
 
 	/**
@@ -60,12 +83,12 @@
 	 */
 	BackendServer withLeaving() {
 		return new BackendServer(this.id, this.startedMillis, this.service, this.version, this.address, this.zone,
-				this.slots, true, this.reclaimable, this.sequence);
+				this.slots, true, this.reclaimable, this.sequence, this.leavesInMillis);
 	}
 
-	private BackendServer withSequence(long sequence) {
+	private BackendServer withoutProgress() {
 		return new BackendServer(this.id, this.startedMillis, this.service, this.version, this.address, this.zone,
-				this.slots, this.leaving, this.reclaimable, sequence);
+				this.slots, this.leaving, this.reclaimable, 0);
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/routes/ServiceSpec.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/routes/ServiceSpec.java
@@ -22,8 +22,10 @@
 	 * @param tokenBytes the size of a token in the KV cache, in bytes; 0 if unknown
 	 * @param linkMegabitsPerSecond the transfer rate to another engine, in megabits per
 	 * second; 0 if unknown
+	 * @param moves how runs move to another engine, empty if they cannot
 	 */
-	public record EngineSpec(int slots, long kvCacheTokens, long tokenBytes, double linkMegabitsPerSecond) {
+	public record EngineSpec(int slots, long kvCacheTokens, long tokenBytes, double linkMegabitsPerSecond,
+			Optional<MoveSpec> moves) {
 
 		/**
 		 * The minimum duration of a transfer from another engine, in milliseconds: a few
@@ -31,6 +33,18 @@
 		 */
 		private static final double TRANSFER_SETUP_MILLIS = 5;
 
+		/**
+		 * Creates the parameters of an engine whose runs cannot move.
+		 * @param slots the maximum number of requests that it runs concurrently
+		 * @param kvCacheTokens the capacity of its KV cache, in tokens
+		 * @param tokenBytes the size of a token in the KV cache, in bytes; 0 if unknown
+		 * @param linkMegabitsPerSecond the transfer rate to another engine, in megabits
+		 * per second; 0 if unknown
+		 */
+		public EngineSpec(int slots, long kvCacheTokens, long tokenBytes, double linkMegabitsPerSecond) {
+			this(slots, kvCacheTokens, tokenBytes, linkMegabitsPerSecond, Optional.empty());
+		}
+
 		/**
 		 * Returns how long the transfer of KV cache entries from one engine to another
 		 * takes.
@@ -47,6 +61,15 @@
 
 	}
 
+	/**
+	 * How runs move from one engine to another together with their KV cache entries.
+	 *
+	 * @param handleMillis how long an engine keeps a copy that is not used, in
+	 * milliseconds
+	 */
+	public record MoveSpec(long handleMillis) {
+	}
+
 	/**
 	 * The bounds of the size of a service in each availability zone, and its prices.
 	 *
