--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/routes/ServiceSpec.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/routes/ServiceSpec.java
@@ -66,8 +66,9 @@
 	 *
 	 * @param handleMillis how long an engine keeps a copy that is not used, in
 	 * milliseconds
+	 * @param tokensPerEvent the tokens in an event of a stream
 	 */
-	public record MoveSpec(long handleMillis) {
+	public record MoveSpec(long handleMillis, int tokensPerEvent) {
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveFleetTests.java
@@ -81,7 +81,7 @@
 	}
 
 	private static Outcome play(String name, Load load, int slots, double link, Faults faults, long seed) {
-		EngineSpec engine = new EngineSpec(slots, slots * 10_000L, 18_432, link, Optional.of(new MoveSpec(5_000)));
+		EngineSpec engine = new EngineSpec(slots, slots * 10_000L, 18_432, link, Optional.of(new MoveSpec(5_000, 1)));
 		Outcome outcome = new MoveFleet(load, engine, faults, seed).run();
 		System.out.printf("MEASURE MOVES %s %s slots %d link %.0f %s seed %d: %s lost %.3f in time %.3f%n", name, load,
 				slots, link, faults, seed, outcome, outcome.lostShare(), outcome.inTimeShare());
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MovePlannerTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MovePlannerTests.java
@@ -187,7 +187,7 @@
 	@Test
 	void shouldMoveNothingWhenEnginesCannot() {
 		EngineSpec fixed = new EngineSpec(4, 100_000, 12_500, 1_000);
-		EngineSpec unknownLink = new EngineSpec(4, 100_000, 0, 0, Optional.of(new MoveSpec(5_000)));
+		EngineSpec unknownLink = new EngineSpec(4, 100_000, 0, 0, Optional.of(new MoveSpec(5_000, 1)));
 		List<RunState> runs = List.of(run("c1", 1));
 		assertThat(
 				MovePlanner.of(fixed, this.moves, () -> true).plan(source(2_000), runs, List.of(target("t", "a")), 0))
@@ -240,7 +240,7 @@
 	}
 
 	private static EngineSpec engine(double megabitsPerSecond) {
-		return new EngineSpec(4, 100_000, 12_500, megabitsPerSecond, Optional.of(new MoveSpec(5_000)));
+		return new EngineSpec(4, 100_000, 12_500, megabitsPerSecond, Optional.of(new MoveSpec(5_000, 1)));
 	}
 
 	private static BackendServer server(String id, String zone, String version, boolean leaving) {
