Say in the log of a dispatch how long a stream of the route may pause

Cause: the list of late calls could not tell a pause that the caller counts as late. Change: E2702 has gapTargetMillis, which LateCallsTests reads. Tests: ForwardingTests, MetricNamesTests.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -394,9 +394,8 @@
 	private CallRequirements requirements(Call call, CallProgress progress, long nowNanos) {
 		boolean begun = progress.ran() || call.streamVersion().isPresent();
 		long age = (nowNanos - call.receivedNanos()) / NANOS_PER_MILLI;
-		Optional<Prompt> prompt = call.metadata().prompt();
 		return new CallRequirements(call.service(), progress.prefix(), engine(call.service()),
-				prompt.map(Prompt::unsharedTokens).orElse(0),
+				call.metadata().prompt().map(Prompt::unsharedTokens).orElse(0),
 				CallRequirements.remainingMillis(call.route().targetMillis() - age, call.remainingMillis(nowNanos),
 						begun),
 				call.priority(), call.organisation().map(Organisation::name).orElse(""),
@@ -423,9 +422,10 @@
 				call.organisation().map(Organisation::name).orElse("none"), "units", Math.round(progress.units()),
 				"quota", progress.quotaUsage(), "gateways", progress.sharingGateways(), "parts",
 				call.metadata().prompt().map(Prompt::segmentList).orElse("none"), "targetMillis",
-				call.route().targetMillis(), "server", server.id(), "zone", server.zone(), "load", chosen.load(),
-				"unreadTokens", chosen.uncachedTokens(), "fetchFrom",
-				chosen.transferSource().map(BackendServer::id).orElse("none"), "expectedMillis",
+				call.route().targetMillis(), "gapTargetMillis",
+				call.route().targetGapMillis().stream().mapToObj(Long::toString).findAny().orElse("none"), "server",
+				server.id(), "zone", server.zone(), "load", chosen.load(), "unreadTokens", chosen.uncachedTokens(),
+				"fetchFrom", chosen.transferSource().map(BackendServer::id).orElse("none"), "expectedMillis",
 				chosen.expectedMillis(), "candidates", chosen.candidates(), "version", server.version(), "serverLimit",
 				this.callLimits.limit(server), "serverLimitAgeMillis", this.callLimits.ageMillis(server, nowNanos),
 				"passedOver", chosen.passedOver().orElse("none"), "serversVersion", this.serversVersion,
