Compare the servers of a call with loops and with numbers

Each choice of a server for a prompt ran some ten streams over all servers of the service, looked the model and the size of the prefix up for each server, and built and hashed a text of the prompt and the server for each server in the draw. A row now keeps the run of its server and a hash of its id; the common order for a prompt is a hash of two numbers, a different order than before of the same kind. Gateways of both builds agree on no order while both run, which costs shared parts of prompts read again and nothing else.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendRow.java
@@ -4,11 +4,21 @@
 import java.util.Map;
 import java.util.OptionalLong;
 
+import com.dynatrace.hash4j.hashing.Hashing;
+
+import org.rosemaryfront.dispatch.BackendServer.Incarnation;
+
 /** A backend server in the table: its registration and the load recorded for it. */
 final class BackendRow {
 
 	BackendServer server;
 
+	/** The run of the server, which stays the same. */
+	final Incarnation incarnation;
+
+	/** A hash of its id, from which its place in common orders of servers follows. */
+	final long idHash;
+
 	/** Calls of this process that are waiting or running at the server. */
 	int ownCalls;
 
@@ -61,6 +71,8 @@
 
 	BackendRow(BackendServer server, OptionalLong registeredNanos) {
 		this.server = server;
+		this.incarnation = server.incarnation();
+		this.idHash = Hashing.wyhashFinal4().hashCharsToLong(server.id());
 		this.registeredNanos = registeredNanos;
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -405,7 +405,11 @@
 
 	// The time that a server takes, relative to a typical server of its service.
 	double timeFactor(BackendServer server, long nowNanos) {
-		return this.speeds.speed(server.incarnation(), server.service(), nowNanos).timeFactor();
+		return this.speeds.timeFactor(server.incarnation(), server.service(), nowNanos);
+	}
+
+	double timeFactor(BackendRow row, long nowNanos) {
+		return this.speeds.timeFactor(row.incarnation, row.server.service(), nowNanos);
 	}
 
 	private void retainSpeeds() {
@@ -614,14 +618,17 @@
 	// The servers of a service that may have segments cached, whether or not they accept
 	// new calls.
 	List<BackendRow> cacheCandidates(String service) {
-		return this.rows.values()
-			.stream()
-			.filter((row) -> !row.invalidRegistration && row.server.service().equals(service))
-			.toList();
+		List<BackendRow> candidates = new ArrayList<>();
+		for (BackendRow row : this.rows.values()) {
+			if (!row.invalidRegistration && row.server.service().equals(service)) {
+				candidates.add(row);
+			}
+		}
+		return candidates;
 	}
 
 	private Optional<BackendRow> row(Incarnation server) {
-		return Optional.ofNullable(this.rows.get(server.id())).filter((row) -> row.server.incarnation().equals(server));
+		return Optional.ofNullable(this.rows.get(server.id())).filter((row) -> row.incarnation.equals(server));
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.dispatch;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -118,44 +119,50 @@
 	 */
 	public Choice choose(CallRequirements requirements, Collection<String> tried, Predicate<BackendServer> allowed,
 			long nowNanos) {
-		List<BackendRow> eligible = this.table.eligibleRows(requirements.service(), tried)
-			.stream()
-			.filter((row) -> allowed.test(row.server))
-			.toList();
+		List<BackendRow> eligible = filter(this.table.eligibleRows(requirements.service(), tried),
+				(row) -> allowed.test(row.server));
 		if (eligible.isEmpty()) {
 			return new Choice.NoServer();
 		}
-		List<BackendRow> open = eligible.stream()
-			.filter((row) -> this.table.notices().backoffNanos(row.server.incarnation(), nowNanos) == 0)
-			.toList();
+		ServerNotices notices = this.table.notices();
+		List<BackendRow> open = filter(eligible, (row) -> notices.backoffNanos(row.incarnation, nowNanos) == 0);
 		if (open.isEmpty()) {
 			return new Choice.Backoff(eligible.size(), leastBackoffMillis(eligible, nowNanos));
 		}
-		List<BackendRow> preferred = open.stream().filter((row) -> !row.isAvoided(nowNanos)).toList();
+		List<BackendRow> preferred = filter(open, (row) -> !row.isAvoided(nowNanos));
 		List<BackendRow> candidates = preferred.isEmpty() ? open : preferred;
-		List<BackendRow> withRoom = candidates.stream()
-			.filter((row) -> row.hasRoom(this.table.slotShares(), nowNanos) && !isProbed(row, nowNanos))
-			.toList();
+		List<BackendRow> withRoom = filter(candidates,
+				(row) -> row.hasRoom(this.table.slotShares(), nowNanos) && !isProbed(row, nowNanos));
 		if (withRoom.isEmpty()) {
 			return new Choice.Full(candidates.size(), 0);
 		}
-		List<BackendRow> notSpared = withRoom.stream()
-			.filter((row) -> !this.table.notices().isSpared(row.server.incarnation(), nowNanos))
-			.toList();
+		List<BackendRow> notSpared = filter(withRoom, (row) -> !notices.isSpared(row.incarnation, nowNanos));
 		List<BackendRow> available = notSpared.isEmpty() ? withRoom : notSpared;
 		return (requirements.ownTokens() == 0) ? leastLoaded(available, nowNanos)
 				: earliestFirstToken(requirements, available, nowNanos);
 	}
 
+	// Each choice compares all servers several times, for which a stream costs several
+	// times as much as the comparison.
+	private static List<BackendRow> filter(List<BackendRow> rows, Predicate<BackendRow> condition) {
+		List<BackendRow> kept = new ArrayList<>(rows.size());
+		for (BackendRow row : rows) {
+			if (condition.test(row)) {
+				kept.add(row);
+			}
+		}
+		return kept;
+	}
+
 	// A server that looks idle because it rejects requests would otherwise get most of
 	// them once its backoff is over.
 	private boolean isProbed(BackendRow row, long nowNanos) {
-		return this.table.notices().isProbed(row.server.incarnation(), nowNanos);
+		return this.table.notices().isProbed(row.incarnation, nowNanos);
 	}
 
 	private long leastBackoffMillis(List<BackendRow> rows, long nowNanos) {
 		long nanos = rows.stream()
-			.mapToLong((row) -> this.table.notices().backoffNanos(row.server.incarnation(), nowNanos))
+			.mapToLong((row) -> this.table.notices().backoffNanos(row.incarnation, nowNanos))
 			.min()
 			.orElse(0);
 		return TimeUnit.NANOSECONDS.toMillis(nanos) + 1;
@@ -213,13 +220,13 @@
 		}
 		Map<String, Optional<CachingServer>> cachingServers = new HashMap<>();
 		FirstTokenModel model = model(requirements.service());
-		List<Candidate<CostEstimate>> candidates = available.stream()
-			.map((row) -> estimate(requirements, row,
-					cachingServers.computeIfAbsent(row.server.version(),
-							(version) -> findCachingServer(requirements, version, nowNanos)),
-					nowNanos))
-			.map((estimate) -> new Candidate<>(estimate, estimate.waitMillis, estimate.ownMillis))
-			.toList();
+		List<Candidate<CostEstimate>> candidates = new ArrayList<>(available.size());
+		for (BackendRow row : available) {
+			Optional<CachingServer> cachingServer = cachingServers.computeIfAbsent(row.server.version(),
+					(version) -> findCachingServer(requirements, version, nowNanos));
+			CostEstimate estimate = estimate(requirements, model, row, cachingServer, nowNanos);
+			candidates.add(new Candidate<>(estimate, estimate.waitMillis, estimate.ownMillis));
+		}
 		double unreportedMillis = this.peerWork.unreportedTokens(REPORT_AGE_NANOS, nowNanos) * model.millisPerToken();
 		long prompt = promptHash(requirements);
 		Placed<CostEstimate> placed = LevelPlacement
@@ -237,26 +244,40 @@
 	}
 
 	private static double meanWaitMillis(List<Candidate<CostEstimate>> servers) {
-		return servers.stream().mapToDouble(Candidate::waitMillis).average().orElse(0);
+		double sum = 0;
+		for (Candidate<CostEstimate> server : servers) {
+			sum += server.waitMillis();
+		}
+		return sum / servers.size();
 	}
 
 	// The server of a version with the most tokens of the prompt prefix cached: what one
 	// version wrote does not fit another one. A leaving server keeps its cache until it
 	// is terminated.
 	private Optional<CachingServer> findCachingServer(CallRequirements requirements, String version, long nowNanos) {
-		List<BackendRow> rows = this.table.cacheCandidates(requirements.service())
-			.stream()
-			.filter((row) -> !row.isAvoided(nowNanos) && row.server.version().equals(version))
-			.toList();
-		Optional<CachingServer> best = rows.stream()
-			.map((row) -> new CachingServer(row, row.cachedSegments.cachedTokens(requirements.prefix())))
-			.filter((cachingServer) -> cachingServer.cachedTokens > 0)
+		if (requirements.prefix().segments().isEmpty()) {
+			return Optional.empty();
+		}
+		List<BackendRow> rows = filter(this.table.cacheCandidates(requirements.service()),
+				(row) -> !row.isAvoided(nowNanos) && row.server.version().equals(version));
+		Optional<CachingServer> best = cachingServers(rows, requirements.prefix()).stream()
 			.max(Comparator.comparingInt(CachingServer::cachedTokens)
 				.thenComparing((cachingServer) -> cachingServer.row.server.zone().equals(this.zone))
 				.thenComparingLong((cachingServer) -> rank(requirements.prefix().hash(), cachingServer.row)));
 		return best.isPresent() ? best : assumedCachingServer(requirements, rows, nowNanos);
 	}
 
+	private static List<CachingServer> cachingServers(List<BackendRow> rows, PromptPrefix prefix) {
+		List<CachingServer> cachingServers = new ArrayList<>();
+		for (BackendRow row : rows) {
+			int cachedTokens = row.cachedSegments.cachedTokens(prefix);
+			if (cachedTokens > 0) {
+				cachingServers.add(new CachingServer(row, cachedTokens));
+			}
+		}
+		return cachingServers;
+	}
+
 	// A restarted process has no record of cached segments. During the warm-up time,
 	// servers that were already registered are therefore assumed to have cached the
 	// prefixes for which they come first in the common order: with empty caches assumed,
@@ -271,9 +292,8 @@
 			.map((row) -> new CachingServer(row, requirements.prefix().tokens()));
 	}
 
-	private CostEstimate estimate(CallRequirements requirements, BackendRow row, Optional<CachingServer> cachingServer,
-			long nowNanos) {
-		FirstTokenModel model = model(requirements.service());
+	private CostEstimate estimate(CallRequirements requirements, FirstTokenModel model, BackendRow row,
+			Optional<CachingServer> cachingServer, long nowNanos) {
 		boolean isCachingServer = cachingServer.isPresent() && cachingServer.get().row == row;
 		int cachedTokens = isCachingServer ? cachingServer.get().cachedTokens
 				: row.cachedSegments.cachedTokens(requirements.prefix());
@@ -284,7 +304,7 @@
 		int promptTokens = requirements.ownTokens() + requirements.prefix().tokens();
 		long uncachedTokens = promptTokens - cachedTokens - (transfers ? transferableTokens : 0);
 		Work work = Work.of(row.uncachedTokens(), uncachedTokens, promptTokens, row.load());
-		double timeFactor = this.table.timeFactor(row.server, nowNanos);
+		double timeFactor = this.table.timeFactor(row, nowNanos);
 		double waitMillis = timeFactor * row.uncachedTokens() * model.millisPerToken();
 		double ownMillis = timeFactor * model.expectedMillis(work) - waitMillis + (transfers ? transferMillis : 0);
 		return new CostEstimate(row, uncachedTokens, work, waitMillis, ownMillis,
@@ -365,7 +385,7 @@
 	}
 
 	private static long rank(long promptHash, BackendRow row) {
-		return Hashing.wyhashFinal4().hashCharsToLong(Long.toHexString(promptHash) + '@' + row.server.id());
+		return Hashing.wyhashFinal4().hashLongLongToLong(promptHash, row.idHash);
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/PromptPrefix.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/PromptPrefix.java
@@ -53,7 +53,11 @@
 	 * @return the number of tokens
 	 */
 	public int tokens() {
-		return this.segments.stream().mapToInt(Segment::tokens).sum();
+		int tokens = 0;
+		for (Segment segment : this.segments) {
+			tokens += segment.tokens();
+		}
+		return tokens;
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/placement/LevelPlacement.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/placement/LevelPlacement.java
@@ -42,7 +42,7 @@
 		if (servers.isEmpty()) {
 			return Optional.empty();
 		}
-		double level = FillLevel.of(servers.stream().mapToDouble(Candidate::waitMillis).toArray(), unreportedMillis);
+		double level = FillLevel.of(waits(servers), unreportedMillis);
 		List<Placed<T>> placed = new ArrayList<>(servers.size());
 		Placed<T> best = Placed.at(servers.getFirst(), level);
 		for (Candidate<T> server : servers) {
@@ -53,6 +53,14 @@
 		return Optional.of(draw(placed, best, level, rank));
 	}
 
+	private static <T> double[] waits(List<Candidate<T>> servers) {
+		double[] waits = new double[servers.size()];
+		for (int i = 0; i < waits.length; i++) {
+			waits[i] = servers.get(i).waitMillis();
+		}
+		return waits;
+	}
+
 	// Weighted rendezvous hashing: the lowest of exponentially distributed numbers, each
 	// over the room of its server, belongs to a server in proportion to its room.
 	private static <T> Placed<T> draw(List<Placed<T>> placed, Placed<T> best, double level, ToLongFunction<T> rank) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/speeds/SpeedTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/speeds/SpeedTable.java
@@ -149,12 +149,27 @@
 		if (row == null) {
 			return new ServerSpeed(1, SERVER_DEVIATION, 0, Long.MAX_VALUE);
 		}
-		double lasting = row.lastingLog(median(service, nowNanos), nowNanos);
 		double deviation = CALL_DEVIATION / Math.sqrt(row.lasting.weight(nowNanos) + PRIOR_CALLS);
-		return new ServerSpeed(Math.exp(lasting + row.phaseLog(nowNanos)), deviation, row.calls,
+		return new ServerSpeed(timeFactor(server, service, nowNanos), deviation, row.calls,
 				nowNanos - row.lasting.updatedNanos);
 	}
 
+	/**
+	 * Returns the time that a server takes, without how well it is known.
+	 * @param server the run of the server
+	 * @param service its service
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @return the time relative to the median of the known servers of the service
+	 */
+	public double timeFactor(Incarnation server, String service, long nowNanos) {
+		Row row = this.rows.get(server);
+		if (row == null) {
+			return 1;
+		}
+		double lasting = row.lastingLog(median(service, nowNanos), nowNanos);
+		return Math.exp(lasting + row.phaseLog(nowNanos));
+	}
+
 	/**
 	 * Returns the servers whose lasting speed has changed considerably since it was last
 	 * told.
