Write the rows of crashes that are missing in one call

Each gateway with a call at a crashed server writes rows of the segments that its call shares with those of others. The answer to a refused commit names the rows that exist, so that the others go into one more commit. Where it names none, each is written by itself as before.

CrashRecordsTests#shouldWriteOtherRowsTogetherWhenOneExistsAlready, six rows of which another gateway wrote one: 7 commits with the CrashStore before (the test fails), 2 now.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashStore.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.gateway;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -172,12 +173,31 @@
 		switch (outcome) {
 			case Outcome.Committed _ -> due.forEach(this.table::writeCommitted);
 			case Outcome.Conflict _ when due.size() == 1 -> this.table.writeCommitted(due.getFirst());
-			// Another gateway wrote one of the rows, so each row is written on its own.
-			case Outcome.Conflict _ -> due.forEach((pending) -> write(List.of(pending)));
+			case Outcome.Conflict conflict -> writeMissing(due, conflict.present());
 		}
 		writeDue(nowNanos);
 	}
 
+	// All gateways with a call at a crashed server write the rows of the segments that
+	// their calls share, so that most commits contain rows that exist already.
+	private void writeMissing(List<Evidence> due, Set<String> present) {
+		List<Evidence> missing = new ArrayList<>();
+		for (Evidence evidence : due) {
+			if (present.contains(CrashRows.key(evidence.crash()))) {
+				this.table.writeCommitted(evidence);
+			}
+			else {
+				missing.add(evidence);
+			}
+		}
+		if (missing.size() == due.size()) {
+			due.forEach((evidence) -> write(List.of(evidence)));
+		}
+		else if (!missing.isEmpty()) {
+			write(missing);
+		}
+	}
+
 	private void writeFailed(List<Evidence> due, Throwable failure, long nowNanos) {
 		this.writing--;
 		RowLog.failed(CrashRows.key(due.getFirst().crash()), "write", failure);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/RowStore.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/RowStore.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import reactor.core.publisher.Mono;
 
@@ -152,9 +153,15 @@
 		/**
 		 * A condition did not hold; nothing was written.
 		 *
+		 * @param present the keys of those rows named in the conditions that exist
 		 * @param generation the generation of the store
 		 */
-		record Conflict(long generation) implements Outcome {
+		record Conflict(Set<String> present, long generation) implements Outcome {
+
+			public Conflict {
+				present = Set.copyOf(present);
+			}
+
 		}
 
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/CrashRecordsTests.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -45,6 +46,12 @@
 
 	private final LoopResources loops = LoopResources.create("test", 1, true);
 
+	private final AtomicInteger commits = new AtomicInteger();
+
+	/** What another gateway does right before the first commit. */
+	private volatile Runnable otherGateway = () -> {
+	};
+
 	private volatile boolean losingResponses;
 
 	private ControlLoop control;
@@ -113,6 +120,20 @@
 		GatewayHarness.await(() -> this.rows.rows(CrashRows.TABLE).size() == 2);
 	}
 
+	// Guards against a call for each row when gateways write the rows that they share.
+	@Test
+	void shouldWriteOtherRowsTogetherWhenOneExistsAlready() {
+		follow();
+		this.otherGateway = () -> put(evidence(0, State.CONFIRMED, 0));
+		this.control.post((now) -> {
+			for (int i = 0; i < 6; i++) {
+				this.records.connectionBroke(CALL, server(i), now);
+			}
+		});
+		GatewayHarness.await(() -> this.rows.rows(CrashRows.TABLE).size() == 6);
+		assertThat(this.commits).hasValue(2);
+	}
+
 	@Test
 	void shouldReleaseRequestWhenOneOfItsRowsIsDeleted() {
 		for (int i = 0; i < 3; i++) {
@@ -246,6 +267,9 @@
 		return new RowStore() {
 			@Override
 			public Mono<Outcome> commit(Commit commit) {
+				if (CrashRecordsTests.this.commits.getAndIncrement() == 0) {
+					CrashRecordsTests.this.otherGateway.run();
+				}
 				return CrashRecordsTests.this.rows.commit(commit).flatMap((outcome) -> response(outcome));
 			}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MemoryRowStore.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
@@ -145,7 +147,9 @@
 		for (Condition condition : commit.conditions()) {
 			long found = Optional.ofNullable(rows.get(condition.key())).map(Row::version).orElse(0L);
 			if (found != condition.version()) {
-				return new Outcome.Conflict(this.generation);
+				Set<String> named = commit.conditions().stream().map(Condition::key).collect(Collectors.toSet());
+				named.retainAll(rows.keySet());
+				return new Outcome.Conflict(named, this.generation);
 			}
 		}
 		commit.writes().forEach((write) -> write(commit.table(), write.key(), Optional.of(write.value())));
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/VirtualRowStore.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/VirtualRowStore.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -104,7 +106,7 @@
 				.map(Row::version)
 				.orElse(0L);
 			if (found != condition.version()) {
-				return new Outcome(new RowStore.Outcome.Conflict(this.generation));
+				return new Outcome(new RowStore.Outcome.Conflict(present(commit), this.generation));
 			}
 		}
 		long before = this.version;
@@ -114,6 +116,14 @@
 		return new Outcome(new RowStore.Outcome.Committed(this.version, this.generation));
 	}
 
+	private Set<String> present(RowStore.Commit commit) {
+		return commit.conditions()
+			.stream()
+			.map(RowStore.Condition::key)
+			.filter((key) -> this.rows.containsKey(commit.table() + '/' + key))
+			.collect(Collectors.toSet());
+	}
+
 	private void put(String key, Optional<byte[]> value, long versionBefore) {
 		this.undoLog.add(new Undo(this.time.nowMillis(), key, Optional.ofNullable(this.rows.get(key)), versionBefore));
 		value.ifPresentOrElse((bytes) -> this.rows.put(key, new Row(bytes, this.version)), () -> this.rows.remove(key));
