Let one query of the store confirm all tables that have not changed since

A reader checked each table at its own limit, configuration and servers both every half second, though one counter numbers the changes of all tables: an answer without rows that names a version up to which another table is complete confirms that table too, as of the moment at which the query was sent. The configuration is checked 75 ms later than the servers, so that it is often confirmed by then; the limits of resting gateways stay. Answers with rows are not used, since they may name the version of their last row.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/FreshnessLimits.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/FreshnessLimits.java
@@ -40,6 +40,9 @@
 
 	private static final long SPREAD_MILLIS = 150;
 
+	/** A tick and the response of the store to a query of another table. */
+	private static final long STAGGER_MILLIS = 75;
+
 	/**
 	 * Returns the default limits.
 	 * @return the limits
@@ -59,6 +62,17 @@
 				nanos(RESTING_MILLIS, scale), nanos(OWN_MILLIS, scale), nanos(SPREAD_MILLIS, scale));
 	}
 
+	/**
+	 * Returns the limits for a table that is queried shortly after another one, whose
+	 * response often confirms this table as well.
+	 * @return the limits, of which those of readers are slightly longer
+	 */
+	public FreshnessLimits staggered() {
+		long staggerNanos = TimeUnit.MILLISECONDS.toNanos(STAGGER_MILLIS);
+		return new FreshnessLimits(this.firstNanos + staggerNanos, this.standByNanos + staggerNanos, this.restingNanos,
+				this.ownNanos + 2 * staggerNanos, this.spreadNanos);
+	}
+
 	/**
 	 * Returns the limits multiplied by a factor.
 	 * @param factor the factor
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/TableFollower.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/TableFollower.java
@@ -259,6 +259,22 @@
 		return new Response(failuresBefore, lost, outdated, unreported);
 	}
 
+	/**
+	 * Processes a response without rows of the store about any table. All tables share
+	 * the versions of the store, so that it confirms this table as well if the store has
+	 * not changed since the version up to which the local copy is complete.
+	 * @param storeVersion the newest version of the store
+	 * @param sentNanos when the query was sent
+	 */
+	public void storeVersionSeen(long storeVersion, long sentNanos) {
+		boolean unchanged = storeVersion <= this.version && StoreVersion.sameGeneration(storeVersion, this.version)
+				&& StoreVersion.generation(storeVersion) >= this.generation;
+		if (unchanged && !this.wholeTableNeeded) {
+			this.ownFreshness.confirm(sentNanos, Source.STORE);
+			this.freshness.confirm(sentNanos, Source.STORE);
+		}
+	}
+
 	/**
 	 * Processes the failure of a query to the store.
 	 * @param sent the query
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/TableFollowerTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/TableFollowerTests.java
@@ -87,6 +87,48 @@
 		assertThat(this.follower.tick(Role.RESTING, 600 * MILLI)).isEmpty();
 	}
 
+	// Guards against a query for each table while no table changes.
+	@ParameterizedTest
+	@CsvSource({ "0, 65", "1000, 90", "250, 107" })
+	void shouldQueryOneTableForAllWhenStoreSeldomChanges(long writeIntervalMillis, int maxChecks) {
+		TableFollower second = TableFollower.of(Freshness.unconfirmed(OUTAGE_NANOS),
+				FreshnessLimits.defaults().staggered(), () -> 0.5);
+		second.responseReceived(only(TableQuery.FullTable.class, second.tick(Role.FIRST, 0)), 10, true, 0);
+		int checks = 0;
+		for (long millis = 0; millis < 30_000; millis += 50) {
+			long version = 10 + ((writeIntervalMillis > 0) ? millis / writeIntervalMillis : 0);
+			for (TableFollower asking : List.of(this.follower, second)) {
+				for (Sent sent : asking.tick(Role.FIRST, millis * MILLI)) {
+					if (sent.query() instanceof TableQuery.Check) {
+						checks++;
+						asking.responseReceived(sent, version, false, (millis + 4) * MILLI);
+						this.follower.storeVersionSeen(version, sent.sentNanos());
+						second.storeVersionSeen(version, sent.sentNanos());
+					}
+				}
+			}
+		}
+		System.out.println("a write each " + writeIntervalMillis + " ms: " + checks + " checks of two tables in 30 s");
+		assertThat(checks).isLessThanOrEqualTo(maxChecks);
+	}
+
+	@Test
+	void shouldNotConfirmTableWhenStoreHasChangedSince() {
+		this.follower.storeVersionSeen(11, 100 * MILLI);
+		assertThat(this.freshness.ageNanos(100 * MILLI)).hasValue(100 * MILLI);
+		this.follower.storeVersionSeen(10, 100 * MILLI);
+		assertThat(this.freshness.ageNanos(100 * MILLI)).hasValue(0);
+	}
+
+	// Guards against a copy that a store confirms that came back without its rows.
+	@Test
+	void shouldNotConfirmTableWhenStoreWasRestored() {
+		this.follower.storeRestored(1, 100 * MILLI);
+		this.follower.storeVersionSeen(StoreVersion.of(1, 5), 150 * MILLI);
+		this.follower.storeVersionSeen(10, 150 * MILLI);
+		assertThat(this.freshness.ageNanos(150 * MILLI)).hasValue(150 * MILLI);
+	}
+
 	// -- responses
 
 	// Guards against waiting for a response on a connection that carries nothing any
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -313,8 +313,8 @@
 	private void followTables() {
 		FreshnessLimits changeLimits = FreshnessLimits.within(this.settings.bounds().changeMillis());
 		FreshnessLimits ownTableLimits = FreshnessLimits.defaults().multipliedBy(OWN_TABLES_LIMIT_FACTOR);
-		this.tables.follow(this.platform.records().configuration().table(), this.configurationTable, changeLimits,
-				this.platformUpdates.configuration());
+		this.tables.follow(this.platform.records().configuration().table(), this.configurationTable,
+				changeLimits.staggered(), this.platformUpdates.configuration());
 		this.tables.follow(this.platform.records().serversTable(), this.serversTable, changeLimits,
 				this.platformUpdates.servers());
 		this.tables.follow(GatewayDirectory.TABLE, this.gatewaysTable, ownTableLimits, this.directory);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -223,6 +223,11 @@
 			this.listener.rowsChanged(rows, version);
 		}
 
+		@Override
+		public void storeVersionSeen(long version, long sentNanos) {
+			SharedTables.this.watches.values().forEach((watch) -> watch.storeVersionSeen(version, sentNanos));
+		}
+
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -147,6 +147,15 @@
 		this.follower.storeRestored(generation, nowNanos);
 	}
 
+	/**
+	 * Processes the version of the store in a response about any table.
+	 * @param version the newest version of the store
+	 * @param sentNanos when the query was sent, on the monotonic clock, in nanoseconds
+	 */
+	synchronized void storeVersionSeen(long version, long sentNanos) {
+		this.follower.storeVersionSeen(version, sentNanos);
+	}
+
 	/**
 	 * Records a pause of the process.
 	 * @param nowNanos the time at which the process resumed, on the monotonic clock, in
@@ -232,7 +241,15 @@
 			this.outstanding.put(sent, handle);
 		}
 		handle.update(
-				response.subscribe((page) -> handleResponse(sent, page), (failure) -> handleFailure(sent, failure)));
+				response.subscribe((page) -> responseReceived(sent, page), (failure) -> handleFailure(sent, failure)));
+	}
+
+	// A response with rows may name the version of the last row and not of the store.
+	private void responseReceived(Sent sent, Page page) {
+		handleResponse(sent, page);
+		if (page.rows().isEmpty()) {
+			this.listener.storeVersionSeen(page.version(), sent.sentNanos());
+		}
 	}
 
 	private synchronized void handleResponse(Sent sent, Page page) {
@@ -359,6 +376,14 @@
 		 */
 		void rowsChanged(List<Row> rows, long version);
 
+		/**
+		 * Called after each response without rows, outside of the lock of the watch.
+		 * @param version the newest version of the store
+		 * @param sentNanos when the query was sent, on the monotonic clock
+		 */
+		default void storeVersionSeen(long version, long sentNanos) {
+		}
+
 	}
 
 }
