--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -27,7 +27,6 @@
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet;
-import org.rosemaryfront.fleet.Fleet.Sharing;
 import org.rosemaryfront.gateway.PauseDetector.Observation;
 import org.rosemaryfront.gateway.proto.StreamMessages;
 import org.rosemaryfront.limits.ServerLimits;
@@ -114,8 +113,7 @@
 
 	private final Fleet fleet = new Fleet(this.start);
 
-	/** The sharing of quotas that was last logged. */
-	private Sharing loggedSharing = Sharing.UNKNOWN;
+	private final SharingLog sharingLog = new SharingLog();
 
 	private final UsageLedger usage;
 
@@ -428,15 +426,6 @@
 		}
 	}
 
-	private void logSharing(long now) {
-		Sharing sharing = this.fleet.sharing(now);
-		if (!sharing.isSharedAs(this.loggedSharing)) {
-			EventLog.info(GatewayEvents.QUOTA_SHARING, "gateways", sharing.group(), "of", sharing.members(), "agreed",
-					sharing.agreed());
-		}
-		this.loggedSharing = sharing;
-	}
-
 	private void runDuties(long now) {
 		this.platformCalls.tick(now);
 		this.reports.handleTimeouts(now);
@@ -447,7 +436,7 @@
 		this.servers.slotShares(new SlotShares(this.settings.name(), this.fleet.liveGateways(this.settings.name()),
 				System.currentTimeMillis() / SLOT_TURN_MILLIS));
 		this.tables.role(this.fleet.role(this.settings.name(), now));
-		logSharing(now);
+		this.sharingLog.update(this.fleet.sharing(now));
 		this.lease.updateGatewayCount(this.fleet.liveCount());
 		this.lease.tick(now);
 		long epochMillis = System.currentTimeMillis();
