Send calls of its own through a gateway before callers come

The first seconds of traffic met cold code: on a core of this machine the first plain call took 40 to 69 ms of processor time, the next four 10 to 22 each, the first stream 34 to 38. At the first start of the whole system nobody calls yet for seconds. A gateway now sends up to 240 calls through itself meanwhile, half of them streams with prompts: through a data path and decisions of the real classes, with tables, metrics, threads and a server of their own on the loopback interface. What their threads log is discarded. It is held back from readiness for five seconds at most, and gets ready without further ones when a call fails or hangs.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -44,6 +44,7 @@
 import org.rosemaryfront.traffic.Gateway;
 import org.rosemaryfront.traffic.Liveness;
 import org.rosemaryfront.traffic.TrafficMetrics;
+import org.rosemaryfront.warmup.WarmUp;
 
 /**
  * The gateway process: all sockets on one thread and all decisions on another, together
@@ -133,6 +134,8 @@
 
 	private final StreamOrigins streams;
 
+	private final Optional<WarmUp> warmUp;
+
 	private final AdminServer admin;
 
 	private final PeerExchange peers;
@@ -239,6 +242,9 @@
 		new GatewayGauges(this.control, this.servers, this.decisions.dispatcher().admission(), this.configurationTable,
 				this.serversTable, this.crashes, this.callLimits, this.store)
 			.register(this.metrics);
+		this.warmUp = WarmUp.atFirstStart(settings.firstStart(), () -> WarmUpGateway.open(settings, platform.calls()),
+				this::isLoaded);
+		this.metrics.gauge("warm.up.calls", () -> this.warmUp.map(WarmUp::calls).orElse(0));
 		// Opened last, because its requests use all other components.
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
 				Map.of(platform.records().configuration().table(), this.configurationTable,
@@ -302,8 +308,11 @@
 	}
 
 	private boolean isReady() {
-		return this.platformUpdates.isComplete() && this.directory.isLoaded() && this.crashes.isLoaded()
-				&& !this.stopping;
+		return isLoaded() && this.warmUp.filter(WarmUp::holdsBack).isEmpty() && !this.stopping;
+	}
+
+	private boolean isLoaded() {
+		return this.platformUpdates.isComplete() && this.directory.isLoaded() && this.crashes.isLoaded();
 	}
 
 	// -- changes from the platform
@@ -471,6 +480,7 @@
 	public void close() {
 		long startNanos = System.nanoTime();
 		this.stopping = true;
+		this.warmUp.ifPresent(WarmUp::close);
 		long limitMillis = this.settings.bounds().drainMillis() - EXIT_RESERVE_MILLIS;
 		StopTimes times = StopTimes.of(startNanos, this.settings.bounds().balancerMillis(), limitMillis);
 		this.decisions.stop(times);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/CallCodec.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/CallCodec.java
@@ -38,4 +38,18 @@
 	 */
 	void toCallerHeaders(HttpHeaders headers);
 
+	/**
+	 * Writes the metadata of a call as a caller does.
+	 * @param headers the headers of the request, changed in place
+	 * @param metadata the metadata, without a resumption
+	 */
+	void toCallerRequest(HttpHeaders headers, CallMetadata metadata);
+
+	/**
+	 * Writes the headers of a success as a backend server does.
+	 * @param headers the headers of the response, changed in place
+	 * @param requestId identifies the call
+	 */
+	void toServerResponse(HttpHeaders headers, String requestId);
+
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -52,6 +52,8 @@
 
 	private final TunnelServer tunnels;
 
+	private final Channel listener;
+
 	private final Set<CallerConnection> callers = new HashSet<>();
 
 	private final OverloadDetector overload = OverloadDetector.startingAt(System.nanoTime());
@@ -65,6 +67,7 @@
 		this.metrics = metrics;
 		this.pool = new ConnectionPool(loop, codec, zone);
 		this.tunnels = TunnelServer.open(loop, addresses.tunnels(), policy, this.pool.connector()::isLost, metrics);
+		this.listener = bind(addresses.callers());
 	}
 
 	// -- factories
@@ -83,7 +86,6 @@
 	public static Gateway open(EventLoop loop, Addresses addresses, String zone, CallCodec codec, CallPolicy policy,
 			StreamDirectory streams, TrafficMetrics metrics) {
 		Gateway gateway = new Gateway(loop, addresses, zone, codec, policy, streams, metrics);
-		gateway.bind(addresses.callers());
 		loop.scheduleWithFixedDelay(gateway::enforceCallerTimeouts, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
 		loop.scheduleWithFixedDelay(() -> gateway.overload.beat(System.nanoTime()),
@@ -163,6 +165,14 @@
 			.getNow();
 	}
 
+	/**
+	 * Returns the address that accepts callers.
+	 * @return the address, with the port that the system chose if none was given
+	 */
+	public InetSocketAddress callersAddress() {
+		return (InetSocketAddress) this.listener.localAddress();
+	}
+
 	@Override
 	public void close() {
 		this.loop.submit(() -> {
@@ -205,8 +215,8 @@
 		return this.policy.configuration().map(TrafficConfiguration::limits).orElse(CallerLimits.INITIAL);
 	}
 
-	private void bind(InetSocketAddress address) {
-		new ServerBootstrap().group(this.loop, this.loop)
+	private Channel bind(InetSocketAddress address) {
+		return new ServerBootstrap().group(this.loop, this.loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -218,7 +228,8 @@
 				}
 			})
 			.bind(address)
-			.syncUninterruptibly();
+			.syncUninterruptibly()
+			.channel();
 	}
 
 	private void accept(Channel channel) {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -94,20 +94,25 @@
 
 	private GatewayHarness(String name, long usageWindowMillis, long stopMillis, long quotaWindowMillis,
 			MemoryRowStore store, PlainCodecs codecs) {
+		this(settings(name, false, new GatewaySettings.Bounds(stopMillis, 100, 0.2, 64, RETRY_WINDOW_MILLIS,
+				quotaWindowMillis, 0, usageWindowMillis, CHANGE_MILLIS, HEARTBEAT_MILLIS, EXPOSURE_SHARE)), store,
+				codecs);
+	}
+
+	private GatewayHarness(GatewaySettings settings, MemoryRowStore store, PlainCodecs codecs) {
 		this.store = store;
 		this.storeAccess = new FaultInjectingStore(store);
 		this.codecs = codecs;
-		this.settings = settings(name, new GatewaySettings.Bounds(stopMillis, 100, 0.2, 64, RETRY_WINDOW_MILLIS,
-				quotaWindowMillis, 0, usageWindowMillis, CHANGE_MILLIS, HEARTBEAT_MILLIS, EXPOSURE_SHARE));
+		this.settings = settings;
 		this.loops = LoopResources.create("test", 1, true);
 		this.process = GatewayProcess.start(this.settings,
 				new Platform(this.codecs, this.storeAccess, this.codecs, this.duties), this.loops);
 		this.startedNanos = System.nanoTime();
 	}
 
-	private static GatewaySettings settings(String name, GatewaySettings.Bounds bounds) {
+	private static GatewaySettings settings(String name, boolean firstStart, GatewaySettings.Bounds bounds) {
 		return new GatewaySettings(name, "a", List.of("a"), freeAddress(), freeAddress(), "/ready", freeAddress(),
-				freeAddress(), freeAddress(), false, bounds);
+				freeAddress(), freeAddress(), firstStart, bounds);
 	}
 
 	/**
@@ -115,14 +120,26 @@
 	 * @return the settings, with free ports
 	 */
 	static GatewaySettings settings() {
-		return settings("gateway-1", new GatewaySettings.Bounds(STOP_MILLIS, 100, 0.2, 64, RETRY_WINDOW_MILLIS,
-				QUOTA_WINDOW_MILLIS, 0, 5_000, CHANGE_MILLIS, HEARTBEAT_MILLIS, EXPOSURE_SHARE));
+		return settings(false);
+	}
+
+	private static GatewaySettings settings(boolean firstStart) {
+		return settings("gateway-1", firstStart, new GatewaySettings.Bounds(STOP_MILLIS, 100, 0.2, 64,
+				RETRY_WINDOW_MILLIS, QUOTA_WINDOW_MILLIS, 0, 5_000, CHANGE_MILLIS, HEARTBEAT_MILLIS, EXPOSURE_SHARE));
 	}
 
 	static GatewayHarness start() {
 		return new GatewayHarness("gateway-1", 5_000, new MemoryRowStore(), new PlainCodecs());
 	}
 
+	/**
+	 * Starts a gateway as the whole system starts for the first time.
+	 * @return the gateway
+	 */
+	static GatewayHarness startFirst() {
+		return new GatewayHarness(settings(true), new MemoryRowStore(), new PlainCodecs());
+	}
+
 	static GatewayHarness startWithStopTime(long millis) {
 		return new GatewayHarness("gateway-1", 5_000, millis, new MemoryRowStore(), new PlainCodecs());
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MetricNamesTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/MetricNamesTests.java
@@ -13,11 +13,11 @@
 class MetricNamesTests {
 
 	private static final List<String> NAMES = List.of("gauges/callers.connections", "gauges/callers.turned.away",
-			"gauges/calls.waiting", "gauges/configuration.proven.millis", "gauges/control.lag.millis",
-			"gauges/log.dropped", "gauges/requests.held", "gauges/segments.held", "gauges/servers.backoff",
-			"gauges/servers.connections", "gauges/servers.connections.opened", "gauges/servers.limited",
-			"gauges/servers.out.of.reach", "gauges/servers.proven.millis", "gauges/servers.stated.leaving",
-			"gauges/admission.refused.LATE", "gauges/admission.refused.LESS_URGENT",
+			"gauges/warm.up.calls", "gauges/calls.waiting", "gauges/configuration.proven.millis",
+			"gauges/control.lag.millis", "gauges/log.dropped", "gauges/requests.held", "gauges/segments.held",
+			"gauges/servers.backoff", "gauges/servers.connections", "gauges/servers.connections.opened",
+			"gauges/servers.limited", "gauges/servers.out.of.reach", "gauges/servers.proven.millis",
+			"gauges/servers.stated.leaving", "gauges/admission.refused.LATE", "gauges/admission.refused.LESS_URGENT",
 			"gauges/admission.refused.OVER_SHARE", "gauges/speeds.invalid", "gauges/store.generation",
 			"gauges/streams.origins", "gauges/streams.origins.evicted", "gauges/tunnels.open",
 			"counters/calls.answered.200", "counters/calls.refused.404", "counters/platform.calls.feed",
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -133,6 +133,20 @@
 		headers.remove("Not-Run");
 	}
 
+	@Override
+	public void toCallerRequest(HttpHeaders headers, CallMetadata metadata) {
+		headers.set("Call", metadata.requestId());
+		metadata.remainingMillis().ifPresent((millis) -> headers.set("Remaining", millis));
+		metadata.key().ifPresent((key) -> headers.set("Key", key));
+		metadata.prompt().ifPresent((prompt) -> headers.set("Prompt", prompt.segmentList()));
+	}
+
+	@Override
+	public void toServerResponse(HttpHeaders headers, String requestId) {
+		headers.set("Call", requestId);
+		headers.set("Signature", "s");
+	}
+
 	// -- rows
 
 	@Override
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/NoHeaders.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/NoHeaders.java
@@ -32,4 +32,12 @@
 	public void toCallerHeaders(HttpHeaders headers) {
 	}
 
+	@Override
+	public void toCallerRequest(HttpHeaders headers, CallMetadata metadata) {
+	}
+
+	@Override
+	public void toServerResponse(HttpHeaders headers, String requestId) {
+	}
+
 }
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/EventLog.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/EventLog.java
@@ -36,6 +36,8 @@
 
 	private static final LongAdder DROPPED = new LongAdder();
 
+	private static final ScopedValue<Boolean> DISCARDED = ScopedValue.newInstance();
+
 	private static final AtomicBoolean WRITER_STARTED = new AtomicBoolean();
 
 	private static volatile long reportedDropped;
@@ -84,6 +86,15 @@
 		enqueue(() -> Logger.error(failure, line));
 	}
 
+	/**
+	 * Runs work whose events are not to be seen. They are formatted all the same, but
+	 * neither written nor counted as dropped.
+	 * @param work the work; threads that it starts log as usual
+	 */
+	public static void discardDuring(Runnable work) {
+		ScopedValue.where(DISCARDED, true).run(work);
+	}
+
 	/**
 	 * Returns the number of lines dropped since the start of the process.
 	 * @return the count
@@ -110,6 +121,9 @@
 	}
 
 	private static void enqueue(Runnable line) {
+		if (DISCARDED.isBound()) {
+			return;
+		}
 		if (WRITER_STARTED.compareAndSet(false, true)) {
 			Thread writer = new Thread(EventLog::runWriter, "log");
 			writer.setDaemon(true);
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -57,9 +58,20 @@
 	 * @return the running loop
 	 */
 	public static ControlLoop start(String name, Duration interval, Consumer<Long> tick) {
+		return start((work) -> new Thread(work, name), interval, tick);
+	}
+
+	/**
+	 * Starts a control thread.
+	 * @param threads creates the thread
+	 * @param interval the greatest time between two ticks
+	 * @param tick runs the systems at the given time, {@link System#nanoTime}
+	 * @return the running loop
+	 */
+	public static ControlLoop start(ThreadFactory threads, Duration interval, Consumer<Long> tick) {
 		Objects.requireNonNull(tick, "tick is null");
 		ControlLoop loop = new ControlLoop(interval.toNanos(), tick);
-		Thread thread = new Thread(loop::run, name);
+		Thread thread = threads.newThread(loop::run);
 		loop.thread.set(thread);
 		thread.start();
 		return loop;
