--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -27,7 +27,6 @@
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet;
-import org.rosemaryfront.fleet.Fleet.Sharing;
 import org.rosemaryfront.gateway.PauseDetector.Observation;
 import org.rosemaryfront.gateway.proto.StreamMessages;
 import org.rosemaryfront.limits.ServerLimits;
@@ -45,6 +44,7 @@
 import org.rosemaryfront.traffic.Gateway;
 import org.rosemaryfront.traffic.Liveness;
 import org.rosemaryfront.traffic.TrafficMetrics;
+import org.rosemaryfront.warmup.WarmUp;
 
 /**
  * The gateway process: all sockets on one thread and all decisions on another, together
@@ -114,8 +114,7 @@
 
 	private final Fleet fleet = new Fleet(this.start);
 
-	/** The sharing of quotas that was last logged. */
-	private Sharing loggedSharing = Sharing.UNKNOWN;
+	private final SharingLog sharingLog = new SharingLog();
 
 	private final UsageLedger usage;
 
@@ -135,6 +134,8 @@
 
 	private final StreamOrigins streams;
 
+	private final Optional<WarmUp> warmUp;
+
 	private final AdminServer admin;
 
 	private final PeerExchange peers;
@@ -241,6 +242,9 @@
 		new GatewayGauges(this.control, this.servers, this.decisions.dispatcher().admission(), this.configurationTable,
 				this.serversTable, this.crashes, this.callLimits, this.store)
 			.register(this.metrics);
+		this.warmUp = WarmUp.atFirstStart(settings.firstStart(), () -> WarmUpGateway.open(settings, platform.calls()),
+				this::isLoaded);
+		this.metrics.gauge("warm.up.calls", () -> this.warmUp.map(WarmUp::calls).orElse(0));
 		// Opened last, because its requests use all other components.
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
 				Map.of(platform.records().configuration().table(), this.configurationTable,
@@ -304,8 +308,11 @@
 	}
 
 	private boolean isReady() {
-		return this.platformUpdates.isComplete() && this.directory.isLoaded() && this.crashes.isLoaded()
-				&& !this.stopping;
+		return isLoaded() && this.warmUp.filter(WarmUp::holdsBack).isEmpty() && !this.stopping;
+	}
+
+	private boolean isLoaded() {
+		return this.platformUpdates.isComplete() && this.directory.isLoaded() && this.crashes.isLoaded();
 	}
 
 	// -- changes from the platform
@@ -428,15 +435,6 @@
 		}
 	}
 
-	private void logSharing(long now) {
-		Sharing sharing = this.fleet.sharing(now);
-		if (!sharing.isSharedAs(this.loggedSharing)) {
-			EventLog.info(GatewayEvents.QUOTA_SHARING, "gateways", sharing.group(), "of", sharing.members(), "agreed",
-					sharing.agreed());
-		}
-		this.loggedSharing = sharing;
-	}
-
 	private void runDuties(long now) {
 		this.platformCalls.tick(now);
 		this.reports.handleTimeouts(now);
@@ -447,7 +445,7 @@
 		this.servers.slotShares(new SlotShares(this.settings.name(), this.fleet.liveGateways(this.settings.name()),
 				System.currentTimeMillis() / SLOT_TURN_MILLIS));
 		this.tables.role(this.fleet.role(this.settings.name(), now));
-		logSharing(now);
+		this.sharingLog.update(this.fleet.sharing(now));
 		this.lease.updateGatewayCount(this.fleet.liveCount());
 		this.lease.tick(now);
 		long epochMillis = System.currentTimeMillis();
@@ -482,6 +480,7 @@
 	public void close() {
 		long startNanos = System.nanoTime();
 		this.stopping = true;
+		this.warmUp.ifPresent(WarmUp::close);
 		long limitMillis = this.settings.bounds().drainMillis() - EXIT_RESERVE_MILLIS;
 		StopTimes times = StopTimes.of(startNanos, this.settings.bounds().balancerMillis(), limitMillis);
 		this.decisions.stop(times);
