End the threads of a warm-up whose sockets can't be opened

The path of a warm-up started its threads before it bound its ports; had that failed, a control thread would have ticked on for as long as the process ran. They end now, and a configuration that can't be put in force fails the first call and doesn't leave the warm-up waiting. Found on reading; not shown by a test.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/WarmUpGateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/WarmUpGateway.java
@@ -51,8 +51,7 @@
 
 	private static final int START = 1;
 
-	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, threads("warm-up-io"),
-			NioIoHandler.newFactory());
+	private final EventLoopGroup loops;
 
 	private final ControlLoop control;
 
@@ -60,11 +59,11 @@
 
 	private final WarmUpCaller caller;
 
-	private WarmUpGateway(GatewaySettings settings, CallCodec codec) {
+	private WarmUpGateway(GatewaySettings settings, CallCodec codec, EventLoopGroup loops, ControlLoop control) {
+		this.loops = loops;
+		this.control = control;
 		BackendTable servers = new BackendTable();
 		TrafficMetrics metrics = new TrafficMetrics();
-		this.control = ControlLoop.start(threads("warm-up-control"), TICK_INTERVAL, (_) -> {
-		});
 		GatewayControl decisions = decisions(settings, this.control, servers, metrics);
 		EventLoop io = this.loops.next();
 		StreamOrigins streams = new StreamOrigins(io, NAME, (_, _) -> {
@@ -78,8 +77,8 @@
 			SampleCalls.servers(server, settings.zone()).forEach(servers::recordExistingRegistration);
 			decisions.configuration(SampleCalls.configuration());
 			decisions.serversUpdated("1", now);
-			declared.complete(null);
 		});
+		this.control.post((_) -> declared.complete(null));
 		declared.join();
 		this.caller = WarmUpCaller.of(this.gateway.callersAddress(), codec);
 	}
@@ -91,7 +90,26 @@
 	 * @return the open path
 	 */
 	static WarmUpGateway open(GatewaySettings settings, CallCodec codec) {
-		return new WarmUpGateway(settings, codec);
+		EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, threads("warm-up-io"), NioIoHandler.newFactory());
+		ControlLoop control = ControlLoop.start(threads("warm-up-control"), TICK_INTERVAL, (_) -> {
+		});
+		boolean opened = false;
+		try {
+			WarmUpGateway gateway = new WarmUpGateway(settings, codec, loops, control);
+			opened = true;
+			return gateway;
+		}
+		finally {
+			if (!opened) {
+				end(loops, control);
+			}
+		}
+	}
+
+	private static void end(EventLoopGroup loops, ControlLoop control) {
+		control.close();
+		// Closes all sockets as well.
+		loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
 	private static GatewayControl decisions(GatewaySettings settings, ControlLoop control, BackendTable servers,
@@ -133,9 +151,7 @@
 	@Override
 	public void close() {
 		this.gateway.close();
-		this.control.close();
-		// Closes all sockets as well.
-		this.loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+		end(this.loops, this.control);
 	}
 
 	/** A store without responses. */
