Take reports into the table of servers without copies and lambdas

A gateway among 72 takes 222 reports a second. More than half of that was recording the use of servers: a copy of the set of servers for each report, a lambda that keeps values for each server (allocated through a method handle, a native call without an optimising compiler), and the equals and hashCode that records generate, for the runs of servers that are the keys of most tables. The table keeps the map that it is given, loops in place of lambdas, and Incarnation has both methods written out. A report's servers are walked once and not three times.

mvn test -pl rosemaryfront-gateway -am -Dtest=DispatcherTests,BackendTableTests,SpeedTable*Tests, ServerBackoffTests,RejectionFleetTests,SimulatedFleetTests,TableFollowerTests,PeerExchangeTests, GatewayProcessTests,QuotaSharingTests,RejectionLimitTests,ServerStatementTests,ServerLimitTests, ReportFormsTests: one failure, ServerLimitTests#shouldHoldLimitWhenGatewaysPauseAndStop (no call in any window at the limited server), all others passed. The same test fails on the base as well, twice of two runs (one call to the limited server, 290 and 291 to the other), so that it is reported and not mended here.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendServer.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendServer.java
@@ -99,6 +99,20 @@
 	 * @param startedMillis when it started, in milliseconds since 1970
 	 */
 	public record Incarnation(String id, long startedMillis) {
+
+		// Runs of servers are the keys of most tables, and the methods that records
+		// generate are slow without an optimising compiler.
+		@Override
+		public boolean equals(Object other) {
+			return other instanceof Incarnation run && this.startedMillis == run.startedMillis
+					&& this.id.equals(run.id);
+		}
+
+		@Override
+		public int hashCode() {
+			return 31 * this.id.hashCode() + Long.hashCode(this.startedMillis);
+		}
+
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/BackendTable.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -75,8 +74,8 @@
 
 	private final Map<String, BackendRow> rows = new LinkedHashMap<>();
 
-	/** The servers that each other process used according to its last report. */
-	private final Map<String, Set<Incarnation>> serversByProcess = new HashMap<>();
+	/** The use of servers by each other process according to its last report. */
+	private final Map<String, Map<Incarnation, BackendUse>> usesByProcess = new HashMap<>();
 
 	/** The last registration of each server, including servers that were removed. */
 	private final Map<String, BackendServer> latestRegistrations = new LinkedHashMap<>();
@@ -325,15 +324,24 @@
 	/**
 	 * Replaces the use of the servers reported by another process.
 	 * @param process the other process
-	 * @param uses its use by run of a server; servers that are absent are not used by it
+	 * @param uses its use by run of a server, which must not be changed afterwards;
+	 * servers that are absent are not used by it
 	 */
 	public void recordPeerUse(String process, Map<Incarnation, BackendUse> uses) {
-		Set<Incarnation> previous = this.serversByProcess.getOrDefault(process, Set.of());
-		previous.stream()
-			.filter((server) -> !uses.containsKey(server))
-			.forEach((server) -> row(server).ifPresent((row) -> row.removePeerUse(process)));
-		uses.forEach((server, use) -> row(server).ifPresent((row) -> row.recordPeerUse(process, use)));
-		this.serversByProcess.put(process, Set.copyOf(uses.keySet()));
+		Map<Incarnation, BackendUse> previous = this.usesByProcess.getOrDefault(process, Map.of());
+		for (Incarnation server : previous.keySet()) {
+			Optional<BackendRow> row = uses.containsKey(server) ? Optional.empty() : row(server);
+			if (row.isPresent()) {
+				row.get().removePeerUse(process);
+			}
+		}
+		for (Map.Entry<Incarnation, BackendUse> use : uses.entrySet()) {
+			Optional<BackendRow> row = row(use.getKey());
+			if (row.isPresent()) {
+				row.get().recordPeerUse(process, use.getValue());
+			}
+		}
+		this.usesByProcess.put(process, uses);
 	}
 
 	/**
@@ -633,7 +641,8 @@
 	}
 
 	private Optional<BackendRow> row(Incarnation server) {
-		return Optional.ofNullable(this.rows.get(server.id())).filter((row) -> row.incarnation.equals(server));
+		BackendRow row = this.rows.get(server.id());
+		return (row != null && row.incarnation.equals(server)) ? Optional.of(row) : Optional.empty();
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -282,16 +282,7 @@
 		});
 		this.quotas.reportReceived(process, used, now);
 		this.servers.recordPeerUse(report.getGateway(), report.getLeaving() ? Map.of() : uses(report));
-		report.getServersList().forEach(this::receiveSegments);
-		report.getServersList()
-			.stream()
-			.filter((use) -> use.getMeasuredCalls() != 0)
-			.forEach((use) -> receiveSpeed(use, now));
-		report.getServersList()
-			.stream()
-			.filter((use) -> use.getRejections() > 0)
-			.forEach((use) -> this.decisions.rejections()
-				.receive(process, start(use), new RejectionUse(use.getRejectionLimit(), use.getRejections()), now));
+		report.getServersList().forEach((use) -> receiveServer(process, use, now));
 		report.getNoticesList()
 			.forEach((notice) -> this.decisions.notices().receive(report.getGateway(), decode(notice), now));
 		this.crashes.receive(report.getGateway(), report.getCrashesList(), now);
@@ -337,6 +328,17 @@
 				report.getGroup(), report.getReadsTables(), confirmed);
 	}
 
+	private void receiveServer(String process, ServerUse use, long now) {
+		receiveSegments(use);
+		if (use.getMeasuredCalls() != 0) {
+			receiveSpeed(use, now);
+		}
+		if (use.getRejections() > 0) {
+			this.decisions.rejections()
+				.receive(process, start(use), new RejectionUse(use.getRejectionLimit(), use.getRejections()), now);
+		}
+	}
+
 	private void receiveSegments(ServerUse use) {
 		int count = Math.min(use.getPartsCount(), use.getPartTokensCount());
 		if (count == 0) {
@@ -387,8 +389,9 @@
 
 	private static Map<BackendServer.Incarnation, BackendUse> uses(GatewayReport report) {
 		Map<BackendServer.Incarnation, BackendUse> uses = new HashMap<>();
-		report.getServersList()
-			.forEach((use) -> uses.put(start(use), new BackendUse(use.getCalls(), use.getUnreadTokens())));
+		for (ServerUse use : report.getServersList()) {
+			uses.put(start(use), new BackendUse(use.getCalls(), use.getUnreadTokens()));
+		}
 		return uses;
 	}
 
