Keep the constants of a call's endings in their order

Cause: a constant was put between older ones; the pinned list of written names refused it in a whole run.

--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/CallHistory.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/report/CallHistory.java
@@ -211,14 +211,14 @@
 		/** Failed on its server and on any server that it was sent to afterwards. */
 		FAILED,
 
-		/** Its response was aborted after it had started. */
-		BROKEN,
-
 		/** The caller disconnected before the call ended. */
 		LEFT,
 
 		/** No ending in the log: the gateway terminated, or the log was truncated. */
-		OPEN
+		OPEN,
+
+		/** Its response was aborted after it had started. */
+		BROKEN
 
 	}
 
