Take the origin of a call's stream out of Call

Cause: Call is large, and streams that move need hooks in it. Change: CallOrigin finds and tells the version that began a stream; behaviour unchanged.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -26,7 +26,6 @@
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.streams.Origin;
-import org.rosemaryfront.streams.StreamKey;
 import org.rosemaryfront.traffic.CallPolicy.Ending;
 import org.rosemaryfront.traffic.CallResponse.Head;
 
@@ -56,8 +55,6 @@
 	 */
 	private static final long ORIGIN_RETRY_MILLIS = 500;
 
-	private static final int MAX_LOGGED_EVENT_ID_LENGTH = 64;
-
 	private final Gateway gateway;
 
 	private final CallerConnection caller;
@@ -117,6 +114,8 @@
 	/** The time between the choice of the server and the last send. */
 	private long sendMillis;
 
+	private final CallOrigin origin;
+
 	private final CallResponse response;
 
 	private boolean runStarted;
@@ -131,7 +130,8 @@
 		this.route = route;
 		this.organisation = organisation;
 		this.service = service;
-		this.response = CallResponse.of(caller, head.method(), route, this::firstEvent);
+		this.origin = new CallOrigin(this, gateway);
+		this.response = CallResponse.of(caller, head.method(), route, this.origin::began);
 		this.digestBuilder = RequestDigest.begin(organisation.map(Organisation::name).orElse(""), head.method().name(),
 				RequestValidator.host(head), head.uri());
 		long millis = Math.min(route.timeoutMillis(), terms.remainingMillis().orElse(Long.MAX_VALUE));
@@ -405,40 +405,20 @@
 		Optional<Resumption> takenUp = this.metadata.resumption()
 			.filter((_) -> this.route.kind() == CallKind.STREAMING);
 		if (takenUp.isPresent()) {
-			takeUp(takenUp.get());
+			this.origin.find(takenUp.get(), this::originFound);
 		}
 		else {
 			this.gateway.policy().admit(this);
 		}
 	}
 
-	private void takeUp(Resumption resumption) {
-		logResumption(resumption);
-		Optional<StreamKey> stream = resumption.namesCall() ? resumption.firstCall().map(this::streamKey)
-				: requestKey();
-		if (stream.isPresent()) {
-			this.gateway.streams().find(stream.get(), this::originFound);
-		}
-		else {
-			originFound(Origin.unknown());
-		}
-	}
-
-	private Optional<StreamKey> requestKey() {
-		return this.digest.map((request) -> StreamKey.ofRequest(this.service, request));
-	}
-
-	private StreamKey streamKey(String firstCall) {
-		return StreamKey.of(this.organisation.map(Organisation::name).orElse(""), this.service, firstCall);
-	}
-
 	private void originFound(Origin origin) {
 		if (this.state == State.DONE) {
 			return;
 		}
 		switch (origin) {
 			case Origin.Known known -> {
-				logOrigin("known", known.version());
+				this.origin.log("known", known.version());
 				this.response.goOnWith(known.version());
 				this.gateway.policy().admit(this);
 			}
@@ -448,37 +428,10 @@
 	}
 
 	private void refuseWithoutOrigin(String origin) {
-		logOrigin(origin, "none");
+		this.origin.log(origin, "none");
 		refuseNow(503, ORIGIN_RETRY_MILLIS, Refusal.of(Refusal.Cause.ORIGIN_UNKNOWN, origin));
 	}
 
-	private void logOrigin(String origin, String version) {
-		this.gateway.metrics().increment("streams.origin." + origin);
-		EventLog.info(TrafficEvents.STREAM_ORIGIN, "request", id(), "service", this.service, "origin", origin,
-				"version", version, "millis", ageMillis());
-	}
-
-	// A stream that was taken up keeps the key of the call that began it. Callers that do
-	// not name that call repeat its request.
-	private void firstEvent(String version) {
-		Optional<String> firstCall = this.metadata.resumption()
-			.map(Resumption::firstCall)
-			.orElse(Optional.of(id()).filter((own) -> !own.isEmpty()));
-		firstCall.map(this::streamKey).ifPresent((stream) -> this.gateway.streams().began(stream, version));
-		requestKey().ifPresent((stream) -> this.gateway.streams().began(stream, version));
-	}
-
-	private void logResumption(Resumption resumption) {
-		this.gateway.metrics().increment("streams.taken.up");
-		EventLog.info(TrafficEvents.STREAM_TAKEN_UP, "request", id(), "route", this.route.name(), "service",
-				this.service, "firstCall", resumption.firstCall().orElse("none"), "after",
-				resumption.lastEvent().map(Call::shortened).orElse("none"));
-	}
-
-	private static String shortened(String text) {
-		return text.substring(0, Math.min(text.length(), MAX_LOGGED_EVENT_ID_LENGTH));
-	}
-
 	// -- server
 
 	private void connect(BackendServer to, int maxConnections) {
