--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -13,7 +12,6 @@
 import java.util.stream.Collectors;
 
 import org.rosemaryfront.admission.UrgentTarget;
-import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.dispatch.ConnectionShares;
@@ -43,7 +41,6 @@
 import org.rosemaryfront.traffic.Liveness;
 import org.rosemaryfront.traffic.Refusal;
 import org.rosemaryfront.traffic.Refusal.Cause;
-import org.rosemaryfront.traffic.TrafficEvents;
 
 /**
  * Admits, dispatches and retries calls according to the tables of servers, quotas and
@@ -418,21 +415,8 @@
 
 	private void send(Call call, CallProgress progress, Choice.Chosen chosen, long nowNanos) {
 		BackendServer server = chosen.server();
-		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "digest",
-				call.digest().map(RequestDigest::toString).orElse("none"), "route", call.route().name(), "organisation",
-				call.organisation().map(Organisation::name).orElse("none"), "units", Math.round(progress.units()),
-				"quota", progress.quotaUsage(), "gateways", progress.sharingGateways(), "parts",
-				call.metadata().prompt().map(Prompt::segmentList).orElse("none"), "targetMillis",
-				call.route().targetMillis(), "server", server.id(), "zone", server.zone(), "load", chosen.load(),
-				"unreadTokens", chosen.uncachedTokens(), "fetchFrom",
-				chosen.transferSource().map(BackendServer::id).orElse("none"), "expectedMillis",
-				chosen.expectedMillis(), "candidates", chosen.candidates(), "version", server.version(), "serverLimit",
-				this.callLimits.limit(server), "serverLimitAgeMillis", this.callLimits.ageMillis(server, nowNanos),
-				"passedOver", chosen.passedOver().orElse("none"), "serversVersion", this.serversVersion,
-				"serversAgeMillis", (nowNanos - this.serversUpdatedNanos) / NANOS_PER_MILLI, "serversProvenMillis",
-				serversConfirmedMillis(nowNanos), "serversProvenBy", this.serversFreshness.source(), "configuration",
-				this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
-				call.remainingMillis(nowNanos));
+		new DispatchLog(this.callLimits, this.serversFreshness).sent(call, progress, chosen, this.serversVersion,
+				this.serversUpdatedNanos, this.configuration.map(TrafficConfiguration::version).orElse(0L), nowNanos);
 		chosen.passedOver().ifPresent((_) -> this.callLimits.passedOver());
 		progress.sent(chosen, nowNanos);
 		this.servers.recordCallSent(server.incarnation(), chosen.uncachedTokens());
@@ -442,11 +426,6 @@
 		call.send(server, maxConnections(call.service()), chosen.transferSource().map(BackendServer::address));
 	}
 
-	private String serversConfirmedMillis(long nowNanos) {
-		OptionalLong age = this.serversFreshness.ageNanos(nowNanos);
-		return age.isPresent() ? String.valueOf(age.getAsLong() / NANOS_PER_MILLI) : "never";
-	}
-
 	private void failed(Call call, BackendServer server, Failure failure, long nowNanos) {
 		CallProgress progress = this.calls.get(call);
 		recordFailure(call, Optional.ofNullable(progress), server, failure, nowNanos);
