Move streams with their runs from servers that leave

Cause: the planner decided, engines could be asked, but nothing did it: a stream that cannot be resumed was lost with its server. Change: RunMoves plans for each leaving server in the tick, asks for copies, and follows the answers; CallMove puts off what follows from the end of the source's stream while the run is asked to stop, and continues the call at the target, or at the source that stopped. Streams that may move are framed into events, also those that may not be resumed. A continued attempt that is not run keeps that verdict. Event E2880 and metrics runs.*. Where an engine does not state that it moves runs, nothing is different.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/LeavingServers.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/LeavingServers.java
@@ -1,10 +1,11 @@
 package org.rosemaryfront.moves;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToIntFunction;
 
@@ -51,10 +52,20 @@
 	 * Removes servers that are not known any more.
 	 * @param known the servers that are known
 	 */
-	public void retain(Set<Incarnation> known) {
+	public void retain(Collection<Incarnation> known) {
 		this.times.keySet().retainAll(known);
 	}
 
+	/**
+	 * Returns when this gateway noticed that a server leaves.
+	 * @param server the server
+	 * @return the time on the monotonic clock, in nanoseconds; empty if it stays
+	 */
+	public OptionalLong noticedNanos(Incarnation server) {
+		Times known = this.times.get(server);
+		return (known != null) ? OptionalLong.of(known.noticedNanos) : OptionalLong.empty();
+	}
+
 	/**
 	 * Returns the servers that leave and are not gone yet.
 	 * @param servers the servers that are known
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/MoveTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/MoveTable.java
@@ -180,6 +180,10 @@
 			return new None();
 		}
 		boolean atSource = move.isAt(server);
+		boolean atTarget = move.target().incarnation().equals(server.incarnation());
+		if (!atSource && !atTarget) {
+			return new None();
+		}
 		return (atSource || move.handle().isEmpty()) ? end(move, new Lost())
 				: new Continue(move.source(), move.source(), move.handle().get());
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveTableTests.java
@@ -120,6 +120,7 @@
 	void shouldGoBackToSourceOnceWhenTargetRefuses() {
 		long attempt = switching();
 		this.table.answered("c1", attempt, SOURCE, new Copied("h1", 9), 0);
+		assertThat(this.table.refused("c1", OTHER)).isEqualTo(new None());
 		assertThat(this.table.refused("c1", TARGET)).isEqualTo(new Continue(SOURCE, SOURCE, "h1"));
 		assertThat(this.table.refused("c1", SOURCE)).isEqualTo(new Lost());
 		assertThat(this.table.refused("c1", SOURCE)).isEqualTo(new None());
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
@@ -117,6 +117,18 @@
 		this.sentNanos = nowNanos;
 	}
 
+	/**
+	 * Records that the run of the call continues at another server.
+	 * @param to the server
+	 */
+	void moved(Incarnation to) {
+		this.tried.add(to.id());
+		this.server = Optional.of(to);
+		this.loadReleased = false;
+		this.firstTokenPending = false;
+		this.responsePending = false;
+	}
+
 	/**
 	 * Formats how many gateways share the quota of a call, for the log.
 	 * @param taking the result of taking units
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -26,6 +26,7 @@
 import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.ports.CallMetadata.Prompt;
+import org.rosemaryfront.ports.EngineRuns;
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.rollout.VersionRule;
@@ -41,6 +42,7 @@
 import org.rosemaryfront.traffic.Liveness;
 import org.rosemaryfront.traffic.Refusal;
 import org.rosemaryfront.traffic.Refusal.Cause;
+import org.rosemaryfront.traffic.TrafficMetrics;
 
 /**
  * Admits, dispatches and retries calls according to the tables of servers, quotas and
@@ -91,6 +93,8 @@
 
 	private final Notices notices;
 
+	private final RunMoves moves;
+
 	/** Calls in progress with the decisions made about them. */
 	private final Map<Call, CallProgress> calls = new IdentityHashMap<>();
 
@@ -120,7 +124,7 @@
 
 	GatewayControl(ControlLoop loop, BackendTable servers, GatewaySettings settings, QuotaTable quotas, Fleet fleet,
 			UsageLedger usage, CrashGuard crashGuard, Rollouts rollouts, CallLimits callLimits,
-			Freshness serversFreshness, LongConsumer applyPendingUpdates) {
+			Freshness serversFreshness, LongConsumer applyPendingUpdates, EngineRuns engines, TrafficMetrics metrics) {
 		this.loop = loop;
 		this.servers = servers;
 		this.dispatcher = new Dispatcher(servers, settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
@@ -135,6 +139,9 @@
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryBudget(bounds.retryShare() * RETRY_SHARE_FACTOR, bounds.retryFixed(),
 				bounds.retryWindowMillis(), System.nanoTime());
+		this.moves = new RunMoves(loop, servers, engines, metrics,
+				new RunMoves.Calls(this.calls, this::engine, this.retries::tryAcquire, this::maxConnections),
+				bounds.changeMillis());
 		gateways(fleet.servingCount(System.nanoTime()));
 	}
 
@@ -220,6 +227,7 @@
 	public void ended(Call call, BackendServer server, Ending ending) {
 		this.loop.post((nowNanos) -> {
 			this.crashGuard.ended(call);
+			this.moves.ended(call);
 			Optional<CallProgress> progress = Optional.ofNullable(this.calls.remove(call));
 			progress.ifPresent(this::promptPrefilled);
 			if (ending == Ending.SUCCEEDED) {
@@ -274,6 +282,7 @@
 	public void endedWithoutServer(Call call) {
 		this.loop.post((nowNanos) -> {
 			this.crashGuard.ended(call);
+			this.moves.ended(call);
 			Optional.ofNullable(this.calls.remove(call))
 				.filter((progress) -> !progress.ran())
 				.ifPresent((progress) -> this.quotas.giveBack(call, progress, nowNanos));
@@ -324,12 +333,21 @@
 		}
 	}
 
+	/**
+	 * Moves runs from servers that leave, and sends waiting calls.
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	void tick(long nowNanos) {
+		this.moves.tick(nowNanos);
+		dispatchWaiting(nowNanos);
+	}
+
 	/**
 	 * Sends the waiting calls for which there is a permit by now, and refuses those for
 	 * which it would come too late.
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 */
-	void dispatchWaiting(long nowNanos) {
+	private void dispatchWaiting(long nowNanos) {
 		this.callLimits.servicesWithWaitingCalls().forEach((service) -> dispatchWaiting(service, nowNanos));
 	}
 
@@ -437,6 +455,9 @@
 		if (!notRun) {
 			progress.mayHaveRun();
 		}
+		if (this.moves.failed(call, server, notRun, nowNanos)) {
+			return;
+		}
 		Optional<Refusal> quarantine = this.crashGuard.quarantineRefusal(call);
 		if (quarantine.isPresent()) {
 			endUnserved(call, progress, CrashGuard.QUARANTINE_RETRY_MILLIS, quarantine.get());
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -212,6 +212,12 @@
 	/** A gateway reported response times that no server can have. */
 	SPEED_REPORT_INVALID(2874),
 
+	/**
+	 * What became of moving a run from a server that leaves: not copied, abandoned, or
+	 * continued at another server.
+	 */
+	RUN_MOVE(2880),
+
 	/** This process was paused or its VM was suspended. */
 	PAUSED(2840);
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -33,6 +33,7 @@
 import org.rosemaryfront.limits.ServerLimits;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.ports.Duties;
+import org.rosemaryfront.ports.EngineRuns;
 import org.rosemaryfront.ports.RecordCodec;
 import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.program.ControlLoop;
@@ -49,12 +50,6 @@
 /**
  * The gateway process: all sockets on one thread and all decisions on another, together
  * with the tables of the platform, the reports between gateways and the singleton duties.
- *
- * <pre>
- * try (GatewayProcess gateway = GatewayProcess.start(settings, platform)) {
- *     ...
- * }
- * </pre>
  */
 public final class GatewayProcess implements Program.Running {
 
@@ -213,7 +208,7 @@
 				() -> ThreadLocalRandom.current().nextDouble()), this.control, this.metrics);
 		this.decisions = new GatewayControl(this.control, this.servers, settings, this.quotas, this.fleet, this.usage,
 				new CrashGuard(this.crashes, this.servers), this.rollouts, this.callLimits,
-				this.serversTable.freshness(), this::catchUp);
+				this.serversTable.freshness(), this::catchUp, platform.runs(), this.metrics);
 		// The thread of all sockets.
 		EventLoop io = loops.onServer(false).next();
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, new PeerReceiver());
@@ -389,7 +384,7 @@
 			this.reportAwaited = false;
 			this.reports.send(false, now);
 		}
-		this.decisions.dispatchWaiting(now);
+		this.decisions.tick(now);
 		if (now - this.nextDutiesNanos >= 0) {
 			this.nextDutiesNanos = now + DUTIES_INTERVAL_NANOS;
 			runDuties(now);
@@ -608,8 +603,9 @@
 	 * @param rows the table service
 	 * @param records the codec of rows that other programs write
 	 * @param duties the requests that only the holder of the duties may send
+	 * @param runs copies runs of engines
 	 */
-	public record Platform(CallCodec calls, RowStore rows, RecordCodec records, Duties duties) {
+	public record Platform(CallCodec calls, RowStore rows, RecordCodec records, Duties duties, EngineRuns runs) {
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -18,6 +18,7 @@
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.moves.RunPace;
 import org.rosemaryfront.ports.CallMetadata;
 import org.rosemaryfront.ports.CallMetadata.Resumption;
 import org.rosemaryfront.ports.ForwardingMetadata;
@@ -116,6 +117,8 @@
 
 	private final CallOrigin origin;
 
+	private final CallMove move;
+
 	private final CallResponse response;
 
 	private boolean runStarted;
@@ -131,7 +134,9 @@
 		this.organisation = organisation;
 		this.service = service;
 		this.origin = new CallOrigin(this, gateway);
-		this.response = CallResponse.of(caller, head.method(), route, this.origin::began);
+		this.response = CallResponse.of(caller, head.method(), route, gateway.movesRuns(service), this.origin::began);
+		this.move = new CallMove(gateway.loop(), this::continueAt,
+				() -> this.streamingRequest ? RunPace.unknown() : this.response.movablePace());
 		this.digestBuilder = RequestDigest.begin(organisation.map(Organisation::name).orElse(""), head.method().name(),
 				RequestValidator.host(head), head.uri());
 		long millis = Math.min(route.timeoutMillis(), terms.remainingMillis().orElse(Long.MAX_VALUE));
@@ -237,6 +242,14 @@
 		return this.response.streamVersion();
 	}
 
+	/**
+	 * Returns the move of the call to a server that has a copy of its run.
+	 * @return the move
+	 */
+	public CallMove move() {
+		return this.move;
+	}
+
 	/**
 	 * Returns how often the call was sent to a server.
 	 * @return the count
@@ -444,6 +457,16 @@
 		this.gateway.pool().acquire(to, id(), maxConnections, this::connected, this::connectFailed);
 	}
 
+	private void continueAt(BackendServer to, int maxConnections) {
+		if (this.state == State.SENT) {
+			this.connection.abort();
+			this.response.attemptFailed();
+		}
+		this.chosenNanos = System.nanoTime();
+		this.kvCacheSource = Optional.empty();
+		connect(to, maxConnections);
+	}
+
 	private void connectFailed(String cause) {
 		if (this.state == State.DONE) {
 			return;
@@ -465,7 +488,7 @@
 			connectFailed("the request is quarantined");
 			return;
 		}
-		if (!this.gateway.policy().acceptsCalls(this.server.orElseThrow())) {
+		if (this.move.copy().isEmpty() && !this.gateway.policy().acceptsCalls(this.server.orElseThrow())) {
 			to.release();
 			connectFailed("the server wants no calls");
 			return;
@@ -511,7 +534,7 @@
 		long remaining = Math.max(1, remainingMillis(System.nanoTime()));
 		ForwardingMetadata metadata = new ForwardingMetadata(remaining, serverId(),
 				this.organisation.map(Organisation::name), this.response.lastEvent(), OptionalInt.of(priority()),
-				this.kvCacheSource);
+				this.kvCacheSource, this.move.copy());
 		OptionalLong length = this.bodyComplete ? OptionalLong.of(this.bodyBytes) : OptionalLong.empty();
 		return ServerRequest.of(this.head, length, this.gateway.codec(), metadata);
 	}
@@ -530,7 +553,10 @@
 				}
 			}
 			case Head.Resumed _ -> logResumed();
-			case Head.Unusable unusable -> abortResponse(unusable.cause());
+			case Head.Unusable unusable -> {
+				boolean notRun = from.notRun() && this.move.copy().isPresent();
+				abortResponse(notRun ? Verdict.notRun() : Verdict.mayHaveRun(), unusable.cause());
+			}
 		}
 	}
 
@@ -571,6 +597,15 @@
 			abortResponse("ended inside an event");
 			return;
 		}
+		if (this.response.endsWithConnection()) {
+			if (this.move.defers(this::responseComplete)) {
+				return;
+			}
+			if (this.move.mayHaveStopped()) {
+				abortResponse("the run may have stopped");
+				return;
+			}
+		}
 		BackendServer from = this.server.orElseThrow();
 		if (this.response.isStarted()) {
 			responded(from);
@@ -628,8 +663,12 @@
 	}
 
 	private void abortResponse(String cause) {
+		abortResponse(Verdict.mayHaveRun(), cause);
+	}
+
+	private void abortResponse(Verdict verdict, String cause) {
 		this.connection.abort();
-		attemptFailed(Verdict.mayHaveRun(), true, false, cause);
+		attemptFailed(verdict, true, false, cause);
 	}
 
 	private void markRunStarted() {
@@ -647,6 +686,10 @@
 	}
 
 	private void attemptFailed(Verdict verdict, boolean sent, boolean responded, String cause, boolean pathLost) {
+		if (this.move.defers(() -> attemptFailed(verdict, sent, responded, cause, pathLost))) {
+			return;
+		}
+		this.move.attemptFailed();
 		BackendServer failedServer = this.server.orElseThrow();
 		this.server = Optional.empty();
 		this.response.attemptFailed();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 
 import org.rosemaryfront.limits.ServerStatements;
+import org.rosemaryfront.moves.RunPace;
 import org.rosemaryfront.ports.ResponseMetadata;
 import org.rosemaryfront.routes.CallKind;
 import org.rosemaryfront.routes.Route;
@@ -44,6 +45,9 @@
 
 	private final Route route;
 
+	/** Whether a stream may move to another server together with its run. */
+	private final boolean movable;
+
 	private Optional<HttpResponse> head = Optional.empty();
 
 	/** What the current attempt received, empty before the head of its response. */
@@ -62,7 +66,10 @@
 
 	private final ResponseTimes times = new ResponseTimes();
 
-	/** Present once a stream has started that can be resumed. */
+	/** The events received of the stream; read by any thread. */
+	private volatile RunPace pace = RunPace.unknown();
+
+	/** Present once a stream has started that can be resumed or can move. */
 	private Optional<EventFramer> framer = Optional.empty();
 
 	/** Receives the version of the server whose event is sent first. */
@@ -76,10 +83,12 @@
 	 */
 	private volatile Optional<String> streamVersion = Optional.empty();
 
-	private CallResponse(CallerConnection caller, HttpMethod method, Route route, Consumer<String> onFirstEvent) {
+	private CallResponse(CallerConnection caller, HttpMethod method, Route route, boolean movable,
+			Consumer<String> onFirstEvent) {
 		this.caller = caller;
 		this.method = method;
 		this.route = route;
+		this.movable = movable;
 		this.onFirstEvent = onFirstEvent;
 	}
 
@@ -88,12 +97,14 @@
 	 * @param caller the connection of the caller
 	 * @param method the method of the request
 	 * @param route the route of the call
+	 * @param movable whether a stream may move to another server together with its run
 	 * @param onFirstEvent receives the version of the server whose event is sent first,
 	 * right before it is sent
 	 * @return the response
 	 */
-	static CallResponse of(CallerConnection caller, HttpMethod method, Route route, Consumer<String> onFirstEvent) {
-		return new CallResponse(caller, method, route, onFirstEvent);
+	static CallResponse of(CallerConnection caller, HttpMethod method, Route route, boolean movable,
+			Consumer<String> onFirstEvent) {
+		return new CallResponse(caller, method, route, movable, onFirstEvent);
 	}
 
 	/**
@@ -137,7 +148,7 @@
 			return new Head.Unusable("the server sent a success response without a signature");
 		}
 		if (this.route.kind() == CallKind.STREAMING && success) {
-			if (this.route.resumable() && body.isEventStream()) {
+			if ((this.route.resumable() || this.movable) && body.isEventStream()) {
 				this.framer = Optional.of(new EventFramer(this.caller.allocator()));
 			}
 			start();
@@ -159,7 +170,7 @@
 	 * @throws ResponseTooLongException if the server sends more than may be buffered
 	 */
 	boolean receive(ByteBuf bytes, String version) {
-		int completeBytes = this.received.map((body) -> body.add(bytes)).orElse(0);
+		int completeBytes = this.received.map((body) -> add(body, bytes)).orElse(0);
 		if (openEventBytes() > MAX_EVENT_BYTES) {
 			bytes.release();
 			throw ResponseTooLongException.of("an event", MAX_EVENT_BYTES);
@@ -179,12 +190,21 @@
 		return true;
 	}
 
+	private int add(ReceivedBody body, ByteBuf bytes) {
+		long before = body.events();
+		int completeBytes = body.add(bytes);
+		this.pace = this.pace.plus(body.events() - before, System.nanoTime());
+		return completeBytes;
+	}
+
 	private boolean forward(ByteBuf bytes, int completeBytes, String version) {
 		ByteBuf forwarded = this.framer.map((events) -> events.add(bytes, completeBytes)).orElse(bytes);
 		if (forwarded.isReadable() && this.framer.isPresent() && !this.eventSent) {
 			this.eventSent = true;
 			this.streamVersion = Optional.of(version);
-			this.onFirstEvent.accept(version);
+			if (this.route.resumable()) {
+				this.onFirstEvent.accept(version);
+			}
 		}
 		return this.caller.write(forwarded);
 	}
@@ -247,7 +267,24 @@
 	 * @return false once a response that cannot be resumed has started
 	 */
 	boolean canGoOn() {
-		return !this.started || this.framer.isPresent();
+		return !this.started || (this.framer.isPresent() && this.route.resumable());
+	}
+
+	/**
+	 * Returns the events received of a stream that can move to another server.
+	 * @return their pace, unknown if the stream cannot move or has not begun
+	 */
+	RunPace movablePace() {
+		return this.movable ? this.pace : RunPace.unknown();
+	}
+
+	/**
+	 * Returns whether the end of the connection is the only sign of the body's end.
+	 * @return true for a stream without length and chunks
+	 */
+	boolean endsWithConnection() {
+		return this.received.filter((body) -> body.isEventStream() && body.framing() == ResponseFraming.CONNECTION)
+			.isPresent();
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -25,6 +25,8 @@
 import org.rosemaryfront.paths.Carrier;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.routes.CallerLimits;
+import org.rosemaryfront.routes.ServiceSpec;
+import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
 import org.rosemaryfront.routes.TrafficConfiguration;
 
 /**
@@ -201,6 +203,14 @@
 		return this.callers;
 	}
 
+	boolean movesRuns(String service) {
+		return this.policy.configuration()
+			.flatMap((known) -> known.service(service))
+			.flatMap(ServiceSpec::engine)
+			.flatMap(EngineSpec::moves)
+			.isPresent();
+	}
+
 	CallerLimits limits() {
 		return this.policy.configuration().map(TrafficConfiguration::limits).orElse(CallerLimits.INITIAL);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ReceivedBody.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ReceivedBody.java
@@ -74,6 +74,14 @@
 		return eventMissing || openEventBytes() > 0;
 	}
 
+	/**
+	 * Returns the number of complete events received.
+	 * @return the number, 0 for other bodies
+	 */
+	long events() {
+		return this.events.count();
+	}
+
 	boolean isEventStream() {
 		return this.eventStream;
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -71,6 +71,8 @@
 
 	final RecordedDuties duties = new RecordedDuties();
 
+	final ScriptedRuns runs = new ScriptedRuns();
+
 	final GatewaySettings settings;
 
 	private final LoopResources loops;
@@ -101,7 +103,7 @@
 				quotaWindowMillis, 0, usageWindowMillis, CHANGE_MILLIS, HEARTBEAT_MILLIS, EXPOSURE_SHARE));
 		this.loops = LoopResources.create("test", 1, true);
 		this.process = GatewayProcess.start(this.settings,
-				new Platform(this.codecs, this.storeAccess, this.codecs, this.duties), this.loops);
+				new Platform(this.codecs, this.storeAccess, this.codecs, this.duties, this.runs), this.loops);
 		this.startedNanos = System.nanoTime();
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -117,6 +117,7 @@
 		headers.set("Sender", this.sender);
 		headers.remove("Organisation");
 		handover.organisation().ifPresent((name) -> headers.set("Organisation", name));
+		handover.runCopy().ifPresent((copy) -> headers.set("Run-Copy", copy.sourceAddress() + "/" + copy.handle()));
 		handover.resumeAfter().ifPresent((event) -> headers.set("Resume-After", event));
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/StartTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/StartTests.java
@@ -27,7 +27,8 @@
 				seen.add(GatewayHarness.readiness(settings));
 			}
 		});
-		Platform platform = new Platform(codecs, new MemoryRowStore(), codecs, new RecordedDuties());
+		Platform platform = new Platform(codecs, new MemoryRowStore(), codecs, new RecordedDuties(),
+				new ScriptedRuns());
 		try (GatewayProcess _ = GatewayProcess.start(settings, platform, LoopResources.create("test", 1, true))) {
 			started.set(true);
 			balancer.join();
