--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -13,7 +12,6 @@
 import java.util.stream.Collectors;
 
 import org.rosemaryfront.admission.UrgentTarget;
-import org.rosemaryfront.crashes.RequestDigest;
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.dispatch.ConnectionShares;
@@ -28,6 +26,7 @@
 import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.ports.CallMetadata.Prompt;
+import org.rosemaryfront.ports.EngineRuns;
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.rollout.VersionRule;
@@ -43,7 +42,7 @@
 import org.rosemaryfront.traffic.Liveness;
 import org.rosemaryfront.traffic.Refusal;
 import org.rosemaryfront.traffic.Refusal.Cause;
-import org.rosemaryfront.traffic.TrafficEvents;
+import org.rosemaryfront.traffic.TrafficMetrics;
 
 /**
  * Admits, dispatches and retries calls according to the tables of servers, quotas and
@@ -94,6 +93,8 @@
 
 	private final Notices notices;
 
+	private final RunMoves moves;
+
 	/** Calls in progress with the decisions made about them. */
 	private final Map<Call, CallProgress> calls = new IdentityHashMap<>();
 
@@ -123,7 +124,7 @@
 
 	GatewayControl(ControlLoop loop, BackendTable servers, GatewaySettings settings, QuotaTable quotas, Fleet fleet,
 			UsageLedger usage, CrashGuard crashGuard, Rollouts rollouts, CallLimits callLimits,
-			Freshness serversFreshness, LongConsumer applyPendingUpdates) {
+			Freshness serversFreshness, LongConsumer applyPendingUpdates, EngineRuns engines, TrafficMetrics metrics) {
 		this.loop = loop;
 		this.servers = servers;
 		this.dispatcher = new Dispatcher(servers, settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
@@ -138,6 +139,9 @@
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = new RetryBudget(bounds.retryShare() * RETRY_SHARE_FACTOR, bounds.retryFixed(),
 				bounds.retryWindowMillis(), System.nanoTime());
+		this.moves = new RunMoves(loop, servers, engines, metrics,
+				new RunMoves.Calls(this.calls, this::engine, this.retries::tryAcquire, this::maxConnections),
+				bounds.changeMillis());
 		gateways(fleet.servingCount(System.nanoTime()));
 	}
 
@@ -223,6 +227,7 @@
 	public void ended(Call call, BackendServer server, Ending ending) {
 		this.loop.post((nowNanos) -> {
 			this.crashGuard.ended(call);
+			this.moves.ended(call);
 			Optional<CallProgress> progress = Optional.ofNullable(this.calls.remove(call));
 			progress.ifPresent(this::promptPrefilled);
 			if (ending == Ending.SUCCEEDED) {
@@ -277,6 +282,7 @@
 	public void endedWithoutServer(Call call) {
 		this.loop.post((nowNanos) -> {
 			this.crashGuard.ended(call);
+			this.moves.ended(call);
 			Optional.ofNullable(this.calls.remove(call))
 				.filter((progress) -> !progress.ran())
 				.ifPresent((progress) -> this.quotas.giveBack(call, progress, nowNanos));
@@ -327,12 +333,21 @@
 		}
 	}
 
+	/**
+	 * Moves runs from servers that leave, and sends waiting calls.
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	void tick(long nowNanos) {
+		this.moves.tick(nowNanos);
+		dispatchWaiting(nowNanos);
+	}
+
 	/**
 	 * Sends the waiting calls for which there is a permit by now, and refuses those for
 	 * which it would come too late.
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 */
-	void dispatchWaiting(long nowNanos) {
+	private void dispatchWaiting(long nowNanos) {
 		this.callLimits.servicesWithWaitingCalls().forEach((service) -> dispatchWaiting(service, nowNanos));
 	}
 
@@ -417,22 +432,8 @@
 
 	private void send(Call call, CallProgress progress, Choice.Chosen chosen, long nowNanos) {
 		BackendServer server = chosen.server();
-		EventLog.info(TrafficEvents.CALL_DISPATCHED, "request", call.id(), "digest",
-				call.digest().map(RequestDigest::toString).orElse("none"), "route", call.route().name(), "organisation",
-				call.organisation().map(Organisation::name).orElse("none"), "units", Math.round(progress.units()),
-				"quota", progress.quotaUsage(), "gateways", progress.sharingGateways(), "parts",
-				call.metadata().prompt().map(Prompt::segmentList).orElse("none"), "targetMillis",
-				call.route().targetMillis(), "gapTargetMillis",
-				call.route().targetGapMillis().stream().mapToObj(Long::toString).findAny().orElse("none"), "server",
-				server.id(), "zone", server.zone(), "load", chosen.load(), "unreadTokens", chosen.uncachedTokens(),
-				"fetchFrom", chosen.transferSource().map(BackendServer::id).orElse("none"), "expectedMillis",
-				chosen.expectedMillis(), "candidates", chosen.candidates(), "version", server.version(), "serverLimit",
-				this.callLimits.limit(server), "serverLimitAgeMillis", this.callLimits.ageMillis(server, nowNanos),
-				"passedOver", chosen.passedOver().orElse("none"), "serversVersion", this.serversVersion,
-				"serversAgeMillis", (nowNanos - this.serversUpdatedNanos) / NANOS_PER_MILLI, "serversProvenMillis",
-				serversConfirmedMillis(nowNanos), "serversProvenBy", this.serversFreshness.source(), "configuration",
-				this.configuration.map(TrafficConfiguration::version).orElse(0L), "remainingMillis",
-				call.remainingMillis(nowNanos));
+		new DispatchLog(this.callLimits, this.serversFreshness).sent(call, progress, chosen, this.serversVersion,
+				this.serversUpdatedNanos, this.configuration.map(TrafficConfiguration::version).orElse(0L), nowNanos);
 		chosen.passedOver().ifPresent((_) -> this.callLimits.passedOver());
 		progress.sent(chosen, nowNanos);
 		this.servers.recordCallSent(server.incarnation(), chosen.uncachedTokens());
@@ -442,11 +443,6 @@
 		call.send(server, maxConnections(call.service()), chosen.transferSource().map(BackendServer::address));
 	}
 
-	private String serversConfirmedMillis(long nowNanos) {
-		OptionalLong age = this.serversFreshness.ageNanos(nowNanos);
-		return age.isPresent() ? String.valueOf(age.getAsLong() / NANOS_PER_MILLI) : "never";
-	}
-
 	private void failed(Call call, BackendServer server, Failure failure, long nowNanos) {
 		CallProgress progress = this.calls.get(call);
 		recordFailure(call, Optional.ofNullable(progress), server, failure, nowNanos);
@@ -458,6 +454,9 @@
 		if (!notRun) {
 			progress.mayHaveRun();
 		}
+		if (this.moves.failed(call, server, notRun, nowNanos)) {
+			return;
+		}
 		Optional<Refusal> quarantine = this.crashGuard.quarantineRefusal(call);
 		if (quarantine.isPresent()) {
 			endUnserved(call, progress, CrashGuard.QUARANTINE_RETRY_MILLIS, quarantine.get());
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/WarmUpGateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/WarmUpGateway.java
@@ -24,7 +24,9 @@
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet;
 import org.rosemaryfront.limits.ServerLimits;
+import org.rosemaryfront.moves.CopyAnswer;
 import org.rosemaryfront.ports.CallCodec;
+import org.rosemaryfront.ports.EngineRuns;
 import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.quota.QuotaTable;
@@ -128,7 +130,7 @@
 		return new GatewayControl(control, servers, settings, quotas, fleet,
 				new UsageLedger(bounds.usageWindowMillis()), new CrashGuard(crashes, servers), rollouts, limits,
 				Freshness.unconfirmed(TimeUnit.MILLISECONDS.toNanos(bounds.heartbeatMillis())), (_) -> {
-				});
+				}, new NoEngines(), metrics);
 	}
 
 	private static double random() {
@@ -174,6 +176,22 @@
 
 	}
 
+	/** Engines that copy nothing. */
+	private static final class NoEngines implements EngineRuns {
+
+		@Override
+		public Mono<CopyAnswer> copy(BackendServer source, String requestId, BackendServer target, boolean last,
+				Duration timeout) {
+			return Mono.never();
+		}
+
+		@Override
+		public Mono<Boolean> drop(BackendServer source, String handle) {
+			return Mono.never();
+		}
+
+	}
+
 	/** Nobody to tell about crashes. */
 	private static final class NoCallbacks implements CrashRecords.Callbacks {
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -18,6 +18,7 @@
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.moves.RunPace;
 import org.rosemaryfront.ports.CallMetadata;
 import org.rosemaryfront.ports.CallMetadata.Resumption;
 import org.rosemaryfront.ports.ForwardingMetadata;
@@ -26,7 +27,6 @@
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.streams.Origin;
-import org.rosemaryfront.streams.StreamKey;
 import org.rosemaryfront.traffic.CallPolicy.Ending;
 import org.rosemaryfront.traffic.CallResponse.Head;
 
@@ -56,8 +56,6 @@
 	 */
 	private static final long ORIGIN_RETRY_MILLIS = 500;
 
-	private static final int MAX_LOGGED_EVENT_ID_LENGTH = 64;
-
 	private final Gateway gateway;
 
 	private final CallerConnection caller;
@@ -117,6 +115,10 @@
 	/** The time between the choice of the server and the last send. */
 	private long sendMillis;
 
+	private final CallOrigin origin;
+
+	private final CallMove move;
+
 	private final CallResponse response;
 
 	private boolean runStarted;
@@ -131,7 +133,10 @@
 		this.route = route;
 		this.organisation = organisation;
 		this.service = service;
-		this.response = CallResponse.of(caller, head.method(), route, this::firstEvent);
+		this.origin = new CallOrigin(this, gateway);
+		this.response = CallResponse.of(caller, head.method(), route, gateway.movesRuns(service), this.origin::began);
+		this.move = new CallMove(gateway.loop(), this::continueAt,
+				() -> this.streamingRequest ? RunPace.unknown() : this.response.movablePace());
 		this.digestBuilder = RequestDigest.begin(organisation.map(Organisation::name).orElse(""), head.method().name(),
 				RequestValidator.host(head), head.uri());
 		long millis = Math.min(route.timeoutMillis(), terms.remainingMillis().orElse(Long.MAX_VALUE));
@@ -237,6 +242,14 @@
 		return this.response.streamVersion();
 	}
 
+	/**
+	 * Returns the move of the call to a server that has a copy of its run.
+	 * @return the move
+	 */
+	public CallMove move() {
+		return this.move;
+	}
+
 	/**
 	 * Returns how often the call was sent to a server.
 	 * @return the count
@@ -405,40 +418,20 @@
 		Optional<Resumption> takenUp = this.metadata.resumption()
 			.filter((_) -> this.route.kind() == CallKind.STREAMING);
 		if (takenUp.isPresent()) {
-			takeUp(takenUp.get());
+			this.origin.find(takenUp.get(), this::originFound);
 		}
 		else {
 			this.gateway.policy().admit(this);
 		}
 	}
 
-	private void takeUp(Resumption resumption) {
-		logResumption(resumption);
-		Optional<StreamKey> stream = resumption.namesCall() ? resumption.firstCall().map(this::streamKey)
-				: requestKey();
-		if (stream.isPresent()) {
-			this.gateway.streams().find(stream.get(), this::originFound);
-		}
-		else {
-			originFound(Origin.unknown());
-		}
-	}
-
-	private Optional<StreamKey> requestKey() {
-		return this.digest.map((request) -> StreamKey.ofRequest(this.service, request));
-	}
-
-	private StreamKey streamKey(String firstCall) {
-		return StreamKey.of(this.organisation.map(Organisation::name).orElse(""), this.service, firstCall);
-	}
-
 	private void originFound(Origin origin) {
 		if (this.state == State.DONE) {
 			return;
 		}
 		switch (origin) {
 			case Origin.Known known -> {
-				logOrigin("known", known.version());
+				this.origin.log("known", known.version());
 				this.response.goOnWith(known.version());
 				this.gateway.policy().admit(this);
 			}
@@ -448,37 +441,10 @@
 	}
 
 	private void refuseWithoutOrigin(String origin) {
-		logOrigin(origin, "none");
+		this.origin.log(origin, "none");
 		refuseNow(503, ORIGIN_RETRY_MILLIS, Refusal.of(Refusal.Cause.ORIGIN_UNKNOWN, origin));
 	}
 
-	private void logOrigin(String origin, String version) {
-		this.gateway.metrics().increment("streams.origin." + origin);
-		EventLog.info(TrafficEvents.STREAM_ORIGIN, "request", id(), "service", this.service, "origin", origin,
-				"version", version, "millis", ageMillis());
-	}
-
-	// A stream that was taken up keeps the key of the call that began it. Callers that do
-	// not name that call repeat its request.
-	private void firstEvent(String version) {
-		Optional<String> firstCall = this.metadata.resumption()
-			.map(Resumption::firstCall)
-			.orElse(Optional.of(id()).filter((own) -> !own.isEmpty()));
-		firstCall.map(this::streamKey).ifPresent((stream) -> this.gateway.streams().began(stream, version));
-		requestKey().ifPresent((stream) -> this.gateway.streams().began(stream, version));
-	}
-
-	private void logResumption(Resumption resumption) {
-		this.gateway.metrics().increment("streams.taken.up");
-		EventLog.info(TrafficEvents.STREAM_TAKEN_UP, "request", id(), "route", this.route.name(), "service",
-				this.service, "firstCall", resumption.firstCall().orElse("none"), "after",
-				resumption.lastEvent().map(Call::shortened).orElse("none"));
-	}
-
-	private static String shortened(String text) {
-		return text.substring(0, Math.min(text.length(), MAX_LOGGED_EVENT_ID_LENGTH));
-	}
-
 	// -- server
 
 	private void connect(BackendServer to, int maxConnections) {
@@ -491,6 +457,16 @@
 		this.gateway.pool().acquire(to, id(), maxConnections, this::connected, this::connectFailed);
 	}
 
+	private void continueAt(BackendServer to, int maxConnections) {
+		if (this.state == State.SENT) {
+			this.connection.abort();
+			this.response.attemptFailed();
+		}
+		this.chosenNanos = System.nanoTime();
+		this.kvCacheSource = Optional.empty();
+		connect(to, maxConnections);
+	}
+
 	private void connectFailed(String cause) {
 		if (this.state == State.DONE) {
 			return;
@@ -512,7 +488,7 @@
 			connectFailed("the request is quarantined");
 			return;
 		}
-		if (!this.gateway.policy().acceptsCalls(this.server.orElseThrow())) {
+		if (this.move.copy().isEmpty() && !this.gateway.policy().acceptsCalls(this.server.orElseThrow())) {
 			to.release();
 			connectFailed("the server wants no calls");
 			return;
@@ -558,7 +534,7 @@
 		long remaining = Math.max(1, remainingMillis(System.nanoTime()));
 		ForwardingMetadata metadata = new ForwardingMetadata(remaining, serverId(),
 				this.organisation.map(Organisation::name), this.response.lastEvent(), OptionalInt.of(priority()),
-				this.kvCacheSource);
+				this.kvCacheSource, this.move.copy());
 		OptionalLong length = this.bodyComplete ? OptionalLong.of(this.bodyBytes) : OptionalLong.empty();
 		return ServerRequest.of(this.head, length, this.gateway.codec(), metadata);
 	}
@@ -577,7 +553,10 @@
 				}
 			}
 			case Head.Resumed _ -> logResumed();
-			case Head.Unusable unusable -> abortResponse(unusable.cause());
+			case Head.Unusable unusable -> {
+				boolean notRun = from.notRun() && this.move.copy().isPresent();
+				abortResponse(notRun ? Verdict.notRun() : Verdict.mayHaveRun(), unusable.cause());
+			}
 		}
 	}
 
@@ -618,6 +597,15 @@
 			abortResponse("ended inside an event");
 			return;
 		}
+		if (this.response.endsWithConnection()) {
+			if (this.move.defers(this::responseComplete)) {
+				return;
+			}
+			if (this.move.mayHaveStopped()) {
+				abortResponse("the run may have stopped");
+				return;
+			}
+		}
 		BackendServer from = this.server.orElseThrow();
 		if (this.response.isStarted()) {
 			responded(from);
@@ -675,8 +663,12 @@
 	}
 
 	private void abortResponse(String cause) {
+		abortResponse(Verdict.mayHaveRun(), cause);
+	}
+
+	private void abortResponse(Verdict verdict, String cause) {
 		this.connection.abort();
-		attemptFailed(Verdict.mayHaveRun(), true, false, cause);
+		attemptFailed(verdict, true, false, cause);
 	}
 
 	private void markRunStarted() {
@@ -694,6 +686,10 @@
 	}
 
 	private void attemptFailed(Verdict verdict, boolean sent, boolean responded, String cause, boolean pathLost) {
+		if (this.move.defers(() -> attemptFailed(verdict, sent, responded, cause, pathLost))) {
+			return;
+		}
+		this.move.attemptFailed();
 		BackendServer failedServer = this.server.orElseThrow();
 		this.server = Optional.empty();
 		this.response.attemptFailed();
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -71,6 +71,8 @@
 
 	final RecordedDuties duties = new RecordedDuties();
 
+	final ScriptedRuns runs = new ScriptedRuns();
+
 	final GatewaySettings settings;
 
 	private final LoopResources loops;
@@ -106,7 +108,7 @@
 		this.settings = settings;
 		this.loops = LoopResources.create("test", 1, true);
 		this.process = GatewayProcess.start(this.settings,
-				new Platform(this.codecs, this.storeAccess, this.codecs, this.duties), this.loops);
+				new Platform(this.codecs, this.storeAccess, this.codecs, this.duties, this.runs), this.loops);
 		this.startedNanos = System.nanoTime();
 	}
 
