Record that calls wait too long when the frozen keeper of many gateways returns

Cause as read in the code, not traced: gateways pass over the old keeper until different times, so that two keepers grant for a while.

--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/slots/SlotFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/slots/SlotFleetTests.java
@@ -2,6 +2,7 @@
 
 import java.util.Collections;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -109,6 +110,17 @@
 		}
 	}
 
+	// Guards against two keepers at once when the first one returns.
+	@Test
+	void shouldWaitForShortTimeWhenKeeperOfManyGatewaysWasFrozen() {
+		SlotFleet fleet = new SlotFleet(385, DELAY_MILLIS, EQUAL, 2);
+		fleet.run(FAULT_SECONDS);
+		long beganNanos = fleet.nowNanos();
+		Fault.FROZEN.inject(fleet);
+		fleet.run(FAULT_SECONDS);
+		assertThat(fleet.waitMillis(0.99, beganNanos + SlotFleet.SECOND, Long.MAX_VALUE)).isLessThan(ANSWER_MILLIS);
+	}
+
 	private enum Fault {
 
 		KILLED {
