Tell a run that was not stopped from an answer that says nothing

Cause, found by reading: an earlier request for a copy that was answered late, while the run was asked to stop, took back that the end of its stream is put off; a stream without frame could then end as complete. Change: such an answer is None, NotStopped says that the run goes on or has ended by itself. Measured (mvn -o -q -B test -pl rosemaryfront-gateway -am -Dtest='RunMoveTests,Move*Tests,LeavingServersTests,StreamVersionTests, ForwardingTests'): 184 tests, 0 failures; the new case of MoveTableTests is of the table alone.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/MoveStep.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/MoveStep.java
@@ -5,10 +5,14 @@
 /** What follows from an answer about a move. */
 public sealed interface MoveStep {
 
-	/** Nothing, the run goes on where it is. */
+	/** Nothing. */
 	record None() implements MoveStep {
 	}
 
+	/** The run that was asked to stop goes on where it is, or has ended by itself. */
+	record NotStopped() implements MoveStep {
+	}
+
 	/**
 	 * The copy is not needed; free it at both ends.
 	 *
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/MoveTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/MoveTable.java
@@ -20,6 +20,7 @@
 import org.rosemaryfront.moves.MoveStep.Drop;
 import org.rosemaryfront.moves.MoveStep.Lost;
 import org.rosemaryfront.moves.MoveStep.None;
+import org.rosemaryfront.moves.MoveStep.NotStopped;
 import org.rosemaryfront.moves.MoveStep.Unknown;
 
 /**
@@ -150,9 +151,9 @@
 			case NoRoom _ -> end(move, new Lost());
 			case InProgress _ -> {
 				put(move.withState(State.COPIED));
-				yield new None();
+				yield new NotStopped();
 			}
-			case NoRun _ -> end(move, new None());
+			case NoRun _ -> end(move, new NotStopped());
 			case Failed _ -> end(move, new Unknown());
 		};
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveFleet.java
@@ -422,7 +422,7 @@
 			switch (step) {
 				case Continue next -> after(ROUND_TRIP_MILLIS / 2.0, () -> continueRun(stream, next));
 				case MoveStep.Drop drop -> stream.freeCopy(drop);
-				case MoveStep.None _, MoveStep.Unknown _, MoveStep.Lost _ -> {
+				case MoveStep.None _, MoveStep.NotStopped _, MoveStep.Unknown _, MoveStep.Lost _ -> {
 				}
 			}
 		}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveTableTests.java
@@ -22,6 +22,7 @@
 import org.rosemaryfront.moves.MoveStep.Drop;
 import org.rosemaryfront.moves.MoveStep.Lost;
 import org.rosemaryfront.moves.MoveStep.None;
+import org.rosemaryfront.moves.MoveStep.NotStopped;
 import org.rosemaryfront.moves.MoveStep.Unknown;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -59,8 +60,8 @@
 		return Stream.of(Arguments.of(new Copied("h2", 9), new Continue(TARGET, SOURCE, "h2"), State.MOVED),
 				Arguments.of(new NoRoom(Optional.of("h1")), new Continue(SOURCE, SOURCE, "h1"), State.MOVED),
 				Arguments.of(new NoRoom(Optional.empty()), new Lost(), State.ABANDONED),
-				Arguments.of(new InProgress(), new None(), State.COPIED),
-				Arguments.of(new NoRun(), new None(), State.ABANDONED),
+				Arguments.of(new InProgress(), new NotStopped(), State.COPIED),
+				Arguments.of(new NoRun(), new NotStopped(), State.ABANDONED),
 				Arguments.of(new Failed("reset"), new Unknown(), State.ABANDONED));
 	}
 
@@ -82,6 +83,16 @@
 		assertThat(this.table.answered("c1", attempt, SOURCE, new NoRoom(Optional.of("h1")), 0)).isEqualTo(new None());
 	}
 
+	// Guards against a stopped run that is taken to go on since an earlier request was
+	// answered late.
+	@Test
+	void shouldChangeNothingWhenEarlierRequestIsAnsweredDuringSwitch() {
+		long earlier = switching() - 1;
+		assertThat(this.table.answered("c1", earlier, SOURCE, new Failed("timeout"), 0)).isEqualTo(new None());
+		assertThat(this.table.answered("c1", earlier, SOURCE, new Copied("h1", 4), 0)).isEqualTo(new None());
+		assertThat(state()).isEqualTo(State.SWITCHING);
+	}
+
 	// Guards against copies that occupy servers after their calls have ended or moved on.
 	@Test
 	void shouldDropCopyWhenItIsCompleteTooLate() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RunMoves.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RunMoves.java
@@ -189,7 +189,9 @@
 
 	private void follow(Call call, MoveStep step, long nowNanos) {
 		switch (step) {
-			case MoveStep.None _ -> call.move().cancelled(false);
+			case MoveStep.None _ -> {
+			}
+			case MoveStep.NotStopped _ -> call.move().cancelled(false);
 			case MoveStep.Drop drop -> drop(drop);
 			case MoveStep.Continue next -> {
 				Optional<Incarnation> before = Optional.ofNullable(this.calls.byProgress().get(call))
@@ -253,7 +255,7 @@
 			case MoveStep.Continue next ->
 				(this.calls.retries().test(call.service(), nowNanos) && continues(call, next, nowNanos)) || lost(call);
 			case MoveStep.Lost _ -> lost(call);
-			case MoveStep.None _, MoveStep.Drop _, MoveStep.Unknown _ -> false;
+			case MoveStep.None _, MoveStep.NotStopped _, MoveStep.Drop _, MoveStep.Unknown _ -> false;
 		};
 	}
 
