Allow a larger burst of a quota that a list in the store tells later processes of

Cause: an organisation may use a fifth of a window at once, since all of it is forgotten when all processes are killed. Demands within the quota of some seconds were refused below it. Change: StoredBursts lists the organisations that use much of their burst. Whoever sees a new entry allows two fifths of a window at once for one window; an entry stays for three. A process that starts is careful (StartLimit) with listed organisations only, and with all if the list cannot be trusted (EarlierBursts.UNKNOWN). Nothing lists yet: the burst is as before until the gateway does.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
@@ -26,7 +26,16 @@
 	 * available evenly. It bounds the use that is forgotten when all processes are
 	 * killed.
 	 */
-	private static final double BURST_FRACTION = 0.2;
+	static final double BURST_FRACTION = 0.2;
+
+	/**
+	 * The same fraction for an organisation of which processes that start later will know
+	 * that it was allowed.
+	 */
+	static final double LARGE_BURST_FRACTION = 0.4;
+
+	/** The fraction of a window's quota that is much of a burst. */
+	private static final double MUCH_OF_BURST_FRACTION = 0.08;
 
 	/**
 	 * A call is small if its units are at most this fraction of the recent average of a
@@ -94,6 +103,9 @@
 	/** The maximum of the units available in one burst. */
 	private double maxBurstLevel;
 
+	/** The units available in addition to the level while a large burst is allowed. */
+	private double largeBurstUnits;
+
 	/**
 	 * The units that were added to the level for the start of the process; raised when
 	 * more gateways share the quota.
@@ -182,7 +194,8 @@
 				/ Math.max(this.requestedAtLastReport, MIN_CALLS_FOR_RISE * Math.max(units, this.averageUnits)));
 		double windowShare = (limit - this.usedInWindow + this.unconfirmed + slack) * requestedHere
 				/ (requestedHere + rise * requestedElsewhere);
-		double burstShare = (this.burstLevel + this.unconfirmed) * requestedHere / (requestedHere + requestedElsewhere);
+		double burstShare = (this.burstLevel + this.largeBurstUnits + this.unconfirmed) * requestedHere
+				/ (requestedHere + requestedElsewhere);
 		return Math.min(windowShare, burstShare);
 	}
 
@@ -251,6 +264,19 @@
 		this.refilledNanos = nowNanos;
 	}
 
+	/**
+	 * Allows a large burst or no longer.
+	 * @param allowed whether it is allowed
+	 */
+	void allowLargeBurst(boolean allowed) {
+		double windowUnits = this.unitsPerNano * this.windowNanos;
+		this.largeBurstUnits = allowed ? windowUnits * (LARGE_BURST_FRACTION - BURST_FRACTION) : 0;
+	}
+
+	boolean usesMuchOfBurst() {
+		return this.maxBurstLevel - this.burstLevel > MUCH_OF_BURST_FRACTION * this.unitsPerNano * this.windowNanos;
+	}
+
 	/**
 	 * Returns the time until units are available in one burst. A call with more units
 	 * than can ever be available in one burst passes once the maximum is available.
@@ -258,7 +284,7 @@
 	 * @return the time in milliseconds, 0 if they are available now
 	 */
 	long burstWaitMillis(double units) {
-		double missing = Math.min(units, this.maxBurstLevel) - this.burstLevel;
+		double missing = Math.min(units, this.maxBurstLevel) - this.burstLevel - this.largeBurstUnits;
 		return (missing > 0) ? Math.max(1, TimeUnit.NANOSECONDS.toMillis((long) (missing / this.unitsPerNano))) : 0;
 	}
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/QuotaTable.java
@@ -1,8 +1,10 @@
 package org.rosemaryfront.quota;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
@@ -37,23 +39,15 @@
 	private static final double SMALL_CALL_RESERVE = 0.03;
 
 	/**
-	 * The fractions of a quota that a process admits by its start and by the end of its
-	 * first window, since it does not know the use before its start. Callers whose calls
-	 * were cut off when all processes were killed retry immediately, so that it begins
-	 * above 0. The use right before the kill comes on top, so that it ends below 1.
+	 * The fraction of a quota that processes may admit in a large burst before they know
+	 * of one another's use.
 	 */
-	private static final double START_FRACTION = 0.06;
+	private static final double LATE_FRACTION = 0.1;
 
-	private static final double FIRST_WINDOW_FRACTION = 0.9;
+	private static final StartLimit USUAL_START_LIMIT = StartLimit.behindBursts(Account.BURST_FRACTION);
 
-	/**
-	 * The fraction of the first window after which the limit begins to rise, evenly: up
-	 * to then, a whole quota may have been used within the window before the start.
-	 */
-	private static final double RISE_START_FRACTION = 0.1;
-
-	/** The growth of the limit while it rises, in quotas per window. */
-	private static final double RISE = (FIRST_WINDOW_FRACTION - START_FRACTION) / (1 - RISE_START_FRACTION);
+	private static final StartLimit CAREFUL_START_LIMIT = StartLimit
+		.behindBursts(Account.LARGE_BURST_FRACTION + LATE_FRACTION);
 
 	/**
 	 * The fraction of the slack beyond a quota that is given out. The rest covers the use
@@ -83,6 +77,11 @@
 
 	private final Map<String, Account> accounts = new HashMap<>();
 
+	private EarlierBursts earlierBursts = EarlierBursts.NONE;
+
+	/** The time until which organisations may use a large burst. */
+	private final Map<String, Long> largeBurstsUntilNanos = new HashMap<>();
+
 	/** The processes from which a report was received. */
 	private final Set<String> reportingProcesses = new HashSet<>();
 
@@ -114,7 +113,8 @@
 		account.reportConfirmed(this.sharing.confirmed());
 		boolean small = account.request(units, nowNanos);
 		double window = windowUnits(organisation);
-		UnitRequest request = new UnitRequest(units, small, window, limit(window, nowNanos), slack(organisation));
+		UnitRequest request = new UnitRequest(organisation, units, small, window, limit(organisation, window, nowNanos),
+				slack(organisation));
 		long wait = (organisation.unitsPerSecond() > 0) ? waitMillis(account, request, nowNanos) : 0;
 		if (wait == 0) {
 			account.take(units, nowNanos);
@@ -123,7 +123,7 @@
 	}
 
 	private long waitMillis(Account account, UnitRequest request, long nowNanos) {
-		account.refill(request.window(), isInFirstWindow(nowNanos) ? START_FRACTION : 0, request.slack(), nowNanos);
+		refill(account, request.organisation(), nowNanos);
 		boolean reserves = !request.small() && account.hadSmallCall(nowNanos);
 		double allowed = request.limit() - request.units() - (reserves ? request.window() * SMALL_CALL_RESERVE : 0);
 		long wait = Math.max(windowWaitMillis(account, allowed, request, nowNanos),
@@ -135,6 +135,15 @@
 		return (wait > 0) ? retryMillis(account, allowed, request, wait, nowNanos) : 0;
 	}
 
+	private void refill(Account account, Organisation organisation, long nowNanos) {
+		boolean large = Optional.ofNullable(this.largeBurstsUntilNanos.get(organisation.name()))
+			.filter((until) -> nowNanos - until < 0)
+			.isPresent();
+		account.refill(windowUnits(organisation), isInFirstWindow(nowNanos) ? StartLimit.START_FRACTION : 0,
+				slack(organisation), nowNanos);
+		account.allowLargeBurst(large);
+	}
+
 	// Limits what processes take at the same time. Of the remaining units each process
 	// takes its share until all others have confirmed its use. A call larger than the
 	// share passes with a probability of the share divided by its units. However many
@@ -251,6 +260,51 @@
 		return nowNanos - this.startedNanos < this.windowNanos;
 	}
 
+	/**
+	 * Sets which organisations may have used a large burst before this process started.
+	 * @param earlier the organisations; {@link EarlierBursts#NONE} before the first call
+	 */
+	public void earlierBursts(EarlierBursts earlier) {
+		this.earlierBursts = earlier;
+	}
+
+	/**
+	 * Allows large bursts for one window. After a kill of all processes, those that start
+	 * then must learn of them.
+	 * @param organisations the names of the organisations
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 */
+	public void allowLargeBursts(Collection<String> organisations, long nowNanos) {
+		organisations.forEach((name) -> this.largeBurstsUntilNanos.put(name, nowNanos + this.windowNanos));
+	}
+
+	/**
+	 * Ends the large bursts of organisations of which processes that start later will not
+	 * learn any more.
+	 * @param retained the names of the organisations that may go on
+	 */
+	public void retainLargeBursts(Collection<String> retained) {
+		this.largeBurstsUntilNanos.keySet().retainAll(retained);
+	}
+
+	/**
+	 * Returns the organisations that use much of their burst.
+	 * @param organisations all organisations
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @return the names, none while this process does not know the use of a whole window
+	 */
+	public Set<String> organisationsInBurst(Collection<Organisation> organisations, long nowNanos) {
+		Set<String> names = new HashSet<>();
+		for (Organisation organisation : organisations) {
+			Account account = account(organisation.name());
+			refill(account, organisation, nowNanos);
+			if (organisation.unitsPerSecond() > 0 && !isInFirstWindow(nowNanos) && account.usesMuchOfBurst()) {
+				names.add(organisation.name());
+			}
+		}
+		return names;
+	}
+
 	private Account account(String organisation) {
 		return this.accounts.computeIfAbsent(organisation, (_) -> new Account(this.windowNanos, this.startedNanos));
 	}
@@ -258,10 +312,12 @@
 	// A process that has just started does not know the earlier use: when many
 	// processes are killed at the same time, every organisation could use its whole
 	// window again. So most of the quota counts as used at the start.
-	private double limit(double window, long nowNanos) {
-		double known = (nowNanos - this.startedNanos) / (double) this.windowNanos;
-		double fraction = (known < 1) ? START_FRACTION + RISE * Math.max(0, known - RISE_START_FRACTION) : 1;
-		return fraction * window;
+	private double limit(Organisation organisation, double window, long nowNanos) {
+		return startLimit(organisation).fraction(nowNanos - this.startedNanos, this.windowNanos) * window;
+	}
+
+	private StartLimit startLimit(Organisation organisation) {
+		return this.earlierBursts.mayInclude(organisation.name()) ? CAREFUL_START_LIMIT : USUAL_START_LIMIT;
 	}
 
 	// Returns the time until the use is no more than the allowed units. In its first
@@ -271,9 +327,10 @@
 		if (wait == 0 || !isInFirstWindow(nowNanos)) {
 			return wait;
 		}
-		double missingNanos = (account.usedInWindow() - allowed) * this.windowNanos / (RISE * request.window());
-		double untilRiseNanos = Math.max(0, this.startedNanos + RISE_START_FRACTION * this.windowNanos - nowNanos);
-		return Math.clamp(TimeUnit.NANOSECONDS.toMillis((long) (untilRiseNanos + missingNanos)), 1, wait);
+		double missing = (account.usedInWindow() - allowed) / request.window();
+		return Math.clamp(
+				startLimit(request.organisation()).waitMillis(missing, nowNanos - this.startedNanos, this.windowNanos),
+				1, wait);
 	}
 
 	// The limit of the window is not raised: what is used in one burst counts towards
@@ -291,6 +348,7 @@
 	/**
 	 * A request for units, with the values that decide it.
 	 *
+	 * @param organisation the organisation
 	 * @param units the units of the call
 	 * @param small whether the call is small compared with recent calls
 	 * @param window the units that a whole window allows
@@ -298,7 +356,8 @@
 	 * @param slack the units that may be used in one burst in addition to those of the
 	 * window
 	 */
-	private record UnitRequest(double units, boolean small, double window, double limit, double slack) {
+	private record UnitRequest(Organisation organisation, double units, boolean small, double window, double limit,
+			double slack) {
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleet.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.rosemaryfront.fleet.Fleet;
@@ -30,6 +31,9 @@
 
 	private static final long WINDOW_MILLIS = 8_000;
 
+	/** The fraction of the calls that a quarter of the gateways receives. */
+	private static final double QUARTER_CALLS = 0.7;
+
 	private final Load load;
 
 	private final Organisation organisation;
@@ -53,7 +57,12 @@
 	/** The time that a caller has for its call; 0 for callers that do not retry. */
 	private long patienceMillis;
 
-	private QuotaFleet(int count, long seed, Load load) {
+	private boolean quarterHasMostCallers;
+
+	private final SlowStore store;
+
+	private QuotaFleet(int count, long seed, Load load, SlowStore store) {
+		this.store = store;
 		this.load = load;
 		this.organisation = new Organisation("sfax", List.of("k"), OptionalInt.empty(),
 				load.quota / 10 / (WINDOW_MILLIS / 1_000.0), load.quota * 0.9, Organisation.QuotaUnit.TOKENS, 1);
@@ -76,10 +85,22 @@
 	 * @param count the number of gateways
 	 * @param seed the seed of all random numbers
 	 * @param load the quota of the organisation and the size of its calls
-	 * @return the gateways
+	 * @return the gateways, with a store that never answers
 	 */
 	static QuotaFleet of(int count, long seed, Load load) {
-		QuotaFleet fleet = new QuotaFleet(count, seed, load);
+		return of(count, seed, load, SlowStore.unavailable());
+	}
+
+	/**
+	 * Creates gateways that have exchanged reports for longer than a window.
+	 * @param count the number of gateways
+	 * @param seed the seed of all random numbers
+	 * @param load the quota of the organisation and the size of its calls
+	 * @param store lists the organisations that may use a large burst
+	 * @return the gateways
+	 */
+	static QuotaFleet of(int count, long seed, Load load, SlowStore store) {
+		QuotaFleet fleet = new QuotaFleet(count, seed, load, store);
 		fleet.run(2 * WINDOW_MILLIS, 0);
 		return fleet;
 	}
@@ -94,6 +115,7 @@
 	void run(long millis, double quotasPerSecond) {
 		double callsPerMilli = quotasPerSecond * this.load.quota / this.load.callUnits / 1_000;
 		this.gateways.run(millis, () -> {
+			this.store.advance(nowMillis());
 			while (!this.retries.isEmpty() && this.retries.peek().atMillis <= nowMillis()) {
 				send(this.retries.remove());
 			}
@@ -134,6 +156,11 @@
 		this.patienceMillis = patienceMillis;
 	}
 
+	/** Sends most calls to a quarter of the gateways. */
+	void crowdQuarter() {
+		this.quarterHasMostCallers = true;
+	}
+
 	/**
 	 * Returns the gateways and the links between them, to inject faults.
 	 * @return the gateways
@@ -237,6 +264,11 @@
 	// calls of the last.
 	private int randomGateway() {
 		double place = this.random.nextDouble();
+		if (this.quarterHasMostCallers) {
+			double inGroup = (place < QUARTER_CALLS) ? place / QUARTER_CALLS / 4
+					: 0.25 + 0.75 * (place - QUARTER_CALLS) / (1 - QUARTER_CALLS);
+			return (int) (gateways() * inGroup);
+		}
 		return (int) (gateways() * (0.5 * place + 0.5 * place * place));
 	}
 
@@ -252,10 +284,17 @@
 
 		private final Fleet fleet;
 
+		private final Identity identity;
+
+		private final StoredBursts bursts = StoredBursts.empty(WINDOW_MILLIS);
+
 		private Gateway(Identity identity, Fleet fleet) {
 			this.fleet = fleet;
+			this.identity = identity;
 			this.table = new QuotaTable(WINDOW_MILLIS, TimeUnit.MILLISECONDS.toNanos(identity.startedMillis()),
 					QuotaFleet.this.load.slack, QuotaFleet.this.random::nextDouble);
+			this.bursts.read(QuotaFleet.this.store.list, TimeUnit.MILLISECONDS.toNanos(identity.startedMillis()));
+			this.table.earlierBursts(EarlierBursts.of(this.bursts.organisations()));
 		}
 
 		private void processCall(Attempt attempt) {
@@ -270,13 +309,35 @@
 			}
 		}
 
+		// The first gateway holds the duties.
 		@Override
 		public Optional<Use> report(int number, long nowNanos) {
+			if (this.identity.index() == 0) {
+				Set<String> inBurst = this.table.organisationsInBurst(List.of(QuotaFleet.this.organisation), nowNanos);
+				this.bursts.nextWrite(inBurst, nowNanos)
+					.ifPresent((list) -> QuotaFleet.this.store.write(list, nowMillis(), () -> written(list)));
+			}
 			Optional<Use> use = Optional.ofNullable(this.table.useToReport(nowNanos).get("sfax"));
 			this.table.reportSent(number, nowNanos);
 			return use;
 		}
 
+		private void written(Map<String, Long> list) {
+			this.bursts.writeEnded();
+			follow(list, TimeUnit.MILLISECONDS.toNanos(nowMillis()));
+		}
+
+		private void follow(Map<String, Long> list, long nowNanos) {
+			this.table.allowLargeBursts(this.bursts.read(list, nowNanos), nowNanos);
+			this.table.retainLargeBursts(this.bursts.organisations());
+		}
+
+		@Override
+		public void tick(long nowNanos) {
+			boolean holds = this.identity.index() == 0;
+			follow(holds ? QuotaFleet.this.store.list : QuotaFleet.this.store.seen(nowMillis()), nowNanos);
+		}
+
 		@Override
 		public void reportReceived(Identity sender, Optional<Use> use, long nowNanos) {
 			Map<String, Use> uses = use.map((reported) -> Map.of("sfax", reported)).orElse(Map.of());
@@ -285,6 +346,67 @@
 
 	}
 
+	/**
+	 * The list of bursts in a store that takes its time, or never writes. Gateways see it
+	 * later than it is written.
+	 */
+	static final class SlowStore {
+
+		private final long delayMillis;
+
+		private final Deque<PendingWrite> pending = new ArrayDeque<>();
+
+		private Map<String, Long> list = Map.of();
+
+		private Map<String, Long> seen = Map.of();
+
+		private long writtenMillis;
+
+		private int writes;
+
+		private SlowStore(long delayMillis) {
+			this.delayMillis = delayMillis;
+		}
+
+		static SlowStore of(long delayMillis) {
+			return new SlowStore(delayMillis);
+		}
+
+		static SlowStore unavailable() {
+			return new SlowStore(Long.MAX_VALUE / 2);
+		}
+
+		int writes() {
+			return this.writes;
+		}
+
+		private Map<String, Long> seen(long nowMillis) {
+			if (nowMillis - this.writtenMillis >= this.delayMillis) {
+				this.seen = this.list;
+			}
+			return this.seen;
+		}
+
+		private void write(Map<String, Long> written, long nowMillis, Runnable ended) {
+			this.writes++;
+			this.pending.addLast(new PendingWrite(written, nowMillis + this.delayMillis, ended));
+		}
+
+		private void advance(long nowMillis) {
+			while (!this.pending.isEmpty() && this.pending.getFirst().atMillis <= nowMillis) {
+				PendingWrite next = this.pending.removeFirst();
+				this.list = next.list;
+				this.writtenMillis = nowMillis;
+				next.ended.run();
+			}
+		}
+
+	}
+
+	/** A write that takes effect later. */
+	private record PendingWrite(Map<String, Long> list, long atMillis, Runnable ended) {
+	}
+
 	/**
 	 * The quota of an organisation and the size of its calls.
 	 *
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
@@ -26,6 +26,8 @@
 
 	private static final double USUAL_LOAD = 0.07;
 
+	private static final double QUIET_LOAD = 0.01;
+
 	private static final double OVERLOAD = 0.55;
 
 	private static final double HEAVY_OVERLOAD = 1.2;
@@ -39,6 +41,9 @@
 	/** The time that a caller has for its call, in milliseconds. */
 	private static final long CALLER_PATIENCE_MILLIS = 3_000;
 
+	/** The time that a write to the store takes, in milliseconds. */
+	private static final long STORE_DELAY_MILLIS = 100;
+
 	private static final List<Fault> FAULTS = List.of(Fault.PARTITION, Fault.NOTHING_RECEIVED, Fault.PAUSE,
 			Fault.RESTART);
 
@@ -158,6 +163,69 @@
 			.isLessThan(MAX_USE + FLOODING_ORGANISATION.slack() / FLOODING_ORGANISATION.quota());
 	}
 
+	// Guards against a large burst that is forgotten when all gateways are killed: it is
+	// as large as all that a fresh process gives out otherwise.
+	@ParameterizedTest
+	@CsvSource({ "9, false, 0", "9, false, 1", "9, false, 2", "9, false, 3", "9, false, 4", "9, false, 5",
+			"9, false, 6", "9, false, 7", "9, true, 0", "9, true, 1", "9, true, 2", "9, true, 3", "9, true, 4",
+			"9, true, 5", "9, true, 6", "9, true, 7", "72, false, 0", "72, false, 1", "72, false, 2", "72, false, 3",
+			"72, false, 4", "72, false, 5", "72, false, 6", "72, false, 7", "72, true, 0", "72, true, 1", "72, true, 2",
+			"72, true, 3", "72, true, 4", "72, true, 5", "72, true, 6", "72, true, 7" })
+	void shouldHoldQuotaWhenAllProcessesAreKilledInLargeBurst(int gateways, boolean crowded, long seed) {
+		QuotaFleet.SlowStore store = QuotaFleet.SlowStore.of(STORE_DELAY_MILLIS);
+		QuotaFleet fleet = QuotaFleet.of(gateways, seed, FLOODING_ORGANISATION, store);
+		fleet.retryFor(CALLER_PATIENCE_MILLIS);
+		if (crowded) {
+			fleet.crowdQuarter();
+		}
+		fleet.run(8_000, QUIET_LOAD);
+		fleet.run(1_100 + 800 * seed, OVERLOAD);
+		fleet.faults().killAll(700);
+		fleet.run(9_000, HEAVY_OVERLOAD);
+		assertThat(store.writes()).isPositive();
+		assertThat(fleet.worstWindow())
+			.isLessThan(MAX_USE + FLOODING_ORGANISATION.slack() / FLOODING_ORGANISATION.quota());
+	}
+
+	// Guards against a large burst that goes on without the holder of the duties, or that
+	// its successor does not know.
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15 })
+	void shouldHoldQuotaWhenHolderFailsInLargeBurst(long seed) {
+		Random random = new Random(seed);
+		QuotaFleet fleet = QuotaFleet.of(9, seed, FLOODING_ORGANISATION, QuotaFleet.SlowStore.of(STORE_DELAY_MILLIS));
+		fleet.retryFor(CALLER_PATIENCE_MILLIS);
+		fleet.run(8_000, QUIET_LOAD);
+		fleet.run(500 + random.nextInt(2_000), OVERLOAD);
+		Fault fault = FAULTS.get((int) seed % FAULTS.size());
+		fleet.faults().inject(fault, List.of(0, 3, 5), 0, () -> fleet.run(300 + random.nextInt(4_000), OVERLOAD));
+		fleet.run(random.nextInt(1_000), OVERLOAD);
+		fleet.faults().killAll(700);
+		fleet.run(9_000, HEAVY_OVERLOAD);
+		assertThat(fleet.worstWindow())
+			.isLessThan(MAX_USE + FLOODING_ORGANISATION.slack() / FLOODING_ORGANISATION.quota());
+	}
+
+	// Guards against refusing what an organisation may use, because it uses its quota
+	// within a few seconds.
+	@ParameterizedTest
+	@CsvSource({ "9, false, 0.21, 4000", "9, false, 0.3, 2500", "72, false, 0.21, 4000", "72, false, 0.3, 2500",
+			"72, true, 0.21, 4000", "72, true, 0.3, 2500" })
+	void shouldRefuseLittleBelowQuotaWhenBurstIsStored(int gateways, boolean crowded, double load, long millis) {
+		QuotaFleet.SlowStore store = QuotaFleet.SlowStore.of(STORE_DELAY_MILLIS);
+		QuotaFleet fleet = QuotaFleet.of(gateways, 1, FLOODING_ORGANISATION, store);
+		fleet.retryFor(CALLER_PATIENCE_MILLIS);
+		if (crowded) {
+			fleet.crowdQuarter();
+		}
+		fleet.run(8_000, 0.03);
+		fleet.run(millis, load);
+		fleet.run(30_000, 0.03);
+		double demand = 0.03 * 38 + load * millis / 1_000;
+		assertThat(fleet.refusedBelowQuota() * demand).isLessThan(0.05 * load * millis / 1_000);
+		assertThat(store.writes()).isEqualTo(2);
+	}
+
 	// Guards against rules that enforce the quota and refuse calls of an organisation
 	// that stays within it.
 	@ParameterizedTest
