List large bursts in the table of gateways

Cause: a burst of more than a fifth of a quota must be known to processes that start after a kill of all. Change: the holder of the duties writes one row (~bursts) of the table of gateways, which all follow and read before they charge a call: no further table, no further read. It is conditional on its version. Each generation of the store has a row of its own; after a restore an absent one makes a fresh process careful with all organisations. E2835 tells of each write.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayDirectory.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayDirectory.java
@@ -10,10 +10,10 @@
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet;
 import org.rosemaryfront.peer.Addresses;
-import org.rosemaryfront.ports.RowStore;
 import org.rosemaryfront.ports.RowStore.Commit;
 import org.rosemaryfront.ports.RowStore.Row;
 import org.rosemaryfront.program.ControlLoop;
+import org.rosemaryfront.quota.QuotaTable;
 import org.rosemaryfront.tables.StoreVersion;
 
 /**
@@ -28,7 +28,7 @@
 
 	private static final Duration ANNOUNCE_RETRY_DELAY = Duration.ofSeconds(1);
 
-	private final RowStore rows;
+	private final StoreGenerations rows;
 
 	private final GatewaySettings settings;
 
@@ -40,11 +40,14 @@
 
 	private final LongConsumer onLoaded;
 
+	private final BurstRow bursts;
+
 	private volatile boolean loaded;
 
 	/**
 	 * Creates a directory that contains no other gateway yet.
 	 * @param rows the store
+	 * @param quotas learns of bursts before the start
 	 * @param settings the settings of this gateway
 	 * @param peers receives the addresses of other gateways
 	 * @param fleet receives the names of gateways that may be serving
@@ -52,8 +55,9 @@
 	 * @param onLoaded called on that thread with the current time, in nanoseconds, each
 	 * time the whole table has been read
 	 */
-	GatewayDirectory(RowStore rows, GatewaySettings settings, PeerExchange peers, Fleet fleet, ControlLoop control,
-			LongConsumer onLoaded) {
+	GatewayDirectory(StoreGenerations rows, QuotaTable quotas, GatewaySettings settings, PeerExchange peers,
+			Fleet fleet, ControlLoop control, LongConsumer onLoaded) {
+		this.bursts = new BurstRow(rows, quotas, control::post, settings.bounds().quotaWindowMillis());
 		this.rows = rows;
 		this.settings = settings;
 		this.peers = peers;
@@ -81,6 +85,10 @@
 		return this.loaded;
 	}
 
+	BurstRow bursts() {
+		return this.bursts;
+	}
+
 	// Without its row, this gateway would not be known to those that start from now on.
 	@Override
 	public void tableRead(List<Row> all, long version) {
@@ -91,6 +99,7 @@
 			announce();
 		}
 		this.control.post((now) -> {
+			this.bursts.tableRead(all, version, now);
 			all.forEach((row) -> addGateway(row, now));
 			this.fleet.gatewaysListed();
 			this.loaded = true;
@@ -100,11 +109,16 @@
 
 	@Override
 	public void rowsChanged(List<Row> changes, long version) {
-		this.control.post((now) -> changes.forEach((row) -> addGateway(row, now)));
+		this.control.post((now) -> changes.forEach((row) -> rowChanged(row, now)));
+	}
+
+	private void rowChanged(Row row, long now) {
+		this.bursts.rowChanged(row, now);
+		addGateway(row, now);
 	}
 
 	private void addGateway(Row row, long now) {
-		if (row.value().isEmpty() || row.key().equals(this.settings.name())) {
+		if (row.value().isEmpty() || BurstRow.isAt(row) || row.key().equals(this.settings.name())) {
 			return;
 		}
 		String address = new String(row.value().get(), StandardCharsets.UTF_8);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -149,6 +149,9 @@
 	/** The group of gateways that share the quotas changed. */
 	QUOTA_SHARING(2833),
 
+	/** The list of organisations that may use a large burst was written. */
+	QUOTA_BURSTS_WRITTEN(2835),
+
 	/** A roll-out of another version of a service's servers was ordered. */
 	ROLLOUT_ORDERED(2860),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -221,7 +221,7 @@
 		this.gateway = Gateway.open(io, new Gateway.Addresses(settings.callers(), settings.tunnels()), settings.zone(),
 				platform.calls(), this.decisions, this.streams, this.metrics);
 		this.tables = new SharedTables(this.store, new PeerTables(loops, () -> this.tableAddresses));
-		this.directory = new GatewayDirectory(this.store, settings, this.peers, this.fleet, this.control,
+		this.directory = new GatewayDirectory(this.store, this.quotas, settings, this.peers, this.fleet, this.control,
 				this::gatewaysLoaded);
 		this.platformUpdates = new PlatformUpdates(platform.records(), this.control, this.servers, this.decisions,
 				this.rollouts, this.serversTable.freshness(), this::serverRestarted,
@@ -233,7 +233,7 @@
 				this::onControl);
 		this.reports = new GatewayReports(this.peers, this.fleet, this.servers, this.quotas, this.decisions, this.usage,
 				this.usageDuty, this.crashes, this.lease, this.tables, this.rollouts, this.rolloutDuty, this.callLimits,
-				this.gateway::serversOutOfReach, this.streams::gatewayStarted, settings);
+				this.directory.bursts(), this.gateway::serversOutOfReach, this.streams::gatewayStarted, settings);
 		this.sizeDuty = new SizeDuty(this.servers,
 				(service) -> this.decisions.dispatcher().model(service).prefillTokensPerMilli(),
 				this.rollouts::countsTowardsCapacity, this.callLimits::hasLimit, duties, settings.zones(),
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayReports.java
@@ -87,6 +87,8 @@
 
 	private final CallLimits limits;
 
+	private final BurstRow bursts;
+
 	private final String self;
 
 	private final String zone;
@@ -110,10 +112,11 @@
 
 	GatewayReports(PeerExchange peers, Fleet fleet, BackendTable servers, QuotaTable quotas, GatewayControl decisions,
 			UsageLedger usage, UsageDuty usageDuty, CrashRecords crashes, DutyLease lease, SharedTables tables,
-			Rollouts rollouts, RolloutDuty rolloutDuty, CallLimits limits, IntSupplier serversOutOfReach,
-			Consumer<String> gatewayStarted, GatewaySettings settings) {
+			Rollouts rollouts, RolloutDuty rolloutDuty, CallLimits limits, BurstRow bursts,
+			IntSupplier serversOutOfReach, Consumer<String> gatewayStarted, GatewaySettings settings) {
 		this.gatewayStarted = gatewayStarted;
 		this.limits = limits;
+		this.bursts = bursts;
 		this.serversOutOfReach = serversOutOfReach;
 		this.rollouts = rollouts;
 		this.rolloutDuty = rolloutDuty;
@@ -180,6 +183,9 @@
 		this.peers.broadcast(report, this.fleet::isLive, (gateway) -> this.fleet.confirmation(gateway, now));
 		this.fleet.reportSent(number, now);
 		this.quotas.reportSent(number, now);
+		if (this.lease.mayAct(now)) {
+			this.decisions.configuration().ifPresent((known) -> this.bursts.writeDue(known.organisations(), now));
+		}
 	}
 
 	// A sum that does not fit is only in the store.
