Warm a gateway up only where its settings say so

Cause: on the users' platform a process counts as warmed up in its first life and its first seconds of work are charged at a part, so that the calls of a warm-up use up what callers' calls would have had.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -237,8 +237,8 @@
 		new GatewayGauges(this.control, this.servers, this.decisions.dispatcher().admission(), this.configurationTable,
 				this.serversTable, this.crashes, this.callLimits, this.store)
 			.register(this.metrics);
-		this.warmUp = WarmUp.atFirstStart(settings.firstStart(), () -> WarmUpGateway.open(settings, platform.calls()),
-				this::isLoaded);
+		this.warmUp = WarmUp.atFirstStart(settings.firstStart() && settings.warmUp(),
+				() -> WarmUpGateway.open(settings, platform.calls()), this::isLoaded);
 		this.metrics.gauge("warm.up.calls", () -> this.warmUp.map(WarmUp::calls).orElse(0));
 		// Opened last, because its requests use all other components.
 		this.admin = AdminServer.open(loops, settings, this::isReady, this.metrics.registry(),
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewaySettings.java
@@ -18,11 +18,13 @@
  * @param tunnels the address that accepts calls of other gateways
  * @param firstStart whether the whole system starts for the first time, so that no
  * process can have held the duties before
+ * @param warmUp whether the process sends calls through itself before it is ready, where
+ * the whole system starts for the first time
  * @param bounds the time limits and shares that users rely on
  */
 public record GatewaySettings(String name, String zone, List<String> zones, InetSocketAddress callers,
 		InetSocketAddress readiness, String readinessPath, InetSocketAddress metrics, InetSocketAddress peers,
-		InetSocketAddress tunnels, boolean firstStart, Bounds bounds) {
+		InetSocketAddress tunnels, boolean firstStart, boolean warmUp, Bounds bounds) {
 
 	public GatewaySettings {
 		Objects.requireNonNull(name, "name is null");
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/DutyFleet.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/DutyFleet.java
@@ -117,7 +117,7 @@
 	private static GatewaySettings settings(String name) {
 		InetSocketAddress unused = new InetSocketAddress("127.0.0.1", 1);
 		return new GatewaySettings(name, "a", List.of("a"), unused, unused, "/ready", unused, unused, unused, false,
-				new GatewaySettings.Bounds(3_000, 100, 0.2, 64, 10, 8_000, 0, WINDOW_MILLIS, 2_000, 1_200, 0.5));
+				false, new GatewaySettings.Bounds(3_000, 100, 0.2, 64, 10, 8_000, 0, WINDOW_MILLIS, 2_000, 1_200, 0.5));
 	}
 
 	/** One gateway, whichever of its processes runs. */
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayHarness.java
@@ -114,7 +114,7 @@
 
 	private static GatewaySettings settings(String name, boolean firstStart, GatewaySettings.Bounds bounds) {
 		return new GatewaySettings(name, "a", List.of("a"), freeAddress(), freeAddress(), "/ready", freeAddress(),
-				freeAddress(), freeAddress(), firstStart, bounds);
+				freeAddress(), freeAddress(), firstStart, true, bounds);
 	}
 
 	/**
