Plan moves of runs every 20 ms, not behind each work of the control thread

Cause: the tick runs behind each batch of work, some 250 times a second where 70 gateways report; each time all servers were listed twice although none was leaving. Change: plans are made every 20 ms. Tests: RunMoveTests, with the whole run on this commit. Not measured by itself.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RunMoves.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RunMoves.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 import java.util.function.Function;
 import java.util.function.ToIntFunction;
@@ -43,6 +44,12 @@
  */
 final class RunMoves {
 
+	/**
+	 * The interval between plans, in nanoseconds: short beside the pauses of streams, but
+	 * not each time that the control thread has worked.
+	 */
+	private static final long PLAN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
 	private final ControlLoop loop;
 
 	private final BackendTable servers;
@@ -60,6 +67,9 @@
 
 	private final LeavingServers leaving;
 
+	/** When runs were last planned; empty before that. */
+	private OptionalLong plannedNanos = OptionalLong.empty();
+
 	RunMoves(ControlLoop loop, BackendTable servers, EngineRuns engines, TrafficMetrics metrics, Calls calls,
 			long drainMillis) {
 		this.loop = loop;
@@ -78,6 +88,10 @@
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 */
 	void tick(long nowNanos) {
+		if (this.plannedNanos.isPresent() && nowNanos - this.plannedNanos.getAsLong() < PLAN_INTERVAL_NANOS) {
+			return;
+		}
+		this.plannedNanos = OptionalLong.of(nowNanos);
 		List<BackendServer> known = this.servers.servers();
 		known.stream().filter(this::movesRuns).forEach((server) -> this.leaving.record(server, nowNanos));
 		this.leaving.retain(known.stream().map(BackendServer::incarnation).toList());
