Let an error of Python end a case's script with 2

Cause: an import that fails ends Python with 1, which the script would have passed on as a broken rule.

Done: the programs end with statuses of their own, which run.sh turns into 0, 1 and 2.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -8,16 +8,19 @@
 import contextlib
 import json
 import os
-import signal
 import socket
 import sys
 import tempfile
 import time
+import traceback
+import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 GATEWAY = ["target/gateway/runtime/bin/java", "@target/gateway/java.args",
            "org.rosemaryfront.adapter.PlatformProgram"]
 HOST = "127.0.0.1"
+# Exit codes, which run.sh turns into 0, 1 and 2; an error of Python itself ends with 1.
+HELD, BROKEN, COULD_NOT_RUN = 10, 11, 12
 BOUNDS = {"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000,
           "grace_s": 8, "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250,
           "max_stretch_ms": 5000, "revoke_strict": False, "revoke_ms": 5000, "retry_budget_ratio": 0.2,
@@ -222,7 +225,7 @@
         method, target, _ = head.first.split(" ")
         path, _, query = target.partition("?")
         args = dict(pair.partition("=")[::2] for pair in query.split("&") if pair)
-        args = {name: percent_decoded(value) for name, value in args.items()}
+        args = {name: urllib.parse.unquote_plus(value) for name, value in args.items()}
         if path == "/api/rows-tx":
             await self.transaction(json.loads(body), writer)
         elif path == "/api/rows-get":
@@ -263,11 +266,6 @@
                     pass
 
 
-def percent_decoded(text):
-    import urllib.parse
-    return urllib.parse.unquote_plus(text)
-
-
 class Cloud(Server):
     """The platform's API: accepts all usage reports and orders."""
 
@@ -341,20 +339,19 @@
 
 
 def run(test, folder):
-    """Runs a test that returns whether the rule held, and exits with 0 or 1; 2 if it could not run."""
+    """Runs a test that returns whether the rule held; exits with HELD, BROKEN or another status if it could not run."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         with (contextlib.nullcontext(os.environ["KEEP"]) if "KEEP" in os.environ else tempfile.TemporaryDirectory()) as temporary:
             held = asyncio.run(test(record, trouble, temporary))
     except Exception as failure:
-        import traceback
         traceback.print_exc()
         record.add("could not run:", repr(failure))
-        sys.exit(2)
+        sys.exit(COULD_NOT_RUN)
     if held is None:
         record.add("could not run")
-        sys.exit(2)
+        sys.exit(COULD_NOT_RUN)
     record.add("the rule held" if held else "the rule was broken")
     print("the rule held" if held else "the rule was broken")
-    sys.exit(0 if held else 1)
+    sys.exit(HELD if held else BROKEN)
--- a/review/standins/engines.py
+++ b/review/standins/engines.py
@@ -1,7 +1,6 @@
 """Model runners that stream events and move runs, and their clients."""
 import asyncio
 import json
-import time
 
 from deployment import HOST, Server, answer, read_chunk, read_head
 
@@ -201,7 +200,3 @@
     record.add("client got", request, "status", got.status, "events", len(got.ids),
                "complete" if got.complete else "not complete")
     return got
-
-
-def now():
-    return time.monotonic()
