Log on which connection and under which name a server answered a call

Callers got answers that were not their own, and no log told which answers a connection had carried: E2703 and E2704 name the connection, the number of the call on it and whether the answer named the request; E2708 has the status, framing, server and age of an answer that was not accepted. Tells apart the hypotheses of docs/incidents/second-answers.md: an answer without a name (unnamed, call above 1), one that names the call of an earlier attempt (named, call above 1), joined bytes (named, call above 1, no E2708 before it).

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -653,8 +653,9 @@
 		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status",
 				this.response.statusCode(), "server", from.id(), "sends", this.sendCount, "sendMillis", this.sendMillis,
 				"millis", ageMillis(), "firstMillis", this.response.times().firstMillis(this.receivedNanos),
-				"longestPauseMillis", this.response.times().longestPauseMillis(), "framing", framing(), "bodyBytes",
-				this.response.bodyBytes(), "openEventBytes", this.response.openEventBytes());
+				"longestPauseMillis", this.response.times().longestPauseMillis(), "framing",
+				this.response.framingText(), "bodyBytes", this.response.bodyBytes(), "openEventBytes",
+				this.response.openEventBytes(), "exchange", this.connection.describe());
 		this.gateway.metrics().answered(this, this.response.statusCode());
 		this.server = Optional.empty();
 		this.gateway.policy().ended(this, from, this.response.ending());
@@ -698,9 +699,10 @@
 		EventLog.info(TrafficEvents.CALL_FAILED, "request", id(), "digest", digestText(), "server", failedServer.id(),
 				"started", failedServer.startedMillis(), "verdict", verdict.code(), "cause", cause, "answering",
 				this.response.isStarted(), "reused", sent && this.connection.isReused(), "serverSilentMillis",
-				silentMillis(failedServer), "pathLost", pathLost, "carrier", sent ? carrierName() : "none",
-				"sendMillis", this.sendMillis, "framing", framing(), "bodyBytes", this.response.bodyBytes(),
-				"openEventBytes", this.response.openEventBytes(), "millis", ageMillis());
+				silentMillis(failedServer), "pathLost", pathLost, "carrier", sent ? carrierName() : "none", "exchange",
+				sent ? this.connection.describe() : "none", "sendMillis", this.sendMillis, "framing",
+				this.response.framingText(), "bodyBytes", this.response.bodyBytes(), "openEventBytes",
+				this.response.openEventBytes(), "millis", ageMillis());
 		if (verdict instanceof Verdict.MayHaveRun) {
 			// The server may have started the call, so it is counted as usage of its
 			// organisation.
@@ -833,10 +835,6 @@
 		}
 	}
 
-	private String framing() {
-		return this.response.framing().map(ResponseFraming::name).orElse("none");
-	}
-
 	private String carrierName() {
 		return this.connection.carrier().orElse("none");
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
@@ -351,6 +351,14 @@
 		return this.received.map(ReceivedBody::framing);
 	}
 
+	/**
+	 * Returns the framing of what the current attempt received, for the log.
+	 * @return the name of the framing, or none before a head
+	 */
+	String framingText() {
+		return framing().map(ResponseFraming::name).orElse("none");
+	}
+
 	long bodyBytes() {
 		return this.received.map(ReceivedBody::bytes).orElse(0L);
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -306,6 +306,18 @@
 				: "none";
 	}
 
+	/**
+	 * Returns the server of a connection, for the log.
+	 * @param connection the connection
+	 * @return the identifier of the server, or none for a connection that has left the
+	 * pool
+	 */
+	String serverText(ServerConnection connection) {
+		return Optional.ofNullable(this.owners.get(connection))
+			.map((connections) -> connections.server.id())
+			.orElse("none");
+	}
+
 	void release(ServerConnection channel) {
 		Connections connections = this.owners.get(channel);
 		if (connections != null) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -74,6 +74,9 @@
 
 	private boolean headReceived;
 
+	/** Whether the response names the current call, for the log. */
+	private String naming = "none";
+
 	/** The bytes received on this connection before the current call. */
 	private long bytesBefore;
 
@@ -140,6 +143,7 @@
 		this.requestId = callId;
 		this.skippingResponse = false;
 		this.headReceived = false;
+		this.naming = "none";
 		this.bytesBefore = this.inputEnd.bytes();
 		this.requestWritten = false;
 		this.callCount++;
@@ -154,6 +158,15 @@
 		return this.callCount > 1;
 	}
 
+	/**
+	 * Describes the current call for the log: what was sent on this connection before it,
+	 * and whether its response names it.
+	 * @return the connection, the number of the call on it and the name in the response
+	 */
+	String describe() {
+		return this.channel.id() + "/" + this.callCount + "/" + this.naming;
+	}
+
 	/**
 	 * Sends a part of the request.
 	 * @param part the head or a chunk of the body
@@ -276,13 +289,14 @@
 		}
 		ResponseMetadata terms = this.codec.responseMetadata(head.status().code(), head.headers());
 		if (!terms.requestId().isEmpty() && !terms.requestId().equals(this.requestId)) {
-			EventLog.warn(TrafficEvents.STRAY_ANSWER, "request", this.requestId, "answers", terms.requestId());
+			logStray(terms.requestId(), String.valueOf(head.status().code()), ResponseFraming.of(head).name());
 			this.skippingResponse = true;
 			this.reusable = false;
 			return;
 		}
 		this.skippingResponse = false;
 		this.headReceived = true;
+		this.naming = terms.requestId().isEmpty() ? "unnamed" : "named";
 		this.tunnel.ifPresent((client) -> client.stated(terms.statements()));
 		recordKeepAlive(head);
 		this.listener.responseHead(head, terms);
@@ -382,10 +396,16 @@
 
 	private void closeAfterStrayBytes(String description) {
 		this.reusable = false;
-		EventLog.warn(TrafficEvents.STRAY_ANSWER, "request", this.requestId, "answers", description);
+		logStray(description, "none", "none");
 		this.channel.close();
 	}
 
+	private void logStray(String answers, String status, String framing) {
+		EventLog.warn(TrafficEvents.STRAY_ANSWER, "request", this.requestId, "answers", answers, "status", status,
+				"framing", framing, "server", this.pool.serverText(this), "connection", this.channel.id(), "call",
+				this.callCount, "callMillis", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedNanos));
+	}
+
 	private void fail(String cause) {
 		ResponseListener notified = this.listener;
 		this.listener = null;
