Accept a server's answer only if it is known to answer the current call

What callers saw: a success where the server had answered their own request with a failure, 22, 17 and 33 times on three deployments with servers that answer twice, the second time late. No log line named the requests.

Cause: the name of a call, or its absence, was taken for the exchange. An answer without a name counted as that of the current call; one with the name of the current call did, too, where an earlier call on the connection had had the same name; and a second answer that was broken off in its head was joined with the head behind it: the status of the first ("HTTP/1.1 200 X" and then "HTTP/1.1 500 X" in its reason phrase or in the value of a header), the name, the signature and the body of the second.

Change: CarriedCalls says whether an answer belongs to the current call: it names it and no earlier call on the connection had that name, or there was no earlier call. The pool passes over connections that have carried the identifier; a connection is kept only while all its calls and answers have names, for 512 calls at most, and not behind HEAD or with a part of an answer in its decoder. A status line inside a head ends the call and the connection. An answer to another call that ends with the connection ends the call at once. The decoder concludes from the answer, not from its place, that it answers HEAD.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -87,12 +88,12 @@
 	void acquire(BackendServer server, String requestId, int maxConnections, Consumer<ServerConnection> onConnected,
 			Consumer<String> onFailure) {
 		Connections connections = connections(server);
-		Optional<ServerConnection> idle = takeIdle(server.incarnation(), connections);
+		Optional<ServerConnection> idle = takeIdle(server.incarnation(), connections, requestId);
 		if (idle.isPresent()) {
 			begin(idle.get(), requestId, onConnected,
 					(_) -> acquire(server, requestId, maxConnections, onConnected, onFailure));
 		}
-		else if (connections.isFull(maxConnections)) {
+		else if (connections.isFull(maxConnections) && !closeUnfit(connections, requestId)) {
 			onFailure.accept("all " + maxConnections + " connections to the server are in use");
 		}
 		else {
@@ -129,27 +130,41 @@
 		});
 	}
 
-	private Optional<ServerConnection> takeIdle(Incarnation server, Connections connections) {
+	private Optional<ServerConnection> takeIdle(Incarnation server, Connections connections, String requestId) {
 		boolean lost = this.connector.isLost(server);
 		boolean doubtful = !lost && this.connector.isDoubtful(server, connections.lastReceivedNanos);
-		while (!connections.idle.isEmpty()) {
-			ServerConnection idle = connections.idle.pollLast();
-			boolean usable = idle.isActive() && !idle.isStale(System.nanoTime());
+		Iterator<ServerConnection> lastFirst = connections.idle.descendingIterator();
+		while (lastFirst.hasNext()) {
+			ServerConnection idle = lastFirst.next();
 			boolean unneededTunnel = !lost && idle.tunnel().isPresent();
-			if (!usable || unneededTunnel) {
+			if (!idle.isUsable(System.nanoTime()) || unneededTunnel) {
+				lastFirst.remove();
 				idle.close();
 			}
 			else if (doubtful) {
-				connections.idle.addLast(idle);
 				return Optional.empty();
 			}
-			else {
+			else if (idle.mayCarry(requestId)) {
+				lastFirst.remove();
 				return Optional.of(idle);
 			}
 		}
 		return Optional.empty();
 	}
 
+	// Closes an idle connection that may not carry a call, so that one may be opened.
+	private static boolean closeUnfit(Connections connections, String requestId) {
+		Optional<ServerConnection> unfit = connections.idle.stream()
+			.filter((idle) -> !idle.mayCarry(requestId))
+			.findFirst();
+		unfit.ifPresent((idle) -> {
+			connections.idle.remove(idle);
+			connections.open.remove(idle);
+			idle.close();
+		});
+		return unfit.isPresent();
+	}
+
 	/**
 	 * Checks whether a server is alive by opening a new connection. Existing connections
 	 * end for many reasons, but a crashed server accepts no new one, over the own links
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -9,10 +9,12 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -29,9 +31,9 @@
  *
  * <p>
  * A faulty server can send bytes that belong to no call, such as a second response after
- * a complete one or a response to an earlier call. A response is accepted only if it does
- * not name another call than the current one. Bytes received while no call is in progress
- * close the connection.
+ * a complete one, whole or broken off. A response is accepted only if it is known to
+ * belong to the current call, see {@link CarriedCalls}. Bytes received while no call is
+ * in progress close the connection.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
@@ -61,12 +63,16 @@
 
 	private final InputEnd inputEnd = new InputEnd();
 
+	private final ServerResponseDecoder decoder = ServerResponseDecoder.of(
+			new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES),
+			this::answersHeadRequest);
+
+	private final CarriedCalls calls = CarriedCalls.none();
+
 	private Channel channel;
 
 	private ResponseListener listener;
 
-	private String requestId = "";
-
 	/**
 	 * Whether the response being received is interim or belongs to an earlier call.
 	 */
@@ -84,8 +90,8 @@
 
 	private boolean reusable = true;
 
-	/** The number of calls that were started on this connection. */
-	private int callCount;
+	/** Whether the current call is a HEAD request. */
+	private boolean headRequest;
 
 	/** When the current call was started. */
 	private long startedNanos;
@@ -126,9 +132,7 @@
 	 * @param pipeline the pipeline, whose bytes are those to and from the server
 	 */
 	void addTo(ChannelPipeline pipeline) {
-		HttpDecoderConfig limits = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES)
-			.setMaxInitialLineLength(MAX_HEADER_BYTES);
-		pipeline.addLast(this.inputEnd, new HttpClientCodec(limits, false, false), this);
+		pipeline.addLast(this.inputEnd, this.decoder, new HttpRequestEncoder(), this);
 	}
 
 	// -- call
@@ -140,13 +144,13 @@
 	 */
 	void startCall(String callId, ResponseListener responseListener) {
 		this.listener = responseListener;
-		this.requestId = callId;
+		this.calls.begin(callId);
 		this.skippingResponse = false;
 		this.headReceived = false;
 		this.naming = "none";
 		this.bytesBefore = this.inputEnd.bytes();
 		this.requestWritten = false;
-		this.callCount++;
+		this.headRequest = false;
 		this.startedNanos = System.nanoTime();
 	}
 
@@ -155,7 +159,7 @@
 	 * @return false for a connection that was opened for the call
 	 */
 	boolean isReused() {
-		return this.callCount > 1;
+		return this.calls.count() > 1;
 	}
 
 	/**
@@ -164,7 +168,7 @@
 	 * @return the connection, the number of the call on it and the name in the response
 	 */
 	String describe() {
-		return this.channel.id() + "/" + this.callCount + "/" + this.naming;
+		return this.channel.id() + "/" + this.calls.count() + "/" + this.naming;
 	}
 
 	/**
@@ -172,6 +176,11 @@
 	 * @param part the head or a chunk of the body
 	 */
 	void write(HttpObject part) {
+		if (part instanceof HttpRequest request && request.method().equals(HttpMethod.HEAD)) {
+			this.headRequest = true;
+			// The bodies of late responses to it could not be told from those of others.
+			this.reusable = false;
+		}
 		if (part instanceof LastHttpContent) {
 			this.requestWritten = true;
 			this.channel.writeAndFlush(part);
@@ -235,6 +244,24 @@
 		return this.tunnel.map((client) -> client.carrier().gateway());
 	}
 
+	/**
+	 * Returns whether an idle connection can be used for calls.
+	 * @param nowNanos the current time
+	 * @return false if it is closed, idle for too long or received a part of a response
+	 */
+	boolean isUsable(long nowNanos) {
+		return isActive() && !isStale(nowNanos) && !this.decoder.isInsideHead();
+	}
+
+	/**
+	 * Returns whether a response to a call could be told from those to earlier ones.
+	 * @param callId the identifier of the call
+	 * @return whether the connection may carry the call
+	 */
+	boolean mayCarry(String callId) {
+		return this.calls.mayCarry(callId);
+	}
+
 	boolean isStale(long nowNanos) {
 		return nowNanos - this.idleSinceNanos >= this.idleLimitNanos;
 	}
@@ -287,13 +314,16 @@
 			this.skippingResponse = true;
 			return;
 		}
-		ResponseMetadata terms = this.codec.responseMetadata(head.status().code(), head.headers());
-		if (!terms.requestId().isEmpty() && !terms.requestId().equals(this.requestId)) {
-			logStray(terms.requestId(), String.valueOf(head.status().code()), ResponseFraming.of(head).name());
-			this.skippingResponse = true;
-			this.reusable = false;
+		if (ServerResponseDecoder.isJoined(head)) {
+			fail("the response is not valid HTTP: a status line inside its head");
+			return;
+		}
+		ResponseMetadata terms = metadata(head);
+		if (!this.calls.isCurrent(terms.requestId())) {
+			skip(head, terms.requestId());
 			return;
 		}
+		this.calls.answered(terms.requestId());
 		this.skippingResponse = false;
 		this.headReceived = true;
 		this.naming = terms.requestId().isEmpty() ? "unnamed" : "named";
@@ -302,6 +332,30 @@
 		this.listener.responseHead(head, terms);
 	}
 
+	private ResponseMetadata metadata(HttpResponse head) {
+		return this.codec.responseMetadata(head.status().code(), head.headers());
+	}
+
+	private boolean answersHeadRequest(HttpResponse head) {
+		return this.headRequest && this.calls.isCurrent(metadata(head).requestId());
+	}
+
+	// Behind a response that ends with the connection, that to the current call cannot
+	// be received.
+	private void skip(HttpResponse head, String named) {
+		ResponseFraming framing = ResponseFraming.of(head);
+		logStray(named.isEmpty() ? "unnamed" : named, String.valueOf(head.status().code()), framing.name());
+		this.skippingResponse = true;
+		this.reusable = false;
+		if (framing == ResponseFraming.CONNECTION && !isWithoutBody(head.status())) {
+			fail("a response to another call ends with the connection");
+		}
+	}
+
+	private static boolean isWithoutBody(HttpResponseStatus status) {
+		return status.equals(HttpResponseStatus.NO_CONTENT) || status.equals(HttpResponseStatus.NOT_MODIFIED);
+	}
+
 	private void content(HttpContent content) {
 		if (content.decoderResult().isFailure()) {
 			fail("the response is not valid HTTP: " + content.decoderResult().cause().getMessage());
@@ -321,7 +375,7 @@
 	private void responseComplete() {
 		ResponseListener completed = this.listener;
 		this.listener = null;
-		this.reusable &= this.requestWritten && this.channel.isActive();
+		this.reusable &= this.requestWritten && this.channel.isActive() && this.calls.mayCarryMore();
 		if (!this.reusable) {
 			this.channel.close();
 		}
@@ -334,7 +388,10 @@
 
 	/** Returns the connection to the pool for the next call. */
 	void release() {
-		if (this.channel.isActive() && this.reusable) {
+		if (this.decoder.isInsideHead()) {
+			closeAfterStrayBytes("bytes received while no call is in progress");
+		}
+		else if (this.channel.isActive() && this.reusable) {
 			this.idleSinceNanos = System.nanoTime();
 			this.channel.config().setAutoRead(true);
 			this.tunnel.ifPresent(TunnelClient::callEnded);
@@ -401,9 +458,9 @@
 	}
 
 	private void logStray(String answers, String status, String framing) {
-		EventLog.warn(TrafficEvents.STRAY_ANSWER, "request", this.requestId, "answers", answers, "status", status,
+		EventLog.warn(TrafficEvents.STRAY_ANSWER, "request", this.calls.current(), "answers", answers, "status", status,
 				"framing", framing, "server", this.pool.serverText(this), "connection", this.channel.id(), "call",
-				this.callCount, "callMillis", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedNanos));
+				this.calls.count(), "callMillis", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedNanos));
 	}
 
 	private void fail(String cause) {
