Fail calls behind parts of second answers in all their forms, and at once

An independent review of the matching of answers passed it: a status line written otherwise ("http/1.1 500", two spaces, tabs, HTTP/1.2) behind a broken-off one was still a success (8 of 14 forms, trials); a part that ended with a line was not seen in a connection without a call, so that the next call failed with it (5 cuts); an answer that quotes a status line was refused (2 of 3); a skipped body without its rest kept the caller until the deadline (3.0 s); behind 101 the connection was used again although nothing was decoded any more; callers that repeat an identifier left 60 connections open; and a tunnel was not asked again whether it was clean when the other gateway had answered.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -93,7 +93,7 @@
 			begin(idle.get(), requestId, onConnected,
 					(_) -> acquire(server, requestId, maxConnections, onConnected, onFailure));
 		}
-		else if (connections.isFull(maxConnections) && !closeUnfit(connections, requestId)) {
+		else if (!closeUnfit(connections, requestId) && connections.isFull(maxConnections)) {
 			onFailure.accept("all " + maxConnections + " connections to the server are in use");
 		}
 		else {
@@ -113,7 +113,13 @@
 		tunnel.begin(requestId, new TunnelClient.Answer() {
 			@Override
 			public void opened() {
-				onBegun.accept(connection);
+				if (connection.isReady()) {
+					onBegun.accept(connection);
+				}
+				else {
+					connection.close();
+					onFailure.accept("bytes received before the call was sent");
+				}
 			}
 
 			@Override
@@ -137,7 +143,7 @@
 		while (lastFirst.hasNext()) {
 			ServerConnection idle = lastFirst.next();
 			boolean unneededTunnel = !lost && idle.tunnel().isPresent();
-			if (!idle.isUsable(System.nanoTime()) || unneededTunnel) {
+			if (!idle.isReady() || idle.isStale(System.nanoTime()) || unneededTunnel) {
 				lastFirst.remove();
 				idle.close();
 			}
@@ -152,7 +158,8 @@
 		return Optional.empty();
 	}
 
-	// Closes an idle connection that may not carry a call, so that one may be opened.
+	// Closes an idle connection that may not carry a call, since another one is opened
+	// for it: callers that repeat an identifier must not fill the pool.
 	private static boolean closeUnfit(Connections connections, String requestId) {
 		Optional<ServerConnection> unfit = connections.idle.stream()
 			.filter((idle) -> !idle.mayCarry(requestId))
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -55,6 +55,9 @@
 	 */
 	private static final long MAX_SKIPPED_BYTES = 1_048_576;
 
+	/** The response begins with a part of another one. */
+	private static final String STATUS_LINE_INSIDE = "the response is not valid HTTP: a status line inside it";
+
 	private final ConnectionPool pool;
 
 	private final CallCodec codec;
@@ -245,12 +248,11 @@
 	}
 
 	/**
-	 * Returns whether an idle connection can be used for calls.
-	 * @param nowNanos the current time
-	 * @return false if it is closed, idle for too long or received a part of a response
+	 * Returns whether a call can be sent on a connection without one.
+	 * @return false if it is closed or received a part of a response
 	 */
-	boolean isUsable(long nowNanos) {
-		return isActive() && !isStale(nowNanos) && !this.decoder.isInsideHead();
+	boolean isReady() {
+		return isActive() && !this.decoder.isInsideHead();
 	}
 
 	/**
@@ -309,13 +311,16 @@
 			fail("the response is not valid HTTP: " + head.decoderResult().cause().getMessage());
 			return;
 		}
-		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-				&& head.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
-			this.skippingResponse = true;
+		if (isReused() && ServerResponseDecoder.isJoined(head)) {
+			fail(STATUS_LINE_INSIDE);
 			return;
 		}
-		if (ServerResponseDecoder.isJoined(head)) {
-			fail("the response is not valid HTTP: a status line inside its head");
+		if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+			fail("the response is not valid HTTP: a change of the protocol that was not asked for");
+			return;
+		}
+		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+			this.skippingResponse = true;
 			return;
 		}
 		ResponseMetadata terms = metadata(head);
@@ -361,6 +366,10 @@
 			fail("the response is not valid HTTP: " + content.decoderResult().cause().getMessage());
 			return;
 		}
+		if (isReused() && containsStatusLine(content)) {
+			fail(STATUS_LINE_INSIDE);
+			return;
+		}
 		if (!this.skippingResponse && this.headReceived) {
 			ByteBuf bytes = content.content();
 			if (bytes.isReadable()) {
@@ -372,6 +381,13 @@
 		}
 	}
 
+	// The body of the current response may contain any bytes.
+	private boolean containsStatusLine(HttpContent content) {
+		return (this.skippingResponse && ServerResponseDecoder.containsStatusLine(content.content()))
+				|| (content instanceof LastHttpContent last
+						&& ServerResponseDecoder.containsStatusLine(last.trailingHeaders()));
+	}
+
 	private void responseComplete() {
 		ResponseListener completed = this.listener;
 		this.listener = null;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerResponseDecoder.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerResponseDecoder.java
@@ -1,9 +1,14 @@
 package org.rosemaryfront.traffic;
 
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -15,10 +20,14 @@
  */
 final class ServerResponseDecoder extends HttpResponseDecoder {
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d(?: |$)");
+	/** Whatever the decoder takes for the first line of a response. */
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d(?:\\.\\d)?[ \\t]+\\d{3}(?!\\d)",
+			Pattern.CASE_INSENSITIVE);
 
 	private final Predicate<HttpResponse> answersHeadRequest;
 
+	private boolean insideHead;
+
 	private ServerResponseDecoder(HttpDecoderConfig limits, Predicate<HttpResponse> answersHeadRequest) {
 		super(limits);
 		this.answersHeadRequest = answersHeadRequest;
@@ -35,11 +44,11 @@
 	}
 
 	/**
-	 * Returns whether a part of a response was received whose rest is missing.
-	 * @return true inside a line or between lines of a head
+	 * Returns whether a part of a head was received whose rest is missing.
+	 * @return true inside a line and between two lines
 	 */
 	boolean isInsideHead() {
-		return actualReadableBytes() > 0;
+		return this.insideHead || actualReadableBytes() > 0;
 	}
 
 	/**
@@ -49,12 +58,42 @@
 	 * @return true if a status line stands behind the first one
 	 */
 	static boolean isJoined(HttpResponse head) {
-		return containsStatusLine(head.status().reasonPhrase())
-				|| head.headers().entries().stream().anyMatch((header) -> containsStatusLine(header.getValue()));
+		return containsStatusLine(head.status().reasonPhrase()) || containsStatusLine(head.headers());
+	}
+
+	/**
+	 * Returns whether headers contain the first line of a response.
+	 * @param headers the headers or trailers
+	 * @return true if a value contains one
+	 */
+	static boolean containsStatusLine(HttpHeaders headers) {
+		return headers.entries().stream().anyMatch((header) -> containsStatusLine(header.getValue()));
+	}
+
+	/**
+	 * Returns whether a part of a body contains the first line of a response.
+	 * @param bytes the bytes, which are not consumed
+	 * @return true if it contains one
+	 */
+	static boolean containsStatusLine(ByteBuf bytes) {
+		return containsStatusLine(bytes.toString(StandardCharsets.ISO_8859_1));
 	}
 
 	private static boolean containsStatusLine(String text) {
-		return text.contains("HTTP/1.") && STATUS_LINE.matcher(text).find();
+		return STATUS_LINE.matcher(text).find();
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded) throws Exception {
+		int before = decoded.size();
+		super.decode(context, bytes, decoded);
+		this.insideHead &= decoded.size() == before;
+	}
+
+	@Override
+	protected HttpMessage createMessage(String[] initialLine) {
+		this.insideHead = true;
+		return super.createMessage(initialLine);
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SecondAnswerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SecondAnswerTests.java
@@ -81,6 +81,7 @@
 				Response response = send(caller, path, "c" + (100 + i));
 				assertThat(response.status()).isEqualTo(ownStatus);
 				assertThat(response.body()).isEqualTo(event("c" + (100 + i)));
+				awaitSecond(moment);
 			}
 		}
 	}
@@ -216,7 +217,7 @@
 			case WITH_FIRST -> exchange.write(own + second.after(request));
 			case WHILE_IDLE -> {
 				exchange.write(own);
-				sleep();
+				sleep(IDLE_MILLIS);
 				exchange.write(second.after(request));
 			}
 			case BEFORE_NEXT -> exchange.write(((first != null) ? second.after(first) : "") + own);
@@ -254,9 +255,16 @@
 		return "data: " + call + "\n\n";
 	}
 
-	private static void sleep() {
+	// So that the second answer is received while no call is in progress.
+	private static void awaitSecond(Moment moment) {
+		if (moment == Moment.WHILE_IDLE) {
+			sleep(2 * IDLE_MILLIS);
+		}
+	}
+
+	private static void sleep(long millis) {
 		try {
-			Thread.sleep(IDLE_MILLIS);
+			Thread.sleep(millis);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
