Reckon with the rise of requests at other gateways that reports do not tell yet

Cause: the burst's share divided by the requests that the others had reported, and those reports were older than the jump. Each gateway reckoned with nearly the whole burst: together they took all that was asked, 0.36 of a quota in 0.3 s, where 0.25 is designed. Fresh gateways admit 0.79 behind it.

Change: what is requested here beyond what was requested 0.4 s ago is assumed at each other gateway as well, if it exceeds three standard deviations of the units requested here (the root of the sum of their squares). Chosen, not measured: 0.4 s is a report interval, its way and two ticks.

The test keeps its bound and its six cases and has nine more; five of its 15 cases and the new one of QuotaTableTests fail without the change.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/quota/Account.java
@@ -54,6 +54,15 @@
 	 */
 	private static final int MIN_CALLS_FOR_RISE = 2;
 
+	/**
+	 * The age that reports of others may have, in nanoseconds: an interval, their way and
+	 * the waits for two ticks.
+	 */
+	private static final long REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+	/** The standard deviations of the units requested up to which a rise is chance. */
+	private static final double CHANCE_DEVIATIONS = 3;
+
 	private final long windowNanos;
 
 	private final long startedNanos;
@@ -64,7 +73,7 @@
 	/** The last use reported by each other process. */
 	private final Map<String, RemoteUse> remoteUses = new HashMap<>();
 
-	/** The units requested here within the last second. */
+	/** The units requested here within the last second and the age of reports. */
 	private final Deque<Slot> requested = new ArrayDeque<>();
 
 	/** The use here that was reported and is not yet confirmed by all other processes. */
@@ -134,7 +143,9 @@
 	 * @return whether the call is small compared with recent calls
 	 */
 	boolean request(double units, long nowNanos) {
-		slot(this.requested, nowNanos).units += units;
+		Slot slot = slot(this.requested, nowNanos);
+		slot.units += units;
+		slot.squares += units * units;
 		this.averageUnits = (this.averageUnits == 0) ? units
 				: this.averageUnits + AVERAGE_WEIGHT * (units - this.averageUnits);
 		boolean small = units <= this.averageUnits * SMALL_CALL_FRACTION;
@@ -149,8 +160,18 @@
 	}
 
 	private double requested(long nowNanos) {
-		this.requested.removeIf((slot) -> nowNanos - slot.atNanos > REQUEST_PERIOD_NANOS);
-		return units(this.requested);
+		this.requested.removeIf((slot) -> nowNanos - slot.atNanos > REQUEST_PERIOD_NANOS + REPORT_AGE_NANOS);
+		return this.requested.stream()
+			.filter((slot) -> nowNanos - slot.atNanos <= REQUEST_PERIOD_NANOS)
+			.mapToDouble((slot) -> slot.units)
+			.sum();
+	}
+
+	private double requestedBeforeReports(long nowNanos) {
+		return this.requested.stream()
+			.filter((slot) -> nowNanos - slot.atNanos > REPORT_AGE_NANOS)
+			.mapToDouble((slot) -> slot.units)
+			.sum();
 	}
 
 	double requestedAnywhere(long nowNanos) {
@@ -177,9 +198,9 @@
 	/**
 	 * Returns the share of the remaining units that this process may use, in proportion
 	 * to what all processes request, while the others do not know its use. The requests
-	 * at the others are as old as their reports. For the units that remain of the window
-	 * they are assumed to have risen as they did here, since an overload reaches all
-	 * processes at the same time.
+	 * at the others are as old as their reports. They are assumed to have risen as they
+	 * did here, since an overload reaches all processes at the same time: for the units
+	 * that remain of the window by the same factor, and otherwise by as many units.
 	 * @param units the units requested
 	 * @param limit the units that the window allows
 	 * @param slack the units that may be used in addition to those of the window
@@ -192,13 +213,28 @@
 		double requestedElsewhere = requestedAtOthers(requestedHere, others, nowNanos);
 		double rise = Math.max(1, requestedHere
 				/ Math.max(this.requestedAtLastReport, MIN_CALLS_FOR_RISE * Math.max(units, this.averageUnits)));
+		double risenElsewhere = Math.max(requestedElsewhere, others * unreportedRise(units, requestedHere, nowNanos));
 		double windowShare = (limit - this.usedInWindow + this.unconfirmed + slack) * requestedHere
-				/ (requestedHere + rise * requestedElsewhere);
+				/ (requestedHere + Math.max(rise * requestedElsewhere, risenElsewhere));
 		double burstShare = (this.burstLevel + this.largeBurstUnits + this.unconfirmed) * requestedHere
-				/ (requestedHere + requestedElsewhere);
+				/ (requestedHere + risenElsewhere);
 		return Math.min(windowShare, burstShare);
 	}
 
+	// The units by which the requests here have risen since the oldest reports of the
+	// others; 0 if chance explains it.
+	private double unreportedRise(double units, double requestedHere, long nowNanos) {
+		double before = Math.max(requestedBeforeReports(nowNanos),
+				MIN_CALLS_FOR_RISE * Math.max(units, this.averageUnits));
+		double risen = requestedHere - before;
+		return (risen > CHANCE_DEVIATIONS * requestedDeviation()) ? risen : 0;
+	}
+
+	// The standard deviation of the units of calls that arrive independently.
+	private double requestedDeviation() {
+		return Math.sqrt(this.requested.stream().mapToDouble((slot) -> slot.squares).sum());
+	}
+
 	void take(double units, long nowNanos) {
 		add(units, nowNanos);
 		this.slots.getLast().ownUnits += units;
@@ -422,6 +458,9 @@
 
 		private double units;
 
+		/** The sum of the squares of the units of requested calls. */
+		private double squares;
+
 		/** The units that this process used. */
 		private double ownUnits;
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaFleetTests.java
@@ -208,10 +208,11 @@
 
 	// Guards against use that few gateways admit before they know of one another's.
 	@ParameterizedTest
-	@ValueSource(longs = { 0, 1, 2, 3, 4, 5 })
-	void shouldHoldQuotaWhenFewProcessesAreKilledAtStartOfBurst(long seed) {
+	@CsvSource({ "0.01, 0", "0.01, 1", "0.01, 2", "0.01, 3", "0.01, 4", "0.01, 5", "0.01, 17", "0.01, 22", "0, 0",
+			"0, 1", "0, 2", "0, 3", "0, 4", "0, 5", "0, 8" })
+	void shouldHoldQuotaWhenFewProcessesAreKilledAtStartOfBurst(double usualLoad, long seed) {
 		QuotaFleet fleet = QuotaFleet.of(9, seed, FLOODING_ORGANISATION);
-		fleet.run(8_000, 0.01);
+		fleet.run(8_000, usualLoad);
 		fleet.run(300, HEAVY_OVERLOAD);
 		fleet.faults().killAll(700);
 		fleet.run(9_000, HEAVY_OVERLOAD);
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/quota/QuotaTableTests.java
@@ -219,6 +219,22 @@
 		return taken;
 	}
 
+	// Guards against a jump at all processes: the reports of the others are older than
+	// it, and each process took the whole burst.
+	@Test
+	void shouldTakeOnlyItsShareOfBurstWhenRequestsRiseBeforeReports() {
+		this.quotas.sharing(new Sharing(9, 9, true, 1));
+		this.quotas.reportSent(1, 0);
+		for (int other = 2; other <= 9; other++) {
+			this.quotas.reportReceived("gateway-" + other, Map.of("sfax", new Use(0, 0, false)), 0);
+		}
+		double taken = 0;
+		for (int call = 0; call < 170; call++) {
+			taken += (this.quotas.take(SFAX, 1, 100 * MILLI).waitMillis() == 0) ? 1 : 0;
+		}
+		assertThat(taken).isBetween(17.0, 34.0);
+	}
+
 	// Guards against overlapping groups: a gateway exchanges reports with two others
 	// that receive none from each other. If each of these took the part of the two
 	// gateways of its group, the part of the middle one would be used twice.
