Tell all gateways that report of keepers that are passed over

Cause, from a trace in virtual time: when the first keeper returns at 13.000 s, some gateways still pass it over and ask the next one. That one told the gateways that it had heard within a second, 287 of 385, since each of them sends 1.25 such calls a second. The others went on to the first keeper (2 to 8 of some 40 requests in 25 ms); both granted the same slots, 1 to 5 calls in 25 ms met full servers until 15.5 s, and what the next keeper told never reached those others.

Change: the keeper tells the gateways in the last reports as well.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/slots/SlotKeeper.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/slots/SlotKeeper.java
@@ -7,7 +7,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.limits.PermitQueue;
@@ -158,10 +161,16 @@
 		boolean told = this.passedNanos.isPresent() && nowNanos - this.passedNanos.getAsLong() < PASSED_NANOS;
 		if (!ask.passed().isEmpty() && !told) {
 			this.passedNanos = OptionalLong.of(nowNanos);
-			this.heardNanos.keySet().forEach((gateway) -> send(gateway, new Passed(ask.number(), ask.passed())));
+			knownGateways().forEach((gateway) -> send(gateway, new Passed(ask.number(), ask.passed())));
 		}
 	}
 
+	// A gateway with few calls is seldom heard.
+	private Set<String> knownGateways() {
+		Stream<String> reporting = this.servers.stream().flatMap((server) -> server.reportedCalls().keySet().stream());
+		return Stream.concat(this.heardNanos.keySet().stream(), reporting).collect(Collectors.toSet());
+	}
+
 	private void asked(Holder holder, Ask ask, long nowNanos) {
 		Hold granted = this.holds.get(holder);
 		if (granted != null) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/slots/SlotServer.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/slots/SlotServer.java
@@ -11,7 +11,8 @@
  * @param run the run of the server
  * @param slots the slots that it states
  * @param timeFactor the time that it takes, relative to a typical server of its service
- * @param reportedCalls the calls that each gateway last reported to have there
+ * @param reportedCalls the calls that each gateway last reported to have there, of all
+ * live gateways, 0 for those without calls
  */
 public record SlotServer(Incarnation run, int slots, double timeFactor, Map<String, Integer> reportedCalls) {
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/slots/SlotKeeperTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/slots/SlotKeeperTests.java
@@ -146,6 +146,16 @@
 		assertThat(receive("g2", ask, 2 * MILLI)).isEmpty();
 	}
 
+	// Guards against two keepers at once: gateways that were not heard of late went on
+	// asking the one that others pass over.
+	@Test
+	void shouldTellPassedKeepersToGatewaysThatOnlyReport() {
+		serve(1, Map.of("g1", 0, "g3", 0));
+		Ask ask = new Ask(5, "small", 0, 60, Set.of(), Set.of("k1"));
+		assertThat(receive("g2", ask, 0)).contains(new Addressed("g1", new Passed(5, Set.of("k1"))),
+				new Addressed("g2", new Passed(5, Set.of("k1"))), new Addressed("g3", new Passed(5, Set.of("k1"))));
+	}
+
 	@ParameterizedTest
 	@MethodSource
 	void shouldOnlyCountMessageWhenItIsInvalid(SlotMessage message) {
