Write the line under way before the log is closed

The log was closed as soon as no line was queued, and the line that the writer had just taken was lost: a process that ends at its first line showed none.

--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/EventLog.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/EventLog.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 
 import org.tinylog.Logger;
@@ -34,6 +35,9 @@
 
 	private static final BlockingQueue<Runnable> QUEUE = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
 
+	/** The number of lines that are queued or being written. */
+	private static final AtomicInteger UNWRITTEN = new AtomicInteger();
+
 	private static final LongAdder DROPPED = new LongAdder();
 
 	private static final ScopedValue<Boolean> DISCARDED = ScopedValue.newInstance();
@@ -110,7 +114,7 @@
 	public static void close() {
 		try {
 			long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CLOSE_TIMEOUT_MILLIS);
-			while (!QUEUE.isEmpty() && deadline - System.nanoTime() > 0) {
+			while (UNWRITTEN.get() > 0 && deadline - System.nanoTime() > 0) {
 				Thread.sleep(1);
 			}
 			ProviderRegistry.getLoggingProvider().shutdown();
@@ -129,7 +133,9 @@
 			writer.setDaemon(true);
 			writer.start();
 		}
+		UNWRITTEN.incrementAndGet();
 		if (!QUEUE.offer(line)) {
+			UNWRITTEN.decrementAndGet();
 			DROPPED.increment();
 		}
 	}
@@ -138,6 +144,7 @@
 		try {
 			while (true) {
 				QUEUE.take().run();
+				UNWRITTEN.decrementAndGet();
 				reportDropped();
 			}
 		}
