End the process when its control thread fails with an error

The control thread went on after a RuntimeException and ended at an Error, of which no line was logged: the process would answer its callers and follow nothing. No row of a table was found that causes one: nesting is limited where rows are decoded.

--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/ProgramEvents.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/events/ProgramEvents.java
@@ -19,7 +19,10 @@
 	CONTROL_WORK_FAILED(1005),
 
 	/** Log lines were dropped because they arrived faster than they could be written. */
-	LOG_DROPPED(1006);
+	LOG_DROPPED(1006),
+
+	/** The control thread failed with an error; the process ends. */
+	CONTROL_THREAD_FAILED(1007);
 
 	private final int number;
 
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/Addresses.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/peer/Addresses.java
@@ -34,6 +34,20 @@
 		return new InetSocketAddress(ip, Integer.parseInt(address.substring(colon + 1)));
 	}
 
+	/**
+	 * Reads an address that connections are opened to.
+	 * @param address {@code host:port}, the host an IP number
+	 * @return the socket address
+	 * @throws IllegalArgumentException when it is none, or its port is 0
+	 */
+	public static InetSocketAddress parseRemote(String address) {
+		InetSocketAddress parsed = parse(address);
+		if (parsed.getPort() == 0) {
+			throw new IllegalArgumentException("'" + address + "' has port 0");
+		}
+		return parsed;
+	}
+
 	/**
 	 * Writes an address.
 	 * @param address a socket address with an IP number
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
@@ -16,9 +16,10 @@
  *
  * <p>
  * Other threads post work; the thread runs it in order and then the systems, at the
- * latest after the tick interval. A failure in one piece of work is logged and does not
- * end the thread, since a process without its control thread would look alive and decide
- * nothing.
+ * latest after the tick interval. A {@link RuntimeException} in one piece of work is
+ * logged and does not end the thread. An {@link Error} ends the process with
+ * {@link Program#FAILED}, since a process without its control thread would look alive and
+ * decide nothing.
  *
  * <pre>
  * try (ControlLoop loop = ControlLoop.start("control", Duration.ofMillis(5), this::tick)) {
@@ -38,14 +39,18 @@
 
 	private final Consumer<Long> tick;
 
+	/** Called on the thread before it ends by an error. */
+	private final Runnable onError;
+
 	private volatile boolean closed;
 
 	/** How long the oldest work of the last batch had waited. */
 	private volatile long lagNanos;
 
-	private ControlLoop(long tickNanos, Consumer<Long> tick) {
+	private ControlLoop(long tickNanos, Consumer<Long> tick, Runnable onError) {
 		this.tickNanos = tickNanos;
 		this.tick = tick;
+		this.onError = onError;
 	}
 
 	// -- factories
@@ -69,8 +74,12 @@
 	 * @return the running loop
 	 */
 	public static ControlLoop start(ThreadFactory threads, Duration interval, Consumer<Long> tick) {
+		return start(threads, interval, tick, ControlLoop::endProcess);
+	}
+
+	static ControlLoop start(ThreadFactory threads, Duration interval, Consumer<Long> tick, Runnable onError) {
 		Objects.requireNonNull(tick, "tick is null");
-		ControlLoop loop = new ControlLoop(interval.toNanos(), tick);
+		ControlLoop loop = new ControlLoop(interval.toNanos(), tick, onError);
 		Thread thread = threads.newThread(loop::run);
 		loop.thread.set(thread);
 		thread.start();
@@ -114,7 +123,23 @@
 		}
 	}
 
+	// Without its control thread, the process cannot shut down gracefully.
+	private static void endProcess() {
+		EventLog.close();
+		Runtime.getRuntime().halt(Program.FAILED);
+	}
+
 	private void run() {
+		try {
+			runUntilClosed();
+		}
+		catch (Error ex) {
+			EventLog.error(ex, ProgramEvents.CONTROL_THREAD_FAILED, "cause", ex);
+			this.onError.run();
+		}
+	}
+
+	private void runUntilClosed() {
 		long nextTick = System.nanoTime();
 		while (!this.closed || !this.work.isEmpty()) {
 			boolean worked = runBatch(nextTick - System.nanoTime());
