--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayDirectory.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayDirectory.java
@@ -123,7 +123,7 @@
 		}
 		String address = new String(row.value().get(), StandardCharsets.UTF_8);
 		try {
-			this.peers.addPeer(row.key(), Addresses.parse(address));
+			this.peers.addPeer(row.key(), Addresses.parseRemote(address));
 			this.fleet.addGateway(row.key(), now);
 		}
 		catch (IllegalArgumentException ex) {
