Drop reports of gateways whose ports are out of range

Found by reading: the ports of a report are 32 bits wide, and one over 65535 or below 0 raised an exception each time the address of its sender was needed, so that the rest of that report was lost and, for as long as the sender was known, the duties did not run. Such a report is now dropped where it is decoded, with a line in the log.

Gateways of ours never send such a port.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -60,6 +60,8 @@
 
 	private static final byte[] EMPTY = {};
 
+	private static final int MAX_PORT = 65_535;
+
 	private final String self;
 
 	private final int start;
@@ -211,7 +213,7 @@
 				receiver.streamMessages(from, StreamMessages.parseFrom(ByteBuffer.wrap(bytes, 1, bytes.length - 1)));
 			}
 			else {
-				receiver.report(new ReceivedReport(from, GatewayReport.parseFrom(bytes)));
+				receiver.report(new ReceivedReport(from, decode(bytes)));
 			}
 		}
 		catch (InvalidProtocolBufferException ex) {
@@ -219,6 +221,21 @@
 		}
 	}
 
+	// A port out of range cannot be turned into an address, each time that one is needed.
+	private static GatewayReport decode(byte[] bytes) throws InvalidProtocolBufferException {
+		GatewayReport report = GatewayReport.parseFrom(bytes);
+		if (!isPort(report.getAdminPort()) || !isPort(report.getTunnelPort())) {
+			throw new InvalidProtocolBufferException(
+					"a port is out of range: " + report.getAdminPort() + ", " + report.getTunnelPort());
+		}
+		return report;
+	}
+
+	// A gateway that serves nothing at a port reports 0.
+	private static boolean isPort(int port) {
+		return port >= 0 && port <= MAX_PORT;
+	}
+
 	/**
 	 * Updates the addresses of a report's sender.
 	 * @param received the report
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PeerExchangeTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PeerExchangeTests.java
@@ -13,12 +13,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import reactor.netty.resources.LoopResources;
 
 import org.rosemaryfront.fleet.Fleet.Confirmation;
 import org.rosemaryfront.gateway.proto.GatewayReport;
+import org.rosemaryfront.standin.net.FreePorts;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -71,6 +77,28 @@
 		}
 	}
 
+	// Guards against a report that stops the duties for as long as its sender is known.
+	@ParameterizedTest
+	@ValueSource(ints = { 65_536, Integer.MAX_VALUE, -1 })
+	void shouldDropReportWhenPortIsOutOfRange(int port) throws Exception {
+		InetSocketAddress address = new InetSocketAddress(LOOPBACK, FreePorts.one());
+		BlockingQueue<Integer> received = new LinkedBlockingQueue<>();
+		try (DatagramSocket other = new DatagramSocket(0, LOOPBACK);
+				PeerExchange _ = PeerExchange.open(LoopResources.create("test", 1, true).onServer(false).next(),
+						address, "gateway-1", 7, (report) -> received.add(report.report().getNumber()))) {
+			send(other, address, GatewayReport.newBuilder().setNumber(1).setAdminPort(port));
+			send(other, address, GatewayReport.newBuilder().setNumber(2).setTunnelPort(port));
+			send(other, address, GatewayReport.newBuilder().setNumber(3).setAdminPort(65_535));
+			assertThat(received.poll(5, TimeUnit.SECONDS)).isEqualTo(3);
+		}
+	}
+
+	private static void send(DatagramSocket socket, InetSocketAddress to, GatewayReport.Builder report)
+			throws IOException {
+		byte[] bytes = report.setGateway("gateway-2").build().toByteArray();
+		socket.send(new DatagramPacket(bytes, bytes.length, to));
+	}
+
 	// The confirmation in a report identifies its receiver.
 	private static List<Integer> receivers(DatagramSocket socket, int count) throws IOException {
 		List<Integer> receivers = new ArrayList<>();
