Refuse rows of the gateways' own tables whose parts are missing or out of range

A row of a crash that is null raised a NullPointerException in the first read of the table, and the gateway did not become ready. A usage row that is null, or whose count is null, raised one while the holder of the duties added up a window: it did not report usage again.

Counts are now checked in one place, and rows of crashes in their records; an unreadable row is logged and skipped as before, and the sound rows are used. The bounds were chosen, not measured.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/BurstRow.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/BurstRow.java
@@ -6,8 +6,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import com.fasterxml.jackson.core.type.TypeReference;
-
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.ports.RowStore.Commit;
 import org.rosemaryfront.ports.RowStore.Condition;
@@ -31,9 +29,6 @@
 
 	private static final String KEY = "~bursts";
 
-	private static final TypeReference<Map<String, Long>> LIST_TYPE = new TypeReference<>() {
-	};
-
 	private final StoreGenerations store;
 
 	private final QuotaTable quotas;
@@ -110,7 +105,7 @@
 
 	private static Optional<Map<String, Long>> list(Row row) {
 		try {
-			return Optional.of(RowJson.read(row.value().orElseThrow(), LIST_TYPE, row.key()));
+			return Optional.of(RowJson.counts(row.value().orElseThrow(), row.key()));
 		}
 		catch (RuntimeException ex) {
 			RowLog.unreadable(row.key(), ex);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRows.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashRows.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.gateway;
 
 import java.util.Locale;
+import java.util.Objects;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import com.fasterxml.jackson.core.type.TypeReference;
@@ -36,6 +37,9 @@
 	private static final TypeReference<TrialRow> PROBE_ROW = new TypeReference<>() {
 	};
 
+	/** The latest time of a crash: the end of the year 2199. */
+	private static final long MAX_AT_MILLIS = 7_258_118_400_000L;
+
 	private CrashRows() {
 	}
 
@@ -131,6 +135,14 @@
 	 * @param gateway the gateway process that wrote the row
 	 */
 	private record CrashRow(String server, long startedMillis, long atMillis, boolean cleared, String gateway) {
+
+		private CrashRow {
+			Objects.requireNonNull(server, "server is null");
+			if (startedMillis < 0 || atMillis < 0 || atMillis > MAX_AT_MILLIS) {
+				throw new IllegalArgumentException("a time is out of range");
+			}
+		}
+
 	}
 
 	/**
@@ -143,6 +155,15 @@
 	 * @param request the digest of the request that had the segment
 	 */
 	private record SegmentCrashRow(CrashRow crash, String service, String segment, String version, String request) {
+
+		private SegmentCrashRow {
+			Objects.requireNonNull(crash, "crash is null");
+			Objects.requireNonNull(service, "service is null");
+			Objects.requireNonNull(segment, "segment is null");
+			Objects.requireNonNull(version, "version is null");
+			Objects.requireNonNull(request, "request is null");
+		}
+
 	}
 
 	/**
@@ -151,6 +172,11 @@
 	 * @param gateway the gateway process that has the probe
 	 */
 	private record TrialRow(String gateway) {
+
+		private TrialRow {
+			Objects.requireNonNull(gateway, "gateway is null");
+		}
+
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/UsageDuty.java
@@ -10,8 +10,6 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 
-import com.fasterxml.jackson.core.type.TypeReference;
-
 import org.rosemaryfront.duties.ReceivedUsage;
 import org.rosemaryfront.duties.UsageLedger.Window;
 import org.rosemaryfront.duties.UsageSums;
@@ -73,9 +71,6 @@
 	 */
 	private static final String SUM_NAME = "~sum";
 
-	private static final TypeReference<TreeMap<String, Long>> COUNTS_TYPE = new TypeReference<>() {
-	};
-
 	private final StoreGenerations store;
 
 	private final Duties duties;
@@ -414,7 +409,7 @@
 	// of the duties in turn, and no window was reported any more.
 	private static Optional<Map<String, Long>> decode(String key, byte[] value) {
 		try {
-			return Optional.of(RowJson.read(value, COUNTS_TYPE, "usage row"));
+			return Optional.of(RowJson.counts(value, "usage row"));
 		}
 		catch (IllegalStateException ex) {
 			RowLog.unreadable(key, ex);
