Keep SIGHUP and SIGTERM that come during a start

Cause: the handler of SIGHUP was installed behind GatewayProcess.start, the hook of the stop behind that; until then the runtime's own handlers act.

The second installs the hook of the stop (StopHook), which waits for the end of the start, closes what has started and ends with 0. A start that fails by itself ends with 1 as before, also behind an Error, for which the hook must not wait.

Not closed: the time from exec to that statement, in which the runtime decides (docs/design/start.md).

--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/Program.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -67,14 +66,22 @@
 	 * @param start starts the program
 	 */
 	public static void serve(String name, Supplier<Running> start) {
+		StopHook hook = StopHook.install(name);
 		try {
-			serve(name, start.get());
+			Running running = start.get();
+			hook.started(running);
+			serve(name, running);
 		}
 		catch (RuntimeException | InterruptedException ex) {
 			EventLog.error(ex, ProgramEvents.PROGRAM_FAILED, "program", name, "cause", ex);
 			EventLog.close();
+			hook.failed();
 			System.exit(FAILED);
 		}
+		finally {
+			// An error ends this thread, and the hook must not wait for it.
+			hook.failed();
+		}
 	}
 
 	private static Arguments parse(String name, String[] args) {
@@ -106,25 +113,11 @@
 	}
 
 	private static void serve(String name, Running running) throws InterruptedException {
-		CountDownLatch stopped = new CountDownLatch(1);
-		AtomicBoolean stopping = new AtomicBoolean();
-		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-			if (stopping.compareAndSet(false, true)) {
-				EventLog.info(ProgramEvents.PROGRAM_STOPPING, "program", name);
-				running.close();
-				EventLog.info(ProgramEvents.PROGRAM_STOPPED, "program", name);
-				EventLog.close();
-				stopped.countDown();
-				// Without the halt the virtual machine ends with 143 after SIGTERM, and
-				// who stopped the program cannot tell a stop in good order from a kill.
-				Runtime.getRuntime().halt(0);
-			}
-		}, "stop"));
 		// The shutdown hook runs on threads of its own and closes the program.
 		running.finished().thenRunAsync(() -> System.exit(0));
 		printReady(name, running.listeners());
 		EventLog.info(ProgramEvents.PROGRAM_READY, "program", name, "listeners", running.listeners());
-		stopped.await();
+		new CountDownLatch(1).await();
 	}
 
 	private static void printReady(String name, Map<String, String> listeners) {
