--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ForwardingTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ForwardingTests.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.gateway;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
@@ -53,6 +54,31 @@
 		}
 	}
 
+	// Guards against a path with bytes above 127 that reaches the server in another
+	// encoding.
+	@ParameterizedTest
+	@ValueSource(strings = { "/sheets/caf\u00e9", "/sheets/?name=\u20ac", "/sheets/\ud83c\udf3f", "/sheets/%C3%A9" })
+	void shouldForwardPathUnchangedWhenItIsNotAscii(String path) throws IOException {
+		try (ScriptedServer server = this.gateway.startServer((request, exchange) -> exchange.ok(request, "x"))) {
+			assertThat(this.gateway.send(RawCaller.get("c1", path)).status()).isEqualTo(200);
+			byte[] line = server.requests().getFirst().line().getBytes(StandardCharsets.ISO_8859_1);
+			assertThat(line).isEqualTo(("GET " + path + " HTTP/1.1").getBytes(StandardCharsets.UTF_8));
+		}
+	}
+
+	// Guards against a path that reaches the server with other bytes, since they are not
+	// valid UTF-8.
+	@ParameterizedTest
+	@ValueSource(strings = { "/sheets/\u00e9", "/sheets/\u00c3", "/sheets/?name=\u00ff", "/sheets/\u00c0\u00af" })
+	void shouldRefuseRequestWhenBytesOfPathAreNotUtf8(String path) throws IOException {
+		try (ScriptedServer server = this.gateway.startServer((request, exchange) -> exchange.ok(request, "x"));
+				RawCaller caller = this.gateway.caller()) {
+			byte[] request = RawCaller.get("c1", path).getBytes(StandardCharsets.ISO_8859_1);
+			assertThat(caller.send(request).read().status()).isEqualTo(400);
+			assertThat(server.requests()).isEmpty();
+		}
+	}
+
 	// Guards against sending a request to a server although its caller disconnected while
 	// the request was unread at a busy gateway.
 	@Test
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
@@ -42,7 +42,11 @@
 	}
 
 	RawCaller send(String bytes) throws IOException {
-		this.socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+		return send(bytes.getBytes(StandardCharsets.UTF_8));
+	}
+
+	RawCaller send(byte[] bytes) throws IOException {
+		this.socket.getOutputStream().write(bytes);
 		return this;
 	}
 
