Never replace the operator's row of a roll-out that a successor has written

A holder of the duties that was paused between storing a phase and writing it for the operator read that row only then, and wrote its old phase on the version just read: over that of its successor, and for good, since the successor took its own value to be there. The operator's row is now read before the phase is read, and written on that version: if a successor has stored a later phase since, either its write or that of the paused holder is in conflict, and who is in conflict reads both rows again. Each change of a phase costs one call to the store less, each takeover one more.

RolloutHoldersTests: the first of its two tests failed before ("v2 TRIAL" where the successor had written "v2 ROLLED_BACK"); the second one holds the way after a conflict. RolloutDutyTests passes.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RolloutDuty.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RolloutDuty.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import reactor.core.publisher.Mono;
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendTable;
@@ -149,15 +150,30 @@
 
 	// -- the state row
 
+	// The operator's row is read first: if a successor has stored a later phase behind
+	// that, it also writes the operator's row, and a write of this process conflicts.
 	private void load(CachedRows cached, String service) {
 		cached.requestInProgress = true;
-		this.store.read(new Range(TABLE, service, service + '\0')).subscribe((page) -> this.control.accept(() -> {
-			Optional<Row> row = page.rows().stream().findFirst();
-			cached.state = row.flatMap((known) -> State.read(known, service));
-			cached.version = row.map(Row::version).orElse(0L);
-			cached.loaded = true;
-			cached.requestInProgress = false;
-		}), (failure) -> failed(cached, service, "read", failure));
+		RecordCodec.RowLocation place = this.records.rolloutState(service);
+		read(place.table(), place.key())
+			.flatMap((operatorRow) -> read(TABLE, service).doOnNext((row) -> this.control.accept(() -> {
+				cached.state = row.flatMap((known) -> State.read(known, service));
+				cached.version = versionOf(row);
+				cached.operatorVersion = versionOf(operatorRow);
+				cached.operatorValue = Optional.empty();
+				cached.loaded = true;
+				cached.requestInProgress = false;
+			})))
+			.subscribe((_) -> {
+			}, (failure) -> failed(cached, service, "read", failure));
+	}
+
+	private Mono<Optional<Row>> read(String table, String key) {
+		return this.store.read(new Range(table, key, key + '\0')).map((page) -> page.rows().stream().findFirst());
+	}
+
+	private static long versionOf(Optional<Row> row) {
+		return row.map(Row::version).orElse(0L);
 	}
 
 	private void write(CachedRows cached, Rollout rollout, State state) {
@@ -198,21 +214,23 @@
 		}
 		cached.requestInProgress = true;
 		RecordCodec.RowLocation place = this.records.rolloutState(service);
-		this.store.read(new Range(place.table(), place.key(), place.key() + '\0')).flatMap((page) -> {
-			long version = page.rows().stream().findFirst().map(Row::version).orElse(0L);
-			return this.store.commit(new Commit(place.table(), List.of(new Condition(place.key(), version)),
-					List.of(new Write(place.key(), value)), List.of()));
-		})
+		Commit commit = new Commit(place.table(), List.of(new Condition(place.key(), cached.operatorVersion)),
+				List.of(new Write(place.key(), value)), List.of());
+		this.store.commit(commit)
 			.subscribe((outcome) -> this.control.accept(() -> operatorRowWritten(cached, place.key(), value, outcome)),
 					(failure) -> failed(cached, place.key(), "write", failure));
 	}
 
 	private static void operatorRowWritten(CachedRows cached, String row, byte[] value, Outcome outcome) {
 		cached.requestInProgress = false;
-		if (outcome instanceof Outcome.Committed done) {
-			cached.operatorValue = Optional.of(value);
-			EventLog.info(GatewayEvents.ROLLOUT_STATE_WRITTEN, "row", row, "state",
-					new String(value, StandardCharsets.UTF_8), "rowVersion", StoreVersion.format(done.version()));
+		switch (outcome) {
+			case Outcome.Committed done -> {
+				cached.operatorValue = Optional.of(value);
+				cached.operatorVersion = done.version();
+				EventLog.info(GatewayEvents.ROLLOUT_STATE_WRITTEN, "row", row, "state",
+						new String(value, StandardCharsets.UTF_8), "rowVersion", StoreVersion.format(done.version()));
+			}
+			case Outcome.Conflict _ -> cached.loaded = false;
 		}
 	}
 
@@ -222,13 +240,15 @@
 		/** Whether a request to the store is in progress. */
 		private boolean requestInProgress;
 
-		/** Whether the state row was read. */
+		/** Whether both rows were read. */
 		private boolean loaded;
 
 		private long version;
 
 		private Optional<State> state = Optional.empty();
 
+		private long operatorVersion;
+
 		/** The value last written to the operator's row; empty if not known. */
 		private Optional<byte[]> operatorValue = Optional.empty();
 
