Take the decision to retry and the last checks before sending out of two large classes

GatewayControl and Call decide in two places whether a call may be sent to a server once more. CallRetries (control thread) and SendCheck (traffic thread) take these decisions as they are; nothing else changes.

--- /dev/null
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallRetries.java
@@ -0,0 +1,72 @@
+package org.rosemaryfront.gateway;
+
+import java.util.Optional;
+
+import org.rosemaryfront.dispatch.RetryBudget;
+import org.rosemaryfront.model.Verdict;
+import org.rosemaryfront.traffic.Call;
+import org.rosemaryfront.traffic.CallPolicy.Failure;
+import org.rosemaryfront.traffic.Refusal.Cause;
+
+/**
+ * Decides whether a call that failed at a server is sent to another one. Confined to the
+ * control thread.
+ */
+final class CallRetries {
+
+	/**
+	 * Fraction of the allowed retry share that is used, because retries may be counted
+	 * over windows with other boundaries.
+	 */
+	private static final double RETRY_SHARE_FACTOR = 0.8;
+
+	/** Failed connection attempts, with nothing sent, after which a call is refused. */
+	private static final int MAX_UNSENT_ATTEMPTS = 3;
+
+	private final RetryBudget budget;
+
+	private CallRetries(RetryBudget budget) {
+		this.budget = budget;
+	}
+
+	static CallRetries of(GatewaySettings.Bounds bounds, long startedNanos) {
+		return new CallRetries(new RetryBudget(bounds.retryShare() * RETRY_SHARE_FACTOR, bounds.retryFixed(),
+				bounds.retryWindowMillis(), startedNanos));
+	}
+
+	/**
+	 * Returns the retries that are left.
+	 * @return the retry budget
+	 */
+	RetryBudget budget() {
+		return this.budget;
+	}
+
+	/**
+	 * Takes a retry for a call that failed.
+	 * @param call the call
+	 * @param progress the decisions made about it
+	 * @param failure the failure
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @return why the call must not be sent again, empty if it may be
+	 */
+	Optional<Cause> refusal(Call call, CallProgress progress, Failure failure, long nowNanos) {
+		if (!failure.sent()) {
+			progress.notSent();
+			return (progress.unsentAttempts() < MAX_UNSENT_ATTEMPTS) ? Optional.empty()
+					: Optional.of(Cause.NO_CONNECTION);
+		}
+		if (!(failure.verdict() instanceof Verdict.NotRun) && !call.route().retryable()) {
+			return Optional.of(Cause.MAY_HAVE_RUN);
+		}
+		return call.canResend() ? limit(call, nowNanos) : Optional.of(Cause.BODY_NOT_KEPT);
+	}
+
+	private Optional<Cause> limit(Call call, long nowNanos) {
+		if (call.sendCount() >= call.route().maxAttempts()) {
+			return Optional.of(Cause.ATTEMPTS_USED);
+		}
+		return this.budget.tryAcquire(call.service(), nowNanos) ? Optional.empty() : Optional.of(Cause.RETRIES_USED);
+	}
+
+}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -18,7 +18,6 @@
 import org.rosemaryfront.dispatch.Dispatcher;
 import org.rosemaryfront.dispatch.Dispatcher.CallRequirements;
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
-import org.rosemaryfront.dispatch.RetryBudget;
 import org.rosemaryfront.duties.UsageLedger;
 import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.fleet.Fleet;
@@ -60,15 +59,6 @@
 
 	private static final long FULL_RETRY_SPREAD_MILLIS = 500;
 
-	/**
-	 * Fraction of the allowed retry share that is used, because retries may be counted
-	 * over windows with other boundaries.
-	 */
-	private static final double RETRY_SHARE_FACTOR = 0.8;
-
-	/** Failed connection attempts, with nothing sent, after which a call is refused. */
-	private static final int MAX_UNSENT_ATTEMPTS = 3;
-
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	private final ControlLoop loop;
@@ -77,7 +67,7 @@
 
 	private final Dispatcher dispatcher;
 
-	private final RetryBudget retries;
+	private final CallRetries retries;
 
 	private final CallQuotas quotas;
 
@@ -137,10 +127,9 @@
 		this.notices = new Notices(loop, servers, this::serversChanged);
 		this.serversFreshness = serversFreshness;
 		GatewaySettings.Bounds bounds = settings.bounds();
-		this.retries = new RetryBudget(bounds.retryShare() * RETRY_SHARE_FACTOR, bounds.retryFixed(),
-				bounds.retryWindowMillis(), System.nanoTime());
+		this.retries = CallRetries.of(bounds, System.nanoTime());
 		this.moves = new RunMoves(loop, servers, engines, metrics,
-				new RunMoves.Calls(this.calls, this::engine, this.retries::tryAcquire, this::maxConnections),
+				new RunMoves.Calls(this.calls, this::engine, this.retries.budget()::tryAcquire, this::maxConnections),
 				bounds.changeMillis());
 		gateways(fleet.servingCount(System.nanoTime()));
 	}
@@ -301,7 +290,7 @@
 			return;
 		}
 		this.calls.put(call, progress);
-		this.retries.recordFirstAttempt(call.service(), nowNanos);
+		this.retries.budget().recordFirstAttempt(call.service(), nowNanos);
 		dispatch(call, progress, nowNanos);
 	}
 
@@ -462,7 +451,7 @@
 			endUnserved(call, progress, CrashGuard.QUARANTINE_RETRY_MILLIS, quarantine.get());
 			return;
 		}
-		Optional<Cause> refusal = refusal(call, progress, failure, notRun, nowNanos);
+		Optional<Cause> refusal = this.retries.refusal(call, progress, failure, nowNanos);
 		if (refusal.isEmpty()) {
 			dispatch(call, progress, nowNanos);
 		}
@@ -486,30 +475,6 @@
 		}
 	}
 
-	// Returns why a call must not be retried, empty if it may be. A call that may have
-	// run is retried only if its route is repeatable, that is, running it twice does no
-	// harm.
-	private Optional<Cause> refusal(Call call, CallProgress progress, Failure failure, boolean notRun, long nowNanos) {
-		if (!failure.sent()) {
-			progress.notSent();
-			return (progress.unsentAttempts() < MAX_UNSENT_ATTEMPTS) ? Optional.empty()
-					: Optional.of(Cause.NO_CONNECTION);
-		}
-		if (!notRun && !call.route().retryable()) {
-			return Optional.of(Cause.MAY_HAVE_RUN);
-		}
-		if (!call.canResend()) {
-			return Optional.of(Cause.BODY_NOT_KEPT);
-		}
-		if (call.sendCount() >= call.route().maxAttempts()) {
-			return Optional.of(Cause.ATTEMPTS_USED);
-		}
-		if (!this.retries.tryAcquire(call.service(), nowNanos)) {
-			return Optional.of(Cause.RETRIES_USED);
-		}
-		return Optional.empty();
-	}
-
 	private void promptPrefilled(CallProgress progress) {
 		long tokens = progress.takeUncachedTokens();
 		progress.server().ifPresent((server) -> this.servers.recordPrefillEnd(server, tokens));
@@ -601,7 +566,7 @@
 	 */
 	void gateways(int count) {
 		this.gateways = count;
-		this.retries.setProcessCount(count);
+		this.retries.budget().setProcessCount(count);
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -483,19 +483,11 @@
 			connectFailed("the connection was closed before the call was sent");
 			return;
 		}
-		if (this.gateway.policy().isQuarantined(this)) {
-			to.release();
-			connectFailed("the request is quarantined");
-			return;
-		}
-		if (this.move.copy().isEmpty() && !this.gateway.policy().acceptsCalls(this.server.orElseThrow())) {
-			to.release();
-			connectFailed("the server wants no calls");
-			return;
-		}
-		if (!this.response.canGoOnAt(this.server.orElseThrow().version())) {
+		Optional<String> obstacle = new SendCheck(this, this.response, this.gateway.policy())
+			.obstacle(this.server.orElseThrow());
+		if (obstacle.isPresent()) {
 			to.release();
-			connectFailed("the stream began at another version");
+			connectFailed(obstacle.get());
 			return;
 		}
 		if (this.caller.isDisconnected()) {
