Never begin a request anew that the gateway itself has stopped

What callers saw: a stream that must not be resumed got a piece twice.

Cause: a call counted as a run at its target from the moment it was sent on. When the target left as well, the planner copied the run "from" there, which replaced the entry that knows the way back to the source. The failure of the connection then found no move, and a call whose last attempt was not sent passed without a question whether an earlier one ran.

Change: NewRun alone says whether a request may begin anew. CallRetries asks it for each failed attempt, sent or not, and SendCheck asks it again before the first byte of each attempt without a copy, whatever led there. A run that was sent on is MOVED until an event comes from its new server (ARRIVED); until then it is not planned for, and MoveTable refuses to copy it. A run that was stopped counts as one that may have run, so that its quota units are not given back either.

On virtual time MoveFleet now has targets that are out of reach, leave or refuse.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/Move.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/Move.java
@@ -75,7 +75,7 @@
 	boolean needsRoomAtTarget() {
 		return switch (this.state) {
 			case COPYING, COPIED, SWITCHING -> true;
-			case MOVED, FAILED, ABANDONED -> false;
+			case MOVED, ARRIVED, FAILED, ABANDONED -> false;
 		};
 	}
 
@@ -95,9 +95,15 @@
 		/** The run was asked to stop, or has stopped. */
 		SWITCHING,
 
-		/** The run goes on at another server. */
+		/**
+		 * The run was sent on to the target, or back to its source; no event of it has
+		 * come from there.
+		 */
 		MOVED,
 
+		/** The run goes on where it was sent. */
+		ARRIVED,
+
 		/** The target could not take the run over. */
 		FAILED,
 
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/MovePlanner.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/MovePlanner.java
@@ -169,13 +169,16 @@
 		}
 
 		private MoveDecision decide(RunState run) {
+			if (MovePlanner.this.moves.isOnItsWay(run.call())) {
+				return new Stay();
+			}
 			Optional<Move> move = MovePlanner.this.moves.find(run.call())
 				.filter((known) -> known.isAt(this.source.server()));
 			if (move.isEmpty()) {
 				return begin(run, Set.of(), MovePlanner.this.retries);
 			}
 			return switch (move.get().state()) {
-				case COPYING, SWITCHING, MOVED, ABANDONED -> new Stay();
+				case COPYING, SWITCHING, MOVED, ARRIVED, ABANDONED -> new Stay();
 				case COPIED -> proceed(run, move.get());
 				// Its retry was taken with the first copy.
 				case FAILED -> begin(run, move.get().refusedBy(), () -> true);
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/MoveTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/MoveTable.java
@@ -56,6 +56,15 @@
 		return Optional.ofNullable(this.moves.get(call));
 	}
 
+	/**
+	 * Returns whether a run was sent on and is not known to have arrived.
+	 * @param call the identifier of the call
+	 * @return true until {@link #arrived} or an end of the move
+	 */
+	boolean isOnItsWay(String call) {
+		return find(call).filter((move) -> move.state() == State.MOVED).isPresent();
+	}
+
 	Stream<Move> moves(Predicate<Move> matching) {
 		return this.moves.values().stream().filter(matching);
 	}
@@ -69,8 +78,13 @@
 	 * @param target the server that gets the copy
 	 * @param transfer the transfer
 	 * @return the number of the request, and a copy that it supersedes
+	 * @throws IllegalStateException if the run was sent on and is not known to have
+	 * arrived: where it goes on if its target refuses it would be forgotten
 	 */
 	public Request copying(RunState run, BackendServer source, BackendServer target, Transfer transfer) {
+		if (isOnItsWay(run.call())) {
+			throw new IllegalStateException("call " + run.call() + " has not arrived yet");
+		}
 		Optional<Move> previous = find(run.call()).filter((move) -> move.isAt(source));
 		Optional<Move> same = previous.filter((move) -> move.target().id().equals(target.id()));
 		Set<String> refusedBy = previous.map(Move::refusedBy).orElse(Set.of());
@@ -169,6 +183,15 @@
 		return step;
 	}
 
+	/**
+	 * Records that an event of a run came from the server to which it was sent on.
+	 * @param call the identifier of the call
+	 */
+	public void arrived(String call) {
+		find(call).filter((move) -> move.state() == State.MOVED)
+			.ifPresent((move) -> put(move.withState(State.ARRIVED)));
+	}
+
 	/**
 	 * Records that a server did not run a call that was to continue from a copy.
 	 * @param call the identifier of the call
@@ -228,7 +251,7 @@
 	}
 
 	private static Optional<Drop> drop(Move move) {
-		boolean used = move.state() == State.MOVED;
+		boolean used = move.state() == State.MOVED || move.state() == State.ARRIVED;
 		return !used ? move.handle().map((handle) -> new Drop(move.source(), handle)) : Optional.empty();
 	}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveFleet.java
@@ -12,6 +12,7 @@
 import java.util.stream.IntStream;
 
 import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.NewRun;
 import org.rosemaryfront.dispatch.RetryBudget;
 import org.rosemaryfront.moves.CopyAnswer.Copied;
 import org.rosemaryfront.moves.CopyAnswer.Failed;
@@ -35,6 +36,9 @@
 
 	private static final int ROUND_TRIP_MILLIS = 6;
 
+	/** After which a connection to a server out of reach fails. */
+	private static final int CONNECT_MILLIS = 500;
+
 	private static final int MILLIS_PER_TOKEN = 8;
 
 	private static final int PROMPT_TOKENS = 9_190;
@@ -53,6 +57,11 @@
 
 	private final Faults faults;
 
+	private final Targets targets;
+
+	/** Draws what happens to targets, so that it changes no other draw. */
+	private final Random fates;
+
 	private final List<Server> servers = new ArrayList<>();
 
 	private final List<Gateway> gateways = new ArrayList<>();
@@ -67,24 +76,30 @@
 
 	private long lastEvent;
 
-	MoveFleet(Load load, EngineSpec engine, Faults faults, long seed) {
+	MoveFleet(Load load, EngineSpec engine, Faults faults, Targets targets, long seed) {
 		this.random = new Random(seed);
+		this.fates = new Random(~seed);
+		this.targets = targets;
 		this.engine = engine;
 		this.faults = faults;
 		IntStream.range(0, load.gateways).forEach((_) -> this.gateways.add(new Gateway(load)));
 		for (int i = 0; i < load.servers; i++) {
 			boolean leaves = load.wholeZone ? i < load.servers / 3 : i % 3 == 0;
 			String zone = "abc".substring(load.wholeZone ? 3 * i / load.servers : i / 3 % 3).substring(0, 1);
-			this.servers.add(new Server(new BackendServer("s" + i, 1, "llm", "v1", "127.0.0.1:1", zone,
-					this.engine.slots(), leaves, true, 0)));
+			this.servers.add(new Server(registered("s" + i, zone, leaves)));
 			for (int j = 0; j < load.utilisation * this.engine.slots(); j++) {
 				this.streams.add(new Stream("c" + i + "-" + j, this.servers.get(i)));
 			}
 		}
 	}
 
+	private BackendServer registered(String id, String zone, boolean leaving) {
+		return new BackendServer(id, 1, "llm", "v1", "127.0.0.1:1", zone, this.engine.slots(), leaving, true, 0);
+	}
+
 	/** Plays the notice and what follows until all streams have ended. */
 	Outcome run() {
+		this.servers.forEach(Server::drawFate);
 		for (this.now = 0; this.now <= 2L * MAX_RESPONSE_TOKENS * MILLIS_PER_TOKEN; this.now++) {
 			while (!this.events.isEmpty() && this.events.peek().millis <= this.now) {
 				this.events.poll().action.run();
@@ -95,7 +110,7 @@
 			this.gateways.forEach(Gateway::tick);
 			this.streams.forEach(Stream::advance);
 		}
-		List<Stream> affected = this.streams.stream().filter((stream) -> stream.first.server.leaving()).toList();
+		List<Stream> affected = this.streams.stream().filter((stream) -> stream.first.leaves).toList();
 		long lost = affected.stream().filter((stream) -> stream.lost).count();
 		long inTime = affected.stream().filter((stream) -> !stream.lost && stream.pauseMillis <= GAP_MILLIS).count();
 		long moved = affected.stream().filter((stream) -> stream.at != stream.first).count();
@@ -134,6 +149,20 @@
 
 	}
 
+	/**
+	 * What happens to targets.
+	 *
+	 * @param unreachable the share of servers to which no gateway gets a connection
+	 * @param leaving the share of servers that begin to leave during the notice of the
+	 * others
+	 * @param refusing the share of continued runs that a target does not run
+	 */
+	record Targets(double unreachable, double leaving, double refusing) {
+
+		static final Targets SOUND = new Targets(0, 0, 0);
+
+	}
+
 	record Outcome(int streams, long moved, long lost, long inTime, long ranTwice, long copiesLeft, int urgentLost) {
 
 		double lostShare() {
@@ -158,7 +187,14 @@
 
 	private final class Server {
 
-		private final BackendServer server;
+		private BackendServer server;
+
+		/** Whether it leaves from the start on. */
+		private final boolean leaves;
+
+		private long leavesMillis;
+
+		private boolean unreachable;
 
 		private int slotsUsed;
 
@@ -168,10 +204,27 @@
 
 		private Server(BackendServer server) {
 			this.server = server;
+			this.leaves = server.leaving();
+		}
+
+		private void drawFate() {
+			Targets drawn = MoveFleet.this.targets;
+			if (this.leaves) {
+				return;
+			}
+			this.unreachable = MoveFleet.this.fates.nextDouble() < drawn.unreachable;
+			if (MoveFleet.this.fates.nextDouble() < drawn.leaving) {
+				after(MoveFleet.this.fates.nextInt(NOTICE_MILLIS), this::leave);
+			}
+		}
+
+		private void leave() {
+			this.server = registered(this.server.id(), this.server.zone(), true);
+			this.leavesMillis = MoveFleet.this.now;
 		}
 
 		private boolean isGone() {
-			return this.server.leaving() && MoveFleet.this.now >= NOTICE_MILLIS;
+			return this.server.leaving() && MoveFleet.this.now >= this.leavesMillis + NOTICE_MILLIS;
 		}
 
 		private boolean hasRoom() {
@@ -203,6 +256,12 @@
 
 		private Server at;
 
+		/** The server of the run as its gateway has it. */
+		private Server sentTo;
+
+		/** Whether an event came from there. */
+		private boolean heard = true;
+
 		private double made;
 
 		private boolean running = true;
@@ -222,6 +281,7 @@
 			this.call = call;
 			this.first = first;
 			this.at = first;
+			this.sentTo = first;
 			this.priority = MoveFleet.this.random.nextInt(3);
 			this.length = (int) (MAX_RESPONSE_TOKENS * (0.3 + 0.7 * MoveFleet.this.random.nextDouble()));
 			this.made = this.length * MoveFleet.this.random.nextDouble();
@@ -253,6 +313,7 @@
 			}
 			else if (this.running) {
 				this.made += 1.0 / MILLIS_PER_TOKEN;
+				this.heard |= this.at == this.sentTo;
 				if (hasEnded()) {
 					this.at.use(-1);
 				}
@@ -275,6 +336,18 @@
 			this.pauseMillis = Math.max(this.pauseMillis, MoveFleet.this.now - this.stoppedMillis + MILLIS_PER_TOKEN);
 		}
 
+		private void giveUp() {
+			this.lost = true;
+			this.at.use(-1);
+		}
+
+		// A server reads the request from its beginning, although it has run.
+		private void beginAnew() {
+			this.ranTwice = true;
+			this.running = true;
+			this.heard = true;
+		}
+
 		private void freeCopy(MoveStep.Drop drop) {
 			Server server = server(drop.handle());
 			if (this.copies.remove(server) != null) {
@@ -317,11 +390,13 @@
 
 		private void decide(Server source) {
 			List<RunState> runs = this.streams.stream()
-				.filter((stream) -> stream.at == source && stream.running && !stream.hasEnded())
+				.filter((stream) -> stream.sentTo == source && stream.heard && !stream.hasEnded())
+				.filter((stream) -> !stream.lost)
+				.peek((stream) -> this.moves.arrived(stream.call))
 				.map(Stream::state)
 				.toList();
-			LeavingServer leaving = new LeavingServer(source.server, 0, TimeUnit.MILLISECONDS.toNanos(NOTICE_MILLIS),
-					source.slotsUsed);
+			LeavingServer leaving = new LeavingServer(source.server, TimeUnit.MILLISECONDS.toNanos(source.leavesMillis),
+					TimeUnit.MILLISECONDS.toNanos(source.leavesMillis + NOTICE_MILLIS), source.slotsUsed);
 			MovePlanner.of(MoveFleet.this.engine, this.moves, this::takeRetry)
 				.plan(leaving, runs, MoveFleet.this.reported, nanos())
 				.forEach((planned) -> act(find(planned.run().call()), planned));
@@ -340,7 +415,7 @@
 				case MoveDecision.Stay _ -> {
 				}
 				case MoveDecision.Copy copy -> {
-					MoveTable.Request request = this.moves.copying(planned.run(), stream.at.server, copy.target(),
+					MoveTable.Request request = this.moves.copying(planned.run(), stream.sentTo.server, copy.target(),
 							copy.transfer());
 					request.superseded().ifPresent(stream::freeCopy);
 					after(ROUND_TRIP_MILLIS / 2.0, () -> copy(stream, copy.target(), request.attempt(), false));
@@ -415,23 +490,57 @@
 		}
 
 		private void answered(Stream stream, long attempt, CopyAnswer answer) {
-			follow(stream, this.moves.answered(stream.call, attempt, stream.first.server, answer, nanos()));
+			follow(stream, this.moves.answered(stream.call, attempt, stream.sentTo.server, answer, nanos()));
 		}
 
 		private void follow(Stream stream, MoveStep step) {
 			switch (step) {
-				case Continue next -> after(ROUND_TRIP_MILLIS / 2.0, () -> continueRun(stream, next));
+				case Continue next -> sendOn(stream, next);
 				case MoveStep.Drop drop -> stream.freeCopy(drop);
 				case MoveStep.None _, MoveStep.NotStopped _, MoveStep.Unknown _, MoveStep.Lost _ -> {
 				}
 			}
 		}
 
-		private void continueRun(Stream stream, Continue next) {
+		private void sendOn(Stream stream, Continue next) {
+			Server server = server(next.server().id());
+			stream.sentTo = server;
+			stream.heard = false;
+			if (server.unreachable) {
+				after(CONNECT_MILLIS, () -> failed(stream, server));
+			}
+			else if (server != stream.at && MoveFleet.this.fates.nextDouble() < MoveFleet.this.targets.refusing) {
+				after(ROUND_TRIP_MILLIS, () -> failed(stream, server));
+			}
+			else {
+				after(ROUND_TRIP_MILLIS / 2.0, () -> continueRun(stream, server));
+			}
+		}
+
+		private void continueRun(Stream stream, Server server) {
+			if (server.isGone()) {
+				failed(stream, server);
+			}
+			else if (!stream.lost) {
+				stream.continueAt(server);
+			}
+		}
+
+		private void failed(Stream stream, Server server) {
 			if (stream.lost) {
 				return;
 			}
-			stream.continueAt(server(next.server().id()));
+			switch (this.moves.refused(stream.call, server.server)) {
+				case Continue back -> sendOn(stream, back);
+				case MoveStep.Lost _, MoveStep.None _, MoveStep.NotStopped _, MoveStep.Drop _, MoveStep.Unknown _ -> {
+					if (new NewRun(true, true, false, true).obstacle().isPresent()) {
+						stream.giveUp();
+					}
+					else {
+						stream.beginAnew();
+					}
+				}
+			}
 		}
 
 	}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveFleetTests.java
@@ -8,6 +8,7 @@
 import org.rosemaryfront.moves.MoveFleet.Faults;
 import org.rosemaryfront.moves.MoveFleet.Load;
 import org.rosemaryfront.moves.MoveFleet.Outcome;
+import org.rosemaryfront.moves.MoveFleet.Targets;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
 import org.rosemaryfront.routes.ServiceSpec.MoveSpec;
 
@@ -80,11 +81,34 @@
 		assertThat(outcome.moved()).isPositive();
 	}
 
+	// Guards against runs that begin anew after they were stopped, and against streams
+	// that
+	// are lost for it, when targets are out of reach, leave, refuse the copy or the run,
+	// or
+	// several of these.
+	@ParameterizedTest
+	@CsvSource({ "9, 0.2, 0, 0, 0", "9, 0, 0.2, 0, 0", "9, 0, 0, 0.2, 0", "9, 0, 0, 0, 0.2", "9, 0.2, 0.5, 0, 0",
+			"9, 0.2, 0.5, 0.2, 0.2", "87, 0.2, 0, 0, 0", "87, 0, 0.2, 0, 0", "87, 0, 0, 0.2, 0", "87, 0, 0, 0, 0.2",
+			"87, 0.2, 0.5, 0, 0", "87, 0.2, 0.5, 0.2, 0.2", "385, 0.2, 0, 0, 0", "385, 0, 0.2, 0, 0",
+			"385, 0, 0, 0.2, 0", "385, 0, 0, 0, 0.2", "385, 0.2, 0.5, 0, 0", "385, 0.2, 0.5, 0.2, 0.2" })
+	void shouldRunOnceWhenTargetsFail(int gateways, double unreachable, double leaving, double refusing,
+			double copiesRefused) {
+		Outcome outcome = play("targets", new Load(gateways, SERVERS, 0.4, false, false), 32, FAST_LINK,
+				new Faults(copiesRefused, 0, 0, 0), new Targets(unreachable, leaving, refusing), 1);
+		assertThat(outcome.ranTwice()).isZero();
+		assertThat(outcome.moved()).isPositive();
+	}
+
 	private static Outcome play(String name, Load load, int slots, double link, Faults faults, long seed) {
+		return play(name, load, slots, link, faults, Targets.SOUND, seed);
+	}
+
+	private static Outcome play(String name, Load load, int slots, double link, Faults faults, Targets targets,
+			long seed) {
 		EngineSpec engine = new EngineSpec(slots, slots * 10_000L, 18_432, link, Optional.of(new MoveSpec(5_000, 1)));
-		Outcome outcome = new MoveFleet(load, engine, faults, seed).run();
-		System.out.printf("MEASURE MOVES %s %s slots %d link %.0f %s seed %d: %s lost %.3f in time %.3f%n", name, load,
-				slots, link, faults, seed, outcome, outcome.lostShare(), outcome.inTimeShare());
+		Outcome outcome = new MoveFleet(load, engine, faults, targets, seed).run();
+		System.out.printf("MEASURE MOVES %s %s slots %d link %.0f %s %s seed %d: %s lost %.3f in time %.3f%n", name,
+				load, slots, link, faults, targets, seed, outcome, outcome.lostShare(), outcome.inTimeShare());
 		return outcome;
 	}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveTableTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveTableTests.java
@@ -137,6 +137,28 @@
 		assertThat(this.table.refused("c1", SOURCE)).isEqualTo(new None());
 	}
 
+	// Guards against a run whose source is forgotten while it is not known to have
+	// arrived
+	// at its target: it would begin anew when the target refuses it.
+	@Test
+	void shouldNotCopyAgainBeforeRunHasArrived() {
+		this.table.answered("c1", switching(), SOURCE, new Copied("h1", 9), 0);
+		assertThatIllegalStateException().isThrownBy(() -> this.table.copying(RUN, TARGET, OTHER, TRANSFER));
+		assertThat(this.table.refused("c1", TARGET)).isEqualTo(new Continue(SOURCE, SOURCE, "h1"));
+	}
+
+	@Test
+	void shouldCopyAgainOnceRunHasArrived() {
+		this.table.answered("c1", switching(), SOURCE, new Copied("h1", 9), 0);
+		this.table.arrived("c1");
+		assertThat(state()).isEqualTo(State.ARRIVED);
+		assertThat(this.table.refused("c1", TARGET)).isEqualTo(new None());
+		assertThat(this.table.copying(RUN, TARGET, OTHER, TRANSFER).superseded()).isEmpty();
+		assertThat(state()).isEqualTo(State.COPYING);
+		this.table.arrived("c1");
+		assertThat(state()).isEqualTo(State.COPYING);
+	}
+
 	// Guards against a run that is taken to have stopped because no answer came.
 	@Test
 	void shouldNotKnowWhetherRunStoppedWhenSwitchIsNotAnswered() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallProgress.java
@@ -12,6 +12,7 @@
 import org.rosemaryfront.dispatch.Dispatcher;
 import org.rosemaryfront.dispatch.Dispatcher.Choice;
 import org.rosemaryfront.dispatch.FirstTokenModel.Work;
+import org.rosemaryfront.dispatch.NewRun;
 import org.rosemaryfront.dispatch.PromptPrefix;
 import org.rosemaryfront.ports.CallMetadata.Prompt;
 import org.rosemaryfront.quota.QuotaTable.QuotaDecision;
@@ -118,10 +119,11 @@
 	}
 
 	/**
-	 * Records that the run of the call continues at another server.
+	 * Records that the run of the call, which has stopped, continues at a server.
 	 * @param to the server
 	 */
 	void moved(Incarnation to) {
+		this.ran = true;
 		this.tried.add(to.id());
 		this.server = Optional.of(to);
 		this.loadReleased = false;
@@ -279,6 +281,15 @@
 		return this.ran;
 	}
 
+	/**
+	 * Describes another run of the call's request.
+	 * @param call the call
+	 * @return what decides whether it may begin
+	 */
+	NewRun newRun(Call call) {
+		return new NewRun(this.ran, call.move().wasStopped(), call.route().retryable(), call.canResend());
+	}
+
 	int unsentAttempts() {
 		return this.unsentAttempts;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallRetries.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CallRetries.java
@@ -2,8 +2,8 @@
 
 import java.util.Optional;
 
+import org.rosemaryfront.dispatch.NewRun.Obstacle;
 import org.rosemaryfront.dispatch.RetryBudget;
-import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.traffic.Call;
 import org.rosemaryfront.traffic.CallPolicy.Failure;
 import org.rosemaryfront.traffic.Refusal.Cause;
@@ -53,13 +53,23 @@
 	Optional<Cause> refusal(Call call, CallProgress progress, Failure failure, long nowNanos) {
 		if (!failure.sent()) {
 			progress.notSent();
-			return (progress.unsentAttempts() < MAX_UNSENT_ATTEMPTS) ? Optional.empty()
-					: Optional.of(Cause.NO_CONNECTION);
 		}
-		if (!(failure.verdict() instanceof Verdict.NotRun) && !call.route().retryable()) {
-			return Optional.of(Cause.MAY_HAVE_RUN);
+		Optional<Cause> obstacle = progress.newRun(call).obstacle().map(CallRetries::cause);
+		if (obstacle.isPresent()) {
+			return obstacle;
 		}
-		return call.canResend() ? limit(call, nowNanos) : Optional.of(Cause.BODY_NOT_KEPT);
+		return failure.sent() ? limit(call, nowNanos) : unsentLimit(progress);
+	}
+
+	private static Cause cause(Obstacle obstacle) {
+		return switch (obstacle) {
+			case MAY_HAVE_RUN -> Cause.MAY_HAVE_RUN;
+			case NOT_WHOLE -> Cause.BODY_NOT_KEPT;
+		};
+	}
+
+	private static Optional<Cause> unsentLimit(CallProgress progress) {
+		return (progress.unsentAttempts() < MAX_UNSENT_ATTEMPTS) ? Optional.empty() : Optional.of(Cause.NO_CONNECTION);
 	}
 
 	private Optional<Cause> limit(Call call, long nowNanos) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RunMoves.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RunMoves.java
@@ -121,6 +121,7 @@
 		if (runs.isEmpty()) {
 			return;
 		}
+		runs.forEach((run) -> this.moves.arrived(run.call()));
 		MovePlanner.of(engine.get(), this.moves, () -> this.calls.retries().test(source.server().service(), nowNanos))
 			.plan(source, runs, targets(source.server().service(), engine.get()), nowNanos)
 			.forEach((planned) -> act(here.get(planned.run().call()), source.server(), planned, nowNanos));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -483,7 +483,7 @@
 			connectFailed("the connection was closed before the call was sent");
 			return;
 		}
-		Optional<String> obstacle = new SendCheck(this, this.response, this.gateway.policy())
+		Optional<String> obstacle = new SendCheck(this, this.response, this.runStarted, this.gateway.policy())
 			.obstacle(this.server.orElseThrow());
 		if (obstacle.isPresent()) {
 			to.release();
@@ -536,6 +536,7 @@
 	@Override
 	public void responseHead(HttpResponse responseHead, ResponseMetadata from) {
 		this.gateway.policy().stated(this.server.orElseThrow(), id(), from.statements(), this.sentNanos);
+		this.move.responded();
 		Head outcome = this.response.receiveHead(responseHead, from);
 		this.response.framing().ifPresent(this.gateway.metrics()::responseReceived);
 		switch (outcome) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallMove.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallMove.java
@@ -20,6 +20,9 @@
  */
 public final class CallMove {
 
+	/** The number of earlier events while the current attempt has no response. */
+	private static final long NO_RESPONSE = Long.MAX_VALUE;
+
 	private final EventLoop loop;
 
 	/** Sends the call to a server with a maximum number of connections. */
@@ -27,6 +30,14 @@
 
 	private final Supplier<RunPace> pace;
 
+	/**
+	 * The events of the stream that came from earlier attempts; read by any thread.
+	 */
+	private volatile long earlierEvents;
+
+	/** Whether the run was ever asked to stop; read by any thread. */
+	private volatile boolean stopped;
+
 	private boolean stopping;
 
 	private boolean mayHaveStopped;
@@ -45,10 +56,20 @@
 
 	/**
 	 * Returns the events received of a stream that can move to another server.
-	 * @return their pace, unknown if the call cannot move
+	 * @return their pace, unknown if the call cannot move or its current attempt has made
+	 * no event
 	 */
 	public RunPace pace() {
-		return this.pace.get();
+		RunPace received = this.pace.get();
+		return (received.events() > this.earlierEvents) ? received : RunPace.unknown();
+	}
+
+	/**
+	 * Returns whether the gateway ever asked the run to stop.
+	 * @return true also if it went on
+	 */
+	public boolean wasStopped() {
+		return this.stopped;
 	}
 
 	/**
@@ -59,6 +80,7 @@
 	public void begins(Runnable request) {
 		this.loop.execute(() -> {
 			this.stopping = true;
+			this.stopped = true;
 			request.run();
 		});
 	}
@@ -82,6 +104,7 @@
 	 * @param from the copy of the run
 	 */
 	public void continueAt(BackendServer to, int maxConnections, RunCopy from) {
+		this.earlierEvents = NO_RESPONSE;
 		this.loop.execute(() -> {
 			end();
 			this.copy = Optional.of(from);
@@ -112,10 +135,16 @@
 
 	/** Called when an attempt has failed, since a copy can be used once. */
 	void attemptFailed() {
+		this.earlierEvents = NO_RESPONSE;
 		this.copy = Optional.empty();
 		this.mayHaveStopped = false;
 	}
 
+	/** Called when the current attempt gets a response. */
+	void responded() {
+		this.earlierEvents = this.pace.get().events();
+	}
+
 	/**
 	 * Returns the copy from which the current attempt continues.
 	 * @return the copy, empty for an attempt without one
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/SendCheck.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/SendCheck.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 
 import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.dispatch.NewRun;
+import org.rosemaryfront.dispatch.NewRun.Obstacle;
 
 /**
  * What is checked immediately before the first byte of a call is sent to a server,
@@ -10,9 +12,10 @@
  *
  * @param call the call
  * @param response its response
+ * @param mayHaveRun whether a server may have run it in an earlier attempt
  * @param policy says what is quarantined and which servers accept calls
  */
-record SendCheck(Call call, CallResponse response, CallPolicy policy) {
+record SendCheck(Call call, CallResponse response, boolean mayHaveRun, CallPolicy policy) {
 
 	/**
 	 * Returns why the call must not be sent.
@@ -29,7 +32,7 @@
 		if (!this.response.canGoOnAt(to.version())) {
 			return Optional.of("the stream began at another version");
 		}
-		return Optional.empty();
+		return continues() ? Optional.empty() : newRun().obstacle().map(SendCheck::text);
 	}
 
 	private boolean accepts(BackendServer to) {
@@ -40,4 +43,16 @@
 		return this.call.move().copy().isPresent();
 	}
 
+	private NewRun newRun() {
+		return new NewRun(this.mayHaveRun, this.call.move().wasStopped(), this.call.route().retryable(),
+				this.call.canResend());
+	}
+
+	private static String text(Obstacle obstacle) {
+		return switch (obstacle) {
+			case MAY_HAVE_RUN -> "the request may have run";
+			case NOT_WHOLE -> "the request cannot be sent again";
+		};
+	}
+
 }
