Send a stopped run only to servers that may still be sent requests

Seen by reading (DRAIN). Whether a moved run may be sent to a server that leaves was counted from when this gateway noticed the leaving, which is later than the store's confirmation of it. It was decided before the connection was made and not again. A server that left and was then removed from the table counted as one that stays. And a run whose target may not be sent requests was lost although its source still may.

LeavingServers counts from the last time at which the registrations were known to be complete, and remembers servers that are gone; a server that is gone without having left is sent nothing. SendCheck asks it again right before the first byte. The planner's time left is counted as before, from the notice. A target that is not accepted is passed over for the source.

The route of StoppedRunTests has a longer target: a process that had just started on the busy machine refused its only call as late once (636 ms of 500).

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/LeavingServers.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/moves/LeavingServers.java
@@ -1,23 +1,31 @@
 package org.rosemaryfront.moves;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToIntFunction;
 
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 
-/** The servers that leave, and when each is gone. Confined to one thread. */
+/**
+ * The servers that leave, and when each is gone. Confined to one thread, except
+ * {@link #acceptsRuns}.
+ */
 public final class LeavingServers {
 
 	private final long drainMillis;
 
-	private final Map<Incarnation, Times> times = new HashMap<>();
+	private final Map<Incarnation, Times> times = new ConcurrentHashMap<>();
+
+	/** Since when servers may have been leaving that are not known any more. */
+	private final Map<Incarnation, Long> departed = new ConcurrentHashMap<>();
+
+	private volatile Set<Incarnation> known = Set.of();
 
 	private LeavingServers(long drainMillis) {
 		this.drainMillis = drainMillis;
@@ -25,8 +33,8 @@
 
 	/**
 	 * Creates a table without servers.
-	 * @param drainMillis how long a server runs on that does not state when it leaves, in
-	 * milliseconds
+	 * @param drainMillis how long a server that leaves may be sent requests, and runs on
+	 * if it does not state when it leaves, in milliseconds
 	 * @return the table
 	 */
 	public static LeavingServers of(long drainMillis) {
@@ -37,33 +45,48 @@
 	 * Records what a registration says. Of several statements, the earliest end holds: a
 	 * registration may have been on its way for long.
 	 * @param server the server
-	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @param sinceNanos the earliest time at which the server may have begun to leave, on
+	 * the monotonic clock, in nanoseconds
+	 * @param nowNanos the current time on that clock, in nanoseconds
 	 */
-	public void record(BackendServer server, long nowNanos) {
+	public void record(BackendServer server, long sinceNanos, long nowNanos) {
 		if (!server.leaving()) {
 			return;
 		}
 		long millis = server.leavesInMillis().orElse(this.drainMillis);
 		long goneNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
-		this.times.merge(server.incarnation(), new Times(nowNanos, goneNanos), Times::earlier);
+		this.times.merge(server.incarnation(), new Times(sinceNanos, nowNanos, goneNanos), Times::earlier);
 	}
 
 	/**
 	 * Removes servers that are not known any more.
-	 * @param known the servers that are known
+	 * @param servers the servers that are known
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 */
-	public void retain(Collection<Incarnation> known) {
-		this.times.keySet().retainAll(known);
+	public void retain(Collection<Incarnation> servers, long nowNanos) {
+		this.known = Set.copyOf(servers);
+		this.times.forEach((server, left) -> this.departed.put(server, left.sinceNanos));
+		this.departed.entrySet()
+			.removeIf((entry) -> this.known.contains(entry.getKey()) || !isWithinDrain(entry.getValue(), nowNanos));
+		this.times.keySet().retainAll(this.known);
 	}
 
 	/**
-	 * Returns when this gateway noticed that a server leaves.
+	 * Returns whether a server may be sent a run that continues from a copy. Safe to call
+	 * on any thread.
 	 * @param server the server
-	 * @return the time on the monotonic clock, in nanoseconds; empty if it stays
+	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
+	 * @return false for a server that may have been leaving for longer than servers may
+	 * be sent requests, and for one that is gone without having left
 	 */
-	public OptionalLong noticedNanos(Incarnation server) {
-		Times known = this.times.get(server);
-		return (known != null) ? OptionalLong.of(known.noticedNanos) : OptionalLong.empty();
+	public boolean acceptsRuns(Incarnation server, long nowNanos) {
+		Times left = this.times.get(server);
+		Long sinceNanos = (left != null) ? Long.valueOf(left.sinceNanos) : this.departed.get(server);
+		return (sinceNanos != null) ? isWithinDrain(sinceNanos, nowNanos) : this.known.contains(server);
+	}
+
+	private boolean isWithinDrain(long sinceNanos, long nowNanos) {
+		return nowNanos - sinceNanos < TimeUnit.MILLISECONDS.toNanos(this.drainMillis);
 	}
 
 	/**
@@ -85,13 +108,14 @@
 	/**
 	 * When a server was noticed to leave and when it is gone.
 	 *
+	 * @param sinceNanos the earliest time at which it may have begun to leave
 	 * @param noticedNanos when it was noticed
 	 * @param goneNanos when it is gone
 	 */
-	private record Times(long noticedNanos, long goneNanos) {
+	private record Times(long sinceNanos, long noticedNanos, long goneNanos) {
 
 		private Times earlier(Times other) {
-			return new Times(this.noticedNanos,
+			return new Times(this.sinceNanos, this.noticedNanos,
 					(other.goneNanos - this.goneNanos < 0) ? other.goneNanos : this.goneNanos);
 		}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -128,7 +128,7 @@
 		this.serversFreshness = serversFreshness;
 		GatewaySettings.Bounds bounds = settings.bounds();
 		this.retries = CallRetries.of(bounds, System.nanoTime());
-		this.moves = new RunMoves(loop, servers, engines, metrics,
+		this.moves = new RunMoves(loop, servers, serversFreshness, engines, metrics,
 				new RunMoves.Calls(this.calls, this::engine, this.retries.budget()::tryAcquire, this::maxConnections),
 				bounds.changeMillis());
 		gateways(fleet.servingCount(System.nanoTime()));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RunMoves.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RunMoves.java
@@ -34,6 +34,7 @@
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
 import org.rosemaryfront.routes.ServiceSpec.MoveSpec;
+import org.rosemaryfront.tables.Freshness;
 import org.rosemaryfront.traffic.Call;
 import org.rosemaryfront.traffic.CallPolicy.Failure;
 import org.rosemaryfront.traffic.Refusal;
@@ -62,8 +63,8 @@
 
 	private final Calls calls;
 
-	/** How long a server that leaves may be sent requests, in milliseconds. */
-	private final long drainMillis;
+	/** Tells up to when no registration was missed. */
+	private final Freshness freshness;
 
 	private final MoveTable moves = MoveTable.empty();
 
@@ -72,14 +73,19 @@
 	/** When runs were last planned; empty before that. */
 	private OptionalLong plannedNanos = OptionalLong.empty();
 
-	RunMoves(ControlLoop loop, BackendTable servers, EngineRuns engines, TrafficMetrics metrics, Calls calls,
-			long drainMillis) {
+	/**
+	 * Up to when no registration was missed at the last plan; empty before that.
+	 */
+	private OptionalLong confirmedNanos = OptionalLong.empty();
+
+	RunMoves(ControlLoop loop, BackendTable servers, Freshness freshness, EngineRuns engines, TrafficMetrics metrics,
+			Calls calls, long drainMillis) {
 		this.loop = loop;
 		this.servers = servers;
 		this.engines = engines;
 		this.metrics = metrics;
 		this.calls = calls;
-		this.drainMillis = drainMillis;
+		this.freshness = freshness;
 		this.leaving = LeavingServers.of(drainMillis);
 	}
 
@@ -95,12 +101,20 @@
 		}
 		this.plannedNanos = OptionalLong.of(nowNanos);
 		List<BackendServer> known = this.servers.servers();
-		known.stream().filter(this::movesRuns).forEach((server) -> this.leaving.record(server, nowNanos));
-		this.leaving.retain(known.stream().map(BackendServer::incarnation).toList());
+		recordLeaving(known, nowNanos);
 		this.moves.expire(nowNanos).forEach((id, step) -> find(id).ifPresent((call) -> follow(call, step, nowNanos)));
 		this.leaving.present(known, this::load, nowNanos).forEach((source) -> move(source, nowNanos));
 	}
 
+	// A server whose leaving is seen now may have begun to leave at any time since the
+	// registrations were last known to be complete.
+	private void recordLeaving(List<BackendServer> known, long nowNanos) {
+		long sinceNanos = this.confirmedNanos.orElse(nowNanos);
+		known.stream().filter(this::movesRuns).forEach((server) -> this.leaving.record(server, sinceNanos, nowNanos));
+		this.leaving.retain(known.stream().map(BackendServer::incarnation).toList(), nowNanos);
+		this.freshness.ageNanos(nowNanos).ifPresent((age) -> this.confirmedNanos = OptionalLong.of(nowNanos - age));
+	}
+
 	private boolean movesRuns(BackendServer server) {
 		return server.leaving() && this.calls.engine().apply(server.service()).flatMap(EngineSpec::moves).isPresent();
 	}
@@ -214,7 +228,7 @@
 				Optional<Incarnation> before = Optional.ofNullable(this.calls.byProgress().get(call))
 					.filter((progress) -> !progress.isLoadReleased())
 					.flatMap(CallProgress::server);
-				if (continues(call, next, nowNanos)) {
+				if (continues(call, next, nowNanos) || continuesAtSource(call, next, nowNanos)) {
 					before.ifPresent(this.servers::recordCallCancelled);
 				}
 				else {
@@ -235,23 +249,25 @@
 	// Returns false if the call has ended, or the server must not be sent requests.
 	private boolean continues(Call call, MoveStep.Continue next, long nowNanos) {
 		CallProgress progress = this.calls.byProgress().get(call);
-		if (progress == null || !accepts(next.server(), nowNanos)) {
+		Incarnation server = next.server().incarnation();
+		if (progress == null || !this.leaving.acceptsRuns(server, nowNanos)) {
 			return false;
 		}
 		log(call, next.source(), "continues", next.server().id());
 		this.metrics.increment("runs.moved");
-		progress.moved(next.server().incarnation());
-		this.servers.recordCallSent(next.server().incarnation(), 0);
+		progress.moved(server);
+		this.servers.recordCallSent(server, 0);
 		call.move()
 			.continueAt(next.server(), this.calls.maxConnections().applyAsInt(call.service()),
-					new RunCopy(next.source().address(), next.handle()));
+					new RunCopy(next.source().address(), next.handle()),
+					() -> this.leaving.acceptsRuns(server, System.nanoTime()));
 		return true;
 	}
 
-	private boolean accepts(BackendServer server, long nowNanos) {
-		return this.leaving.noticedNanos(server.incarnation())
-			.stream()
-			.allMatch((noticed) -> (nowNanos - noticed) / 1_000_000 < this.drainMillis);
+	// A target that must not be sent requests is passed over.
+	private boolean continuesAtSource(Call call, MoveStep.Continue next, long nowNanos) {
+		return this.moves.refused(call.id(), next.server()) instanceof MoveStep.Continue back
+				&& continues(call, back, nowNanos);
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallMove.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallMove.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.traffic;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.ObjIntConsumer;
 import java.util.function.Supplier;
 
@@ -38,6 +39,9 @@
 	/** Whether the run was ever asked to stop; read by any thread. */
 	private volatile boolean stopped;
 
+	/** Whether the server that is to continue the run may still be sent it. */
+	private BooleanSupplier accepted = () -> false;
+
 	private boolean stopping;
 
 	private boolean mayHaveStopped;
@@ -102,12 +106,15 @@
 	 * @param maxConnections the maximum number of connections of this gateway to the
 	 * server
 	 * @param from the copy of the run
+	 * @param mayBeSent returns whether the server may still be sent requests, on the
+	 * traffic thread
 	 */
-	public void continueAt(BackendServer to, int maxConnections, RunCopy from) {
+	public void continueAt(BackendServer to, int maxConnections, RunCopy from, BooleanSupplier mayBeSent) {
 		this.earlierEvents = NO_RESPONSE;
 		this.loop.execute(() -> {
 			end();
 			this.copy = Optional.of(from);
+			this.accepted = mayBeSent;
 			this.sender.accept(to, maxConnections);
 		});
 	}
@@ -145,6 +152,15 @@
 		this.earlierEvents = this.pace.get().events();
 	}
 
+	/**
+	 * Returns whether the server that is to continue the run may be sent it. This is
+	 * checked immediately before the first byte is sent.
+	 * @return false if it has been leaving for too long
+	 */
+	boolean isAccepted() {
+		return this.accepted.getAsBoolean();
+	}
+
 	/**
 	 * Returns the copy from which the current attempt continues.
 	 * @return the copy, empty for an attempt without one
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/SendCheck.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/SendCheck.java
@@ -36,7 +36,7 @@
 	}
 
 	private boolean accepts(BackendServer to) {
-		return continues() || this.policy.acceptsCalls(to);
+		return continues() ? this.call.move().isAccepted() : this.policy.acceptsCalls(to);
 	}
 
 	private boolean continues() {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/StoppedRunTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/StoppedRunTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +43,14 @@
 
 	private static final long AWAIT_SECONDS = 10;
 
+	/** So long that a process that has just started is in time. */
+	private static final long TARGET_MILLIS = 5_000;
+
+	private static final long GAP_MILLIS = 500;
+
+	/** Longer than the time within which the server that leaves may be sent requests. */
+	private static final long DRAINED_MILLIS = 2_300;
+
 	/** Longer than a test, so that retries are earned by calls alone. */
 	private static final long RETRY_WINDOW_MILLIS = 60_000;
 
@@ -106,6 +115,44 @@
 		}
 	}
 
+	// Guards against a run that is sent to a server long after that began to leave, and
+	// against one that begins anew then.
+	@ParameterizedTest
+	@CsvSource({ "leaves", "gone" })
+	void shouldBreakStreamWhenNoServerMayBeSentIt(String change) throws Exception {
+		try (ScriptedServer target = ScriptedServer.start(this::serveSource)) {
+			answer(() -> {
+				change(target.address(), change);
+				sleep(DRAINED_MILLIS);
+			});
+			Response response = call("/drafts/", target.address());
+			assertThat(response.complete()).isFalse();
+			assertThat(response.body()).isEqualTo(EVENTS.getFirst());
+			assertThat(target.requests()).isEmpty();
+			assertThat(this.other.requests()).isEmpty();
+			assertThat(this.source.requests()).hasSize(1);
+		}
+	}
+
+	// Guards against a way back to a source that is not known any more and that began to
+	// leave long ago.
+	@Test
+	void shouldBreakStreamWhenItsSourceIsGoneForLong() throws Exception {
+		try (ScriptedServer target = ScriptedServer.start((request, exchange) -> {
+			this.gateway.store.remove(GatewayHarness.SERVERS, "s1");
+			sleep(DRAINED_MILLIS);
+			exchange.status(request, 503, "Not-Run: 1\r\n");
+		})) {
+			answer(() -> {
+			});
+			Response response = call("/drafts/", target.address());
+			assertThat(response.complete()).isFalse();
+			assertThat(response.body()).isEqualTo(EVENTS.getFirst());
+			assertThat(target.requests()).hasSize(1);
+			assertThat(this.source.requests()).hasSize(1);
+		}
+	}
+
 	// -- the move
 
 	private void answer(Runnable beforeStopped) {
@@ -164,8 +211,8 @@
 	}
 
 	private static Route route(String name, String prefix, boolean resumable) {
-		return new Route(name, "a.example", prefix, CallKind.STREAMING, 8_000, 500, 0,
-				List.of(new Route.Target("app", 1)), 2, false, resumable);
+		return new Route(name, "a.example", prefix, CallKind.STREAMING, 8_000, TARGET_MILLIS, 0,
+				List.of(new Route.Target("app", 1)), 2, false, resumable, OptionalLong.of(GAP_MILLIS));
 	}
 
 	// -- servers
@@ -203,4 +250,13 @@
 		}
 	}
 
+	private static void sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 }
