Forget a call that ended before the policy took it up

Seen by reading. A call whose caller leaves while its probe is claimed has ended before GatewayControl puts it into its table. If it then finds no server it is refused, and a refusal of an ended call did nothing: it stayed in the table, and its probe was never given back. A refusal of a call that has ended now tells the policy of the end once more, which changes nothing for a call it has forgotten.

Evidence: SendCheckTests .shouldTellPolicyOfEndAgainWhenItRefusesCallThatHasEnded.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -707,6 +707,8 @@
 
 	private void refuseNow(int status, long retryAfterMillis, Refusal refusal) {
 		if (this.state == State.DONE) {
+			// The policy may have taken the call up after it was told of the end.
+			this.gateway.policy().endedWithoutServer(this);
 			return;
 		}
 		if (this.response.isStarted()) {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendCheckTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendCheckTests.java
@@ -84,6 +84,23 @@
 		assertThat(this.policy.failures).extracting(CallPolicy.Failure::sent).containsExactly(false);
 	}
 
+	// Guards against memory that grows with calls that ended while the policy had not
+	// taken them up yet, and that find no server then.
+	@Test
+	void shouldTellPolicyOfEndAgainWhenItRefusesCallThatHasEnded() throws IOException {
+		List<Call> admitted = new CopyOnWriteArrayList<>();
+		this.policy.admit = admitted::add;
+		try (Gateway _ = open()) {
+			try (RawCaller caller = new RawCaller(this.callers)) {
+				caller.send(RawCaller.get("c1", NOT_REPEATABLE));
+				GatewayHarness.await(() -> !admitted.isEmpty());
+			}
+			GatewayHarness.await(() -> this.policy.ends.get() == 1);
+			admitted.getFirst().refuse(503, 1, Refusal.of(Cause.NO_SERVER, "none"));
+			GatewayHarness.await(() -> this.policy.ends.get() == 2);
+		}
+	}
+
 	private BackendServer backend() {
 		return new BackendServer("s1", 0, "app", "v1", this.server.address(), "a", 8, false, false, 0);
 	}
