Do not ask a run to stop whose attempt has failed meanwhile

Seen by reading. A switch was decided on the control thread while the attempt had already failed on the traffic thread. The note that a stop is asked for then stayed set, since the answer found no move any more: what followed from the end of the next attempt was put off until the deadline.

Evidence: CallMoveTests.shouldNotStopRunWhenItsAttemptHasFailed. The other test there covers the pace that is unknown until an event of the current attempt came. Neither was run on the code before.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallMove.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallMove.java
@@ -78,14 +78,16 @@
 
 	/**
 	 * Asks the run to stop once this thread knows of it: otherwise the end of the stream
-	 * may be handled before.
+	 * may be handled before. Nothing is asked if the attempt has failed meanwhile.
 	 * @param request asks the run to stop, on the traffic thread
 	 */
 	public void begins(Runnable request) {
 		this.loop.execute(() -> {
-			this.stopping = true;
-			this.stopped = true;
-			request.run();
+			if (this.earlierEvents != NO_RESPONSE) {
+				this.stopping = true;
+				this.stopped = true;
+				request.run();
+			}
 		});
 	}
 
