--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RunMoves.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/RunMoves.java
@@ -15,6 +15,7 @@
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.dispatch.BackendTable;
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.moves.CopyAnswer;
 import org.rosemaryfront.moves.LeavingServer;
 import org.rosemaryfront.moves.LeavingServers;
@@ -33,7 +34,9 @@
 import org.rosemaryfront.program.ControlLoop;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
 import org.rosemaryfront.routes.ServiceSpec.MoveSpec;
+import org.rosemaryfront.tables.Freshness;
 import org.rosemaryfront.traffic.Call;
+import org.rosemaryfront.traffic.CallPolicy.Failure;
 import org.rosemaryfront.traffic.Refusal;
 import org.rosemaryfront.traffic.Refusal.Cause;
 import org.rosemaryfront.traffic.TrafficMetrics;
@@ -60,8 +63,8 @@
 
 	private final Calls calls;
 
-	/** How long a server that leaves may be sent requests, in milliseconds. */
-	private final long drainMillis;
+	/** Tells up to when no registration was missed. */
+	private final Freshness freshness;
 
 	private final MoveTable moves = MoveTable.empty();
 
@@ -70,14 +73,19 @@
 	/** When runs were last planned; empty before that. */
 	private OptionalLong plannedNanos = OptionalLong.empty();
 
-	RunMoves(ControlLoop loop, BackendTable servers, EngineRuns engines, TrafficMetrics metrics, Calls calls,
-			long drainMillis) {
+	/**
+	 * Up to when no registration was missed at the last plan; empty before that.
+	 */
+	private OptionalLong confirmedNanos = OptionalLong.empty();
+
+	RunMoves(ControlLoop loop, BackendTable servers, Freshness freshness, EngineRuns engines, TrafficMetrics metrics,
+			Calls calls, long drainMillis) {
 		this.loop = loop;
 		this.servers = servers;
 		this.engines = engines;
 		this.metrics = metrics;
 		this.calls = calls;
-		this.drainMillis = drainMillis;
+		this.freshness = freshness;
 		this.leaving = LeavingServers.of(drainMillis);
 	}
 
@@ -93,12 +101,20 @@
 		}
 		this.plannedNanos = OptionalLong.of(nowNanos);
 		List<BackendServer> known = this.servers.servers();
-		known.stream().filter(this::movesRuns).forEach((server) -> this.leaving.record(server, nowNanos));
-		this.leaving.retain(known.stream().map(BackendServer::incarnation).toList());
+		recordLeaving(known, nowNanos);
 		this.moves.expire(nowNanos).forEach((id, step) -> find(id).ifPresent((call) -> follow(call, step, nowNanos)));
 		this.leaving.present(known, this::load, nowNanos).forEach((source) -> move(source, nowNanos));
 	}
 
+	// A server whose leaving is seen now may have begun to leave at any time since the
+	// registrations were last known to be complete.
+	private void recordLeaving(List<BackendServer> known, long nowNanos) {
+		long sinceNanos = this.confirmedNanos.orElse(nowNanos);
+		known.stream().filter(this::movesRuns).forEach((server) -> this.leaving.record(server, sinceNanos, nowNanos));
+		this.leaving.retain(known.stream().map(BackendServer::incarnation).toList(), nowNanos);
+		this.freshness.ageNanos(nowNanos).ifPresent((age) -> this.confirmedNanos = OptionalLong.of(nowNanos - age));
+	}
+
 	private boolean movesRuns(BackendServer server) {
 		return server.leaving() && this.calls.engine().apply(server.service()).flatMap(EngineSpec::moves).isPresent();
 	}
@@ -121,6 +137,7 @@
 		if (runs.isEmpty()) {
 			return;
 		}
+		runs.forEach((run) -> this.moves.arrived(run.call()));
 		MovePlanner.of(engine.get(), this.moves, () -> this.calls.retries().test(source.server().service(), nowNanos))
 			.plan(source, runs, targets(source.server().service(), engine.get()), nowNanos)
 			.forEach((planned) -> act(here.get(planned.run().call()), source.server(), planned, nowNanos));
@@ -211,7 +228,7 @@
 				Optional<Incarnation> before = Optional.ofNullable(this.calls.byProgress().get(call))
 					.filter((progress) -> !progress.isLoadReleased())
 					.flatMap(CallProgress::server);
-				if (continues(call, next, nowNanos)) {
+				if (continues(call, next, nowNanos) || continuesAtSource(call, next, nowNanos)) {
 					before.ifPresent(this.servers::recordCallCancelled);
 				}
 				else {
@@ -232,23 +249,25 @@
 	// Returns false if the call has ended, or the server must not be sent requests.
 	private boolean continues(Call call, MoveStep.Continue next, long nowNanos) {
 		CallProgress progress = this.calls.byProgress().get(call);
-		if (progress == null || !accepts(next.server(), nowNanos)) {
+		Incarnation server = next.server().incarnation();
+		if (progress == null || !this.leaving.acceptsRuns(server, nowNanos)) {
 			return false;
 		}
 		log(call, next.source(), "continues", next.server().id());
 		this.metrics.increment("runs.moved");
-		progress.moved(next.server().incarnation());
-		this.servers.recordCallSent(next.server().incarnation(), 0);
+		progress.moved(server);
+		this.servers.recordCallSent(server, 0);
 		call.move()
 			.continueAt(next.server(), this.calls.maxConnections().applyAsInt(call.service()),
-					new RunCopy(next.source().address(), next.handle()));
+					new RunCopy(next.source().address(), next.handle()),
+					() -> this.leaving.acceptsRuns(server, System.nanoTime()));
 		return true;
 	}
 
-	private boolean accepts(BackendServer server, long nowNanos) {
-		return this.leaving.noticedNanos(server.incarnation())
-			.stream()
-			.allMatch((noticed) -> (nowNanos - noticed) / 1_000_000 < this.drainMillis);
+	// A target that must not be sent requests is passed over.
+	private boolean continuesAtSource(Call call, MoveStep.Continue next, long nowNanos) {
+		return this.moves.refused(call.id(), next.server()) instanceof MoveStep.Continue back
+				&& continues(call, back, nowNanos);
 	}
 
 	/**
@@ -256,18 +275,24 @@
 	 * to continue it goes back to the source of its copy.
 	 * @param call the call
 	 * @param server the server
-	 * @param notRun whether the server did not run it
+	 * @param failure the failure
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 * @return false if the call did not move, or may go on without its copy
 	 */
-	boolean failed(Call call, BackendServer server, boolean notRun, long nowNanos) {
-		if (!notRun) {
+	boolean failed(Call call, BackendServer server, Failure failure, long nowNanos) {
+		if (!(failure.verdict() instanceof Verdict.NotRun)) {
 			ended(call);
 			return false;
 		}
 		return switch (this.moves.refused(call.id(), server)) {
-			case MoveStep.Continue next ->
-				(this.calls.retries().test(call.service(), nowNanos) && continues(call, next, nowNanos)) || lost(call);
+			case MoveStep.Continue next -> {
+				if (failure.sent()) {
+					// One more arrival: it counts, but the caller must not lose the
+					// stream for the lack of a retry.
+					this.calls.retries().test(call.service(), nowNanos);
+				}
+				yield continues(call, next, nowNanos) || lost(call);
+			}
 			case MoveStep.Lost _ -> lost(call);
 			case MoveStep.None _, MoveStep.NotStopped _, MoveStep.Drop _, MoveStep.Unknown _ -> false;
 		};
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -483,19 +483,11 @@
 			connectFailed("the connection was closed before the call was sent");
 			return;
 		}
-		if (this.gateway.policy().isQuarantined(this)) {
-			to.release();
-			connectFailed("the request is quarantined");
-			return;
-		}
-		if (this.move.copy().isEmpty() && !this.gateway.policy().acceptsCalls(this.server.orElseThrow())) {
+		Optional<String> obstacle = new SendCheck(this, this.response, this.runStarted, this.gateway.policy())
+			.obstacle(this.server.orElseThrow());
+		if (obstacle.isPresent()) {
 			to.release();
-			connectFailed("the server wants no calls");
-			return;
-		}
-		if (!this.response.canGoOnAt(this.server.orElseThrow().version())) {
-			to.release();
-			connectFailed("the stream began at another version");
+			connectFailed(obstacle.get());
 			return;
 		}
 		if (this.caller.isDisconnected()) {
@@ -544,6 +536,7 @@
 	@Override
 	public void responseHead(HttpResponse responseHead, ResponseMetadata from) {
 		this.gateway.policy().stated(this.server.orElseThrow(), id(), from.statements(), this.sentNanos);
+		this.move.responded();
 		Head outcome = this.response.receiveHead(responseHead, from);
 		this.response.framing().ifPresent(this.gateway.metrics()::responseReceived);
 		switch (outcome) {
@@ -714,6 +707,8 @@
 
 	private void refuseNow(int status, long retryAfterMillis, Refusal refusal) {
 		if (this.state == State.DONE) {
+			// The policy may have taken the call up after it was told of the end.
+			this.gateway.policy().endedWithoutServer(this);
 			return;
 		}
 		if (this.response.isStarted()) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallMove.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallMove.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.traffic;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.ObjIntConsumer;
 import java.util.function.Supplier;
 
@@ -20,6 +21,9 @@
  */
 public final class CallMove {
 
+	/** The number of earlier events while the current attempt has no response. */
+	private static final long NO_RESPONSE = Long.MAX_VALUE;
+
 	private final EventLoop loop;
 
 	/** Sends the call to a server with a maximum number of connections. */
@@ -27,6 +31,17 @@
 
 	private final Supplier<RunPace> pace;
 
+	/**
+	 * The events of the stream that came from earlier attempts; read by any thread.
+	 */
+	private volatile long earlierEvents;
+
+	/** Whether the run was ever asked to stop; read by any thread. */
+	private volatile boolean stopped;
+
+	/** Whether the server that is to continue the run may still be sent it. */
+	private BooleanSupplier accepted = () -> false;
+
 	private boolean stopping;
 
 	private boolean mayHaveStopped;
@@ -45,21 +60,34 @@
 
 	/**
 	 * Returns the events received of a stream that can move to another server.
-	 * @return their pace, unknown if the call cannot move
+	 * @return their pace, unknown if the call cannot move or its current attempt has made
+	 * no event
 	 */
 	public RunPace pace() {
-		return this.pace.get();
+		RunPace received = this.pace.get();
+		return (received.events() > this.earlierEvents) ? received : RunPace.unknown();
+	}
+
+	/**
+	 * Returns whether the gateway ever asked the run to stop.
+	 * @return true also if it went on
+	 */
+	public boolean wasStopped() {
+		return this.stopped;
 	}
 
 	/**
 	 * Asks the run to stop once this thread knows of it: otherwise the end of the stream
-	 * may be handled before.
+	 * may be handled before. Nothing is asked if the attempt has failed meanwhile.
 	 * @param request asks the run to stop, on the traffic thread
 	 */
 	public void begins(Runnable request) {
 		this.loop.execute(() -> {
-			this.stopping = true;
-			request.run();
+			if (this.earlierEvents != NO_RESPONSE) {
+				this.stopping = true;
+				this.stopped = true;
+				request.run();
+			}
 		});
 	}
 
@@ -80,11 +108,15 @@
 	 * @param maxConnections the maximum number of connections of this gateway to the
 	 * server
 	 * @param from the copy of the run
+	 * @param mayBeSent returns whether the server may still be sent requests, on the
+	 * traffic thread
 	 */
-	public void continueAt(BackendServer to, int maxConnections, RunCopy from) {
+	public void continueAt(BackendServer to, int maxConnections, RunCopy from, BooleanSupplier mayBeSent) {
+		this.earlierEvents = NO_RESPONSE;
 		this.loop.execute(() -> {
 			end();
 			this.copy = Optional.of(from);
+			this.accepted = mayBeSent;
 			this.sender.accept(to, maxConnections);
 		});
 	}
@@ -112,10 +144,25 @@
 
 	/** Called when an attempt has failed, since a copy can be used once. */
 	void attemptFailed() {
+		this.earlierEvents = NO_RESPONSE;
 		this.copy = Optional.empty();
 		this.mayHaveStopped = false;
 	}
 
+	/** Called when the current attempt gets a response. */
+	void responded() {
+		this.earlierEvents = this.pace.get().events();
+	}
+
+	/**
+	 * Returns whether the server that is to continue the run may be sent it. This is
+	 * checked immediately before the first byte is sent.
+	 * @return false if it has been leaving for too long
+	 */
+	boolean isAccepted() {
+		return this.accepted.getAsBoolean();
+	}
+
 	/**
 	 * Returns the copy from which the current attempt continues.
 	 * @return the copy, empty for an attempt without one
