Take streams up by request only where no stream of it can be missed

What callers saw: streams that were taken up without naming the first call were answered 200 and ran to the end, joined from two versions (ORDER): after all gateways had been killed during a release, at a gateway that had been cut off or stood still, and in virtual time in a release without any fault.

Cause: the digest of a request, which several callers send, was taken for the stream, and what the own table or the first answer knew for all there is.

Change: a gateway has a belief since when it knows all streams that it began or should have been told of (KnownSince), moved by start, pause, suspension, cut and eviction. A take-up by request asks all gateways (OriginCensus): two versions, a silent gateway that has not ended, or fewer than two of the four witnesses that know all streams for as long as one may be taken up (15 s, chosen from the longest time limit of streams on the sheets, or twice the timeout of the route) refuse it as not run. Whether a silent gateway has ended shows by the word of its VM that nobody receives there (EndedProbe). The messages are as before; the field age_millis of answers, 0 until now, says for how long the answer knows all streams. Callers that name the first call are found as before.

StreamVersionTests: the test that takes streams up by request now waits first until its gateways, just started, know all streams (15 s); what it asks for is the same. Streams that could go on are refused: that half is not begun.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/Origin.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/Origin.java
@@ -17,7 +17,18 @@
 	 * @return the origin
 	 */
 	static Origin unknown() {
-		return new Unknown();
+		return unknown(Reason.NOBODY_KNOWS, 0);
+	}
+
+	/**
+	 * Returns the origin of a stream that is not known for a reason.
+	 * @param reason the reason
+	 * @param retryMillis the time after which it may be known, in milliseconds; 0 if that
+	 * cannot be said
+	 * @return the origin
+	 */
+	static Origin unknown(Reason reason, long retryMillis) {
+		return new Unknown(reason, retryMillis);
 	}
 
 	/**
@@ -48,8 +59,28 @@
 	record Known(String version) implements Origin {
 	}
 
-	/** Nothing is known. */
-	record Unknown() implements Origin {
+	/**
+	 * Nothing is known.
+	 *
+	 * @param reason why
+	 * @param retryMillis the time after which it may be known, in milliseconds; 0 if that
+	 * cannot be said
+	 */
+	record Unknown(Reason reason, long retryMillis) implements Origin {
+	}
+
+	/** Why the origin of a stream is not known. */
+	enum Reason {
+
+		/** No gateway that was asked knows it. */
+		NOBODY_KNOWS,
+
+		/** A gateway that may have begun the stream did not answer. */
+		UNANSWERED,
+
+		/** Too few gateways know all streams that may still be taken up. */
+		NOT_ALL_KNOWN
+
 	}
 
 	/** Different versions began streams with the same key. */
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginHolders.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginHolders.java
@@ -26,9 +26,18 @@
 	 * @return the holders
 	 */
 	public static OriginHolders of(Collection<String> known, Set<String> live) {
-		return new OriginHolders(known.stream()
-			.map((name) -> new Gateway(name, Hashing.wyhashFinal4().hashCharsToLong(name), live.contains(name)))
-			.toList());
+		return new OriginHolders(known.stream().map((name) -> Gateway.of(name, live.contains(name))).toList());
+	}
+
+	/**
+	 * Returns these holders and one gateway more.
+	 * @param name the name of a live gateway
+	 * @return the holders
+	 */
+	public OriginHolders with(String name) {
+		List<Gateway> more = new ArrayList<>(this.gateways);
+		more.add(Gateway.of(name, true));
+		return new OriginHolders(more);
 	}
 
 	/**
@@ -82,6 +91,11 @@
 	}
 
 	private record Gateway(String name, long rank, boolean live) {
+
+		private static Gateway of(String name, boolean live) {
+			return new Gateway(name, Hashing.wyhashFinal4().hashCharsToLong(name), live);
+		}
+
 	}
 
 	private record Placed(String name, boolean last, long place) {
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginMessage.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginMessage.java
@@ -34,8 +34,10 @@
 	 * @param stream the stream
 	 * @param from the gateway that answers
 	 * @param origin what it knows
+	 * @param knownMillis the time for which it knows all streams that it began or should
+	 * have been told of, in milliseconds
 	 */
-	record Answered(StreamKey stream, String from, Origin origin) implements OriginMessage {
+	record Answered(StreamKey stream, String from, Origin origin, long knownMillis) implements OriginMessage {
 	}
 
 }
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginTable.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/streams/OriginTable.java
@@ -2,6 +2,7 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -29,6 +30,9 @@
 
 	private long evictions;
 
+	/** When an event was last sent of the latest stream whose origin was dropped. */
+	private OptionalLong droppedNanos = OptionalLong.empty();
+
 	private OriginTable() {
 	}
 
@@ -55,8 +59,14 @@
 		this.rows.put(stream, new Row(combined, latestNanos));
 		expire(nowNanos);
 		if (this.rows.size() > MAX_ORIGINS) {
-			this.rows.pollFirstEntry();
-			this.evictions++;
+			drop(this.rows.pollFirstEntry().getValue());
+		}
+	}
+
+	private void drop(Row row) {
+		this.evictions++;
+		if (this.droppedNanos.isEmpty() || row.lastNanos - this.droppedNanos.getAsLong() > 0) {
+			this.droppedNanos = OptionalLong.of(row.lastNanos);
 		}
 	}
 
@@ -102,6 +112,15 @@
 		return this.evictions;
 	}
 
+	/**
+	 * Returns up to when origins were dropped before their time.
+	 * @return when an event was last sent of the latest stream whose origin was dropped,
+	 * in nanoseconds; empty if none was
+	 */
+	OptionalLong droppedNanos() {
+		return this.droppedNanos;
+	}
+
 	private void expire(long nowNanos) {
 		Iterator<Row> oldest = this.rows.values().iterator();
 		while (oldest.hasNext() && oldest.next().isExpired(nowNanos)) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/streams/OriginFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/streams/OriginFleet.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -43,8 +44,13 @@
 
 	private static final int DOWN_MILLIS = 1_500;
 
+	/** The time after which it shows that the process of a gateway has ended. */
+	private static final int PROBE_MILLIS = 100;
+
 	private final Way way;
 
+	private final Question question;
+
 	private final int count;
 
 	private final Random random;
@@ -67,6 +73,9 @@
 
 	private double resetFraction;
 
+	/** The number of different requests; 0 if no two streams have the same one. */
+	private int requests;
+
 	private int begun;
 
 	private int takenUp;
@@ -75,6 +84,8 @@
 
 	private int unknown;
 
+	private int refused;
+
 	private int joined;
 
 	private long bytes;
@@ -82,7 +93,12 @@
 	private long messages;
 
 	OriginFleet(Way way, int count, long seed) {
+		this(way, Question.CALL, count, seed);
+	}
+
+	OriginFleet(Way way, Question question, int count, long seed) {
 		this.way = way;
+		this.question = question;
 		this.count = count;
 		this.random = new Random(seed);
 		this.fleet = new VirtualFleet<>(count, 0, this.random, Node::new);
@@ -95,6 +111,21 @@
 		this.resetFraction = resets;
 	}
 
+	/**
+	 * Lets streams share their requests.
+	 * @param number the number of different requests
+	 */
+	void requests(int number) {
+		this.requests = number;
+	}
+
+	/** Counts the streams that are taken up from now on. */
+	void countFromNow() {
+		this.takenUp = 0;
+		this.wentOn = 0;
+		this.refused = 0;
+	}
+
 	void servers(String version, int serving) {
 		this.servers.put(version, serving);
 	}
@@ -166,9 +197,11 @@
 		}
 		this.nodes.values().forEach((node) -> node.directory.tick(nanos()));
 		int starting = (int) this.streamsPerMilli + ((this.random.nextDouble() < this.streamsPerMilli % 1) ? 1 : 0);
-		for (int i = 0; i < starting; i++) {
+		for (int i = 0; i < starting && this.down.size() < this.count; i++) {
 			String version = serving().get(this.random.nextInt(serving().size()));
-			send(new StreamState(StreamKey.of("o", "s", "call-" + this.begun++)), running(-1), version);
+			int request = (this.requests > 0) ? this.random.nextInt(this.requests) : this.begun;
+			send(new StreamState(StreamKey.of("o", "s", "call-" + this.begun++),
+					StreamKey.of("o", "s", "request-" + request)), running(-1), version);
 		}
 	}
 
@@ -211,7 +244,10 @@
 	}
 
 	private void event(StreamState stream, int gateway, String version) {
-		this.nodes.get(gateway).began(stream.key, version);
+		this.nodes.get(gateway).began(stream.call, version);
+		if (this.question != Question.CALL) {
+			this.nodes.get(gateway).began(stream.request, version);
+		}
 		stream.versions.add(version);
 		this.joined += (stream.versions.size() == 2) ? 1 : 0;
 	}
@@ -221,7 +257,24 @@
 		stream.attempt++;
 		this.streams.remove(stream);
 		if (!stream.versions.isEmpty()) {
-			at(1 + this.random.nextInt(MAX_RETURN_MILLIS), () -> takeUp(stream, running(gateway)));
+			at(1 + this.random.nextInt(MAX_RETURN_MILLIS), () -> {
+				if (this.down.size() < this.count - 1) {
+					takeUp(stream, running(gateway));
+				}
+				else {
+					comeBack(stream);
+				}
+			});
+		}
+	}
+
+	// Callers come back later where no gateway runs.
+	private void comeBack(StreamState stream) {
+		if (this.down.size() < this.count) {
+			takeUp(stream, running(-1));
+		}
+		else {
+			at(MAX_RETURN_MILLIS, () -> comeBack(stream));
 		}
 	}
 
@@ -229,13 +282,14 @@
 		boolean counts = isInTouch(gateway)
 				&& stream.versions.stream().allMatch((version) -> this.servers.getOrDefault(version, 0) >= 2);
 		this.takenUp += counts ? 1 : 0;
-		this.fleet.at(gateway, () -> this.nodes.get(gateway).directory.find(stream.key, nanos(), (origin) -> {
+		this.fleet.at(gateway, () -> this.question.ask(this.nodes.get(gateway).directory, stream, nanos(), (origin) -> {
 			if (origin instanceof Origin.Known known && this.servers.getOrDefault(known.version(), 0) > 0) {
 				this.wentOn += counts ? 1 : 0;
 				send(stream, gateway, known.version());
 			}
 			else if (!(origin instanceof Origin.Known)) {
 				this.unknown++;
+				this.refused += counts ? 1 : 0;
 			}
 		}));
 	}
@@ -266,6 +320,16 @@
 		return this.joined;
 	}
 
+	/**
+	 * Formats what became of the streams that were taken up.
+	 * @return the figures
+	 */
+	String outcome() {
+		return String.format("%s %d gateways: taken up %d, went on %.3f, refused %.3f, joined %d", this.question,
+				this.count, this.takenUp, (double) this.wentOn / Math.max(1, this.takenUp),
+				(double) this.refused / Math.max(1, this.takenUp), this.joined);
+	}
+
 	/**
 	 * Formats what was measured.
 	 * @return one line
@@ -290,6 +354,39 @@
 
 	}
 
+	/** What a gateway asks for when a stream is taken up. */
+	enum Question {
+
+		/** The caller names the first call. */
+		CALL {
+			@Override
+			void ask(OriginDirectory directory, StreamState stream, long nowNanos, Consumer<Origin> caller) {
+				directory.find(stream.call, nowNanos, caller);
+			}
+		},
+
+		/** The caller repeats the request, and the first answer counts. */
+		REQUEST_ANY_ANSWER {
+			@Override
+			void ask(OriginDirectory directory, StreamState stream, long nowNanos, Consumer<Origin> caller) {
+				directory.find(stream.request, nowNanos, caller);
+			}
+		},
+
+		/** The caller repeats the request, and all gateways answer. */
+		REQUEST {
+			@Override
+			void ask(OriginDirectory directory, StreamState stream, long nowNanos, Consumer<Origin> caller) {
+				directory.findOfRequest(stream.request, BOUND_MILLIS, nowNanos, caller);
+			}
+		};
+
+		private static final long BOUND_MILLIS = 15_000;
+
+		abstract void ask(OriginDirectory directory, StreamState stream, long nowNanos, Consumer<Origin> caller);
+
+	}
+
 	private record Task(long atMillis, Runnable action) implements Comparable<Task> {
 
 		@Override
@@ -302,7 +399,9 @@
 	/** A stream as its caller sees it. */
 	private static final class StreamState {
 
-		private final StreamKey key;
+		private final StreamKey call;
+
+		private final StreamKey request;
 
 		private final Set<String> versions = new HashSet<>();
 
@@ -311,8 +410,9 @@
 		/** Tells calls of the caller apart. */
 		private int attempt;
 
-		private StreamState(StreamKey key) {
-			this.key = key;
+		private StreamState(StreamKey call, StreamKey request) {
+			this.call = call;
+			this.request = request;
 		}
 
 	}
@@ -338,14 +438,15 @@
 						.filter((other) -> other != this.index)
 						.mapToObj((other) -> "gateway-" + other)
 						.collect(Collectors.toSet());
-			this.directory = OriginDirectory.of(identity.name(), this::send);
-			refresh();
+			long startedNanos = TimeUnit.MILLISECONDS.toNanos(identity.startedMillis());
+			this.directory = OriginDirectory.of(identity.name(), this::send, startedNanos);
+			refresh(startedNanos);
 			OriginFleet.this.nodes.put(this.index, this);
 		}
 
-		private void refresh() {
+		private void refresh(long nowNanos) {
 			this.directory.gateways(this.known,
-					this.known.stream().filter(this.fleet::isLive).collect(Collectors.toSet()));
+					this.known.stream().filter(this.fleet::isLive).collect(Collectors.toSet()), nowNanos);
 		}
 
 		private void began(StreamKey stream, String version) {
@@ -355,6 +456,9 @@
 
 		private void send(String gateway, List<OriginMessage> sent) {
 			int to = Integer.parseInt(gateway.substring("gateway-".length()));
+			if (OriginFleet.this.down.contains(to)) {
+				at(PROBE_MILLIS, () -> this.directory.gatewayEnded(gateway, nanos()));
+			}
 			int size = DATAGRAM_BYTES;
 			for (OriginMessage message : sent) {
 				size += (message instanceof Told) ? TOLD_BYTES : ASKED_BYTES;
@@ -372,7 +476,7 @@
 
 		@Override
 		public List<Told> report(int number, long nowNanos) {
-			refresh();
+			refresh(nowNanos);
 			List<Told> told = List.copyOf(this.unreported);
 			this.unreported = new ArrayList<>();
 			if (OriginFleet.this.way == Way.HOLDERS) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerExchange.java
@@ -56,7 +56,7 @@
 	 * The first byte of a datagram with messages about streams. No report begins with it,
 	 * so that a gateway that does not know such messages drops them as unreadable.
 	 */
-	private static final byte STREAM_MESSAGES = 0x07;
+	static final byte STREAM_MESSAGES = 0x07;
 
 	private static final byte[] EMPTY = {};
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/StreamOrigins.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/StreamOrigins.java
@@ -39,6 +39,10 @@
 
 	private final OriginDirectory directory;
 
+	private final EndedProbe probe;
+
+	private final PauseDetector pauses = new PauseDetector(System.nanoTime(), System.currentTimeMillis());
+
 	private Map<String, InetSocketAddress> addresses = Map.of();
 
 	/** The number of origins kept; read on any thread. */
@@ -46,8 +50,14 @@
 
 	private volatile long evictions;
 
+	/** For how long all streams are known, in milliseconds; read on any thread. */
+	private volatile long knownMillis;
+
 	private boolean ticking;
 
+	/** Whether the gateways were asked at the last tick as well. */
+	private boolean asking;
+
 	/**
 	 * Creates the origins of a gateway that knows no other one.
 	 * @param loop the traffic thread
@@ -60,8 +70,10 @@
 		this.loop = loop;
 		this.socket = socket;
 		this.metrics = metrics;
-		this.directory = OriginDirectory.of(self, this::send);
+		this.directory = OriginDirectory.of(self, this::send, System.nanoTime());
+		this.probe = new EndedProbe(loop);
 		metrics.gauge("streams.origins", () -> this.size);
+		metrics.gauge("streams.origins.known.millis", () -> this.knownMillis);
 		metrics.gauge("streams.origins.evicted", () -> this.evictions);
 	}
 
@@ -74,11 +86,23 @@
 	 */
 	void gateways(Map<String, InetSocketAddress> known, Set<String> live) {
 		this.loop.execute(() -> {
+			long now = running();
 			this.addresses = known;
-			this.directory.gateways(known.keySet(), live);
+			this.directory.gateways(known.keySet(), live, now);
+			this.knownMillis = this.directory.knownMillis(now);
 		});
 	}
 
+	// Called before anything is concluded from the own table, which may lack what was
+	// told while this process stood still.
+	private long running() {
+		long now = System.nanoTime();
+		if (!(this.pauses.check(now, System.currentTimeMillis()) instanceof PauseDetector.Observation.Running)) {
+			this.directory.suspended(now);
+		}
+		return now;
+	}
+
 	/**
 	 * Tells a gateway that has just started what it should keep.
 	 * @param gateway the name of the gateway
@@ -106,6 +130,12 @@
 		tickWhileAsking();
 	}
 
+	@Override
+	public void findOfRequest(StreamKey request, long boundMillis, Consumer<Origin> caller) {
+		this.directory.findOfRequest(request, boundMillis, running(), caller);
+		tickWhileAsking();
+	}
+
 	private void tickWhileAsking() {
 		if (this.directory.isAsking() && !this.ticking) {
 			this.ticking = true;
@@ -116,9 +146,26 @@
 	private void tick() {
 		this.ticking = false;
 		this.directory.tick(System.nanoTime());
+		probeUnanswered();
 		tickWhileAsking();
 	}
 
+	// Those that run answer within two readings of their sockets, mostly.
+	private void probeUnanswered() {
+		boolean before = this.asking;
+		this.asking = this.directory.isAsking();
+		if (before) {
+			this.directory.unanswered().forEach(this::probe);
+		}
+	}
+
+	private void probe(String gateway) {
+		InetSocketAddress address = this.addresses.get(gateway);
+		if (address != null) {
+			this.probe.send(address, () -> this.directory.gatewayEnded(gateway, System.nanoTime()));
+		}
+	}
+
 	private void recordSize() {
 		this.size = this.directory.table().size();
 		this.evictions = this.directory.table().evictions();
@@ -149,8 +196,9 @@
 				.addAsked(org.rosemaryfront.gateway.proto.StreamKey.newBuilder()
 					.setHigh(stream.high())
 					.setLow(stream.low()));
-			case OriginMessage.Answered answered ->
-				encoded.setGateway(answered.from()).addAnswered(encode(stream, answered.origin()));
+			case OriginMessage.Answered answered -> encoded.setGateway(answered.from())
+				.addAnswered(encode(stream, answered.origin())
+					.setAgeMillis((int) Math.min(answered.knownMillis(), Integer.MAX_VALUE)));
 		}
 	}
 
@@ -176,7 +224,7 @@
 	 * @param messages the messages
 	 */
 	void receive(InetSocketAddress from, StreamMessages messages) {
-		long now = System.nanoTime();
+		long now = running();
 		Consumer<OriginMessage> reply = (answer) -> send(from, List.of(answer));
 		messages.getToldList()
 			.forEach((told) -> this.directory
@@ -187,9 +235,11 @@
 					new OriginMessage.Asked(new StreamKey(asked.getHigh(), asked.getLow()), messages.getGateway()), now,
 					reply));
 		messages.getAnsweredList()
-			.forEach((answer) -> this.directory
-				.receive(new OriginMessage.Answered(new StreamKey(answer.getHigh(), answer.getLow()),
-						messages.getGateway(), decode(answer)), now, reply));
+			.forEach(
+					(answer) -> this.directory.receive(
+							new OriginMessage.Answered(new StreamKey(answer.getHigh(), answer.getLow()),
+									messages.getGateway(), decode(answer), Math.max(0, answer.getAgeMillis())),
+							now, reply));
 		recordSize();
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallOrigin.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallOrigin.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.traffic;
 
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -15,10 +16,23 @@
 
 	private static final int MAX_LOGGED_EVENT_ID_LENGTH = 64;
 
+	/**
+	 * For how long a stream may be taken up at least after it began, in milliseconds: the
+	 * longest time limit that callers of streams are known to have.
+	 */
+	private static final long MIN_BOUND_MILLIS = 15_000;
+
+	/**
+	 * Callers wait as long as the timeout of their route, which may change meanwhile.
+	 */
+	private static final int TIMEOUTS_PER_BOUND = 2;
+
 	private final Call call;
 
 	private final Gateway gateway;
 
+	private Origin found = Origin.unknown();
+
 	CallOrigin(Call call, Gateway gateway) {
 		this.call = call;
 		this.gateway = gateway;
@@ -31,16 +45,27 @@
 	 */
 	void find(Resumption resumption, Consumer<Origin> found) {
 		logResumption(resumption);
+		Consumer<Origin> recorded = (origin) -> {
+			this.found = origin;
+			found.accept(origin);
+		};
 		Optional<StreamKey> stream = resumption.namesCall() ? resumption.firstCall().map(this::streamKey)
 				: requestKey();
-		if (stream.isPresent()) {
-			this.gateway.streams().find(stream.get(), found);
+		if (stream.isEmpty()) {
+			recorded.accept(Origin.unknown());
+		}
+		else if (resumption.namesCall()) {
+			this.gateway.streams().find(stream.get(), recorded);
 		}
 		else {
-			found.accept(Origin.unknown());
+			this.gateway.streams().findOfRequest(stream.get(), boundMillis(), recorded);
 		}
 	}
 
+	private long boundMillis() {
+		return Math.max(MIN_BOUND_MILLIS, TIMEOUTS_PER_BOUND * this.call.route().timeoutMillis());
+	}
+
 	/**
 	 * Tells which version began the stream. A stream that was taken up keeps the key of
 	 * the call that began it. Callers that do not name that call repeat its request.
@@ -64,7 +89,20 @@
 		this.gateway.metrics().increment("streams.origin." + origin);
 		long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.call.receivedNanos());
 		EventLog.info(TrafficEvents.STREAM_ORIGIN, "request", this.call.id(), "service", this.call.service(), "origin",
-				origin, "version", version, "millis", ageMillis);
+				origin, "version", version, "millis", ageMillis, "reason", reason(), "retryMillis", retryMillis());
+	}
+
+	private String reason() {
+		return switch (this.found) {
+			case Origin.Known _ -> "none";
+			case Origin.Ambiguous _ -> "two-versions";
+			case Origin.Unknown unknown -> unknown.reason().name().toLowerCase(Locale.ROOT).replace('_', '-');
+		};
+	}
+
+	// The time after which the answer may be another one; 0 if that cannot be said.
+	private long retryMillis() {
+		return (this.found instanceof Origin.Unknown unknown) ? unknown.retryMillis() : 0;
 	}
 
 	private void logResumption(Resumption resumption) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/StreamDirectory.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/StreamDirectory.java
@@ -27,4 +27,14 @@
 	 */
 	void find(StreamKey stream, Consumer<Origin> caller);
 
+	/**
+	 * Finds the origin of a stream by its request, which other streams may share. It is
+	 * known only if no stream of the request can have been missed.
+	 * @param request the key of the request
+	 * @param boundMillis for how long a stream may be taken up after it began, in
+	 * milliseconds
+	 * @param caller receives the origin on the traffic thread, at once or later
+	 */
+	void findOfRequest(StreamKey request, long boundMillis, Consumer<Origin> caller);
+
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
@@ -75,7 +75,8 @@
 
 	/**
 	 * What was found of the version that began a stream that a caller takes up; it goes
-	 * on at that version only.
+	 * on at that version only. If none was found, why, and after how many milliseconds
+	 * one may be.
 	 */
 	STREAM_ORIGIN(2720),
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/StreamVersionTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/StreamVersionTests.java
@@ -42,6 +42,9 @@
 	/** The gateways may retry four calls in 10 ms. */
 	private static final long BEFORE_RETRY_MILLIS = 12;
 
+	/** For how long a stream may be taken up, and a table of streams must be whole. */
+	private static final long TAKEN_UP_MILLIS = 15_000;
+
 	private static final int MAX_TRIAL_CALLS = 300;
 
 	private static final int TRIAL_STREAMS = 3;
@@ -131,6 +134,8 @@
 	void shouldGoOnAtVersionThatBeganSameRequestWhenCallerNamesNoCall(int gateway) throws IOException {
 		String call = "n" + this.cases.incrementAndGet();
 		startServers(call, new Case(Where.BEHIND_EVENT, How.CLOSED, Who.CALLER_HERE, Left.ONE));
+		awaitStreamsKnown(TAKEN_UP_MILLIS / 2);
+		awaitStreamsKnown(TAKEN_UP_MILLIS);
 		List<String> received = new ArrayList<>();
 		addEvents(send(0, call, call, "").body(), received);
 		sleep(BEFORE_RETRY_MILLIS);
@@ -223,6 +228,11 @@
 		}
 	}
 
+	private void awaitStreamsKnown(long millis) {
+		GatewayHarness.await(() -> this.fleet.stream()
+			.allMatch((gateway) -> gateway.metric("gauges", "streams.origins.known.millis") >= millis));
+	}
+
 	private void awaitServer(String id) {
 		GatewayHarness.await(() -> this.fleet.stream().allMatch((gateway) -> gateway.knowsServer(id)));
 	}
