--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/moves/MoveFleetTests.java
@@ -90,7 +90,8 @@
 	@CsvSource({ "9, 0.2, 0, 0, 0", "9, 0, 0.2, 0, 0", "9, 0, 0, 0.2, 0", "9, 0, 0, 0, 0.2", "9, 0.2, 0.5, 0, 0",
 			"9, 0.2, 0.5, 0.2, 0.2", "87, 0.2, 0, 0, 0", "87, 0, 0.2, 0, 0", "87, 0, 0, 0.2, 0", "87, 0, 0, 0, 0.2",
 			"87, 0.2, 0.5, 0, 0", "87, 0.2, 0.5, 0.2, 0.2", "385, 0.2, 0, 0, 0", "385, 0, 0.2, 0, 0",
-			"385, 0, 0, 0.2, 0", "385, 0, 0, 0, 0.2", "385, 0.2, 0.5, 0, 0", "385, 0.2, 0.5, 0.2, 0.2" })
+			"385, 0, 0, 0.2, 0", "385, 0, 0, 0, 0.2", "385, 0.2, 0.5, 0, 0", "385, 0.2, 0.5, 0.2, 0.2",
+			"9, 0.5, 1, 0, 0", "87, 0.5, 1, 0, 0", "385, 0.5, 1, 0, 0" })
 	void shouldRunOnceWhenTargetsFail(int gateways, double unreachable, double leaving, double refusing,
 			double copiesRefused) {
 		Outcome outcome = play("targets", new Load(gateways, SERVERS, 0.4, false, false), 32, FAST_LINK,
