--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -37,16 +37,6 @@
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
-	/**
-	 * How long before the server's own idle limit a connection is no longer used, in
-	 * milliseconds. After that limit the server resets the connection, and a call sent
-	 * then may have run.
-	 */
-	private static final long IDLE_MARGIN_MILLIS = 1_200;
-
-	/** The idle limit for servers that announce none, in milliseconds. */
-	private static final long DEFAULT_IDLE_LIMIT_MILLIS = 20_000;
-
 	private static final int MAX_HEADER_BYTES = 65_536;
 
 	/**
@@ -55,9 +45,6 @@
 	 */
 	private static final long MAX_SKIPPED_BYTES = 1_048_576;
 
-	/** The response begins with a part of another one. */
-	private static final String STATUS_LINE_INSIDE = "the response is not valid HTTP: a status line inside it";
-
 	private final ConnectionPool pool;
 
 	private final CallCodec codec;
@@ -101,7 +88,7 @@
 
 	private long idleSinceNanos;
 
-	private long idleLimitNanos = TimeUnit.MILLISECONDS.toNanos(DEFAULT_IDLE_LIMIT_MILLIS);
+	private long idleLimitNanos = IdleLimit.DEFAULT_NANOS;
 
 	private ServerConnection(ConnectionPool pool, CallCodec codec, Optional<TunnelClient> tunnel) {
 		this.pool = pool;
@@ -307,16 +294,9 @@
 	}
 
 	private void head(HttpResponse head) {
-		if (head.decoderResult().isFailure()) {
-			fail("the response is not valid HTTP: " + head.decoderResult().cause().getMessage());
-			return;
-		}
-		if (isReused() && ServerResponseDecoder.isJoined(head)) {
-			fail(STATUS_LINE_INSIDE);
-			return;
-		}
-		if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-			fail("the response is not valid HTTP: a change of the protocol that was not asked for");
+		Optional<String> fault = ServerResponseDecoder.fault(head, !isReused());
+		if (fault.isPresent()) {
+			fail(fault.get());
 			return;
 		}
 		if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -362,12 +342,9 @@
 	}
 
 	private void content(HttpContent content) {
-		if (content.decoderResult().isFailure()) {
-			fail("the response is not valid HTTP: " + content.decoderResult().cause().getMessage());
-			return;
-		}
-		if (isReused() && containsStatusLine(content)) {
-			fail(STATUS_LINE_INSIDE);
+		Optional<String> fault = ServerResponseDecoder.fault(content, this.skippingResponse, !isReused());
+		if (fault.isPresent()) {
+			fail(fault.get());
 			return;
 		}
 		if (!this.skippingResponse && this.headReceived) {
@@ -381,13 +358,6 @@
 		}
 	}
 
-	// The body of the current response may contain any bytes.
-	private boolean containsStatusLine(HttpContent content) {
-		return (this.skippingResponse && ServerResponseDecoder.containsStatusLine(content.content()))
-				|| (content instanceof LastHttpContent last
-						&& ServerResponseDecoder.containsStatusLine(last.trailingHeaders()));
-	}
-
 	private void responseComplete() {
 		ResponseListener completed = this.listener;
 		this.listener = null;
@@ -419,15 +389,7 @@
 		if (!HttpUtil.isKeepAlive(head)) {
 			this.reusable = false;
 		}
-		String value = head.headers().get("Keep-Alive", "");
-		int index = value.indexOf("timeout=");
-		if (index >= 0) {
-			String digits = value.substring(index + "timeout=".length()).split("[^0-9]", 2)[0];
-			if (!digits.isEmpty() && digits.length() < 7) {
-				long millis = Math.max(200, Long.parseLong(digits) * 1_000 - IDLE_MARGIN_MILLIS);
-				this.idleLimitNanos = TimeUnit.MILLISECONDS.toNanos(millis);
-			}
-		}
+		IdleLimit.stated(head).ifPresent((nanos) -> this.idleLimitNanos = nanos);
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerResponseDecoder.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerResponseDecoder.java
@@ -2,16 +2,20 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Decodes what a backend server sends, which may be more than the responses to the calls
@@ -24,6 +28,11 @@
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d(?:\\.\\d)?[ \\t]+\\d{3}(?!\\d)",
 			Pattern.CASE_INSENSITIVE);
 
+	private static final String NOT_VALID = "the response is not valid HTTP: ";
+
+	/** A server that breaks a response off may keep the connection. */
+	private static final String STATUS_LINE_INSIDE = NOT_VALID + "a status line inside it";
+
 	private final Predicate<HttpResponse> answersHeadRequest;
 
 	private boolean insideHead;
@@ -52,30 +61,45 @@
 	}
 
 	/**
-	 * Returns whether a head consists of those of two responses, the first of which was
-	 * broken off: a server that breaks a response off may keep the connection.
-	 * @param head the head
-	 * @return true if a status line stands behind the first one
+	 * Returns why a response is not valid.
+	 * @param head its head
+	 * @param first whether it is the first one on its connection, so that none that was
+	 * broken off precedes it
+	 * @return the cause, empty for a valid head
 	 */
-	static boolean isJoined(HttpResponse head) {
-		return containsStatusLine(head.status().reasonPhrase()) || containsStatusLine(head.headers());
+	static Optional<String> fault(HttpResponse head, boolean first) {
+		if (head.decoderResult().isFailure()) {
+			return Optional.of(NOT_VALID + head.decoderResult().cause().getMessage());
+		}
+		if (!first && (containsStatusLine(head.status().reasonPhrase()) || containsStatusLine(head.headers()))) {
+			return Optional.of(STATUS_LINE_INSIDE);
+		}
+		boolean switched = head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+		return switched ? Optional.of(NOT_VALID + "a change of the protocol that was not asked for") : Optional.empty();
 	}
 
 	/**
-	 * Returns whether headers contain the first line of a response.
-	 * @param headers the headers or trailers
-	 * @return true if a value contains one
+	 * Returns why a part of a body is not valid.
+	 * @param content the part
+	 * @param skipped whether it belongs to a response to another call; that to the
+	 * current one may contain any bytes
+	 * @param first whether the response is the first one on its connection
+	 * @return the cause, empty for a valid part
 	 */
-	static boolean containsStatusLine(HttpHeaders headers) {
+	static Optional<String> fault(HttpContent content, boolean skipped, boolean first) {
+		if (content.decoderResult().isFailure()) {
+			return Optional.of(NOT_VALID + content.decoderResult().cause().getMessage());
+		}
+		boolean joined = !first && ((skipped && containsStatusLine(content.content()))
+				|| (content instanceof LastHttpContent last && containsStatusLine(last.trailingHeaders())));
+		return joined ? Optional.of(STATUS_LINE_INSIDE) : Optional.empty();
+	}
+
+	private static boolean containsStatusLine(HttpHeaders headers) {
 		return headers.entries().stream().anyMatch((header) -> containsStatusLine(header.getValue()));
 	}
 
-	/**
-	 * Returns whether a part of a body contains the first line of a response.
-	 * @param bytes the bytes, which are not consumed
-	 * @return true if it contains one
-	 */
-	static boolean containsStatusLine(ByteBuf bytes) {
+	private static boolean containsStatusLine(ByteBuf bytes) {
 		return containsStatusLine(bytes.toString(StandardCharsets.ISO_8859_1));
 	}
 
