Bound what is held of requests and responses over all calls, and pace responses in very many parts

Callers saw: while some servers of one service sent answers without end or in very small chunks, callers of sound servers of other services were not answered by the same gateway. The process stood still, with no deadline kept.

Cause: each call had a bound and their sum had none; a chunk of one byte was kept as an object with the buffer that it was received in; and the reads of many such connections took the whole traffic thread, which then turned new connections away.

Change: HeldBytes bounds the sum (16 MB) and lets the server that holds most in sum give way first; BodyBuffer copies chunks together; what one read brings of a response in progress is sent together; ReadPacing lets connections whose reads have 128 parts or more take turns. The body of a request leaves Call for RequestBody, so that Call does not grow.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashGuard.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/CrashGuard.java
@@ -146,7 +146,7 @@
 	 * @param ran whether a server may have run it
 	 */
 	void withdraw(Call call, boolean ran) {
-		call.endQuarantined(ran, QUARANTINE_RETRY_MILLIS, refusal(judge(call)));
+		call.end(ran, QUARANTINE_RETRY_MILLIS, refusal(judge(call)));
 	}
 
 	// -- outcomes of calls
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -1,6 +1,5 @@
 package org.rosemaryfront.traffic;
 
-import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -29,6 +28,7 @@
 import org.rosemaryfront.streams.Origin;
 import org.rosemaryfront.traffic.CallPolicy.Ending;
 import org.rosemaryfront.traffic.CallResponse.Head;
+import org.rosemaryfront.traffic.HeldBytes.Holding;
 
 /**
  * A request of a caller from its receipt until its response is complete. Its state is
@@ -36,13 +36,6 @@
  */
 public final class Call implements ResponseListener {
 
-	/**
-	 * The maximum number of bytes of a request body that are buffered before the call is
-	 * sent. Buffering keeps slow callers from occupying a slot of a server and allows the
-	 * call to be sent again. Longer bodies are streamed.
-	 */
-	private static final int MAX_BUFFERED_REQUEST_BYTES = 262_144;
-
 	/**
 	 * The Retry-After of a call whose deadline passed before it was sent, in
 	 * milliseconds. It is short because by then the cause of the wait is over or the
@@ -50,12 +43,6 @@
 	 */
 	private static final long UNSENT_RETRY_MILLIS = 200;
 
-	/**
-	 * The Retry-After of a call whose stream has an unknown origin, in milliseconds: by
-	 * then gateways that were cut off or have just started may have been told.
-	 */
-	private static final long ORIGIN_RETRY_MILLIS = 500;
-
 	private final Gateway gateway;
 
 	private final CallerConnection caller;
@@ -76,18 +63,7 @@
 
 	private final Future<?> deadlineTimer;
 
-	// Request body
-
-	private final BodyBuffer requestBuffer = new BodyBuffer();
-
-	private long bodyBytes;
-
-	private boolean bodyComplete;
-
-	private final RequestDigest.Builder digestBuilder;
-
-	/** Set when the body is complete; read by any thread. */
-	private volatile Optional<RequestDigest> digest = Optional.empty();
+	private final RequestBody body;
 
 	/**
 	 * Whether the body is streamed to the server, so that the call cannot be sent again.
@@ -137,8 +113,9 @@
 		this.response = CallResponse.of(caller, head.method(), route, gateway.movesRuns(service), this.origin::began);
 		this.move = new CallMove(gateway.loop(), this::continueAt,
 				() -> this.streamingRequest ? RunPace.unknown() : this.response.movablePace());
-		this.digestBuilder = RequestDigest.begin(organisation.map(Organisation::name).orElse(""), head.method().name(),
-				RequestValidator.host(head), head.uri());
+		this.body = RequestBody.of(caller.allocator(),
+				RequestDigest.begin(organisation.map(Organisation::name).orElse(""), head.method().name(),
+						RequestValidator.host(head), head.uri()));
 		long millis = Math.min(route.timeoutMillis(), terms.remainingMillis().orElse(Long.MAX_VALUE));
 		this.deadlineNanos = this.receivedNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, millis));
 		this.deadlineTimer = loop().schedule(this::deadlinePassed, this.deadlineNanos - System.nanoTime(),
@@ -161,7 +138,7 @@
 	 * @return the digest, empty while the body is not complete
 	 */
 	public Optional<RequestDigest> digest() {
-		return this.digest;
+		return this.body.digest();
 	}
 
 	/**
@@ -298,14 +275,13 @@
 	}
 
 	/**
-	 * Ends a call in any state because its request was quarantined after causing server
-	 * crashes.
+	 * Ends a call in any state.
 	 * @param ran whether an earlier server may have executed it
 	 * @param retryAfterMillis the earliest useful time for a retry, in milliseconds from
 	 * now
 	 * @param refusal the reason
 	 */
-	public void endQuarantined(boolean ran, long retryAfterMillis, Refusal refusal) {
+	public void end(boolean ran, long retryAfterMillis, Refusal refusal) {
 		loop().execute(() -> {
 			if (ran || this.runStarted || this.state == State.SENT) {
 				giveUpNow(refusal);
@@ -337,10 +313,7 @@
 	 * @param bytes the bytes; released by this method
 	 */
 	void bodyBytes(ByteBuf bytes) {
-		this.bodyBytes += bytes.readableBytes();
-		for (ByteBuffer chunk : bytes.nioBuffers()) {
-			this.digestBuilder.body(chunk);
-		}
+		this.body.received(bytes);
 		if (this.state == State.DONE) {
 			bytes.release();
 		}
@@ -350,8 +323,8 @@
 			this.caller.setReading(this.connection.isWritable());
 		}
 		else {
-			this.requestBuffer.add(bytes);
-			if (this.state == State.GATHERING && this.bodyBytes >= MAX_BUFFERED_REQUEST_BYTES) {
+			this.body.buffer(bytes);
+			if (this.state == State.GATHERING && this.body.isLong()) {
 				this.caller.setReading(false);
 				admit();
 			}
@@ -360,8 +333,7 @@
 
 	/** Called when the request is complete. */
 	void bodyComplete() {
-		this.bodyComplete = true;
-		this.digest = Optional.of(this.digestBuilder.end());
+		this.body.complete();
 		if (this.streamingRequest && this.state == State.SENT) {
 			endRequestStream();
 		}
@@ -383,7 +355,31 @@
 	}
 
 	long receivedBytes() {
-		return this.bodyBytes;
+		return this.body.bytes();
+	}
+
+	/**
+	 * Returns what is held for the call.
+	 * @param callerText names the connection of the caller
+	 * @param unreadBytes the number of bytes that the caller has not read
+	 * @return the holding, that of the server if the call is at one
+	 */
+	Holding holding(String callerText, long unreadBytes) {
+		long sent = (this.state == State.SENT) ? this.connection.heldBytes() : 0;
+		return new Holding(this.server.map(BackendServer::id).orElse(callerText),
+				unreadBytes + this.body.heldBytes() + this.response.heldBytes() + sent, this::holdLess);
+	}
+
+	private void holdLess() {
+		boolean startedEarly = this.state == State.SENT && this.response.startEarly();
+		EventLog.warn(TrafficEvents.CALL_RELEASED, "request", id(), "server", serverId(), "state", this.state,
+				"bodyBytes", this.response.bodyBytes(), "startedEarly", startedEarly, "millis", ageMillis());
+		if (this.state != State.SENT) {
+			end(this.runStarted, HeldBytes.RETRY_MILLIS, Refusal.of(Refusal.Cause.MEMORY, serverId()));
+		}
+		else if (!startedEarly) {
+			abortResponse("too much memory is held");
+		}
 	}
 
 	boolean isEnded() {
@@ -391,7 +387,7 @@
 	}
 
 	boolean isRequestComplete() {
-		return this.bodyComplete;
+		return this.body.isComplete();
 	}
 
 	/**
@@ -442,7 +438,7 @@
 
 	private void refuseWithoutOrigin(String origin) {
 		this.origin.log(origin, "none");
-		refuseNow(503, ORIGIN_RETRY_MILLIS, Refusal.of(Refusal.Cause.ORIGIN_UNKNOWN, origin));
+		refuseNow(503, CallOrigin.RETRY_MILLIS, Refusal.of(Refusal.Cause.ORIGIN_UNKNOWN, origin));
 	}
 
 	// -- server
@@ -504,13 +500,13 @@
 		this.response.attemptBegins();
 		to.startCall(id(), this);
 		to.write(serverRequest());
-		this.requestBuffer.duplicates().forEach((chunk) -> to.write(new DefaultHttpContent(chunk)));
-		if (this.bodyComplete) {
+		this.body.duplicates().forEach((chunk) -> to.write(new DefaultHttpContent(chunk)));
+		if (this.body.isComplete()) {
 			to.write(new DefaultLastHttpContent());
 		}
 		else {
 			this.streamingRequest = true;
-			this.requestBuffer.release();
+			this.body.release();
 			to.flush();
 			this.caller.setReading(true);
 		}
@@ -527,7 +523,7 @@
 		ForwardingMetadata metadata = new ForwardingMetadata(remaining, serverId(),
 				this.organisation.map(Organisation::name), this.response.lastEvent(), OptionalInt.of(priority()),
 				this.kvCacheSource, this.move.copy());
-		OptionalLong length = this.bodyComplete ? OptionalLong.of(this.bodyBytes) : OptionalLong.empty();
+		OptionalLong length = this.body.isComplete() ? OptionalLong.of(this.body.bytes()) : OptionalLong.empty();
 		return ServerRequest.of(this.head, length, this.gateway.codec(), metadata);
 	}
 
@@ -580,6 +576,9 @@
 	@Override
 	public void responseReadComplete() {
 		if (this.response.isStarted() && this.state == State.SENT) {
+			if (!this.response.forwardReceived()) {
+				this.connection.setReading(false);
+			}
 			this.caller.flush();
 		}
 	}
@@ -651,6 +650,7 @@
 				this.response.openEventBytes(), "exchange", this.connection.describe());
 		this.gateway.metrics().answered(this, this.response.statusCode());
 		this.server = Optional.empty();
+		this.response.forwardReceived();
 		this.gateway.policy().ended(this, from, this.response.ending());
 		this.caller.endResponse();
 		finish();
@@ -797,7 +797,7 @@
 		else {
 			this.gateway.policy().endedWithoutServer(this);
 		}
-		this.requestBuffer.release();
+		this.body.release();
 		this.response.release();
 		this.caller.callEnded(this);
 	}
@@ -807,7 +807,7 @@
 	}
 
 	private String digestText() {
-		return this.digest.map(RequestDigest::toString).orElse("none");
+		return digest().map(RequestDigest::toString).orElse("none");
 	}
 
 	private String organisationName() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallOrigin.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallOrigin.java
@@ -14,6 +14,12 @@
 /** Finds, and tells, which version began the stream of a call. */
 final class CallOrigin {
 
+	/**
+	 * The Retry-After of a call whose stream has an unknown origin, in milliseconds: by
+	 * then gateways that were cut off or have just started may have been told.
+	 */
+	static final long RETRY_MILLIS = 500;
+
 	private static final int MAX_LOGGED_EVENT_ID_LENGTH = 64;
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallResponse.java
@@ -33,6 +33,12 @@
 	/** The maximum number of bytes of a response that is buffered to its end. */
 	private static final int MAX_ERROR_BYTES = 1_048_576;
 
+	/**
+	 * The number of bytes of a response in progress that are forwarded before everything
+	 * was read that has arrived.
+	 */
+	private static final int MAX_BATCH_BYTES = 65_536;
+
 	/** The maximum number of bytes of one event of a stream. */
 	private static final long MAX_EVENT_BYTES = 1_048_576;
 
@@ -55,7 +61,8 @@
 
 	private ResponseMetadata metadata = new ResponseMetadata("", false, false, ServerStatements.unknown());
 
-	private final BodyBuffer buffer = new BodyBuffer();
+	/** What is held of a body without events until it is forwarded. */
+	private final BodyBuffer buffer;
 
 	/**
 	 * Whether an error response of the server is complete, so that it can be forwarded.
@@ -86,6 +93,7 @@
 	private CallResponse(CallerConnection caller, HttpMethod method, Route route, boolean movable,
 			Consumer<String> onFirstEvent) {
 		this.caller = caller;
+		this.buffer = new BodyBuffer(caller.allocator());
 		this.method = method;
 		this.route = route;
 		this.movable = movable;
@@ -163,7 +171,8 @@
 	}
 
 	/**
-	 * Receives bytes of the body and forwards what the caller may have of them.
+	 * Receives bytes of the body. What the caller may have of them is forwarded at the
+	 * latest by {@link #forwardReceived}, so that small chunks are sent together.
 	 * @param bytes the bytes; released by this method
 	 * @param version the version of the server
 	 * @return whether the caller's connection accepts more bytes
@@ -177,7 +186,7 @@
 		}
 		if (this.started) {
 			this.times.chunkReceived(System.nanoTime());
-			return forward(bytes, completeBytes, version);
+			return add(bytes, completeBytes, version);
 		}
 		this.buffer.add(bytes);
 		if (this.buffer.size() > MAX_BUFFERED_BYTES && isFinal()) {
@@ -197,21 +206,42 @@
 		return completeBytes;
 	}
 
-	private boolean forward(ByteBuf bytes, int completeBytes, String version) {
-		ByteBuf forwarded = this.framer.map((events) -> events.add(bytes, completeBytes)).orElse(bytes);
-		if (forwarded.isReadable() && this.framer.isPresent() && !this.eventSent) {
+	private boolean add(ByteBuf bytes, int completeBytes, String version) {
+		this.framer.ifPresentOrElse((events) -> events.add(bytes, completeBytes), () -> this.buffer.add(bytes));
+		int complete = this.framer.map(EventFramer::completeBytes).orElseGet(this.buffer::size);
+		if (complete > 0 && this.framer.isPresent() && !this.eventSent) {
 			this.eventSent = true;
 			this.streamVersion = Optional.of(version);
 			if (this.route.resumable()) {
 				this.onFirstEvent.accept(version);
 			}
 		}
-		return this.caller.write(forwarded);
+		return complete < MAX_BATCH_BYTES || forwardReceived();
+	}
+
+	/**
+	 * Forwards what was received of a started response, but for an incomplete event.
+	 * @return whether the caller's connection accepts more bytes
+	 */
+	boolean forwardReceived() {
+		this.framer.flatMap(EventFramer::takeComplete).ifPresent(this.caller::write);
+		this.buffer.takeAll().forEach(this.caller::write);
+		return this.caller.isWritable();
 	}
 
-	/** Called when the response of an attempt will not be completed. */
+	/**
+	 * Called when the response of an attempt will not be completed. The last bytes of one
+	 * that cannot go on are not forwarded: with them it might look complete.
+	 */
 	void attemptFailed() {
-		this.framer.ifPresent(EventFramer::discardIncomplete);
+		this.framer.ifPresent((events) -> {
+			forwardReceived();
+			this.caller.flush();
+			events.discardIncomplete();
+		});
+		if (this.started) {
+			this.buffer.release();
+		}
 	}
 
 	/** Called when an error response of the server is complete. */
@@ -233,6 +263,20 @@
 		this.buffer.takeAll().forEach(this.caller::write);
 	}
 
+	/**
+	 * Forwards a response from now on that is held only to try another server if it
+	 * fails.
+	 * @return false if it must be held, or is forwarded already
+	 */
+	boolean startEarly() {
+		boolean early = !this.started && this.received.isPresent() && isFinal();
+		if (early) {
+			startBuffered();
+			this.caller.flush();
+		}
+		return early;
+	}
+
 	/** Releases all buffers. */
 	void release() {
 		this.buffer.release();
@@ -309,6 +353,14 @@
 		return closed ? Ending.CLOSED : Ending.SUCCEEDED;
 	}
 
+	/**
+	 * Returns the memory that is held of the response.
+	 * @return the number of bytes
+	 */
+	long heldBytes() {
+		return this.buffer.capacity() + this.framer.map(EventFramer::capacity).orElse(0L);
+	}
+
 	boolean isNotRun() {
 		return this.metadata.notRun();
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -35,6 +35,7 @@
 import org.rosemaryfront.routes.Organisation;
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.routes.TrafficConfiguration;
+import org.rosemaryfront.traffic.HeldBytes.Holding;
 
 /**
  * A connection of a caller, which processes one call at a time. Pipelined requests are
@@ -274,6 +275,10 @@
 		return this.channel.isWritable();
 	}
 
+	boolean isWritable() {
+		return this.channel.isWritable();
+	}
+
 	void flush() {
 		this.channel.flush();
 	}
@@ -386,6 +391,18 @@
 		return !this.channel.isActive();
 	}
 
+	/**
+	 * Returns what is held for this connection: its call, and responses that the caller
+	 * has not read.
+	 * @return the holding
+	 */
+	Holding holding() {
+		long unreadBytes = Outbound.pendingBytes(this.channel);
+		String text = this.channel.id().asShortText();
+		return this.call.map((active) -> active.holding(text, unreadBytes))
+			.orElseGet(() -> new Holding(text, unreadBytes, this::abort));
+	}
+
 	ByteBufAllocator allocator() {
 		return this.channel.alloc();
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
@@ -21,6 +21,7 @@
 import org.rosemaryfront.gateway.proto.TunnelOpen;
 import org.rosemaryfront.limits.ServerStatements;
 import org.rosemaryfront.peer.Addresses;
+import org.rosemaryfront.traffic.HeldBytes.Holding;
 
 /**
  * The end of a tunnel at the gateway that carries the calls: passes bytes between the
@@ -64,6 +65,17 @@
 		this.tunnel.close();
 	}
 
+	/**
+	 * Returns what is held for this tunnel: what neither the other gateway nor the server
+	 * has read.
+	 * @return the holding
+	 */
+	Holding holding() {
+		long bytes = Outbound.pendingBytes(this.tunnel) + this.serverChannel.map(Outbound::pendingBytes).orElse(0L);
+		return new Holding(this.server.map(BackendServer::id).orElse("none"), bytes,
+				() -> fail("too much is held for the tunnel"));
+	}
+
 	@Override
 	public void handlerAdded(ChannelHandlerContext context) {
 		context.executor().schedule(() -> {
@@ -226,7 +238,9 @@
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
-			CarriedConnection.this.tunnel.write(TunnelPipeline.data((ByteBuf) message));
+			ByteBuf bytes = (ByteBuf) message;
+			CarriedConnection.this.owner.bytesArrived(bytes.readableBytes());
+			CarriedConnection.this.tunnel.write(TunnelPipeline.data(bytes));
 		}
 
 		@Override
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 
 import io.netty.channel.EventLoop;
 
@@ -54,6 +55,11 @@
 
 	private final ServerConnector connector;
 
+	/** Receives the number of bytes of each read from a server. */
+	private final IntConsumer onBytes;
+
+	private final ReadPacing pacing;
+
 	private final Map<Incarnation, Connections> servers = new HashMap<>();
 
 	/** The servers that accept calls, with or without connections. */
@@ -66,12 +72,26 @@
 
 	private int runningChecks;
 
-	ConnectionPool(EventLoop loop, CallCodec codec, String zone) {
+	ConnectionPool(EventLoop loop, CallCodec codec, String zone, IntConsumer onBytes) {
 		this.loop = loop;
+		this.onBytes = onBytes;
+		this.pacing = new ReadPacing(loop);
 		this.connector = new ServerConnector(loop, this, codec, zone, this::pathSilent);
 		loop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * Records that bytes of a server arrived, before they are decoded.
+	 * @param count the number of bytes
+	 */
+	void bytesArrived(int count) {
+		this.onBytes.accept(count);
+	}
+
+	ReadPacing pacing() {
+		return this.pacing;
+	}
+
 	ServerConnector connector() {
 		return this.connector;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/EventFramer.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/EventFramer.java
@@ -8,8 +8,8 @@
 import io.netty.buffer.ByteBufAllocator;
 
 /**
- * Holds back the incomplete event at the end of a stream of server-sent events, and
- * records the identifier of the last one forwarded.
+ * Collects a stream of server-sent events, holds back the incomplete one at its end, and
+ * records the identifier of the last one taken.
  *
  * <p>
  * A server may fail in the middle of an event. If the first half were forwarded, the
@@ -25,6 +25,9 @@
 
 	private final ByteBuf buffer;
 
+	/** The number of bytes that precede the end of the last complete event. */
+	private int completeBytes;
+
 	private Optional<String> lastId = Optional.empty();
 
 	private boolean eventExpected = true;
@@ -36,28 +39,54 @@
 	/**
 	 * Adds received bytes.
 	 * @param bytes the bytes; released by this method
-	 * @param completeBytes how many of them precede the end of the last event that is
+	 * @param completed how many of them precede the end of the last event that is
 	 * complete now; 0 if none was completed
-	 * @return all events that are complete now, possibly none
 	 */
-	ByteBuf add(ByteBuf bytes, int completeBytes) {
-		int held = (completeBytes > 0) ? this.buffer.readableBytes() + completeBytes : 0;
+	void add(ByteBuf bytes, int completed) {
+		if (completed > 0) {
+			this.completeBytes = this.buffer.readableBytes() + completed;
+		}
 		this.buffer.writeBytes(bytes);
 		bytes.release();
-		if (held == 0) {
-			return this.buffer.alloc().buffer(0);
+	}
+
+	/**
+	 * Removes the events that are complete.
+	 * @return the events, empty if there are none
+	 */
+	Optional<ByteBuf> takeComplete() {
+		if (this.completeBytes == 0) {
+			return Optional.empty();
 		}
-		ByteBuf events = this.buffer.readBytes(held);
+		ByteBuf events = this.buffer.readBytes(this.completeBytes);
 		this.buffer.discardSomeReadBytes();
+		this.completeBytes = 0;
 		recordLastId(events);
 		this.eventExpected = false;
-		return events;
+		return Optional.of(events);
+	}
+
+	/**
+	 * Returns the number of bytes that are complete events.
+	 * @return the number, 0 if none was completed since they were taken
+	 */
+	int completeBytes() {
+		return this.completeBytes;
+	}
+
+	/**
+	 * Returns the memory in use.
+	 * @return the capacity of the buffer, in bytes
+	 */
+	long capacity() {
+		return this.buffer.capacity();
 	}
 
-	/** Discards the incomplete event of a failed attempt. */
+	/** Discards what was not taken, the incomplete event of a failed attempt. */
 	void discardIncomplete() {
 		this.eventExpected |= this.buffer.isReadable();
 		this.buffer.clear();
+		this.completeBytes = 0;
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -9,8 +9,10 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -22,12 +24,14 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 import org.rosemaryfront.dispatch.BackendServer;
+import org.rosemaryfront.events.EventLog;
 import org.rosemaryfront.paths.Carrier;
 import org.rosemaryfront.ports.CallCodec;
 import org.rosemaryfront.routes.CallerLimits;
 import org.rosemaryfront.routes.ServiceSpec;
 import org.rosemaryfront.routes.ServiceSpec.EngineSpec;
 import org.rosemaryfront.routes.TrafficConfiguration;
+import org.rosemaryfront.traffic.HeldBytes.Holding;
 
 /**
  * The data path of a gateway: the connections of callers, their calls and the connections
@@ -58,6 +62,8 @@
 
 	private final Set<CallerConnection> callers = new HashSet<>();
 
+	private final HeldBytes held = HeldBytes.of(this::holdings, this::heldTooMuch);
+
 	private final OverloadDetector overload = OverloadDetector.startingAt(System.nanoTime());
 
 	private Gateway(EventLoop loop, Addresses addresses, String zone, CallCodec codec, CallPolicy policy,
@@ -67,8 +73,9 @@
 		this.policy = policy;
 		this.streams = streams;
 		this.metrics = metrics;
-		this.pool = new ConnectionPool(loop, codec, zone);
-		this.tunnels = TunnelServer.open(loop, addresses.tunnels(), policy, this.pool.connector()::isLost, metrics);
+		this.pool = new ConnectionPool(loop, codec, zone, this.held::received);
+		this.tunnels = TunnelServer.open(loop, addresses.tunnels(), policy, this.pool.connector()::isLost, metrics,
+				this.held::received);
 		this.listener = bind(addresses.callers());
 	}
 
@@ -93,6 +100,7 @@
 		loop.scheduleWithFixedDelay(() -> gateway.overload.beat(System.nanoTime()),
 				OverloadDetector.BEAT_INTERVAL_MILLIS, OverloadDetector.BEAT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		metrics.gauge("callers.connections", gateway.callers::size);
+		metrics.gauge("bytes.held", gateway.held::countedBytes);
 		metrics.gauge("callers.turned.away", gateway.overload::turnedAwayCount);
 		metrics.gauge("servers.connections", gateway.pool::openCount);
 		metrics.gauge("servers.connections.opened", gateway.pool.connector()::openedCount);
@@ -253,6 +261,7 @@
 			@Override
 			public void channelRead(ChannelHandlerContext context, Object message) {
 				connection.bytesArrived();
+				Gateway.this.held.received(((ByteBuf) message).readableBytes());
 				context.fireChannelRead(message);
 			}
 		})
@@ -261,6 +270,16 @@
 			.addLast(connection);
 	}
 
+	private List<Holding> holdings() {
+		return Stream.concat(this.callers.stream().map(CallerConnection::holding), this.tunnels.holdings()).toList();
+	}
+
+	private void heldTooMuch(long bytes) {
+		this.metrics.increment("bytes.held.released");
+		EventLog.warn(TrafficEvents.MEMORY_BOUND_REACHED, "heldBytes", bytes, "maxBytes", HeldBytes.MAX_BYTES,
+				"callers", this.callers.size(), "tunnels", this.tunnels.openCount());
+	}
+
 	private void enforceCallerTimeouts() {
 		long now = System.nanoTime();
 		CallerLimits limits = limits();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/InputEnd.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/InputEnd.java
@@ -1,5 +1,8 @@
 package org.rosemaryfront.traffic;
 
+import java.util.function.IntConsumer;
+import java.util.function.LongConsumer;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -16,12 +19,23 @@
  */
 final class InputEnd extends ChannelInboundHandlerAdapter {
 
+	/** Receives the number of bytes of each read, before they are processed. */
+	private final IntConsumer onReceived;
+
+	/** Receives the time that it took to process a read, in nanoseconds. */
+	private final LongConsumer onProcessed;
+
 	private boolean closedByServer;
 
 	private boolean failed;
 
 	private long bytes;
 
+	InputEnd(IntConsumer onReceived, LongConsumer onProcessed) {
+		this.onReceived = onReceived;
+		this.onProcessed = onProcessed;
+	}
+
 	/**
 	 * Returns how many bytes were received on the connection.
 	 * @return the number
@@ -40,8 +54,12 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-		this.bytes += ((ByteBuf) message).readableBytes();
+		int received = ((ByteBuf) message).readableBytes();
+		this.bytes += received;
+		this.onReceived.accept(received);
+		long startNanos = System.nanoTime();
 		super.channelRead(context, message);
+		this.onProcessed.accept(System.nanoTime() - startNanos);
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
@@ -72,7 +72,10 @@
 		SERVER_BACKOFF,
 
 		/** It is not known which version began the stream that the caller takes up. */
-		ORIGIN_UNKNOWN;
+		ORIGIN_UNKNOWN,
+
+		/** The gateway holds as much of requests and responses as it may. */
+		MEMORY;
 
 		@Override
 		public String toString() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -37,7 +37,7 @@
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
-	private static final int MAX_HEADER_BYTES = 65_536;
+	static final int MAX_HEADER_BYTES = 65_536;
 
 	/**
 	 * The maximum number of bytes before the head of the response, such as interim
@@ -51,7 +51,7 @@
 
 	private final Optional<TunnelClient> tunnel;
 
-	private final InputEnd inputEnd = new InputEnd();
+	private final InputEnd inputEnd;
 
 	private final ServerResponseDecoder decoder = ServerResponseDecoder.of(
 			new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES),
@@ -73,9 +73,20 @@
 	/** Whether the response names the current call, for the log. */
 	private String naming = "none";
 
+	/** The memory that the head of the response takes. */
+	private long headMemory;
+
 	/** The bytes received on this connection before the current call. */
 	private long bytesBefore;
 
+	/** Whether the caller accepts more of the response. */
+	private boolean readingWanted = true;
+
+	/** Whether reading waits for its turn, see {@link ReadPacing}. */
+	private boolean awaitingTurn;
+
+	private int partsOfRead;
+
 	private boolean requestWritten;
 
 	private boolean reusable = true;
@@ -94,6 +105,7 @@
 		this.pool = pool;
 		this.codec = codec;
 		this.tunnel = tunnel;
+		this.inputEnd = new InputEnd(pool::bytesArrived, this::readProcessed);
 	}
 
 	/**
@@ -193,7 +205,21 @@
 	}
 
 	void setReading(boolean enabled) {
-		this.channel.config().setAutoRead(enabled);
+		this.readingWanted = enabled;
+		this.channel.config().setAutoRead(enabled && !this.awaitingTurn);
+	}
+
+	private void readProcessed(long nanos) {
+		int parts = this.partsOfRead;
+		this.partsOfRead = 0;
+		if (ReadPacing.isDue(parts) && !this.awaitingTurn && this.channel.isActive()) {
+			this.awaitingTurn = true;
+			setReading(this.readingWanted);
+			this.pool.pacing().await(nanos, () -> {
+				this.awaitingTurn = false;
+				setReading(this.readingWanted);
+			});
+		}
 	}
 
 	/** Ends the call and closes the connection. */
@@ -213,6 +239,16 @@
 		return this.listener != null && this.startedNanos - fromNanos >= 0 && this.startedNanos - untilNanos <= 0;
 	}
 
+	/**
+	 * Returns the memory that is held for the current call.
+	 * @return the number of bytes of the head of its response, and of its request as far
+	 * as the server has not taken it
+	 */
+	long heldBytes() {
+		long head = this.headReceived ? this.headMemory : HeadMemory.ofPart(this.inputEnd.bytes() - this.bytesBefore);
+		return head + Outbound.pendingBytes(this.channel);
+	}
+
 	/** Tells the current call that this connection carries nothing any more. */
 	void pathLost() {
 		if (this.listener != null) {
@@ -272,6 +308,7 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
+		this.partsOfRead++;
 		this.pool.bytesReceived(this);
 		try {
 			if (!this.channel.isActive()) {
@@ -311,6 +348,7 @@
 		this.calls.answered(terms.requestId());
 		this.skippingResponse = false;
 		this.headReceived = true;
+		this.headMemory = HeadMemory.of(head.headers());
 		this.naming = terms.requestId().isEmpty() ? "unnamed" : "named";
 		this.tunnel.ifPresent((client) -> client.stated(terms.statements()));
 		recordKeepAlive(head);
@@ -379,7 +417,7 @@
 		}
 		else if (this.channel.isActive() && this.reusable) {
 			this.idleSinceNanos = System.nanoTime();
-			this.channel.config().setAutoRead(true);
+			setReading(true);
 			this.tunnel.ifPresent(TunnelClient::callEnded);
 			this.pool.release(this);
 		}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
@@ -84,7 +84,16 @@
 	 * The thread of all connections became overloaded, or is no longer; while it is, new
 	 * connections are closed before anything is read from them.
 	 */
-	OVERLOAD_CHANGED(2721);
+	OVERLOAD_CHANGED(2721),
+
+	/**
+	 * Requests and responses of all calls took as much memory as they may: the calls of
+	 * those that held most had to hold less.
+	 */
+	MEMORY_BOUND_REACHED(2722),
+
+	/** A call had to hold less, or was ended, because the memory bound was reached. */
+	CALL_RELEASED(2723);
 
 	private final int number;
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelServer.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelServer.java
@@ -5,7 +5,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.IntConsumer;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -18,6 +20,7 @@
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.traffic.HeldBytes.Holding;
 
 /**
  * Accepts tunnels of other gateways and carries their calls to backend servers. Used on
@@ -36,6 +39,9 @@
 
 	private final TrafficMetrics metrics;
 
+	/** Receives the number of bytes of each read from a server. */
+	private final IntConsumer onBytes;
+
 	private final Set<CarriedConnection> connections = new HashSet<>();
 
 	/** The addresses of the gateways that may open tunnels. */
@@ -45,11 +51,13 @@
 
 	private volatile int openCount;
 
-	private TunnelServer(EventLoop loop, CallPolicy policy, Predicate<Incarnation> outOfReach, TrafficMetrics metrics) {
+	private TunnelServer(EventLoop loop, CallPolicy policy, Predicate<Incarnation> outOfReach, TrafficMetrics metrics,
+			IntConsumer onBytes) {
 		this.loop = loop;
 		this.policy = policy;
 		this.outOfReach = outOfReach;
 		this.metrics = metrics;
+		this.onBytes = onBytes;
 	}
 
 	/**
@@ -59,11 +67,12 @@
 	 * @param policy knows the servers that accept calls
 	 * @param outOfReach tests whether this gateway does not reach a server itself
 	 * @param metrics the metrics
+	 * @param onBytes receives the number of bytes of each read from a server
 	 * @return the running server
 	 */
 	static TunnelServer open(EventLoop loop, InetSocketAddress address, CallPolicy policy,
-			Predicate<Incarnation> outOfReach, TrafficMetrics metrics) {
-		TunnelServer server = new TunnelServer(loop, policy, outOfReach, metrics);
+			Predicate<Incarnation> outOfReach, TrafficMetrics metrics, IntConsumer onBytes) {
+		TunnelServer server = new TunnelServer(loop, policy, outOfReach, metrics, onBytes);
 		server.listener = new ServerBootstrap().group(loop, loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -112,6 +121,14 @@
 		return this.connections.stream().noneMatch(CarriedConnection::hasCall);
 	}
 
+	/**
+	 * Returns what is held for the tunnels.
+	 * @return a holding for each
+	 */
+	Stream<Holding> holdings() {
+		return this.connections.stream().map(CarriedConnection::holding);
+	}
+
 	// -- changes
 
 	void gateways(Set<InetAddress> addresses) {
@@ -131,6 +148,10 @@
 
 	// -- for the connections
 
+	void bytesArrived(int count) {
+		this.onBytes.accept(count);
+	}
+
 	EventLoop loop() {
 		return this.loop;
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TunnelServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TunnelServerTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 
 import com.google.protobuf.ByteString;
@@ -20,6 +21,14 @@
 
 	private static final int READ_MILLIS = 5_000;
 
+	private static final int UNREAD_TUNNELS = 40;
+
+	/** The time in which the server writes more than the sockets hold. */
+	private static final int UNREAD_MILLIS = 1_500;
+
+	/** For 40 tunnels, each with two reads from its socket. */
+	private static final long MAX_HELD_BYTES = 6_291_456;
+
 	private static final String REQUEST = "GET /sheets/ HTTP/1.1\r\nHost: x\r\nCall: c1\r\n\r\n";
 
 	private final MemoryRowStore store = new MemoryRowStore();
@@ -34,6 +43,9 @@
 			if (request.call().equals("held")) {
 				exchange.hold();
 			}
+			else if (request.call().equals("endless")) {
+				writeEndlessly(exchange);
+			}
 			else {
 				exchange.ok(request, "x");
 			}
@@ -88,6 +100,38 @@
 		assertThat(this.server.awaitDisconnect()).isTrue();
 	}
 
+	// Guards against answers without end that other gateways do not take: the memory of
+	// the gateway that carries them is bounded over all tunnels.
+	@Test
+	void shouldHoldLittleWhenOtherGatewayDoesNotReadAnswersWithoutEnd() throws Exception {
+		List<Socket> tunnels = new ArrayList<>();
+		try {
+			for (int i = 0; i < UNREAD_TUNNELS; i++) {
+				Socket tunnel = connect();
+				tunnels.add(tunnel);
+				ask(tunnel, open("s1"));
+				ask(tunnel, call("endless"));
+				data(REQUEST.replace("c1", "endless")).writeDelimitedTo(tunnel.getOutputStream());
+			}
+			GatewayHarness.await(() -> this.server.requests().size() == UNREAD_TUNNELS);
+			Thread.sleep(UNREAD_MILLIS);
+			assertThat(this.fleet.getFirst().metric("gauges", "bytes.held")).isBetween(1L, MAX_HELD_BYTES);
+		}
+		finally {
+			for (Socket tunnel : tunnels) {
+				tunnel.close();
+			}
+		}
+	}
+
+	private static void writeEndlessly(ScriptedServer.Exchange exchange) throws IOException {
+		exchange.write("HTTP/1.1 200 OK\r\nCall: endless\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+		String chunks = "10\r\n0123456789abcdef\r\n".repeat(1_000);
+		while (true) {
+			exchange.write(chunks);
+		}
+	}
+
 	// Guards against use as an open proxy, and against bytes that are no frames.
 	@Test
 	void shouldRefuseWhatIsNoTunnelToKnownServer() throws Exception {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/EventScannerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/EventScannerTests.java
@@ -80,9 +80,11 @@
 		for (int from = 0; from < cut;) {
 			int until = Math.min(cut, from + 1 + random.nextInt(9));
 			ByteBuf piece = Unpooled.copiedBuffer(stream.substring(from, until), StandardCharsets.UTF_8);
-			ByteBuf events = framer.add(piece, body.add(piece));
-			forwarded.append(events.toString(StandardCharsets.UTF_8));
-			events.release();
+			framer.add(piece, body.add(piece));
+			framer.takeComplete().ifPresent((events) -> {
+				forwarded.append(events.toString(StandardCharsets.UTF_8));
+				events.release();
+			});
 			from = until;
 		}
 		int whole = ends.stream().filter((end) -> end <= cut).mapToInt(Integer::intValue).max().orElse(0);
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/HeldBytesTests.java
@@ -0,0 +1,71 @@
+package org.rosemaryfront.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.rosemaryfront.traffic.HeldBytes.Holding;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class HeldBytesTests {
+
+	private static final int MEGABYTE = 1_048_576;
+
+	private final List<Holding> holdings = new ArrayList<>();
+
+	private final List<String> released = new ArrayList<>();
+
+	private final HeldBytes held = HeldBytes.of(() -> this.holdings, (_) -> {
+	});
+
+	// Guards against many calls that each hold less than one call may.
+	@ParameterizedTest
+	@CsvSource({ "16, 0", "17, 1", "40, 24" })
+	void shouldReleaseUntilSumOfAllCallsIsWithinBound(int calls, int expected) {
+		IntStream.range(0, calls).forEach((i) -> hold("s" + i, "call" + i, MEGABYTE));
+		count();
+		assertThat(this.released).hasSize(expected);
+	}
+
+	// Guards against calls at sound servers that end because of those at a faulty one.
+	@Test
+	void shouldReleaseCallsOfServerThatHoldsMostInSum() {
+		IntStream.range(0, 20).forEach((i) -> hold("faulty", "faulty" + i, MEGABYTE));
+		hold("sound", "sound", 2 * MEGABYTE);
+		count();
+		assertThat(this.released).hasSize(6).allMatch((call) -> call.startsWith("faulty"));
+	}
+
+	@Test
+	void shouldReleaseLargestCallOfServerFirst() {
+		IntStream.range(0, 16).forEach((i) -> hold("s", "small" + i, MEGABYTE));
+		hold("s", "large", 2 * MEGABYTE);
+		count();
+		assertThat(this.released.getFirst()).isEqualTo("large");
+	}
+
+	// Guards against a count for each chunk, which takes longer the more calls there are.
+	@Test
+	void shouldCountAgainOnlyWhenMuchWasReceived() {
+		IntStream.range(0, 17).forEach((i) -> hold("s", "call" + i, MEGABYTE));
+		this.held.received((int) HeldBytes.COUNT_INTERVAL_BYTES - 1);
+		assertThat(this.released).isEmpty();
+		this.held.received(1);
+		assertThat(this.released).hasSize(1);
+		assertThat(this.held.countedBytes()).isEqualTo(17L * MEGABYTE);
+	}
+
+	private void hold(String holder, String call, long bytes) {
+		this.holdings.add(new Holding(holder, bytes, () -> this.released.add(call)));
+	}
+
+	private void count() {
+		this.held.received((int) HeldBytes.COUNT_INTERVAL_BYTES);
+	}
+
+}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/LivenessCheckTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/LivenessCheckTests.java
@@ -60,7 +60,8 @@
 		this.crashed = server("s1", unusedPort());
 		Carrier carrier = new Carrier("gateway-2", "127.0.0.1:" + startCarrier(), "a", 0);
 		this.loop.submit(() -> {
-			this.pool = new ConnectionPool(this.loop, new NoHeaders(), "a");
+			this.pool = new ConnectionPool(this.loop, new NoHeaders(), "a", (_) -> {
+			});
 			this.pool.connector().carriers(List.of(carrier));
 		}).get();
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/ServerConnectionTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/ServerConnectionTests.java
@@ -24,7 +24,8 @@
 	private final EmbeddedChannel channel = new EmbeddedChannel();
 
 	private final ServerConnection connection = ServerConnection
-		.direct(new ConnectionPool(this.channel.eventLoop(), new NoHeaders(), "a"), new NoHeaders());
+		.direct(new ConnectionPool(this.channel.eventLoop(), new NoHeaders(), "a", (_) -> {
+		}), new NoHeaders());
 
 	ServerConnectionTests() {
 		this.connection.addTo(this.channel.pipeline());
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/TunnelClientTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/TunnelClientTests.java
@@ -34,7 +34,8 @@
 	private final TunnelClient client = new TunnelClient(CARRIER, SERVER, new RecordedAnswer());
 
 	private final ServerConnection connection = ServerConnection
-		.tunnelled(new ConnectionPool(this.channel.eventLoop(), new NoHeaders(), "a"), new NoHeaders(), this.client);
+		.tunnelled(new ConnectionPool(this.channel.eventLoop(), new NoHeaders(), "a", (_) -> {
+		}), new NoHeaders(), this.client);
 
 	TunnelClientTests() {
 		this.channel.pipeline().addLast(this.client);
