Answer the calls in progress when a stopped gateway ends, and send none late that must not be repeated

Callers saw: a connection that closed without an answer, for calls that a server still had at the end of a planned stop, and for calls that no server had.

Cause: the end of the process closed all connections and asked no call for an answer. Whether a request may outlast the process was checked at its head only; one whose body ended late, or that had waited, was sent all the same.

Change: Gateway.close ends each call with its final answer (503 with Retry-After if not run, else the server's error or 502) and closes connections 50 ms later. SendCheck refuses, right before the first byte, a request that must not be repeated and may outlast the process.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -36,6 +36,7 @@
 import org.rosemaryfront.routes.Route;
 import org.rosemaryfront.routes.TrafficConfiguration;
 import org.rosemaryfront.traffic.HeldBytes.Holding;
+import org.rosemaryfront.traffic.Refusal.Cause;
 
 /**
  * A connection of a caller, which processes one call at a time. Pipelined requests are
@@ -452,6 +453,11 @@
 		}
 	}
 
+	/** Ends the call in progress, if any, because this gateway ends. */
+	void endCall() {
+		this.call.ifPresent((active) -> active.end(false, STOPPING_RETRY_MILLIS, Refusal.of(Cause.STOPPING, "")));
+	}
+
 	boolean isIdle() {
 		return this.call.isEmpty() && this.queue.isEmpty() && !this.receivingHead;
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -44,6 +44,12 @@
 
 	private static final long SWEEP_INTERVAL_MILLIS = 500;
 
+	/**
+	 * The time in which the last answers are sent before the connections are closed, in
+	 * milliseconds.
+	 */
+	private static final long LAST_ANSWERS_MILLIS = 50;
+
 	private final EventLoop loop;
 
 	private final CallCodec codec;
@@ -183,12 +189,26 @@
 		return (InetSocketAddress) this.listener.localAddress();
 	}
 
+	/**
+	 * Ends all calls, each with an answer to its caller, and closes all connections once
+	 * these have been sent.
+	 */
 	@Override
 	public void close() {
-		this.loop.submit(() -> {
-			new ArrayList<>(this.callers).forEach(CallerConnection::abort);
-			this.tunnels.close();
-		}).syncUninterruptibly();
+		boolean answers = this.loop.submit(this::endCalls).syncUninterruptibly().getNow();
+		this.loop.schedule(this::closeConnections, answers ? LAST_ANSWERS_MILLIS : 0, TimeUnit.MILLISECONDS)
+			.syncUninterruptibly();
+	}
+
+	private boolean endCalls() {
+		List<CallerConnection> calling = this.callers.stream().filter((caller) -> !caller.isIdle()).toList();
+		calling.forEach(CallerConnection::endCall);
+		return !calling.isEmpty();
+	}
+
+	private void closeConnections() {
+		new ArrayList<>(this.callers).forEach(CallerConnection::abort);
+		this.tunnels.close();
 	}
 
 	// -- accessors for this package
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Refusal.java
@@ -75,7 +75,10 @@
 		ORIGIN_UNKNOWN,
 
 		/** The gateway holds as much of requests and responses as it may. */
-		MEMORY;
+		MEMORY,
+
+		/** The gateway ends. */
+		STOPPING;
 
 		@Override
 		public String toString() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/SendCheck.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/SendCheck.java
@@ -32,7 +32,18 @@
 		if (!this.response.canGoOnAt(to.version())) {
 			return Optional.of("the stream began at another version");
 		}
-		return continues() ? Optional.empty() : newRun().obstacle().map(SendCheck::text);
+		if (continues()) {
+			return Optional.empty();
+		}
+		if (mayOutlastProcess()) {
+			return Optional.of("the gateway is stopping");
+		}
+		return newRun().obstacle().map(SendCheck::text);
+	}
+
+	// Its caller would not learn whether it has run.
+	private boolean mayOutlastProcess() {
+		return !this.call.route().retryable() && !this.policy.acceptsNewCall(Optional.of(this.call.route()));
 	}
 
 	private boolean accepts(BackendServer to) {
