Show that a head which is broken off never makes a response that looks whole

A report of other operators: a runner stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. It does not happen here: no code is changed.

BrokenOffAnswerTests, which cuts whole answers at each byte, now also cuts the head of the server that goes on with a stream: 3 new cases, none ends as complete. Answers of engines to copies are read by another client, which fails on such heads; they are not cut byte by byte.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenOffAnswerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenOffAnswerTests.java
@@ -113,6 +113,31 @@
 				.flatMap((framing) -> Stream.of("1.1", "1.0").map((version) -> Arguments.of(path, framing, version))));
 	}
 
+	// Guards against a stream that ends as a whole one because the server that goes on
+	// with it stopped in the head of its answer.
+	@ParameterizedTest
+	@EnumSource
+	void shouldNotEndStreamAsCompleteWhenHeadOfServerThatGoesOnIsCut(Framing framing) throws IOException {
+		AtomicInteger cut = new AtomicInteger();
+		register((request, exchange) -> {
+			if (this.attempts.getAndIncrement() == 0) {
+				End.CLOSED.answer(request, exchange, framing, INSIDE_EVENT);
+			}
+			else {
+				exchange.write(framing.head(request, STREAM.length()).substring(0, cut.get()));
+				exchange.socket().close();
+			}
+		});
+		int length = framing.head(new Request("GET " + RESUMABLE + "\r\ncall: c0", ""), STREAM.length()).length();
+		for (; cut.get() < length; cut.incrementAndGet()) {
+			sleep(BEFORE_NEXT_RETRY_MILLIS);
+			this.attempts.set(0);
+			Response response = this.gateway.send(RawCaller.get("c0", RESUMABLE + cut));
+			assertThat(response.complete()).as("complete when cut behind %s bytes", cut).isFalse();
+			assertThat(EVENTS.getFirst()).startsWith(response.body());
+		}
+	}
+
 	private static Expected expected(String path, Framing framing, int length, int cut) {
 		int received = cut - (length - framing.body(STREAM).length() - framing.lastChunk().length());
 		boolean stream = path.equals(RESUMABLE) || path.equals(NOT_RESUMABLE);
