--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedCalls.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedCalls.java
@@ -50,8 +50,8 @@
 	 * @return whether the connection may carry the call
 	 */
 	boolean mayCarry(String requestId) {
-		return this.count == 0 || (this.named && this.count < MAX_CALLS && !requestId.isEmpty()
-				&& !this.identifiers.contains(hash(requestId)));
+		return this.count == 0
+				|| (mayCarryMore() && !requestId.isEmpty() && !this.identifiers.contains(hash(requestId)));
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ConnectionPool.java
@@ -1,10 +1,7 @@
 package org.rosemaryfront.traffic;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +16,7 @@
 import org.rosemaryfront.dispatch.BackendServer;
 import org.rosemaryfront.dispatch.BackendServer.Incarnation;
 import org.rosemaryfront.ports.CallCodec;
+import org.rosemaryfront.traffic.IdleConnections.PathState;
 import org.rosemaryfront.traffic.ServerConnector.ConnectFailure;
 
 /**
@@ -157,38 +155,20 @@
 	}
 
 	private Optional<ServerConnection> takeIdle(Incarnation server, Connections connections, String requestId) {
-		boolean lost = this.connector.isLost(server);
-		boolean doubtful = !lost && this.connector.isDoubtful(server, connections.lastReceivedNanos);
-		Iterator<ServerConnection> lastFirst = connections.idle.descendingIterator();
-		while (lastFirst.hasNext()) {
-			ServerConnection idle = lastFirst.next();
-			boolean unneededTunnel = !lost && idle.tunnel().isPresent();
-			if (!idle.isReady() || idle.isStale(System.nanoTime()) || unneededTunnel) {
-				lastFirst.remove();
-				idle.close();
-			}
-			else if (doubtful) {
-				return Optional.empty();
-			}
-			else if (idle.mayCarry(requestId)) {
-				lastFirst.remove();
-				return Optional.of(idle);
-			}
+		return connections.idle.take(requestId, pathState(server, connections), System.nanoTime());
+	}
+
+	private PathState pathState(Incarnation server, Connections connections) {
+		if (this.connector.isLost(server)) {
+			return PathState.LOST;
 		}
-		return Optional.empty();
+		return this.connector.isDoubtful(server, connections.lastReceivedNanos) ? PathState.DOUBTFUL
+				: PathState.REACHED;
 	}
 
-	// Closes an idle connection that may not carry a call, since another one is opened
-	// for it: callers that repeat an identifier must not fill the pool.
 	private static boolean closeUnfit(Connections connections, String requestId) {
-		Optional<ServerConnection> unfit = connections.idle.stream()
-			.filter((idle) -> !idle.mayCarry(requestId))
-			.findFirst();
-		unfit.ifPresent((idle) -> {
-			connections.idle.remove(idle);
-			connections.open.remove(idle);
-			idle.close();
-		});
+		Optional<ServerConnection> unfit = connections.idle.closeUnfit(requestId);
+		unfit.ifPresent(connections.open::remove);
 		return unfit.isPresent();
 	}
 
@@ -292,7 +272,7 @@
 		this.eligible = List.copyOf(accepting);
 		this.servers.forEach((server, connections) -> {
 			if (!current.contains(server)) {
-				connections.idle.forEach(ServerConnection::close);
+				connections.idle.close((_) -> true);
 			}
 		});
 		this.servers.entrySet()
@@ -331,7 +311,7 @@
 	void deadlinePassed(Incarnation server, long sentNanos) {
 		Connections connections = this.servers.get(server);
 		if (connections != null && connections.lastReceivedNanos - sentNanos < 0) {
-			connections.idle.forEach(ServerConnection::close);
+			connections.idle.close((_) -> true);
 		}
 	}
 
@@ -363,7 +343,7 @@
 	void release(ServerConnection channel) {
 		Connections connections = this.owners.get(channel);
 		if (connections != null) {
-			connections.idle.addLast(channel);
+			connections.idle.add(channel);
 		}
 	}
 
@@ -433,10 +413,7 @@
 
 	private void closeIdleTunnels(String gateway) {
 		for (Connections connections : this.servers.values()) {
-			List.copyOf(connections.idle)
-				.stream()
-				.filter((idle) -> idle.carrier().equals(Optional.of(gateway)))
-				.forEach(ServerConnection::close);
+			connections.idle.close((idle) -> idle.carrier().equals(Optional.of(gateway)));
 		}
 	}
 
@@ -445,7 +422,7 @@
 	private void sweep() {
 		long now = System.nanoTime();
 		for (Connections connections : List.copyOf(this.servers.values())) {
-			List.copyOf(connections.idle).stream().filter((idle) -> idle.isStale(now)).forEach(ServerConnection::close);
+			connections.idle.close((idle) -> idle.isStale(now));
 			boolean reached = !this.connector.isLost(connections.server.incarnation());
 			if (reached && connections.isCheckDue(now) && this.runningChecks < MAX_CHECKS) {
 				check(connections, now);
@@ -493,7 +470,7 @@
 
 		private final Set<ServerConnection> open = new HashSet<>();
 
-		private final Deque<ServerConnection> idle = new ArrayDeque<>();
+		private final IdleConnections idle = new IdleConnections();
 
 		private int connecting;
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -109,6 +109,7 @@
 		metrics.gauge("bytes.held", gateway.held::countedBytes);
 		metrics.gauge("callers.turned.away", gateway.overload::turnedAwayCount);
 		metrics.gauge("servers.connections", gateway.pool::openCount);
+		metrics.gauge("servers.reads.paced", gateway.pool.pacing()::awaitedCount);
 		metrics.gauge("servers.connections.opened", gateway.pool.connector()::openedCount);
 		metrics.gauge("servers.out.of.reach", gateway.pool.connector()::lostCount);
 		metrics.gauge("tunnels.open", gateway.tunnels::openCount);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ReadPacing.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ReadPacing.java
@@ -32,6 +32,8 @@
 
 	private boolean scheduled;
 
+	private volatile long awaitedCount;
+
 	/** The time that such reads took since the last turn. */
 	private long spentNanos;
 
@@ -48,12 +50,21 @@
 		return parts >= MANY_PARTS;
 	}
 
+	/**
+	 * Returns how often a connection waited for its turn, on any thread.
+	 * @return the count
+	 */
+	long awaitedCount() {
+		return this.awaitedCount;
+	}
+
 	/**
 	 * Lets a connection wait for its turn.
 	 * @param readNanos the time that its last read took, in nanoseconds
 	 * @param resume continues reading
 	 */
 	void await(long readNanos, Runnable resume) {
+		this.awaitedCount = this.awaitedCount + 1;
 		this.spentNanos += readNanos;
 		this.waiting.add(resume);
 		scheduleNext();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -53,6 +53,8 @@
 
 	private final InputEnd inputEnd;
 
+	private final PacedReading reading;
+
 	private final ServerResponseDecoder decoder = ServerResponseDecoder.of(
 			new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES),
 			this::answersHeadRequest);
@@ -79,14 +81,6 @@
 	/** The bytes received on this connection before the current call. */
 	private long bytesBefore;
 
-	/** Whether the caller accepts more of the response. */
-	private boolean readingWanted = true;
-
-	/** Whether reading waits for its turn, see {@link ReadPacing}. */
-	private boolean awaitingTurn;
-
-	private int partsOfRead;
-
 	private boolean requestWritten;
 
 	private boolean reusable = true;
@@ -105,7 +99,8 @@
 		this.pool = pool;
 		this.codec = codec;
 		this.tunnel = tunnel;
-		this.inputEnd = new InputEnd(pool::bytesArrived, this::readProcessed);
+		this.reading = new PacedReading(pool.pacing());
+		this.inputEnd = new InputEnd(pool::bytesArrived, (nanos) -> this.reading.readProcessed(this.channel, nanos));
 	}
 
 	/**
@@ -205,21 +200,7 @@
 	}
 
 	void setReading(boolean enabled) {
-		this.readingWanted = enabled;
-		this.channel.config().setAutoRead(enabled && !this.awaitingTurn);
-	}
-
-	private void readProcessed(long nanos) {
-		int parts = this.partsOfRead;
-		this.partsOfRead = 0;
-		if (ReadPacing.isDue(parts) && !this.awaitingTurn && this.channel.isActive()) {
-			this.awaitingTurn = true;
-			setReading(this.readingWanted);
-			this.pool.pacing().await(nanos, () -> {
-				this.awaitingTurn = false;
-				setReading(this.readingWanted);
-			});
-		}
+		this.reading.wanted(this.channel, enabled);
 	}
 
 	/** Ends the call and closes the connection. */
@@ -308,7 +289,7 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
-		this.partsOfRead++;
+		this.reading.partReceived();
 		this.pool.bytesReceived(this);
 		try {
 			if (!this.channel.isActive()) {
