Bound requests apart from responses, so that no sound server is taken for the faulty one

Found on reading again, seen by nobody: a request counted for the server that had it. A sound server with many ordinary requests could hold more in sum than a faulty one with few answers, and its calls would have ended for it.

Change: responses have 16 MB, by the server that sends them or the receiver that does not read them; requests have 24 MB, and only calls that no server has are refused at that bound. A call that a server has never ends for its request's length.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -4,9 +4,9 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpRequest;
@@ -118,8 +118,8 @@
 						RequestValidator.host(head), head.uri()));
 		long millis = Math.min(route.timeoutMillis(), terms.remainingMillis().orElse(Long.MAX_VALUE));
 		this.deadlineNanos = this.receivedNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, millis));
-		this.deadlineTimer = loop().schedule(this::deadlinePassed, this.deadlineNanos - System.nanoTime(),
-				TimeUnit.NANOSECONDS);
+		this.deadlineTimer = this.gateway.loop()
+			.schedule(this::deadlinePassed, this.deadlineNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
 	}
 
 	// -- queries, callable from any thread
@@ -247,7 +247,7 @@
 	 */
 	public void send(BackendServer to, int maxConnections, Optional<String> cacheSource) {
 		long chosen = System.nanoTime();
-		loop().execute(() -> {
+		this.gateway.loop().execute(() -> {
 			this.chosenNanos = chosen;
 			this.kvCacheSource = cacheSource;
 			connect(to, maxConnections);
@@ -262,7 +262,7 @@
 	 * @param refusal the reason
 	 */
 	public void refuse(int status, long retryAfterMillis, Refusal refusal) {
-		loop().execute(() -> refuseNow(status, retryAfterMillis, refusal));
+		this.gateway.loop().execute(() -> refuseNow(status, retryAfterMillis, refusal));
 	}
 
 	/**
@@ -271,7 +271,7 @@
 	 * @param refusal why the call is not sent again
 	 */
 	public void giveUp(Refusal refusal) {
-		loop().execute(() -> giveUpNow(refusal));
+		this.gateway.loop().execute(() -> giveUpNow(refusal));
 	}
 
 	/**
@@ -282,7 +282,7 @@
 	 * @param refusal the reason
 	 */
 	public void end(boolean ran, long retryAfterMillis, Refusal refusal) {
-		loop().execute(() -> {
+		this.gateway.loop().execute(() -> {
 			if (ran || this.runStarted || this.state == State.SENT) {
 				giveUpNow(refusal);
 			}
@@ -297,7 +297,7 @@
 	 * @param lostStart the start of the server that is over
 	 */
 	public void serverRestarted(BackendServer.Incarnation lostStart) {
-		loop().execute(() -> {
+		this.gateway.loop().execute(() -> {
 			boolean affected = this.state == State.SENT
 					&& this.server.map(BackendServer::incarnation).equals(Optional.of(lostStart));
 			if (affected) {
@@ -359,15 +359,16 @@
 	}
 
 	/**
-	 * Returns what is held for the call.
+	 * Returns what is held for the call, of its response and its request.
 	 * @param callerText names the connection of the caller
-	 * @param unreadBytes the number of bytes that the caller has not read
-	 * @return the holding, that of the server if the call is at one
+	 * @return the holdings
 	 */
-	Holding holding(String callerText, long unreadBytes) {
-		long sent = (this.state == State.SENT) ? this.connection.heldBytes() : 0;
-		return new Holding(this.server.map(BackendServer::id).orElse(callerText),
-				unreadBytes + this.body.heldBytes() + this.response.heldBytes() + sent, this::holdLess);
+	Stream<Holding> holdings(String callerText) {
+		boolean sent = this.state == State.SENT;
+		long responseBytes = this.response.heldBytes() + (sent ? this.connection.heldBytes() : 0);
+		Optional<Runnable> refuse = Optional.<Runnable>of(this::holdLess).filter((_) -> !sent && !this.runStarted);
+		return Stream.of(Holding.request(callerText, this.body.heldBytes(), refuse),
+				Holding.response(this.server.map(BackendServer::id).orElse(callerText), responseBytes, this::holdLess));
 	}
 
 	private void holdLess() {
@@ -802,10 +803,6 @@
 		this.caller.callEnded(this);
 	}
 
-	private EventLoop loop() {
-		return this.gateway.loop();
-	}
-
 	private String digestText() {
 		return digest().map(RequestDigest::toString).orElse("none");
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -393,15 +394,14 @@
 	}
 
 	/**
-	 * Returns what is held for this connection: its call, and responses that the caller
-	 * has not read.
-	 * @return the holding
+	 * Returns what is held for this connection: responses that the caller has not read,
+	 * and its call.
+	 * @return the holdings
 	 */
-	Holding holding() {
-		long unreadBytes = Outbound.pendingBytes(this.channel);
+	Stream<Holding> holdings() {
 		String text = this.channel.id().asShortText();
-		return this.call.map((active) -> active.holding(text, unreadBytes))
-			.orElseGet(() -> new Holding(text, unreadBytes, this::abort));
+		Holding unread = Holding.response(text, Outbound.pendingBytes(this.channel), this::abort);
+		return Stream.concat(Stream.of(unread), this.call.stream().flatMap((active) -> active.holdings(text)));
 	}
 
 	ByteBufAllocator allocator() {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
@@ -72,8 +72,7 @@
 	 */
 	Holding holding() {
 		long bytes = Outbound.pendingBytes(this.tunnel) + this.serverChannel.map(Outbound::pendingBytes).orElse(0L);
-		return new Holding(this.server.map(BackendServer::id).orElse("none"), bytes,
-				() -> fail("too much is held for the tunnel"));
+		return Holding.response(this.tunnel.id().asShortText(), bytes, () -> fail("too much is held for the tunnel"));
 	}
 
 	@Override
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -292,12 +292,13 @@
 	}
 
 	private List<Holding> holdings() {
-		return Stream.concat(this.callers.stream().map(CallerConnection::holding), this.tunnels.holdings()).toList();
+		return Stream.concat(this.callers.stream().flatMap(CallerConnection::holdings), this.tunnels.holdings())
+			.toList();
 	}
 
-	private void heldTooMuch(long bytes) {
+	private void heldTooMuch(HeldBytes.Kind kind, long bytes) {
 		this.metrics.increment("bytes.held.released");
-		EventLog.warn(TrafficEvents.MEMORY_BOUND_REACHED, "heldBytes", bytes, "maxBytes", HeldBytes.MAX_BYTES,
+		EventLog.warn(TrafficEvents.MEMORY_BOUND_REACHED, "kind", kind, "heldBytes", bytes, "maxBytes", kind.maxBytes(),
 				"callers", this.callers.size(), "tunnels", this.tunnels.openCount());
 	}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/HeldBytes.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/HeldBytes.java
@@ -4,7 +4,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.function.LongConsumer;
+import java.util.Optional;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -19,12 +20,9 @@
  */
 final class HeldBytes {
 
-	/** A quarter of the direct memory of a process. */
-	static final long MAX_BYTES = 16_777_216;
-
 	/**
 	 * The number of bytes that are received before what is held is counted again, which
-	 * is by how much the bound may be exceeded.
+	 * is by how much a bound may be exceeded.
 	 */
 	static final long COUNT_INTERVAL_BYTES = 1_048_576;
 
@@ -33,25 +31,25 @@
 
 	private final Supplier<List<Holding>> holdings;
 
-	private final LongConsumer onReleased;
+	private final ObjLongConsumer<Kind> onReached;
 
 	private long receivedBytes;
 
 	private volatile long countedBytes;
 
-	private HeldBytes(Supplier<List<Holding>> holdings, LongConsumer onReleased) {
+	private HeldBytes(Supplier<List<Holding>> holdings, ObjLongConsumer<Kind> onReached) {
 		this.holdings = holdings;
-		this.onReleased = onReleased;
+		this.onReached = onReached;
 	}
 
 	/**
-	 * Creates the bound.
+	 * Creates the bounds.
 	 * @param holdings returns what is held
-	 * @param onReleased receives the number of bytes in sum when some had to be released
-	 * @return the bound
+	 * @param onReached receives the bytes of a kind when they are more than its bound
+	 * @return the bounds
 	 */
-	static HeldBytes of(Supplier<List<Holding>> holdings, LongConsumer onReleased) {
-		return new HeldBytes(holdings, onReleased);
+	static HeldBytes of(Supplier<List<Holding>> holdings, ObjLongConsumer<Kind> onReached) {
+		return new HeldBytes(holdings, onReached);
 	}
 
 	/**
@@ -75,20 +73,33 @@
 	}
 
 	private void count() {
-		List<Holding> held = new ArrayList<>(this.holdings.get());
-		long total = held.stream().mapToLong(Holding::bytes).sum();
-		this.countedBytes = total;
-		if (total > MAX_BYTES) {
-			this.onReleased.accept(total);
+		List<Holding> all = this.holdings.get();
+		this.countedBytes = sum(all);
+		for (Kind kind : Kind.values()) {
+			bound(kind, all.stream().filter((holding) -> holding.kind() == kind).toList());
+		}
+	}
+
+	private void bound(Kind kind, List<Holding> held) {
+		long total = sum(held);
+		if (total <= kind.maxBytes) {
+			return;
 		}
-		while (total > MAX_BYTES) {
-			Holding largest = largestOfLargestHolder(held);
-			held.remove(largest);
+		this.onReached.accept(kind, total);
+		List<Holding> releasable = new ArrayList<>(held);
+		releasable.removeIf((holding) -> holding.release().isEmpty());
+		while (total > kind.maxBytes && !releasable.isEmpty()) {
+			Holding largest = largestOfLargestHolder(releasable);
+			releasable.remove(largest);
 			total -= largest.bytes();
-			largest.release().run();
+			largest.release().ifPresent(Runnable::run);
 		}
 	}
 
+	private static long sum(List<Holding> held) {
+		return held.stream().mapToLong(Holding::bytes).sum();
+	}
+
 	private static Holding largestOfLargestHolder(List<Holding> held) {
 		Map<String, Long> sums = held.stream()
 			.collect(Collectors.groupingBy(Holding::holder, Collectors.summingLong(Holding::bytes)));
@@ -98,14 +109,49 @@
 			.orElseThrow();
 	}
 
+	/** What is held; each kind has a bound of its own. */
+	enum Kind {
+
+		/**
+		 * Bodies of requests, as long as they may be sent again. Callers of sound servers
+		 * are refused at this bound, so that it is the larger one.
+		 */
+		REQUESTS(25_165_824),
+
+		/** Responses that are not complete, or that their receivers have not read. */
+		RESPONSES(16_777_216);
+
+		private final long maxBytes;
+
+		Kind(long maxBytes) {
+			this.maxBytes = maxBytes;
+		}
+
+		long maxBytes() {
+			return this.maxBytes;
+		}
+
+	}
+
 	/**
 	 * What is held for one call or connection.
 	 *
-	 * @param holder whose fault it is: the server of a call, else the caller
+	 * @param kind what it is
+	 * @param holder whose fault it is: a server, or the receiver that does not read
 	 * @param bytes the number of bytes
-	 * @param release makes the call or connection hold less
+	 * @param release makes the call or connection hold less; empty for a request that a
+	 * server has, which must not end for its length
 	 */
-	record Holding(String holder, long bytes, Runnable release) {
+	record Holding(Kind kind, String holder, long bytes, Optional<Runnable> release) {
+
+		static Holding request(String caller, long bytes, Optional<Runnable> release) {
+			return new Holding(Kind.REQUESTS, caller, bytes, release);
+		}
+
+		static Holding response(String holder, long bytes, Runnable release) {
+			return new Holding(Kind.RESPONSES, holder, bytes, Optional.of(release));
+		}
+
 	}
 
 }
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/HeldBytesTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/HeldBytesTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
@@ -20,7 +21,7 @@
 
 	private final List<String> released = new ArrayList<>();
 
-	private final HeldBytes held = HeldBytes.of(() -> this.holdings, (_) -> {
+	private final HeldBytes held = HeldBytes.of(() -> this.holdings, (_, _) -> {
 	});
 
 	// Guards against many calls that each hold less than one call may.
@@ -41,6 +42,25 @@
 		assertThat(this.released).hasSize(6).allMatch((call) -> call.startsWith("faulty"));
 	}
 
+	// Guards against calls at sound servers that end for the length of their requests.
+	@Test
+	void shouldNotReleaseResponsesWhenRequestsAreManyOrLong() {
+		IntStream.range(0, 40).forEach((i) -> holdRequest("sent" + i, Optional.empty()));
+		hold("s", "response", MEGABYTE);
+		count();
+		assertThat(this.released).isEmpty();
+	}
+
+	// Guards against requests that are kept without a bound: those that no server has are
+	// refused.
+	@Test
+	void shouldReleaseRequestsThatNoServerHas() {
+		IntStream.range(0, 20).forEach((i) -> holdRequest("sent" + i, Optional.empty()));
+		IntStream.range(0, 8).forEach((i) -> holdRequest("unsent" + i, Optional.of(() -> this.released.add("unsent"))));
+		count();
+		assertThat(this.released).hasSize(4);
+	}
+
 	@Test
 	void shouldReleaseLargestCallOfServerFirst() {
 		IntStream.range(0, 16).forEach((i) -> hold("s", "small" + i, MEGABYTE));
@@ -61,7 +81,11 @@
 	}
 
 	private void hold(String holder, String call, long bytes) {
-		this.holdings.add(new Holding(holder, bytes, () -> this.released.add(call)));
+		this.holdings.add(Holding.response(holder, bytes, () -> this.released.add(call)));
+	}
+
+	private void holdRequest(String caller, Optional<Runnable> release) {
+		this.holdings.add(Holding.request(caller, MEGABYTE, release));
 	}
 
 	private void count() {
