Wait for the server in the test of its restart

Trace: its only call was refused with reason=no-server at 08:15:27.469, the row of the server that it had written came into force at 27.470. It waited for readiness, which the gateway had had before that row. It waits until the gateway knows the server now, which is more; what it asserts is the same.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayProcessTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/GatewayProcessTests.java
@@ -137,7 +137,7 @@
 				ScriptedServer server = ScriptedServer.start((request, exchange) -> asked.set(true))) {
 			gateway.declare().ready();
 			gateway.store.put(GatewayHarness.SERVERS, "s1", "app " + server.address() + " ready 1000");
-			GatewayHarness.await(() -> gateway.readiness() == 200);
+			GatewayHarness.await(() -> gateway.knowsServer("s1"));
 			CompletableFuture<Integer> answer = CompletableFuture.supplyAsync(() -> status(gateway, "key-1"));
 			GatewayHarness.await(asked::get);
 			gateway.store.put(GatewayHarness.SERVERS, "s1", "app " + server.address() + " ready 2000");
