Refuse answers whose status is none, wherever answers are read

What callers saw: a backend server in trouble sent an answer with the status 000, and the caller got it as an answer, with its body and signature.

Cause: the decoder reads whatever number stands in the place of the status. Such a number is in no class of statuses, so that it was no failure of the server and was passed on at once. Read as numbers, 0200 and +200 became 200, a success. The clients of the platform, of engines and of services did the same; for the store's client 000 was a refusal, so that a write that may have been done counted as not done.

Why this works: one decoder, StrictResponseDecoder, reads the status line for all that read answers, and takes nothing but three digits from 100 to 599. What an invalid answer does to a call was there already: it may have run, is sent again only where it may be repeated, and its connection is closed.

A status over 599 is refused as well: RFC 9110 calls it invalid and lets a client treat it as a 5xx, which the 502 does; the rule that a status goes unchanged speaks of answers. Rare statuses, empty reasons and HTTP/1.0 are served as before.

--- a/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/OperatorApi.java
+++ b/rosemaryfront-ctl/src/main/java/org/rosemaryfront/ctl/OperatorApi.java
@@ -22,7 +22,8 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
-import reactor.netty.resources.ConnectionProvider;
+
+import org.rosemaryfront.http.StrictClients;
 
 /**
  * The operators' API as a client sees it.
@@ -70,7 +71,7 @@
 	static OperatorApi of(List<String> servers, String key, SslContext tls) {
 		Objects.requireNonNull(servers, "servers is null");
 		Objects.requireNonNull(key, "key is null");
-		HttpClient client = HttpClient.create(ConnectionProvider.newConnection())
+		HttpClient client = StrictClients.withoutReuse()
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
 			.responseTimeout(SILENCE)
 			.secure((spec) -> spec.sslContext(tls))
--- a/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceClient.java
+++ b/rosemaryfront-entry/src/main/java/org/rosemaryfront/services/ServiceClient.java
@@ -20,6 +20,8 @@
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.resources.ConnectionProvider;
 
+import org.rosemaryfront.http.StrictClients;
+
 /**
  * Sends calls to backend servers of plain services.
  */
@@ -39,8 +41,8 @@
 	private final HttpClient fresh;
 
 	private ServiceClient(Duration connectTimeout) {
-		this.pooled = configured(HttpClient.create(this.pool), connectTimeout);
-		this.fresh = configured(HttpClient.newConnection(), connectTimeout).keepAlive(false);
+		this.pooled = configured(StrictClients.pooled(this.pool), connectTimeout);
+		this.fresh = configured(StrictClients.withoutReuse(), connectTimeout).keepAlive(false);
 	}
 
 	// -- factories
--- a/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceClientTests.java
+++ b/rosemaryfront-entry/src/test/java/org/rosemaryfront/services/ServiceClientTests.java
@@ -1,11 +1,18 @@
 package org.rosemaryfront.services;
 
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import reactor.core.publisher.Mono;
 
 import org.rosemaryfront.model.Verdict;
@@ -63,6 +70,34 @@
 		}
 	}
 
+	// A status that is none would reach the caller as that of its booking.
+	@ParameterizedTest
+	@ValueSource(strings = { "000", "0200", "999" })
+	void shouldSayMayHaveRunWhenStatusIsInvalid(String status) throws IOException {
+		try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+				ServiceClient client = ServiceClient.of(Duration.ofSeconds(2))) {
+			Thread.ofVirtual()
+				.start(() -> answerOnce(listener, "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n"));
+			ServiceServer server = new ServiceServer(new VmId("vm-a"), "booking", "tunis-a",
+					"127.0.0.1:" + listener.getLocalPort(), false);
+			Mono<ServiceAnswer> answer = client.sendOnce(server, call("villa-5"), LIMIT, Mono::empty, 1_000);
+			ServiceFailure failure = catchThrowableOfType(ServiceFailure.class, () -> answer.block(LIMIT));
+			assertThat(failure.verdict()).isEqualTo(Verdict.mayHaveRun());
+		}
+	}
+
+	private static void answerOnce(ServerSocket listener, String answer) {
+		try (Socket socket = listener.accept()) {
+			socket.getInputStream().read();
+			socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+			// Reads until the client closes the connection.
+			socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+		}
+		catch (IOException ex) {
+			// The client closed the connection.
+		}
+	}
+
 	private static ServiceCall call(String body) {
 		return new ServiceCall("request", "federation", "booking", HttpMethod.POST, "/bookings",
 				new DefaultHttpHeaders(), body.getBytes(StandardCharsets.UTF_8));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PeerTables.java
@@ -15,6 +15,7 @@
 import reactor.netty.resources.LoopResources;
 
 import org.rosemaryfront.gateway.proto.TableRows;
+import org.rosemaryfront.http.StrictClients;
 
 /**
  * Reads tables from other gateways, for a gateway that the store rejects while it serves
@@ -40,7 +41,7 @@
 	PeerTables(LoopResources loops, Supplier<List<InetSocketAddress>> peers) {
 		this.peers = peers;
 		// The resolver must be set before runOn, which otherwise installs a DNS resolver.
-		this.client = HttpClient.create()
+		this.client = StrictClients.pooled()
 			.resolver(DefaultAddressResolverGroup.INSTANCE)
 			.runOn(loops, false)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerResponseDecoder.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerResponseDecoder.java
@@ -13,16 +13,17 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 
+import org.rosemaryfront.http.StrictResponseDecoder;
+
 /**
  * Decodes what a backend server sends, which may be more than the responses to the calls
  * of the connection. That a response to a HEAD request has no body is concluded from the
  * response itself, not from its place among the others.
  */
-final class ServerResponseDecoder extends HttpResponseDecoder {
+final class ServerResponseDecoder extends StrictResponseDecoder {
 
 	/** Whatever the decoder takes for the first line of a response. */
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d(?:\\.\\d)?[ \\t]+\\d{3}(?!\\d)",
@@ -33,13 +34,10 @@
 	/** A server that breaks a response off may keep the connection. */
 	private static final String STATUS_LINE_INSIDE = NOT_VALID + "a status line inside it";
 
-	private final Predicate<HttpResponse> answersHeadRequest;
-
 	private boolean insideHead;
 
 	private ServerResponseDecoder(HttpDecoderConfig limits, Predicate<HttpResponse> answersHeadRequest) {
-		super(limits);
-		this.answersHeadRequest = answersHeadRequest;
+		super(limits, answersHeadRequest);
 	}
 
 	/**
@@ -120,10 +118,4 @@
 		return super.createMessage(initialLine);
 	}
 
-	@Override
-	protected boolean isContentAlwaysEmpty(HttpMessage message) {
-		return super.isContentAlwaysEmpty(message)
-				|| (message instanceof HttpResponse head && this.answersHeadRequest.test(head));
-	}
-
 }
--- /dev/null
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
@@ -0,0 +1,153 @@
+package org.rosemaryfront.gateway;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.rosemaryfront.gateway.RawCaller.Response;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Answers that are not valid HTTP, and valid ones that are unusual. */
+class BrokenAnswerTests {
+
+	/** An address at which nothing listens. */
+	private static final String NO_SERVER = "127.0.0.1:1";
+
+	private static final List<String> REPEATABLE = List.of("/sheets/", "/summaries/");
+
+	private static final List<String> PATHS = List.of("/sheets/", "/visits/", "/drafts/", "/summaries/");
+
+	private static final String BODY = "data: body\n\n";
+
+	private static final String GOOD = "data: good\n\n";
+
+	private static final String HEADERS = "Call: c1\r\nSignature: s\r\nContent-Type: text/event-stream\r\n";
+
+	private static final String LENGTH = "Content-Length: " + BODY.length() + "\r\n";
+
+	private GatewayHarness gateway;
+
+	@BeforeEach
+	void start() {
+		this.gateway = GatewayHarness.start();
+	}
+
+	@AfterEach
+	void stop() {
+		this.gateway.close();
+	}
+
+	// Guards against a number that is no status and that callers are given as that of
+	// their answer.
+	@ParameterizedTest
+	@MethodSource("invalidStatuses")
+	void shouldNotForwardAnswerWhenStatusIsInvalid(String path, String status) throws IOException {
+		shouldFail(path, statusLine(status) + HEADERS + LENGTH + "\r\n" + BODY);
+	}
+
+	static Stream<Arguments> invalidStatuses() {
+		return onAllPaths("000", "001", "099", "600", "999", "0200", "00200", "2000", "20", "2", "+200", "-200", "20x");
+	}
+
+	// Guards against answers that are checked on the own links only.
+	@ParameterizedTest
+	@ValueSource(strings = { "000", "0200" })
+	void shouldNotForwardAnswerWhenStatusIsInvalidAndAnotherGatewayCarriesCall(String status) throws IOException {
+		assertThat(callThroughOther("/visits/", statusLine(status) + HEADERS + LENGTH + "\r\n" + BODY).status())
+			.isEqualTo(502);
+	}
+
+	// Guards against a valid answer that is refused because it is unusual.
+	@ParameterizedTest
+	@MethodSource("unusualStatusLines")
+	void shouldForwardAnswerWhenStatusLineIsUnusual(String path, String statusLine) throws IOException {
+		shouldForward(path, statusLine + "\r\n" + HEADERS + LENGTH + "\r\n" + BODY,
+				Integer.parseInt(statusLine.split(" ")[1]));
+	}
+
+	static Stream<Arguments> unusualStatusLines() {
+		return onAllPaths("HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 203 X", "HTTP/1.1 226 X",
+				"HTTP/1.1 299 \u00fc", "HTTP/1.1 400 X", "HTTP/1.1 418 X", "HTTP/1.1 451 X", "HTTP/1.1 499 X");
+	}
+
+	// Such a status is passed on where the call cannot be sent again.
+	@ParameterizedTest
+	@ValueSource(ints = { 500, 501, 506, 511, 599 })
+	void shouldForwardAnswerWhenItsServerErrorIsUnusual(int status) throws IOException {
+		shouldForward("/visits/", statusLine(status + "") + HEADERS + LENGTH + "\r\n" + BODY, status);
+	}
+
+	private static Stream<Arguments> onAllPaths(String... cases) {
+		return PATHS.stream().flatMap((path) -> Stream.of(cases).map((each) -> Arguments.of(path, each)));
+	}
+
+	// -- calls
+
+	// The call may have run: it is sent again only where it may be repeated.
+	private void shouldFail(String path, String answer) throws IOException {
+		AtomicInteger attempts = new AtomicInteger();
+		Response response = call(path, (request, exchange) -> {
+			if (attempts.getAndIncrement() == 0) {
+				exchange.write(answer);
+				exchange.socket().shutdownOutput();
+				exchange.hold();
+			}
+			else {
+				exchange.ok(request, GOOD);
+			}
+		});
+		boolean repeated = REPEATABLE.contains(path);
+		assertThat(response.status()).isEqualTo(repeated ? 200 : 502);
+		assertThat(response.body()).isEqualTo(repeated ? GOOD : "");
+		assertThat(response.hasHeader("signature")).isEqualTo(repeated);
+		assertThat(attempts.get()).isEqualTo(repeated ? 2 : 1);
+	}
+
+	private void shouldForward(String path, String answer, int status) throws IOException {
+		Response response = call(path, (_, exchange) -> exchange.write(answer));
+		assertThat(response.status()).isEqualTo(status);
+		assertThat(response.body()).isEqualTo(BODY);
+		assertThat(response.complete()).isTrue();
+	}
+
+	private Response call(String path, ScriptedServer.Script script) throws IOException {
+		try (ScriptedServer _ = this.gateway.startServer(script);
+				ScriptedServer second = ScriptedServer.start(script)) {
+			this.gateway.register("s2", second).ready();
+			return this.gateway.send(RawCaller.post("c1", path, "x"));
+		}
+	}
+
+	private Response callThroughOther(String path, String answer) throws IOException {
+		PlainCodecs codecs = new PlainCodecs();
+		List<GatewayHarness> fleet = GatewayHarness.startFleet(this.gateway.store,
+				List.of(codecs.withServersAt((_) -> NO_SERVER), codecs));
+		try (ScriptedServer server = ScriptedServer.start((_, exchange) -> exchange.write(answer))) {
+			fleet.getFirst().declare();
+			for (GatewayHarness each : fleet) {
+				each.register("s1", server).ready();
+				GatewayHarness.await(() -> each.liveGateways() == fleet.size());
+			}
+			Response response = fleet.getFirst().send(RawCaller.post("c1", path, "x"));
+			assertThat(fleet.getLast().metric("counters", "calls.carried")).isOne();
+			return response;
+		}
+		finally {
+			fleet.forEach(GatewayHarness::stop);
+		}
+	}
+
+	private static String statusLine(String status) {
+		return "HTTP/1.1 " + status + " X\r\n";
+	}
+
+}
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/HttpEngineClient.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/engine/HttpEngineClient.java
@@ -22,6 +22,7 @@
 import reactor.netty.resources.ConnectionProvider;
 
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.http.StrictClients;
 import org.rosemaryfront.model.AttemptId;
 import org.rosemaryfront.serving.ServingEvent.ConnectionFailure;
 import org.rosemaryfront.serving.ServingEvent.Refusal;
@@ -62,8 +63,8 @@
 			.maxConnections(POOLED_PER_ENGINE)
 			.maxIdleTime(POOLED_IDLE)
 			.build();
-		this.pooled = configured(HttpClient.create(this.pool), settings);
-		this.single = configured(HttpClient.newConnection(), settings);
+		this.pooled = configured(StrictClients.pooled(this.pool), settings);
+		this.single = configured(StrictClients.withoutReuse(), settings);
 	}
 
 	// -- factories
--- /dev/null
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
@@ -0,0 +1,52 @@
+package org.rosemaryfront.http;
+
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Decodes responses without repairing them. Whether a response is a success, which call
+ * it answers and where it ends is taken from it only if it says so in valid HTTP; the
+ * decoder result of any other response is a failure.
+ *
+ * @see <a href="https://www.rfc-editor.org/rfc/rfc9112">RFC 9112</a>
+ */
+public class StrictResponseDecoder extends HttpResponseDecoder {
+
+	/** The index of the status in the words of a status line. */
+	private static final int STATUS = 1;
+
+	private static final Pattern VALID_STATUS = Pattern.compile("[1-5][0-9]{2}");
+
+	private final Predicate<HttpResponse> answersHeadRequest;
+
+	/**
+	 * Creates the decoder of a connection.
+	 * @param limits the maximum lengths
+	 * @param answersHeadRequest whether a response belongs to a HEAD request, so that it
+	 * has no body
+	 */
+	protected StrictResponseDecoder(HttpDecoderConfig limits, Predicate<HttpResponse> answersHeadRequest) {
+		super(limits);
+		this.answersHeadRequest = answersHeadRequest;
+	}
+
+	@Override
+	protected HttpMessage createMessage(String[] initialLine) {
+		if (!VALID_STATUS.matcher(initialLine[STATUS]).matches()) {
+			throw new IllegalArgumentException("the status is not a number from 100 to 599");
+		}
+		return super.createMessage(initialLine);
+	}
+
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		return super.isContentAlwaysEmpty(message)
+				|| (message instanceof HttpResponse head && this.answersHeadRequest.test(head));
+	}
+
+}
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/platform/HttpPlatform.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/platform/HttpPlatform.java
@@ -22,6 +22,7 @@
 import reactor.netty.resources.LoopResources;
 
 import org.rosemaryfront.events.EventLog;
+import org.rosemaryfront.http.StrictClients;
 import org.rosemaryfront.model.Verdict;
 import org.rosemaryfront.model.VmId;
 
@@ -80,7 +81,7 @@
 		// Whether a call is sent again is decided from its verdict, by the caller: a
 		// commit sent twice would conflict with itself. So Reactor Netty's own retry is
 		// off.
-		this.http = HttpClient.create(this.connections)
+		this.http = StrictClients.pooled(this.connections)
 			.runOn(this.loops)
 			.baseUrl(settings.url())
 			.resolver(DefaultAddressResolverGroup.INSTANCE)
