Refuse answers with a blank inside the name of a header

What callers saw: a backend server in trouble sent a head in which the name of a header held a blank or a tab. The line was passed on without what stood behind the blank, or it was believed: of a body of 12 bytes the caller got 6 as the whole answer, because "Content-Length x: 6" was read as a length; in the same way an answer got a signature, a call that it names, or a transfer coding.

Cause: the decoder ends the name of a header at the first blank and skips the rest of it up to the colon. Blanks between name and colon are to be removed in responses, but what stood between was lost with them. The decoded head no longer shows it.

Why this works: ResponseSyntax reads the bytes that the decoder has consumed, line by line, and marks the response as invalid if anything but blanks stands between a name and its colon. It belongs to StrictResponseDecoder, so that all readers of answers have it. Folded lines, blanks in front of the colon, empty values and all characters that names may have are served as before (two routes, and all of them with the clients that share the decoder).

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -24,13 +25,17 @@
 
 	private static final List<String> REPEATABLE = List.of("/sheets/", "/summaries/");
 
+	private static final List<String> STREAMS = List.of("/drafts/", "/summaries/");
+
 	private static final List<String> PATHS = List.of("/sheets/", "/visits/", "/drafts/", "/summaries/");
 
 	private static final String BODY = "data: body\n\n";
 
 	private static final String GOOD = "data: good\n\n";
 
-	private static final String HEADERS = "Call: c1\r\nSignature: s\r\nContent-Type: text/event-stream\r\n";
+	private static final String STREAM = "text/event-stream";
+
+	private static final String HEADERS = "Call: c1\r\nSignature: s\r\nContent-Type: " + STREAM + "\r\n";
 
 	private static final String LENGTH = "Content-Length: " + BODY.length() + "\r\n";
 
@@ -66,6 +71,53 @@
 			.isEqualTo(502);
 	}
 
+	// Guards against a line that is no header and is passed on or taken for the header
+	// that it begins like, so that the body, the signature or the call are not the
+	// server's.
+	@ParameterizedTest
+	@MethodSource("invalidNames")
+	void shouldNotForwardAnswerWhenNameOfHeaderIsInvalid(String path, String line) throws IOException {
+		shouldFail(path, STREAMS.contains(path) ? answerWith(line) : answerWith(line).replace(STREAM, "text/plain"));
+	}
+
+	static Stream<Arguments> invalidNames() {
+		return on(List.of("/visits/", "/summaries/"), "X Foo: 1", " X-Foo: 1", "\tX-Foo: 1", "X\tFoo: 1",
+				"Content-Length x: 6", "Transfer-Encoding x: chunked", "Signature x: s", "Call x: c1",
+				"Connection x: close", " : 1", ": 1", "X-Foo", "X\0Foo: 1", "\u0001X-Foo: 1", "X-Foo\u001f: 1",
+				"X\u000bFoo: 1", "X\fFoo: 1", "X\rFoo: 1", "X\u007fFoo: 1");
+	}
+
+	// Guards against answers that are checked on the own links only.
+	@ParameterizedTest
+	@ValueSource(strings = { "X Foo: 1", "Content-Length x: 6" })
+	void shouldNotForwardAnswerWhenNameOfHeaderIsInvalidAndAnotherGatewayCarriesCall(String line) throws IOException {
+		assertThat(callThroughOther("/visits/", answerWith(line).replace(STREAM, "text/plain")).status())
+			.isEqualTo(502);
+	}
+
+	// Guards against a valid header that is refused because it is unusual.
+	@ParameterizedTest
+	@MethodSource("unusualHeaders")
+	void shouldForwardAnswerWhenHeaderIsUnusual(String path, String line) throws IOException {
+		shouldForward(path, statusLine("200") + line + "\r\n" + HEADERS + LENGTH + "\r\n" + BODY, 200);
+	}
+
+	static Stream<Arguments> unusualHeaders() {
+		return on(List.of("/visits/", "/summaries/"), "X-Foo:1", "X-Foo:", "X-Foo:\t1", "!#$%&'*+-.^_`|~09azAZ: 1",
+				"X-Foo: a: b", "X-Foo: \u00e9", "X-Foo: 1\r\n 2", "X-Foo : 1", "X-Foo\t: 1");
+	}
+
+	// The header that the line begins like is left out.
+	private static String answerWith(String line) {
+		String name = line.split(" ")[0];
+		String headers = (HEADERS + LENGTH).lines()
+			.filter((header) -> name.isEmpty() || !header.startsWith(name))
+			.filter((header) -> !name.equals("Transfer-Encoding") || !LENGTH.startsWith(header))
+			.collect(Collectors.joining("\r\n"));
+		String body = name.equals("Transfer-Encoding") ? "c\r\n" + BODY + "\r\n0\r\n\r\n" : BODY;
+		return statusLine("200") + line + "\r\n" + headers + "\r\n\r\n" + body;
+	}
+
 	// Guards against a valid answer that is refused because it is unusual.
 	@ParameterizedTest
 	@MethodSource("unusualStatusLines")
@@ -87,7 +139,11 @@
 	}
 
 	private static Stream<Arguments> onAllPaths(String... cases) {
-		return PATHS.stream().flatMap((path) -> Stream.of(cases).map((each) -> Arguments.of(path, each)));
+		return on(PATHS, cases);
+	}
+
+	private static Stream<Arguments> on(List<String> paths, String... cases) {
+		return paths.stream().flatMap((path) -> Stream.of(cases).map((each) -> Arguments.of(path, each)));
 	}
 
 	// -- calls
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
@@ -1,12 +1,19 @@
 package org.rosemaryfront.http;
 
+import java.util.List;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Decodes responses without repairing them. Whether a response is a success, which call
@@ -24,6 +31,8 @@
 
 	private final Predicate<HttpResponse> answersHeadRequest;
 
+	private final ResponseSyntax syntax = ResponseSyntax.expectingHead();
+
 	/**
 	 * Creates the decoder of a connection.
 	 * @param limits the maximum lengths
@@ -35,6 +44,32 @@
 		this.answersHeadRequest = answersHeadRequest;
 	}
 
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded) throws Exception {
+		int from = bytes.readerIndex();
+		int before = decoded.size();
+		super.decode(context, bytes, decoded);
+		this.syntax.decoded(bytes, from, bytes.readerIndex());
+		for (int i = before; i < decoded.size(); i++) {
+			decoded.set(i, checked((HttpObject) decoded.get(i)));
+		}
+	}
+
+	private HttpObject checked(HttpObject part) {
+		HttpObject checked = this.syntax.fault().map((fault) -> invalid(part, fault)).orElse(part);
+		if (part instanceof LastHttpContent) {
+			this.syntax.responseEnds();
+		}
+		return checked;
+	}
+
+	private static HttpObject invalid(HttpObject part, String fault) {
+		// The constant for a last part without content cannot be changed.
+		HttpObject invalid = (part == LastHttpContent.EMPTY_LAST_CONTENT) ? new DefaultLastHttpContent() : part;
+		invalid.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(fault)));
+		return invalid;
+	}
+
 	@Override
 	protected HttpMessage createMessage(String[] initialLine) {
 		if (!VALID_STATUS.matcher(initialLine[STATUS]).matches()) {
--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
@@ -1,8 +1,17 @@
 package org.rosemaryfront.http;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.stream.Stream;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -17,6 +26,8 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
+	private static final String OK = "HTTP/1.1 200 OK\r\n";
+
 	private static final String REST = "Content-Length: 4\r\n\r\nbody";
 
 	// Guards against a number that is no status and is taken for one.
@@ -27,6 +38,66 @@
 		shouldFail("HTTP/1.1 " + status + " X\r\n" + REST);
 	}
 
+	// Guards against a line that is no header and is taken for one.
+	@ParameterizedTest
+	@MethodSource("invalidHeaders")
+	void shouldFailCallWhenNameOfHeaderIsInvalid(String line) {
+		shouldFail(OK + line + REST);
+	}
+
+	// Guards against a check of the first header only.
+	@ParameterizedTest
+	@ValueSource(strings = { "X Foo: 1", "X\tFoo: 1", "X-Foo", "Content-Length x: 2", "X\u0001Foo: 1" })
+	void shouldFailCallWhenNameOfLaterHeaderIsInvalid(String line) {
+		shouldFail(OK + "Before: 1\r\n folded\r\n" + line + "\r\n" + REST);
+	}
+
+	static Stream<String> invalidHeaders() {
+		return Stream
+			.of("X Foo: 1", "X\tFoo: 1", "X  \t Foo : 1", " X-Foo: 1", "\tX-Foo: 1", " : 1", ": 1", "X-Foo", "X-Foo ",
+					"X Foo", "Content-Length x: 2", "Transfer-Encoding x: chunked", "Content-Length 2", "X\0Foo: 1",
+					"X\u0001Foo: 1", "\u0001X-Foo: 1", "X-Foo\u0001: 1", "X\u000bFoo: 1", "X-Foo\f: 1", "X\rFoo: 1",
+					"\rX-Foo: 1", "X-Foo\r: 1", "X-Foo \r: 1", "X\u007fFoo: 1")
+			.map((line) -> line + "\r\n");
+	}
+
+	// Guards against valid headers that are refused because they are unusual.
+	@ParameterizedTest
+	@ValueSource(strings = { "X-Foo:1", "X-Foo:", "X-Foo:   1  ", "X-Foo:\t1", "!#$%&'*+-.^_`|~09azAZ: 1",
+			"X-Foo: a: b", "X-Foo: a\tb", "X-Foo: \u00e9\u0080", "X-Foo: 1\r\n 2", "X-Foo: 1\r\n\t2\r\n 3", "X-Foo : 1",
+			"X-Foo\t: 1", "X-Foo \t : 1" })
+	void shouldReadResponseWhenHeaderIsUnusual(String line) {
+		assertThat(call(OK + line + "\r\n" + REST)).isEqualTo("200 body");
+		assertThat(call(OK + "Before: 1\r\n" + line + "\r\n" + REST)).isEqualTo("200 body");
+	}
+
+	// Guards against a check that begins anew in the wrong place.
+	@Test
+	void shouldReadEachResponseOfConnection() {
+		EmbeddedChannel channel = new EmbeddedChannel(new StrictResponseDecoder(new HttpDecoderConfig(), (_) -> false) {
+		});
+		for (String body : List.of("a b\nc d: 1\n", "", "x y\n")) {
+			String response = OK + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+			(("HTTP/1.1 100 X\r\n\r\n") + response).chars()
+				.forEach((octet) -> channel.writeInbound(Unpooled.wrappedBuffer(new byte[] { (byte) octet })));
+			assertThat(read(channel)).isEqualTo("100 200 " + body);
+		}
+	}
+
+	private static String read(EmbeddedChannel channel) {
+		StringBuilder read = new StringBuilder();
+		for (HttpObject part = channel.readInbound(); part != null; part = channel.readInbound()) {
+			assertThat(part.decoderResult().isSuccess()).isTrue();
+			if (part instanceof HttpResponse head) {
+				read.append(head.status().code()).append(' ');
+			}
+			if (part instanceof HttpContent content) {
+				read.append(content.content().toString(StandardCharsets.UTF_8));
+			}
+		}
+		return read.toString();
+	}
+
 	// Guards against a valid response that is refused because it is unusual.
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 203 X", "HTTP/1.1 299 X",
