Refuse a success without length that ends before its request was sent

What callers saw: a backend server answered a long upload at once with a 200 without length, sent a part of its body and left while the upload was still being written. The caller got that part as a complete answer.

Cause: the end of the connection completes an answer without length if the server closed its side. A reset alone does no harm, but many servers close their side and reset the connection because of bytes that they have not read, some time later; a JDK's socket does so. The end of the input then arrives before the reset, and nothing tells it from a regular one.

Why this works: one thing is known when the connection ends, whether the request was sent whole. If not, a success that only the end of the connection completes is not known to be complete, and a 2xx counts only with its complete body: it fails as one that may have run. The rule is in the decoder that all readers share. A gateway that carries the call tells whether bytes for the server were left when it closed its connection: the frame "closed" is false then; a gateway that does not know this takes it as before.

Left: bytes that the kernels hold count as sent, so that a short request which its server did not read, and a frame that is on its way between two gateways, are not noticed.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CarriedConnection.java
@@ -232,8 +232,8 @@
 	/** The connection to the server. */
 	private final class ServerSide extends ChannelInboundHandlerAdapter {
 
-		/** How the connection ended, if the server did not close it. */
-		private Optional<String> failure = Optional.of("closed by the gateway that carries");
+		/** The last frame of the tunnel once the connection has ended. */
+		private TunnelFrame last = TunnelPipeline.failure("closed by the gateway that carries");
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
@@ -256,21 +256,21 @@
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
 			if (CarriedConnection.this.tunnel.isActive()) {
-				end(this.failure.map(TunnelPipeline::failure).orElse(TunnelPipeline.CLOSED));
+				end(this.last);
 			}
 		}
 
 		@Override
 		public void userEventTriggered(ChannelHandlerContext context, Object event) {
 			if (event instanceof ChannelInputShutdownEvent) {
-				this.failure = Optional.empty();
+				this.last = TunnelPipeline.closed(Outbound.pendingBytes(context.channel()) == 0);
 				context.close();
 			}
 		}
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			this.failure = Optional.of(String.valueOf(cause.getMessage()));
+			this.last = TunnelPipeline.failure(String.valueOf(cause.getMessage()));
 			context.close();
 		}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerConnection.java
@@ -57,7 +57,7 @@
 
 	private final ServerResponseDecoder decoder = ServerResponseDecoder.of(
 			new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES),
-			this::answersHeadRequest);
+			this::answersHeadRequest, this::isRequestTaken);
 
 	private final CarriedCalls calls = CarriedCalls.none();
 
@@ -344,6 +344,11 @@
 		return this.headRequest && this.calls.isCurrent(metadata(head).requestId());
 	}
 
+	private boolean isRequestTaken() {
+		boolean takenByCarrier = this.tunnel.map(TunnelClient::isRequestTaken).orElse(true);
+		return this.requestWritten && Outbound.pendingBytes(this.channel) == 0 && takenByCarrier;
+	}
+
 	// Behind a response that ends with the connection, that to the current call cannot
 	// be received.
 	private void skip(HttpResponse head, String named) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerResponseDecoder.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/ServerResponseDecoder.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
 
@@ -36,18 +37,21 @@
 
 	private boolean insideHead;
 
-	private ServerResponseDecoder(HttpDecoderConfig limits, Predicate<HttpResponse> answersHeadRequest) {
-		super(limits, answersHeadRequest);
+	private ServerResponseDecoder(HttpDecoderConfig limits, Predicate<HttpResponse> answersHeadRequest,
+			BooleanSupplier requestTaken) {
+		super(limits, answersHeadRequest, requestTaken);
 	}
 
 	/**
 	 * Creates the decoder of a connection.
 	 * @param limits the maximum lengths
 	 * @param answersHeadRequest whether a response belongs to a HEAD request
+	 * @param requestTaken whether the whole of the current request was sent
 	 * @return the decoder
 	 */
-	static ServerResponseDecoder of(HttpDecoderConfig limits, Predicate<HttpResponse> answersHeadRequest) {
-		return new ServerResponseDecoder(limits, answersHeadRequest);
+	static ServerResponseDecoder of(HttpDecoderConfig limits, Predicate<HttpResponse> answersHeadRequest,
+			BooleanSupplier requestTaken) {
+		return new ServerResponseDecoder(limits, answersHeadRequest, requestTaken);
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelClient.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelClient.java
@@ -50,6 +50,8 @@
 
 	private boolean ended;
 
+	private boolean requestTaken = true;
+
 	TunnelClient(Carrier carrier, BackendServer server, Answer onOpened) {
 		this.carrier = carrier;
 		this.server = server;
@@ -72,6 +74,15 @@
 		awaitAnswer();
 	}
 
+	/**
+	 * Returns whether the other gateway had sent all that it had received when the server
+	 * closed its connection.
+	 * @return true while the server has not closed it
+	 */
+	boolean isRequestTaken() {
+		return this.requestTaken;
+	}
+
 	/** Tells the other gateway that the call has ended. */
 	void callEnded() {
 		this.context.writeAndFlush(TunnelPipeline.IDLE);
@@ -116,6 +127,7 @@
 			case DATA -> context.fireChannelRead(TunnelPipeline.bytes(frame));
 			case CLOSED -> {
 				this.ended = true;
+				this.requestTaken = frame.getClosed();
 				context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
 				context.close();
 			}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelPipeline.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TunnelPipeline.java
@@ -24,7 +24,7 @@
 
 	static final TunnelFrame OPENED = TunnelFrame.newBuilder().setOpened(true).setTakesNotices(true).build();
 
-	static final TunnelFrame CLOSED = TunnelFrame.newBuilder().setClosed(true).build();
+	static final TunnelFrame CLOSED = closed(true);
 
 	static final TunnelFrame IDLE = TunnelFrame.newBuilder().setIdle(true).build();
 
@@ -98,6 +98,15 @@
 				StatedBackoff.ofMillis(notice.getBackoffMillis()));
 	}
 
+	/**
+	 * Creates the frame that ends a tunnel whose server has closed its connection.
+	 * @param requestTaken whether all bytes for the server had been sent by then
+	 * @return the frame
+	 */
+	static TunnelFrame closed(boolean requestTaken) {
+		return TunnelFrame.newBuilder().setClosed(requestTaken).build();
+	}
+
 	static TunnelFrame failure(String cause) {
 		return TunnelFrame.newBuilder().setFailure(cause).build();
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TunnelServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TunnelServerTests.java
@@ -4,6 +4,8 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.protobuf.ByteString;
 import org.junit.jupiter.api.AfterEach;
@@ -31,6 +33,14 @@
 
 	private static final String REQUEST = "GET /sheets/ HTTP/1.1\r\nHost: x\r\nCall: c1\r\n\r\n";
 
+	private static final int CHUNK_BYTES = 65_536;
+
+	private static final long STALLED_MILLIS = 200;
+
+	private final AtomicLong written = new AtomicLong();
+
+	private final CountDownLatch stopped = new CountDownLatch(1);
+
 	private final MemoryRowStore store = new MemoryRowStore();
 
 	private List<GatewayHarness> fleet = List.of();
@@ -43,6 +53,11 @@
 			if (request.call().equals("held")) {
 				exchange.hold();
 			}
+			else if (request.call().equals("unread")) {
+				awaitStalled();
+				exchange.socket().shutdownOutput();
+				awaitStop();
+			}
 			else if (request.call().equals("endless")) {
 				writeEndlessly(exchange);
 			}
@@ -100,6 +115,60 @@
 		assertThat(this.server.awaitDisconnect()).isTrue();
 	}
 
+	// Guards against an answer that seems whole because the other gateway cannot see that
+	// its server has not read the request.
+	@Test
+	void shouldTellThatRequestWasNotSentWhenServerClosesBefore() throws Exception {
+		try (Socket tunnel = connect()) {
+			ask(tunnel, open("s1"));
+			ask(tunnel, call("unread"));
+			data(REQUEST.replace("c1", "unread")).writeDelimitedTo(tunnel.getOutputStream());
+			Thread.ofVirtual().start(() -> writeEndlessly(tunnel));
+			TunnelFrame last = TunnelFrame.parseDelimitedFrom(tunnel.getInputStream());
+			assertThat(last.getContentCase()).isEqualTo(ContentCase.CLOSED);
+			assertThat(last.getClosed()).isFalse();
+		}
+		finally {
+			this.stopped.countDown();
+		}
+	}
+
+	private void writeEndlessly(Socket tunnel) {
+		try {
+			while (true) {
+				data("x".repeat(CHUNK_BYTES)).writeDelimitedTo(tunnel.getOutputStream());
+				this.written.incrementAndGet();
+			}
+		}
+		catch (IOException ex) {
+			// The tunnel has ended.
+		}
+	}
+
+	// Waits until nothing more is taken from the other gateway.
+	private void awaitStalled() {
+		long before = 0;
+		while (before == 0 || this.written.get() > before) {
+			before = this.written.get();
+			sleep(STALLED_MILLIS);
+		}
+	}
+
+	private void awaitStop() {
+		while (this.stopped.getCount() > 0) {
+			sleep(STALLED_MILLIS);
+		}
+	}
+
+	private static void sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	// Guards against answers without end that other gateways do not take: the memory of
 	// the gateway that carries them is bounded over all tunnels.
 	@Test
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/ServerConnectionTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/ServerConnectionTests.java
@@ -50,6 +50,23 @@
 		assertThat(this.channel.isActive()).isFalse();
 	}
 
+	// Guards against a part of a response that seems whole: a server that leaves while it
+	// is sent a request closes its side before the connection is reset.
+	@ParameterizedTest
+	@CsvSource({ "HTTP/1.1 200 OK||body, failed", "HTTP/1.1 206 X||body, failed",
+			"HTTP/1.1 200 OK|Content-Length: 4||body, complete",
+			"HTTP/1.1 200 OK|Transfer-Encoding: chunked||4|body|0||, complete", "HTTP/1.1 413 X||body, complete",
+			"HTTP/1.1 500 X||body, complete" })
+	void shouldNotCompleteSuccessWithoutLengthWhenRequestWasNotSent(String response, String expected) {
+		this.connection.startCall("c1", new RecordedResponse(this.events));
+		this.connection.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"));
+		receive(response.replace("|", "\r\n"));
+		this.channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+		this.channel.runPendingTasks();
+		assertThat(this.events).containsExactly("body", expected);
+		assertThat(this.channel.isActive()).isFalse();
+	}
+
 	// Guards against a connection that stays open here when the server has closed it.
 	@ParameterizedTest
 	@CsvSource({ "HTTP/1.1 200 OK|Content-Length: 9||body, failed", "HTTP/1.1 200 OK|Content-Length: 4||body, complete",
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/TunnelClientTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/traffic/TunnelClientTests.java
@@ -47,12 +47,13 @@
 	// Guards against a response without length that looks complete although the other
 	// gateway was killed, or its connection to the server reset, in the middle of it.
 	@ParameterizedTest
-	@CsvSource({ "CLOSED, complete", "FAILURE, failed", "KILLED, failed" })
+	@CsvSource({ "CLOSED, complete", "CLOSED_BEFORE_REQUEST_WAS_SENT, failed", "FAILURE, failed", "KILLED, failed" })
 	void shouldCompleteResponseWithoutLengthOnlyWhenServerClosed(String end, String expected) {
 		startCall();
 		this.channel.writeInbound(data("HTTP/1.1 200 OK\r\n\r\nbody"));
 		switch (end) {
 			case "CLOSED" -> this.channel.writeInbound(TunnelPipeline.CLOSED);
+			case "CLOSED_BEFORE_REQUEST_WAS_SENT" -> this.channel.writeInbound(TunnelPipeline.closed(false));
 			case "FAILURE" -> this.channel.writeInbound(TunnelPipeline.failure("Connection reset"));
 			default -> this.channel.close();
 		}
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictClients.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictClients.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -60,22 +61,30 @@
 		/** Whether the current call is a HEAD request. */
 		private boolean headRequest;
 
+		/** Whether the whole of the current request was sent. */
+		private boolean requestTaken;
+
 		private Codec() {
 			init(new Decoder(), new HttpRequestEncoder());
 		}
 
 		@Override
 		public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
+			ChannelPromise written = promise.unvoid();
 			if (message instanceof HttpRequest request) {
 				this.headRequest = request.method().equals(HttpMethod.HEAD);
+				this.requestTaken = false;
+			}
+			if (message instanceof LastHttpContent) {
+				written.addListener((_) -> this.requestTaken = written.isSuccess());
 			}
-			super.write(context, message, promise);
+			super.write(context, message, written);
 		}
 
 		private final class Decoder extends StrictResponseDecoder {
 
 			private Decoder() {
-				super(new HttpDecoderConfig(), (_) -> Codec.this.headRequest);
+				super(new HttpDecoderConfig(), (_) -> Codec.this.headRequest, () -> Codec.this.requestTaken);
 			}
 
 		}
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
@@ -1,6 +1,7 @@
 package org.rosemaryfront.http;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
 
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
@@ -31,6 +33,11 @@
 
 	private final Predicate<HttpResponse> answersHeadRequest;
 
+	private final BooleanSupplier requestTaken;
+
+	/** Whether the response being received is a success. */
+	private boolean success;
+
 	private final ResponseSyntax syntax = ResponseSyntax.expectingHead();
 
 	/**
@@ -38,10 +45,13 @@
 	 * @param limits the maximum lengths
 	 * @param answersHeadRequest whether a response belongs to a HEAD request, so that it
 	 * has no body
+	 * @param requestTaken whether the whole of the current request was sent
 	 */
-	protected StrictResponseDecoder(HttpDecoderConfig limits, Predicate<HttpResponse> answersHeadRequest) {
+	protected StrictResponseDecoder(HttpDecoderConfig limits, Predicate<HttpResponse> answersHeadRequest,
+			BooleanSupplier requestTaken) {
 		super(limits);
 		this.answersHeadRequest = answersHeadRequest;
+		this.requestTaken = requestTaken;
 	}
 
 	@Override
@@ -55,7 +65,23 @@
 		}
 	}
 
+	// A server that closes its connection while it is sent a request makes the connection
+	// be reset, but the end of what it sent may be received first. It cannot be told then
+	// whether it sent all.
+	@Override
+	protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded) throws Exception {
+		super.decodeLast(context, bytes, decoded);
+		int last = decoded.size() - 1;
+		boolean completed = last >= 0 && decoded.get(last) instanceof LastHttpContent;
+		if (completed && this.success && !this.requestTaken.getAsBoolean()) {
+			decoded.set(last, invalid((HttpObject) decoded.get(last), "it ends before the request was sent"));
+		}
+	}
+
 	private HttpObject checked(HttpObject part) {
+		if (part instanceof HttpResponse head) {
+			this.success = head.status().codeClass() == HttpStatusClass.SUCCESS;
+		}
 		HttpObject checked = this.syntax.fault().map((fault) -> invalid(part, fault)).orElse(part);
 		if (part instanceof LastHttpContent) {
 			this.syntax.responseEnds();
--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
@@ -16,7 +16,9 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -26,6 +28,13 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
+	private static final int UPLOADS = 10;
+
+	/** Together more than all buffers on the way to a server hold. */
+	private static final int CHUNKS = 1_000;
+
+	private static final int CHUNK_BYTES = 16_384;
+
 	private static final String OK = "HTTP/1.1 200 OK\r\n";
 
 	private static final String REST = "Content-Length: 4\r\n\r\nbody";
@@ -74,8 +83,9 @@
 	// Guards against a check that begins anew in the wrong place.
 	@Test
 	void shouldReadEachResponseOfConnection() {
-		EmbeddedChannel channel = new EmbeddedChannel(new StrictResponseDecoder(new HttpDecoderConfig(), (_) -> false) {
-		});
+		EmbeddedChannel channel = new EmbeddedChannel(
+				new StrictResponseDecoder(new HttpDecoderConfig(), (_) -> false, () -> true) {
+				});
 		for (String body : List.of("a b\nc d: 1\n", "", "x y\n")) {
 			String response = OK + "Content-Length: " + body.length() + "\r\n\r\n" + body;
 			(("HTTP/1.1 100 X\r\n\r\n") + response).chars()
@@ -107,6 +117,34 @@
 		assertThat(call(statusLine + "\r\n" + REST)).isEqualTo(code + " body");
 	}
 
+	// Guards against a part of a response without length that seems whole, because its
+	// server closed the connection while the request was being sent.
+	@ParameterizedTest
+	@MethodSource("paces")
+	void shouldFailCallWhenServerClosesConnectionDuringUpload(Flux<?> pace) {
+		Flux<String> chunks = pace.take(CHUNKS).map((_) -> "x".repeat(CHUNK_BYTES));
+		for (int i = 0; i < UPLOADS; i++) {
+			assertThatExceptionOfType(RuntimeException.class).isThrownBy(() -> upload(chunks, OK + "\r\nbo"))
+				.withMessageNotContaining("Timeout");
+		}
+	}
+
+	static Stream<Flux<?>> paces() {
+		return Stream.of(Flux.range(0, CHUNKS), Flux.interval(Duration.ofMillis(1)).onBackpressureBuffer());
+	}
+
+	private static String upload(Flux<String> chunks, String response) {
+		try (RespondingServer server = RespondingServer.start(response)) {
+			return StrictClients.withoutReuse()
+				.remoteAddress(server::address)
+				.post()
+				.uri("/")
+				.send(ByteBufFlux.fromString(chunks))
+				.responseSingle((head, body) -> body.asString())
+				.block(TIMEOUT);
+		}
+	}
+
 	// Guards against a body that is awaited behind the response to a HEAD request.
 	@ParameterizedTest
 	@MethodSource("clients")
