Refuse answers of other versions of the protocol

What callers saw: an answer that begins with HTTP/2.0 or HTTP/0.9 was passed on as one of HTTP/1.1.

Cause: the decoder takes the version for a label.

Why this works: the decoder that all readers of answers share takes HTTP/1 with one digit behind the dot. A later version of HTTP/1 is read as 1.1, as the standard asks, and small letters are read as before, since they decide nothing.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
@@ -95,6 +95,20 @@
 			.isEqualTo(502);
 	}
 
+	// Guards against answers by the rules of another protocol, which frames them in
+	// another
+	// way.
+	@ParameterizedTest
+	@MethodSource("otherProtocols")
+	void shouldNotForwardAnswerWhenProtocolIsAnother(String path, String protocol) throws IOException {
+		shouldFail(path, protocol + " 200 OK\r\n" + HEADERS + LENGTH + "\r\n" + BODY);
+	}
+
+	static Stream<Arguments> otherProtocols() {
+		return on(List.of("/visits/", "/summaries/"), "HTTP/2.0", "HTTP/2", "HTTP/0.9", "HTTP/11.1", "HTTP/1.10",
+				"HTTP/1", "HTTP/", "ICY/1.0", "RTSP/1.0", "XHTTP/1.1");
+	}
+
 	// Guards against a valid header that is refused because it is unusual.
 	@ParameterizedTest
 	@MethodSource("unusualHeaders")
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
@@ -26,9 +26,14 @@
  */
 public class StrictResponseDecoder extends HttpResponseDecoder {
 
-	/** The index of the status in the words of a status line. */
+	/** The indexes in the words of a status line. */
+	private static final int VERSION = 0;
+
 	private static final int STATUS = 1;
 
+	/** A later version of this protocol is read as the last one that is known. */
+	private static final Pattern KNOWN_VERSION = Pattern.compile("HTTP/1\\.[0-9]", Pattern.CASE_INSENSITIVE);
+
 	private static final Pattern VALID_STATUS = Pattern.compile("[1-5][0-9]{2}");
 
 	private final Predicate<HttpResponse> answersHeadRequest;
@@ -98,6 +103,9 @@
 
 	@Override
 	protected HttpMessage createMessage(String[] initialLine) {
+		if (!KNOWN_VERSION.matcher(initialLine[VERSION]).matches()) {
+			throw new IllegalArgumentException("the version is not one of HTTP/1");
+		}
 		if (!VALID_STATUS.matcher(initialLine[STATUS]).matches()) {
 			throw new IllegalArgumentException("the status is not a number from 100 to 599");
 		}
--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.stream.Stream;
 
 import io.netty.buffer.Unpooled;
@@ -47,6 +48,13 @@
 		shouldFail("HTTP/1.1 " + status + " X\r\n" + REST);
 	}
 
+	// Guards against a response by the rules of another protocol.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/2.0", "HTTP/2", "HTTP/0.9", "HTTP/11.1", "HTTP/1.10", "ICY/1.0" })
+	void shouldFailCallWhenProtocolIsAnother(String protocol) {
+		shouldFail(protocol + " 200 OK\r\n" + REST);
+	}
+
 	// Guards against a line that is no header and is taken for one.
 	@ParameterizedTest
 	@MethodSource("invalidHeaders")
@@ -110,10 +118,12 @@
 
 	// Guards against a valid response that is refused because it is unusual.
 	@ParameterizedTest
-	@ValueSource(strings = { "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 203 X", "HTTP/1.1 299 X",
-			"HTTP/1.1 418 X", "HTTP/1.1 599 \u00fc", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 X" })
+	@ValueSource(strings = { "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.2 200 OK", "http/1.1 200 OK",
+			"HTTP/1.1 203 X", "HTTP/1.1 299 X", "HTTP/1.1 418 X", "HTTP/1.1 599 \u00fc",
+			"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 X" })
 	void shouldReadResponseWhenStatusLineIsUnusual(String statusLine) {
-		int code = Integer.parseInt(statusLine.substring(statusLine.lastIndexOf("HTTP/")).split(" ")[1]);
+		int code = Integer
+			.parseInt(statusLine.substring(statusLine.toUpperCase(Locale.ROOT).lastIndexOf("HTTP/")).split(" ")[1]);
 		assertThat(call(statusLine + "\r\n" + REST)).isEqualTo(code + " body");
 	}
 
