Refuse answers in a transfer coding that is not known

What callers saw: an answer in the coding "gzip, chunked" reached the caller as a gzipped body that nothing named as such, and one in "xchunked" or "chunkedx" with the sizes of its chunks in the body.

Cause: the decoder looks only for "chunked" among the codings, and the header that names them is not passed on. What else it lists decides what the body is and where it ends, and was dropped.

Why this works: the decoder that all readers of answers share takes a body only if it is not coded or chunked once, in letters of any size; "identity" stands for no coding, as before. Responses without a body may name any coding.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
@@ -39,6 +39,8 @@
 
 	private static final String LENGTH = "Content-Length: " + BODY.length() + "\r\n";
 
+	private static final String CHUNKED_BODY = "c\r\n" + BODY + "\r\n0\r\n\r\n";
+
 	private GatewayHarness gateway;
 
 	@BeforeEach
@@ -109,6 +111,21 @@
 				"HTTP/1", "HTTP/", "ICY/1.0", "RTSP/1.0", "XHTTP/1.1");
 	}
 
+	// Guards against a body that callers are given as it was coded on the connection.
+	@ParameterizedTest
+	@MethodSource("unknownCodings")
+	void shouldNotForwardAnswerWhenTransferCodingIsUnknown(String path, String codings) throws IOException {
+		String head = statusLine("200") + HEADERS + "Transfer-Encoding: " + codings + "\r\n";
+		shouldFail(path, head + "\r\n" + CHUNKED_BODY);
+		renew();
+		shouldFail(path, head + LENGTH + "\r\n" + BODY);
+	}
+
+	static Stream<Arguments> unknownCodings() {
+		return on(List.of("/visits/", "/summaries/"), "gzip, chunked", "chunked, gzip", "gzip", "xchunked", "chunkedx",
+				"chunked, chunked", "chunked;x=1", "chunked chunked");
+	}
+
 	// Guards against a valid header that is refused because it is unusual.
 	@ParameterizedTest
 	@MethodSource("unusualHeaders")
@@ -189,6 +206,11 @@
 		assertThat(response.complete()).isTrue();
 	}
 
+	private void renew() {
+		stop();
+		start();
+	}
+
 	private Response call(String path, ScriptedServer.Script script) throws IOException {
 		try (ScriptedServer _ = this.gateway.startServer(script);
 				ScriptedServer second = ScriptedServer.start(script)) {
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
@@ -1,15 +1,20 @@
 package org.rosemaryfront.http;
 
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -36,6 +41,9 @@
 
 	private static final Pattern VALID_STATUS = Pattern.compile("[1-5][0-9]{2}");
 
+	/** The lists of codings that a body can be read with; "identity" stands for none. */
+	private static final Set<List<String>> KNOWN_CODINGS = Set.of(List.of(), List.of("chunked"), List.of("identity"));
+
 	private final Predicate<HttpResponse> answersHeadRequest;
 
 	private final BooleanSupplier requestTaken;
@@ -114,8 +122,21 @@
 
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
-		return super.isContentAlwaysEmpty(message)
+		boolean empty = super.isContentAlwaysEmpty(message)
 				|| (message instanceof HttpResponse head && this.answersHeadRequest.test(head));
+		if (!empty && !KNOWN_CODINGS.contains(transferCodings(message.headers()))) {
+			throw new IllegalArgumentException("the transfer coding is not known");
+		}
+		return empty;
+	}
+
+	private static List<String> transferCodings(HttpHeaders headers) {
+		return headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
+			.stream()
+			.flatMap((codings) -> Stream.of(codings.split(",")))
+			.map((coding) -> coding.trim().toLowerCase(Locale.ROOT))
+			.filter((coding) -> !coding.isEmpty())
+			.toList();
 	}
 
 }
--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import reactor.core.publisher.Flux;
@@ -55,6 +56,30 @@
 		shouldFail(protocol + " 200 OK\r\n" + REST);
 	}
 
+	// Guards against a body that is read as it was coded on the connection.
+	@ParameterizedTest
+	@ValueSource(strings = { "gzip, chunked", "chunked, gzip", "gzip", "xchunked", "chunked, chunked", "chunked;x=1" })
+	void shouldFailCallWhenTransferCodingIsUnknown(String codings) {
+		shouldFail(OK + "Transfer-Encoding: " + codings + "\r\n" + REST);
+		shouldFail(OK + "Transfer-Encoding: " + codings + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+	}
+
+	// Guards against valid codings that are refused because they are unusual.
+	@ParameterizedTest
+	@CsvSource({ "identity, body", "Chunked, 4_body_0__" })
+	void shouldReadResponseWhenTransferCodingIsUnusual(String codings, String body) {
+		assertThat(call(OK + "Transfer-Encoding: " + codings + "\r\n\r\n" + body.replace("_", "\r\n")))
+			.isEqualTo("200 body");
+	}
+
+	// Guards against a coding that is missed in a response without a body.
+	@ParameterizedTest
+	@ValueSource(strings = { "204 X", "304 X" })
+	void shouldReadResponseWithoutBodyWhenItNamesCoding(String status) {
+		assertThat(call("HTTP/1.1 " + status + "\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"))
+			.isEqualTo(status.replace('X', ' ').trim() + " ");
+	}
+
 	// Guards against a line that is no header and is taken for one.
 	@ParameterizedTest
 	@MethodSource("invalidHeaders")
