Refuse answers whose chunk sizes are followed by other bytes

What callers saw: an answer in chunks whose sizes were broken ("c x", "c" and a control byte, "0 x" as the last one) was passed on as a whole one.

Cause: the decoder reads the digits up to the first blank or control byte and skips the rest of the line, which may have been a part of the number. The size decides where the body ends. Names of trailers are read like those of headers.

Why this works: ResponseSyntax follows the chunks in the bytes that the decoder has consumed, and marks the parts of a response as invalid once anything but blanks or an extension stands behind a size.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
@@ -39,7 +39,7 @@
 
 	private static final String LENGTH = "Content-Length: " + BODY.length() + "\r\n";
 
-	private static final String CHUNKED_BODY = "c\r\n" + BODY + "\r\n0\r\n\r\n";
+	private static final String CHUNKED_BODY = chunks("c");
 
 	private GatewayHarness gateway;
 
@@ -126,6 +126,46 @@
 				"chunked, chunked", "chunked;x=1", "chunked chunked");
 	}
 
+	// Guards against a body that ends elsewhere than its server says.
+	@ParameterizedTest
+	@MethodSource("invalidChunks")
+	void shouldNotForwardAnswerWhenChunksAreInvalid(String path, String chunks) throws IOException {
+		String head = statusLine("200") + HEADERS + "Transfer-Encoding: chunked\r\n\r\n";
+		shouldNotBeWhole(path, head + chunks);
+	}
+
+	static Stream<Arguments> invalidChunks() {
+		return on(List.of("/visits/", "/drafts/"), chunks("c x"), chunks("c\t1"), chunks("c\0"), chunks("c\u0001x"),
+				chunks("cx"), chunks("0xc"), chunks("+c"), chunks("-c"), chunks(" c"), chunks(""), chunks("c,d"),
+				"c\r\n" + BODY + "x\r\n0\r\n\r\n", "c\r\n" + BODY + "0\r\n\r\n", "c\r\n" + BODY + " \r\n0\r\n\r\n",
+				"c\r\n" + BODY + "\r\n0 x\r\n\r\n", "c\r\n" + BODY + "\r\n0\r\nX Foo: 1\r\n\r\n",
+				"c\r\n" + BODY + "\r\n0\r\nX-Foo\r\n\r\n", "c\n" + BODY + "\n0\n\n");
+	}
+
+	// Guards against valid chunks that are refused because they are unusual.
+	@ParameterizedTest
+	@MethodSource("unusualChunks")
+	void shouldForwardAnswerWhenChunksAreUnusual(String path, String codings, String chunks) throws IOException {
+		shouldForward(path, statusLine("200") + HEADERS + "Transfer-Encoding: " + codings + "\r\n\r\n" + chunks, 200);
+	}
+
+	static Stream<Arguments> unusualChunks() {
+		return Stream.of("/visits/", "/drafts/")
+			.flatMap((path) -> Stream.concat(
+					Stream.of("chunked", "Chunked", ", chunked")
+						.map((codings) -> Arguments.of(path, codings, CHUNKED_BODY)),
+					Stream
+						.of(chunks("C"), chunks("00c"), chunks("c;x"), chunks("c;x=y;z=\"a b\""), chunks("c ;x"),
+								chunks("c; x"), chunks("c "), "c\r\n" + BODY + "\r\n000;x\r\n\r\n",
+								"c\r\n" + BODY + "\r\n0\r\nX-Foo: 1\r\n 2\r\nX-Bar : \r\n\r\n",
+								"4\r\ndata\r\n8\r\n: body\n\n\r\n0\r\n\r\n")
+						.map((chunks) -> Arguments.of(path, "chunked", chunks))));
+	}
+
+	private static String chunks(String size) {
+		return size + "\r\n" + BODY + "\r\n0\r\n\r\n";
+	}
+
 	// Guards against a valid header that is refused because it is unusual.
 	@ParameterizedTest
 	@MethodSource("unusualHeaders")
@@ -206,6 +246,16 @@
 		assertThat(response.complete()).isTrue();
 	}
 
+	// What was received before the fault may have been forwarded.
+	private void shouldNotBeWhole(String path, String answer) throws IOException {
+		Response response = call(path, (_, exchange) -> {
+			exchange.write(answer);
+			exchange.socket().shutdownOutput();
+			exchange.hold();
+		});
+		assertThat(response.status() == 200 && response.complete()).as("%s", response).isFalse();
+	}
+
 	private void renew() {
 		stop();
 		start();
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/ResponseSyntax.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/ResponseSyntax.java
@@ -6,12 +6,22 @@
 
 /**
  * Checks the bytes of responses that a lenient decoder reads but does not show: it ends
- * the name of a header at a blank and skips the rest up to the colon.
+ * the name of a header and the size of a chunk at a blank and skips what follows.
  */
 final class ResponseSyntax {
 
+	private static final int LINE_END_BYTES = 2;
+
+	private static final int HEX = 16;
+
 	private State state = State.BEFORE_HEAD;
 
+	/** The size of the current chunk as far as it was received, in bytes. */
+	private long chunkBytes;
+
+	/** The bytes that are left of the current chunk and the end of line behind it. */
+	private long bytesLeft;
+
 	/** Whether the current section has a header, which the next line may continue. */
 	private boolean headerReceived;
 
@@ -36,6 +46,11 @@
 		return this.fault;
 	}
 
+	/** Called behind the head of a response whose body is chunked. */
+	void chunksFollow() {
+		this.state = State.SIZE_START;
+	}
+
 	/** Called when the current response is complete. */
 	void responseEnds() {
 		this.state = State.BEFORE_HEAD;
@@ -50,8 +65,14 @@
 	 * @param to the index behind the last byte
 	 */
 	void decoded(ByteBuf bytes, int from, int to) {
-		for (int i = from; i < to && this.state != State.BODY; i++) {
-			this.state = next(bytes.getByte(i));
+		int i = from;
+		while (i < to && this.state != State.UNCHECKED) {
+			if (this.state == State.CHUNK) {
+				i += skipChunk(to - i);
+			}
+			else {
+				this.state = next(bytes.getByte(i++));
+			}
 		}
 	}
 
@@ -62,7 +83,11 @@
 			case LINE_START -> beginLine(octet);
 			case NAME -> inName(octet);
 			case NAME_END -> behindName(octet);
-			case BODY -> State.BODY;
+			case SIZE_START -> isHexDigit(octet) ? inSize(octet) : invalid("a chunk has no size");
+			case SIZE -> inSize(octet);
+			case SIZE_END -> behindSize(octet);
+			case EXTENSION -> (octet == '\n') ? chunkOrTrailers() : State.EXTENSION;
+			case CHUNK, UNCHECKED -> this.state;
 		};
 	}
 
@@ -73,7 +98,7 @@
 
 	private State beginLine(byte octet) {
 		if (octet == '\n') {
-			return State.BODY;
+			return State.UNCHECKED;
 		}
 		if (octet == '\r') {
 			return State.LINE_START;
@@ -103,9 +128,49 @@
 		return isBlank(octet) ? State.NAME_END : invalid("the name of a header contains a blank");
 	}
 
+	private State inSize(byte octet) {
+		if (!isHexDigit(octet)) {
+			return behindSize(octet);
+		}
+		this.chunkBytes = this.chunkBytes * HEX + Character.digit(octet, HEX);
+		return (this.chunkBytes <= Integer.MAX_VALUE) ? State.SIZE : invalid("a chunk is too long");
+	}
+
+	private State behindSize(byte octet) {
+		return switch (octet) {
+			case '\n' -> chunkOrTrailers();
+			case ';' -> State.EXTENSION;
+			case ' ', '\t', '\r' -> State.SIZE_END;
+			default -> invalid("the size of a chunk is followed by other bytes");
+		};
+	}
+
+	private State chunkOrTrailers() {
+		if (this.chunkBytes == 0) {
+			this.headerReceived = false;
+			return State.LINE_START;
+		}
+		this.bytesLeft = this.chunkBytes + LINE_END_BYTES;
+		this.chunkBytes = 0;
+		return State.CHUNK;
+	}
+
+	private int skipChunk(int available) {
+		int skipped = (int) Math.min(available, this.bytesLeft);
+		this.bytesLeft -= skipped;
+		if (this.bytesLeft == 0) {
+			this.state = State.SIZE_START;
+		}
+		return skipped;
+	}
+
+	private static boolean isHexDigit(byte octet) {
+		return octet >= 0 && Character.digit(octet, HEX) >= 0;
+	}
+
 	private State invalid(String cause) {
 		this.fault = Optional.of(cause);
-		return State.BODY;
+		return State.UNCHECKED;
 	}
 
 	private static boolean isBlank(byte octet) {
@@ -127,8 +192,20 @@
 
 		VALUE,
 
-		/** What is not checked. */
-		BODY
+		/** The first digit of the size of a chunk. */
+		SIZE_START,
+
+		SIZE,
+
+		/** Blanks behind a size. */
+		SIZE_END,
+
+		EXTENSION,
+
+		/** The bytes of a chunk and the end of line behind them. */
+		CHUNK,
+
+		UNCHECKED
 
 	}
 
--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
@@ -95,6 +96,9 @@
 		if (part instanceof HttpResponse head) {
 			this.success = head.status().codeClass() == HttpStatusClass.SUCCESS;
 		}
+		if (part instanceof HttpMessage head && HttpUtil.isTransferEncodingChunked(head)) {
+			this.syntax.chunksFollow();
+		}
 		HttpObject checked = this.syntax.fault().map((fault) -> invalid(part, fault)).orElse(part);
 		if (part instanceof LastHttpContent) {
 			this.syntax.responseEnds();
--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
@@ -72,6 +72,24 @@
 			.isEqualTo("200 body");
 	}
 
+	// Guards against a body that ends elsewhere than its server says.
+	@ParameterizedTest
+	@ValueSource(strings = { "4 x_body_0__", "4\t1_body_0__", "4\0_body_0__", " 4_body_0__", "4x_body_0__", "_body_0__",
+			"0x4_body_0__", "+4_body_0__", "4_bodyx_0__", "4_body0__", "4_body_0 x__", "4_body_0_X Foo: 1__",
+			"4_body_0_X-Foo__", "2_bo_2 x_dy_0__", "100000000_body_0__" })
+	void shouldFailCallWhenChunksAreInvalid(String body) {
+		shouldFail(OK + "Transfer-Encoding: chunked\r\n\r\n" + body.replace("_", "\r\n"));
+	}
+
+	// Guards against valid chunks that are refused because they are unusual.
+	@ParameterizedTest
+	@ValueSource(strings = { "4;x_body_0__", "4;x=y;z=\"a b\"_body_0__", "4 ;x_body_0__", "4; x_body_0__",
+			"4 _body_0__", "0004_body_000__", "4_body_0;x__", "4_body_0_X-Foo: 1__", "4_body_0_X-Foo: 1_ 2_X-Bar : __",
+			"1_b_1_o_0002;x_dy_0__" })
+	void shouldReadResponseWhenChunksAreUnusual(String body) {
+		assertThat(call(OK + "Transfer-Encoding: chunked\r\n\r\n" + body.replace("_", "\r\n"))).isEqualTo("200 body");
+	}
+
 	// Guards against a coding that is missed in a response without a body.
 	@ParameterizedTest
 	@ValueSource(strings = { "204 X", "304 X" })
@@ -119,11 +137,14 @@
 		EmbeddedChannel channel = new EmbeddedChannel(
 				new StrictResponseDecoder(new HttpDecoderConfig(), (_) -> false, () -> true) {
 				});
-		for (String body : List.of("a b\nc d: 1\n", "", "x y\n")) {
-			String response = OK + "Content-Length: " + body.length() + "\r\n\r\n" + body;
-			(("HTTP/1.1 100 X\r\n\r\n") + response).chars()
+		for (String body : List.of("a b\nc d: 1\n", "", "x y\n", "1 x\r\n\n", "z")) {
+			String chunk = Integer.toHexString(body.length()) + "\r\n" + body + "\r\n";
+			String response = body.contains("\r")
+					? "Transfer-Encoding: chunked\r\n\r\n" + chunk + chunk + "0\r\nA: b\r\n\r\n"
+					: "Content-Length: " + body.length() + "\r\n\r\n" + body;
+			("HTTP/1.1 100 X\r\n\r\n" + OK + response).chars()
 				.forEach((octet) -> channel.writeInbound(Unpooled.wrappedBuffer(new byte[] { (byte) octet })));
-			assertThat(read(channel)).isEqualTo("100 200 " + body);
+			assertThat(read(channel)).isEqualTo("100 200 " + (body.contains("\r") ? body + body : body));
 		}
 	}
 
