Take a carriage return behind a chunk's size for nothing but the end of its line

ResponseSyntax read a carriage return there as a blank, so that "4", a carriage return and a blank stood for a size. The line must end behind it now. Two cases of StrictClientsTests, which were not run on the code before.

--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/ResponseSyntax.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/ResponseSyntax.java
@@ -86,6 +86,7 @@
 			case SIZE_START -> isHexDigit(octet) ? inSize(octet) : invalid("a chunk has no size");
 			case SIZE -> inSize(octet);
 			case SIZE_END -> behindSize(octet);
+			case SIZE_LINE_END -> (octet == '\n') ? chunkOrTrailers() : invalidSize();
 			case EXTENSION -> (octet == '\n') ? chunkOrTrailers() : State.EXTENSION;
 			case CHUNK, UNCHECKED -> this.state;
 		};
@@ -140,11 +141,16 @@
 		return switch (octet) {
 			case '\n' -> chunkOrTrailers();
 			case ';' -> State.EXTENSION;
-			case ' ', '\t', '\r' -> State.SIZE_END;
-			default -> invalid("the size of a chunk is followed by other bytes");
+			case ' ', '\t' -> State.SIZE_END;
+			case '\r' -> State.SIZE_LINE_END;
+			default -> invalidSize();
 		};
 	}
 
+	private State invalidSize() {
+		return invalid("the size of a chunk is followed by other bytes");
+	}
+
 	private State chunkOrTrailers() {
 		if (this.chunkBytes == 0) {
 			this.headerReceived = false;
@@ -200,6 +206,9 @@
 		/** Blanks behind a size. */
 		SIZE_END,
 
+		/** The last byte of the line of a size. */
+		SIZE_LINE_END,
+
 		EXTENSION,
 
 		/** The bytes of a chunk and the end of line behind them. */
--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
@@ -74,9 +74,9 @@
 
 	// Guards against a body that ends elsewhere than its server says.
 	@ParameterizedTest
-	@ValueSource(strings = { "4 x_body_0__", "4\t1_body_0__", "4\0_body_0__", " 4_body_0__", "4x_body_0__", "_body_0__",
-			"0x4_body_0__", "+4_body_0__", "4_bodyx_0__", "4_body0__", "4_body_0 x__", "4_body_0_X Foo: 1__",
-			"4_body_0_X-Foo__", "2_bo_2 x_dy_0__", "100000000_body_0__" })
+	@ValueSource(strings = { "4 x_body_0__", "4\t1_body_0__", "4\0_body_0__", "4\r_body_0__", "4\r x_body_0__",
+			" 4_body_0__", "4x_body_0__", "_body_0__", "0x4_body_0__", "+4_body_0__", "4_bodyx_0__", "4_body0__",
+			"4_body_0 x__", "4_body_0_X Foo: 1__", "4_body_0_X-Foo__", "2_bo_2 x_dy_0__", "100000000_body_0__" })
 	void shouldFailCallWhenChunksAreInvalid(String body) {
 		shouldFail(OK + "Transfer-Encoding: chunked\r\n\r\n" + body.replace("_", "\r\n"));
 	}
