Check only what the end of a connection completes for a request that was sent

The check of a success without length looked at whatever part came last, also at one that was decoded from bytes before the end. It looks only at a part that the end itself has added. No case was seen in which this differs, since all bytes are decoded as they are received.

--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/http/StrictResponseDecoder.java
@@ -84,11 +84,13 @@
 	// whether it sent all.
 	@Override
 	protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> decoded) throws Exception {
+		int before = decoded.size();
 		super.decodeLast(context, bytes, decoded);
 		int last = decoded.size() - 1;
-		boolean completed = last >= 0 && decoded.get(last) instanceof LastHttpContent;
+		boolean completed = last >= before && decoded.get(last) instanceof LastHttpContent;
 		if (completed && this.success && !this.requestTaken.getAsBoolean()) {
-			decoded.set(last, invalid((HttpObject) decoded.get(last), "it ends before the request was sent"));
+			decoded.set(last, invalid((HttpObject) decoded.get(last),
+					"a success ends with its connection before the request was sent"));
 		}
 	}
 
