Show that broken interim answers and broken answers to later calls are refused

An interim answer with an invalid head is not skipped, and an answer is checked on a connection that has had valid ones (six cases through a gateway, two of the clients that share the decoder).

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/BrokenAnswerTests.java
@@ -166,6 +166,35 @@
 		return size + "\r\n" + BODY + "\r\n0\r\n\r\n";
 	}
 
+	// Guards against interim answers that are skipped whatever they are.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 100 X\r\nX Foo: 1\r\n\r\n", "HTTP/1.1 099 X\r\n\r\n",
+			"HTTP/1.1 102 X\r\nTransfer-Encoding x: chunked\r\n\r\n" })
+	void shouldNotForwardAnswerWhenOneBeforeItIsInvalid(String interim) throws IOException {
+		shouldFail("/visits/", interim + statusLine("200") + HEADERS + LENGTH + "\r\n" + BODY);
+	}
+
+	// Guards against an answer that is not checked because an earlier one on its
+	// connection was valid.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 X\r\n", "HTTP/1.1 200 X\r\nX Foo: 1\r\n", "HTTP/2.0 200 X\r\n" })
+	void shouldNotForwardAnswerToLaterCallWhenItIsInvalid(String beginning) throws IOException {
+		try (ScriptedServer server = this.gateway.startServer((request, exchange) -> {
+			if (request.call().equals("c1")) {
+				exchange.write(beginning + HEADERS + LENGTH + "\r\n" + BODY);
+			}
+			else {
+				exchange.ok(request, GOOD);
+			}
+		})) {
+			for (int i = 2; i < 6; i++) {
+				assertThat(this.gateway.send(RawCaller.post("c" + i, "/visits/", "x")).body()).isEqualTo(GOOD);
+			}
+			assertThat(server.connections()).isOne();
+			assertThat(this.gateway.send(RawCaller.post("c1", "/visits/", "x")).status()).isEqualTo(502);
+		}
+	}
+
 	// Guards against a valid header that is refused because it is unusual.
 	@ParameterizedTest
 	@MethodSource("unusualHeaders")
--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/http/StrictClientsTests.java
@@ -121,6 +121,13 @@
 			.map((line) -> line + "\r\n");
 	}
 
+	// Guards against interim responses that are skipped whatever they are.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 100 X\r\nX Foo: 1\r\n\r\n", "HTTP/1.1 099 X\r\n\r\n" })
+	void shouldFailCallWhenInterimResponseIsInvalid(String interim) {
+		shouldFail(interim + OK + REST);
+	}
+
 	// Guards against valid headers that are refused because they are unusual.
 	@ParameterizedTest
 	@ValueSource(strings = { "X-Foo:1", "X-Foo:", "X-Foo:   1  ", "X-Foo:\t1", "!#$%&'*+-.^_`|~09azAZ: 1",
