Tell in the logs which queries bring a table, how large and how late

Whether a copy was taken for current that was not, whether rows came and did not take effect, or whether a gateway asked and its queries led nowhere could not be told from the logs: no line named a query that is outstanding, the bytes of a response, or the time since another gateway reported a change.

E2836 TABLE_FETCHED tells it of each response with rows, E2837 TABLE_OVERDUE (once a second at most) of a table that is not confirmed for 2 s or lacks for as long what was reported, E2838 CONFIGURATION_READ of each decoded configuration. RowStore.Transfer observes how a response arrives. No decision changes.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -62,6 +62,18 @@
 	/** Another gateway did not respond to the request for a table. */
 	PEER_CALL_FAILED(2815),
 
+	/** Rows of a table arrived from the store, with what else was requested meanwhile. */
+	TABLE_FETCHED(2836),
+
+	/**
+	 * A table was not confirmed to be current, or lacks changes that another gateway
+	 * reported, for longer than expected.
+	 */
+	TABLE_OVERDUE(2837),
+
+	/** A row with a configuration was decoded. */
+	CONFIGURATION_READ(2838),
+
 	/** The role of this gateway in reading the store's tables changed. */
 	TABLES_SHARED(2816),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformCalls.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformCalls.java
@@ -179,14 +179,24 @@
 
 		@Override
 		public Mono<Page> read(Range range) {
+			return read(range, Transfer.UNOBSERVED);
+		}
+
+		@Override
+		public Mono<Page> read(Range range, Transfer transfer) {
 			boolean single = range.to().equals(range.from() + '\0');
-			return counted(this.store.read(range), single ? Kind.POINT_READ : Kind.RANGE,
+			return counted(this.store.read(range, transfer), single ? Kind.POINT_READ : Kind.RANGE,
 					(_) -> PlatformCalls.Outcome.OK);
 		}
 
 		@Override
 		public Mono<Page> changes(String table, long since, Duration wait) {
-			return counted(this.store.changes(table, since, wait), wait.isZero() ? Kind.CHECK : Kind.FEED,
+			return changes(table, since, wait, Transfer.UNOBSERVED);
+		}
+
+		@Override
+		public Mono<Page> changes(String table, long since, Duration wait, Transfer transfer) {
+			return counted(this.store.changes(table, since, wait, transfer), wait.isZero() ? Kind.CHECK : Kind.FEED,
 					(_) -> PlatformCalls.Outcome.OK);
 		}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformUpdates.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/PlatformUpdates.java
@@ -86,7 +86,11 @@
 			return;
 		}
 		try {
+			long begunNanos = System.nanoTime();
 			TrafficConfiguration read = this.records.configuration(row.value().get());
+			EventLog.info(GatewayEvents.CONFIGURATION_READ, "version", read.version(), "rowVersion",
+					StoreVersion.format(row.version()), "bytes", row.value().get().length, "millis",
+					(System.nanoTime() - begunNanos) / NANOS_PER_MILLI);
 			this.control.post((_) -> {
 				this.decisions.configuration(read);
 				this.configurationRead = true;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/StoreGenerations.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/StoreGenerations.java
@@ -108,9 +108,14 @@
 
 	@Override
 	public Mono<Page> read(Range range) {
+		return read(range, Transfer.UNOBSERVED);
+	}
+
+	@Override
+	public Mono<Page> read(Range range, Transfer transfer) {
 		return Mono.defer(() -> {
 			long sent = newest();
-			return this.store.read(range).map((page) -> {
+			return this.store.read(range, transfer).map((page) -> {
 				requireCurrent(sent, page.generation());
 				return withGeneration(page);
 			});
@@ -119,10 +124,15 @@
 
 	@Override
 	public Mono<Page> changes(String table, long since, Duration wait) {
+		return changes(table, since, wait, Transfer.UNOBSERVED);
+	}
+
+	@Override
+	public Mono<Page> changes(String table, long since, Duration wait, Transfer transfer) {
 		return Mono.defer(() -> {
 			long sent = newest();
 			return (StoreVersion.generation(since) != sent) ? Mono.error(restored(Verdict.notRun(), sent))
-					: this.store.changes(table, StoreVersion.number(since), wait).map((page) -> {
+					: this.store.changes(table, StoreVersion.number(since), wait, transfer).map((page) -> {
 						requireCurrent(sent, page.generation());
 						return withGeneration(page);
 					});
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -3,16 +3,13 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
-import reactor.core.Disposable;
-import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
 
 import org.rosemaryfront.events.EventLog;
@@ -23,6 +20,7 @@
 import org.rosemaryfront.ports.RowStore.Page;
 import org.rosemaryfront.ports.RowStore.Range;
 import org.rosemaryfront.ports.RowStore.Row;
+import org.rosemaryfront.ports.RowStore.Transfer;
 import org.rosemaryfront.ports.StoreException;
 import org.rosemaryfront.tables.FreshnessLimits;
 import org.rosemaryfront.tables.Role;
@@ -44,6 +42,11 @@
 	 */
 	private static final long OWN_CHANGE_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+	/** The age of a confirmation, or of a report, from which on it is logged. */
+	private static final long OVERDUE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+	private static final long OVERDUE_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	private final RowStore store;
 
 	private final String table;
@@ -57,7 +60,7 @@
 	private final TableFollower follower;
 
 	/** The outstanding requests to the store. */
-	private final Map<Sent, Disposable> outstanding = new HashMap<>();
+	private final TableFetches fetches;
 
 	private boolean closed;
 
@@ -73,10 +76,19 @@
 	 */
 	private OptionalLong ownChangeNanos = OptionalLong.empty();
 
+	/** When a version that is still missing was first reported. */
+	private OptionalLong missingSinceNanos = OptionalLong.empty();
+
+	/** The newest version reported whose changes are missing. */
+	private long missingVersion;
+
+	private long lastOverdueLogNanos = System.nanoTime() - OVERDUE_LOG_INTERVAL_NANOS;
+
 	private TableWatch(RowStore store, String table, TableReplica replica, PeerTables peers, FreshnessLimits limits,
 			Listener listener) {
 		this.store = store;
 		this.table = table;
+		this.fetches = new TableFetches(table);
 		this.replica = replica;
 		this.peers = peers;
 		this.listener = listener;
@@ -114,9 +126,30 @@
 	}
 
 	private synchronized List<Sent> dueQueries(Role role, long nowNanos) {
+		logOverdue(nowNanos);
 		return this.closed ? List.of() : this.follower.tick(role, nowNanos);
 	}
 
+	private void logOverdue(long nowNanos) {
+		OptionalLong age = this.replica.freshness().ageNanos(nowNanos);
+		boolean unconfirmed = age.isPresent() && age.getAsLong() >= OVERDUE_NANOS;
+		boolean missing = missingNanos(nowNanos).filter((nanos) -> nanos >= OVERDUE_NANOS).isPresent();
+		if ((unconfirmed || missing) && nowNanos - this.lastOverdueLogNanos >= OVERDUE_LOG_INTERVAL_NANOS) {
+			this.lastOverdueLogNanos = nowNanos;
+			EventLog.warn(GatewayEvents.TABLE_OVERDUE, "table", this.table, "version",
+					StoreVersion.format(this.replica.version()), "provenMillis",
+					age.isPresent() ? (Object) TimeUnit.NANOSECONDS.toMillis(age.getAsLong()) : "never", "provenBy",
+					this.replica.freshness().source(), "heardMillis",
+					missingNanos(nowNanos).<Object>map(TimeUnit.NANOSECONDS::toMillis).orElse("none"), "outstanding",
+					this.fetches.describe(nowNanos));
+		}
+	}
+
+	private Optional<Long> missingNanos(long nowNanos) {
+		return this.missingSinceNanos.isPresent() ? Optional.of(nowNanos - this.missingSinceNanos.getAsLong())
+				: Optional.empty();
+	}
+
 	// -- updates from other gateways
 
 	/**
@@ -130,6 +163,11 @@
 		boolean contiguous = !update.getOmitted() && sameGeneration && update.getSince() <= this.replica.version();
 		boolean complete = contiguous || update.getVersion() <= this.replica.version();
 		this.newerPeer = complete ? this.newerPeer : Optional.of(tablesAddress);
+		if (!complete) {
+			this.missingSinceNanos = this.missingSinceNanos.isPresent() ? this.missingSinceNanos
+					: OptionalLong.of(nowNanos);
+			this.missingVersion = Math.max(this.missingVersion, update.getVersion());
+		}
 		Optional<Long> confirmed = (update.getProvenMillis() == 0) ? Optional.empty()
 				: Optional.of(nowNanos - TimeUnit.MILLISECONDS.toNanos(update.getProvenMillis()));
 		this.follower.reportReceived(update.getVersion(), complete, confirmed, nowNanos);
@@ -205,22 +243,30 @@
 		return this.table;
 	}
 
+	private void forgetMissing() {
+		if (this.replica.version() >= this.missingVersion) {
+			this.missingSinceNanos = OptionalLong.empty();
+		}
+	}
+
 	// -- queries
 
 	private void send(Sent sent) {
 		switch (sent.query()) {
-			case TableQuery.FullTable _ -> execute(sent, readPages("", new ArrayList<>(), OptionalLong.empty()));
-			case TableQuery.Feed feed ->
-				execute(sent, this.store.changes(this.table, feed.since(), Duration.ofNanos(feed.waitNanos())));
-			case TableQuery.Check check -> execute(sent, this.store.changes(this.table, check.since(), Duration.ZERO));
+			case TableQuery.FullTable _ ->
+				execute(sent, (transfer) -> readPages("", new ArrayList<>(), OptionalLong.empty(), transfer));
+			case TableQuery.Feed feed -> execute(sent, (transfer) -> this.store.changes(this.table, feed.since(),
+					Duration.ofNanos(feed.waitNanos()), transfer));
+			case TableQuery.Check check ->
+				execute(sent, (transfer) -> this.store.changes(this.table, check.since(), Duration.ZERO, transfer));
 			case TableQuery.FromGateway gateway -> queryPeer(gateway.version());
 		}
 	}
 
 	// A row of the first page may change while later pages are read, so the result has
 	// the version of the first page.
-	private Mono<Page> readPages(String from, List<Row> collected, OptionalLong firstVersion) {
-		return this.store.read(new Range(this.table, from, "")).flatMap((page) -> {
+	private Mono<Page> readPages(String from, List<Row> collected, OptionalLong firstVersion, Transfer transfer) {
+		return this.store.read(new Range(this.table, from, ""), transfer).flatMap((page) -> {
 			collected.addAll(page.rows());
 			long version = firstVersion.orElse(page.version());
 			if (!StoreVersion.sameGeneration(version, page.version())) {
@@ -231,17 +277,14 @@
 				return Mono.just(new Page(collected, false, version, page.generation()));
 			}
 			// The smallest key after the last one.
-			return readPages(page.rows().getLast().key() + '\0', collected, OptionalLong.of(version));
+			return readPages(page.rows().getLast().key() + '\0', collected, OptionalLong.of(version), transfer);
 		});
 	}
 
-	private void execute(Sent sent, Mono<Page> response) {
-		Disposable.Swap handle = Disposables.swap();
-		synchronized (this) {
-			this.outstanding.put(sent, handle);
-		}
-		handle.update(
-				response.subscribe((page) -> responseReceived(sent, page), (failure) -> handleFailure(sent, failure)));
+	private void execute(Sent sent, Function<Transfer, Mono<Page>> query) {
+		TableFetches.Fetch fetch = this.fetches.begin(sent);
+		fetch.call.update(query.apply(fetch)
+			.subscribe((page) -> responseReceived(sent, page), (failure) -> handleFailure(sent, failure)));
 	}
 
 	// A response with rows may name the version of the last row and not of the store.
@@ -253,10 +296,14 @@
 	}
 
 	private synchronized void handleResponse(Sent sent, Page page) {
-		this.outstanding.remove(sent);
+		Optional<TableFetches.Fetch> fetch = this.fetches.end(sent);
 		if (this.closed) {
 			return;
 		}
+		long nowNanos = System.nanoTime();
+		fetch.filter((_) -> !page.rows().isEmpty())
+			.ifPresent((received) -> this.fetches.log(received, page.version(), page.rows().size(),
+					missingNanos(nowNanos), nowNanos));
 		Response result = this.follower.responseReceived(sent, page.version(), !page.rows().isEmpty(),
 				System.nanoTime());
 		logRecovery(result.failuresBefore());
@@ -277,7 +324,7 @@
 		EventLog.warn(GatewayEvents.FEED_LOST, "table", this.table, "since",
 				StoreVersion.format(this.replica.version()), "waitedMillis",
 				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - feed.sentNanos()));
-		Optional.ofNullable(this.outstanding.remove(feed)).ifPresent(Disposable::dispose);
+		this.fetches.abandon(feed);
 	}
 
 	private void logRecovery(int failures) {
@@ -298,7 +345,7 @@
 	}
 
 	private synchronized Optional<Sent> recordFailure(Sent sent, Throwable failure) {
-		this.outstanding.remove(sent);
+		this.fetches.end(sent);
 		if (this.closed) {
 			return Optional.empty();
 		}
@@ -344,6 +391,7 @@
 
 	private void apply(List<Row> rows, long version) {
 		List<Row> update = this.replica.apply(rows, version);
+		forgetMissing();
 		if (!update.isEmpty()) {
 			this.listener.rowsChanged(update, version);
 		}
@@ -354,6 +402,7 @@
 	private boolean replace(List<Row> rows, long version) {
 		boolean replaced = this.replica.replace(rows, version);
 		if (replaced) {
+			forgetMissing();
 			this.listener.tableRead(rows, version);
 		}
 		return replaced;
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/RowStore.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/ports/RowStore.java
@@ -49,6 +49,45 @@
 	 */
 	Mono<Page> changes(String table, long since, Duration wait);
 
+	/**
+	 * Reads rows as {@link #read(Range)} does, and tells how the response arrives.
+	 * @param range the rows to read
+	 * @param transfer observes the response
+	 * @return the rows; fails with a {@link StoreException}
+	 */
+	default Mono<Page> read(Range range, Transfer transfer) {
+		return read(range);
+	}
+
+	/**
+	 * Waits for changes as {@link #changes(String, long, Duration)} does, and tells how
+	 * the response arrives.
+	 * @param table the table
+	 * @param since the version after which changes are returned
+	 * @param wait the maximum time to wait
+	 * @param transfer observes the response
+	 * @return the changes in order; fails with a {@link StoreException}
+	 */
+	default Mono<Page> changes(String table, long since, Duration wait, Transfer transfer) {
+		return changes(table, since, wait);
+	}
+
+	/** Observes how a response arrives. Called on the I/O thread; must not block. */
+	@FunctionalInterface
+	interface Transfer {
+
+		/** Observes nothing. */
+		Transfer UNOBSERVED = (_) -> {
+		};
+
+		/**
+		 * Called for each part of a response.
+		 * @param bytes the length of the part in bytes, as sent
+		 */
+		void received(int bytes);
+
+	}
+
 	/**
 	 * A row.
 	 *
