--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -42,8 +42,8 @@
 	 */
 	private static final long OWN_CHANGE_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-	/** The age of a confirmation, or of a report, from which on it is logged. */
-	private static final long OVERDUE_NANOS = TimeUnit.SECONDS.toNanos(2);
+	/** How many times the longest limit of a table's age it may have before that is logged. */
+	private static final int OVERDUE_FACTOR = 2;
 
 	private static final long OVERDUE_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -59,6 +59,12 @@
 
 	private final TableFollower follower;
 
+	/**
+	 * The age of a confirmation, or of a report, from which on it is logged, in
+	 * nanoseconds.
+	 */
+	private final long overdueNanos;
+
 	/** The outstanding requests to the store. */
 	private final TableFetches fetches;
 
@@ -92,6 +98,7 @@
 		this.replica = replica;
 		this.peers = peers;
 		this.listener = listener;
+		this.overdueNanos = OVERDUE_FACTOR * limits.restingNanos();
 		this.follower = TableFollower.of(replica.freshness(), limits, () -> ThreadLocalRandom.current().nextDouble());
 	}
 
@@ -132,8 +139,8 @@
 
 	private void logOverdue(long nowNanos) {
 		OptionalLong age = this.replica.freshness().ageNanos(nowNanos);
-		boolean unconfirmed = age.isPresent() && age.getAsLong() >= OVERDUE_NANOS;
-		boolean missing = missingNanos(nowNanos).filter((nanos) -> nanos >= OVERDUE_NANOS).isPresent();
+		boolean unconfirmed = age.isPresent() && age.getAsLong() >= this.overdueNanos;
+		boolean missing = missingNanos(nowNanos).filter((nanos) -> nanos >= this.overdueNanos).isPresent();
 		if ((unconfirmed || missing) && nowNanos - this.lastOverdueLogNanos >= OVERDUE_LOG_INTERVAL_NANOS) {
 			this.lastOverdueLogNanos = nowNanos;
 			EventLog.warn(GatewayEvents.TABLE_OVERDUE, "table", this.table, "version",
