--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleet.java
@@ -46,6 +46,11 @@
 
 	private final FreshnessLimits limits;
 
+	/** The length of a response with rows; 0 for one that takes no time to send. */
+	private long responseBytes;
+
+	private long bytesPerSecond = Long.MAX_VALUE;
+
 	double loss = 0.01;
 
 	private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -65,6 +70,19 @@
 		});
 	}
 
+	/**
+	 * Makes all responses with rows long, as those with the one row of a large
+	 * configuration are, and the links of the gateways narrow. No report holds such a
+	 * row.
+	 * @param bytes the length of a response with rows
+	 * @param linkBytesPerSecond the capacity of each link in each direction
+	 */
+	void sendLongResponses(long bytes, long linkBytesPerSecond) {
+		this.responseBytes = bytes;
+		this.bytesPerSecond = linkBytesPerSecond;
+		this.gateways.forEach(Gateway::connect);
+	}
+
 	long now() {
 		return this.now;
 	}
@@ -157,6 +175,13 @@
 
 		long pausedUntil;
 
+		private SimulatedLink incoming;
+
+		private SimulatedLink outgoing;
+
+		/** The bytes of responses with rows that it received. */
+		long receivedBytes;
+
 		/** Whether its reports reach no other gateway. */
 		boolean sendsNoReports;
 
@@ -168,6 +193,11 @@
 			this.fleet = new Fleet(index + 1);
 		}
 
+		private void connect() {
+			this.incoming = new SimulatedLink(SimulatedFleet.this.bytesPerSecond);
+			this.outgoing = new SimulatedLink(SimulatedFleet.this.bytesPerSecond);
+		}
+
 		private String name() {
 			return "gateway-" + this.index;
 		}
@@ -210,13 +240,29 @@
 			}
 			long transitNanos = transitNanos(3);
 			at(transitNanos, () -> SimulatedFleet.this.store.query(this.index, sent, SimulatedFleet.this.now,
-					(response) -> at(transitNanos(3), () -> processResponse(sent, response))));
+					(response) -> at(transitNanos(3), () -> receive(sent, response))));
 			boolean feed = sent.query() instanceof TableQuery.Feed;
 			at(RESPONSE_TIMEOUT_NANOS + (feed ? TimeUnit.SECONDS.toNanos(20) : 0),
 					() -> SimulatedFleet.this.store.unanswered(sent)
 						.ifPresent((response) -> processResponse(sent, response)));
 		}
 
+		private void receive(Sent sent, SimulatedStore.Response response) {
+			boolean isLong = SimulatedFleet.this.responseBytes > 0
+					&& response instanceof SimulatedStore.Response.Rows rows && !rows.changes().isEmpty();
+			if (isLong) {
+				SimulatedLink.send(SimulatedFleet.this, List.of(this.incoming), SimulatedFleet.this.responseBytes,
+						this::countBytes, () -> processResponse(sent, response));
+			}
+			else {
+				processResponse(sent, response);
+			}
+		}
+
+		private void countBytes(long bytes) {
+			this.receivedBytes += bytes;
+		}
+
 		private void processResponse(Sent sent, SimulatedStore.Response response) {
 			if (this.killed) {
 				return;
@@ -268,7 +314,17 @@
 			if (responds) {
 				List<Integer> changes = other.receivedChanges.stream().boxed().toList();
 				long upTo = other.version;
-				at(transitNanos(10), () -> applyTable(changes, upTo));
+				at(transitNanos(10), () -> receiveTable(other, changes, upTo));
+			}
+		}
+
+		private void receiveTable(Gateway other, List<Integer> changes, long upTo) {
+			if (SimulatedFleet.this.responseBytes > 0) {
+				SimulatedLink.send(SimulatedFleet.this, List.of(this.incoming, other.outgoing),
+						SimulatedFleet.this.responseBytes, this::countBytes, () -> applyTable(changes, upTo));
+			}
+			else {
+				applyTable(changes, upTo);
 			}
 		}
 
@@ -319,7 +375,7 @@
 				.filter((change) -> SimulatedFleet.this.store.versionOf(change) > since)
 				.boxed()
 				.toList();
-			boolean omitted = changes.size() > MAX_CHANGES_PER_REPORT;
+			boolean omitted = changes.size() > ((SimulatedFleet.this.responseBytes > 0) ? 0 : MAX_CHANGES_PER_REPORT);
 			return new TableUpdate(this.version, since, omitted ? List.of() : changes, omitted,
 					this.follower.ownAgeNanos(SimulatedFleet.this.now).orElse(-1));
 		}
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleetTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleetTests.java
@@ -23,6 +23,12 @@
 	/** By then the gateways know one another, and a few read for all. */
 	private static final long SETTLED_NANOS = 5 * SECOND;
 
+	private static final long CONFIGURATION_BYTES = 500_000;
+
+	private static final long LINK_BYTES_PER_SECOND = 1_250_000;
+
+	private static final int CHANGES = 12;
+
 	// Guards against a local copy that is out of date and does not appear so: each
 	// fault hides changes from the gateways that wait for them, while all other
 	// connections work.
@@ -60,6 +66,29 @@
 		assertThat(worst).as("worst milliseconds at %d gateways, %d queries", count, queries).isLessThan(1_000);
 	}
 
+	// Guards against queries that are sent again while their responses arrive: all of
+	// them
+	// are on the same link and make one another late.
+	@ParameterizedTest
+	@CsvSource({ "9, 2000", "9, 330", "72, 2000", "72, 330" })
+	void shouldReceiveLongResponsesInTimeWhenLinksAreNarrow(int count, long intervalMillis) {
+		SimulatedFleet fleet = new SimulatedFleet(count, 2_000, 1);
+		fleet.sendLongResponses(CONFIGURATION_BYTES, LINK_BYTES_PER_SECOND);
+		fleet.run(SETTLED_NANOS);
+		long before = fleet.gateways.stream().mapToLong((gateway) -> gateway.receivedBytes).sum();
+		for (int change = 0; change < CHANGES; change++) {
+			fleet.at(change * intervalMillis * SimulatedFleet.MILLI, fleet::change);
+		}
+		fleet.run(SETTLED_NANOS + CHANGES * intervalMillis * SimulatedFleet.MILLI + 5 * SECOND);
+		long worst = fleet.gateways.stream().mapToLong(fleet::worstMillis).max().orElseThrow();
+		long received = fleet.gateways.stream().mapToLong((gateway) -> gateway.receivedBytes).sum() - before;
+		double copies = (double) received / CONFIGURATION_BYTES / count / CHANGES;
+		System.out.println(count + " gateways, a change each " + intervalMillis + " ms: known after " + worst + " ms, "
+				+ copies + " copies of a version a gateway");
+		assertThat(worst).isLessThan(2_000);
+		assertThat(copies).isLessThan(1.25);
+	}
+
 	// Guards against calls to the store by all gateways because one reader was late once.
 	@ParameterizedTest
 	@CsvSource({ "21, 1", "72, 1", "72, 2" })
