Send no query for a table while the response to one arrives

What callers saw: requests handled as an older configuration says, seconds behind its acknowledgement, and slow answers on the same links. Cause: a query that the store had not answered in full within 300 ms counted as unanswered and was sent again (a whole table after 600 ms), and 150 ms behind a report another gateway was asked as well, while the first response was still arriving. Where a response takes longer than that by its length, each further one makes all of them later, without end; a gateway that reads for others counted as not reading meanwhile, so that more gateways began to read.

Why it works: bytes that arrive are told from silence. While a response arrives, with no gap of 500 ms, nothing else is requested for the table; without a byte, at most three queries are outstanding, so that one dead connection still delays nothing. The first response with rows ends the others, whose connections are closed.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/TableFollower.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/TableFollower.java
@@ -1,10 +1,12 @@
 package org.rosemaryfront.tables;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 
@@ -87,6 +89,15 @@
 
 	private static final int MAX_DOUBLINGS = 6;
 
+	/**
+	 * The time without a further part after which a response no longer counts as
+	 * arriving, in nanoseconds.
+	 */
+	private static final long ARRIVAL_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	/** The maximum number of unanswered queries that the store answers immediately. */
+	private static final int MAX_UNANSWERED = 3;
+
 	private final Freshness freshness;
 
 	private final FreshnessLimits limits;
@@ -126,6 +137,12 @@
 	 */
 	private Optional<Long> unansweredSinceNanos = Optional.empty();
 
+	/** The queries that are answered immediately and wait for their responses. */
+	private final Set<Sent> unanswered = new LinkedHashSet<>();
+
+	/** When the last part of a response arrived that is not complete yet. */
+	private Optional<Long> arrivedNanos = Optional.empty();
+
 	/** The newest version reported by another gateway whose changes were missing here. */
 	private long reportedVersion;
 
@@ -153,6 +170,17 @@
 		return new TableFollower(freshness, limits, random);
 	}
 
+	/**
+	 * Records how far the outstanding responses have arrived. While one arrives, however
+	 * long it takes, no other query is sent: its response would share the link and make
+	 * both later.
+	 * @param atNanos when the last part of an incomplete response arrived, empty if there
+	 * is none
+	 */
+	public void arriving(Optional<Long> atNanos) {
+		this.arrivedNanos = atNanos;
+	}
+
 	/**
 	 * Returns the queries that are due.
 	 * @param newRole the role of this gateway
@@ -174,7 +202,7 @@
 	}
 
 	private void addWholeTableQuery(List<Sent> queries, long nowNanos) {
-		if (!isDue(this.nextWholeTableNanos, nowNanos)) {
+		if (!isDue(this.nextWholeTableNanos, nowNanos) || !mayQuery(nowNanos)) {
 			return;
 		}
 		if (this.gatewayQueriesLeft > 0) {
@@ -184,8 +212,7 @@
 		}
 		else {
 			this.nextWholeTableNanos = Optional.of(nowNanos + WHOLE_TABLE_RETRY_INTERVAL_NANOS);
-			queries.add(new Sent(new TableQuery.FullTable(), nowNanos));
-			recordUnanswered(nowNanos);
+			recordUnanswered(new Sent(new TableQuery.FullTable(), nowNanos), queries);
 		}
 	}
 
@@ -198,10 +225,9 @@
 
 	private void addCheck(List<Sent> queries, long nowNanos) {
 		boolean needed = this.reportedVersion > this.version || isConfirmationTooOld(nowNanos);
-		if (needed && isDue(this.nextCheckNanos, nowNanos)) {
+		if (needed && isDue(this.nextCheckNanos, nowNanos) && mayQuery(nowNanos)) {
 			this.nextCheckNanos = Optional.of(nowNanos + RETRY_INTERVAL_NANOS);
-			queries.add(new Sent(new TableQuery.Check(this.version), nowNanos));
-			recordUnanswered(nowNanos);
+			recordUnanswered(new Sent(new TableQuery.Check(this.version), nowNanos), queries);
 		}
 	}
 
@@ -209,7 +235,7 @@
 	private void addGatewayQuery(List<Sent> queries, long nowNanos) {
 		boolean missing = this.reportedVersion > this.version
 				&& (this.unansweredSinceNanos.isPresent() || this.failures > 0);
-		if (missing && isDue(this.nextGatewayNanos, nowNanos)) {
+		if (missing && isDue(this.nextGatewayNanos, nowNanos) && !isArriving(nowNanos)) {
 			this.nextGatewayNanos = Optional.of(nowNanos + RETRY_INTERVAL_NANOS);
 			queries.add(new Sent(new TableQuery.FromGateway(this.version), nowNanos));
 		}
@@ -227,7 +253,9 @@
 	public Response responseReceived(Sent sent, long storeVersion, boolean rows, long nowNanos) {
 		int failuresBefore = this.failures;
 		this.failures = 0;
+		this.arrivedNanos = Optional.empty();
 		if (!(sent.query() instanceof TableQuery.Feed)) {
+			this.unanswered.remove(sent);
 			this.unansweredSinceNanos = Optional.empty();
 		}
 		Optional<Sent> lost = Optional.empty();
@@ -256,7 +284,23 @@
 			case TableQuery.FromGateway _ ->
 				throw new IllegalArgumentException("no response of the store answers a query to a gateway");
 		}
-		return new Response(failuresBefore, lost, outdated, unreported);
+		return new Response(failuresBefore, lost, (rows && !outdated) ? superseded(sent) : List.of(), outdated,
+				unreported);
+	}
+
+	// What they would bring has arrived, and what came later is requested anew. Only a
+	// whole table replaces a whole table.
+	private List<Sent> superseded(Sent sent) {
+		boolean whole = sent.query() instanceof TableQuery.FullTable;
+		List<Sent> others = this.unanswered.stream()
+			.filter((other) -> whole || other.query() instanceof TableQuery.Check)
+			.toList();
+		others.forEach(this.unanswered::remove);
+		if (this.unanswered.isEmpty()) {
+			this.unansweredSinceNanos = Optional.empty();
+			this.nextCheckNanos = Optional.empty();
+		}
+		return others;
 	}
 
 	/**
@@ -288,6 +332,8 @@
 		long backoff = jittered(historyLost ? INITIAL_BACKOFF_NANOS / 4
 				: Math.min(MAX_BACKOFF_NANOS, INITIAL_BACKOFF_NANOS << Math.min(this.failures, MAX_DOUBLINGS)));
 		Optional<Long> next = Optional.of(nowNanos + backoff);
+		this.arrivedNanos = Optional.empty();
+		this.unanswered.remove(sent);
 		if (sent.query() instanceof TableQuery.Feed) {
 			boolean current = this.feed.equals(Optional.of(sent));
 			endFeed(sent, nowNanos);
@@ -356,6 +402,7 @@
 		this.feed = Optional.empty();
 		this.nextFeedNanos = Optional.empty();
 		this.nextCheckNanos = Optional.empty();
+		this.unanswered.clear();
 		this.unansweredSinceNanos = Optional.empty();
 	}
 
@@ -406,13 +453,24 @@
 		return ownTooOld || !this.freshness.isWithin(this.limits.forRole(this.role, this.spreadPosition), nowNanos);
 	}
 
+	private boolean isArriving(long nowNanos) {
+		return this.arrivedNanos.filter((at) -> nowNanos - at < ARRIVAL_GAP_NANOS).isPresent();
+	}
+
+	private boolean mayQuery(long nowNanos) {
+		return !isArriving(nowNanos) && this.unanswered.size() < MAX_UNANSWERED;
+	}
+
 	private boolean isUnanswered(long nowNanos) {
-		return this.unansweredSinceNanos.filter((since) -> nowNanos - since >= RETRY_INTERVAL_NANOS).isPresent();
+		return !isArriving(nowNanos)
+				&& this.unansweredSinceNanos.filter((since) -> nowNanos - since >= RETRY_INTERVAL_NANOS).isPresent();
 	}
 
-	private void recordUnanswered(long nowNanos) {
+	private void recordUnanswered(Sent sent, List<Sent> queries) {
+		queries.add(sent);
+		this.unanswered.add(sent);
 		if (this.unansweredSinceNanos.isEmpty()) {
-			this.unansweredSinceNanos = Optional.of(nowNanos);
+			this.unansweredSinceNanos = Optional.of(sent.sentNanos());
 		}
 	}
 
@@ -457,10 +515,18 @@
 	 * @param failuresBefore the number of consecutive failures before it
 	 * @param lostFeed the query for changes that should have been answered before it, and
 	 * whose response is no longer awaited
+	 * @param superseded other queries whose responses are no longer awaited, since this
+	 * one brought what they would
 	 * @param outdated whether it is older than the local copy, and confirms nothing
 	 * @param unreported whether its rows hold changes that no other gateway reported
 	 */
-	public record Response(int failuresBefore, Optional<Sent> lostFeed, boolean outdated, boolean unreported) {
+	public record Response(int failuresBefore, Optional<Sent> lostFeed, List<Sent> superseded, boolean outdated,
+			boolean unreported) {
+
+		public Response {
+			superseded = List.copyOf(superseded);
+		}
+
 	}
 
 }
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleet.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/tables/SimulatedFleet.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -179,6 +181,12 @@
 
 		private SimulatedLink outgoing;
 
+		/** The responses that arrive. */
+		private final Map<Sent, SimulatedLink.Transfer> transfers = new HashMap<>();
+
+		/** When the last part of a response arrived. */
+		private Optional<Long> arrivedNanos = Optional.empty();
+
 		/** The bytes of responses with rows that it received. */
 		long receivedBytes;
 
@@ -221,6 +229,7 @@
 			this.receivedReports.clear();
 			this.fleet.timedOut(SimulatedFleet.this.now);
 			this.role = this.fleet.role(name(), SimulatedFleet.this.now);
+			this.follower.arriving(this.arrivedNanos);
 			this.follower.tick(this.role, SimulatedFleet.this.now).forEach(this::send);
 			boolean reports = this.reportsUntilNanos > SimulatedFleet.this.now
 					|| this.follower.isReading(SimulatedFleet.this.now);
@@ -251,15 +260,21 @@
 			boolean isLong = SimulatedFleet.this.responseBytes > 0
 					&& response instanceof SimulatedStore.Response.Rows rows && !rows.changes().isEmpty();
 			if (isLong) {
-				SimulatedLink.send(SimulatedFleet.this, List.of(this.incoming), SimulatedFleet.this.responseBytes,
-						this::countBytes, () -> processResponse(sent, response));
+				this.transfers.put(sent, SimulatedLink.send(SimulatedFleet.this, List.of(this.incoming),
+						SimulatedFleet.this.responseBytes, this::countBytes, () -> processResponse(sent, response)));
 			}
 			else {
 				processResponse(sent, response);
 			}
 		}
 
+		private void endTransfer(Sent sent) {
+			Optional.ofNullable(this.transfers.remove(sent)).ifPresent(SimulatedLink.Transfer::cancel);
+			this.arrivedNanos = this.transfers.isEmpty() ? Optional.empty() : this.arrivedNanos;
+		}
+
 		private void countBytes(long bytes) {
+			this.arrivedNanos = Optional.of(SimulatedFleet.this.now);
 			this.receivedBytes += bytes;
 		}
 
@@ -274,9 +289,12 @@
 			SimulatedStore.Response current = current(response);
 			switch (current) {
 				case SimulatedStore.Response.Rows rows -> {
-					boolean unreported = this.follower
-						.responseReceived(sent, rows.version(), !rows.changes().isEmpty(), SimulatedFleet.this.now)
-						.unreported();
+					TableFollower.Response result = this.follower.responseReceived(sent, rows.version(),
+							!rows.changes().isEmpty(), SimulatedFleet.this.now);
+					endTransfer(sent);
+					result.lostFeed().ifPresent(this::endTransfer);
+					result.superseded().forEach(this::endTransfer);
+					boolean unreported = result.unreported();
 					this.reportsUntilNanos = unreported ? SimulatedFleet.this.now + UNREPORTED_CHANGES_PERIOD_NANOS
 							: this.reportsUntilNanos;
 					applyChanges(rows.changes(), rows.version());
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableFetches.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableFetches.java
@@ -1,5 +1,6 @@
 package org.rosemaryfront.gateway;
 
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -55,6 +56,18 @@
 		end(sent).ifPresent((fetch) -> fetch.call.dispose());
 	}
 
+	/**
+	 * Returns how far the outstanding responses have arrived.
+	 * @return when the last part of one of them arrived, on the monotonic clock; empty if
+	 * nothing of them has
+	 */
+	Optional<Long> arrivedNanos() {
+		return this.outstanding.values()
+			.stream()
+			.flatMap((fetch) -> fetch.arrivedNanos.stream())
+			.max(Comparator.naturalOrder());
+	}
+
 	/**
 	 * Describes the outstanding queries for a log.
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
@@ -110,14 +123,19 @@
 		/** The time from the query to the first part of its response. */
 		private volatile Optional<Long> firstByteNanos = Optional.empty();
 
+		/** When the last part of its response arrived. */
+		private volatile Optional<Long> arrivedNanos = Optional.empty();
+
 		private Fetch(Sent sent) {
 			this.sent = sent;
 		}
 
 		@Override
 		public void received(int count) {
+			long nowNanos = System.nanoTime();
+			this.arrivedNanos = Optional.of(nowNanos);
 			if (this.bytes.getAndAdd(count) == 0) {
-				this.firstByteNanos = Optional.of(System.nanoTime() - this.sent.sentNanos());
+				this.firstByteNanos = Optional.of(nowNanos - this.sent.sentNanos());
 			}
 		}
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -134,6 +134,7 @@
 
 	private synchronized List<Sent> dueQueries(Role role, long nowNanos) {
 		logOverdue(nowNanos);
+		this.follower.arriving(this.fetches.arrivedNanos());
 		return this.closed ? List.of() : this.follower.tick(role, nowNanos);
 	}
 
@@ -217,6 +218,7 @@
 	 * confirmed
 	 */
 	synchronized boolean isReading(long nowNanos) {
+		this.follower.arriving(this.fetches.arrivedNanos());
 		return this.follower.isReading(nowNanos);
 	}
 
@@ -316,6 +318,7 @@
 		logRecovery(result.failuresBefore());
 		logOutdated(result.outdated(), page.version());
 		result.lostFeed().ifPresent(this::abandonFeed);
+		result.superseded().forEach(this.fetches::abandon);
 		if (result.unreported()) {
 			this.ownChangeNanos = OptionalLong.of(System.nanoTime());
 		}
