--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -42,7 +42,10 @@
 	 */
 	private static final long OWN_CHANGE_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-	/** How many times the longest limit of a table's age it may have before that is logged. */
+	/**
+	 * How many times the longest limit of a table's age it may have before that is
+	 * logged.
+	 */
 	private static final int OVERDUE_FACTOR = 2;
 
 	private static final long OVERDUE_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
