--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/EarlyAnswerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/EarlyAnswerTests.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -27,6 +28,8 @@
 
 	private static final int ROUNDS = 10;
 
+	private static final int SHORT_ROUNDS = Integer.getInteger("early.rounds", 5);
+
 	/** Together more than all buffers on the way to a server hold. */
 	private static final int CHUNKS = 1_000;
 
@@ -73,6 +76,30 @@
 			.flatMap((end) -> Stream.of(Pace.values()).map((pace) -> Arguments.of(end, pace)));
 	}
 
+	// Guards against a part of an answer that callers are given as the whole one, since
+	// its
+	// server ended the connection just as the last bytes of the request came.
+	@ParameterizedTest
+	@MethodSource("shortUploads")
+	void shouldEndAnswerAsCompleteOnlyWhenCallerHasSentItsWholeRequest(End end, int chunks) throws Exception {
+		try (ScriptedServer _ = startServer((_, exchange) -> end.answer(exchange))) {
+			int whole = 0;
+			for (int i = 0; i < SHORT_ROUNDS; i++) {
+				AtomicBoolean sent = new AtomicBoolean();
+				Response response = upload(this.gateway, "/drafts/", Pace.SLOW, chunks, sent);
+				boolean complete = response.status() == 200 && response.complete();
+				assertThat(complete && !sent.get()).as("round %s: %s", i, response).isFalse();
+				whole += complete ? 1 : 0;
+			}
+			System.out.println(end + ", " + chunks + " chunks: " + whole + " of " + SHORT_ROUNDS + " whole");
+		}
+	}
+
+	static Stream<Arguments> shortUploads() {
+		return Stream.of(End.values())
+			.flatMap((end) -> Stream.of(10, 15, 18, 20, 22, 25).map((chunks) -> Arguments.of(end, chunks)));
+	}
+
 	// Guards against an end that looks regular to the gateway that carries the call.
 	@ParameterizedTest
 	@MethodSource("endsAtPaces")
@@ -150,8 +177,13 @@
 	}
 
 	private static Response upload(GatewayHarness gateway, String path, Pace pace) throws Exception {
+		return upload(gateway, path, pace, CHUNKS, new AtomicBoolean());
+	}
+
+	private static Response upload(GatewayHarness gateway, String path, Pace pace, int chunks, AtomicBoolean sent)
+			throws Exception {
 		try (RawCaller caller = gateway.caller()) {
-			Thread uploading = Thread.ofVirtual().start(() -> write(caller, path, pace));
+			Thread uploading = Thread.ofVirtual().start(() -> write(caller, path, pace, chunks, sent));
 			Response response = read(caller);
 			caller.close();
 			uploading.join();
@@ -159,14 +191,18 @@
 		}
 	}
 
-	private static void write(RawCaller caller, String path, Pace pace) {
+	// The mark is set before the last bytes are sent, so that whoever does not find it
+	// knows
+	// that they were not.
+	private static void write(RawCaller caller, String path, Pace pace, int chunks, AtomicBoolean sent) {
 		try {
 			caller.send("POST " + path + " HTTP/1.1\r\nHost: a.example\r\nCall: c1"
 					+ "\r\nKey: key-1\r\nTransfer-Encoding: chunked\r\n\r\n");
-			for (int i = 0; i < CHUNKS; i++) {
+			for (int i = 0; i < chunks; i++) {
 				caller.send(CHUNK);
 				sleep(pace.pauseMillis);
 			}
+			sent.set(true);
 			caller.send("0\r\n\r\n");
 		}
 		catch (IOException ex) {
