Send the other gateways the difference of a large row of which little changed

What callers saw: with a large configuration on narrow links, calls came late while each gateway fetched each version whole. Cause: a report carries 700 bytes of rows at most, a configuration never fits, so that every gateway asked the store for every version: 370 KB each with 1,400 more routes, 0.3 s of a link of 10 Mbit/s on which nothing else arrives. Now a report that must leave a row out carries the difference to the version before it, with the checksum of the whole value. A gateway that has not that version, or whose result has another checksum (E2839), reads the row from the store as before. Gateways of the version before see the report as they did: rows left out.

The test failed before: the gateway that the store rejects did not have the row.

Ran: TableReplicaTests, ValueDeltaTests, TableWatchTests, SharedTablesTests, ReportFormsTests, RestoredStoreTests: green.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/ValueDelta.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/tables/ValueDelta.java
@@ -83,11 +83,14 @@
 		int offset = 0;
 		int at = 0;
 		while (at + BLOCK_BYTES <= after.length) {
-			Match match = index.longest(after, at, offset);
-			if (match.length == 0) {
+			Match longest = index.find(after, at, offset, LONG_MATCH_BYTES);
+			if (longest.length == 0) {
 				at += SEARCH_BYTES;
 				continue;
 			}
+			Match first = index.find(after, at, offset, BLOCK_BYTES);
+			int longestStart = startOfMatch(before, longest.from, after, longest.at, copied);
+			Match match = (first.at + first.length <= longestStart) ? first : longest;
 			int start = startOfMatch(before, match.from, after, match.at, copied);
 			offset = match.from - match.at;
 			at = match.at + match.length;
@@ -240,12 +243,13 @@
 		}
 
 		// Rows of one shape have short equal parts at many places, so that the first one
-		// found is often not the one that belongs there.
-		private Match longest(byte[] after, int from, int offset) {
+		// found is often not the one that belongs there. Ends with one that is long
+		// enough.
+		private Match find(byte[] after, int from, int offset, int enoughBytes) {
 			Match longest = new Match(from, 0, 0);
 			int last = Math.min(from + SEARCH_BYTES, after.length - BLOCK_BYTES + 1);
 			int hash = hash(after, from);
-			for (int at = from; at < last && longest.length < LONG_MATCH_BYTES; at++) {
+			for (int at = from; at < last && longest.length < enoughBytes; at++) {
 				hash = (at == from) ? hash : roll(hash, after, at);
 				longest = longest.longer(match(after, at, at + offset));
 				longest = longest.longer(match(after, at, this.positions[slot(hash, this.positions.length)]));
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayEvents.java
@@ -74,6 +74,12 @@
 	/** A row with a configuration was decoded. */
 	CONFIGURATION_READ(2838),
 
+	/**
+	 * The difference to the local copy of a large row that another gateway sent does not
+	 * lead to its value; the row is read whole.
+	 */
+	DIFFERENCE_UNUSABLE(2839),
+
 	/** The role of this gateway in reading the store's tables changed. */
 	TABLES_SHARED(2816),
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -140,10 +140,18 @@
 			.changesSince(since)
 			.map((changes) -> encode(changes, version))
 			.filter(SharedTables::fitsReport);
-		rows.ifPresentOrElse(update::addAllRows, () -> update.setOmitted(true));
+		rows.ifPresentOrElse(update::addAllRows,
+				() -> update.setOmitted(true).addAllChanges(differences(watch.replica(), since, version)));
 		return update.build();
 	}
 
+	private static List<TableRow> differences(TableReplica replica, long since, long version) {
+		return replica.differencesSince(since)
+			.map((changes) -> changes.stream().filter((change) -> change.getVersion() <= version).toList())
+			.filter(SharedTables::fitsReport)
+			.orElse(List.of());
+	}
+
 	private static int confirmationAgeMillis(TableWatch watch, long nowNanos) {
 		OptionalLong age = watch.ownAgeNanos(nowNanos);
 		return age.isPresent() ? (int) Math.clamp(TimeUnit.NANOSECONDS.toMillis(age.getAsLong()), 1, Integer.MAX_VALUE)
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableReplica.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableReplica.java
@@ -4,10 +4,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import com.google.protobuf.ByteString;
 
@@ -16,6 +19,7 @@
 import org.rosemaryfront.ports.RowStore.Row;
 import org.rosemaryfront.tables.Freshness;
 import org.rosemaryfront.tables.StoreVersion;
+import org.rosemaryfront.tables.ValueDelta;
 
 /** The local copy of a table's rows. Thread-safe. */
 final class TableReplica {
@@ -29,10 +33,13 @@
 	/** The number of recent changes that are retained. */
 	private static final int MAX_RECENT_CHANGES = 64;
 
+	/** The length of a value from which on differences are sent, in bytes. */
+	private static final int MIN_DIFFERENCE_BYTES = 512;
+
 	private final TreeMap<String, Row> rows = new TreeMap<>();
 
 	/** The most recent changes, oldest first. */
-	private final Deque<Row> recentChanges = new ArrayDeque<>();
+	private final Deque<Change> recentChanges = new ArrayDeque<>();
 
 	/** The version after which every change is retained. */
 	private long retainedSince;
@@ -96,11 +103,11 @@
 			.stream()
 			.filter((row) -> row.version() > this.version)
 			.sorted(Comparator.comparingLong(Row::version))
-			.forEach(this::retain);
+			.forEach((row) -> retain(row, Optional.ofNullable(previousRows.get(row.key()))));
 		previousRows.keySet()
 			.stream()
 			.filter((key) -> !this.rows.containsKey(key))
-			.forEach((key) -> retain(new Row(key, Optional.empty(), tableVersion)));
+			.forEach((key) -> retain(new Row(key, Optional.empty(), tableVersion), Optional.empty()));
 	}
 
 	private static boolean isChanged(Row row, TreeMap<String, Row> previousRows) {
@@ -123,32 +130,93 @@
 	}
 
 	private void put(Row row) {
+		Optional<Row> before = Optional.ofNullable(this.rows.get(row.key()));
 		if (row.value().isPresent()) {
 			this.rows.put(row.key(), row);
 		}
 		else {
 			this.rows.remove(row.key());
 		}
-		retain(row);
+		retain(row, before);
 	}
 
-	private void retain(Row row) {
-		this.recentChanges.addLast(row);
+	private void retain(Row row, Optional<Row> before) {
+		this.recentChanges.addLast(new Change(row, before.flatMap((earlier) -> difference(earlier, row))));
 		if (this.recentChanges.size() > MAX_RECENT_CHANGES) {
-			this.retainedSince = this.recentChanges.removeFirst().version();
+			this.retainedSince = this.recentChanges.removeFirst().row.version();
 		}
 	}
 
+	private static Optional<TableRow> difference(Row before, Row after) {
+		boolean large = after.value().filter((value) -> value.length > MIN_DIFFERENCE_BYTES).isPresent();
+		if (!large || before.value().isEmpty()) {
+			return Optional.empty();
+		}
+		byte[] value = after.value().get();
+		return Optional.of(TableRow.newBuilder()
+			.setKey(after.key())
+			.setVersion(after.version())
+			.setBase(before.version())
+			.setValue(ByteString.copyFrom(ValueDelta.between(before.value().get(), value)))
+			.setChecksum(ValueDelta.checksum(value))
+			.build());
+	}
+
 	/**
 	 * Returns the recent changes after a version.
 	 * @param since the version
 	 * @return the rows that changed after it, or empty if not all of them are retained
 	 */
 	synchronized Optional<List<Row>> changesSince(long since) {
-		if (since < this.retainedSince) {
-			return Optional.empty();
+		return retainedAfter(since).map((changes) -> changes.map(Change::row).toList());
+	}
+
+	/**
+	 * Returns the recent changes after a version, of large rows as differences.
+	 * @param since the version
+	 * @return the encoded changes, or empty if not all of them are retained
+	 */
+	synchronized Optional<List<TableRow>> differencesSince(long since) {
+		return retainedAfter(since)
+			.map((changes) -> changes.map((change) -> change.difference.orElseGet(() -> encode(change.row))).toList());
+	}
+
+	private Optional<Stream<Change>> retainedAfter(long since) {
+		return (since < this.retainedSince) ? Optional.empty()
+				: Optional.of(this.recentChanges.stream().filter((change) -> change.row.version() > since));
+	}
+
+	/**
+	 * Returns the rows that changes of another gateway lead to. Changes up to the version
+	 * of this copy are left out.
+	 * @param changes the changes in order, of large rows as differences
+	 * @return the whole rows, or empty if a difference is to a version that is not here
+	 * @throws IllegalArgumentException if a difference is invalid
+	 */
+	synchronized Optional<List<Row>> resolve(List<TableRow> changes) {
+		Map<String, Row> latest = new HashMap<>(this.rows);
+		List<Row> resolved = new ArrayList<>();
+		for (TableRow change : changes) {
+			if (change.getVersion() > this.version) {
+				Optional<Row> row = resolve(change, Optional.ofNullable(latest.get(change.getKey())));
+				if (row.isEmpty()) {
+					return Optional.empty();
+				}
+				latest.put(change.getKey(), row.get());
+				resolved.add(row.get());
+			}
 		}
-		return Optional.of(this.recentChanges.stream().filter((row) -> row.version() > since).toList());
+		return Optional.of(resolved);
+	}
+
+	private static Optional<Row> resolve(TableRow change, Optional<Row> before) {
+		if (change.getBase() == 0) {
+			return Optional.of(decode(change));
+		}
+		return before.filter((row) -> row.version() == change.getBase())
+			.flatMap(Row::value)
+			.map((value) -> ValueDelta.apply(value, change.getValue().toByteArray(), change.getChecksum()))
+			.map((value) -> new Row(change.getKey(), Optional.of(value), change.getVersion()));
 	}
 
 	synchronized long version() {
@@ -193,12 +261,22 @@
 	 * @return the rows
 	 */
 	static List<Row> decode(List<TableRow> messages) {
-		List<Row> rows = new ArrayList<>();
-		for (TableRow row : messages) {
-			Optional<byte[]> value = row.getRemoved() ? Optional.empty() : Optional.of(row.getValue().toByteArray());
-			rows.add(new Row(row.getKey(), value, row.getVersion()));
-		}
-		return rows;
+		return messages.stream().map(TableReplica::decode).toList();
+	}
+
+	private static Row decode(TableRow row) {
+		Optional<byte[]> value = row.getRemoved() ? Optional.empty() : Optional.of(row.getValue().toByteArray());
+		return new Row(row.getKey(), value, row.getVersion());
+	}
+
+	/**
+	 * A change of a row.
+	 *
+	 * @param row the row after it
+	 * @param difference the encoded difference to the row before it, empty if the row is
+	 * small or new
+	 */
+	private record Change(Row row, Optional<TableRow> difference) {
 	}
 
 }
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/TableWatch.java
@@ -170,8 +170,10 @@
 	 * @param nowNanos the current time on the monotonic clock, in nanoseconds
 	 */
 	synchronized void receive(TableNews update, InetSocketAddress tablesAddress, long nowNanos) {
-		boolean sameGeneration = StoreVersion.sameGeneration(update.getVersion(), this.replica.version());
-		boolean contiguous = !update.getOmitted() && sameGeneration && update.getSince() <= this.replica.version();
+		boolean follows = StoreVersion.sameGeneration(update.getVersion(), this.replica.version())
+				&& update.getSince() <= this.replica.version();
+		Optional<List<Row>> rows = follows ? rows(update) : Optional.empty();
+		boolean contiguous = rows.isPresent();
 		boolean complete = contiguous || update.getVersion() <= this.replica.version();
 		this.newerPeer = complete ? this.newerPeer : Optional.of(tablesAddress);
 		if (!complete) {
@@ -182,8 +184,24 @@
 		Optional<Long> confirmed = (update.getProvenMillis() == 0) ? Optional.empty()
 				: Optional.of(nowNanos - TimeUnit.MILLISECONDS.toNanos(update.getProvenMillis()));
 		this.follower.reportReceived(update.getVersion(), complete, confirmed, nowNanos);
-		if (contiguous) {
-			apply(TableReplica.decode(update.getRowsList()), update.getVersion());
+		rows.ifPresent((changed) -> apply(changed, update.getVersion()));
+	}
+
+	private Optional<List<Row>> rows(TableNews update) {
+		if (!update.getOmitted()) {
+			return Optional.of(TableReplica.decode(update.getRowsList()));
+		}
+		if (update.getChangesCount() == 0) {
+			return Optional.empty();
+		}
+		try {
+			return this.replica.resolve(update.getChangesList());
+		}
+		catch (IllegalArgumentException ex) {
+			EventLog.warn(GatewayEvents.DIFFERENCE_UNUSABLE, "table", this.table, "version",
+					StoreVersion.format(update.getVersion()), "since", StoreVersion.format(update.getSince()), "cause",
+					ex.getMessage());
+			return Optional.empty();
 		}
 	}
 
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableReplicaTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableReplicaTests.java
@@ -3,13 +3,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 
+import org.rosemaryfront.gateway.proto.TableRow;
 import org.rosemaryfront.ports.RowStore.Row;
 import org.rosemaryfront.tables.StoreVersion;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
 
 class TableReplicaTests {
 
@@ -92,6 +96,39 @@
 		assertThat(this.table.changesSince(14)).isEmpty();
 	}
 
+	@Test
+	void shouldResolveDifferencesWhenTheyFollowTheCopy() {
+		TableReplica copy = changedLargeRow();
+		List<TableRow> changes = this.table.differencesSince(10).orElseThrow();
+		assertThat(changes).extracting(TableRow::getBase).containsExactly(10L, 11L);
+		assertThat(changes).allMatch((change) -> change.getValue().size() < 100);
+		copy.apply(copy.resolve(changes).orElseThrow(), 12);
+		assertThat(copy.newerThan(0)).isEqualTo(this.table.newerThan(0));
+	}
+
+	// Guards against a value that nobody wrote, put together from a difference and
+	// another
+	// value than the sender's.
+	@Test
+	void shouldNotResolveDifferencesWhenOneIsMissingOrDamaged() {
+		TableReplica copy = changedLargeRow();
+		List<TableRow> changes = this.table.differencesSince(10).orElseThrow();
+		assertThat(copy.resolve(changes.subList(1, 2))).isEmpty();
+		TableRow damaged = changes.getFirst().toBuilder().setChecksum(1).build();
+		assertThatIllegalArgumentException().isThrownBy(() -> copy.resolve(List.of(damaged)));
+		assertThat(copy.version()).isEqualTo(10);
+	}
+
+	// Returns a copy of the table from before two changes.
+	private TableReplica changedLargeRow() {
+		TableReplica copy = GatewayHarness.table();
+		String value = IntStream.range(0, 1_000).mapToObj(Integer::toString).collect(Collectors.joining(","));
+		List.of(this.table, copy).forEach((each) -> each.replace(List.of(row(value, 10)), 10));
+		this.table.apply(List.of(row(value + "1", 11)), 11);
+		this.table.apply(List.of(row(value.replace("77,", "x,"), 12)), 12);
+		return copy;
+	}
+
 	private static Row row(String key, String value, long version) {
 		return new Row(key, Optional.of(value.getBytes(StandardCharsets.UTF_8)), version);
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableWatchTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/TableWatchTests.java
@@ -1,11 +1,14 @@
 package org.rosemaryfront.gateway;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import reactor.core.Disposable;
@@ -23,6 +26,10 @@
 
 class TableWatchTests {
 
+	private static final String LARGE_VALUE = IntStream.range(0, 2_000)
+		.mapToObj(Integer::toString)
+		.collect(Collectors.joining(","));
+
 	// Guards against missing a row that changes while later pages are read.
 	@Test
 	void shouldRequestChangesSinceFirstPageWhenThereAreSeveral() {
@@ -108,6 +115,38 @@
 		store.close();
 	}
 
+	// Guards against a large row that each gateway reads whole whenever a little of it
+	// changes: its link carries nothing else meanwhile.
+	@Test
+	void shouldSendDifferencesWhenLargeRowChangesLittle() {
+		MemoryRowStore store = new MemoryRowStore();
+		FaultInjectingStore access = new FaultInjectingStore(store);
+		TableReplica known = GatewayHarness.table();
+		TableReplica copy = GatewayHarness.table();
+		PeerTables peers = new PeerTables(LoopResources.create("test", 1, true), List::of);
+		store.put("op", "config", LARGE_VALUE);
+		try (SharedTables reader = new SharedTables(new StoreGenerations(store), peers);
+				SharedTables other = new SharedTables(new StoreGenerations(access), peers)) {
+			reader.role(Role.FIRST);
+			other.role(Role.RESTING);
+			reader.follow("op", known, FreshnessLimits.defaults(), new IgnoringListener());
+			other.follow("op", copy, FreshnessLimits.defaults(), new IgnoringListener());
+			GatewayHarness.await(() -> known.version() == 1 && copy.version() == 1);
+			reader.updates(System.nanoTime());
+			access.rejectAll();
+			Disposable ticking = Flux.interval(Duration.ofMillis(10)).subscribe((_) -> reader.tick(System.nanoTime()));
+			store.put("op", "config", LARGE_VALUE + "1");
+			GatewayHarness.await(() -> known.version() == 2);
+			store.put("op", "config", LARGE_VALUE.replace("100,", "x,"));
+			GatewayHarness.await(() -> known.version() == 3);
+			ticking.dispose();
+			other.receive(reader.updates(System.nanoTime()), new InetSocketAddress("127.0.0.1", 1), System.nanoTime());
+		}
+		assertThat(copy.newerThan(0)).isEqualTo(known.newerThan(0));
+		assertThat(copy.version()).isEqualTo(3);
+		store.close();
+	}
+
 	private static TableWatch watch(RowStore store, PeerTables peers) {
 		return TableWatch.of(store, "servers", GatewayHarness.table(), peers, FreshnessLimits.defaults(),
 				new IgnoringListener());
