Read the age of a confirmation before the version that it is sent with

A report took the version of the copy, then the age of its last confirmation, which waits for the watch's lock. A response that is handled in between confirms the copy with its rows; the report then said that the older version was current at that time, and receivers that had the older version took it for confirmed until the next report. The other way round the pair is at worst older than it need be.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/SharedTables.java
@@ -129,13 +129,15 @@
 	// Changes are sent several times because datagrams may be lost. A gateway that misses
 	// all of them reads the table from the store.
 	private TableNews update(TableWatch watch, long nowNanos) {
+		// Read before the version: a response may confirm and change the copy in between.
+		int confirmationAgeMillis = confirmationAgeMillis(watch, nowNanos);
 		long version = watch.replica().version();
 		long since = recordSentVersion(watch.table(), version);
 		TableNews.Builder update = TableNews.newBuilder()
 			.setTable(watch.table())
 			.setVersion(version)
 			.setSince(since)
-			.setProvenMillis(confirmationAgeMillis(watch, nowNanos));
+			.setProvenMillis(confirmationAgeMillis);
 		Optional<List<TableRow>> rows = watch.replica()
 			.changesSince(since)
 			.map((changes) -> encode(changes, version))
