Tell in the logs how late a gateway's threads are and how large its refused calls were

E2724 THREAD_DELAYS says it every five seconds in which callers called. E2705 names the size and the parts of each refused prompt, E2702 the time from a call's arrival to the choice. The lines for calls without a response of a server move into a class of their own, so that Call is smaller.

--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DispatchLog.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/DispatchLog.java
@@ -49,7 +49,8 @@
 				"passedOver", chosen.passedOver().orElse("none"), "serversVersion", serversVersion, "serversAgeMillis",
 				(nowNanos - serversUpdatedNanos) / NANOS_PER_MILLI, "serversProvenMillis",
 				serversConfirmedMillis(nowNanos), "serversProvenBy", this.servers.source(), "configuration",
-				configurationVersion, "remainingMillis", call.remainingMillis(nowNanos));
+				configurationVersion, "waitedMillis", (nowNanos - call.receivedNanos()) / NANOS_PER_MILLI,
+				"remainingMillis", call.remainingMillis(nowNanos));
 	}
 
 	private String serversConfirmedMillis(long nowNanos) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayProcess.java
@@ -215,7 +215,7 @@
 		this.peers = PeerExchange.open(io, settings.peers(), settings.name(), this.start, new PeerReceiver());
 		this.streams = new StreamOrigins(io, settings.name(), this.peers::send, this.metrics);
 		this.gateway = Gateway.open(io, new Gateway.Addresses(settings.callers(), settings.tunnels()), settings.zone(),
-				platform.calls(), this.decisions, this.streams, this.metrics);
+				platform.calls(), this.decisions, this.control::lagNanos, this.streams, this.metrics);
 		this.tables = new SharedTables(this.store, new PeerTables(loops, () -> this.tableAddresses));
 		this.directory = new GatewayDirectory(this.store, this.quotas, settings, this.peers, this.fleet, this.control,
 				this::gatewaysLoaded);
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/WarmUpGateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/WarmUpGateway.java
@@ -72,7 +72,7 @@
 		}, metrics);
 		InetSocketAddress loopback = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 		this.gateway = Gateway.open(io, new Gateway.Addresses(loopback, loopback), settings.zone(), codec, decisions,
-				streams, metrics);
+				this.control::lagNanos, streams, metrics);
 		InetSocketAddress server = WarmUpServer.open(io, codec).address();
 		CompletableFuture<Void> declared = new CompletableFuture<>();
 		this.control.post((now) -> {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Call.java
@@ -400,6 +400,7 @@
 			return;
 		}
 		EventLog.info(TrafficEvents.CALLER_LEFT, "request", id(), "state", this.state, "millis", ageMillis());
+		this.gateway.metrics().callerLeft();
 		finish();
 	}
 
@@ -722,12 +723,10 @@
 	}
 
 	private void logRefusal(int status, Refusal refusal, long retryAfterMillis) {
-		EventLog.info(TrafficEvents.CALL_REFUSED, "request", id(), "digest", digestText(), "route", this.route.name(),
-				"organisation", organisationName(), "status", status, "reason", refusal.cause(), "detail",
-				refusal.detail(), "retryAfterMillis", retryAfterMillis, "state", this.state, "server", serverId(),
-				"carrier", (this.state == State.SENT) ? carrierName() : "none", "serverSilentMillis",
-				this.server.map(this::silentMillis).orElse("none"), "targetMillis", this.route.targetMillis(), "millis",
-				ageMillis());
+		CallLog.refused(this, status, refusal, retryAfterMillis,
+				new CallLog.Attempt(this.state.toString(), serverId(),
+						(this.state == State.SENT) ? carrierName() : "none",
+						this.server.map(this::silentMillis).orElse("none")));
 		this.gateway.metrics().refused(this, status);
 	}
 
@@ -754,8 +753,7 @@
 	}
 
 	private void logGivenUp(int status, Refusal refusal) {
-		EventLog.info(TrafficEvents.CALL_ANSWERED, "request", id(), "route", this.route.name(), "status", status,
-				"reason", refusal.cause(), "detail", refusal.detail(), "sends", this.sendCount, "millis", ageMillis());
+		CallLog.givenUp(this, status, refusal);
 		this.gateway.metrics().answered(this, status);
 	}
 
@@ -807,10 +805,6 @@
 		return digest().map(RequestDigest::toString).orElse("none");
 	}
 
-	private String organisationName() {
-		return this.organisation.map(Organisation::name).orElse("none");
-	}
-
 	private String serverId() {
 		return this.server.map(BackendServer::id).orElse("none");
 	}
@@ -832,7 +826,7 @@
 	}
 
 	private long ageMillis() {
-		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.receivedNanos);
+		return CallLog.ageMillis(this);
 	}
 
 	/** The state of a call. */
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/CallerConnection.java
@@ -191,6 +191,7 @@
 			this.channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
 		String service = route.get().selectService(Math.random());
+		this.gateway.metrics().received();
 		this.call = Optional
 			.of(new Call(this.gateway, this, head, terms, route.get(), organisation, service, arrivedNanos));
 	}
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -72,8 +73,14 @@
 
 	private final OverloadDetector overload = OverloadDetector.startingAt(System.nanoTime());
 
+	private final ThreadDelays delays = ThreadDelays.startingAt(System.nanoTime());
+
+	/** Returns how far the control thread is behind, in nanoseconds. */
+	private final LongSupplier controlLagNanos;
+
 	private Gateway(EventLoop loop, Addresses addresses, String zone, CallCodec codec, CallPolicy policy,
-			StreamDirectory streams, TrafficMetrics metrics) {
+			LongSupplier controlLagNanos, StreamDirectory streams, TrafficMetrics metrics) {
+		this.controlLagNanos = controlLagNanos;
 		this.loop = loop;
 		this.codec = codec;
 		this.policy = policy;
@@ -94,17 +101,19 @@
 	 * @param zone the availability zone of this gateway
 	 * @param codec the codec for the headers of calls
 	 * @param policy the policy that decides about calls
+	 * @param controlLagNanos returns how far the thread that decides is behind, in
+	 * nanoseconds
 	 * @param streams finds the versions that began streams
 	 * @param metrics the metrics of calls
 	 * @return the running data path
 	 */
 	public static Gateway open(EventLoop loop, Addresses addresses, String zone, CallCodec codec, CallPolicy policy,
-			StreamDirectory streams, TrafficMetrics metrics) {
-		Gateway gateway = new Gateway(loop, addresses, zone, codec, policy, streams, metrics);
+			LongSupplier controlLagNanos, StreamDirectory streams, TrafficMetrics metrics) {
+		Gateway gateway = new Gateway(loop, addresses, zone, codec, policy, controlLagNanos, streams, metrics);
 		loop.scheduleWithFixedDelay(gateway::enforceCallerTimeouts, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
-		loop.scheduleWithFixedDelay(() -> gateway.overload.beat(System.nanoTime()),
-				OverloadDetector.BEAT_INTERVAL_MILLIS, OverloadDetector.BEAT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		loop.scheduleWithFixedDelay(gateway::beat, OverloadDetector.BEAT_INTERVAL_MILLIS,
+				OverloadDetector.BEAT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		metrics.gauge("callers.connections", gateway.callers::size);
 		metrics.gauge("bytes.held", gateway.held::countedBytes);
 		metrics.gauge("callers.turned.away", gateway.overload::turnedAwayCount);
@@ -271,6 +280,12 @@
 			.channel();
 	}
 
+	private void beat() {
+		long now = System.nanoTime();
+		this.delays.beat(this.overload.beat(now), this.controlLagNanos.getAsLong(), this.metrics.tally(), now)
+			.ifPresent(ThreadDelays.Summary::log);
+	}
+
 	private void accept(Channel channel) {
 		if (this.overload.isOverloaded()) {
 			this.overload.turnedAway();
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/OverloadDetector.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/OverloadDetector.java
@@ -37,8 +37,9 @@
 	/**
 	 * Records a run of the periodic task.
 	 * @param nowNanos the current time
+	 * @return how late it runs, in nanoseconds
 	 */
-	void beat(long nowNanos) {
+	long beat(long nowNanos) {
 		boolean before = isOverloaded();
 		long lateNanos = nowNanos - this.beatNanos - TimeUnit.MILLISECONDS.toNanos(BEAT_INTERVAL_MILLIS);
 		this.beatNanos = nowNanos;
@@ -47,6 +48,7 @@
 			EventLog.info(TrafficEvents.OVERLOAD_CHANGED, "overloaded", isOverloaded(), "lateMillis",
 					TimeUnit.NANOSECONDS.toMillis(lateNanos), "turnedAway", this.turnedAway);
 		}
+		return lateNanos;
 	}
 
 	/**
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficEvents.java
@@ -93,7 +93,13 @@
 	MEMORY_BOUND_REACHED(2722),
 
 	/** A call had to hold less, or was ended, because the memory bound was reached. */
-	CALL_RELEASED(2723);
+	CALL_RELEASED(2723),
+
+	/**
+	 * How late the threads of this gateway were since the last such event, and how the
+	 * calls that it received fared meanwhile.
+	 */
+	THREAD_DELAYS(2724);
 
 	private final int number;
 
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficMetrics.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/traffic/TrafficMetrics.java
@@ -13,6 +13,8 @@
 
 	private final MetricRegistry registry = new MetricRegistry();
 
+	private CallTally tally = CallTally.NONE;
+
 	/**
 	 * Returns the registry of all metrics.
 	 * @return the registry
@@ -38,6 +40,22 @@
 		this.registry.counter(name).inc();
 	}
 
+	/**
+	 * Returns the calls since the start, on the traffic thread.
+	 * @return the calls
+	 */
+	CallTally tally() {
+		return this.tally;
+	}
+
+	void received() {
+		this.tally = this.tally.plusReceived();
+	}
+
+	void callerLeft() {
+		this.tally = this.tally.plusLeft();
+	}
+
 	void answered(Call call, int status) {
 		increment("calls.answered." + status);
 		this.registry.histogram("calls.answer.millis." + call.route().kind()).update(millis(call));
@@ -49,7 +67,9 @@
 	void began(Call call) {
 		long millis = millis(call);
 		this.registry.histogram("calls.first.millis." + call.route().kind()).update(millis);
-		if (millis > call.route().targetMillis()) {
+		boolean late = millis > call.route().targetMillis();
+		this.tally = this.tally.plusBegun(late);
+		if (late) {
 			count(call, "late");
 		}
 	}
@@ -64,6 +84,7 @@
 	}
 
 	void refused(Call call, int status) {
+		this.tally = this.tally.plusRefused();
 		refused(status);
 		count(call, "refused");
 	}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendCheckTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendCheckTests.java
@@ -112,7 +112,7 @@
 		EventLoop loop = this.loops.onServer(false).next();
 		StreamOrigins streams = new StreamOrigins(loop, "gateway-1", (_, _) -> {
 		}, metrics);
-		return Gateway.open(loop, addresses, "a", new PlainCodecs(), this.policy, streams, metrics);
+		return Gateway.open(loop, addresses, "a", new PlainCodecs(), this.policy, () -> 0, streams, metrics);
 	}
 
 	/** Does with calls what a test tells. */
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendToLeavingServerTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/SendToLeavingServerTests.java
@@ -42,7 +42,7 @@
 			EventLoop loop = loops.onServer(false).next();
 			StreamOrigins streams = new StreamOrigins(loop, "gateway-1", (_, _) -> {
 			}, metrics);
-			try (Gateway _ = Gateway.open(loop, addresses, "a", new PlainCodecs(), policy, streams, metrics);
+			try (Gateway _ = Gateway.open(loop, addresses, "a", new PlainCodecs(), policy, () -> 0, streams, metrics);
 					RawCaller caller = new RawCaller(address)) {
 				assertThat(caller.send(RawCaller.get("c1", "/sheets/")).read().body()).isEqualTo("y");
 			}
