--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoad.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoad.java
@@ -54,12 +54,17 @@
 
 	private static final double GREEDY_FACTOR = 5;
 
-	private static final List<Kind> KINDS = List.of(new Kind(0.4, 700, 1_500, 800, 10_000),
+	/** Kinds of calls whose largest prompts are read well within their targets. */
+	static final List<Kind> SHORT_PROMPTS = List.of(new Kind(0.4, 700, 1_500, 800, 10_000),
 			new Kind(0.4, 1_500, 4_000, 1_500, 15_000), new Kind(0.2, 3_000, 9_000, 3_000, 20_000));
 
-	private static final double MEAN_TOKENS = KINDS.stream()
-		.mapToDouble((kind) -> kind.part * (kind.minTokens + kind.maxTokens) / 2)
-		.sum();
+	/** The last kind has prompts that take longer to read than its target. */
+	static final List<Kind> LONG_PROMPTS = List.of(new Kind(0.6, 700, 1_500, 800, 10_000),
+			new Kind(0.35, 1_500, 4_000, 1_500, 15_000), new Kind(0.05, 3_000, 50_000, 1_000, 15_000));
+
+	private final List<Kind> kinds;
+
+	private final double meanTokens;
 
 	private final Random random;
 
@@ -79,7 +84,9 @@
 
 	private int now;
 
-	private AdmissionLoad(int count, long seed, Rule rule, Faults faults) {
+	private AdmissionLoad(List<Kind> kinds, int count, long seed, Rule rule, Faults faults) {
+		this.kinds = kinds;
+		this.meanTokens = kinds.stream().mapToDouble((kind) -> kind.part * (kind.minTokens + kind.maxTokens) / 2).sum();
 		this.random = new Random(seed);
 		this.rule = rule;
 		this.faults = faults;
@@ -93,7 +100,11 @@
 	}
 
 	static AdmissionLoad run(int count, long seed, Rule rule, Faults faults, boolean bursting) {
-		AdmissionLoad load = new AdmissionLoad(count, seed, rule, faults);
+		return run(SHORT_PROMPTS, count, seed, rule, faults, bursting);
+	}
+
+	static AdmissionLoad run(List<Kind> kinds, int count, long seed, Rule rule, Faults faults, boolean bursting) {
+		AdmissionLoad load = new AdmissionLoad(kinds, count, seed, rule, faults);
 		load.bursting = bursting;
 		for (load.now = 0; load.now < END; load.now++) {
 			load.step();
@@ -111,7 +122,7 @@
 			}
 		}
 		double greedy = isBurst(this.now) ? GREEDY_FACTOR : 1;
-		double usualPerMilli = USUAL * SERVERS * TOKENS_PER_MILLI / MEAN_TOKENS;
+		double usualPerMilli = USUAL * SERVERS * TOKENS_PER_MILLI / this.meanTokens;
 		arrive(usualPerMilli * GREEDY_PART * greedy, true);
 		arrive(usualPerMilli * (1 - GREEDY_PART), false);
 		for (Server server : this.servers) {
@@ -136,7 +147,12 @@
 
 	private int kind() {
 		double draw = this.random.nextDouble();
-		return (draw < KINDS.get(0).part) ? 0 : (draw < KINDS.get(0).part + KINDS.get(1).part) ? 1 : 2;
+		int kind = 0;
+		for (double sum = this.kinds.get(0).part; draw >= sum && kind < this.kinds.size() - 1;) {
+			kind++;
+			sum += this.kinds.get(kind).part;
+		}
+		return kind;
 	}
 
 	// Callers are unequal: the first gateways have several times as many as the last.
@@ -147,7 +163,7 @@
 
 	private void ask(Request request) {
 		Gateway gateway = this.gateways[request.gateway];
-		Kind kind = KINDS.get(request.kind);
+		Kind kind = this.kinds.get(request.kind);
 		long age = this.now - request.at;
 		gateway.asked(request.organisation, request.tokens);
 		int best = gateway.best();
@@ -270,7 +286,7 @@
 
 	}
 
-	private record Kind(double part, int minTokens, int maxTokens, int targetMillis, int timeoutMillis) {
+	record Kind(double part, int minTokens, int maxTokens, int targetMillis, int timeoutMillis) {
 	}
 
 	private record Event(long at, Runnable action) {
@@ -306,16 +322,16 @@
 			this.kind = kind;
 			this.gateway = gateway;
 			this.at = at;
-			Kind known = KINDS.get(kind);
+			Kind known = AdmissionLoad.this.kinds.get(kind);
 			this.tokens = known.minTokens + AdmissionLoad.this.random.nextInt(known.maxTokens - known.minTokens);
 		}
 
 		boolean inTime() {
-			return this.firstTokenAt <= this.at + KINDS.get(this.kind).targetMillis;
+			return this.firstTokenAt <= this.at + AdmissionLoad.this.kinds.get(this.kind).targetMillis;
 		}
 
 		boolean isLarge() {
-			Kind known = KINDS.get(this.kind);
+			Kind known = AdmissionLoad.this.kinds.get(this.kind);
 			return this.tokens >= known.maxTokens - (known.maxTokens - known.minTokens) / 10;
 		}
 
@@ -390,7 +406,8 @@
 			this.phase = AdmissionLoad.this.random.nextInt(EXCHANGE_MILLIS);
 			this.heard = new Told[count];
 			this.heardAt = new int[count];
-			this.admission.urgentTargets(Map.of(SERVICE, new UrgentTarget(0, KINDS.get(0).targetMillis)));
+			this.admission
+				.urgentTargets(Map.of(SERVICE, new UrgentTarget(0, AdmissionLoad.this.kinds.get(0).targetMillis)));
 		}
 
 		private void asked(int organisation, double tokens) {
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoadTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoadTests.java
@@ -85,6 +85,23 @@
 		assertThat(served).isGreaterThan(0.1);
 	}
 
+	// Guards against refusing the largest prompts always, because their own time to first
+	// token exceeds the target at any server.
+	@ParameterizedTest
+	@CsvSource({ "0,false", "1,false", "2,false", "0,true", "1,true", "2,true" })
+	void shouldServeLargestPromptsWhenTheyTakeLongerThanTarget(int kind, boolean bursting) {
+		List<AdmissionLoad> loads = LongStream.rangeClosed(1, 4)
+			.mapToObj((seed) -> AdmissionLoad.run(AdmissionLoad.LONG_PROMPTS, 72, seed, COMMON_LIMITS, Faults.NONE,
+					bursting))
+			.toList();
+		double served = mean(loads, (request) -> request.kind == kind);
+		double large = mean(loads, (request) -> request.kind == kind && request.isLarge());
+		System.out.println(String.format(Locale.ROOT, "kind %d, burst %b: served %.3f, largest tenth %.3f", kind,
+				bursting, served, large));
+		assertThat(large).isGreaterThan(0.5 * served);
+		assertThat(served).isGreaterThan(0.1);
+	}
+
 	@Test
 	void shouldServeSameCallAlikeAtEachGatewayWhenCallersAreUnequal() {
 		List<AdmissionLoad> loads = LongStream.rangeClosed(1, 6)
