Serve prompts that take longer to read than the target

Callers saw: a call whose own prompt takes longer to read than the limit for late calls (its target times 0.8 to 1.8, by priority) was refused as late at every server, however idle, and again at each return until its time was over.

Cause: the limit compares the whole expected time to the first token, the own prompt included, with the target. What no waiting can change decided on whether a call waits.

Change: the limit of a call that is late at an idle server is its own time and a short wait, less what it has waited already, as long as it can be answered at all. While the mean wait is so long that others yield, half of these calls keep the limit of before, so that they do not take the room of calls that can be in time. It works because the part that is judged is the wait for others.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
@@ -55,6 +55,12 @@
 	/** The lowest places of each organisation and priority, which yield to no other. */
 	private static final double KEPT_FRACTION = 0.03;
 
+	/**
+	 * Of the calls that are late by their own prompts, the lowest places, which get room
+	 * like the others of their kind; the rest yields to calls that can be in time.
+	 */
+	private static final double KEPT_LATE_FRACTION = 0.5;
+
 	/** The part of the time left within which a refused caller returns. */
 	private static final double RETRY_FRACTION = 1 / 3.0;
 
@@ -118,14 +124,16 @@
 	/**
 	 * Decides on a call. A call without an organisation, or whose time to its first token
 	 * is all of its remaining time because it may have run, is refused only if it would
-	 * be late.
+	 * be late. A call whose own prompt makes it late is refused only if it would also
+	 * wait for others, or not be answered at all.
 	 * @param call the call
 	 * @param expected the expected times
 	 * @return the decision
 	 */
 	public AdmissionDecision decide(CallDemand call, ExpectedTime expected) {
-		double latest = call.targetMillis() * latenessFactor(call.priority());
-		Place place = place(call);
+		double draw = this.random.getAsDouble();
+		double latest = latestMillis(call, expected, draw);
+		Place place = place(call, draw);
 		if (expected.firstTokenMillis() > latest) {
 			return refused(call, latest, expected.firstTokenMillis() - latest, place, Reason.LATE);
 		}
@@ -136,14 +144,28 @@
 		return new Admitted(limit);
 	}
 
+	// A call that is late by its own prompt is late whenever it comes. It is sent where
+	// it hardly waits for others, if it can be answered at all.
+	private double latestMillis(CallDemand call, ExpectedTime expected, double draw) {
+		double factor = latenessFactor(call.priority());
+		double latest = call.targetMillis() * factor;
+		double shortWait = MIN_WAIT_FACTOR * urgentTarget(call).millis();
+		double unavoidable = expected.ownMillis() + shortWait - call.fullTargetMillis() * factor;
+		boolean yields = draw >= KEPT_LATE_FRACTION && expected.waitMillis() > shortWait;
+		return (unavoidable > 0 && !yields) ? Math.max(latest, Math.min(latest + unavoidable, call.remainingMillis()))
+				: latest;
+	}
+
+	private UrgentTarget urgentTarget(CallDemand call) {
+		return this.urgentTargets.getOrDefault(call.service(), new UrgentTarget(call.priority(), call.targetMillis()));
+	}
+
 	private static double latenessFactor(int priority) {
 		return Math.max(MIN_LATENESS_FACTOR, LATENESS_FACTOR - LATENESS_FACTOR_STEP * priority);
 	}
 
-	private Place place(CallDemand call) {
-		double draw = this.random.getAsDouble();
-		UrgentTarget urgent = this.urgentTargets.getOrDefault(call.service(),
-				new UrgentTarget(call.priority(), call.targetMillis()));
+	private Place place(CallDemand call, double draw) {
+		UrgentTarget urgent = urgentTarget(call);
 		int rank = Math.max(0, call.priority() - urgent.priority());
 		double place = draw * demandRatio(call.organisation()) * Math.pow(PRIORITY_FACTOR, rank - 1);
 		boolean yields = !call.organisation().isEmpty() && call.targetMillis() < call.remainingMillis()
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -226,7 +226,7 @@
 		CostEstimate chosen = placed.server();
 		long millis = (long) (chosen.waitMillis + chosen.ownMillis);
 		double meanWaitMillis = model.isKnown() ? meanWaitMillis(candidates) : 0;
-		ExpectedTime expected = new ExpectedTime(meanWaitMillis, millis);
+		ExpectedTime expected = new ExpectedTime(meanWaitMillis, millis, chosen.ownMillis);
 		if (this.admission.decide(requirements.demand(), expected) instanceof Refused refused) {
 			return new Choice.Full(available.size(), millis, Optional.of(refused));
 		}
@@ -391,9 +391,11 @@
 	 * @param priority its priority, 0 for the most urgent
 	 * @param organisation the organisation of the caller, empty if callers need no key
 	 * @param remainingMillis the time left until the call times out, in milliseconds
+	 * @param fullTargetMillis the time until the first token is due for a call that has
+	 * just arrived, in milliseconds
 	 */
 	public record CallRequirements(String service, PromptPrefix prefix, Optional<EngineSpec> engine, int ownTokens,
-			long targetMillis, int priority, String organisation, long remainingMillis) {
+			long targetMillis, int priority, String organisation, long remainingMillis, long fullTargetMillis) {
 
 		/**
 		 * Creates the requirements of a call without an organisation.
@@ -406,7 +408,7 @@
 		 */
 		public CallRequirements(String service, PromptPrefix prefix, Optional<EngineSpec> engine, int ownTokens,
 				long targetMillis, int priority) {
-			this(service, prefix, engine, ownTokens, targetMillis, priority, "", targetMillis);
+			this(service, prefix, engine, ownTokens, targetMillis, priority, "", targetMillis, targetMillis);
 		}
 
 		/**
@@ -426,7 +428,8 @@
 
 		private CallDemand demand() {
 			return new CallDemand(this.service, this.organisation, this.priority,
-					(long) this.ownTokens + this.prefix.tokens(), this.targetMillis, this.remainingMillis);
+					(long) this.ownTokens + this.prefix.tokens(), this.targetMillis, this.remainingMillis,
+					this.fullTargetMillis);
 		}
 
 		private double transferMillis(int tokens) {
--- a/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
+++ b/rosemaryfront-gateway/src/main/java/org/rosemaryfront/gateway/GatewayControl.java
@@ -402,8 +402,8 @@
 				call.metadata().prompt().map(Prompt::unsharedTokens).orElse(0),
 				CallRequirements.remainingMillis(call.route().targetMillis() - age, call.remainingMillis(nowNanos),
 						begun),
-				call.priority(), call.organisation().map(Organisation::name).orElse(""),
-				call.remainingMillis(nowNanos));
+				call.priority(), call.organisation().map(Organisation::name).orElse(""), call.remainingMillis(nowNanos),
+				call.route().targetMillis());
 	}
 
 	private Optional<EngineSpec> engine(String service) {
