Tell in the logs the mean wait for which a call is refused before others

A refusal named the first token at the best server, which is often far below the limit it names: what is compared with that is the mean wait at all servers.

--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
@@ -135,11 +135,11 @@
 		double latest = latestMillis(call, expected, draw);
 		Place place = place(call, draw);
 		if (expected.firstTokenMillis() > latest) {
-			return refused(call, latest, expected.firstTokenMillis() - latest, place, Reason.LATE);
+			return refused(call, expected, latest, expected.firstTokenMillis() - latest, place, Reason.LATE);
 		}
 		double limit = Math.min(latest, place.maxWaitMillis());
 		if (expected.waitMillis() > limit) {
-			return refused(call, limit, expected.waitMillis() - limit, place, place.reason());
+			return refused(call, expected, limit, expected.waitMillis() - limit, place, place.reason());
 		}
 		return new Admitted(limit);
 	}
@@ -201,13 +201,14 @@
 
 	// A caller returns when the wait has drained to its limit, the later the less urgent
 	// it is and the longer it can wait.
-	private Refused refused(CallDemand call, double limit, double drainMillis, Place place, Reason reason) {
+	private Refused refused(CallDemand call, ExpectedTime expected, double limit, double drainMillis, Place place,
+			Reason reason) {
 		double longest = Math.max(1, call.remainingMillis() * RETRY_FRACTION);
 		double earliest = Math.min(longest, Math.max(MIN_RETRY_MILLIS, drainMillis));
 		double square = place.position() * place.position();
 		double spread = (longest - earliest) * square / (1 + square);
 		this.refusals.merge(reason, 1L, Long::sum);
-		return new Refused(limit, (long) (earliest + spread), reason);
+		return new Refused(limit, (long) (earliest + spread), expected.waitMillis(), reason);
 	}
 
 	/**
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/AdmissionDecision.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/AdmissionDecision.java
@@ -19,9 +19,11 @@
 	 * been sent, in milliseconds
 	 * @param retryAfterMillis when there is likely to be room for it, in milliseconds
 	 * from now
+	 * @param waitMillis the mean wait at the servers that was expected, in milliseconds
 	 * @param reason why it is refused before others
 	 */
-	record Refused(double limitMillis, long retryAfterMillis, Reason reason) implements AdmissionDecision {
+	record Refused(double limitMillis, long retryAfterMillis, double waitMillis,
+			Reason reason) implements AdmissionDecision {
 	}
 
 	/** Why a call is refused before others. */
--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/dispatch/Dispatcher.java
@@ -505,7 +505,8 @@
 			public String describe() {
 				return this.servers + " servers have no room, first token after " + this.expectedMillis + " ms"
 						+ this.refused
-							.map((decision) -> ", limit " + (long) decision.limitMillis() + " ms, " + decision.reason())
+							.map((decision) -> ", limit " + (long) decision.limitMillis() + " ms, mean wait "
+									+ (long) decision.waitMillis() + " ms, " + decision.reason())
 							.orElse("");
 			}
 
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoad.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoad.java
@@ -170,7 +170,7 @@
 		double first = (best < 0) ? 0 : (gateway.backlog(best) + request.tokens) / TOKENS_PER_MILLI;
 		CallDemand demand = new CallDemand(SERVICE, name(request.organisation), request.kind, request.tokens,
 				Math.max(0, kind.targetMillis - age), kind.timeoutMillis - age, kind.targetMillis);
-		AdmissionDecision decision = (best < 0) ? new Refused(0, 250, AdmissionDecision.Reason.LATE)
+		AdmissionDecision decision = (best < 0) ? new Refused(0, 250, 0, AdmissionDecision.Reason.LATE)
 				: this.rule.decide(gateway.admission, demand,
 						new ExpectedTime(gateway.meanWaitMillis(), first, request.tokens / TOKENS_PER_MILLI),
 						this.random);
--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoadTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/admission/AdmissionLoadTests.java
@@ -123,7 +123,7 @@
 	private static AdmissionDecision alone(Admission admission, CallDemand call, ExpectedTime expected, Random random) {
 		double limit = call.targetMillis() * Math.max(0.8, 1.8 - 0.4 * call.priority());
 		return (expected.firstTokenMillis() <= limit) ? new Admitted(limit)
-				: new Refused(limit, 250 + random.nextInt(500), Reason.LATE);
+				: new Refused(limit, 250 + random.nextInt(500), expected.waitMillis(), Reason.LATE);
 	}
 
 	private static void print(String name, int gateways, long seed, AdmissionLoad load) {
