--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/OverloadTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/OverloadTests.java
@@ -14,6 +14,17 @@
 
 	private static final long TURN_MILLIS = 300;
 
+	/** How long a call keeps the thread of all sockets busy. */
+	private static final long SEND_MILLIS = 24;
+
+	private static final int CALLS = 300;
+
+	/**
+	 * The part of the calls, in percent, that the users' deployments want answered in
+	 * time.
+	 */
+	private static final int FLOOR_PERCENT = 45;
+
 	// Guards against callers that are served late by an overloaded gateway, although
 	// another one would serve them if their connections were closed unread.
 	@Test
@@ -48,6 +59,18 @@
 		}
 	}
 
+	// Guards against a gateway that takes more calls than it has processor time for, so
+	// that it answers hardly any of them in time.
+	@Test
+	void shouldAnswerWhatItCanInTimeWhenCallsNeedHalfMoreThanItsThread() throws Exception {
+		try (GatewayHarness gateway = GatewayHarness.startOne(new MemoryRowStore(), 1,
+				new PlainCodecs().withSendMillis(SEND_MILLIS));
+				ScriptedServer _ = gateway.startServer((request, exchange) -> exchange.ok(request, "x"))) {
+			Crowd crowd = Crowd.call(gateway, CALLS, 2 * SEND_MILLIS / 3);
+			assertThat(crowd.inTime()).as(crowd::toString).isGreaterThan(CALLS * FLOOR_PERCENT / 100);
+		}
+	}
+
 	// A connection that is closed unread brings no response.
 	private static boolean isTurnedAway(GatewayHarness gateway) {
 		try {
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/PlainCodecs.java
@@ -6,7 +6,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
@@ -44,15 +46,29 @@
 	/** What names the gateway to servers, empty for nothing. */
 	private final String sender;
 
+	/** How long sending a call keeps the thread of all sockets busy, in milliseconds. */
+	private final long sendMillis;
+
 	private PlainCodecs(Map<String, TrafficConfiguration> configurations, UnaryOperator<String> addresses,
-			String sender) {
+			String sender, long sendMillis) {
 		this.configurations = configurations;
 		this.addresses = addresses;
 		this.sender = sender;
+		this.sendMillis = sendMillis;
 	}
 
 	PlainCodecs() {
-		this(new ConcurrentHashMap<>(), UnaryOperator.identity(), "");
+		this(new ConcurrentHashMap<>(), UnaryOperator.identity(), "", 0);
+	}
+
+	/**
+	 * Returns codecs for a gateway that has little processor time for its calls.
+	 * @param millis how long sending a call keeps the thread of all sockets busy, in
+	 * milliseconds
+	 * @return the codecs
+	 */
+	PlainCodecs withSendMillis(long millis) {
+		return new PlainCodecs(this.configurations, this.addresses, this.sender, millis);
 	}
 
 	/**
@@ -61,7 +77,7 @@
 	 * @return the codecs
 	 */
 	PlainCodecs withSender(String name) {
-		return new PlainCodecs(this.configurations, this.addresses, name);
+		return new PlainCodecs(this.configurations, this.addresses, name, this.sendMillis);
 	}
 
 	/**
@@ -71,7 +87,7 @@
 	 * @return the codecs
 	 */
 	PlainCodecs withServersAt(UnaryOperator<String> translation) {
-		return new PlainCodecs(this.configurations, translation, this.sender);
+		return new PlainCodecs(this.configurations, translation, this.sender, this.sendMillis);
 	}
 
 	/**
@@ -115,6 +131,7 @@
 
 	@Override
 	public void toServerHeaders(HttpHeaders headers, ForwardingMetadata handover) {
+		LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(this.sendMillis));
 		headers.remove("Key");
 		headers.set("Remaining", handover.remainingMillis());
 		headers.set("Server", handover.serverId());
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
@@ -197,6 +197,18 @@
 			return this.head.isEmpty() ? 0 : Integer.parseInt(this.head.split(" ")[1]);
 		}
 
+		/**
+		 * Returns when the caller may return.
+		 * @return the time in milliseconds, 0 if the response does not say
+		 */
+		long retryAfterMillis() {
+			return this.head.lines()
+				.filter((line) -> line.toLowerCase(Locale.ROOT).startsWith("retry-after:"))
+				.mapToLong((line) -> Math.round(1_000 * Double.parseDouble(line.substring(12).trim())))
+				.findFirst()
+				.orElse(0);
+		}
+
 		boolean hasHeader(String header) {
 			return this.head.toLowerCase(Locale.ROOT).contains(header + ":");
 		}
