Report no lag of the control thread while nothing is posted

The lag in E2724 (controlMaxMillis) and in the metric control.lag.millis stayed at that of the last work, however long ago it was: after one late batch, a quiet process seemed late until the next work came. It is 0 now when a tick found nothing posted. The test failed before: 5.7 ms after the work was done.

--- a/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
+++ b/rosemaryfront-wire/src/main/java/org/rosemaryfront/program/ControlLoop.java
@@ -98,7 +98,8 @@
 
 	/**
 	 * How far the thread is behind what is posted.
-	 * @return how long the oldest work of the last batch had waited, in nanoseconds
+	 * @return how long the oldest work of the last batch had waited, in nanoseconds; 0 if
+	 * nothing was posted since the last tick
 	 */
 	public long lagNanos() {
 		return this.lagNanos;
@@ -153,9 +154,7 @@
 
 	private boolean runBatch(long waitNanos) {
 		Work next = take(waitNanos);
-		if (next != null) {
-			this.lagNanos = System.nanoTime() - next.postedNanos;
-		}
+		this.lagNanos = (next != null) ? System.nanoTime() - next.postedNanos : 0;
 		int count = 0;
 		while (next != null) {
 			guarded(next.task, System.nanoTime());
--- a/rosemaryfront-wire/src/test/java/org/rosemaryfront/program/ControlLoopTests.java
+++ b/rosemaryfront-wire/src/test/java/org/rosemaryfront/program/ControlLoopTests.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -51,6 +52,41 @@
 		}
 	}
 
+	// Guards against a delay that is reported long after it is over.
+	@Test
+	void shouldReportNoLagWhenNothingIsPostedAfterLateWork() throws InterruptedException {
+		CountDownLatch posted = new CountDownLatch(1);
+		CountDownLatch worked = new CountDownLatch(1);
+		CountDownLatch ticksAfterWork = new CountDownLatch(3);
+		AtomicLong lagNanos = new AtomicLong();
+		try (ControlLoop loop = ControlLoop.start(Thread::new, TICK, (_) -> {
+			await(posted);
+			if (worked.getCount() == 0) {
+				ticksAfterWork.countDown();
+			}
+		}, () -> {
+		})) {
+			loop.post((_) -> {
+				lagNanos.set(loop.lagNanos());
+				worked.countDown();
+			});
+			Thread.sleep(TICK.toMillis());
+			posted.countDown();
+			assertThat(ticksAfterWork.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+			assertThat(lagNanos.get()).isPositive();
+			assertThat(loop.lagNanos()).isZero();
+		}
+	}
+
+	private static void await(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	// Guards against a process whose control thread has ended, but not its other threads.
 	@Test
 	void shouldEndProcessWhenWorkFailsWithError() throws Exception {
