Test that calls are sent again when servers that were slow are fast

Callers saw, on the untouched code: a gateway whose first calls were answered in 1 or 2 s for 20 s went on to refuse most calls as late, although its servers were idle and answered within 100 ms: 143 and 28 of 400 were sent within the next 40 s.

Cause: the times to first token that a gateway learns are forgotten by later calls only, not by time. A call that was expected to be late at an idle server was refused, so that no call of its size corrected what was believed. It is the class of the largest prompts: a refusal by what no waiting can change.

--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongUnaryOperator;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -42,6 +43,8 @@
 
 	private final Dispatcher dispatcher = new Dispatcher(this.table, "a", () -> 0);
 
+	private long nowNanos;
+
 	@BeforeEach
 	void register() {
 		for (String id : List.of("s1", "s2", "s3")) {
@@ -380,6 +383,34 @@
 		assertThat(choice instanceof Choice.Chosen).isEqualTo(sent);
 	}
 
+	// Guards against times learned while servers were slow that refuse all later calls,
+	// so
+	// that no call corrects them.
+	@ParameterizedTest
+	@ValueSource(longs = { 1_000, 2_000, 5_000, 15_000 })
+	void shouldSendCallsWhenServersAreFastAgain(long slowMillis) {
+		Random tokens = new Random(1);
+		call(200, tokens, (_) -> slowMillis);
+		assertThat(call(400, tokens, (own) -> 40 + own / 60)).isGreaterThan(360);
+	}
+
+	// Returns how many of the calls, ten a second, were sent.
+	private int call(int calls, Random tokens, LongUnaryOperator firstTokenMillis) {
+		int sent = 0;
+		for (int i = 0; i < calls; i++) {
+			this.nowNanos += SECOND / 10;
+			int own = 500 + tokens.nextInt(3_000);
+			CallRequirements requirements = new CallRequirements("llm", PromptPrefix.none(), Optional.empty(), own, 500,
+					0, "sfax", 10_000, 500);
+			if (this.dispatcher.choose(requirements, Set.of(), this.nowNanos) instanceof Choice.Chosen chosen) {
+				this.dispatcher.recordFirstToken("llm", chosen.server().incarnation(), chosen.work().orElseThrow(),
+						firstTokenMillis.applyAsLong(own), this.nowNanos);
+				sent++;
+			}
+		}
+		return sent;
+	}
+
 	@Test
 	void shouldRejectWhenAllSlotsAreInUse() {
 		for (String id : List.of("s1", "s2", "s3")) {
