Give tests no port that another test's relay keeps while it refuses connections

Cause: a relay that refuses connections keeps its port with a socket that is bound, allows others beside it and does not listen. FreePorts looked with a listening socket that allows others as well, which the system permits, so that a test in another process took the port, and the relay waited ten seconds for it in vain.

Evidence: with such a socket bound, the look of before finds the port free, and the relay's bind then fails with the message seen. Now the look allows no other socket.

--- a/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/net/FreePorts.java
+++ b/rosemaryfront-standins/src/main/java/org/rosemaryfront/standin/net/FreePorts.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -53,11 +54,20 @@
 	}
 
 	private static boolean isFree(int port) {
-		if (!CHOSEN.add(port)) {
-			return false;
-		}
-		try (ServerSocket _ = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
-				DatagramSocket _ = new DatagramSocket(port, InetAddress.getLoopbackAddress())) {
+		return CHOSEN.add(port) && isUnbound(port);
+	}
+
+	/**
+	 * Returns whether nothing is bound to a port, of any process. Sockets that allow
+	 * others beside them count as well, although they do not listen.
+	 * @param port the port
+	 * @return whether it can be bound
+	 */
+	static boolean isUnbound(int port) {
+		InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+		try (ServerSocket connections = new ServerSocket(); DatagramSocket _ = new DatagramSocket(address)) {
+			connections.setReuseAddress(false);
+			connections.bind(address, 1);
 			return true;
 		}
 		catch (IOException ex) {
