--- a/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
+++ b/rosemaryfront-decisions/src/test/java/org/rosemaryfront/dispatch/DispatcherTests.java
@@ -384,24 +384,31 @@
 	}
 
 	// Guards against times learned while servers were slow that refuse all later calls,
-	// so
-	// that no call corrects them.
+	// and that therefore no call corrects.
 	@ParameterizedTest
 	@ValueSource(longs = { 1_000, 2_000, 5_000, 15_000 })
 	void shouldSendCallsWhenServersAreFastAgain(long slowMillis) {
 		Random tokens = new Random(1);
-		call(200, tokens, (_) -> slowMillis);
-		assertThat(call(400, tokens, (own) -> 40 + own / 60)).isGreaterThan(360);
+		call(200, 10_000, tokens, (_) -> slowMillis);
+		assertThat(call(400, 10_000, tokens, (own) -> 40 + own / 60)).isGreaterThan(360);
+	}
+
+	// Guards against the same where a call has three times its target until it times out.
+	@Test
+	void shouldSendCallsWhenServersAreFastAgainAndTimeoutIsShort() {
+		Random tokens = new Random(1);
+		call(200, 1_500, tokens, (_) -> 2_000);
+		assertThat(call(400, 1_500, tokens, (own) -> 40 + own / 60)).isGreaterThan(360);
 	}
 
 	// Returns how many of the calls, ten a second, were sent.
-	private int call(int calls, Random tokens, LongUnaryOperator firstTokenMillis) {
+	private int call(int calls, long timeoutMillis, Random tokens, LongUnaryOperator firstTokenMillis) {
 		int sent = 0;
 		for (int i = 0; i < calls; i++) {
 			this.nowNanos += SECOND / 10;
 			int own = 500 + tokens.nextInt(3_000);
 			CallRequirements requirements = new CallRequirements("llm", PromptPrefix.none(), Optional.empty(), own, 500,
-					0, "sfax", 10_000, 500);
+					0, "sfax", timeoutMillis, 500);
 			if (this.dispatcher.choose(requirements, Set.of(), this.nowNanos) instanceof Choice.Chosen chosen) {
 				this.dispatcher.recordFirstToken("llm", chosen.server().incarnation(), chosen.work().orElseThrow(),
 						firstTokenMillis.applyAsLong(own), this.nowNanos);
