Read Retry-After of a response in one place of the tests

RawCaller had got a copy of what ServerStatementTests did by itself. The test calls it and keeps its bounds. ServerStatementTests and OverloadTests pass.

--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/Crowd.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/Crowd.java
@@ -78,7 +78,7 @@
 			}
 			if (response.status() != 200) {
 				this.refused.incrementAndGet();
-				return response.retryAfterMillis();
+				return Math.round(1_000 * response.retryAfterSeconds());
 			}
 			boolean isLate = System.nanoTime() - beginNanos > TARGET_NANOS;
 			(isLate ? this.late : this.inTime).incrementAndGet();
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/RawCaller.java
@@ -199,12 +199,12 @@
 
 		/**
 		 * Returns when the caller may return.
-		 * @return the time in milliseconds, 0 if the response does not say
+		 * @return the time in seconds, 0 if the response does not say
 		 */
-		long retryAfterMillis() {
+		double retryAfterSeconds() {
 			return this.head.lines()
 				.filter((line) -> line.toLowerCase(Locale.ROOT).startsWith("retry-after:"))
-				.mapToLong((line) -> Math.round(1_000 * Double.parseDouble(line.substring(12).trim())))
+				.mapToDouble((line) -> Double.parseDouble(line.substring("retry-after:".length()).trim()))
 				.findFirst()
 				.orElse(0);
 		}
--- a/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ServerStatementTests.java
+++ b/rosemaryfront-gateway/src/test/java/org/rosemaryfront/gateway/ServerStatementTests.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -133,7 +132,7 @@
 		int before = requests("s1") + requests("s2");
 		Response response = call(0, "/visits/");
 		assertThat(response.status()).isEqualTo(503);
-		assertThat(retryAfterSeconds(response)).isBetween(0.3, 2.0);
+		assertThat(response.retryAfterSeconds()).isBetween(0.3, 2.0);
 		assertThat(requests("s1") + requests("s2")).isEqualTo(before);
 	}
 
@@ -230,13 +229,4 @@
 		return this.servers.get(server).requests().size();
 	}
 
-	private static double retryAfterSeconds(Response response) {
-		for (String line : response.head().split("\r\n")) {
-			if (line.toLowerCase(Locale.ROOT).startsWith("retry-after:")) {
-				return Double.parseDouble(line.substring("retry-after:".length()).trim());
-			}
-		}
-		return 0;
-	}
-
 }
