--- a/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
+++ b/rosemaryfront-decisions/src/main/java/org/rosemaryfront/admission/Admission.java
@@ -132,7 +132,7 @@
 	 * Decides on a call. A call without an organisation, or whose time to its first token
 	 * is all of its remaining time because it may have run, is refused only if it would
 	 * be late. A call whose own prompt makes it late is refused only if it would also
-	 * wait for others, or not be answered at all.
+	 * wait for others, or, but for a part of them, if it is expected to time out.
 	 * @param call the call
 	 * @param expected the expected times
 	 * @return the decision
@@ -152,7 +152,8 @@
 	}
 
 	// A call that is late by its own prompt is late whenever it comes. It is sent where
-	// it hardly waits for others, if it can be answered at all.
+	// it hardly waits for others, if it can be answered at all, or to learn whether it
+	// can.
 	private double latestMillis(CallDemand call, ExpectedTime expected, double draw) {
 		double factor = latenessFactor(call.priority());
 		double latest = call.targetMillis() * factor;
